--- /dev/null
+++ b/lycheeshunt/base/codec.h
@@ -0,0 +1,54 @@
+// Field packing for messages between the system's own processes, by MessagePack. Slices keep
+// their codecs apart from their decisions and build their value types from these tuples.
+//
+//     const std::string bytes = packFields(std::make_tuple(version, number));
+//     const result<std::tuple<int, long>> fields = unpackFields<std::tuple<int, long>>(bytes);
+
+#pragma once
+
+#include "lycheeshunt/base/result.h"
+
+#include <msgpack.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace lycheeshunt::base {
+
+template <typename tuple_type>
+std::string packFields(const tuple_type &fields)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, fields);
+    return std::string(buffer.data(), buffer.size());
+}
+
+// Bounds what a hostile message may make the decoder allocate.
+inline msgpack::unpack_limit unpackLimit()
+{
+    constexpr std::size_t maxItems = 200'000;
+    constexpr std::size_t maxBytes = 4 * 1024 * 1024;
+    constexpr std::size_t maxDepth = 16;
+    return msgpack::unpack_limit(maxItems, maxItems, maxBytes, maxBytes, maxBytes, maxDepth);
+}
+
+// Any fault in the bytes is messageMalformed; bytes after the tuple are one too.
+template <typename tuple_type>
+result<tuple_type> unpackFields(std::string_view bytes)
+{
+    try {
+        std::size_t offset = 0;
+        const msgpack::object_handle handle
+            = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, unpackLimit());
+        if (offset != bytes.size())
+            return error {error_code::messageMalformed, "bytes after the message"};
+        if (handle.get().type != msgpack::type::ARRAY
+            || handle.get().via.array.size != std::tuple_size_v<tuple_type>)
+            return error {error_code::messageMalformed, "wrong number of fields"};
+        return handle.get().as<tuple_type>();
+    } catch (const std::exception &failure) {
+        return error {error_code::messageMalformed, failure.what()};
+    }
+}
+
+} // namespace lycheeshunt::base
--- /dev/null
+++ b/lycheeshunt/base/error_code.h
@@ -0,0 +1,66 @@
+// The numbered result codes. docs/ERRORS.md lists them; a test compares the two.
+// Each slice has a hundred numbers of its own.
+
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace lycheeshunt::base {
+
+enum class error_code : std::uint16_t {
+    // settings
+    settingsUnreadable = 101,
+    settingsSyntax = 102,
+    settingsUnknownKey = 103,
+    settingsWrongType = 104,
+    settingsMissingKey = 105,
+    settingsBadValue = 106,
+    settingsClash = 107,
+    // packets and codecs
+    packetTruncated = 201,
+    packetUnsupported = 202,
+    messageMalformed = 203,
+    messageTooLarge = 204,
+    messageVersion = 205,
+    // routing and flows
+    noSuchAddress = 301,
+    noServer = 302,
+    wrongService = 303,
+    wrongIncarnation = 304,
+    tooManyHops = 305,
+    flowUnknown = 306,
+    flowTableFull = 307,
+    serverDraining = 308,
+    // tickets
+    ticketMalformed = 601,
+    ticketNumberTaken = 602,
+    ticketAddressClash = 603,
+    ticketUnknown = 604,
+    ticketBadField = 605,
+    // replication and storage
+    logCorrupt = 701,
+    storageFailed = 702,
+    notLeader = 703,
+    quorumLost = 704,
+    tooBusy = 705,
+    // dissemination
+    notInForce = 801,
+    // operators
+    requestMalformed = 901,
+    notAuthorized = 902,
+    bodyTooLarge = 903,
+    noSuchResource = 904,
+    controlUnreachable = 905,
+    // network
+    socketFailed = 1001,
+};
+
+// One line for people, without a full stop.
+std::string_view describe(error_code code);
+
+// Every code, ascending.
+std::span<const error_code> allErrorCodes();
+
+} // namespace lycheeshunt::base
--- /dev/null
+++ b/lycheeshunt/base/flow_key.h
@@ -0,0 +1,34 @@
+// What tells one flow from another: both ends and the IP protocol number.
+
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+
+#include <cstddef>
+#include <functional>
+
+namespace lycheeshunt::base {
+
+struct flow_key
+{
+    const endpoint caller;
+    const endpoint service;
+    const std::uint8_t protocol = 0;
+
+    bool operator==(const flow_key &) const = default;
+    std::strong_ordering operator<=>(const flow_key &) const = default;
+};
+
+// The same on every node, so that all agree on the flow's bucket.
+std::uint64_t hashOf(const flow_key &key);
+
+} // namespace lycheeshunt::base
+
+template <>
+struct std::hash<lycheeshunt::base::flow_key>
+{
+    std::size_t operator()(const lycheeshunt::base::flow_key &key) const
+    {
+        return lycheeshunt::base::hashOf(key);
+    }
+};
--- /dev/null
+++ b/lycheeshunt/base/identifiers.h
@@ -0,0 +1,34 @@
+// The identifiers that the slices share. Each is a number of its own type.
+
+#pragma once
+
+#include "lycheeshunt/base/strong_number.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace lycheeshunt::base {
+
+// A process of the system; derived from the name in its settings.
+using node_id = strong_number<struct node_id_tag, std::uint64_t>;
+
+// A service; derived from its name.
+using service_id = strong_number<struct service_id_tag, std::uint64_t>;
+
+// One life of a process: greater for each later start of the same node.
+using incarnation = strong_number<struct incarnation_tag, std::uint64_t>;
+
+// Position in the sequence of committed changes; never goes back on a node.
+using generation = strong_number<struct generation_tag, std::uint64_t>;
+
+// Number that the operator gave to a change ticket.
+using ticket_number = strong_number<struct ticket_number_tag, std::uint64_t>;
+
+// Index into a service's bucket table.
+using bucket = strong_number<struct bucket_tag, std::uint32_t>;
+
+// The same name gives the same identifier on every node.
+node_id nodeIdOf(std::string_view name);
+service_id serviceIdOf(std::string_view name);
+
+} // namespace lycheeshunt::base
