Add tickets, membership, dissemination, settings, packets and streams in their first form

Cause: the path needs a view of services and members on every node. Change: decisions as pure steps; codecs apart; long-lived HTTP/2 streams with heartbeat, deadline and jittered reconnection. Conclusion: whole views are sent to each node; relays and deltas are still to come.

--- /dev/null
+++ b/lycheeshunt/dissemination/batch_applied.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/membership/membership_batch.h"
+
+namespace lycheeshunt::dissemination {
+
+// Committed membership changes lead to this generation.
+struct batch_applied
+{
+    const base::generation at;
+    const membership::membership_batch batch;
+
+    bool operator==(const batch_applied &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/cluster_view.h
@@ -0,0 +1,41 @@
+// Everything a node needs to know at one generation. Immutable: applying a log entry makes the
+// next view. The same entries in the same order give the same view on every node.
+//
+//     const cluster_view next = view.withTicket(generation, ticket);
+
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/membership/membership_batch.h"
+#include "lycheeshunt/tickets/ticket.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lycheeshunt::dissemination {
+
+struct cluster_view
+{
+    const base::generation at;
+    const std::map<base::service_id, tickets::service_definition> services = {};
+    const std::map<base::node_id, membership::member> members = {};
+    // Names of the agents that a ticket has put into draining.
+    const std::set<std::string> draining = {};
+
+    cluster_view withTicket(base::generation next, const tickets::ticket &ticket) const;
+    cluster_view withBatch(base::generation next, const membership::membership_batch &batch) const;
+
+    bool isDraining(const membership::member &member) const
+    {
+        return member.phase == membership::member_phase::draining
+            || draining.count(member.name) > 0;
+    }
+
+    bool operator==(const cluster_view &) const = default;
+};
+
+using shared_view = std::shared_ptr<const cluster_view>;
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/force_query.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/base/request_id.h"
+
+namespace lycheeshunt::dissemination {
+
+// An operator asks which nodes have not reached a generation.
+struct force_query
+{
+    const base::request_id request;
+    const base::generation at;
+
+    bool operator==(const force_query &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/publisher_duty.cpp
@@ -0,0 +1,27 @@
+#include "lycheeshunt/dissemination/publisher_duty.h"
+
+#include "lycheeshunt/dissemination/decision.h"
+
+namespace lycheeshunt::dissemination {
+
+namespace {
+constexpr std::size_t inboxCapacity = 4096;
+}
+
+publisher_duty::publisher_duty(action_sink sink)
+    : m_sink(std::move(sink)),
+      m_duty(inboxCapacity, [this](const dissemination_message &message, base::clock_time now) {
+          handle(message, now);
+      })
+{
+}
+
+void publisher_duty::handle(const dissemination_message &message, base::clock_time /*now*/)
+{
+    base::step<publisher_state, dissemination_action> next = decide(std::move(m_state), message);
+    m_state = std::move(next.state);
+    for (const dissemination_action &action : next.actions)
+        m_sink(action);
+}
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/subscriber_opened.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/streams/connection_id.h"
+
+namespace lycheeshunt::dissemination {
+
+// A node's stream is up.
+struct subscriber_opened
+{
+    const streams::connection_id connection;
+
+    bool operator==(const subscriber_opened &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/ticket_applied.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/tickets/ticket.h"
+
+namespace lycheeshunt::dissemination {
+
+// A committed ticket leads to this generation.
+struct ticket_applied
+{
+    const base::generation at;
+    const tickets::ticket ticket;
+
+    bool operator==(const ticket_applied &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/membership/codec.cpp
@@ -0,0 +1,87 @@
+#include "lycheeshunt/membership/codec.h"
+
+#include "lycheeshunt/base/codec.h"
+#include "lycheeshunt/membership/membership_batch.h"
+
+#include <tuple>
+
+namespace lycheeshunt::membership {
+
+namespace {
+
+using member_fields = std::tuple<std::string, std::string, std::uint8_t, std::uint64_t,
+                                 std::uint64_t, std::uint32_t, std::uint16_t, std::uint8_t>;
+using batch_fields = std::tuple<std::vector<member_fields>, std::vector<std::uint64_t>>;
+
+member_fields fieldsOf(const member &member)
+{
+    return member_fields(member.name, member.availabilityZone,
+                         static_cast<std::uint8_t>(member.role), member.service.value(),
+                         member.life.value(), member.packets.address, member.packets.port,
+                         static_cast<std::uint8_t>(member.phase));
+}
+
+base::result<member> memberOf(const member_fields &fields)
+{
+    const auto &[name, zone, role, service, life, address, port, phase] = fields;
+    const bool roleKnown = role == static_cast<std::uint8_t>(member_role::entry)
+        || role == static_cast<std::uint8_t>(member_role::agent);
+    const bool phaseKnown = phase >= static_cast<std::uint8_t>(member_phase::serving)
+        && phase <= static_cast<std::uint8_t>(member_phase::draining);
+    if (!roleKnown || !phaseKnown)
+        return base::error {base::error_code::messageMalformed, "unknown role or phase"};
+    return member {name,
+                   zone,
+                   static_cast<member_role>(role),
+                   base::service_id(service),
+                   base::incarnation(life),
+                   base::endpoint {address, port},
+                   static_cast<member_phase>(phase)};
+}
+
+} // namespace
+
+std::string encodeMember(const member &member)
+{
+    return base::packFields(fieldsOf(member));
+}
+
+base::result<member> decodeMember(std::string_view bytes)
+{
+    const base::result<member_fields> fields = base::unpackFields<member_fields>(bytes);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    return memberOf(base::valueOf(fields));
+}
+
+std::string encodeBatch(const membership_batch &batch)
+{
+    std::vector<member_fields> present;
+    for (const member &member : batch.present)
+        present.push_back(fieldsOf(member));
+    std::vector<std::uint64_t> gone;
+    for (const base::node_id &id : batch.gone)
+        gone.push_back(id.value());
+    return base::packFields(batch_fields(present, gone));
+}
+
+base::result<membership_batch> decodeBatch(std::string_view bytes)
+{
+    const base::result<batch_fields> fields = base::unpackFields<batch_fields>(bytes);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    const auto &[rawPresent, rawGone] = base::valueOf(fields);
+    std::vector<member> present;
+    for (const member_fields &raw : rawPresent) {
+        const base::result<member> decoded = memberOf(raw);
+        if (const base::error *failure = base::errorOf(decoded))
+            return *failure;
+        present.push_back(base::valueOf(decoded));
+    }
+    std::vector<base::node_id> gone;
+    for (const std::uint64_t raw : rawGone)
+        gone.emplace_back(raw);
+    return membership_batch {std::move(present), std::move(gone)};
+}
+
+} // namespace lycheeshunt::membership
--- /dev/null
+++ b/lycheeshunt/membership/propose_batch.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/membership/membership_batch.h"
+
+namespace lycheeshunt::membership {
+
+// Put membership changes into the log.
+struct propose_batch
+{
+    const membership_batch batch;
+
+    bool operator==(const propose_batch &) const = default;
+};
+
+} // namespace lycheeshunt::membership
--- /dev/null
+++ b/lycheeshunt/packets/datagram_io.cpp
@@ -0,0 +1,31 @@
+#include "lycheeshunt/packets/datagram_io.h"
+
+#include "lycheeshunt/base/socket.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace lycheeshunt::packets {
+
+namespace {
+constexpr std::size_t maxDatagramBytes = 65536;
+}
+
+std::optional<std::string> receiveDatagram(int descriptor)
+{
+    thread_local std::string buffer(maxDatagramBytes, '\0');
+    const ssize_t count = ::recv(descriptor, buffer.data(), buffer.size(), 0);
+    if (count < 0)
+        return std::nullopt;
+    return buffer.substr(0, static_cast<std::size_t>(count));
+}
+
+bool sendDatagram(int descriptor, const base::endpoint &to, std::string_view bytes)
+{
+    const sockaddr_in address = base::toSocketAddress(to);
+    const ssize_t sent = ::sendto(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                                  reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    return sent == static_cast<ssize_t>(bytes.size());
+}
+
+} // namespace lycheeshunt::packets
--- /dev/null
+++ b/lycheeshunt/packets/ip_packet.cpp
@@ -0,0 +1,107 @@
+#include "lycheeshunt/packets/ip_packet.h"
+
+#include <netinet/in.h>
+#include <netinet/ip.h>
+#include <netinet/tcp.h>
+#include <netinet/udp.h>
+#include <tins/ip.h>
+#include <tins/tcp.h>
+
+#include <cstring>
+
+namespace lycheeshunt::packets {
+
+namespace {
+
+constexpr std::size_t wordBytes = 4;
+constexpr std::uint16_t fragmentMask = IP_MF | IP_OFFMASK;
+
+base::error truncated(const char *what)
+{
+    return base::error {base::error_code::packetTruncated, what};
+}
+
+base::flow_key keyOf(const iphdr &ip, std::uint16_t sourcePort, std::uint16_t targetPort,
+                     direction way)
+{
+    const base::endpoint source {ntohl(ip.saddr), ntohs(sourcePort)};
+    const base::endpoint target {ntohl(ip.daddr), ntohs(targetPort)};
+    return way == direction::fromCaller ? base::flow_key {source, target, ip.protocol}
+                                        : base::flow_key {target, source, ip.protocol};
+}
+
+base::result<ip_summary> summarizeTcp(const iphdr &ip, std::string_view segment, direction way)
+{
+    tcphdr tcp {};
+    if (segment.size() < sizeof tcp)
+        return truncated("TCP header");
+    std::memcpy(&tcp, segment.data(), sizeof tcp);
+    const std::size_t headerBytes = tcp.doff * wordBytes;
+    if (headerBytes < sizeof tcp || headerBytes > segment.size())
+        return truncated("TCP options");
+    return ip_summary {keyOf(ip, tcp.source, tcp.dest, way), tcp.syn != 0 && tcp.ack == 0,
+                       tcp.fin != 0, tcp.rst != 0,
+                       static_cast<std::uint16_t>(segment.size() - headerBytes)};
+}
+
+base::result<ip_summary> summarizeUdp(const iphdr &ip, std::string_view datagram, direction way)
+{
+    udphdr udp {};
+    if (datagram.size() < sizeof udp)
+        return truncated("UDP header");
+    std::memcpy(&udp, datagram.data(), sizeof udp);
+    // Each datagram may be the first of its flow.
+    return ip_summary {keyOf(ip, udp.source, udp.dest, way), true, false, false,
+                       static_cast<std::uint16_t>(datagram.size() - sizeof udp)};
+}
+
+} // namespace
+
+base::result<ip_summary> summarize(std::string_view bytes, direction way)
+{
+    iphdr ip {};
+    if (bytes.size() < sizeof ip)
+        return truncated("IP header");
+    std::memcpy(&ip, bytes.data(), sizeof ip);
+    const std::size_t headerBytes = ip.ihl * wordBytes;
+    const std::size_t totalBytes = ntohs(ip.tot_len);
+    if (ip.version != IPVERSION)
+        return base::error {base::error_code::packetUnsupported, "IP version"};
+    if (headerBytes < sizeof ip || totalBytes < headerBytes || totalBytes != bytes.size())
+        return truncated("IP length");
+    if ((ntohs(ip.frag_off) & fragmentMask) != 0)
+        return base::error {base::error_code::packetUnsupported, "fragment"};
+    const std::string_view rest = bytes.substr(headerBytes);
+    if (ip.protocol == IPPROTO_TCP)
+        return summarizeTcp(ip, rest, way);
+    if (ip.protocol == IPPROTO_UDP)
+        return summarizeUdp(ip, rest, way);
+    return base::error {base::error_code::packetUnsupported, "IP protocol"};
+}
+
+std::string resetFor(std::string_view callerPacket)
+{
+    const base::result<ip_summary> summary = summarize(callerPacket, direction::fromCaller);
+    const ip_summary *known = std::get_if<ip_summary>(&summary);
+    if (known == nullptr || known->resets || known->key.protocol != IPPROTO_TCP)
+        return {};
+    const Tins::IP received(reinterpret_cast<const std::uint8_t *>(callerPacket.data()),
+                            static_cast<std::uint32_t>(callerPacket.size()));
+    const Tins::TCP &segment = received.rfind_pdu<Tins::TCP>();
+    Tins::TCP reset(segment.sport(), segment.dport());
+    if (segment.get_flag(Tins::TCP::ACK)) {
+        reset.seq(segment.ack_seq());
+        reset.flags(Tins::TCP::RST);
+    } else {
+        const std::uint32_t consumed
+            = known->payloadBytes + (known->opens ? 1U : 0U) + (known->finishes ? 1U : 0U);
+        reset.ack_seq(segment.seq() + consumed);
+        reset.flags(Tins::TCP::RST | Tins::TCP::ACK);
+    }
+    Tins::IP answer = Tins::IP(received.src_addr(), received.dst_addr()) / reset;
+    answer.ttl(IPDEFTTL);
+    const Tins::PDU::serialization_type raw = answer.serialize();
+    return std::string(raw.begin(), raw.end());
+}
+
+} // namespace lycheeshunt::packets
--- /dev/null
+++ b/lycheeshunt/packets/ip_summary.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lycheeshunt/base/flow_key.h"
+
+namespace lycheeshunt::packets {
+
+// What the decisions need to know of one IP packet. The key always names the caller's end first,
+// whichever way the packet goes.
+struct ip_summary
+{
+    const base::flow_key key;
+    const bool opens = false;
+    const bool finishes = false;
+    const bool resets = false;
+    const std::uint16_t payloadBytes = 0;
+
+    bool operator==(const ip_summary &) const = default;
+};
+
+} // namespace lycheeshunt::packets
--- /dev/null
+++ b/lycheeshunt/settings/control_settings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+
+#include <string>
+
+namespace lycheeshunt::settings {
+
+// What a control process needs besides the common settings.
+struct control_settings
+{
+    // Bound here: streams from every other process.
+    const base::endpoint streams;
+    // Bound here: the operators' HTTP API.
+    const base::endpoint api;
+    // Holds the log; must be on a disk that lasts.
+    const std::string dataFolder;
+
+    bool operator==(const control_settings &) const = default;
+};
+
+} // namespace lycheeshunt::settings
--- /dev/null
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -0,0 +1,90 @@
+#include "lycheeshunt/settings/settings_file.h"
+
+#include "lycheeshunt/settings/internal/table_reader.h"
+
+#include <fstream>
+#include <functional>
+#include <sstream>
+
+namespace lycheeshunt::settings {
+
+namespace {
+
+using internal::table_reader;
+
+role_settings readEntry(table_reader &reader)
+{
+    return entry_settings {reader.endpoint("packets")};
+}
+
+role_settings readAgent(table_reader &reader)
+{
+    const std::string service = reader.text("service");
+    const flows::agent_sockets sockets {reader.endpoint("packets"), reader.endpoint("server_side"),
+                                        reader.endpoint("server"), reader.endpoint("fabric")};
+    if (sockets.packets.port != 0 && sockets.packets == sockets.serverSide)
+        reader.fail(base::error_code::settingsClash, "server_side", "same address as packets");
+    return agent_settings {service, sockets};
+}
+
+role_settings readControl(table_reader &reader)
+{
+    const base::endpoint streams = reader.endpoint("streams");
+    const base::endpoint api = reader.endpoint("api");
+    if (streams.port != 0 && streams == api)
+        reader.fail(base::error_code::settingsClash, "api", "same address as streams");
+    return control_settings {streams, api, reader.text("data_folder")};
+}
+
+role_settings readRole(table_reader &top, const std::string &role, const std::string &path)
+{
+    const toml::table *table = top.subtable(role);
+    if (table == nullptr)
+        return entry_settings {};
+    table_reader reader(*table, path);
+    role_settings settings = role == "entry" ? readEntry(reader)
+        : role == "agent"                    ? readAgent(reader)
+                                             : readControl(reader);
+    reader.refuseUnknownKeys();
+    top.take(reader);
+    return settings;
+}
+
+} // namespace
+
+base::result<node_settings> parseSettings(std::string_view text, const std::string &path)
+{
+    try {
+        const toml::table table = toml::parse(text, path);
+        table_reader reader(table, path);
+        const std::string role = reader.text("role");
+        if (!reader.fault() && role != "entry" && role != "agent" && role != "control")
+            reader.fail(base::error_code::settingsBadValue, "role",
+                        "must be entry, agent or control");
+        if (reader.fault())
+            return *reader.fault();
+        const std::string name = reader.text("name");
+        const std::string zone = reader.text("availability_zone");
+        const std::vector<base::endpoint> control = reader.endpoints("control_addresses");
+        const role_settings settings = readRole(reader, role, path);
+        reader.refuseUnknownKeys();
+        if (reader.fault())
+            return *reader.fault();
+        return node_settings {name, zone, control, settings};
+    } catch (const toml::parse_error &failure) {
+        return base::error {base::error_code::settingsSyntax,
+                            path + ":" + std::to_string(failure.source().begin.line) + ": "
+                                + std::string(failure.description())};
+    }
+}
+
+base::result<node_settings> readSettings(const std::string &path)
+{
+    const std::ifstream file(path);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf()))
+        return base::error {base::error_code::settingsUnreadable, path};
+    return parseSettings(text.str(), path);
+}
+
+} // namespace lycheeshunt::settings
--- /dev/null
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -0,0 +1,70 @@
+#include "lycheeshunt/settings/settings_file.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using base::error_code;
+
+namespace {
+
+const std::string goodEntry = "role = \"entry\"\n"
+                              "name = \"entry-1\"\n"
+                              "availability_zone = \"leith-1\"\n"
+                              "control_addresses = [\"127.0.0.1:7400\"]\n"
+                              "[entry]\n"
+                              "packets = \"127.0.0.1:7500\"\n";
+
+struct fault_case
+{
+    const char *what;
+    std::string text;
+    error_code code;
+    const char *detail;
+};
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_GROUP(settings_file) {};
+
+TEST(settings_file, readsAnEntry)
+{
+    const base::result<settings::node_settings> read
+        = settings::parseSettings(goodEntry, "entry.toml");
+    CHECK(base::isOk(read));
+    const settings::node_settings &known = base::valueOf(read);
+    STRCMP_EQUAL("leith-1", known.availabilityZone.c_str());
+    CHECK(std::get<settings::entry_settings>(known.role).packets
+          == (base::endpoint {0x7f000001, 7500}));
+}
+
+TEST(settings_file, namesFileLineAndKeyOfEachFault)
+{
+    const fault_case cases[] = {
+        {"syntax", "role = ", error_code::settingsSyntax, "entry.toml:1"},
+        {"unknown key", goodEntry + "speed = 3\n", error_code::settingsUnknownKey,
+         "entry.toml:7: speed"},
+        {"wrong type", replaced(goodEntry, "\"entry-1\"", "7"), error_code::settingsWrongType,
+         "entry.toml:2: name"},
+        {"missing key", replaced(goodEntry, "name = \"entry-1\"\n", ""),
+         error_code::settingsMissingKey, "name"},
+        {"bad address", replaced(goodEntry, "127.0.0.1:7500", "127.0.0.1"),
+         error_code::settingsBadValue, "entry.toml:6: packets"},
+        {"bad role", replaced(goodEntry, "\"entry\"", "\"relay\""), error_code::settingsBadValue,
+         "entry.toml:1: role"},
+        {"other role's table", goodEntry + "[agent]\n", error_code::settingsUnknownKey,
+         "entry.toml:7: agent"},
+    };
+    for (const fault_case &row : cases) {
+        const base::result<settings::node_settings> read
+            = settings::parseSettings(row.text, "entry.toml");
+        const base::error *failure = base::errorOf(read);
+        CHECK_TEXT(failure != nullptr, row.what);
+        LONGS_EQUAL_TEXT(static_cast<int>(row.code), static_cast<int>(failure->code), row.what);
+        CHECK_TEXT(failure->detail.find(row.detail) != std::string::npos, failure->detail.c_str());
+    }
+}
--- /dev/null
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -0,0 +1,118 @@
+#include "lycheeshunt/streams/internal/h2_connection.h"
+
+#include "lycheeshunt/streams/stream_client.h"
+
+#include "lycheeshunt/base/socket.h"
+#include "lycheeshunt/streams/internal/frame_text.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace lycheeshunt::streams {
+
+namespace {
+
+constexpr std::size_t outgoingFrames = 4096;
+
+bool isConnected(int descriptor)
+{
+    int failure = 0;
+    socklen_t length = sizeof failure;
+    return ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) == 0 && failure == 0;
+}
+
+} // namespace
+
+stream_client::stream_client(std::vector<base::endpoint> servers, const stream_timing &timing,
+                             std::uint64_t seed, stream_sink sink)
+    : m_servers(std::move(servers)), m_timing(timing), m_sink(std::move(sink)),
+      m_outgoing(outgoingFrames), m_random(seed), m_nextServer(m_random() % m_servers.size()),
+      m_thread([this]() { run(); })
+{
+}
+
+stream_client::~stream_client()
+{
+    m_outgoing.close();
+    m_thread.join();
+}
+
+void stream_client::run()
+{
+    while (!m_outgoing.isClosed()) {
+        const std::unique_ptr<internal::h2_connection> connection = connectNext();
+        if (connection) {
+            const connection_id id(m_nextConnection++);
+            m_sink(stream_opened {id});
+            serve(*connection, id);
+            m_sink(stream_closed {id});
+        }
+        waitBeforeRetry();
+    }
+}
+
+std::unique_ptr<internal::h2_connection> stream_client::connectNext()
+{
+    const base::endpoint &server = m_servers[m_nextServer];
+    m_nextServer = (m_nextServer + 1) % m_servers.size();
+    base::result<base::file_descriptor> started = base::startConnection(server);
+    if (!base::isOk(started))
+        return nullptr;
+    base::file_descriptor socket = base::takeValue(std::move(started));
+    pollfd watched {socket.get(), POLLOUT, 0};
+    ::poll(&watched, 1, static_cast<int>(m_timing.silenceLimit.millis()));
+    if ((watched.revents & POLLOUT) == 0 || !isConnected(socket.get()))
+        return nullptr;
+    return std::make_unique<internal::h2_connection>(
+        std::move(socket), internal::connection_side::client, base::clock_time::steady());
+}
+
+void stream_client::serve(internal::h2_connection &connection, connection_id id)
+{
+    base::clock_time lastPing = base::clock_time::steady();
+    bool alive = connection.flush();
+    while (alive && !m_outgoing.isClosed()) {
+        const short interest = connection.wantsWrite() ? POLLIN | POLLOUT : POLLIN;
+        pollfd watched[]
+            = {{connection.descriptor(), interest, 0}, {m_outgoing.descriptor(), POLLIN, 0}};
+        ::poll(watched, std::size(watched), static_cast<int>(m_timing.pingEvery.millis()));
+        const base::clock_time now = base::clock_time::steady();
+        if ((watched[0].revents & ~POLLOUT) != 0) {
+            const std::vector<std::string> frames = connection.receive(now, alive);
+            for (const std::string &text : frames)
+                m_sink(internal::frameFromText(id, text));
+        }
+        if (now - lastPing >= m_timing.pingEvery) {
+            lastPing = now;
+            connection.sendPing();
+        }
+        alive = alive && sendQueued(connection, id)
+            && now - connection.lastHeard() <= m_timing.silenceLimit;
+    }
+}
+
+bool stream_client::sendQueued(internal::h2_connection &connection, connection_id id)
+{
+    while (const std::optional<stream_frame> frame = m_outgoing.tryPop()) {
+        if (frame->connection == id)
+            connection.sendFrame(internal::frameText(*frame));
+    }
+    return connection.flush();
+}
+
+// Waits on the ring, not on a timer alone, so that a stop is not held up.
+void stream_client::waitBeforeRetry()
+{
+    const std::int64_t half = m_timing.reconnectWait.millis() / 2;
+    const base::clock_time until
+        = base::clock_time::steady()
+        + base::clock_time::ofMillis(
+              half + std::uniform_int_distribution<std::int64_t>(0, half)(m_random));
+    base::clock_time now = base::clock_time::steady();
+    while (now < until && !m_outgoing.isClosed()) {
+        m_outgoing.popFor(until - now);
+        now = base::clock_time::steady();
+    }
+}
+
+} // namespace lycheeshunt::streams
--- /dev/null
+++ b/lycheeshunt/streams/stream_client.h
@@ -0,0 +1,57 @@
+// Keeps one long-lived stream to one of several servers, on a thread of its own.
+//
+//     stream_client client({first, second}, {}, seed, sink);
+//     client.outgoing().push(stream_frame {connection, channel::membership, bytes});
+//
+// The sink hears of each opening, frame and closing. When a server is lost or silent the next
+// one is tried after a jittered wait. Frames for a connection that is gone are discarded.
+
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/base/ring.h"
+#include "lycheeshunt/streams/stream_event.h"
+#include "lycheeshunt/streams/stream_timing.h"
+
+#include <memory>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace lycheeshunt::streams {
+
+namespace internal {
+class h2_connection;
+}
+
+class stream_client
+{
+public:
+    // Precondition: servers is not empty.
+    stream_client(std::vector<base::endpoint> servers, const stream_timing &timing,
+                  std::uint64_t seed, stream_sink sink);
+    ~stream_client();
+
+    stream_client(const stream_client &) = delete;
+    stream_client &operator=(const stream_client &) = delete;
+
+    base::ring<stream_frame> &outgoing() { return m_outgoing; }
+
+private:
+    void run();
+    std::unique_ptr<internal::h2_connection> connectNext();
+    void serve(internal::h2_connection &connection, connection_id id);
+    bool sendQueued(internal::h2_connection &connection, connection_id id);
+    void waitBeforeRetry();
+
+    const std::vector<base::endpoint> m_servers;
+    const stream_timing m_timing;
+    const stream_sink m_sink;
+    base::ring<stream_frame> m_outgoing;
+    std::mt19937_64 m_random;
+    std::size_t m_nextServer = 0;
+    std::uint64_t m_nextConnection = 1;
+    std::thread m_thread;
+};
+
+} // namespace lycheeshunt::streams
--- /dev/null
+++ b/lycheeshunt/streams/stream_opened.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/streams/connection_id.h"
+
+namespace lycheeshunt::streams {
+
+// A connection is up; frames may be sent.
+struct stream_opened
+{
+    const connection_id connection;
+
+    bool operator==(const stream_opened &) const = default;
+};
+
+} // namespace lycheeshunt::streams
--- /dev/null
+++ b/lycheeshunt/tickets/service_limits.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+
+#include <cstdint>
+
+namespace lycheeshunt::tickets {
+
+// What each backend server of a service may be given.
+struct service_limits
+{
+    const std::uint32_t slots = 7;
+    const std::uint32_t connections = 2000;
+    const std::uint32_t queueLength = 14;
+    const base::clock_time queueWait = base::clock_time::ofMillis(2000);
+    // Work older than this in its slot counts as long.
+    const base::clock_time longWorkAge = base::clock_time::ofMillis(1000);
+    // Slots that long work may not take while short work waits.
+    const std::uint32_t shortOnlySlots = 2;
+
+    bool operator==(const service_limits &) const = default;
+};
+
+} // namespace lycheeshunt::tickets
--- /dev/null
+++ b/lycheeshunt/tickets/show_ticket.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/base/request_id.h"
+
+namespace lycheeshunt::tickets {
+
+// An operator asks for what is known of a ticket.
+struct show_ticket
+{
+    const base::request_id request;
+    const base::ticket_number number;
+
+    bool operator==(const show_ticket &) const = default;
+};
+
+} // namespace lycheeshunt::tickets
--- /dev/null
+++ b/lycheeshunt/tickets/ticket_duty.h
@@ -0,0 +1,32 @@
+// The ticket thread of a control process.
+
+#pragma once
+
+#include "lycheeshunt/base/duty.h"
+#include "lycheeshunt/tickets/ticket_message.h"
+#include "lycheeshunt/tickets/ticket_state.h"
+
+namespace lycheeshunt::tickets {
+
+class ticket_duty
+{
+public:
+    // Called on the ticket thread for every action. Returns false when a proposal can't be taken
+    // now; its operators are then told so.
+    using action_sink = std::function<bool(const ticket_action &)>;
+
+    explicit ticket_duty(action_sink sink);
+
+    base::ring<ticket_message> &inbox() { return m_duty.inbox(); }
+    void stop() { m_duty.stop(); }
+
+private:
+    void handle(const ticket_message &message, base::clock_time now);
+    void withdraw(base::ticket_number number);
+
+    ticket_state m_state;
+    const action_sink m_sink;
+    base::duty<ticket_message> m_duty;
+};
+
+} // namespace lycheeshunt::tickets
--- /dev/null
+++ b/lycheeshunt/tickets/ticket_record.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/tickets/ticket.h"
+
+namespace lycheeshunt::tickets {
+
+// An accepted ticket: the generation it made and when.
+struct ticket_record
+{
+    const tickets::ticket ticket;
+    const base::generation at;
+    const base::clock_time acceptedAt;
+
+    bool operator==(const ticket_record &) const = default;
+};
+
+} // namespace lycheeshunt::tickets
