Carry a packet from entry to backend server and back

Cause: the whole path is wanted thin before any part grows. Change: stateless routing by rendezvous-hashed buckets, flow ownership with director and backup, one-VM log with sync, HTTP API, lycheeshuntd and lycheeshuntctl.

--- /dev/null
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -0,0 +1,38 @@
+#include "lycheeshunt/daemon/entry_process.h"
+
+#include "lycheeshunt/daemon/internal/self.h"
+#include "lycheeshunt/dissemination/follower.h"
+#include "lycheeshunt/routing/entry_port.h"
+
+namespace lycheeshunt::daemon {
+
+base::result<std::unique_ptr<entry_process>>
+entry_process::start(const settings::node_settings &settings, const settings::entry_settings &own)
+{
+    base::result<std::unique_ptr<routing::entry_port>> port
+        = routing::entry_port::open(own.packets);
+    if (const base::error *failure = base::errorOf(port))
+        return *failure;
+    std::unique_ptr<entry_process> process(new entry_process(base::takeValue(std::move(port))));
+    const membership::member self {settings.name,
+                                   settings.availabilityZone,
+                                   membership::member_role::entry,
+                                   base::service_id(),
+                                   internal::newLife(),
+                                   own.packets,
+                                   membership::member_phase::serving};
+    routing::entry_port *packets = process->m_port.get();
+    process->m_follower = std::make_unique<dissemination::follower>(
+        settings.control, self, self.life.value(),
+        [packets](const dissemination::shared_view &view) {
+            packets->tables().push(std::make_shared<const routing::routing_table>(*view));
+        });
+    return process;
+}
+
+entry_process::entry_process(std::unique_ptr<routing::entry_port> port)
+    : m_port(std::move(port)) { }
+
+entry_process::~entry_process() = default;
+
+} // namespace lycheeshunt::daemon
--- /dev/null
+++ b/lycheeshunt/daemon/entry_process.h
@@ -0,0 +1,37 @@
+// An entry: a packet thread that routes, and a follower that keeps its table new.
+
+#pragma once
+
+#include "lycheeshunt/base/result.h"
+#include "lycheeshunt/settings/node_settings.h"
+
+#include <memory>
+
+namespace lycheeshunt::dissemination {
+class follower;
+}
+
+namespace lycheeshunt::routing {
+class entry_port;
+}
+
+namespace lycheeshunt::daemon {
+
+class entry_process
+{
+public:
+    static base::result<std::unique_ptr<entry_process>>
+    start(const settings::node_settings &settings, const settings::entry_settings &own);
+    ~entry_process();
+
+    entry_process(const entry_process &) = delete;
+    entry_process &operator=(const entry_process &) = delete;
+
+private:
+    explicit entry_process(std::unique_ptr<routing::entry_port> port);
+
+    std::unique_ptr<routing::entry_port> m_port;
+    std::unique_ptr<dissemination::follower> m_follower;
+};
+
+} // namespace lycheeshunt::daemon
--- /dev/null
+++ b/lycheeshunt/daemon/main.cpp
@@ -0,0 +1,83 @@
+// lycheeshuntd: one process of the system, in the role that its settings give it.
+
+#include "lycheeshunt/base/log.h"
+#include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/daemon/agent_process.h"
+#include "lycheeshunt/daemon/control_process.h"
+#include "lycheeshunt/daemon/entry_process.h"
+#include "lycheeshunt/settings/settings_file.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace lycheeshunt;
+
+enum exit_status : int { success = 0, badSettings = 2, startFailed = 3 };
+
+// Blocked in every thread, so that sigwait alone takes them.
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+template <typename process_type>
+int runUntilStopped(const base::result<std::unique_ptr<process_type>> &process,
+                    const sigset_t &signals)
+{
+    if (const base::error *failure = base::errorOf(process)) {
+        base::logError("daemon", failure->text());
+        return startFailed;
+    }
+    base::logInfo("daemon", "started");
+    int received = 0;
+    sigwait(&signals, &received);
+    base::logInfo("daemon", "stopping");
+    return success;
+}
+
+int run(const settings::node_settings &settings)
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    base::startLog(settings.name);
+    return std::visit(
+        base::overloaded {
+            [&](const settings::entry_settings &own) {
+                return runUntilStopped(daemon::entry_process::start(settings, own), signals);
+            },
+            [&](const settings::agent_settings &own) {
+                return runUntilStopped(daemon::agent_process::start(settings, own), signals);
+            },
+            [&](const settings::control_settings &own) {
+                return runUntilStopped(daemon::control_process::start(settings, own), signals);
+            },
+        },
+        settings.role);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("lycheeshuntd: entry, agent or control process of a layer-4 load balancer");
+    std::string path;
+    bool checkOnly = false;
+    app.add_option("--config", path, "settings file (TOML)")->required();
+    app.add_flag("--check", checkOnly, "check the settings and start nothing");
+    CLI11_PARSE(app, argc, argv);
+
+    const base::result<settings::node_settings> settings = settings::readSettings(path);
+    if (const base::error *failure = base::errorOf(settings)) {
+        std::cerr << failure->text() << "\n";
+        return badSettings;
+    }
+    return checkOnly ? success : run(base::valueOf(settings));
+}
--- /dev/null
+++ b/lycheeshunt/flows/agent_identity.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+
+namespace lycheeshunt::flows {
+
+// Who this agent is, from its settings and its start.
+struct agent_identity
+{
+    const base::node_id node;
+    const base::service_id service;
+    const base::incarnation life;
+
+    bool operator==(const agent_identity &) const = default;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -0,0 +1,125 @@
+#include "lycheeshunt/flows/agent_port.h"
+
+#include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/base/socket.h"
+#include "lycheeshunt/flows/codec.h"
+#include "lycheeshunt/packets/datagram_io.h"
+#include "lycheeshunt/packets/ip_packet.h"
+
+#include <poll.h>
+
+namespace lycheeshunt::flows {
+
+namespace {
+
+constexpr std::size_t actionCapacity = 8192;
+// Takes this many datagrams from one socket before the other gets its turn.
+constexpr int receiveBurst = 64;
+constexpr int waitWithoutLimit = -1;
+
+} // namespace
+
+base::result<std::unique_ptr<agent_port>> agent_port::open(const agent_sockets &sockets,
+                                                           base::ring<flow_message> &inbox)
+{
+    base::result<base::file_descriptor> peerSide = base::openDatagramSocket(sockets.packets);
+    if (const base::error *failure = base::errorOf(peerSide))
+        return *failure;
+    base::result<base::file_descriptor> serverSide = base::openDatagramSocket(sockets.serverSide);
+    if (const base::error *failure = base::errorOf(serverSide))
+        return *failure;
+    return std::unique_ptr<agent_port>(new agent_port(sockets, base::takeValue(std::move(peerSide)),
+                                                      base::takeValue(std::move(serverSide)),
+                                                      inbox));
+}
+
+agent_port::agent_port(const agent_sockets &sockets, base::file_descriptor peerSide,
+                       base::file_descriptor serverSide, base::ring<flow_message> &inbox)
+    : m_addresses(sockets), m_peerSide(std::move(peerSide)), m_serverSide(std::move(serverSide)),
+      m_inbox(inbox), m_actions(actionCapacity), m_thread([this]() { run(); })
+{
+}
+
+agent_port::~agent_port()
+{
+    m_actions.close();
+    m_thread.join();
+}
+
+void agent_port::run()
+{
+    while (!m_actions.isClosed() || m_actions.depth() > 0) {
+        pollfd watched[] = {{m_peerSide.get(), POLLIN, 0},
+                            {m_serverSide.get(), POLLIN, 0},
+                            {m_actions.descriptor(), POLLIN, 0}};
+        ::poll(watched, std::size(watched), waitWithoutLimit);
+        if (watched[0].revents != 0)
+            receiveFromPeers();
+        if (watched[1].revents != 0)
+            receiveFromServer();
+        while (const std::optional<flow_action> action = m_actions.tryPop())
+            carryOut(*action);
+    }
+}
+
+void agent_port::receiveFromPeers()
+{
+    for (int i = 0; i < receiveBurst; ++i) {
+        const std::optional<std::string> bytes = packets::receiveDatagram(m_peerSide.get());
+        if (!bytes)
+            return;
+        const base::result<flow_datagram> decoded = decodeDatagram(*bytes);
+        if (!base::isOk(decoded)) {
+            ++m_malformed;
+            continue;
+        }
+        std::visit([this](const auto &message) { m_inbox.tryPush(flow_message(message)); },
+                   base::valueOf(decoded));
+    }
+}
+
+void agent_port::receiveFromServer()
+{
+    for (int i = 0; i < receiveBurst; ++i) {
+        std::optional<std::string> bytes = packets::receiveDatagram(m_serverSide.get());
+        if (!bytes)
+            return;
+        const base::result<packets::ip_summary> summary
+            = packets::summarize(*bytes, packets::direction::toCaller);
+        if (!base::isOk(summary)) {
+            ++m_malformed;
+            continue;
+        }
+        m_inbox.tryPush(
+            server_answer {base::valueOf(summary), base::packet_bytes(std::move(*bytes))});
+    }
+}
+
+void agent_port::carryOut(const flow_action &action)
+{
+    std::visit(
+        base::overloaded {
+            [this](const send_packet &send) {
+                packets::sendDatagram(m_peerSide.get(), send.to, encodePacket(send.packet));
+            },
+            [this](const send_registration &send) {
+                packets::sendDatagram(m_peerSide.get(), send.to,
+                                      encodeRegistration(send.registration));
+            },
+            [this](const deliver_to_server &deliver) {
+                packets::sendDatagram(m_serverSide.get(), m_addresses.server, deliver.bytes.view());
+            },
+            [this](const answer_caller &answer) {
+                packets::sendDatagram(m_serverSide.get(), m_addresses.fabric, answer.bytes.view());
+            },
+            [this](const reset_caller &reset) {
+                const std::string bytes = packets::resetFor(reset.callerPacket.view());
+                if (!bytes.empty())
+                    packets::sendDatagram(m_serverSide.get(), m_addresses.fabric, bytes);
+            },
+            [this](const refuse_packet &) { ++m_refused; },
+        },
+        action);
+}
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/agent_port.h
@@ -0,0 +1,57 @@
+// The sockets of an agent, on a thread of their own: caller packets and registrations come in
+// from entries and other agents, answers come in from the backend server, and the flow thread's
+// actions go out. Malformed datagrams cost one counter each.
+//
+//     base::result<std::unique_ptr<agent_port>> port = agent_port::open(sockets, inbox);
+//     valueOf(port)->actions().push(action);
+
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/base/file_descriptor.h"
+#include "lycheeshunt/base/ring.h"
+#include "lycheeshunt/flows/agent_sockets.h"
+#include "lycheeshunt/flows/flow_action.h"
+#include "lycheeshunt/flows/flow_message.h"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace lycheeshunt::flows {
+
+class agent_port
+{
+public:
+    // The inbox must outlive the port.
+    static base::result<std::unique_ptr<agent_port>> open(const agent_sockets &sockets,
+                                                          base::ring<flow_message> &inbox);
+    ~agent_port();
+
+    agent_port(const agent_port &) = delete;
+    agent_port &operator=(const agent_port &) = delete;
+
+    base::ring<flow_action> &actions() { return m_actions; }
+    std::uint64_t malformed() const { return m_malformed; }
+    std::uint64_t refused() const { return m_refused; }
+
+private:
+    agent_port(const agent_sockets &sockets, base::file_descriptor peerSide,
+               base::file_descriptor serverSide, base::ring<flow_message> &inbox);
+
+    void run();
+    void receiveFromPeers();
+    void receiveFromServer();
+    void carryOut(const flow_action &action);
+
+    const agent_sockets m_addresses;
+    base::file_descriptor m_peerSide;
+    base::file_descriptor m_serverSide;
+    base::ring<flow_message> &m_inbox;
+    base::ring<flow_action> m_actions;
+    std::atomic<std::uint64_t> m_malformed = 0;
+    std::atomic<std::uint64_t> m_refused = 0;
+    std::thread m_thread;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/codec.cpp
@@ -0,0 +1,132 @@
+#include "lycheeshunt/flows/codec.h"
+
+#include "lycheeshunt/base/codec.h"
+#include "lycheeshunt/flows/flow_registration.h"
+#include "lycheeshunt/flows/forwarded_packet.h"
+#include "lycheeshunt/packets/ip_packet.h"
+
+#include <tuple>
+
+namespace lycheeshunt::flows {
+
+namespace {
+
+constexpr std::uint8_t wireVersion = 1;
+
+enum datagram_kind : std::uint8_t { packetKind = 1, registrationKind = 2 };
+
+using endpoint_fields = std::tuple<std::uint32_t, std::uint16_t>;
+using packet_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t,
+                                 std::uint64_t, std::uint8_t, std::uint8_t, msgpack::type::raw_ref>;
+using registration_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, endpoint_fields,
+                                       endpoint_fields, std::uint8_t, std::uint64_t, bool>;
+
+endpoint_fields fieldsOf(const base::endpoint &where)
+{
+    return endpoint_fields(where.address, where.port);
+}
+
+base::endpoint endpointOf(const endpoint_fields &fields)
+{
+    return base::endpoint {std::get<0>(fields), std::get<1>(fields)};
+}
+
+base::error malformed(const char *what)
+{
+    return base::error {base::error_code::messageMalformed, what};
+}
+
+base::result<flow_datagram> packetFrom(const msgpack::object &object)
+{
+    const packet_fields fields = object.as<packet_fields>();
+    const std::uint8_t stage = std::get<5>(fields);
+    if (stage < static_cast<std::uint8_t>(packet_stage::toDirector)
+        || stage > static_cast<std::uint8_t>(packet_stage::toOwner))
+        return malformed("packet stage");
+    const msgpack::type::raw_ref &raw = std::get<7>(fields);
+    std::string bytes(raw.ptr, raw.size);
+    const base::result<packets::ip_summary> summary
+        = packets::summarize(bytes, packets::direction::fromCaller);
+    if (const base::error *failure = base::errorOf(summary))
+        return *failure;
+    return flow_datagram(forwarded_packet {
+        base::service_id(std::get<2>(fields)), base::incarnation(std::get<3>(fields)),
+        base::generation(std::get<4>(fields)), static_cast<packet_stage>(stage),
+        std::get<6>(fields), base::valueOf(summary), base::packet_bytes(std::move(bytes))});
+}
+
+base::result<flow_datagram> registrationFrom(const msgpack::object &object)
+{
+    const registration_fields fields = object.as<registration_fields>();
+    return flow_datagram(
+        flow_registration {base::service_id(std::get<2>(fields)),
+                           base::flow_key {endpointOf(std::get<3>(fields)),
+                                           endpointOf(std::get<4>(fields)), std::get<5>(fields)},
+                           base::node_id(std::get<6>(fields)), std::get<7>(fields)});
+}
+
+base::result<flow_datagram> datagramFrom(const msgpack::object &object)
+{
+    constexpr std::uint32_t fieldCount = 8;
+    static_assert(std::tuple_size_v<packet_fields> == fieldCount);
+    static_assert(std::tuple_size_v<registration_fields> == fieldCount);
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != fieldCount)
+        return malformed("wrong number of fields");
+    if (object.via.array.ptr[0].as<std::uint8_t>() != wireVersion)
+        return base::error {base::error_code::messageVersion, "flow datagram"};
+    const std::uint8_t kind = object.via.array.ptr[1].as<std::uint8_t>();
+    if (kind == packetKind)
+        return packetFrom(object);
+    if (kind == registrationKind)
+        return registrationFrom(object);
+    return malformed("unknown kind of datagram");
+}
+
+} // namespace
+
+std::string encodePacketHeader(const forwarded_packet &packet, std::size_t packetBytes)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(std::tuple_size_v<packet_fields>);
+    packer.pack(wireVersion);
+    packer.pack(static_cast<std::uint8_t>(packetKind));
+    packer.pack(packet.service.value());
+    packer.pack(packet.life.value());
+    packer.pack(packet.at.value());
+    packer.pack(static_cast<std::uint8_t>(packet.stage));
+    packer.pack(packet.hops);
+    packer.pack_bin(static_cast<std::uint32_t>(packetBytes));
+    return std::string(buffer.data(), buffer.size());
+}
+
+std::string encodePacket(const forwarded_packet &packet)
+{
+    std::string bytes = encodePacketHeader(packet, packet.bytes.view().size());
+    bytes += packet.bytes.view();
+    return bytes;
+}
+
+std::string encodeRegistration(const flow_registration &registration)
+{
+    return base::packFields(registration_fields(
+        wireVersion, registrationKind, registration.service.value(),
+        fieldsOf(registration.key.caller), fieldsOf(registration.key.service),
+        registration.key.protocol, registration.owner.value(), registration.alive));
+}
+
+base::result<flow_datagram> decodeDatagram(std::string_view bytes)
+{
+    try {
+        std::size_t offset = 0;
+        const msgpack::object_handle handle = msgpack::unpack(
+            bytes.data(), bytes.size(), offset, nullptr, nullptr, base::unpackLimit());
+        if (offset != bytes.size())
+            return malformed("bytes after the message");
+        return datagramFrom(handle.get());
+    } catch (const std::exception &failure) {
+        return malformed(failure.what());
+    }
+}
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/flow_action.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/flows/answer_caller.h"
+#include "lycheeshunt/flows/deliver_to_server.h"
+#include "lycheeshunt/flows/refuse_packet.h"
+#include "lycheeshunt/flows/reset_caller.h"
+#include "lycheeshunt/flows/send_packet.h"
+#include "lycheeshunt/flows/send_registration.h"
+
+#include <variant>
+
+namespace lycheeshunt::flows {
+
+using flow_action = std::variant<send_packet, send_registration, deliver_to_server, answer_caller,
+                                 reset_caller, refuse_packet>;
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/flow_duty.cpp
@@ -0,0 +1,27 @@
+#include "lycheeshunt/flows/flow_duty.h"
+
+#include "lycheeshunt/flows/decision.h"
+
+namespace lycheeshunt::flows {
+
+namespace {
+constexpr std::size_t inboxCapacity = 8192;
+constexpr base::clock_time tickEvery = base::clock_time::ofMillis(100);
+} // namespace
+
+flow_duty::flow_duty(const agent_identity &identity, action_sink sink)
+    : m_state(identity), m_sink(std::move(sink)),
+      m_duty(inboxCapacity, tickEvery, tick {},
+             [this](const flow_message &message, base::clock_time now) { handle(message, now); })
+{
+}
+
+void flow_duty::handle(const flow_message &message, base::clock_time now)
+{
+    base::step<flow_state, flow_action> next = decide(std::move(m_state), message, now);
+    m_state = std::move(next.state);
+    for (const flow_action &action : next.actions)
+        m_sink(action);
+}
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/flow_duty.h
@@ -0,0 +1,32 @@
+// The flow thread of an agent: takes messages from its ring, decides, and passes the actions on.
+
+#pragma once
+
+#include "lycheeshunt/base/duty.h"
+#include "lycheeshunt/flows/agent_identity.h"
+#include "lycheeshunt/flows/flow_action.h"
+#include "lycheeshunt/flows/flow_message.h"
+#include "lycheeshunt/flows/flow_state.h"
+
+namespace lycheeshunt::flows {
+
+class flow_duty
+{
+public:
+    // Called on the flow thread for every action.
+    using action_sink = std::function<void(const flow_action &)>;
+
+    flow_duty(const agent_identity &identity, action_sink sink);
+
+    base::ring<flow_message> &inbox() { return m_duty.inbox(); }
+    void stop() { m_duty.stop(); }
+
+private:
+    void handle(const flow_message &message, base::clock_time now);
+
+    flow_state m_state;
+    const action_sink m_sink;
+    base::duty<flow_message> m_duty;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/forwarded_packet.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/base/packet_bytes.h"
+#include "lycheeshunt/flows/packet_stage.h"
+#include "lycheeshunt/packets/ip_summary.h"
+
+namespace lycheeshunt::flows {
+
+// A caller's packet on its way to the agent that owns its flow. Service and life say whom it is
+// meant for; any other receiver refuses it.
+struct forwarded_packet
+{
+    const base::service_id service;
+    const base::incarnation life;
+    const base::generation at;
+    const packet_stage stage = packet_stage::toDirector;
+    const std::uint8_t hops = 0;
+    const packets::ip_summary summary;
+    const base::packet_bytes bytes;
+
+    bool operator==(const forwarded_packet &) const = default;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/packet_stage.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lycheeshunt::flows {
+
+// Where on its way from entry to backend server a packet is.
+enum class packet_stage : std::uint8_t {
+    toDirector = 1, // from an entry, or from an agent that is not the director
+    offer = 2, // first packet of a flow, offered to a second candidate
+    toOwner = 3, // the director knows the owner
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/view_update.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/dissemination/cluster_view.h"
+
+namespace lycheeshunt::flows {
+
+// The node has reached a newer generation.
+struct view_update
+{
+    const dissemination::shared_view view;
+
+    bool operator==(const view_update &) const = default;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/operators/api_server.h
@@ -0,0 +1,38 @@
+// The HTTP listener for operators, by cpprestsdk. Requests go to the operator duty's ring; its
+// replies come back through reply(). Bounds body size and the requests under way.
+//
+//     result<std::unique_ptr<api_server>> api = api_server::open(local, operators.inbox());
+
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/base/ring.h"
+#include "lycheeshunt/operators/operator_message.h"
+
+#include <memory>
+
+namespace lycheeshunt::operators {
+
+class api_server
+{
+public:
+    // The inbox must outlive the server.
+    static base::result<std::unique_ptr<api_server>> open(const base::endpoint &local,
+                                                          base::ring<operator_message> &inbox);
+    ~api_server();
+
+    api_server(const api_server &) = delete;
+    api_server &operator=(const api_server &) = delete;
+
+    // Thread-safe. A reply to an unknown request is discarded.
+    void reply(const http_reply &reply);
+
+private:
+    struct implementation;
+
+    explicit api_server(std::unique_ptr<implementation> hidden);
+
+    std::unique_ptr<implementation> m_hidden;
+};
+
+} // namespace lycheeshunt::operators
--- /dev/null
+++ b/lycheeshunt/operators/json.cpp
@@ -0,0 +1,204 @@
+#include "lycheeshunt/operators/json.h"
+
+#include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/dissemination/force_answer.h"
+#include "lycheeshunt/tickets/ticket_record.h"
+
+#include <cpprest/json.h>
+
+namespace lycheeshunt::operators {
+
+namespace {
+
+using web::json::value;
+
+// Thrown and caught in this file only: a ticket that is not in the documented form.
+struct malformed_ticket : std::runtime_error
+{
+    using std::runtime_error::runtime_error;
+};
+
+const value &member(const value &object, const std::string &key)
+{
+    if (!object.is_object() || !object.has_field(key))
+        throw malformed_ticket("missing " + key);
+    return object.at(key);
+}
+
+std::string textOf(const value &object, const std::string &key)
+{
+    const value &field = member(object, key);
+    if (!field.is_string())
+        throw malformed_ticket(key + " must be a string");
+    return field.as_string();
+}
+
+std::uint32_t numberOr(const value &object, const std::string &key, std::uint32_t fallback)
+{
+    if (!object.has_field(key))
+        return fallback;
+    const value &field = object.at(key);
+    if (!field.is_integer() || !field.as_number().is_uint32())
+        throw malformed_ticket(key + " must be a whole number of 32 bits");
+    return field.as_number().to_uint32();
+}
+
+void refuseOthers(const value &object, const std::set<std::string> &known)
+{
+    const web::json::object &fields = object.as_object();
+    for (auto it = fields.begin(); it != fields.end(); ++it) {
+        if (known.count(it->first) == 0)
+            throw malformed_ticket("unknown field " + it->first);
+    }
+}
+
+tickets::service_address addressFrom(const value &json)
+{
+    constexpr std::uint8_t tcp = 6;
+    constexpr std::uint8_t udp = 17;
+    if (!json.is_string())
+        throw malformed_ticket("an address must be a string such as tcp:192.0.2.1:443");
+    const std::string &text = json.as_string();
+    const std::string scheme = text.substr(0, 4);
+    const base::result<base::endpoint> where
+        = base::parseEndpoint(text.size() > 4 ? text.substr(4) : "");
+    if (!base::isOk(where) || (scheme != "tcp:" && scheme != "udp:"))
+        throw malformed_ticket("address " + text + " is not of the form tcp:192.0.2.1:443");
+    return tickets::service_address {base::valueOf(where), scheme == "tcp:" ? tcp : udp};
+}
+
+tickets::service_limits limitsFrom(const value &json)
+{
+    const tickets::service_limits usual;
+    refuseOthers(json,
+                 {"slots", "connections", "queue_length", "queue_wait_ms", "long_work_age_ms",
+                  "short_only_slots"});
+    return tickets::service_limits {
+        numberOr(json, "slots", usual.slots),
+        numberOr(json, "connections", usual.connections),
+        numberOr(json, "queue_length", usual.queueLength),
+        base::clock_time::ofMillis(
+            numberOr(json, "queue_wait_ms", static_cast<std::uint32_t>(usual.queueWait.millis()))),
+        base::clock_time::ofMillis(numberOr(
+            json, "long_work_age_ms", static_cast<std::uint32_t>(usual.longWorkAge.millis()))),
+        numberOr(json, "short_only_slots", usual.shortOnlySlots)};
+}
+
+tickets::ticket_change serviceFrom(const value &json)
+{
+    const tickets::service_definition usual;
+    refuseOthers(json, {"name", "addresses", "limits", "buckets"});
+    std::vector<tickets::service_address> addresses;
+    for (const value &raw : member(json, "addresses").as_array())
+        addresses.push_back(addressFrom(raw));
+    const tickets::service_limits limits
+        = json.has_field("limits") ? limitsFrom(json.at("limits")) : tickets::service_limits {};
+    return tickets::service_definition {textOf(json, "name"), std::move(addresses), limits,
+                                        numberOr(json, "buckets", usual.buckets)};
+}
+
+tickets::ticket_change changeFrom(const value &json)
+{
+    if (!json.is_object() || json.size() != 1)
+        throw malformed_ticket("a change must be one of service, remove_service, drain");
+    if (json.has_field("service"))
+        return serviceFrom(json.at("service"));
+    if (json.has_field("remove_service"))
+        return tickets::service_removal {textOf(json, "remove_service")};
+    if (!json.has_field("drain"))
+        throw malformed_ticket("a change must be one of service, remove_service, drain");
+    const value &drain = json.at("drain");
+    refuseOthers(drain, {"node", "draining"});
+    return tickets::drain_order {textOf(drain, "node"),
+                                 !drain.has_field("draining") || drain.at("draining").as_bool()};
+}
+
+value namesJson(const std::vector<std::string> &names)
+{
+    std::vector<value> all;
+    all.reserve(names.size());
+    for (const std::string &name : names)
+        all.push_back(value::string(name));
+    return value::array(all);
+}
+
+const char *phaseName(const dissemination::cluster_view &view, const membership::member &member)
+{
+    if (view.isDraining(member))
+        return "draining";
+    return member.phase == membership::member_phase::suspected ? "suspected" : "serving";
+}
+
+} // namespace
+
+base::result<tickets::ticket> ticketFromJson(const std::string &text)
+{
+    try {
+        const value json = value::parse(text);
+        refuseOthers(json, {"number", "author", "changes"});
+        const value &number = member(json, "number");
+        if (!number.is_integer() || !number.as_number().is_uint64())
+            throw malformed_ticket("number must be a whole number");
+        std::vector<tickets::ticket_change> changes;
+        for (const value &raw : member(json, "changes").as_array())
+            changes.push_back(changeFrom(raw));
+        return tickets::ticket {base::ticket_number(number.as_number().to_uint64()),
+                                textOf(json, "author"), std::move(changes)};
+    } catch (const std::exception &failure) {
+        return base::error {base::error_code::ticketMalformed, failure.what()};
+    }
+}
+
+std::string refusalJson(const tickets::ticket_refusal &refusal)
+{
+    std::vector<value> faults;
+    for (const base::error &fault : refusal.faults) {
+        value json = value::object();
+        json["code"] = value::number(static_cast<std::uint32_t>(fault.code));
+        json["text"] = value::string(fault.text());
+        faults.push_back(json);
+    }
+    value json = value::object();
+    json["faults"] = value::array(faults);
+    return json.serialize();
+}
+
+std::string recordJson(const tickets::ticket_record &record,
+                       const dissemination::force_answer &force)
+{
+    value json = value::object();
+    json["number"] = value::number(record.ticket.number.value());
+    json["author"] = value::string(record.ticket.author);
+    json["generation"] = value::number(record.at.value());
+    json["accepted_at_ms"] = value::number(record.acceptedAt.millis());
+    json["in_force"] = value::boolean(force.isInForce());
+    json["behind"] = namesJson(force.behind);
+    return json.serialize();
+}
+
+std::string statusJson(const dissemination::force_answer &force)
+{
+    const dissemination::cluster_view &view = *force.view;
+    std::vector<value> members;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        const membership::member &member = it->second;
+        value json = value::object();
+        json["name"] = value::string(member.name);
+        json["availability_zone"] = value::string(member.availabilityZone);
+        json["role"]
+            = value::string(member.role == membership::member_role::entry ? "entry" : "agent");
+        json["state"] = value::string(phaseName(view, member));
+        members.push_back(json);
+    }
+    std::vector<std::string> services;
+    for (auto it = view.services.begin(); it != view.services.end(); ++it)
+        services.push_back(it->second.name);
+    value json = value::object();
+    json["generation"] = value::number(view.at.value());
+    json["members"] = value::array(members);
+    json["services"] = namesJson(services);
+    json["behind"] = namesJson(force.behind);
+    return json.serialize();
+}
+
+} // namespace lycheeshunt::operators
--- /dev/null
+++ b/lycheeshunt/operators/json.h
@@ -0,0 +1,29 @@
+// JSON form of tickets and answers for operators.
+
+#pragma once
+
+#include "lycheeshunt/base/result.h"
+#include "lycheeshunt/tickets/ticket_refusal.h"
+
+#include <string>
+
+namespace lycheeshunt::dissemination {
+struct force_answer;
+}
+
+namespace lycheeshunt::tickets {
+struct ticket;
+struct ticket_record;
+} // namespace lycheeshunt::tickets
+
+namespace lycheeshunt::operators {
+
+// ticketMalformed when the text is no ticket.
+base::result<tickets::ticket> ticketFromJson(const std::string &text);
+
+std::string refusalJson(const tickets::ticket_refusal &refusal);
+std::string recordJson(const tickets::ticket_record &record,
+                       const dissemination::force_answer &force);
+std::string statusJson(const dissemination::force_answer &force);
+
+} // namespace lycheeshunt::operators
--- /dev/null
+++ b/lycheeshunt/operators/operator_message.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lycheeshunt/dissemination/force_answer.h"
+#include "lycheeshunt/dissemination/force_query.h"
+#include "lycheeshunt/operators/http_arrived.h"
+#include "lycheeshunt/operators/http_reply.h"
+#include "lycheeshunt/tickets/show_ticket.h"
+#include "lycheeshunt/tickets/submit_ticket.h"
+#include "lycheeshunt/tickets/ticket_answer.h"
+
+#include <variant>
+
+namespace lycheeshunt::operators {
+
+using operator_message
+    = std::variant<http_arrived, tickets::ticket_answer, dissemination::force_answer>;
+using operator_action = std::variant<tickets::submit_ticket, tickets::show_ticket,
+                                     dissemination::force_query, http_reply>;
+
+} // namespace lycheeshunt::operators
--- /dev/null
+++ b/lycheeshunt/replication/entry_kind.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lycheeshunt::replication {
+
+// Which slice a log entry's payload belongs to.
+enum class entry_kind : std::uint8_t { none = 0, ticket = 1, membership = 2, configuration = 3 };
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/routing/bucket_table.h
@@ -0,0 +1,49 @@
+// Which agent is director, and which is backup, for each bucket of one service. Built by
+// rendezvous hashing: every node builds the same table from the same members, and a member that
+// comes or goes moves only the buckets that it gains or had. Immutable.
+//
+//     const bucket_table table(buckets, targets);
+//     const target &director = table.directorOf(table.bucketOf(hashOf(key)));
+
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/routing/bucket_owners.h"
+#include "lycheeshunt/routing/target.h"
+
+#include <vector>
+
+namespace lycheeshunt::routing {
+
+class bucket_table
+{
+public:
+    // Precondition: buckets > 0. Cost: buckets times targets hash steps.
+    bucket_table(std::uint32_t buckets, std::vector<target> targets);
+
+    bool hasTargets() const { return !m_targets.empty(); }
+    const std::vector<target> &targets() const { return m_targets; }
+
+    base::bucket bucketOf(std::uint64_t flowHash) const
+    {
+        return base::bucket(static_cast<std::uint32_t>(flowHash % m_owners.size()));
+    }
+
+    // Precondition: hasTargets().
+    const target &directorOf(base::bucket bucket) const
+    {
+        return m_targets[m_owners[bucket.value()].director];
+    }
+    const target &backupOf(base::bucket bucket) const
+    {
+        return m_targets[m_owners[bucket.value()].backup];
+    }
+
+    bool operator==(const bucket_table &) const = default;
+
+private:
+    std::vector<target> m_targets;
+    std::vector<bucket_owners> m_owners;
+};
+
+} // namespace lycheeshunt::routing
