--- a/lycheeshunt/streams/internal/h2_connection.cpp
+++ b/lycheeshunt/streams/internal/h2_connection.cpp
@@ -151,6 +151,7 @@
             break;
         }
         m_lastHeard = now;
+        m_bytesReceived += static_cast<std::uint64_t>(count);
         const ssize_t used = nghttp2_session_mem_recv(
             m_session, reinterpret_cast<const std::uint8_t *>(chunk.data()),
             static_cast<std::size_t>(count));
@@ -193,6 +194,7 @@
         if (sent < 0)
             return errno == EAGAIN || errno == EINTR;
         m_unsentOffset += static_cast<std::size_t>(sent);
+        m_bytesSent += static_cast<std::uint64_t>(sent);
     }
 }
 
--- a/lycheeshunt/streams/internal/h2_connection.h
+++ b/lycheeshunt/streams/internal/h2_connection.h
@@ -44,6 +44,10 @@
     // Bytes queued by sendFrame that HTTP/2 has not taken yet.
     std::size_t queuedBytes() const { return m_outbox.size() - m_outboxOffset; }
 
+    // Bytes of TCP payload in each direction since the connection began.
+    std::uint64_t bytesReceived() const { return m_bytesReceived; }
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+
     void sendFrame(std::string_view bytes);
     void sendPing();
 
@@ -64,6 +68,8 @@
     std::size_t m_outboxOffset = 0;
     std::string m_unsent;
     std::size_t m_unsentOffset = 0;
+    std::uint64_t m_bytesReceived = 0;
+    std::uint64_t m_bytesSent = 0;
 };
 
 } // namespace lycheeshunt::streams::internal
--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -70,6 +70,7 @@
 void stream_client::serve(internal::h2_connection &connection, connection_id id)
 {
     base::clock_time lastPing = base::clock_time::steady();
+    const std::uint64_t carriedBefore = m_bytesCarried;
     bool alive = connection.flush();
     while (alive && !m_outgoing.isClosed()) {
         const short interest = connection.wantsWrite() ? POLLIN | POLLOUT : POLLIN;
@@ -88,6 +89,7 @@
         }
         alive = alive && sendQueued(connection, id)
             && now - connection.lastHeard() <= m_timing.silenceLimit;
+        m_bytesCarried = carriedBefore + connection.bytesReceived() + connection.bytesSent();
     }
 }
 
--- a/lycheeshunt/streams/stream_client.h
+++ b/lycheeshunt/streams/stream_client.h
@@ -13,6 +13,7 @@
 #include "lycheeshunt/streams/stream_event.h"
 #include "lycheeshunt/streams/stream_timing.h"
 
+#include <atomic>
 #include <memory>
 #include <random>
 #include <thread>
@@ -37,6 +38,9 @@
 
     base::ring<stream_frame> &outgoing() { return m_outgoing; }
 
+    // Bytes of TCP payload in both directions since the client began. Thread-safe.
+    std::uint64_t bytesCarried() const { return m_bytesCarried; }
+
 private:
     void run();
     std::unique_ptr<internal::h2_connection> connectNext();
@@ -51,6 +55,7 @@
     std::mt19937_64 m_random;
     std::size_t m_nextServer = 0;
     std::uint64_t m_nextConnection = 1;
+    std::atomic<std::uint64_t> m_bytesCarried = 0;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/lycheeshunt/streams/stream_test.cpp
@@ -0,0 +1,90 @@
+// Contract of a stream: frames whole and in order both ways, a silent server is left for another.
+
+#include "lycheeshunt/streams/stream_client.h"
+#include "lycheeshunt/streams/stream_server.h"
+
+#include "lycheeshunt/base/socket.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::streams;
+
+namespace {
+
+const base::endpoint anyPort {0x7f000001, 0};
+constexpr std::size_t eventCapacity = 256;
+
+// Takes events until one of the wanted kind comes.
+template <typename wanted>
+wanted await(base::ring<stream_event> &events)
+{
+    while (true) {
+        const std::optional<stream_event> event = events.pop();
+        if (const wanted *found = std::get_if<wanted>(&*event))
+            return *found;
+    }
+}
+
+} // namespace
+
+TEST_GROUP(streams)
+{
+    base::ring<stream_event> serverEvents {eventCapacity};
+    base::ring<stream_event> clientEvents {eventCapacity};
+
+    std::unique_ptr<stream_server> listen()
+    {
+        return base::takeValue(stream_server::listen(
+            anyPort, {}, [this](const stream_event &event) { serverEvents.push(event); }));
+    }
+};
+
+TEST(streams, framesArriveWholeAndInOrderBothWays)
+{
+    const std::unique_ptr<stream_server> server = listen();
+    stream_client client({server->local()}, {}, 1,
+                         [this](const stream_event &event) { clientEvents.push(event); });
+    const connection_id connection = await<stream_opened>(clientEvents).connection;
+    const std::string large(1'000'000, 'x');
+    client.outgoing().push({connection, channel::membership, "first"});
+    client.outgoing().push({connection, channel::dissemination, large});
+    const stream_frame first = await<stream_frame>(serverEvents);
+    const stream_frame second = await<stream_frame>(serverEvents);
+    STRCMP_EQUAL("first", first.bytes.c_str());
+    CHECK(first.channel == channel::membership);
+    CHECK(second.bytes == large);
+    server->outgoing().push({first.connection, channel::replication, "back"});
+    const stream_frame back = await<stream_frame>(clientEvents);
+    STRCMP_EQUAL("back", back.bytes.c_str());
+    CHECK(client.bytesCarried() > large.size());
+}
+
+TEST(streams, aServerThatStaysSilentIsLeftForAnother)
+{
+    // Accepts connections in its backlog and never says a word.
+    const base::file_descriptor silent = base::takeValue(base::openListener(anyPort));
+    const std::unique_ptr<stream_server> server = listen();
+    const stream_timing quick {base::clock_time::ofMillis(20), base::clock_time::ofMillis(60),
+                               base::clock_time::ofMillis(10)};
+    stream_client client({base::localEndpoint(silent), server->local()}, quick, 1,
+                         [this](const stream_event &event) { clientEvents.push(event); });
+    const connection_id left = await<stream_closed>(clientEvents).connection;
+    CHECK(await<stream_opened>(clientEvents).connection > left);
+    await<stream_opened>(serverEvents);
+}
+
+TEST(streams, aClosedServerIsReportedAndTheClientComesBack)
+{
+    std::unique_ptr<stream_server> server = listen();
+    const base::endpoint where = server->local();
+    stream_client client({where}, {}, 1,
+                         [this](const stream_event &event) { clientEvents.push(event); });
+    const connection_id before = await<stream_opened>(clientEvents).connection;
+    await<stream_opened>(serverEvents);
+    server.reset();
+    CHECK(await<stream_closed>(clientEvents).connection == before);
+    server = base::takeValue(stream_server::listen(
+        where, {}, [this](const stream_event &event) { serverEvents.push(event); }));
+    CHECK(await<stream_opened>(clientEvents).connection != before);
+}
