Build the routing table in one pass and from the table before it

Cause: every service's agents were looked up among all members, so the build grew with services times members, and each change built every bucket table anew. Change: agents are gathered by service in one pass; a service whose directors and bucket count are unchanged keeps its table.

--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -24,8 +24,10 @@
     routing::entry_port *packets = process->m_port.get();
     process->m_follower = std::make_unique<dissemination::follower>(
         settings.control, self, self.life.value(),
-        [packets](const dissemination::shared_view &view) {
-            packets->tables().push(std::make_shared<const routing::routing_table>(*view));
+        [packets, latest = std::make_shared<const routing::routing_table>()](
+            const dissemination::shared_view &view) mutable {
+            latest = std::make_shared<const routing::routing_table>(*view, *latest);
+            packets->tables().push(latest);
         });
     return process;
 }
--- a/lycheeshunt/routing/bucket_table.h
+++ b/lycheeshunt/routing/bucket_table.h
@@ -21,6 +21,7 @@
     // Precondition: buckets > 0. Cost: buckets times targets hash steps.
     bucket_table(std::uint32_t buckets, std::vector<target> targets);
 
+    std::uint32_t size() const { return static_cast<std::uint32_t>(m_owners.size()); }
     bool hasTargets() const { return !m_targets.empty(); }
     const std::vector<target> &targets() const { return m_targets; }
 
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -20,30 +20,74 @@
     bucket_table buckets;
 };
 
-std::vector<target> directorsOf(const dissemination::cluster_view &view, base::service_id service)
+namespace {
+
+// The agents of one service, gathered in the order of the view.
+struct service_agents
 {
     std::vector<target> healthy;
     std::vector<target> every;
-    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
-        const membership::member &member = it->second;
-        if (member.role != membership::member_role::agent || member.service != service)
-            continue;
-        const target agent {it->first, member.life, member.packets};
+
+    void add(const dissemination::cluster_view &view, const membership::member &member)
+    {
+        const target agent {member.id(), member.life, member.packets};
         every.push_back(agent);
         if (!view.isDraining(member) && member.phase == membership::member_phase::serving)
             healthy.push_back(agent);
     }
-    return healthy.empty() ? every : healthy;
+
+    const std::vector<target> &directors() const { return healthy.empty() ? every : healthy; }
+};
+
+// One pass over the members, however many services there are.
+std::unordered_map<base::service_id, service_agents>
+agentsByService(const dissemination::cluster_view &view)
+{
+    std::unordered_map<base::service_id, service_agents> all;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        if (it->second.role == membership::member_role::agent)
+            all[it->second.service].add(view, it->second);
+    }
+    return all;
+}
+
+} // namespace
+
+std::vector<target> directorsOf(const dissemination::cluster_view &view, base::service_id service)
+{
+    service_agents agents;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        const membership::member &member = it->second;
+        if (member.role == membership::member_role::agent && member.service == service)
+            agents.add(view, member);
+    }
+    return agents.directors();
+}
+
+routing_table::routing_table(const dissemination::cluster_view &view)
+    : routing_table(view, routing_table())
+{
 }
 
-routing_table::routing_table(const dissemination::cluster_view &view) : m_at(view.at)
+routing_table::routing_table(const dissemination::cluster_view &view, const routing_table &before)
+    : m_at(view.at)
 {
+    const std::unordered_map<base::service_id, service_agents> agents = agentsByService(view);
     for (auto it = view.services.begin(); it != view.services.end(); ++it) {
         const tickets::service_definition &service = it->second;
-        const std::shared_ptr<const service_entry> entry = std::make_shared<const service_entry>(
-            service_entry {it->first, bucket_table(service.buckets, directorsOf(view, it->first))});
+        const auto known = agents.find(it->first);
+        const std::vector<target> directors
+            = known == agents.end() ? std::vector<target> {} : known->second.directors();
+        const auto old = before.m_services.find(it->first);
+        const bool isSame = old != before.m_services.end()
+            && old->second->buckets.size() == service.buckets
+            && old->second->buckets.targets() == directors;
+        const shared_entry entry = isSame ? old->second
+                                          : std::make_shared<const service_entry>(service_entry {
+                                              it->first, bucket_table(service.buckets, directors)});
+        m_services.emplace(it->first, entry);
         for (const tickets::service_address &address : service.addresses)
-            m_addresses[addressKey(address.where, address.protocol)] = entry;
+            m_addresses.emplace(addressKey(address.where, address.protocol), entry);
     }
 }
 
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -1,7 +1,8 @@
 // From a packet's flow to the agent that directs it, in constant time and without any state for
-// the flow. Immutable; built once for each view.
+// the flow. Immutable; built once for each view, from the table before it where there is one: only
+// the services whose directors changed cost anything to build.
 //
-//     const routing_table table(view);
+//     const routing_table table(view, before);
 //     const routing_outcome outcome = table.routeOf(key);
 
 #pragma once
@@ -25,6 +26,7 @@
 public:
     routing_table() = default;
     explicit routing_table(const dissemination::cluster_view &view);
+    routing_table(const dissemination::cluster_view &view, const routing_table &before);
 
     base::generation at() const { return m_at; }
     routing_outcome routeOf(const base::flow_key &key) const;
@@ -32,8 +34,11 @@
 private:
     struct service_entry;
 
+    using shared_entry = std::shared_ptr<const service_entry>;
+
     base::generation m_at;
-    std::unordered_map<std::uint64_t, std::shared_ptr<const service_entry>> m_addresses;
+    std::unordered_map<base::service_id, shared_entry> m_services;
+    std::unordered_map<std::uint64_t, shared_entry> m_addresses;
 };
 
 using shared_table = std::shared_ptr<const routing_table>;
--- /dev/null
+++ b/tools/measurements/measurement.h
@@ -0,0 +1,18 @@
+// Prints one measured figure as a JSON object on a line of its own.
+
+#pragma once
+
+#include <iostream>
+#include <string>
+
+namespace lycheeshunt::measurements {
+
+// `bound` and `baseline` are JSON: a number, or null where there is none.
+inline void report(const std::string &name, double value, const std::string &unit,
+                   const std::string &bound = "null", const std::string &baseline = "null")
+{
+    std::cout << "{\"name\":\"" << name << "\",\"value\":" << value << ",\"unit\":\"" << unit
+              << "\",\"bound\":" << bound << ",\"baseline\":" << baseline << "}" << std::endl;
+}
+
+} // namespace lycheeshunt::measurements
--- /dev/null
+++ b/tools/measurements/slopes.cpp
@@ -0,0 +1,183 @@
+// Measures how memory, processor time and bytes grow with members, services and streams, each at
+// three sizes or more, for docs/CAPACITY.md. One JSON object a line.
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/dissemination/codec.h"
+#include "lycheeshunt/routing/routing_table.h"
+#include "lycheeshunt/streams/stream_client.h"
+#include "lycheeshunt/streams/stream_server.h"
+#include "tools/measurements/measurement.h"
+
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <condition_variable>
+#include <ctime>
+#include <mutex>
+
+namespace {
+
+using namespace lycheeshunt;
+using measurements::report;
+
+constexpr std::uint32_t serversAService = 9;
+
+double heapBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+double processorMicros()
+{
+    timespec used {};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) * 1e6 + static_cast<double>(used.tv_nsec) / 1e3;
+}
+
+tickets::service_definition serviceAt(std::uint32_t index)
+{
+    constexpr std::uint32_t firstAddress = 0xc0000200;
+    return tickets::service_definition {"service-" + std::to_string(index),
+                                        {{base::endpoint {firstAddress + index, 443}, 6}},
+                                        {},
+                                        512};
+}
+
+membership::member agentAt(std::uint32_t index)
+{
+    constexpr std::uint32_t network = 0x0a000000;
+    const std::uint32_t service = index / serversAService;
+    return membership::member {"agent-" + std::to_string(index),
+                               "zone-" + std::to_string(index % 23),
+                               membership::member_role::agent,
+                               base::serviceIdOf("service-" + std::to_string(service)),
+                               base::incarnation(1),
+                               base::endpoint {network + index, 7500},
+                               membership::member_phase::serving};
+}
+
+dissemination::shared_view viewOf(std::uint32_t services)
+{
+    std::vector<tickets::ticket_change> changes;
+    std::vector<membership::member> members;
+    for (std::uint32_t i = 0; i < services; ++i)
+        changes.emplace_back(serviceAt(i));
+    for (std::uint32_t i = 0; i < services * serversAService; ++i)
+        members.push_back(agentAt(i));
+    const dissemination::cluster_view empty;
+    return std::make_shared<const dissemination::cluster_view>(
+        empty.withTicket(base::generation(1), {base::ticket_number(1), "slopes", changes})
+            .withBatch(base::generation(2), {members, {}}));
+}
+
+void measureViews()
+{
+    for (const std::uint32_t services : {100U, 400U, 1600U, 4900U}) {
+        const std::string size = std::to_string(services) + "_services";
+        const double before = heapBytes();
+        const dissemination::shared_view view = viewOf(services);
+        const double held = heapBytes();
+        report("view_bytes_at_" + size, held - before, "bytes");
+        report("view_snapshot_bytes_at_" + size,
+               static_cast<double>(dissemination::encodeView(*view).size()), "bytes");
+        double start = processorMicros();
+        const dissemination::cluster_view next
+            = view->withBatch(base::generation(3), {{agentAt(0)}, {}});
+        report("view_apply_one_member_at_" + size, processorMicros() - start, "us");
+        const double beforeTable = heapBytes();
+        start = processorMicros();
+        const routing::routing_table table(next);
+        report("routing_table_build_at_" + size, processorMicros() - start, "us");
+        report("routing_table_bytes_at_" + size, heapBytes() - beforeTable, "bytes");
+        const dissemination::cluster_view changed
+            = next.withBatch(base::generation(4), {{}, {agentAt(0).id()}});
+        start = processorMicros();
+        const routing::routing_table newer(changed, table);
+        report("routing_table_rebuild_after_one_leaves_at_" + size, processorMicros() - start,
+               "us");
+    }
+}
+
+// Counts down; lets the main thread wait without polling.
+class countdown
+{
+public:
+    explicit countdown(std::size_t count) : m_left(count) { }
+
+    void arrive()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        --m_left;
+        m_changed.notify_all();
+    }
+
+    void wait()
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_changed.wait(lock, [this]() { return m_left == 0; });
+    }
+
+    // Waits for the span whatever is counted.
+    void pass(base::clock_time span)
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_changed.wait_for(lock, std::chrono::milliseconds(span.millis()), []() { return false; });
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::size_t m_left;
+};
+
+// Idle streams: both ends are in this process, so a figure a stream is that of its two ends.
+void measureStreams()
+{
+    constexpr base::clock_time span = base::clock_time::ofSeconds(4);
+    for (const std::size_t count : {25U, 100U, 400U}) {
+        const double heapBefore = heapBytes();
+        countdown opened(count);
+        std::unique_ptr<streams::stream_server> server
+            = base::takeValue(streams::stream_server::listen(base::endpoint {0x7f000001, 0}, {},
+                                                             [](const streams::stream_event &) {}));
+        std::vector<std::unique_ptr<streams::stream_client>> clients;
+        for (std::size_t i = 0; i < count; ++i)
+            clients.push_back(std::make_unique<streams::stream_client>(
+                std::vector<base::endpoint> {server->local()}, streams::stream_timing {}, i,
+                [&opened](const streams::stream_event &event) {
+                    if (std::holds_alternative<streams::stream_opened>(event))
+                        opened.arrive();
+                }));
+        opened.wait();
+        std::uint64_t carriedBefore = 0;
+        opened.pass(base::clock_time::ofSeconds(2));
+        for (const std::unique_ptr<streams::stream_client> &client : clients)
+            carriedBefore += client->bytesCarried();
+        const double processorBefore = processorMicros();
+        opened.pass(span);
+        const double seconds = static_cast<double>(span.millis()) / 1000;
+        const double streams = static_cast<double>(count);
+        std::uint64_t carried = 0;
+        for (const std::unique_ptr<streams::stream_client> &client : clients)
+            carried += client->bytesCarried();
+        const std::string size = std::to_string(count) + "_streams";
+        report("idle_stream_both_ends_processor_at_" + size,
+               (processorMicros() - processorBefore) / seconds / streams, "us/s a stream");
+        report("idle_stream_bytes_at_" + size,
+               static_cast<double>(carried - carriedBefore) / seconds / streams,
+               "TCP payload bytes/s a stream");
+        report("stream_both_ends_heap_at_" + size, (heapBytes() - heapBefore) / streams,
+               "bytes a stream");
+    }
+}
+
+} // namespace
+
+int main()
+{
+    measureViews();
+    measureStreams();
+    return 0;
+}
