Let only the client of a stream send heartbeats

Cause: both ends sent a PING every second and each was answered, twice what is needed to hear of the other side. Change: the server only checks for silence. Conclusion: each side still hears the other every second.

--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -122,8 +122,7 @@
     m_lastCheck = now;
     std::vector<connection_id> silent;
     for (auto it = m_connections.begin(); it != m_connections.end(); ++it) {
-        it->second->sendPing();
-        if (now - it->second->lastHeard() > m_timing.silenceLimit || !it->second->flush())
+        if (now - it->second->lastHeard() > m_timing.silenceLimit)
             silent.push_back(it->first);
     }
     for (const connection_id &id : silent)
--- a/lycheeshunt/streams/stream_server.h
+++ b/lycheeshunt/streams/stream_server.h
@@ -3,8 +3,9 @@
 //     result<std::unique_ptr<stream_server>> opened = stream_server::listen(local, {}, sink);
 //     valueOf(opened)->outgoing().push(stream_frame {connection, channel::membership, bytes});
 //
-// Events go to the sink; frames to send are taken from the ring outgoing(). A connection that
-// stays silent beyond the limit is closed.
+// Events go to the sink; frames to send are taken from the ring outgoing(). The client alone sends
+// heartbeats, which the library answers, so that each side hears of the other at half the bytes; a
+// connection that stays silent beyond the limit is closed.
 
 #pragma once
 
--- a/tools/measurements/slopes.cpp
+++ b/tools/measurements/slopes.cpp
@@ -66,7 +66,7 @@
         changes.emplace_back(serviceAt(i));
     for (std::uint32_t i = 0; i < services * serversAService; ++i)
         members.push_back(agentAt(i));
-    const dissemination::cluster_view empty;
+    const dissemination::cluster_view empty {};
     return std::make_shared<const dissemination::cluster_view>(
         empty.withTicket(base::generation(1), {base::ticket_number(1), "slopes", changes})
             .withBatch(base::generation(2), {members, {}}));
