Serve each process's metrics where the settings ask for it

Cause: metrics had values and text but no process served them. Change: [metrics] listen in the settings; entry, agent and control report their counters and the depth and drops of their rings.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -4,6 +4,7 @@
 #include "lycheeshunt/dissemination/follower.h"
 #include "lycheeshunt/flows/agent_port.h"
 #include "lycheeshunt/flows/flow_duty.h"
+#include "lycheeshunt/metrics/ring_sample.h"
 
 namespace lycheeshunt::daemon {
 
@@ -43,4 +44,16 @@
     m_flows->stop();
 }
 
+metrics::report agent_process::metrics() const
+{
+    std::vector<metrics::sample> samples {
+        metrics::sample {"packets_malformed_total", "Datagrams that could not be decoded.",
+                         metrics::counter_value {m_port->malformed()}},
+        metrics::sample {"packets_refused_total", "Packets refused by code.",
+                         metrics::counter_value {m_port->refused()}}};
+    metrics::addRing(samples, "flows", m_flows->inbox());
+    metrics::addRing(samples, "packets", m_port->actions());
+    return metrics::report {"agent", std::move(samples)};
+}
+
 } // namespace lycheeshunt::daemon
--- a/lycheeshunt/daemon/agent_process.h
+++ b/lycheeshunt/daemon/agent_process.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/settings/node_settings.h"
 
 #include <memory>
@@ -28,6 +29,9 @@
     agent_process(const agent_process &) = delete;
     agent_process &operator=(const agent_process &) = delete;
 
+    // What the process counts. Thread-safe.
+    metrics::report metrics() const;
+
 private:
     agent_process();
 
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -6,6 +6,7 @@
 #include "lycheeshunt/dissemination/publisher_duty.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/membership/membership_duty.h"
+#include "lycheeshunt/metrics/ring_sample.h"
 #include "lycheeshunt/operators/api_server.h"
 #include "lycheeshunt/operators/operator_duty.h"
 #include "lycheeshunt/replication/replication_duty.h"
@@ -165,4 +166,15 @@
     }
 }
 
+metrics::report control_process::metrics() const
+{
+    std::vector<metrics::sample> samples;
+    metrics::addRing(samples, "tickets", m_tickets->inbox());
+    metrics::addRing(samples, "membership", m_membership->inbox());
+    metrics::addRing(samples, "dissemination", m_publisher->inbox());
+    metrics::addRing(samples, "operators", m_operators->inbox());
+    metrics::addRing(samples, "streams", m_streams->outgoing());
+    return metrics::report {"control", std::move(samples)};
+}
+
 } // namespace lycheeshunt::daemon
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/settings/node_settings.h"
 #include "lycheeshunt/streams/stream_event.h"
 
@@ -49,6 +50,9 @@
     control_process(const control_process &) = delete;
     control_process &operator=(const control_process &) = delete;
 
+    // What the process counts. Thread-safe.
+    metrics::report metrics() const;
+
 private:
     control_process();
 
--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/daemon/internal/self.h"
 #include "lycheeshunt/dissemination/follower.h"
+#include "lycheeshunt/metrics/ring_sample.h"
 #include "lycheeshunt/routing/entry_port.h"
 
 namespace lycheeshunt::daemon {
@@ -37,4 +38,15 @@
 
 entry_process::~entry_process() = default;
 
+metrics::report entry_process::metrics() const
+{
+    std::vector<metrics::sample> samples {
+        metrics::sample {"packets_malformed_total", "Datagrams that are no IP packet.",
+                         metrics::counter_value {m_port->malformed()}},
+        metrics::sample {"packets_unroutable_total", "Packets without a service or server.",
+                         metrics::counter_value {m_port->unroutable()}}};
+    metrics::addRing(samples, "tables", m_port->tables());
+    return metrics::report {"entry", std::move(samples)};
+}
+
 } // namespace lycheeshunt::daemon
--- a/lycheeshunt/daemon/entry_process.h
+++ b/lycheeshunt/daemon/entry_process.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/settings/node_settings.h"
 
 #include <memory>
@@ -27,6 +28,9 @@
     entry_process(const entry_process &) = delete;
     entry_process &operator=(const entry_process &) = delete;
 
+    // What the process counts. Thread-safe.
+    metrics::report metrics() const;
+
 private:
     explicit entry_process(std::unique_ptr<routing::entry_port> port);
 
--- a/lycheeshunt/daemon/main.cpp
+++ b/lycheeshunt/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/daemon/agent_process.h"
 #include "lycheeshunt/daemon/control_process.h"
 #include "lycheeshunt/daemon/entry_process.h"
+#include "lycheeshunt/daemon/internal/metrics_endpoint.h"
 #include "lycheeshunt/settings/settings_file.h"
 
 #include <CLI/CLI.hpp>
@@ -30,12 +31,19 @@
 
 template <typename process_type>
 int runUntilStopped(const base::result<std::unique_ptr<process_type>> &process,
-                    const sigset_t &signals)
+                    const settings::node_settings &settings, const sigset_t &signals)
 {
     if (const base::error *failure = base::errorOf(process)) {
         base::logError("daemon", failure->text());
         return startFailed;
     }
+    const base::result<std::unique_ptr<daemon::internal::metrics_endpoint>> metrics
+        = daemon::internal::metrics_endpoint::open(
+            settings.metrics, {[&process]() { return base::valueOf(process)->metrics(); }});
+    if (const base::error *failure = base::errorOf(metrics)) {
+        base::logError("daemon", failure->text());
+        return startFailed;
+    }
     base::logInfo("daemon", "started");
     int received = 0;
     sigwait(&signals, &received);
@@ -48,19 +56,21 @@
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     base::startLog(settings.name);
-    return std::visit(
-        base::overloaded {
-            [&](const settings::entry_settings &own) {
-                return runUntilStopped(daemon::entry_process::start(settings, own), signals);
-            },
-            [&](const settings::agent_settings &own) {
-                return runUntilStopped(daemon::agent_process::start(settings, own), signals);
-            },
-            [&](const settings::control_settings &own) {
-                return runUntilStopped(daemon::control_process::start(settings, own), signals);
-            },
-        },
-        settings.role);
+    return std::visit(base::overloaded {
+                          [&](const settings::entry_settings &own) {
+                              return runUntilStopped(daemon::entry_process::start(settings, own),
+                                                     settings, signals);
+                          },
+                          [&](const settings::agent_settings &own) {
+                              return runUntilStopped(daemon::agent_process::start(settings, own),
+                                                     settings, signals);
+                          },
+                          [&](const settings::control_settings &own) {
+                              return runUntilStopped(daemon::control_process::start(settings, own),
+                                                     settings, signals);
+                          },
+                      },
+                      settings.role);
 }
 
 } // namespace
--- a/lycheeshunt/settings/node_settings.h
+++ b/lycheeshunt/settings/node_settings.h
@@ -4,6 +4,7 @@
 #include "lycheeshunt/settings/control_settings.h"
 #include "lycheeshunt/settings/entry_settings.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -20,6 +21,8 @@
     // Stream addresses of the control processes.
     const std::vector<base::endpoint> control;
     const role_settings role;
+    // Bound here when given: metrics for scrapers. Without it nothing listens.
+    const std::optional<base::endpoint> metrics = {};
 
     bool operator==(const node_settings &) const = default;
 };
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -36,6 +36,21 @@
     return control_settings {streams, api, reader.text("data_folder")};
 }
 
+std::optional<base::endpoint> readMetrics(table_reader &top, const toml::table &table,
+                                          const std::string &path)
+{
+    if (!table.contains("metrics"))
+        return std::nullopt;
+    const toml::table *metrics = top.subtable("metrics");
+    if (metrics == nullptr)
+        return std::nullopt;
+    table_reader reader(*metrics, path);
+    const base::endpoint listen = reader.endpoint("listen");
+    reader.refuseUnknownKeys();
+    top.take(reader);
+    return listen;
+}
+
 role_settings readRole(table_reader &top, const std::string &role, const std::string &path)
 {
     const toml::table *table = top.subtable(role);
@@ -67,10 +82,11 @@
         const std::string zone = reader.text("availability_zone");
         const std::vector<base::endpoint> control = reader.endpoints("control_addresses");
         const role_settings settings = readRole(reader, role, path);
+        const std::optional<base::endpoint> metrics = readMetrics(reader, table, path);
         reader.refuseUnknownKeys();
         if (reader.fault())
             return *reader.fault();
-        return node_settings {name, zone, control, settings};
+        return node_settings {name, zone, control, settings, metrics};
     } catch (const toml::parse_error &failure) {
         return base::error {base::error_code::settingsSyntax,
                             path + ":" + std::to_string(failure.source().begin.line) + ": "
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -56,6 +56,8 @@
          error_code::settingsBadValue, "entry.toml:6: packets"},
         {"bad role", replaced(goodEntry, "\"entry\"", "\"relay\""), error_code::settingsBadValue,
          "entry.toml:1: role"},
+        {"metrics without address", goodEntry + "[metrics]\n", error_code::settingsMissingKey,
+         "listen"},
         {"other role's table", goodEntry + "[agent]\n", error_code::settingsUnknownKey,
          "entry.toml:7: agent"},
     };
