Judge silence by how many are silent, and tell lives and leaves apart

Cause: any silence of 4 s evicted a member, so a control VM that was cut off proposed to evict all of them, a flapping member moved buckets each time, and a late announcement or a second process at one address replaced the right one.

Change: a member is suspected before it is evicted; while many members or most of an availability zone are quiet, eviction waits for 300 s, and while most of all members are quiet, suspicion waits for 30 s. Lapses are counted and a flapping member must be steady again. Announcements of earlier lives, of a life that has left, and of a second name at one address are ignored, the last with a warning. A member that leaves says so. A new agent's share grows in four steps of 5 s. After a change of leader leases start anew. Batches hold at most 256 changes, draining first.

Conclusion: the table of silences, lives, leaves, flaps and restarts passes, each silence twice in a row.

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -74,9 +74,20 @@
           });
     m_membership = std::make_unique<membership::membership_duty>(
         [this](const membership::membership_action &action) {
-            const membership::propose_batch &proposed = std::get<membership::propose_batch>(action);
-            m_replication->proposals().tryPush(replication::proposal {
-                replication::entry_kind::membership, membership::encodeBatch(proposed.batch)});
+            std::visit(base::overloaded {
+                           [this](const membership::propose_batch &proposed) {
+                               m_replication->proposals().tryPush(
+                                   replication::proposal {replication::entry_kind::membership,
+                                                          membership::encodeBatch(proposed.batch)});
+                           },
+                           [](const membership::report_clash &clash) {
+                               base::logWarning("membership",
+                                                clash.loser.name
+                                                    + " is ignored: " + clash.winner.name
+                                                    + " holds " + clash.winner.packets.text());
+                           },
+                       },
+                       action);
         });
     m_publisher = std::make_unique<dissemination::publisher_duty>(
         [this](const dissemination::dissemination_action &action) {
@@ -151,12 +162,7 @@
 void control_process::takeFrame(const streams::stream_frame &frame)
 {
     if (frame.channel == streams::channel::membership) {
-        const base::result<membership::member> member = membership::decodeMember(frame.bytes);
-        if (const membership::member *known = std::get_if<membership::member>(&member)) {
-            m_publisher->inbox().push(
-                dissemination::subscriber_named {frame.connection, known->id()});
-            m_membership->inbox().push(membership::member_announced {*known});
-        }
+        takeMemberFrame(frame);
     } else if (frame.channel == streams::channel::dissemination) {
         const base::result<base::generation> at = dissemination::decodeAcknowledgement(frame.bytes);
         if (base::isOk(at))
@@ -165,4 +171,20 @@
     }
 }
 
+void control_process::takeMemberFrame(const streams::stream_frame &frame)
+{
+    const base::result<membership::member_frame> decoded = membership::decodeFrame(frame.bytes);
+    if (!base::isOk(decoded))
+        return;
+    std::visit(base::overloaded {
+                   [&](const membership::member_announced &announced) {
+                       m_publisher->inbox().push(dissemination::subscriber_named {
+                           frame.connection, announced.member.id()});
+                       m_membership->inbox().push(announced);
+                   },
+                   [&](const membership::member_left &left) { m_membership->inbox().push(left); },
+               },
+               base::valueOf(decoded));
+}
+
 } // namespace lycheeshunt::daemon
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -57,6 +57,7 @@
     void takeCommitted(const replication::log_entry &entry);
     void takeStreamEvent(const streams::stream_event &event);
     void takeFrame(const streams::stream_frame &frame);
+    void takeMemberFrame(const streams::stream_frame &frame);
 
     std::unique_ptr<tickets::ticket_duty> m_tickets;
     std::unique_ptr<membership::membership_duty> m_membership;
--- a/lycheeshunt/membership/codec.cpp
+++ b/lycheeshunt/membership/codec.cpp
@@ -9,34 +9,50 @@
 
 namespace {
 
-using member_fields = std::tuple<std::string, std::string, std::uint8_t, std::uint64_t,
-                                 std::uint64_t, std::uint32_t, std::uint16_t, std::uint8_t>;
+constexpr std::size_t maxNameBytes = 255;
+
+using member_fields
+    = std::tuple<std::string, std::string, std::uint8_t, std::uint64_t, std::uint64_t,
+                 std::uint32_t, std::uint16_t, std::uint8_t, std::uint8_t, std::uint8_t>;
+using leave_fields = std::tuple<std::uint64_t, std::uint64_t>;
 using batch_fields = std::tuple<std::vector<member_fields>, std::vector<std::uint64_t>>;
 
+base::error malformed(const char *what)
+{
+    return base::error {base::error_code::messageMalformed, what};
+}
+
 member_fields fieldsOf(const member &member)
 {
     return member_fields(member.name, member.availabilityZone,
                          static_cast<std::uint8_t>(member.role), member.service.value(),
                          member.life.value(), member.packets.address, member.packets.port,
-                         static_cast<std::uint8_t>(member.phase));
+                         static_cast<std::uint8_t>(member.phase),
+                         static_cast<std::uint8_t>(member.health), member.share);
 }
 
 base::result<member> memberOf(const member_fields &fields)
 {
-    const auto &[name, zone, role, service, life, address, port, phase] = fields;
+    const auto &[name, zone, role, service, life, address, port, phase, health, share] = fields;
     const bool roleKnown = role == static_cast<std::uint8_t>(member_role::entry)
         || role == static_cast<std::uint8_t>(member_role::agent);
     const bool phaseKnown = phase >= static_cast<std::uint8_t>(member_phase::serving)
         && phase <= static_cast<std::uint8_t>(member_phase::draining);
-    if (!roleKnown || !phaseKnown)
-        return base::error {base::error_code::messageMalformed, "unknown role or phase"};
+    const bool healthKnown = health == static_cast<std::uint8_t>(member_health::good)
+        || health == static_cast<std::uint8_t>(member_health::bad);
+    if (!roleKnown || !phaseKnown || !healthKnown || share < 1 || share > fullShare)
+        return malformed("role, phase, health or share of a member");
+    if (name.empty() || name.size() > maxNameBytes || zone.size() > maxNameBytes)
+        return malformed("name or availability zone of a member");
     return member {name,
                    zone,
                    static_cast<member_role>(role),
                    base::service_id(service),
                    base::incarnation(life),
                    base::endpoint {address, port},
-                   static_cast<member_phase>(phase)};
+                   static_cast<member_phase>(phase),
+                   static_cast<member_health>(health),
+                   share};
 }
 
 } // namespace
@@ -54,6 +70,23 @@
     return memberOf(base::valueOf(fields));
 }
 
+std::string encodeLeave(const member_left &left)
+{
+    return base::packFields(leave_fields(left.node.value(), left.life.value()));
+}
+
+base::result<member_frame> decodeFrame(std::string_view bytes)
+{
+    const base::result<leave_fields> leave = base::unpackFields<leave_fields>(bytes);
+    if (const leave_fields *left = std::get_if<leave_fields>(&leave))
+        return member_frame(
+            member_left {base::node_id(std::get<0>(*left)), base::incarnation(std::get<1>(*left))});
+    const base::result<member> announced = decodeMember(bytes);
+    if (const base::error *failure = base::errorOf(announced))
+        return *failure;
+    return member_frame(member_announced {base::valueOf(announced)});
+}
+
 std::string encodeBatch(const membership_batch &batch)
 {
     std::vector<member_fields> present;
--- a/lycheeshunt/membership/decision.cpp
+++ b/lycheeshunt/membership/decision.cpp
@@ -1,6 +1,8 @@
 #include "lycheeshunt/membership/decision.h"
 
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/membership/internal/change_gatherer.h"
+#include "lycheeshunt/membership/internal/lease_book.h"
 
 namespace lycheeshunt::membership {
 
@@ -8,58 +10,63 @@
 
 using membership_step = base::step<membership_state, membership_action>;
 
-constexpr base::clock_time leaseSpan = base::clock_time::ofSeconds(4);
-// A proposal that the log could not take is made again after this.
-constexpr base::clock_time proposalRetry = base::clock_time::ofMillis(1000);
-
-void hear(membership_state &state, const member_announced &message, base::clock_time now)
-{
-    const base::node_id id = message.member.id();
-    const auto known = state.leases.find(id);
-    // A late announcement of an earlier life says nothing about the present one.
-    if (known != state.leases.end() && message.member.life < known->second.member.life)
-        return;
-    state.leases.erase(id);
-    state.leases.emplace(id, lease {message.member, now});
-}
-
 void commit(membership_state &state, const batch_committed &message, base::clock_time now)
 {
+    for (const base::node_id &id : message.batch.gone) {
+        state.committed.erase(id);
+        internal::confirmGone(state, id, now);
+    }
     for (const member &present : message.batch.present) {
         state.committed.erase(present.id());
         state.committed.emplace(present.id(), present);
-        // After a restart the log is the first that is known of a member: its lease starts now.
-        state.leases.emplace(present.id(), lease {present, now});
+        internal::startLease(state, present, now);
     }
-    for (const base::node_id &id : message.batch.gone)
-        state.committed.erase(id);
-    state.lastProposal = base::clock_time();
+    state.lastProposal.reset();
 }
 
-membership_batch differences(const membership_state &state, base::clock_time now)
+void lead(membership_state &state, const leadership_changed &message, base::clock_time now)
 {
-    std::vector<member> present;
-    std::vector<base::node_id> gone;
-    for (auto it = state.leases.begin(); it != state.leases.end(); ++it) {
-        if (now - it->second.heardAt > leaseSpan)
-            continue;
-        const auto committed = state.committed.find(it->first);
-        if (committed == state.committed.end() || committed->second != it->second.member)
-            present.push_back(it->second.member);
-    }
-    for (auto it = state.committed.begin(); it != state.committed.end(); ++it) {
-        const auto held = state.leases.find(it->first);
-        if (held == state.leases.end() || now - held->second.heardAt > leaseSpan)
-            gone.push_back(it->first);
-    }
-    return membership_batch {std::move(present), std::move(gone)};
+    if (message.leading && !state.leading)
+        internal::restartLeases(state, now);
+    state.leading = message.leading;
+    state.lastProposal.reset();
+}
+
+// What no longer matters is dropped, so that the state stays bounded.
+void forget(membership_state &state, base::clock_time now)
+{
+    std::erase_if(state.leases, [&](const std::pair<const base::node_id, lease> &row) {
+        return now - row.second.heardAt > state.policy->massEvictAfter
+            && state.committed.count(row.first) == 0;
+    });
+    std::erase_if(state.holders, [&](const std::pair<const base::endpoint, base::node_id> &row) {
+        return state.leases.count(row.second) == 0;
+    });
+    std::erase_if(state.gone, [&](const std::pair<const base::node_id, departed> &row) {
+        return now - row.second.at > state.policy->departedKept;
+    });
 }
 
 void check(membership_state &state, base::clock_time now, std::vector<membership_action> &actions)
 {
-    if (state.lastProposal != base::clock_time() && now - state.lastProposal < proposalRetry)
+    const bool waiting
+        = state.lastProposal && now - *state.lastProposal < state.policy->proposalRetry;
+    if (!state.leading || waiting)
+        return;
+    const bool full = now >= state.nextCheck;
+    if (!full && state.pending.empty())
         return;
-    membership_batch batch = differences(state, now);
+    internal::change_gatherer gatherer(state, now);
+    if (full) {
+        gatherer.gatherAll();
+        forget(state, now);
+    } else {
+        gatherer.gatherPending();
+    }
+    if (full || gatherer.isTruncated())
+        state.nextCheck = gatherer.isTruncated() ? now : now + state.policy->checkEvery;
+    membership_batch batch = gatherer.batch();
+    state.pending.clear();
     if (batch.isEmpty())
         return;
     state.lastProposal = now;
@@ -73,8 +80,12 @@
 {
     std::vector<membership_action> actions;
     std::visit(base::overloaded {
-                   [&](const member_announced &announced) { hear(state, announced, now); },
+                   [&](const member_announced &announced) {
+                       internal::takeAnnouncement(state, announced.member, now, actions);
+                   },
+                   [&](const member_left &left) { internal::takeLeave(state, left, now); },
                    [&](const batch_committed &committed) { commit(state, committed, now); },
+                   [&](const leadership_changed &changed) { lead(state, changed, now); },
                    [&](const membership_tick &) { check(state, now, actions); },
                },
                message);
--- /dev/null
+++ b/lycheeshunt/membership/decision_test.cpp
@@ -0,0 +1,355 @@
+// Leases under virtual time: tables of what members and control do, and what the log then says.
+
+#include "lycheeshunt/membership/decision.h"
+
+#include "lycheeshunt/base/overloaded.h"
+
+#include <functional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::membership;
+
+namespace {
+
+constexpr base::clock_time start = base::clock_time::ofSeconds(1000);
+constexpr base::clock_time tickSpan = base::clock_time::ofMillis(100);
+constexpr std::int64_t announceMillis = 1000;
+
+member agent(const std::string &name, std::uint64_t life = 1, const char *service = "logbook")
+{
+    const std::uint16_t port
+        = static_cast<std::uint16_t>(1000 + std::hash<std::string> {}(name) % 60000);
+    return member {name,
+                   name.substr(0, 2),
+                   member_role::agent,
+                   base::serviceIdOf(service),
+                   base::incarnation(life),
+                   base::endpoint {0x7f000001, port}};
+}
+
+// One control process: announcements in, committed batches back in at once unless it is cut off.
+class control
+{
+public:
+    void take(const membership_message &message)
+    {
+        base::step<membership_state, membership_action> next
+            = decide(std::move(m_state), message, m_now);
+        m_state = std::move(next.state);
+        for (const membership_action &action : next.actions)
+            std::visit(base::overloaded {
+                           [this](const propose_batch &proposed) { commit(proposed.batch); },
+                           [this](const report_clash &clash) {
+                               m_warnings.push_back(clash.winner.name + ">" + clash.loser.name);
+                           },
+                       },
+                       action);
+    }
+
+    // Time passes while these members announce themselves once a second.
+    void run(std::int64_t seconds, const std::vector<member> &alive)
+    {
+        const base::clock_time end = m_now + base::clock_time::ofSeconds(seconds);
+        while (m_now < end) {
+            if (m_now.millis() % announceMillis == 0) {
+                for (const member &each : alive)
+                    take(member_announced {each});
+            }
+            m_now = m_now + tickSpan;
+            take(membership_tick {});
+        }
+    }
+
+    // "S" serving, "?" suspected, "D" draining, "-" gone.
+    std::string phaseOf(const std::string &name) const
+    {
+        const member *known = find(name);
+        if (known == nullptr)
+            return "-";
+        return known->phase == member_phase::serving  ? "S"
+            : known->phase == member_phase::suspected ? "?"
+                                                      : "D";
+    }
+    const member *find(const std::string &name) const
+    {
+        const auto found = m_state.committed.find(base::nodeIdOf(name));
+        return found == m_state.committed.end() ? nullptr : &found->second;
+    }
+
+    std::size_t proposals() const { return m_proposals; }
+    std::size_t largest() const { return m_largest; }
+    const std::vector<std::string> &warnings() const { return m_warnings; }
+    membership_state &state() { return m_state; }
+    void setLogLost(bool lost) { m_logLost = lost; }
+
+private:
+    void commit(const membership_batch &batch)
+    {
+        ++m_proposals;
+        m_largest = std::max(m_largest, batch.present.size() + batch.gone.size());
+        if (!m_logLost)
+            take(batch_committed {batch});
+    }
+
+    membership_state m_state;
+    base::clock_time m_now = start;
+    std::size_t m_proposals = 0;
+    std::size_t m_largest = 0;
+    bool m_logLost = false;
+    std::vector<std::string> m_warnings;
+};
+
+std::vector<member> without(const std::vector<member> &all, const std::string &prefix)
+{
+    std::vector<member> rest;
+    for (const member &each : all) {
+        if (each.name.rfind(prefix, 0) != 0)
+            rest.push_back(each);
+    }
+    return rest;
+}
+
+// Four availability zones of four agents.
+std::vector<member> fourZones()
+{
+    std::vector<member> all;
+    for (const char *zone : {"z1", "z2", "z3", "z4"}) {
+        for (const char *place : {"a", "b", "c", "d"})
+            all.push_back(agent(std::string(zone) + place));
+    }
+    return all;
+}
+
+struct silence_case
+{
+    const char *what;
+    const char *silentPrefix;
+    std::int64_t seconds;
+    const char *phase;
+};
+
+} // namespace
+
+TEST_GROUP(membership) {};
+
+TEST(membership, silenceIsJudgedByHowManyAreSilent)
+{
+    const silence_case cases[] = {
+        {"one, shortly", "z1a", 2, "S"},
+        {"one, suspected", "z1a", 6, "?"},
+        {"one, evicted", "z1a", 15, "-"},
+        {"a zone, suspected", "z1", 6, "?"},
+        {"a zone, not evicted soon", "z1", 250, "?"},
+        {"a zone, evicted in the end", "z1", 310, "-"},
+        {"everyone: control is cut off", "z", 20, "S"},
+        {"everyone, for long", "z", 40, "?"},
+        {"everyone, for an hour's part", "z", 290, "?"},
+    };
+    for (const silence_case &row : cases) {
+        control leader;
+        const std::vector<member> all = fourZones();
+        leader.run(20, all);
+        // Twice in a row: the second time finds the same as the first.
+        for (int round = 0; round < 2; ++round) {
+            leader.run(row.seconds, without(all, row.silentPrefix));
+            STRCMP_EQUAL_TEXT(row.phase, leader.phaseOf("z1a").c_str(), row.what);
+            leader.run(80, all);
+            STRCMP_EQUAL_TEXT("S", leader.phaseOf("z1a").c_str(), row.what);
+            STRCMP_EQUAL_TEXT("S", leader.phaseOf("z4d").c_str(), row.what);
+        }
+    }
+}
+
+TEST(membership, controlCutOffForAMomentProposesNothing)
+{
+    control leader;
+    const std::vector<member> all = fourZones();
+    leader.run(20, all);
+    const std::size_t before = leader.proposals();
+    leader.run(25, {});
+    leader.run(5, all);
+    LONGS_EQUAL(before, leader.proposals());
+}
+
+TEST(membership, aFlappingMemberIsTrustedOnlyAfterASteadySpan)
+{
+    control leader;
+    const std::vector<member> all = fourZones();
+    leader.run(20, all);
+    for (int flap = 0; flap < 3; ++flap) {
+        leader.run(5, without(all, "z1a"));
+        leader.run(2, all);
+    }
+    STRCMP_EQUAL("?", leader.phaseOf("z1a").c_str());
+    const std::size_t before = leader.proposals();
+    leader.run(5, without(all, "z1a"));
+    leader.run(5, all);
+    LONGS_EQUAL(before, leader.proposals());
+    leader.run(12, all);
+    STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
+}
+
+TEST(membership, aRejoiningMembersWordClearsSuspicionAtOnce)
+{
+    control leader;
+    const std::vector<member> all = fourZones();
+    leader.run(20, all);
+    leader.run(6, without(all, "z1a"));
+    STRCMP_EQUAL("?", leader.phaseOf("z1a").c_str());
+    leader.take(member_announced {agent("z1a")});
+    leader.take(membership_tick {});
+    STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
+}
+
+TEST(membership, incarnationsAreToldApart)
+{
+    struct life_case
+    {
+        const char *what;
+        std::vector<member> said;
+        std::uint64_t life;
+        const char *service;
+    };
+    const member otherPlace {"z1a",
+                             "z1",
+                             member_role::agent,
+                             base::serviceIdOf("logbook"),
+                             base::incarnation(5),
+                             base::endpoint {0x7f000001, 9}};
+    const life_case cases[] = {
+        {"a later life replaces", {agent("z1a", 5), agent("z1a", 6)}, 6, "logbook"},
+        {"an earlier life is ignored", {agent("z1a", 6), agent("z1a", 5)}, 6, "logbook"},
+        {"back as the other service",
+         {agent("z1a", 5), agent("z1a", 6, "inspect"), agent("z1a", 5)},
+         6,
+         "inspect"},
+        {"one life never changes service",
+         {agent("z1a", 5), agent("z1a", 5, "inspect")},
+         5,
+         "logbook"},
+        {"one life never changes address", {agent("z1a", 5), otherPlace}, 5, "logbook"},
+        {"twice over",
+         {agent("z1a", 6), agent("z1a", 6), agent("z1a", 5), agent("z1a", 5)},
+         6,
+         "logbook"},
+    };
+    for (const life_case &row : cases) {
+        control leader;
+        leader.run(3, {agent("z1a", 5), agent("z2a")});
+        for (const member &each : row.said) {
+            leader.take(member_announced {each});
+            leader.take(membership_tick {});
+        }
+        const member *known = leader.find("z1a");
+        CHECK_TEXT(known != nullptr, row.what);
+        LONGS_EQUAL_TEXT(row.life, known->life.value(), row.what);
+        CHECK_TEXT(known->service == base::serviceIdOf(row.service), row.what);
+        CHECK_TEXT(known->packets == agent("z1a").packets, row.what);
+    }
+}
+
+TEST(membership, theNewerOfTwoNamesHasTheAddressAndTheOtherIsReportedOnce)
+{
+    const member older = agent("z1a", 5);
+    const member newer {"z1x",        "z1", member_role::agent, older.service, base::incarnation(6),
+                        older.packets};
+    for (const bool olderFirst : {true, false}) {
+        control leader;
+        leader.run(3,
+                   olderFirst ? std::vector<member> {older, agent("z2a")}
+                              : std::vector<member> {newer, agent("z2a")});
+        leader.run(20, {older, newer, agent("z2a")});
+        STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
+        STRCMP_EQUAL("S", leader.phaseOf("z1x").c_str());
+        LONGS_EQUAL(1, leader.warnings().size());
+        STRCMP_EQUAL("z1x>z1a", leader.warnings()[0].c_str());
+        // The winner stops for good: the address is free again.
+        leader.take(member_left {newer.id(), newer.life});
+        leader.run(2, {older, agent("z2a")});
+        STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
+    }
+}
+
+TEST(membership, leavingIsHeardAtOnceAndLateWordsOfThatLifeAreIgnored)
+{
+    control leader;
+    const std::vector<member> all = fourZones();
+    leader.run(20, all);
+    leader.take(member_announced {agent("z1a").withPhase(member_phase::draining)});
+    leader.take(membership_tick {});
+    STRCMP_EQUAL("D", leader.phaseOf("z1a").c_str());
+    // A crossed announcement from before.
+    leader.take(member_announced {agent("z1a")});
+    leader.take(membership_tick {});
+    STRCMP_EQUAL("D", leader.phaseOf("z1a").c_str());
+    for (int round = 0; round < 2; ++round) {
+        leader.take(member_left {base::nodeIdOf("z1a"), base::incarnation(1)});
+        leader.run(1, without(all, "z1a"));
+        STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
+    }
+    leader.run(2, all);
+    STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
+    leader.take(member_announced {agent("z1a", 2)});
+    leader.take(member_left {base::nodeIdOf("z1a"), base::incarnation(1)});
+    leader.run(1, without(all, "z1a"));
+    STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
+}
+
+TEST(membership, aNewAgentsShareGrowsAndTheFirstOnesAreWhole)
+{
+    control leader;
+    leader.run(2, {agent("z1a"), agent("z2a")});
+    LONGS_EQUAL(fullShare, leader.find("z1a")->share);
+    LONGS_EQUAL(fullShare, leader.find("z2a")->share);
+    const std::vector<member> all {agent("z1a"), agent("z2a"), agent("z3a")};
+    for (int share = 1; share <= fullShare; ++share) {
+        leader.run(2, all);
+        LONGS_EQUAL(share, leader.find("z3a")->share);
+        leader.run(4, all);
+    }
+    const std::size_t before = leader.proposals();
+    leader.run(10, all);
+    LONGS_EQUAL(before, leader.proposals());
+}
+
+TEST(membership, nobodyIsEvictedBeforeAWholeSpanAfterARestartOrANewLeader)
+{
+    const std::vector<member> all = fourZones();
+    control restarted;
+    restarted.take(batch_committed {membership_batch {all, {}}});
+    restarted.take(batch_committed {membership_batch {{}, {base::nodeIdOf("z4d")}}});
+    restarted.run(2, {});
+    LONGS_EQUAL(0, restarted.proposals());
+    STRCMP_EQUAL("-", restarted.phaseOf("z4d").c_str());
+
+    control follower;
+    follower.take(leadership_changed {false});
+    follower.take(batch_committed {membership_batch {all, {}}});
+    follower.run(1000, {});
+    LONGS_EQUAL(0, follower.proposals());
+    follower.take(leadership_changed {true});
+    follower.run(11, without(all, "z1a"));
+    STRCMP_EQUAL("?", follower.phaseOf("z1a").c_str());
+    follower.run(4, without(all, "z1a"));
+    STRCMP_EQUAL("-", follower.phaseOf("z1a").c_str());
+    STRCMP_EQUAL("S", follower.phaseOf("z4d").c_str());
+}
+
+TEST(membership, batchesAreBoundedAndALostOneIsProposedAgain)
+{
+    std::vector<member> many;
+    for (std::uint16_t i = 0; i < 1000; ++i)
+        many.push_back(member {"n" + std::to_string(i), "z1", member_role::agent,
+                               base::serviceIdOf("logbook"), base::incarnation(1),
+                               base::endpoint {0x7f000001, i}});
+    control leader;
+    leader.setLogLost(true);
+    leader.run(3, many);
+    LONGS_EQUAL(0, leader.state().committed.size());
+    leader.setLogLost(false);
+    leader.run(3, many);
+    LONGS_EQUAL(many.size(), leader.state().committed.size());
+    LONGS_EQUAL(leader.state().policy->maxBatch, leader.largest());
+}
--- a/lycheeshunt/membership/member.h
+++ b/lycheeshunt/membership/member.h
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/membership/member_health.h"
 
 #include <string>
 
@@ -11,6 +12,9 @@
 
 enum class member_phase : std::uint8_t { serving = 1, suspected = 2, draining = 3 };
 
+// Parts of a whole share of new flows; a member that has just begun to serve has fewer.
+constexpr std::uint8_t fullShare = 4;
+
 // One process of the system as control knows it. An entry has no service.
 struct member
 {
@@ -20,12 +24,27 @@
     const base::service_id service;
     const base::incarnation life;
     const base::endpoint packets;
+    // Announced as serving or draining; control adds suspicion.
     const member_phase phase = member_phase::serving;
+    // An agent's verdict on its backend server.
+    const member_health health = member_health::good;
+    // Between 1 and fullShare; set by control alone.
+    const std::uint8_t share = fullShare;
 
     base::node_id id() const { return base::nodeIdOf(name); }
     member withPhase(member_phase next) const
     {
-        return member {name, availabilityZone, role, service, life, packets, next};
+        return member {name, availabilityZone, role, service, life, packets, next, health, share};
+    }
+    member withShare(std::uint8_t next) const
+    {
+        return member {name, availabilityZone, role, service, life, packets, phase, health, next};
+    }
+    // What can't change within one life.
+    bool isSameLifeAs(const member &other) const
+    {
+        return name == other.name && role == other.role && service == other.service
+            && life == other.life && packets == other.packets;
     }
 
     bool operator==(const member &) const = default;
