Build bucket tables by weight, and reuse what a view has not changed

Cause: all agents of a service had equal shares, so a cold one got a whole share at once; each view rebuilt every service's table and scanned all members once for each service; a bad health verdict had no effect.

Change: weighted rendezvous hashing in integers, the same on every node to the last bit; a table shares the buckets of unchanged services with the one before; directors leave out backend servers that look bad unless most do; a bypassed director's flows go to its backup; buckets are indexed by mask where their number is a power of two.

--- a/lycheeshunt/routing/bucket_table.cpp
+++ b/lycheeshunt/routing/bucket_table.cpp
@@ -1,33 +1,32 @@
 #include "lycheeshunt/routing/bucket_table.h"
 
-#include <xxhash.h>
+#include "lycheeshunt/routing/internal/rendezvous.h"
+
+#include <bit>
+#include <limits>
 
 namespace lycheeshunt::routing {
 
 namespace {
 
-std::uint64_t score(std::uint32_t bucket, base::node_id node)
-{
-    const std::uint64_t value = node.value();
-    return XXH3_64bits_withSeed(&value, sizeof value, bucket);
-}
-
-bucket_owners highestTwo(std::uint32_t bucket, const std::vector<target> &targets)
+bucket_owners leastTwo(base::bucket bucket, const std::vector<target> &targets)
 {
+    constexpr std::uint64_t none = std::numeric_limits<std::uint64_t>::max();
     std::size_t first = 0;
     std::size_t second = 0;
-    std::uint64_t firstScore = 0;
-    std::uint64_t secondScore = 0;
+    std::uint64_t firstCost = none;
+    std::uint64_t secondCost = none;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        const std::uint64_t candidate = score(bucket, targets[i].node);
-        if (i == 0 || candidate > firstScore) {
+        const std::uint64_t cost
+            = internal::rendezvousCost(bucket, targets[i].node, targets[i].weight);
+        if (cost < firstCost) {
             second = first;
-            secondScore = firstScore;
+            secondCost = firstCost;
             first = i;
-            firstScore = candidate;
-        } else if (second == first || candidate > secondScore) {
+            firstCost = cost;
+        } else if (cost < secondCost) {
             second = i;
-            secondScore = candidate;
+            secondCost = cost;
         }
     }
     return bucket_owners {static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(second)};
@@ -36,11 +35,11 @@
 } // namespace
 
 bucket_table::bucket_table(std::uint32_t buckets, std::vector<target> targets)
-    : m_targets(std::move(targets))
+    : m_targets(std::move(targets)), m_mask(std::has_single_bit(buckets) ? buckets - 1 : 0)
 {
     m_owners.reserve(buckets);
     for (std::uint32_t i = 0; i < buckets; ++i)
-        m_owners.push_back(highestTwo(i, m_targets));
+        m_owners.push_back(leastTwo(base::bucket(i), m_targets));
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/bucket_table.h
+++ b/lycheeshunt/routing/bucket_table.h
@@ -1,6 +1,6 @@
-// Which agent is director, and which is backup, for each bucket of one service. Built by
+// Which agent is director, and which is backup, for each bucket of one service. Built by weighted
 // rendezvous hashing: every node builds the same table from the same members, and a member that
-// comes or goes moves only the buckets that it gains or had. Immutable.
+// comes, goes or changes its weight moves only the buckets that it gains or loses. Immutable.
 //
 //     const bucket_table table(buckets, targets);
 //     const target &director = table.directorOf(table.bucketOf(hashOf(key)));
@@ -18,7 +18,7 @@
 class bucket_table
 {
 public:
-    // Precondition: buckets > 0. Cost: buckets times targets hash steps.
+    // Precondition: buckets > 0; at most 65,536 targets. Cost: buckets times targets hash steps.
     bucket_table(std::uint32_t buckets, std::vector<target> targets);
 
     bool hasTargets() const { return !m_targets.empty(); }
@@ -26,7 +26,8 @@
 
     base::bucket bucketOf(std::uint64_t flowHash) const
     {
-        return base::bucket(static_cast<std::uint32_t>(flowHash % m_owners.size()));
+        const std::uint64_t index = m_mask != 0 ? flowHash & m_mask : flowHash % m_owners.size();
+        return base::bucket(static_cast<std::uint32_t>(index));
     }
 
     // Precondition: hasTargets().
@@ -39,10 +40,20 @@
         return m_targets[m_owners[bucket.value()].backup];
     }
 
+    std::uint32_t buckets() const { return static_cast<std::uint32_t>(m_owners.size()); }
+    // Held by the table, in bytes.
+    std::size_t memory() const
+    {
+        return sizeof *this + m_targets.capacity() * sizeof(target)
+            + m_owners.capacity() * sizeof(bucket_owners);
+    }
+
     bool operator==(const bucket_table &) const = default;
 
 private:
     std::vector<target> m_targets;
+    // One less than the number of buckets when that is a power of two, else 0.
+    std::uint32_t m_mask;
     std::vector<bucket_owners> m_owners;
 };
 
--- /dev/null
+++ b/lycheeshunt/routing/directors.cpp
@@ -0,0 +1,69 @@
+#include "lycheeshunt/routing/routing_table.h"
+
+#include "lycheeshunt/routing/internal/directors.h"
+
+namespace lycheeshunt::routing {
+
+namespace internal {
+
+namespace {
+
+using members = std::vector<const membership::member *>;
+
+// Those that pass, or all when none does.
+template <typename predicate>
+members keepUnlessNone(const members &all, predicate passes)
+{
+    members kept;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(kept), passes);
+    return kept.empty() ? all : kept;
+}
+
+// Verdicts are not believed when they condemn more than half.
+members withoutBadOnes(const members &all)
+{
+    const members good = keepUnlessNone(all, [](const membership::member *each) {
+        return each->health == membership::member_health::good;
+    });
+    return good.size() * 2 < all.size() ? all : good;
+}
+
+} // namespace
+
+std::vector<target> chooseDirectors(const dissemination::cluster_view &view, const members &agents)
+{
+    const members staying = keepUnlessNone(
+        agents, [&](const membership::member *each) { return !view.isDraining(*each); });
+    const members reachable = keepUnlessNone(staying, [](const membership::member *each) {
+        return each->phase != membership::member_phase::suspected;
+    });
+    std::vector<target> directors;
+    for (const membership::member *each : withoutBadOnes(reachable))
+        directors.push_back(target {each->id(), each->life, each->packets, each->share});
+    return directors;
+}
+
+std::unordered_map<base::service_id, members>
+agentsByService(const dissemination::cluster_view &view)
+{
+    std::unordered_map<base::service_id, members> agents;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        if (it->second.role == membership::member_role::agent)
+            agents[it->second.service].push_back(&it->second);
+    }
+    return agents;
+}
+
+} // namespace internal
+
+std::vector<target> directorsOf(const dissemination::cluster_view &view, base::service_id service)
+{
+    std::vector<const membership::member *> agents;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        if (it->second.role == membership::member_role::agent && it->second.service == service)
+            agents.push_back(&it->second);
+    }
+    return internal::chooseDirectors(view, agents);
+}
+
+} // namespace lycheeshunt::routing
--- /dev/null
+++ b/lycheeshunt/routing/internal/rendezvous.h
@@ -0,0 +1,15 @@
+// Weighted rendezvous hashing in integers, so that every node computes the same to the last bit.
+
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+
+#include <cstdint>
+
+namespace lycheeshunt::routing::internal {
+
+// The target with the least cost has the bucket. A cost depends on one target alone, so a change
+// of one target moves only buckets that it gains or loses. Precondition: weight > 0.
+std::uint64_t rendezvousCost(base::bucket bucket, base::node_id node, std::uint32_t weight);
+
+} // namespace lycheeshunt::routing::internal
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -1,14 +1,16 @@
 // From a packet's flow to the agent that directs it, in constant time and without any state for
-// the flow. Immutable; built once for each view.
+// the flow. Immutable; built once for each view. Services that a view has not changed share their
+// buckets with the table before; the result is the same as that of a table built from nothing.
 //
-//     const routing_table table(view);
-//     const routing_outcome outcome = table.routeOf(key);
+//     const routing_table next(view, current);
+//     const routing_outcome outcome = next.routeOf(key);
 
 #pragma once
 
 #include "lycheeshunt/base/flow_key.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/routing/bucket_table.h"
+#include "lycheeshunt/routing/bypassed_agents.h"
 #include "lycheeshunt/routing/route.h"
 #include "lycheeshunt/routing/unroutable.h"
 
@@ -24,22 +26,32 @@
 {
 public:
     routing_table() = default;
-    explicit routing_table(const dissemination::cluster_view &view);
+    explicit routing_table(const dissemination::cluster_view &view,
+                           const routing_table &before = routing_table());
 
     base::generation at() const { return m_at; }
-    routing_outcome routeOf(const base::flow_key &key) const;
+    // The bucket's director, or its backup while only the director is bypassed.
+    routing_outcome routeOf(const base::flow_key &key, const bypassed_agents &bypassed = {}) const;
+
+    // Every agent that packets may go to.
+    std::vector<target> targets() const;
+    // Held for one service, in bytes; 0 when there is no such service.
+    std::size_t memoryOf(base::service_id service) const;
 
 private:
     struct service_entry;
+    using shared_entry = std::shared_ptr<const service_entry>;
 
     base::generation m_at;
-    std::unordered_map<std::uint64_t, std::shared_ptr<const service_entry>> m_addresses;
+    std::unordered_map<base::service_id, shared_entry> m_services;
+    std::unordered_map<std::uint64_t, shared_entry> m_addresses;
 };
 
 using shared_table = std::shared_ptr<const routing_table>;
 
-// The agents that may direct flows of a service, in a fixed order: those that are not draining
-// and not suspected, or all of them when none is left.
+// The agents that may direct flows of a service, in a fixed order. Draining and suspected agents
+// are left out, and those whose backend server looks bad, but when most of the rest look bad
+// their verdicts are not believed. Where nobody is left, all are returned.
 std::vector<target> directorsOf(const dissemination::cluster_view &view, base::service_id service);
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/target.h
+++ b/lycheeshunt/routing/target.h
@@ -11,6 +11,8 @@
     const base::node_id node;
     const base::incarnation life;
     const base::endpoint packets;
+    // Share of the buckets, relative to the other targets of the service; at least 1.
+    const std::uint32_t weight = 1;
 
     bool operator==(const target &) const = default;
 };
