Send an entry's batch without allocations, and split the batch path

Cause: each forwarded packet allocated its header, a MessagePack buffer and an empty packet; one packet that could not be sent dropped the rest of its batch; the function that did it all was too long.

Change: internal/packet_batch holds the buffers, set up once; the header is packed into the batch's own buffer; a packet that can't be sent is skipped and counted. Tables and bypasses come through one ring.

--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -3,6 +3,8 @@
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/flows/flow_registration.h"
 #include "lycheeshunt/flows/forwarded_packet.h"
+#include "lycheeshunt/flows/internal/span_writer.h"
+#include "lycheeshunt/flows/packet_header.h"
 #include "lycheeshunt/packets/ip_packet.h"
 
 #include <tuple>
@@ -84,20 +86,28 @@
 
 } // namespace
 
-std::string encodePacketHeader(const forwarded_packet &packet, std::size_t packetBytes)
+std::size_t writePacketHeader(const packet_header &header, std::size_t packetBytes,
+                              std::span<char> out)
 {
-    msgpack::sbuffer buffer;
-    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    internal::span_writer writer(out);
+    msgpack::packer<internal::span_writer> packer(writer);
     packer.pack_array(std::tuple_size_v<packet_fields>);
     packer.pack(wireVersion);
     packer.pack(static_cast<std::uint8_t>(packetKind));
-    packer.pack(packet.service.value());
-    packer.pack(packet.life.value());
-    packer.pack(packet.at.value());
-    packer.pack(static_cast<std::uint8_t>(packet.stage));
-    packer.pack(packet.hops);
+    packer.pack(header.service.value());
+    packer.pack(header.life.value());
+    packer.pack(header.at.value());
+    packer.pack(static_cast<std::uint8_t>(header.stage));
+    packer.pack(header.hops);
     packer.pack_bin(static_cast<std::uint32_t>(packetBytes));
-    return std::string(buffer.data(), buffer.size());
+    return writer.used();
+}
+
+std::string encodePacketHeader(const forwarded_packet &packet, std::size_t packetBytes)
+{
+    char buffer[maxPacketHeaderBytes];
+    const packet_header header {packet.service, packet.life, packet.at, packet.stage, packet.hops};
+    return std::string(buffer, writePacketHeader(header, packetBytes, buffer));
 }
 
 std::string encodePacket(const forwarded_packet &packet)
--- a/lycheeshunt/flows/codec.h
+++ b/lycheeshunt/flows/codec.h
@@ -5,6 +5,7 @@
 
 #include "lycheeshunt/base/result.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -13,6 +14,7 @@
 
 struct forwarded_packet;
 struct flow_registration;
+struct packet_header;
 
 using flow_datagram = std::variant<forwarded_packet, flow_registration>;
 
@@ -24,4 +26,11 @@
 
 base::result<flow_datagram> decodeDatagram(std::string_view bytes);
 
+// No header is longer: three 64-bit numbers and eight short fields.
+constexpr std::size_t maxPacketHeaderBytes = 64;
+
+// As encodePacketHeader, into a buffer of at least maxPacketHeaderBytes. Returns the bytes used.
+std::size_t writePacketHeader(const packet_header &header, std::size_t packetBytes,
+                              std::span<char> out);
+
 } // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/packet_header.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/flows/packet_stage.h"
+
+namespace lycheeshunt::flows {
+
+// What goes before the IP packet in a forwarded packet's datagram.
+struct packet_header
+{
+    const base::service_id service;
+    const base::incarnation life;
+    const base::generation at;
+    const packet_stage stage = packet_stage::toDirector;
+    const std::uint8_t hops = 0;
+
+    bool operator==(const packet_header &) const = default;
+};
+
+} // namespace lycheeshunt::flows
--- a/lycheeshunt/routing/bucket_table.h
+++ b/lycheeshunt/routing/bucket_table.h
@@ -40,7 +40,7 @@
         return m_targets[m_owners[bucket.value()].backup];
     }
 
-    std::uint32_t buckets() const { return static_cast<std::uint32_t>(m_owners.size()); }
+    std::uint32_t size() const { return static_cast<std::uint32_t>(m_owners.size()); }
     // Held by the table, in bytes.
     std::size_t memory() const
     {
--- a/lycheeshunt/routing/bucket_table_test.cpp
+++ b/lycheeshunt/routing/bucket_table_test.cpp
@@ -28,7 +28,7 @@
 std::size_t bucketsOf(const bucket_table &table, const std::string &name)
 {
     std::size_t count = 0;
-    for (std::uint32_t i = 0; i < table.buckets(); ++i)
+    for (std::uint32_t i = 0; i < table.size(); ++i)
         count += table.directorOf(base::bucket(i)).node == base::nodeIdOf(name) ? 1 : 0;
     return count;
 }
@@ -36,7 +36,7 @@
 std::uint64_t fingerprint(const bucket_table &table)
 {
     std::uint64_t sum = 0;
-    for (std::uint32_t i = 0; i < table.buckets(); ++i) {
+    for (std::uint32_t i = 0; i < table.size(); ++i) {
         const std::uint64_t owners[] = {table.directorOf(base::bucket(i)).node.value(),
                                         table.backupOf(base::bucket(i)).node.value()};
         sum = XXH3_64bits_withSeed(owners, sizeof owners, sum);
@@ -77,7 +77,7 @@
         all.push_back(targetFor("new", weight));
         const bucket_table without(4096, peers);
         const bucket_table table(4096, all);
-        for (std::uint32_t i = 0; i < table.buckets(); ++i) {
+        for (std::uint32_t i = 0; i < table.size(); ++i) {
             const base::node_id now = table.directorOf(base::bucket(i)).node;
             CHECK(now == base::nodeIdOf("new") || now == without.directorOf(base::bucket(i)).node);
         }
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -1,40 +1,21 @@
 #include "lycheeshunt/routing/entry_port.h"
 
+#include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/base/socket.h"
-#include "lycheeshunt/flows/codec.h"
-#include "lycheeshunt/flows/forwarded_packet.h"
 #include "lycheeshunt/packets/ip_packet.h"
+#include "lycheeshunt/routing/internal/packet_batch.h"
 
-#include <netinet/in.h>
 #include <poll.h>
-#include <sys/socket.h>
-#include <sys/uio.h>
-
-#include <array>
 
 namespace lycheeshunt::routing {
 
 namespace {
 
-constexpr std::size_t batchSize = 64;
-constexpr std::size_t maxPacketBytes = 2048;
-constexpr std::size_t tableCapacity = 8;
+constexpr std::size_t updateCapacity = 8;
 constexpr int waitWithoutLimit = -1;
 
 } // namespace
 
-// Buffers for one batch; kept between batches.
-struct entry_port::batch
-{
-    std::array<std::array<char, maxPacketBytes>, batchSize> bytes;
-    std::array<iovec, batchSize> received;
-    std::array<mmsghdr, batchSize> incoming;
-    std::array<std::string, batchSize> headers;
-    std::array<std::array<iovec, 2>, batchSize> parts;
-    std::array<sockaddr_in, batchSize> targets;
-    std::array<mmsghdr, batchSize> outgoing;
-};
-
 base::result<std::unique_ptr<entry_port>> entry_port::open(const base::endpoint &local)
 {
     base::result<base::file_descriptor> socket = base::openDatagramSocket(local);
@@ -44,79 +25,74 @@
 }
 
 entry_port::entry_port(base::file_descriptor socket)
-    : m_socket(std::move(socket)), m_tables(tableCapacity),
-      m_table(std::make_shared<const routing_table>()), m_thread([this]() { run(); })
+    : m_socket(std::move(socket)), m_updates(updateCapacity),
+      m_table(std::make_shared<const routing_table>()),
+      m_bypass(std::make_shared<const bypassed_agents>()), m_thread([this]() { run(); })
 {
 }
 
 entry_port::~entry_port()
 {
-    m_tables.close();
+    m_updates.close();
     m_thread.join();
 }
 
+base::endpoint entry_port::local() const
+{
+    return base::localEndpoint(m_socket);
+}
+
 void entry_port::run()
 {
-    const std::unique_ptr<batch> packets = std::make_unique<batch>();
-    while (!m_tables.isClosed()) {
-        pollfd watched[] = {{m_socket.get(), POLLIN, 0}, {m_tables.descriptor(), POLLIN, 0}};
+    const std::unique_ptr<internal::packet_batch> packets
+        = std::make_unique<internal::packet_batch>();
+    while (!m_updates.isClosed()) {
+        pollfd watched[] = {{m_socket.get(), POLLIN, 0}, {m_updates.descriptor(), POLLIN, 0}};
         ::poll(watched, std::size(watched), waitWithoutLimit);
-        while (const std::optional<shared_table> newer = m_tables.tryPop()) {
-            if ((*newer)->at() >= m_table->at())
-                m_table = *newer;
-        }
+        while (const std::optional<entry_update> update = m_updates.tryPop())
+            takeUpdate(*update);
         if (watched[0].revents != 0)
             routeBatch(*packets);
     }
 }
 
-void entry_port::routeBatch(batch &packets)
+void entry_port::takeUpdate(const entry_update &update)
+{
+    std::visit(base::overloaded {
+                   [this](const shared_table &table) {
+                       if (table->at() >= m_table->at())
+                           m_table = table;
+                   },
+                   [this](const shared_bypass &bypass) { m_bypass = bypass; },
+               },
+               update);
+}
+
+void entry_port::routeBatch(internal::packet_batch &packets)
+{
+    const std::size_t count = packets.receive(m_socket.get());
+    for (std::size_t i = 0; i < count; ++i)
+        routePacket(packets, i);
+    m_unsent += packets.send(m_socket.get());
+}
+
+void entry_port::routePacket(internal::packet_batch &packets, std::size_t index)
 {
-    for (std::size_t i = 0; i < batchSize; ++i) {
-        packets.received[i] = iovec {packets.bytes[i].data(), maxPacketBytes};
-        packets.incoming[i] = mmsghdr {};
-        packets.incoming[i].msg_hdr.msg_iov = &packets.received[i];
-        packets.incoming[i].msg_hdr.msg_iovlen = 1;
+    const base::result<packets::ip_summary> summary
+        = packets::summarize(packets.packet(index), packets::direction::fromCaller);
+    if (!base::isOk(summary)) {
+        ++m_malformed;
+        return;
     }
-    const int count = ::recvmmsg(m_socket.get(), packets.incoming.data(), batchSize,
-                                 MSG_DONTWAIT | MSG_TRUNC, nullptr);
-    std::size_t used = 0;
-    for (int i = 0; i < count; ++i) {
-        const std::size_t length = packets.incoming[i].msg_len;
-        const std::string_view bytes(packets.bytes[i].data(), std::min(length, maxPacketBytes));
-        const base::result<packets::ip_summary> summary
-            = packets::summarize(bytes, packets::direction::fromCaller);
-        if (length > maxPacketBytes || !base::isOk(summary)) {
-            ++m_malformed;
-            continue;
-        }
-        const routing_outcome outcome = m_table->routeOf(base::valueOf(summary).key);
-        const route *way = std::get_if<route>(&outcome);
-        if (way == nullptr) {
-            ++m_unroutable;
-            continue;
-        }
-        const flows::forwarded_packet header {way->service,
-                                              way->to.life,
-                                              way->at,
-                                              flows::packet_stage::toDirector,
-                                              0,
-                                              base::valueOf(summary),
-                                              base::packet_bytes()};
-        packets.headers[used] = flows::encodePacketHeader(header, bytes.size());
-        packets.parts[used][0] = iovec {packets.headers[used].data(), packets.headers[used].size()};
-        packets.parts[used][1] = iovec {packets.bytes[i].data(), bytes.size()};
-        packets.targets[used] = base::toSocketAddress(way->to.packets);
-        packets.outgoing[used] = mmsghdr {};
-        packets.outgoing[used].msg_hdr.msg_iov = packets.parts[used].data();
-        packets.outgoing[used].msg_hdr.msg_iovlen = 2;
-        packets.outgoing[used].msg_hdr.msg_name = &packets.targets[used];
-        packets.outgoing[used].msg_hdr.msg_namelen = sizeof(sockaddr_in);
-        ++used;
+    const routing_outcome outcome = m_table->routeOf(base::valueOf(summary).key, *m_bypass);
+    const route *way = std::get_if<route>(&outcome);
+    if (way == nullptr) {
+        ++m_unroutable;
+        return;
     }
-    if (used > 0)
-        ::sendmmsg(m_socket.get(), packets.outgoing.data(), static_cast<unsigned>(used),
-                   MSG_NOSIGNAL);
+    const flows::packet_header header {way->service, way->to.life, way->at,
+                                       flows::packet_stage::toDirector, 0};
+    packets.forward(index, header, way->to.packets);
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -2,13 +2,14 @@
 // each by the current table and sends it on. It keeps no state for a flow.
 //
 //     base::result<std::unique_ptr<entry_port>> port = entry_port::open(local);
-//     valueOf(port)->tables().push(table);
+//     valueOf(port)->updates().push(table);
 
 #pragma once
 
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/file_descriptor.h"
 #include "lycheeshunt/base/ring.h"
+#include "lycheeshunt/routing/bypassed_agents.h"
 #include "lycheeshunt/routing/routing_table.h"
 
 #include <atomic>
@@ -17,6 +18,13 @@
 
 namespace lycheeshunt::routing {
 
+namespace internal {
+class packet_batch;
+}
+
+// What the packet thread is told: a newer table, or whom to bypass.
+using entry_update = std::variant<shared_table, shared_bypass>;
+
 class entry_port
 {
 public:
@@ -26,24 +34,31 @@
     entry_port(const entry_port &) = delete;
     entry_port &operator=(const entry_port &) = delete;
 
-    // Newer tables are pushed here; the latest one counts.
-    base::ring<shared_table> &tables() { return m_tables; }
+    // The newest table and the last bypass count.
+    base::ring<entry_update> &updates() { return m_updates; }
+    // Where packets are received; tells the port that the system chose for port 0.
+    base::endpoint local() const;
+
+    // Counts of packets: not IP packets that can be routed, no agent for them, not sent on.
     std::uint64_t malformed() const { return m_malformed; }
     std::uint64_t unroutable() const { return m_unroutable; }
+    std::uint64_t unsent() const { return m_unsent; }
 
 private:
-    struct batch;
-
     explicit entry_port(base::file_descriptor socket);
 
     void run();
-    void routeBatch(batch &packets);
+    void takeUpdate(const entry_update &update);
+    void routeBatch(internal::packet_batch &packets);
+    void routePacket(internal::packet_batch &packets, std::size_t index);
 
     base::file_descriptor m_socket;
-    base::ring<shared_table> m_tables;
+    base::ring<entry_update> m_updates;
     shared_table m_table;
+    shared_bypass m_bypass;
     std::atomic<std::uint64_t> m_malformed = 0;
     std::atomic<std::uint64_t> m_unroutable = 0;
+    std::atomic<std::uint64_t> m_unsent = 0;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/lycheeshunt/routing/internal/packet_batch.h
@@ -0,0 +1,61 @@
+// The buffers of one batch of packets at an entry, kept from batch to batch: takes what has come
+// to a socket and sends on what was routed, with one system call each and no allocation.
+//
+//     const std::size_t count = batch.receive(socket);
+//     for (std::size_t i = 0; i < count; ++i)
+//         batch.forward(i, header, to);
+//     batch.send(socket);
+//
+// Not thread-safe.
+
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/flows/codec.h"
+#include "lycheeshunt/flows/packet_header.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <array>
+
+namespace lycheeshunt::routing::internal {
+
+class packet_batch
+{
+public:
+    static constexpr std::size_t capacity = 64;
+    static constexpr std::size_t maxPacketBytes = 2048;
+
+    packet_batch();
+
+    packet_batch(const packet_batch &) = delete;
+    packet_batch &operator=(const packet_batch &) = delete;
+
+    // Never waits. Returns how many packets have come.
+    std::size_t receive(int socket);
+    // The bytes of a received packet; empty when it was longer than maxPacketBytes.
+    std::string_view packet(std::size_t index) const;
+    // Queues a received packet, behind this header.
+    void forward(std::size_t index, const flows::packet_header &header, const base::endpoint &to);
+    // Sends what is queued. Returns how many packets could not be sent; they are lost.
+    std::size_t send(int socket);
+
+private:
+    struct slot
+    {
+        std::array<char, maxPacketBytes> bytes;
+        std::array<char, flows::maxPacketHeaderBytes> header;
+        std::array<iovec, 2> parts;
+        iovec space;
+        sockaddr_in to;
+    };
+
+    std::array<slot, capacity> m_slots;
+    std::array<mmsghdr, capacity> m_incoming;
+    std::array<mmsghdr, capacity> m_outgoing;
+    std::size_t m_queued = 0;
+};
+
+} // namespace lycheeshunt::routing::internal
--- a/lycheeshunt/routing/routing_table_test.cpp
+++ b/lycheeshunt/routing/routing_faults_test.cpp
@@ -65,9 +65,9 @@
 
 } // namespace
 
-TEST_GROUP(routing_table) {};
+TEST_GROUP(routing_faults) {};
 
-TEST(routing_table, directorsAreThoseThatCanTakeWork)
+TEST(routing_faults, directorsAreThoseThatCanTakeWork)
 {
     const member_phase serving = member_phase::serving;
     const member_phase suspected = member_phase::suspected;
@@ -99,7 +99,7 @@
     }
 }
 
-TEST(routing_table, aBypassedDirectorsFlowsGoToItsBackupAlone)
+TEST(routing_faults, aBypassedDirectorsFlowsGoToItsBackupAlone)
 {
     const dissemination::cluster_view view
         = twoServices().withBatch(base::generation(2), {{agent("a"), agent("b"), agent("c")}, {}});
@@ -119,7 +119,7 @@
     CHECK(moved > 0);
 }
 
-TEST(routing_table, aVmThatReturnsAsTheOtherServiceGetsNothingOfTheFirst)
+TEST(routing_faults, aVmThatReturnsAsTheOtherServiceGetsNothingOfTheFirst)
 {
     dissemination::cluster_view view = twoServices().withBatch(
         base::generation(2),
@@ -141,7 +141,7 @@
 
 // An entry that took every generation, one that took every seventh, and one that was 300 behind
 // and then took the last.
-TEST(routing_table, isTheSameWhicheverGenerationsAnEntrySaw)
+TEST(routing_faults, isTheSameWhicheverGenerationsAnEntrySaw)
 {
     std::mt19937_64 random(7);
     std::vector<dissemination::cluster_view> views {twoServices()};
@@ -174,7 +174,7 @@
     }
 }
 
-TEST(routing_table, saysWhyAPacketCannotBeRouted)
+TEST(routing_faults, saysWhyAPacketCannotBeRouted)
 {
     const routing_table empty;
     CHECK(empty.routeOf(flow(1, logbookAddress))
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -32,7 +32,7 @@
         std::vector<target> directors = internal::chooseDirectors(view, agents[it->first]);
         const auto known = before.m_services.find(it->first);
         const bool unchanged = known != before.m_services.end()
-            && known->second->buckets.buckets() == service.buckets
+            && known->second->buckets.size() == service.buckets
             && known->second->buckets.targets() == directors;
         const shared_entry entry = unchanged
             ? known->second
