--- a/lycheeshunt/routing/bucket_table.h
+++ b/lycheeshunt/routing/bucket_table.h
@@ -21,6 +21,7 @@
     // Precondition: buckets > 0; at most 65,536 targets. Cost: buckets times targets hash steps.
     bucket_table(std::uint32_t buckets, std::vector<target> targets);
 
+    std::uint32_t size() const { return static_cast<std::uint32_t>(m_owners.size()); }
     bool hasTargets() const { return !m_targets.empty(); }
     const std::vector<target> &targets() const { return m_targets; }
 
@@ -40,7 +41,6 @@
         return m_targets[m_owners[bucket.value()].backup];
     }
 
-    std::uint32_t size() const { return static_cast<std::uint32_t>(m_owners.size()); }
     // Held by the table, in bytes.
     std::size_t memory() const
     {
--- a/lycheeshunt/routing/internal/packet_batch.cpp
+++ b/lycheeshunt/routing/internal/packet_batch.cpp
@@ -38,8 +38,7 @@
     slot &used = m_slots[index];
     const std::string_view bytes = packet(index);
     const std::size_t headerBytes = flows::writePacketHeader(header, bytes.size(), used.header);
-    used.parts = {iovec {used.header.data(), headerBytes},
-                  iovec {used.bytes.data(), bytes.size()}};
+    used.parts = {iovec {used.header.data(), headerBytes}, iovec {used.bytes.data(), bytes.size()}};
     used.to = base::toSocketAddress(to);
     m_outgoing[m_queued].msg_hdr.msg_iov = used.parts.data();
     m_outgoing[m_queued].msg_hdr.msg_name = &used.to;
