--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -28,7 +28,7 @@
         [packets, latest = std::make_shared<const routing::routing_table>()](
             const dissemination::shared_view &view) mutable {
             latest = std::make_shared<const routing::routing_table>(*view, *latest);
-            packets->tables().push(latest);
+            packets->updates().push(latest);
         });
     return process;
 }
