--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -45,7 +45,7 @@
                          metrics::counter_value {m_port->malformed()}},
         metrics::sample {"packets_unroutable_total", "Packets without a service or server.",
                          metrics::counter_value {m_port->unroutable()}}};
-    metrics::addRing(samples, "tables", m_port->tables());
+    metrics::addRing(samples, "updates", m_port->updates());
     return metrics::report {"entry", std::move(samples)};
 }
 
