Measure an entry, and let it bypass a silent agent by its own observation

Cause: nothing showed what an entry costs, and packets for a dead agent were lost until control had judged its silence.

Change: measure_packets compares an entry with a bare forwarder of the same sockets and prints table costs; a probe decision with virtual time, its codec and its thread suspect agents that miss three probes in a row or that the network reports unreachable; decoders are tested under random and mutated bytes.

The random-bytes test found a fault: a caller's packet with bad TCP options made the reset throw and ended the process. The reset is now made from the headers read here; a test holds the case. The entry's metrics name the updates ring and count packets that could not be sent.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -25,7 +25,7 @@
         flows::agent_identity {self.id(), self.service, self.life},
         [raw](const flows::flow_action &action) { raw->m_port->actions().tryPush(action); });
     base::result<std::unique_ptr<flows::agent_port>> port
-        = flows::agent_port::open(own.sockets, process->m_flows->inbox());
+        = flows::agent_port::open(own.sockets, self.life, process->m_flows->inbox());
     if (const base::error *failure = base::errorOf(port))
         return *failure;
     process->m_port = base::takeValue(std::move(port));
--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -4,6 +4,7 @@
 #include "lycheeshunt/dissemination/follower.h"
 #include "lycheeshunt/metrics/ring_sample.h"
 #include "lycheeshunt/routing/entry_port.h"
+#include "lycheeshunt/routing/liveness_port.h"
 
 namespace lycheeshunt::daemon {
 
@@ -15,6 +16,14 @@
     if (const base::error *failure = base::errorOf(port))
         return *failure;
     std::unique_ptr<entry_process> process(new entry_process(base::takeValue(std::move(port))));
+    routing::entry_port *packets = process->m_port.get();
+    base::result<std::unique_ptr<routing::liveness_port>> liveness = routing::liveness_port::open(
+        base::endpoint {own.packets.address, 0},
+        [packets](const routing::shared_bypass &bypass) { packets->updates().push(bypass); });
+    if (const base::error *failure = base::errorOf(liveness))
+        return *failure;
+    process->m_liveness = base::takeValue(std::move(liveness));
+    routing::liveness_port *watch = process->m_liveness.get();
     const membership::member self {settings.name,
                                    settings.availabilityZone,
                                    membership::member_role::entry,
@@ -22,13 +31,13 @@
                                    internal::newLife(),
                                    own.packets,
                                    membership::member_phase::serving};
-    routing::entry_port *packets = process->m_port.get();
     process->m_follower = std::make_unique<dissemination::follower>(
         settings.control, self, self.life.value(),
-        [packets, latest = std::make_shared<const routing::routing_table>()](
+        [packets, watch, latest = std::make_shared<const routing::routing_table>()](
             const dissemination::shared_view &view) mutable {
             latest = std::make_shared<const routing::routing_table>(*view, *latest);
             packets->updates().push(latest);
+            watch->agents().push(routing::agents_changed {latest->targets()});
         });
     return process;
 }
@@ -44,8 +53,10 @@
         metrics::sample {"packets_malformed_total", "Datagrams that are no IP packet.",
                          metrics::counter_value {m_port->malformed()}},
         metrics::sample {"packets_unroutable_total", "Packets without a service or server.",
-                         metrics::counter_value {m_port->unroutable()}}};
-    metrics::addRing(samples, "tables", m_port->tables());
+                         metrics::counter_value {m_port->unroutable()}},
+        metrics::sample {"packets_unsent_total", "Routed packets that could not be sent on.",
+                         metrics::counter_value {m_port->unsent()}}};
+    metrics::addRing(samples, "updates", m_port->updates());
     return metrics::report {"entry", std::move(samples)};
 }
 
--- a/lycheeshunt/daemon/entry_process.h
+++ b/lycheeshunt/daemon/entry_process.h
@@ -1,4 +1,5 @@
-// An entry: a packet thread that routes, and a follower that keeps its table new.
+// An entry: a packet thread that routes, one that watches the agents, and a follower that keeps
+// the table new.
 
 #pragma once
 
@@ -14,7 +15,8 @@
 
 namespace lycheeshunt::routing {
 class entry_port;
-}
+class liveness_port;
+} // namespace lycheeshunt::routing
 
 namespace lycheeshunt::daemon {
 
@@ -35,6 +37,7 @@
     explicit entry_process(std::unique_ptr<routing::entry_port> port);
 
     std::unique_ptr<routing::entry_port> m_port;
+    std::unique_ptr<routing::liveness_port> m_liveness;
     std::unique_ptr<dissemination::follower> m_follower;
 };
 
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/flows/codec.h"
 #include "lycheeshunt/packets/datagram_io.h"
 #include "lycheeshunt/packets/ip_packet.h"
+#include "lycheeshunt/routing/codec.h"
 
 #include <poll.h>
 
@@ -20,6 +21,7 @@
 } // namespace
 
 base::result<std::unique_ptr<agent_port>> agent_port::open(const agent_sockets &sockets,
+                                                           base::incarnation life,
                                                            base::ring<flow_message> &inbox)
 {
     base::result<base::file_descriptor> peerSide = base::openDatagramSocket(sockets.packets);
@@ -28,15 +30,17 @@
     base::result<base::file_descriptor> serverSide = base::openDatagramSocket(sockets.serverSide);
     if (const base::error *failure = base::errorOf(serverSide))
         return *failure;
-    return std::unique_ptr<agent_port>(new agent_port(sockets, base::takeValue(std::move(peerSide)),
-                                                      base::takeValue(std::move(serverSide)),
-                                                      inbox));
+    return std::unique_ptr<agent_port>(
+        new agent_port(sockets, life, base::takeValue(std::move(peerSide)),
+                       base::takeValue(std::move(serverSide)), inbox));
 }
 
-agent_port::agent_port(const agent_sockets &sockets, base::file_descriptor peerSide,
-                       base::file_descriptor serverSide, base::ring<flow_message> &inbox)
-    : m_addresses(sockets), m_peerSide(std::move(peerSide)), m_serverSide(std::move(serverSide)),
-      m_inbox(inbox), m_actions(actionCapacity), m_thread([this]() { run(); })
+agent_port::agent_port(const agent_sockets &sockets, base::incarnation life,
+                       base::file_descriptor peerSide, base::file_descriptor serverSide,
+                       base::ring<flow_message> &inbox)
+    : m_addresses(sockets), m_life(life), m_peerSide(std::move(peerSide)),
+      m_serverSide(std::move(serverSide)), m_inbox(inbox), m_actions(actionCapacity),
+      m_thread([this]() { run(); })
 {
 }
 
@@ -65,10 +69,15 @@
 void agent_port::receiveFromPeers()
 {
     for (int i = 0; i < receiveBurst; ++i) {
-        const std::optional<std::string> bytes = packets::receiveDatagram(m_peerSide.get());
-        if (!bytes)
+        const std::optional<packets::received_datagram> received
+            = packets::receiveDatagramFrom(m_peerSide.get());
+        if (!received)
             return;
-        const base::result<flow_datagram> decoded = decodeDatagram(*bytes);
+        if (routing::looksLikeProbe(received->bytes)) {
+            answerProbe(*received);
+            continue;
+        }
+        const base::result<flow_datagram> decoded = decodeDatagram(received->bytes);
         if (!base::isOk(decoded)) {
             ++m_malformed;
             continue;
@@ -78,6 +87,15 @@
     }
 }
 
+void agent_port::answerProbe(const packets::received_datagram &received)
+{
+    const std::optional<std::string> echo = routing::echoOf(received.bytes, m_life);
+    if (echo)
+        packets::sendDatagram(m_peerSide.get(), received.from, *echo);
+    else
+        ++m_malformed;
+}
+
 void agent_port::receiveFromServer()
 {
     for (int i = 0; i < receiveBurst; ++i) {
--- a/lycheeshunt/flows/agent_port.h
+++ b/lycheeshunt/flows/agent_port.h
@@ -18,14 +18,18 @@
 #include <memory>
 #include <thread>
 
+namespace lycheeshunt::packets {
+struct received_datagram;
+}
+
 namespace lycheeshunt::flows {
 
 class agent_port
 {
 public:
-    // The inbox must outlive the port.
-    static base::result<std::unique_ptr<agent_port>> open(const agent_sockets &sockets,
-                                                          base::ring<flow_message> &inbox);
+    // The inbox must outlive the port. Probes of another life than this are not answered.
+    static base::result<std::unique_ptr<agent_port>>
+    open(const agent_sockets &sockets, base::incarnation life, base::ring<flow_message> &inbox);
     ~agent_port();
 
     agent_port(const agent_port &) = delete;
@@ -36,15 +40,17 @@
     std::uint64_t refused() const { return m_refused; }
 
 private:
-    agent_port(const agent_sockets &sockets, base::file_descriptor peerSide,
+    agent_port(const agent_sockets &sockets, base::incarnation life, base::file_descriptor peerSide,
                base::file_descriptor serverSide, base::ring<flow_message> &inbox);
 
     void run();
     void receiveFromPeers();
+    void answerProbe(const packets::received_datagram &received);
     void receiveFromServer();
     void carryOut(const flow_action &action);
 
     const agent_sockets m_addresses;
+    const base::incarnation m_life;
     base::file_descriptor m_peerSide;
     base::file_descriptor m_serverSide;
     base::ring<flow_message> &m_inbox;
--- a/lycheeshunt/flows/codec.h
+++ b/lycheeshunt/flows/codec.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/flows/flow_registration.h"
+#include "lycheeshunt/flows/forwarded_packet.h"
 
 #include <span>
 #include <string>
@@ -12,8 +14,6 @@
 
 namespace lycheeshunt::flows {
 
-struct forwarded_packet;
-struct flow_registration;
 struct packet_header;
 
 using flow_datagram = std::variant<forwarded_packet, flow_registration>;
--- a/lycheeshunt/packets/datagram_io.cpp
+++ b/lycheeshunt/packets/datagram_io.cpp
@@ -11,13 +11,23 @@
 constexpr std::size_t maxDatagramBytes = 65536;
 }
 
-std::optional<std::string> receiveDatagram(int descriptor)
+std::optional<received_datagram> receiveDatagramFrom(int descriptor)
 {
     thread_local std::string buffer(maxDatagramBytes, '\0');
-    const ssize_t count = ::recv(descriptor, buffer.data(), buffer.size(), 0);
+    sockaddr_in from {};
+    socklen_t length = sizeof from;
+    const ssize_t count = ::recvfrom(descriptor, buffer.data(), buffer.size(), 0,
+                                     reinterpret_cast<sockaddr *>(&from), &length);
     if (count < 0)
         return std::nullopt;
-    return buffer.substr(0, static_cast<std::size_t>(count));
+    return received_datagram {base::fromSocketAddress(from),
+                              buffer.substr(0, static_cast<std::size_t>(count))};
+}
+
+std::optional<std::string> receiveDatagram(int descriptor)
+{
+    const std::optional<received_datagram> received = receiveDatagramFrom(descriptor);
+    return received ? std::optional<std::string>(received->bytes) : std::nullopt;
 }
 
 bool sendDatagram(int descriptor, const base::endpoint &to, std::string_view bytes)
--- a/lycheeshunt/packets/ip_packet.cpp
+++ b/lycheeshunt/packets/ip_packet.cpp
@@ -79,26 +79,28 @@
     return base::error {base::error_code::packetUnsupported, "IP protocol"};
 }
 
+// The headers are read here and not by the packet library, which throws on bad options.
 std::string resetFor(std::string_view callerPacket)
 {
     const base::result<ip_summary> summary = summarize(callerPacket, direction::fromCaller);
     const ip_summary *known = std::get_if<ip_summary>(&summary);
     if (known == nullptr || known->resets || known->key.protocol != IPPROTO_TCP)
         return {};
-    const Tins::IP received(reinterpret_cast<const std::uint8_t *>(callerPacket.data()),
-                            static_cast<std::uint32_t>(callerPacket.size()));
-    const Tins::TCP &segment = received.rfind_pdu<Tins::TCP>();
-    Tins::TCP reset(segment.sport(), segment.dport());
-    if (segment.get_flag(Tins::TCP::ACK)) {
-        reset.seq(segment.ack_seq());
+    iphdr ip {};
+    tcphdr received {};
+    std::memcpy(&ip, callerPacket.data(), sizeof ip);
+    std::memcpy(&received, callerPacket.data() + ip.ihl * wordBytes, sizeof received);
+    Tins::TCP reset(known->key.caller.port, known->key.service.port);
+    if (received.ack != 0) {
+        reset.seq(ntohl(received.ack_seq));
         reset.flags(Tins::TCP::RST);
     } else {
         const std::uint32_t consumed
-            = known->payloadBytes + (known->opens ? 1U : 0U) + (known->finishes ? 1U : 0U);
-        reset.ack_seq(segment.seq() + consumed);
+            = known->payloadBytes + (received.syn != 0 ? 1U : 0U) + (received.fin != 0 ? 1U : 0U);
+        reset.ack_seq(ntohl(received.seq) + consumed);
         reset.flags(Tins::TCP::RST | Tins::TCP::ACK);
     }
-    Tins::IP answer = Tins::IP(received.src_addr(), received.dst_addr()) / reset;
+    Tins::IP answer = Tins::IP(Tins::IPv4Address(ip.saddr), Tins::IPv4Address(ip.daddr)) / reset;
     answer.ttl(IPDEFTTL);
     const Tins::PDU::serialization_type raw = answer.serialize();
     return std::string(raw.begin(), raw.end());
--- /dev/null
+++ b/lycheeshunt/routing/agent_liveness.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/routing/target.h"
+
+namespace lycheeshunt::routing {
+
+// What one entry has seen of one agent.
+struct agent_liveness
+{
+    const target agent;
+    // The last probe, and whether its answer is still out.
+    const base::clock_time probedAt;
+    const std::uint64_t number = 0;
+    const bool waiting = false;
+    // In a row.
+    const std::uint32_t misses = 0;
+    const std::uint32_t answers = 0;
+    const bool suspected = false;
+
+    bool operator==(const agent_liveness &) const = default;
+};
+
+} // namespace lycheeshunt::routing
--- /dev/null
+++ b/lycheeshunt/routing/agent_unreachable.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+
+namespace lycheeshunt::routing {
+
+// The network reports (by ICMP) that nothing takes datagrams at this address.
+struct agent_unreachable
+{
+    const base::endpoint packets;
+
+    bool operator==(const agent_unreachable &) const = default;
+};
+
+} // namespace lycheeshunt::routing
--- /dev/null
+++ b/lycheeshunt/routing/agents_changed.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/routing/target.h"
+
+#include <vector>
+
+namespace lycheeshunt::routing {
+
+// The agents that the entry's newest table may send to.
+struct agents_changed
+{
+    const std::vector<target> agents;
+
+    bool operator==(const agents_changed &) const = default;
+};
+
+} // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/internal/packet_batch.cpp
+++ b/lycheeshunt/routing/internal/packet_batch.cpp
@@ -34,11 +34,20 @@
 
 void packet_batch::forward(std::size_t index, const flows::packet_header &header,
                            const base::endpoint &to)
+{
+    queue(index, flows::writePacketHeader(header, packet(index).size(), m_slots[index].header), to);
+}
+
+void packet_batch::forwardBare(std::size_t index, const base::endpoint &to)
+{
+    queue(index, 0, to);
+}
+
+void packet_batch::queue(std::size_t index, std::size_t headerBytes, const base::endpoint &to)
 {
     slot &used = m_slots[index];
-    const std::string_view bytes = packet(index);
-    const std::size_t headerBytes = flows::writePacketHeader(header, bytes.size(), used.header);
-    used.parts = {iovec {used.header.data(), headerBytes}, iovec {used.bytes.data(), bytes.size()}};
+    used.parts = {iovec {used.header.data(), headerBytes},
+                  iovec {used.bytes.data(), packet(index).size()}};
     used.to = base::toSocketAddress(to);
     m_outgoing[m_queued].msg_hdr.msg_iov = used.parts.data();
     m_outgoing[m_queued].msg_hdr.msg_name = &used.to;
--- a/lycheeshunt/routing/internal/packet_batch.h
+++ b/lycheeshunt/routing/internal/packet_batch.h
@@ -39,6 +39,8 @@
     std::string_view packet(std::size_t index) const;
     // Queues a received packet, behind this header.
     void forward(std::size_t index, const flows::packet_header &header, const base::endpoint &to);
+    // Queues a received packet as it is.
+    void forwardBare(std::size_t index, const base::endpoint &to);
     // Sends what is queued. Returns how many packets could not be sent; they are lost.
     std::size_t send(int socket);
 
@@ -52,6 +54,8 @@
         sockaddr_in to;
     };
 
+    void queue(std::size_t index, std::size_t headerBytes, const base::endpoint &to);
+
     std::array<slot, capacity> m_slots;
     std::array<mmsghdr, capacity> m_incoming;
     std::array<mmsghdr, capacity> m_outgoing;
--- /dev/null
+++ b/lycheeshunt/routing/liveness_test.cpp
@@ -0,0 +1,161 @@
+// An entry's own view of agents, under virtual time, and the probe's encoding.
+
+#include "lycheeshunt/routing/codec.h"
+#include "lycheeshunt/routing/liveness_decision.h"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::routing;
+
+namespace {
+
+target agent(char name, std::uint64_t life = 1)
+{
+    return target {base::nodeIdOf(std::string(1, name)), base::incarnation(life),
+                   base::endpoint {0x7f000001, static_cast<std::uint16_t>(name)}};
+}
+
+// One entry; agents answer at once unless they are named silent.
+class entry
+{
+public:
+    explicit entry(const std::string &names) { show(names); }
+
+    void show(const std::string &names, std::uint64_t life = 1)
+    {
+        std::vector<target> agents;
+        for (const char name : names)
+            agents.push_back(agent(name, life));
+        take(agents_changed {agents});
+    }
+
+    void take(const liveness_message &message)
+    {
+        base::step<liveness_state, liveness_action> next
+            = decide(std::move(m_state), message, m_now);
+        m_state = std::move(next.state);
+        std::vector<send_probe> probes;
+        for (const liveness_action &action : next.actions) {
+            if (const send_probe *sent = std::get_if<send_probe>(&action))
+                probes.push_back(*sent);
+        }
+        m_probes += probes.size();
+        for (const send_probe &sent : probes) {
+            if (m_silent.count(sent.to.node) == 0)
+                take(probe_answered {sent.to.life, sent.number});
+        }
+    }
+
+    void run(std::int64_t millis, const std::string &silent)
+    {
+        m_silent.clear();
+        for (const char name : silent)
+            m_silent.insert(agent(name).node);
+        for (std::int64_t spent = 0; spent < millis; spent += livenessTickEvery.millis()) {
+            m_now = m_now + livenessTickEvery;
+            take(liveness_tick {});
+        }
+    }
+
+    std::string bypassed(const std::string &names) const
+    {
+        std::string found;
+        for (const char name : names)
+            found += m_state.bypassed.count(agent(name).node) > 0 ? std::string(1, name) : "";
+        return found;
+    }
+    std::size_t probes() const { return m_probes; }
+
+private:
+    liveness_state m_state;
+    base::clock_time m_now = base::clock_time::ofSeconds(50);
+    std::set<base::node_id> m_silent;
+    std::size_t m_probes = 0;
+};
+
+struct silence_case
+{
+    const char *what;
+    const char *agents;
+    const char *silent;
+    std::int64_t millis;
+    const char *bypassed;
+};
+
+} // namespace
+
+TEST_GROUP(liveness) {};
+
+TEST(liveness, silentAgentsAreBypassedUnlessMostAreSilent)
+{
+    const silence_case cases[] = {
+        {"all answer", "abcdefg", "", 5000, ""},
+        {"one is silent for a moment", "abcdefg", "c", 400, ""},
+        {"one is silent", "abcdefg", "c", 3000, "c"},
+        {"a zone is silent", "abcdefgh", "ab", 3000, "ab"},
+        {"half are silent", "abcd", "ab", 3000, "ab"},
+        {"most are silent: the entry is cut off", "abcd", "abc", 3000, ""},
+        {"all are silent", "abcd", "abcd", 3000, ""},
+    };
+    for (const silence_case &row : cases) {
+        entry one(row.agents);
+        one.run(2000, "");
+        for (int round = 0; round < 2; ++round) {
+            one.run(row.millis, row.silent);
+            STRCMP_EQUAL_TEXT(row.bypassed, one.bypassed(row.agents).c_str(), row.what);
+            one.run(3000, "");
+            STRCMP_EQUAL_TEXT("", one.bypassed(row.agents).c_str(), row.what);
+        }
+    }
+}
+
+TEST(liveness, anUnreachableAgentIsBypassedAtOnceAndItsNextLifeIsNot)
+{
+    entry one("abcd");
+    one.take(agent_unreachable {agent('b').packets});
+    STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
+    one.show("abcd");
+    STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
+    one.show("abcd", 2);
+    STRCMP_EQUAL("", one.bypassed("abcd").c_str());
+}
+
+TEST(liveness, aLateOrForeignAnswerClearsNothing)
+{
+    entry one("abcd");
+    one.run(3000, "b");
+    STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
+    for (std::uint64_t number = 0; number < 100; ++number)
+        one.take(probe_answered {base::incarnation(9), number});
+    STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
+}
+
+TEST(liveness, probesKeepToTheirRateWhateverTheNumberOfAgents)
+{
+    std::vector<target> many;
+    for (std::uint16_t i = 0; i < 1000; ++i)
+        many.push_back(
+            target {base::node_id(i + 1), base::incarnation(1), base::endpoint {0x7f000001, i}});
+    entry one("");
+    one.take(agents_changed {many});
+    one.run(10'000, "");
+    LONGS_EQUAL(100 * probesPerTick, one.probes());
+}
+
+TEST(liveness, onlyTheLifeThatWasAskedAnswers)
+{
+    const base::incarnation life(1'700'000'000'000);
+    const std::string probe = encodeProbe(probe_datagram {probe_kind::probe, life, 7});
+    CHECK(looksLikeProbe(probe));
+    const std::optional<std::string> echo = echoOf(probe, life);
+    CHECK(echo.has_value());
+    LONGS_EQUAL(probe.size(), echo->size());
+    const base::result<probe_datagram> decoded = decodeProbe(*echo);
+    CHECK(base::valueOf(decoded) == (probe_datagram {probe_kind::echo, life, 7}));
+    CHECK_FALSE(echoOf(probe, base::incarnation(2)).has_value());
+    CHECK_FALSE(echoOf(*echo, life).has_value());
+    CHECK_FALSE(echoOf("", life).has_value());
+}
--- /dev/null
+++ b/lycheeshunt/routing/probe_answered.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+
+namespace lycheeshunt::routing {
+
+// An echo has come.
+struct probe_answered
+{
+    const base::incarnation life;
+    const std::uint64_t number = 0;
+
+    bool operator==(const probe_answered &) const = default;
+};
+
+} // namespace lycheeshunt::routing
