--- a/tools/measurements/packets.cpp
+++ b/tools/measurements/packets.cpp
@@ -149,6 +149,7 @@
     for (std::uint32_t i = 0; i < window; ++i)
         packets.push_back(callerPacket(i));
     std::vector<iovec> parts;
+    parts.reserve(window);
     std::vector<mmsghdr> messages(window);
     sockaddr_in to = base::toSocketAddress(forwarder);
     for (std::string &packet : packets)
