Judge a backend server by what its agent sees before what it says

Cause: health endpoints lag and mislead; nothing weighed them.

The polling thread and the announcement of the verdict are not built.

--- /dev/null
+++ b/lycheeshunt/health/reported_streak.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/health/health_report.h"
+
+namespace lycheeshunt::health {
+
+// The same report, so many times in a row.
+struct reported_streak
+{
+    const reported_health health = reported_health::good;
+    const std::uint32_t length = 0;
+    const base::clock_time lastAt;
+
+    bool operator==(const reported_streak &) const = default;
+};
+
+} // namespace lycheeshunt::health
--- /dev/null
+++ b/lycheeshunt/health/work_seen.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lycheeshunt::health {
+
+// What the agent itself saw of its backend server since the last such count.
+struct work_seen
+{
+    // Flows that got an answer.
+    const std::uint32_t answered = 0;
+    // Flows that the backend server reset, or left without any answer for too long.
+    const std::uint32_t failed = 0;
+
+    bool operator==(const work_seen &) const = default;
+};
+
+} // namespace lycheeshunt::health
