--- a/lycheeshunt/health/health_state.h
+++ b/lycheeshunt/health/health_state.h
@@ -12,8 +12,8 @@
 {
     const membership::member_health verdict = membership::member_health::good;
     const base::clock_time since;
-    const reported_streak reported;
-    const seen_window seen;
+    const reported_streak reported = {};
+    const seen_window seen = {};
 
     bool operator==(const health_state &) const = default;
 };
--- a/lycheeshunt/packets/datagram_io.cpp
+++ b/lycheeshunt/packets/datagram_io.cpp
@@ -5,6 +5,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <array>
+
 namespace lycheeshunt::packets {
 
 namespace {
@@ -13,7 +15,7 @@
 
 std::optional<received_datagram> receiveDatagramFrom(int descriptor)
 {
-    thread_local std::string buffer(maxDatagramBytes, '\0');
+    thread_local std::array<char, maxDatagramBytes> buffer;
     sockaddr_in from {};
     socklen_t length = sizeof from;
     const ssize_t count = ::recvfrom(descriptor, buffer.data(), buffer.size(), 0,
@@ -21,7 +23,7 @@
     if (count < 0)
         return std::nullopt;
     return received_datagram {base::fromSocketAddress(from),
-                              buffer.substr(0, static_cast<std::size_t>(count))};
+                              std::string(buffer.data(), static_cast<std::size_t>(count))};
 }
 
 std::optional<std::string> receiveDatagram(int descriptor)
