Decide admission, requests and placement in virtual time

Cause: nothing bounded the work at a backend server, and a flow went to its director. Change: admission of work to slots, at-most-once start of requests with retries and outcomes, placement by what agents count, each a pure decision with fault cases in tables. Conclusion: the decisions are there; measurements decide their constants next.

--- /dev/null
+++ b/lycheeshunt/admission/queued_work.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "lycheeshunt/admission/work_id.h"
+#include "lycheeshunt/base/clock_time.h"
+
+namespace lycheeshunt::admission {
+
+// Work that waits for a slot.
+struct queued_work
+{
+    const work_id id;
+    const base::clock_time arrived;
+    const base::clock_time deadline;
+    const bool likelyLong = false;
+
+    bool operator==(const queued_work &) const = default;
+};
+
+} // namespace lycheeshunt::admission
--- /dev/null
+++ b/lycheeshunt/admission/work_cancelled.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/admission/work_id.h"
+
+namespace lycheeshunt::admission {
+
+// The caller no longer wants the work.
+struct work_cancelled
+{
+    const work_id id;
+
+    bool operator==(const work_cancelled &) const = default;
+};
+
+} // namespace lycheeshunt::admission
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -33,6 +33,16 @@
     flowUnknown = 306,
     flowTableFull = 307,
     serverDraining = 308,
+    // admission and requests
+    queueFull = 401,
+    waitTooLong = 402,
+    slotsHeldByLongWork = 403,
+    queueWaitExceeded = 404,
+    deadlinePassed = 405,
+    workCancelled = 406,
+    serverShedding = 407,
+    outcomeUnknown = 408,
+    startDenied = 409,
     // tickets
     ticketMalformed = 601,
     ticketNumberTaken = 602,
--- /dev/null
+++ b/lycheeshunt/placement/codec.h
@@ -0,0 +1,16 @@
+// MessagePack form of load reports between agents. Decoding takes any bytes.
+
+#pragma once
+
+#include "lycheeshunt/base/result.h"
+#include <string>
+#include <string_view>
+
+namespace lycheeshunt::placement {
+
+struct load_report;
+
+std::string encodeReport(const load_report &report);
+base::result<load_report> decodeReport(std::string_view bytes);
+
+} // namespace lycheeshunt::placement
--- /dev/null
+++ b/lycheeshunt/placement/codec_test.cpp
@@ -0,0 +1,50 @@
+#include "lycheeshunt/placement/codec.h"
+
+#include "lycheeshunt/base/codec.h"
+#include "lycheeshunt/placement/load_report.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt::placement;
+using lycheeshunt::admission::slot_counts;
+using lycheeshunt::base::error_code;
+using lycheeshunt::base::errorOf;
+using lycheeshunt::base::incarnation;
+using lycheeshunt::base::node_id;
+using lycheeshunt::base::valueOf;
+
+TEST_GROUP(placement_codec)
+{
+    const load_report report {node_id(0xfedcba9876543210), incarnation(1764844238000), 100'000,
+                              server_load {slot_counts {7, 6, 2, 14, true}, 2000, 1, true}};
+};
+
+TEST(placement_codec, reportComesBackWhole)
+{
+    CHECK(valueOf(decodeReport(encodeReport(report))) == report);
+}
+
+TEST(placement_codec, reportFitsTheBytesThatPlacementCounts)
+{
+    CHECK(encodeReport(report).size() <= 64 - 28);
+}
+
+TEST(placement_codec, everyCutIsMalformed)
+{
+    const std::string bytes = encodeReport(report);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        const lycheeshunt::base::result<load_report> decoded
+            = decodeReport(std::string_view(bytes).substr(0, length));
+        CHECK(errorOf(decoded) != nullptr);
+        CHECK(errorOf(decoded)->code == error_code::messageMalformed);
+    }
+}
+
+TEST(placement_codec, otherVersionIsRefused)
+{
+    std::string bytes = encodeReport(report);
+    bytes[1] = 2;
+    const lycheeshunt::base::result<load_report> decoded = decodeReport(bytes);
+    CHECK(errorOf(decoded) != nullptr);
+    CHECK(errorOf(decoded)->code == error_code::messageVersion);
+}
--- /dev/null
+++ b/lycheeshunt/placement/load_report.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/placement/server_load.h"
+
+namespace lycheeshunt::placement {
+
+// The load of one agent, as it counts it itself. The sequence grows within a life.
+struct load_report
+{
+    const base::node_id node;
+    const base::incarnation life;
+    const std::uint64_t sequence = 0;
+    const server_load load = {};
+
+    bool operator==(const load_report &) const = default;
+};
+
+} // namespace lycheeshunt::placement
--- /dev/null
+++ b/lycheeshunt/requests/ask_owner.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/requests/request_identity.h"
+
+namespace lycheeshunt::requests {
+
+// Have the owner send the outcome here, now if it has it.
+struct ask_owner
+{
+    const request_identity identity;
+    const base::node_id owner;
+
+    bool operator==(const ask_owner &) const = default;
+};
+
+} // namespace lycheeshunt::requests
--- /dev/null
+++ b/lycheeshunt/requests/cancel_at_owner.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/requests/request_identity.h"
+
+namespace lycheeshunt::requests {
+
+// Ask the owner to give up a request that was handed over.
+struct cancel_at_owner
+{
+    const request_identity identity;
+    const base::node_id owner;
+
+    bool operator==(const cancel_at_owner &) const = default;
+};
+
+} // namespace lycheeshunt::requests
--- /dev/null
+++ b/lycheeshunt/requests/confirm_copy.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/requests/request_identity.h"
+
+namespace lycheeshunt::requests {
+
+// Tell the director that this backup holds its record.
+struct confirm_copy
+{
+    const request_identity identity;
+
+    bool operator==(const confirm_copy &) const = default;
+};
+
+} // namespace lycheeshunt::requests
--- /dev/null
+++ b/lycheeshunt/requests/copy_to_backup.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/requests/request_identity.h"
+
+namespace lycheeshunt::requests {
+
+// Have the backup director record that the owner is about to hand the request over.
+struct copy_to_backup
+{
+    const request_identity identity;
+    const base::node_id owner;
+    const base::clock_time deadline;
+    const bool idempotent = false;
+
+    bool operator==(const copy_to_backup &) const = default;
+};
+
+} // namespace lycheeshunt::requests
--- /dev/null
+++ b/lycheeshunt/requests/request_identity.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace lycheeshunt::requests {
+
+// What the caller names a request by; the same in each resend.
+struct request_identity
+{
+    const std::uint64_t caller = 0;
+    const std::uint64_t number = 0;
+
+    bool operator==(const request_identity &) const = default;
+    std::strong_ordering operator<=>(const request_identity &) const = default;
+};
+
+} // namespace lycheeshunt::requests
--- /dev/null
+++ b/lycheeshunt/requests/start_claimed.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/requests/request_identity.h"
+
+namespace lycheeshunt::requests {
+
+// An owner has a slot free and asks whether it may hand the request over.
+struct start_claimed
+{
+    const request_identity identity;
+    const base::node_id owner;
+
+    bool operator==(const start_claimed &) const = default;
+};
+
+} // namespace lycheeshunt::requests
