Measure service at the crest, waits and unevenness with the real decisions

Cause: nothing showed what placement and admission are worth. Change: a model in virtual time with baselines; agents tell whether they would let work in; requests keep their due times in order instead of being scanned at every tick.

--- a/lycheeshunt/admission/decision.cpp
+++ b/lycheeshunt/admission/decision.cpp
@@ -126,12 +126,12 @@
 }
 
 // Refusal that new work meets on arrival, if any.
-std::optional<base::error_code> refusalOf(const admission_state &state, const work_arrived &work,
+std::optional<base::error_code> refusalOf(const admission_state &state, base::clock_time deadline,
                                           base::clock_time now)
 {
     if (state.draining)
         return base::error_code::serverDraining;
-    if (work.deadline <= now)
+    if (deadline <= now)
         return base::error_code::deadlinePassed;
     if (state.queue.empty() && state.running.size() < allowedSlots(state))
         return std::nullopt;
@@ -143,7 +143,7 @@
         return base::error_code::slotsHeldByLongWork;
     const double expected = state.meanShortMillis * static_cast<double>(state.queue.size() + 1)
         / static_cast<double>(allowed - held);
-    const base::clock_time bound = std::min(state.limits->queueWait, work.deadline - now);
+    const base::clock_time bound = std::min(state.limits->queueWait, deadline - now);
     if (expected > expectedWaitShare * static_cast<double>(bound.millis()))
         return base::error_code::waitTooLong;
     return std::nullopt;
@@ -152,7 +152,7 @@
 void arrive(admission_state &state, const work_arrived &work, base::clock_time now,
             action_list &actions)
 {
-    if (const std::optional<base::error_code> reason = refusalOf(state, work, now)) {
+    if (const std::optional<base::error_code> reason = refusalOf(state, work.deadline, now)) {
         actions.emplace_back(refuse_work {work.id, *reason});
         return;
     }
@@ -268,9 +268,10 @@
 
 slot_counts countsOf(const admission_state &state, base::clock_time now)
 {
-    return slot_counts {allowedSlots(state), static_cast<std::uint32_t>(state.running.size()),
+    const bool accepting = !refusalOf(state, now + state.limits->queueWait, now);
+    return slot_counts {allowedSlots(state),  static_cast<std::uint32_t>(state.running.size()),
                         longBusy(state, now), static_cast<std::uint32_t>(state.queue.size()),
-                        state.draining};
+                        state.draining,       accepting};
 }
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/slot_counts.h
+++ b/lycheeshunt/admission/slot_counts.h
@@ -14,6 +14,8 @@
     const std::uint32_t longBusy = 0;
     const std::uint32_t queued = 0;
     const bool draining = false;
+    // Whether new work would be let in now.
+    const bool accepting = true;
 
     bool operator==(const slot_counts &) const = default;
 };
--- a/lycheeshunt/placement/codec_test.cpp
+++ b/lycheeshunt/placement/codec_test.cpp
@@ -16,7 +16,7 @@
 TEST_GROUP(placement_codec)
 {
     const load_report report {node_id(0xfedcba9876543210), incarnation(1764844238000), 100'000,
-                              server_load {slot_counts {7, 6, 2, 14, true}, 2000, 1, true}};
+                              server_load {slot_counts {7, 6, 2, 14, true, false}, 2000, 1, true}};
 };
 
 TEST(placement_codec, reportComesBackWhole)
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -41,7 +41,7 @@
 
 bool canTake(const server_load &load)
 {
-    return !load.slots.draining && load.slots.allowed > 0;
+    return load.slots.accepting && !load.slots.draining && load.slots.allowed > 0;
 }
 
 // What is known of an agent fades towards the average of those that were heard of lately.
--- a/lycheeshunt/requests/decision.cpp
+++ b/lycheeshunt/requests/decision.cpp
@@ -16,6 +16,8 @@
 constexpr double retryShare = 0.1;
 constexpr double maxRetryTokens = 10;
 constexpr std::uint32_t maxRetries = 3;
+// Records are looked at no more often than this.
+constexpr base::clock_time tickSpan = base::clock_time::ofMillis(1);
 constexpr base::clock_time firstBackoff = base::clock_time::ofMillis(20);
 
 void finish(request_record &record, request_outcome outcome, base::clock_time now,
@@ -48,7 +50,8 @@
 }
 
 // Precondition: the request was certainly not run, or is idempotent.
-bool retryLater(request_state &state, request_record &record, base::clock_time now)
+bool retryLater(request_state &state, const request_identity &identity, request_record &record,
+                base::clock_time now)
 {
     if (record.retries >= maxRetries || state.retryTokens < 1)
         return false;
@@ -58,6 +61,7 @@
     state.retryTokens -= 1;
     ++record.retries;
     record.retryAt = at;
+    state.due.emplace(at, identity);
     record.stage = request_stage::backingOff;
     record.owner = base::node_id();
     return true;
@@ -82,6 +86,7 @@
     record.idempotent = request.idempotent;
     record.mayHaveRunBefore = mayHaveRunBefore;
     record.waiting.push_back(request.reply);
+    state.due.emplace(record.deadline, request.identity);
     state.records.insert_or_assign(request.identity, std::move(record));
     actions.emplace_back(offer_request {request.identity, request.deadline});
 }
@@ -165,6 +170,7 @@
     record.owner = copy.owner;
     record.fromCopy = true;
     record.mayHaveRunBefore = state.records.contains(copy.identity);
+    state.due.emplace(record.deadline, copy.identity);
     state.records.insert_or_assign(copy.identity, std::move(record));
     actions.emplace_back(confirm_copy {copy.identity});
 }
@@ -197,10 +203,10 @@
         finish(*record, answer.answer, now, actions);
 }
 
-void retryOrRefuse(request_state &state, request_record &record, base::error_code reason,
-                   base::clock_time now, action_list &actions)
+void retryOrRefuse(request_state &state, const request_identity &identity, request_record &record,
+                   base::error_code reason, base::clock_time now, action_list &actions)
 {
-    if (!retryLater(state, record, now))
+    if (!retryLater(state, identity, record, now))
         finishUnstarted(record, reason, now, actions);
 }
 
@@ -215,14 +221,14 @@
     // Offers go out without the owner's name; after the claim only the owner may refuse.
     if (record.stage != request_stage::offered && record.owner != refusal.owner)
         return;
-    retryOrRefuse(state, record, refusal.reason, now, actions);
+    retryOrRefuse(state, refusal.identity, record, refusal.reason, now, actions);
 }
 
-void mayHaveRunAndFailed(request_state &state, request_record &record, base::clock_time now,
-                         action_list &actions)
+void mayHaveRunAndFailed(request_state &state, const request_identity &identity,
+                         request_record &record, base::clock_time now, action_list &actions)
 {
     record.mayHaveRunBefore = true;
-    if (record.idempotent && retryLater(state, record, now))
+    if (record.idempotent && retryLater(state, identity, record, now))
         return;
     finish(record, outcome_unknown {}, now, actions);
 }
@@ -232,7 +238,7 @@
 {
     request_record *record = ownedBy(state, failure.identity, failure.owner);
     if (record != nullptr && mayHaveRun(*record))
-        mayHaveRunAndFailed(state, *record, now, actions);
+        mayHaveRunAndFailed(state, failure.identity, *record, now, actions);
 }
 
 void ownerLost(request_state &state, base::node_id owner, base::clock_time now,
@@ -243,9 +249,9 @@
         if (record.owner != owner)
             continue;
         if (mayHaveRun(record))
-            mayHaveRunAndFailed(state, record, now, actions);
+            mayHaveRunAndFailed(state, it->first, record, now, actions);
         else if (record.stage == request_stage::claimed)
-            retryOrRefuse(state, record, base::error_code::noServer, now, actions);
+            retryOrRefuse(state, it->first, record, base::error_code::noServer, now, actions);
     }
 }
 
@@ -290,14 +296,35 @@
     finish(record, outcome_unknown {}, now, actions);
 }
 
+bool isForgotten(const request_record &record, base::clock_time now)
+{
+    return record.stage == request_stage::ended && record.forgetAt <= now;
+}
+
+// When time alone will next change the record.
+base::clock_time dueOf(const request_record &record)
+{
+    if (record.stage == request_stage::ended)
+        return record.forgetAt;
+    if (record.stage == request_stage::backingOff)
+        return std::min(record.retryAt, record.deadline);
+    return record.deadline;
+}
+
 void passTime(request_state &state, base::clock_time now, action_list &actions)
 {
-    for (auto it = state.records.begin(); it != state.records.end();) {
-        request_record &record = it->second;
-        passDeadline(it->first, record, now, actions);
-        offerAgain(it->first, record, now, actions);
-        const bool old = record.stage == request_stage::ended && record.forgetAt <= now;
-        it = old ? state.records.erase(it) : std::next(it);
+    while (!state.due.empty() && state.due.begin()->first <= now) {
+        const request_identity identity = state.due.begin()->second;
+        state.due.erase(state.due.begin());
+        const record_place found = state.records.find(identity);
+        if (found == state.records.end())
+            continue;
+        passDeadline(identity, found->second, now, actions);
+        offerAgain(identity, found->second, now, actions);
+        if (isForgotten(found->second, now))
+            state.records.erase(found);
+        else
+            state.due.emplace(std::max(dueOf(found->second), now + tickSpan), identity);
     }
 }
 
--- /dev/null
+++ b/tools/measurements/crest.cpp
@@ -0,0 +1,201 @@
+// Measures placement, admission and requests in virtual time: service at the crest of demand, the
+// wait of short work behind long work, and unevenness. Prints one JSON object a line.
+//
+//     build/measure_crest            everything but vary
+//     build/measure_crest PART       one of crest, waits, unevenness, growth, or vary, which varies
+//                                    one decision at a time
+
+#include "crest/figures.h"
+#include "crest/plain_cluster.h"
+#include "crest/real_cluster.h"
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::crest;
+
+namespace {
+
+constexpr std::int64_t minute = 60'000;
+
+run_result runPlain(const scenario &given, plain_policy policy)
+{
+    return plain_cluster(given, policy).run();
+}
+
+run_result runReal(const scenario &given)
+{
+    return real_cluster(given).run();
+}
+
+void printCrest(const std::string &name, const scenario &given, const run_result &result,
+                bool bounded)
+{
+    const std::optional<double> none;
+    print({"crest answered in time, " + name, answeredShare(given, result),
+           "share of what capacity allows", bounded ? std::optional(0.95) : none});
+    print({"crest time to be told of a refusal, p99, " + name, refusalMillis(result), "ms",
+           bounded ? std::optional(50.0) : none});
+}
+
+void measureCrest()
+{
+    const scenario given {.duration = 10 * minute, .load = 0.5, .crestLoad = 2.0};
+    printCrest("ours", given, runReal(given), true);
+    printCrest("ideal", given, runPlain(given, plain_policy::ideal), false);
+    printCrest("random", given, runPlain(given, plain_policy::random), false);
+    printCrest("least connections 2 s old", given, runPlain(given, plain_policy::staleLeast),
+               false);
+    const scenario faulty {
+        .duration = 10 * minute, .load = 0.5, .crestLoad = 2.0, .callerFaults = true};
+    const run_result result = runReal(faulty);
+    printCrest("ours with resends, cancellations and an agent lost", faulty, result, false);
+    print({"crest work run twice", static_cast<double>(runTwice(result)), "requests", 0.0});
+    print({"crest told not run but run", static_cast<double>(falselyNotRun(result)), "requests",
+           0.0});
+}
+
+struct wait_bounds
+{
+    const std::optional<double> p99 = {};
+    const std::optional<double> notRun = {};
+};
+
+void printWaits(const std::string &name, const wait_figures &waits, const wait_bounds &bounds)
+{
+    const std::string unit = "mean short service times";
+    const std::string baseline = bounds.p99 ? "ideal" : "";
+    print({name + ", mean", waits.mean, unit, {}, baseline});
+    print({name + ", p99", waits.p99, unit, bounds.p99, baseline});
+    print({name + ", not run", waits.notRunShare, "share", bounds.notRun, baseline});
+}
+
+void measureWaits(double load)
+{
+    constexpr double strictLoad = 0.75;
+    const scenario given {.duration = 30 * minute, .load = load, .crestLoad = load, .seed = 2};
+    const std::string name = "short wait at " + std::to_string(static_cast<int>(load * 100)) + "%";
+    const wait_figures ideal = shortWaits(runPlain(given, plain_policy::ideal));
+    const double bound = load < strictLoad ? 0.25 : 1.5 * ideal.p99;
+    printWaits(name + ", ours", shortWaits(runReal(given)), {bound, ideal.notRunShare});
+    printWaits(name + ", ideal", ideal, {});
+    printWaits(name + ", random", shortWaits(runPlain(given, plain_policy::random)), {});
+    printWaits(name + ", least connections 2 s old",
+               shortWaits(runPlain(given, plain_policy::staleLeast)), {});
+}
+
+void printUneven(const std::string &name, const unevenness &ours, const unevenness &ideal)
+{
+    const std::string unit = "busiest over mean";
+    print({name + ", worst window", ours.worst, unit, 1.03 * ideal.worst, "ideal"});
+    print({name + ", mean of windows", ours.mean, unit, {}, "ideal"});
+    print({name + " of the ideal, worst window", ideal.worst, unit, {}, ""});
+    print({name + " of the ideal, mean of windows", ideal.mean, unit, {}, ""});
+}
+
+scenario unevenScenario(const placement::placement_rules &rules)
+{
+    return scenario {
+        .duration = 30 * minute, .feedRate = 3, .drains = true, .seed = 3, .rules = rules};
+}
+
+void measureUnevenness()
+{
+    const scenario given = unevenScenario({});
+    const run_result ours = runReal(given);
+    const run_result ideal = runPlain(given, plain_policy::ideal);
+    const run_result random = runPlain(given, plain_policy::random);
+    printUneven("unevenness in busy slots", ours.busy, ideal.busy);
+    printUneven("unevenness in flows", ours.flows, ideal.flows);
+    print({"unevenness in busy slots of random, worst window",
+           random.busy.worst,
+           "busiest over mean",
+           {},
+           ""});
+    print({"unevenness in flows of random, worst window",
+           random.flows.worst,
+           "busiest over mean",
+           {},
+           ""});
+    print({"offers beyond the first a flow", offersMean(ours), "hops", {}, ""});
+}
+
+void measureGrowth(std::size_t servers)
+{
+    const scenario given {.servers = servers,
+                          .duration = static_cast<std::int64_t>(300'000 / servers) + 15'000,
+                          .seed = 4};
+    real_cluster cluster(given);
+    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+    const run_result result = cluster.run();
+    const std::chrono::duration<double, std::nano> taken = std::chrono::steady_clock::now() - start;
+    const std::string name = std::to_string(servers) + " servers";
+    print({"time a placement decision with all that the model adds, " + name,
+           taken.count() / static_cast<double>(cluster.placementDecisions()),
+           "ns",
+           {},
+           ""});
+    printWaits("short wait at 70%, " + name, shortWaits(result), {});
+}
+
+void vary(const std::string &name, const placement::placement_rules &rules)
+{
+    const run_result uneven = runReal(unevenScenario(rules));
+    print({"busy slots worst, " + name, uneven.busy.worst, "busiest over mean", {}, ""});
+    print({"busy slots mean, " + name, uneven.busy.mean, "busiest over mean", {}, ""});
+    print({"flows worst, " + name, uneven.flows.worst, "busiest over mean", {}, ""});
+    print({"offers, " + name, offersMean(uneven), "hops", {}, ""});
+    for (const double load : {0.7, 0.95}) {
+        const scenario given {
+            .duration = 10 * minute, .load = load, .crestLoad = load, .seed = 2, .rules = rules};
+        print({"short wait p99 at " + std::to_string(static_cast<int>(load * 100)) + "%, " + name,
+               shortWaits(runReal(given)).p99,
+               "mean short service times",
+               {},
+               ""});
+    }
+}
+
+void varyAll()
+{
+    vary("as shipped", {});
+    vary("one offer", {.maxOffers = 1});
+    vary("two offers", {.maxOffers = 2});
+    vary("three offers", {.maxOffers = 3});
+    vary("seven offers", {.maxOffers = 7});
+    vary("pass margin 0", {.passMargin = 0});
+    vary("pass margin 0.05", {.passMargin = 0.05});
+    vary("pass margin 0.3", {.passMargin = 0.3});
+    vary("flow weight 0", {.flowWeight = 0});
+    vary("flow weight 0.1", {.flowWeight = 0.1});
+    vary("flow weight 1", {.flowWeight = 1});
+    vary("zone weight 0", {.zoneWeight = 0});
+    vary("zone weight 0.1", {.zoneWeight = 0.1});
+    vary("no reports", {.reportBytesPerSecond = 0});
+    vary("reports of 1000 B/s", {.reportBytesPerSecond = 1000});
+    vary("two peers", {.maxPeers = 2});
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    const std::string part = count > 1 ? arguments[1] : "";
+    if (part == "vary")
+        varyAll();
+    if (part.empty() || part == "crest")
+        measureCrest();
+    if (part.empty() || part == "waits") {
+        for (const double load : {0.70, 0.85, 0.95})
+            measureWaits(load);
+    }
+    if (part.empty() || part == "unevenness")
+        measureUnevenness();
+    if (part.empty() || part == "growth") {
+        for (const std::size_t servers : {10U, 100U, 1000U})
+            measureGrowth(servers);
+    }
+    return 0;
+}
