Let full agents try others, and free ones ask for waiting work

Change: an agent without a free slot offers a flow on, up to five offers, and gives it back to one that lets it wait; an agent with a free slot asks for work that waits elsewhere; flows break near ties only.

--- a/lycheeshunt/admission/admission_message.h
+++ b/lycheeshunt/admission/admission_message.h
@@ -7,11 +7,13 @@
 #include "lycheeshunt/admission/work_arrived.h"
 #include "lycheeshunt/admission/work_cancelled.h"
 #include "lycheeshunt/admission/work_ended.h"
+#include "lycheeshunt/admission/work_wanted.h"
 #include <variant>
 
 namespace lycheeshunt::admission {
 
-using admission_message = std::variant<work_arrived, work_cancelled, work_ended, drain_changed,
-                                       limits_changed, server_restarted, admission_tick>;
+using admission_message
+    = std::variant<work_arrived, work_cancelled, work_ended, work_wanted, drain_changed,
+                   limits_changed, server_restarted, admission_tick>;
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/decision.cpp
+++ b/lycheeshunt/admission/decision.cpp
@@ -23,7 +23,7 @@
 constexpr double meanWeight = 0.05;
 // Work is refused on arrival when its expected wait is more than this share of the bound, so that
 // work that was let in seldom waits in vain.
-constexpr double expectedWaitShare = 0.5;
+constexpr double expectedWaitShare = 0.8;
 
 bool isLong(const admission_state &state, const running_work &work, base::clock_time now)
 {
@@ -171,6 +171,16 @@
     actions.emplace_back(refuse_work {id, base::error_code::workCancelled});
 }
 
+// Gives up the work that has waited longest, since it is the nearest to its bound.
+void giveWork(admission_state &state, action_list &actions)
+{
+    const queue_place oldest = firstShort(state);
+    if (oldest == state.queue.end())
+        return;
+    actions.emplace_back(move_work {oldest->id});
+    state.queue.erase(oldest);
+}
+
 void learnMean(admission_state &state, base::clock_time held)
 {
     const double sample = static_cast<double>(held.millis());
@@ -254,6 +264,7 @@
                    [&](const work_arrived &work) { arrive(state, work, now, actions); },
                    [&](const work_cancelled &work) { cancel(state, work.id, actions); },
                    [&](const work_ended &ended) { end(state, ended, now, actions); },
+                   [&](const work_wanted &) { giveWork(state, actions); },
                    [&](const drain_changed &change) { changeDrain(state, change.draining); },
                    [&](const limits_changed &change) { changeLimits(state, change.limits); },
                    [&](const server_restarted &) { restart(state, actions); },
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -113,12 +113,15 @@
 
 double rankOf(const placement_state &state, const candidate &each, const averages &mean)
 {
-    const double flowShare = mean.flows > 0 ? each.flows / mean.flows - 1 : 0;
-    return each.cost + state.rules->flowWeight * flowShare
+    const double share = mean.flows > 0 ? each.flows / mean.flows - 1 : 0;
+    const double most = state.rules->flowSlots / std::max(1U, state.ownLoad->slots.allowed);
+    return each.cost + std::clamp(state.rules->flowWeight * share, -most, most)
         - (each.sameZone ? state.rules->zoneWeight : 0);
 }
 
-// The best candidate; this agent itself if it is nearly as good, since that saves a hop.
+// The best candidate; this agent itself if it is nearly as good, since that saves a hop. An agent
+// without a free slot tries another one even if that seems full too: a hop is shorter than a wait,
+// and what is known of the other may be old.
 const candidate *choose(const placement_state &state, const std::vector<candidate> &candidates,
                         const averages &mean)
 {
@@ -129,9 +132,11 @@
     if (best == candidates.end())
         return nullptr;
     const candidate &first = candidates.front();
-    const bool selfIsFirst = first.node == state.self->node;
-    if (selfIsFirst
-        && rankOf(state, first, mean) <= rankOf(state, *best, mean) + state.rules->passMargin)
+    if (first.node != state.self->node)
+        return &*best;
+    if (state.rules->probesWhenFull && first.cost >= 1 && candidates.size() > 1)
+        return &*std::min_element(std::next(candidates.begin()), candidates.end(), better);
+    if (rankOf(state, first, mean) <= rankOf(state, *best, mean) + state.rules->passMargin)
         return &first;
     return &*best;
 }
@@ -156,6 +161,39 @@
     known.report = std::make_shared<const load_report>(report);
     known.heardAt = now;
     known.passedSince = 0;
+    known.askedSince = 0;
+}
+
+// An agent that passed the flow on because it was full, but would have let it wait.
+std::optional<base::node_id> waitingPlace(const placement_state &state, const flow_offered &offer)
+{
+    std::optional<base::node_id> best;
+    double least = 0;
+    for (const base::node_id node : offer.tried) {
+        const auto found = state.peers.find(node);
+        if (found == state.peers.end() || !found->second.report
+            || !canTake(found->second.report->load))
+            continue;
+        const double cost = costOf(found->second.report->load, found->second.passedSince);
+        if (!best || cost < least) {
+            best = node;
+            least = cost;
+        }
+    }
+    return best;
+}
+
+// All agents that may be offered the flow were: it waits here, or at one that passed it on.
+void placeLast(placement_state &state, const flow_offered &offer, action_list &actions)
+{
+    const std::optional<base::node_id> back
+        = offer.tried.size() < state.rules->maxOffers ? waitingPlace(state, offer) : std::nullopt;
+    if (canTake(*state.ownLoad))
+        actions.emplace_back(take_flow {offer.id});
+    else if (back)
+        pass(state, offer, *back, actions);
+    else
+        actions.emplace_back(refuse_flow {offer.id, base::error_code::noServer});
 }
 
 void place(placement_state &state, const flow_offered &offer, base::clock_time now,
@@ -167,12 +205,10 @@
     std::vector<candidate> candidates = candidatesFor(state, offer, mean, now);
     dropFailing(candidates);
     const candidate *chosen = choose(state, candidates, mean);
-    const bool lastOffer = offer.tried.size() + 1 >= state.rules->maxOffers;
-    const bool isSelf = chosen != nullptr && chosen->node == state.self->node;
-    if (isSelf || (canTake(*state.ownLoad) && (lastOffer || chosen == nullptr)))
+    if (chosen != nullptr && chosen->node == state.self->node)
         actions.emplace_back(take_flow {offer.id});
-    else if (chosen == nullptr || lastOffer)
-        actions.emplace_back(refuse_flow {offer.id, base::error_code::noServer});
+    else if (chosen == nullptr || offer.tried.size() + 1 >= state.rules->maxOffers)
+        placeLast(state, offer, actions);
     else
         pass(state, offer, chosen->node, actions);
 }
@@ -209,24 +245,39 @@
     state.peers = std::move(next);
 }
 
+double roundBytes(const placement_state &state)
+{
+    return reportBytes * static_cast<double>(state.peers.size());
+}
+
 void refillBudget(placement_state &state, base::clock_time now)
 {
     const double elapsed = static_cast<double>((now - state.budgetAt).millis()) / 1000.0;
-    const double round = reportBytes * static_cast<double>(state.peers.size());
-    state.budgetBytes
-        = std::min(round, state.budgetBytes + elapsed * state.rules->reportBytesPerSecond);
+    state.budgetBytes = std::min(2 * roundBytes(state),
+                                 state.budgetBytes + elapsed * state.rules->reportBytesPerSecond);
     state.budgetAt = now;
 }
 
+bool hasQueue(const server_load &load)
+{
+    return load.slots.queued > 0;
+}
+
+// Work that begins to wait here is news to agents with free slots. For this one round is kept back.
+bool isUrgent(const placement_state &state)
+{
+    return state.sentLoad && hasQueue(*state.ownLoad) && !hasQueue(*state.sentLoad);
+}
+
 // Sends a round of reports when something changed and the budget allows the whole round.
 void report(placement_state &state, base::clock_time now, action_list &actions)
 {
     refillBudget(state, now);
-    const double round = reportBytes * static_cast<double>(state.peers.size());
+    const double needed = roundBytes(state) * (isUrgent(state) ? 1 : 2);
     const bool changed = !state.sentLoad || *state.sentLoad != *state.ownLoad;
-    if (state.budgetBytes < round || (!changed && now - state.sentAt < heartbeat))
+    if (state.budgetBytes < needed || (!changed && now - state.sentAt < heartbeat))
         return;
-    state.budgetBytes -= round;
+    state.budgetBytes -= roundBytes(state);
     state.sentLoad = state.ownLoad;
     state.sentAt = now;
     const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
@@ -234,6 +285,44 @@
         actions.emplace_back(send_report {it->first, own});
 }
 
+bool hasFreeSlot(const server_load &load)
+{
+    return canTake(load) && !hasQueue(load) && load.slots.busy < load.slots.allowed;
+}
+
+// What is left of the queue that a peer told of.
+std::uint32_t queueLeft(const known_peer &known)
+{
+    const std::uint32_t queued = known.report ? known.report->load.slots.queued : 0;
+    return queued > known.askedSince ? queued - known.askedSince : 0;
+}
+
+// With a free slot, asks the agent with the longest queue for work.
+void requestWork(placement_state &state, base::clock_time now, action_list &actions)
+{
+    refillBudget(state, now);
+    if (!state.rules->requestsWork || !hasFreeSlot(*state.ownLoad) || state.ownLoad->failing
+        || state.budgetBytes < reportBytes)
+        return;
+    const auto longest
+        = std::max_element(state.peers.begin(), state.peers.end(),
+                           [](const std::pair<const base::node_id, known_peer> &left,
+                              const std::pair<const base::node_id, known_peer> &right) {
+                               return queueLeft(left.second) < queueLeft(right.second);
+                           });
+    if (longest == state.peers.end() || queueLeft(longest->second) == 0)
+        return;
+    state.budgetBytes -= reportBytes;
+    ++longest->second.askedSince;
+    actions.emplace_back(request_work {longest->first});
+}
+
+void giveWork(const placement_state &state, const work_requested &request, action_list &actions)
+{
+    if (hasQueue(*state.ownLoad) && state.peers.contains(request.from))
+        actions.emplace_back(give_work {request.from});
+}
+
 } // namespace
 
 double costOf(const server_load &load, double passedSince)
@@ -251,12 +340,17 @@
 {
     action_list actions;
     std::visit(base::overloaded {
-                   [&](const load_report &heard) { learn(state, heard, now); },
+                   [&](const load_report &heard) {
+                       learn(state, heard, now);
+                       requestWork(state, now, actions);
+                   },
                    [&](const peers_changed &change) { changePeers(state, change); },
                    [&](const own_load_changed &change) {
                        state.ownLoad = std::make_shared<const server_load>(change.load);
                        report(state, now, actions);
+                       requestWork(state, now, actions);
                    },
+                   [&](const work_requested &request) { giveWork(state, request, actions); },
                    [&](const flow_offered &offer) { place(state, offer, now, actions); },
                    [&](const placement_tick &) { report(state, now, actions); },
                },
--- a/lycheeshunt/placement/known_peer.h
+++ b/lycheeshunt/placement/known_peer.h
@@ -17,6 +17,8 @@
     base::clock_time heardAt = {};
     // Flows that this agent passed to it since its report.
     std::uint32_t passedSince = 0;
+    // Times that this agent asked it for work since its report.
+    std::uint32_t askedSince = 0;
 };
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/placement_rules.h
+++ b/lycheeshunt/placement/placement_rules.h
@@ -9,13 +9,19 @@
 struct placement_rules
 {
     // Agents that a flow is offered to at most, the director included.
-    const std::size_t maxOffers = 4;
+    const std::size_t maxOffers = 5;
     // Agents that an agent hears from; in a larger service each has neighbours of its own.
     const std::size_t maxPeers = 16;
     // An agent that is told of a flow passes it on only to one better by more than this.
-    const double passMargin = 0.15;
+    const double passMargin = 0.05;
     // Weight of open flows against busy slots.
-    const double flowWeight = 0.5;
+    const double flowWeight = 0.15;
+    // Most that flows may weigh, in slots: less than one, so that they only break near ties.
+    const double flowSlots = 0.5;
+    // Whether a full agent offers a flow on though all others seem full.
+    const bool probesWhenFull = true;
+    // Whether an agent with a free slot asks others for work that waits there.
+    const bool requestsWork = true;
     // Advantage of the caller's own availability zone.
     const double zoneWeight = 0.001;
     // A silent agent counts as average after this; it is dropped only when membership says so.
--- /dev/null
+++ b/lycheeshunt/placement/work_requested.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+
+namespace lycheeshunt::placement {
+
+// Another agent has a free slot and asks for work that waits here.
+struct work_requested
+{
+    const base::node_id from;
+
+    bool operator==(const work_requested &) const = default;
+};
+
+} // namespace lycheeshunt::placement
--- a/tools/measurements/crest/real_cluster.cpp
+++ b/tools/measurements/crest/real_cluster.cpp
@@ -193,11 +193,24 @@
                    [&](const placement::refuse_flow &refused) {
                        refuse(index, static_cast<std::size_t>(refused.id.value()), refused.reason);
                    },
+                   [&](const placement::request_work &asked) {
+                       const std::size_t to = indexOf(asked.to);
+                       m_events.after(hopMillis, [this, index, to]() {
+                           place(to, placement::work_requested {nodeOf(index)});
+                       });
+                   },
+                   [&](const placement::give_work &given) { give(index, indexOf(given.to)); },
                    [&](const placement::send_report &sent) { report(index, sent); },
                },
                action);
 }
 
+void real_cluster::give(std::size_t index, std::size_t to)
+{
+    m_agents[index].wanting = to;
+    admit(index, admission::work_wanted {});
+}
+
 void real_cluster::report(std::size_t index, const placement::send_report &sent)
 {
     constexpr std::int64_t pauseEvery = 8000;
@@ -243,6 +256,12 @@
                    [&](const admission::hand_over &given) {
                        start(index, static_cast<std::size_t>(given.id.value()));
                    },
+                   [&](const admission::move_work &moved) {
+                       const std::size_t work = static_cast<std::size_t>(moved.id.value());
+                       const std::size_t to = m_agents[index].wanting;
+                       --m_agents[index].flows;
+                       m_events.after(hopMillis, [this, to, work]() { take(to, work); });
+                   },
                    [&](const admission::refuse_work &refused) {
                        const std::size_t work = static_cast<std::size_t>(refused.id.value());
                        closeLater(index, work);
--- a/tools/measurements/crest/real_cluster.h
+++ b/tools/measurements/crest/real_cluster.h
@@ -32,6 +32,8 @@
         requests::request_state director;
         std::uint32_t flows = 0;
         bool draining = false;
+        // Who asked for the work that admission gives up.
+        std::size_t wanting = 0;
         // Grows when the agent is lost, so that what it had under way ends for nobody.
         std::uint32_t life = 0;
     };
@@ -44,6 +46,7 @@
     void carryOut(std::size_t index, const requests::request_action &action);
     void place(std::size_t index, const placement::placement_message &message);
     void carryOut(std::size_t index, const placement::placement_action &action);
+    void give(std::size_t index, std::size_t to);
     void report(std::size_t index, const placement::send_report &sent);
     void take(std::size_t index, std::size_t work);
     void admit(std::size_t index, const admission::admission_message &message);
