--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -28,7 +28,7 @@
         [packets, latest = std::make_shared<const routing::routing_table>()](
             const dissemination::shared_view &view) mutable {
             latest = std::make_shared<const routing::routing_table>(*view, *latest);
-            packets->tables().push(latest);
+            packets->updates().push(latest);
         });
     return process;
 }
@@ -45,7 +45,7 @@
                          metrics::counter_value {m_port->malformed()}},
         metrics::sample {"packets_unroutable_total", "Packets without a service or server.",
                          metrics::counter_value {m_port->unroutable()}}};
-    metrics::addRing(samples, "tables", m_port->tables());
+    metrics::addRing(samples, "updates", m_port->updates());
     return metrics::report {"entry", std::move(samples)};
 }
 
