Settle flow ownership, look unknown flows up, and recover them after faults

Cause: a flow's owner was lost with its director's table, two directors could open one flow, and a packet of an unknown flow was reset at once. Change: first packets ask directors that may not know of their change; unknown flows are held and looked up within bounds; registrations are acknowledged, retried, repeated and paced; a restarted agent gets its flows back; entries expire. The decision is split by job, messages have a codec.

--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -33,6 +33,7 @@
     flowUnknown = 306,
     flowTableFull = 307,
     serverDraining = 308,
+    tooManyLookups = 309,
     // tickets
     ticketMalformed = 601,
     ticketNumberTaken = 602,
--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -21,7 +21,7 @@
                                    membership::member_phase::serving};
     // No message reaches the flow thread before the port is open, so the sink finds it there.
     process->m_flows = std::make_unique<flows::flow_duty>(
-        flows::agent_identity {self.id(), self.service, self.life},
+        flows::agent_identity {self.id(), self.service, self.life, self.packets},
         [raw](const flows::flow_action &action) { raw->m_port->actions().tryPush(action); });
     base::result<std::unique_ptr<flows::agent_port>> port
         = flows::agent_port::open(own.sockets, process->m_flows->inbox());
--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/identifiers.h"
 
 namespace lycheeshunt::flows {
@@ -10,6 +11,8 @@
     const base::node_id node;
     const base::service_id service;
     const base::incarnation life;
+    // Where other agents and entries reach it.
+    const base::endpoint packets;
 
     bool operator==(const agent_identity &) const = default;
 };
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -102,9 +102,8 @@
             [this](const send_packet &send) {
                 packets::sendDatagram(m_peerSide.get(), send.to, encodePacket(send.packet));
             },
-            [this](const send_registration &send) {
-                packets::sendDatagram(m_peerSide.get(), send.to,
-                                      encodeRegistration(send.registration));
+            [this](const send_to_peer &send) {
+                packets::sendDatagram(m_peerSide.get(), send.to, encodePeer(send.message));
             },
             [this](const deliver_to_server &deliver) {
                 packets::sendDatagram(m_serverSide.get(), m_addresses.server, deliver.bytes.view());
--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -1,8 +1,7 @@
 #include "lycheeshunt/flows/codec.h"
 
 #include "lycheeshunt/base/codec.h"
-#include "lycheeshunt/flows/flow_registration.h"
-#include "lycheeshunt/flows/forwarded_packet.h"
+#include "lycheeshunt/flows/internal/peer_codec.h"
 #include "lycheeshunt/packets/ip_packet.h"
 
 #include <tuple>
@@ -11,37 +10,19 @@
 
 namespace {
 
-constexpr std::uint8_t wireVersion = 1;
+using internal::malformed;
+using internal::packetKind;
+using internal::wireVersion;
 
-enum datagram_kind : std::uint8_t { packetKind = 1, registrationKind = 2 };
-
-using endpoint_fields = std::tuple<std::uint32_t, std::uint16_t>;
 using packet_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t,
                                  std::uint64_t, std::uint8_t, std::uint8_t, msgpack::type::raw_ref>;
-using registration_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, endpoint_fields,
-                                       endpoint_fields, std::uint8_t, std::uint64_t, bool>;
-
-endpoint_fields fieldsOf(const base::endpoint &where)
-{
-    return endpoint_fields(where.address, where.port);
-}
-
-base::endpoint endpointOf(const endpoint_fields &fields)
-{
-    return base::endpoint {std::get<0>(fields), std::get<1>(fields)};
-}
-
-base::error malformed(const char *what)
-{
-    return base::error {base::error_code::messageMalformed, what};
-}
 
 base::result<flow_datagram> packetFrom(const msgpack::object &object)
 {
     const packet_fields fields = object.as<packet_fields>();
     const std::uint8_t stage = std::get<5>(fields);
     if (stage < static_cast<std::uint8_t>(packet_stage::toDirector)
-        || stage > static_cast<std::uint8_t>(packet_stage::toOwner))
+        || stage > static_cast<std::uint8_t>(packet_stage::declined))
         return malformed("packet stage");
     const msgpack::type::raw_ref &raw = std::get<7>(fields);
     std::string bytes(raw.ptr, raw.size);
@@ -55,31 +36,20 @@
         std::get<6>(fields), base::valueOf(summary), base::packet_bytes(std::move(bytes))});
 }
 
-base::result<flow_datagram> registrationFrom(const msgpack::object &object)
-{
-    const registration_fields fields = object.as<registration_fields>();
-    return flow_datagram(
-        flow_registration {base::service_id(std::get<2>(fields)),
-                           base::flow_key {endpointOf(std::get<3>(fields)),
-                                           endpointOf(std::get<4>(fields)), std::get<5>(fields)},
-                           base::node_id(std::get<6>(fields)), std::get<7>(fields)});
-}
-
 base::result<flow_datagram> datagramFrom(const msgpack::object &object)
 {
-    constexpr std::uint32_t fieldCount = 8;
-    static_assert(std::tuple_size_v<packet_fields> == fieldCount);
-    static_assert(std::tuple_size_v<registration_fields> == fieldCount);
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != fieldCount)
+    constexpr std::uint32_t leastFields = 2;
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < leastFields)
         return malformed("wrong number of fields");
     if (object.via.array.ptr[0].as<std::uint8_t>() != wireVersion)
         return base::error {base::error_code::messageVersion, "flow datagram"};
     const std::uint8_t kind = object.via.array.ptr[1].as<std::uint8_t>();
-    if (kind == packetKind)
+    if (kind == packetKind && object.via.array.size == std::tuple_size_v<packet_fields>)
         return packetFrom(object);
-    if (kind == registrationKind)
-        return registrationFrom(object);
-    return malformed("unknown kind of datagram");
+    const base::result<peer_message> message = internal::decodePeerFields(kind, object);
+    if (const base::error *failure = base::errorOf(message))
+        return *failure;
+    return flow_datagram(base::valueOf(message));
 }
 
 } // namespace
@@ -107,12 +77,9 @@
     return bytes;
 }
 
-std::string encodeRegistration(const flow_registration &registration)
+std::string encodePeer(const peer_message &message)
 {
-    return base::packFields(registration_fields(
-        wireVersion, registrationKind, registration.service.value(),
-        fieldsOf(registration.key.caller), fieldsOf(registration.key.service),
-        registration.key.protocol, registration.owner.value(), registration.alive));
+    return internal::encodePeerFields(message);
 }
 
 base::result<flow_datagram> decodeDatagram(std::string_view bytes)
--- a/lycheeshunt/flows/codec.h
+++ b/lycheeshunt/flows/codec.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/flows/forwarded_packet.h"
+#include "lycheeshunt/flows/peer_message.h"
 
 #include <string>
 #include <string_view>
@@ -11,16 +13,13 @@
 
 namespace lycheeshunt::flows {
 
-struct forwarded_packet;
-struct flow_registration;
-
-using flow_datagram = std::variant<forwarded_packet, flow_registration>;
+using flow_datagram = std::variant<forwarded_packet, peer_message>;
 
 // Everything of a forwarded packet but the IP packet itself, whose bytes follow directly.
 std::string encodePacketHeader(const forwarded_packet &packet, std::size_t packetBytes);
 
 std::string encodePacket(const forwarded_packet &packet);
-std::string encodeRegistration(const flow_registration &registration);
+std::string encodePeer(const peer_message &message);
 
 base::result<flow_datagram> decodeDatagram(std::string_view bytes);
 
--- a/lycheeshunt/flows/flow_action.h
+++ b/lycheeshunt/flows/flow_action.h
@@ -5,13 +5,13 @@
 #include "lycheeshunt/flows/refuse_packet.h"
 #include "lycheeshunt/flows/reset_caller.h"
 #include "lycheeshunt/flows/send_packet.h"
-#include "lycheeshunt/flows/send_registration.h"
+#include "lycheeshunt/flows/send_to_peer.h"
 
 #include <variant>
 
 namespace lycheeshunt::flows {
 
-using flow_action = std::variant<send_packet, send_registration, deliver_to_server, answer_caller,
+using flow_action = std::variant<send_packet, send_to_peer, deliver_to_server, answer_caller,
                                  reset_caller, refuse_packet>;
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/flow_message.h
+++ b/lycheeshunt/flows/flow_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lycheeshunt/flows/flow_registration.h"
 #include "lycheeshunt/flows/forwarded_packet.h"
+#include "lycheeshunt/flows/peer_message.h"
 #include "lycheeshunt/flows/server_answer.h"
 #include "lycheeshunt/flows/tick.h"
 #include "lycheeshunt/flows/view_update.h"
@@ -10,7 +10,6 @@
 
 namespace lycheeshunt::flows {
 
-using flow_message
-    = std::variant<forwarded_packet, server_answer, flow_registration, view_update, tick>;
+using flow_message = std::variant<forwarded_packet, server_answer, peer_message, view_update, tick>;
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -2,14 +2,22 @@
 
 #pragma once
 
-#include "lycheeshunt/base/flow_key.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/flows/agent_identity.h"
+#include "lycheeshunt/flows/directory_entry.h"
+#include "lycheeshunt/flows/ended_flow.h"
+#include "lycheeshunt/flows/flow_map.h"
+#include "lycheeshunt/flows/former_director.h"
+#include "lycheeshunt/flows/held_flow.h"
 #include "lycheeshunt/flows/owned_flow.h"
+#include "lycheeshunt/flows/recovery_state.h"
+#include "lycheeshunt/flows/registrar_state.h"
 #include "lycheeshunt/routing/bucket_table.h"
 
+#include <deque>
+#include <map>
 #include <memory>
-#include <unordered_map>
+#include <vector>
 
 namespace lycheeshunt::flows {
 
@@ -22,13 +30,23 @@
 
     std::shared_ptr<const agent_identity> identity;
     dissemination::shared_view view;
-    // Directors of this agent's service, and those of the view before.
+    // Directors of this agent's service.
     std::shared_ptr<const routing::bucket_table> buckets;
-    std::shared_ptr<const routing::bucket_table> previousBuckets;
+    // By bucket, the latest last.
+    std::map<base::bucket, std::vector<former_director>> formerDirectors;
+    // The newest generation that each agent is known to have reached.
+    std::map<base::node_id, base::generation> peerGenerations;
     bool draining = false;
     std::size_t maxOwned = 0;
-    std::unordered_map<base::flow_key, owned_flow> owned;
-    std::unordered_map<base::flow_key, base::node_id> directory;
+
+    flow_map<owned_flow> owned;
+    // In the order in which they leave.
+    std::deque<ended_flow> ended;
+    flow_map<directory_entry> directory;
+    flow_map<held_flow> held;
+    std::size_t heldBytes = 0;
+    registrar_state registrar;
+    recovery_state recovery;
 };
 
 } // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/held_flow.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/flows/forwarded_packet.h"
+#include "lycheeshunt/flows/hold_purpose.h"
+
+#include <vector>
+
+namespace lycheeshunt::flows {
+
+// Packets of a flow whose owner is being looked up.
+struct held_flow
+{
+    const hold_purpose purpose = hold_purpose::find;
+    const std::vector<forwarded_packet> packets = {};
+    const base::clock_time deadline;
+    const base::clock_time askAgainAt;
+    // Every agent asked so far, and those of them that have not answered.
+    const std::vector<base::node_id> asked = {};
+    const std::vector<base::node_id> waitingFor = {};
+
+    bool operator==(const held_flow &) const = default;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/internal/flow_context.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/flows/flow_action.h"
+#include "lycheeshunt/flows/flow_state.h"
+
+#include <vector>
+
+namespace lycheeshunt::flows::internal {
+
+// What each part of one decision works on.
+struct flow_context
+{
+    flow_state &state;
+    const base::clock_time now;
+    std::vector<flow_action> &actions;
+};
+
+} // namespace lycheeshunt::flows::internal
--- /dev/null
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -0,0 +1,283 @@
+#include "lycheeshunt/flows/internal/lookup.h"
+
+#include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/ownership.h"
+#include "lycheeshunt/flows/internal/packet_path.h"
+#include "lycheeshunt/flows/internal/passing.h"
+#include "lycheeshunt/flows/internal/recovery.h"
+#include "lycheeshunt/flows/internal/service_view.h"
+
+#include <algorithm>
+
+namespace lycheeshunt::flows::internal {
+
+namespace {
+
+constexpr std::size_t maxHeldFlows = 512;
+constexpr std::size_t maxPacketsOfFlow = 4;
+constexpr std::size_t maxHeldBytes = 512 * 1024;
+// Agents that are silent this long are taken for dead when a flow is to be opened.
+constexpr base::clock_time openHold = base::clock_time::ofMillis(400);
+// Longer than owners take to register their flows after a change.
+constexpr base::clock_time findHold = base::clock_time::ofSeconds(2);
+constexpr base::clock_time askEvery = base::clock_time::ofMillis(150);
+constexpr std::size_t askedInRound = 16;
+constexpr std::size_t maxAsked = 64;
+
+bool contains(const std::vector<base::node_id> &nodes, base::node_id node)
+{
+    return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+}
+
+std::size_t bytesOf(const held_flow &held)
+{
+    std::size_t bytes = 0;
+    for (const forwarded_packet &packet : held.packets)
+        bytes += packet.bytes.view().size();
+    return bytes;
+}
+
+void ask(flow_context &context, const base::flow_key &key, const held_flow &held)
+{
+    const flow_state &state = context.state;
+    for (const base::node_id node : held.waitingFor) {
+        const std::optional<routing::target> to = targetOf(state, node);
+        if (to)
+            context.actions.emplace_back(send_to_peer {
+                to->packets,
+                flow_lookup {state.identity->service, key, selfTarget(state),
+                             currentGeneration(state), held.purpose == hold_purpose::open}});
+    }
+}
+
+// Agents not asked so far: first those that directed the bucket, then the others.
+std::vector<base::node_id> nextToAsk(const flow_state &state, const base::flow_key &key,
+                                     const std::vector<base::node_id> &asked)
+{
+    std::vector<base::node_id> next;
+    for (const base::node_id node : formerDirectorsOf(state, key)) {
+        if (!contains(asked, node))
+            next.push_back(node);
+    }
+    if (!next.empty())
+        return next;
+    for (const routing::target &agent : otherAgents(state)) {
+        if (next.size() < askedInRound && asked.size() + next.size() < maxAsked
+            && !contains(asked, agent.node))
+            next.push_back(agent.node);
+    }
+    return next;
+}
+
+// The held flow, with these agents asked too.
+held_flow asking(const held_flow &held, const std::vector<base::node_id> &more,
+                 base::clock_time now)
+{
+    std::vector<base::node_id> asked = held.asked;
+    std::vector<base::node_id> waitingFor = held.waitingFor;
+    asked.insert(asked.end(), more.begin(), more.end());
+    waitingFor.insert(waitingFor.end(), more.begin(), more.end());
+    return held_flow {held.purpose,   held.packets,     held.deadline,
+                      now + askEvery, std::move(asked), std::move(waitingFor)};
+}
+
+held_flow release(flow_context &context, const base::flow_key &key)
+{
+    held_flow held = *context.state.held.find(key);
+    context.state.heldBytes -= bytesOf(held);
+    context.state.held.erase(key);
+    return held;
+}
+
+// Nobody could tell who owns the flow.
+void giveUp(flow_context &context, const base::flow_key &key)
+{
+    const held_flow held = release(context, key);
+    const forwarded_packet &first = held.packets.front();
+    if (held.purpose == hold_purpose::open)
+        openFlow(context, first);
+    else if (hasStartedLately(context.state, context.now))
+        adoptFlow(context, first);
+    else
+        context.actions.emplace_back(reset_caller {first.bytes, base::error_code::flowUnknown});
+    const bool owned = context.state.owned.find(key) != nullptr;
+    for (std::size_t i = 1; i < held.packets.size(); ++i) {
+        if (owned)
+            handleOwned(context, *context.state.owned.find(key), held.packets[i]);
+    }
+}
+
+// All asked agents have answered: goes on with the next ones, or gives up.
+void proceed(flow_context &context, const base::flow_key &key)
+{
+    const held_flow &held = *context.state.held.find(key);
+    std::vector<base::node_id> next;
+    if (held.purpose == hold_purpose::find)
+        next = nextToAsk(context.state, key, held.asked);
+    if (next.empty()) {
+        giveUp(context, key);
+        return;
+    }
+    context.state.held.put(key, asking(held, next, context.now));
+    ask(context, key, *context.state.held.find(key));
+}
+
+void sendAllTo(flow_context &context, const base::flow_key &key, const routing::target &to,
+               packet_stage stage)
+{
+    const held_flow held = release(context, key);
+    for (const forwarded_packet &packet : held.packets)
+        passOn(context, packet, to, stage);
+}
+
+void answer(flow_context &context, const flow_lookup &lookup, lookup_verdict verdict,
+            const routing::target &owner)
+{
+    const flow_state &state = context.state;
+    context.actions.emplace_back(
+        send_to_peer {lookup.asker.packets,
+                      lookup_answer {lookup.service, lookup.key, selfTarget(state),
+                                     currentGeneration(state), verdict, owner}});
+}
+
+// Two agents that are both about to open the flow have asked each other: one of them goes on.
+bool winsAgainst(const flow_state &state, const flow_lookup &lookup)
+{
+    const routing::target *director = directorOf(state, lookup.key);
+    if (director != nullptr && director->node == lookup.asker.node)
+        return false;
+    const std::pair<base::generation, base::node_id> own(currentGeneration(state),
+                                                         state.identity->node);
+    return own > std::make_pair(lookup.at, lookup.asker.node);
+}
+
+void answerUnknown(flow_context &context, const flow_lookup &lookup)
+{
+    const flow_state &state = context.state;
+    const routing::target self = selfTarget(state);
+    const routing::target *director = directorOf(state, lookup.key);
+    const bool directs = director != nullptr && isSelf(state, director->node)
+        && currentGeneration(state) >= lookup.at;
+    const held_flow *held = state.held.find(lookup.key);
+    const bool opening = held != nullptr && held->purpose == hold_purpose::open;
+    if (directs || (lookup.claims && opening && winsAgainst(state, lookup))) {
+        answer(context, lookup, lookup_verdict::redirect, self);
+        return;
+    }
+    // Its former life may own the flow; what comes back from the others shows it soon.
+    if (isRecovering(state))
+        return;
+    if (lookup.claims)
+        rememberOwner(context, lookup.key, lookup.asker, lookup.at);
+    answer(context, lookup, lookup_verdict::unknown, self);
+}
+
+} // namespace
+
+void holdPacket(flow_context &context, const forwarded_packet &packet, hold_purpose purpose,
+                const std::vector<base::node_id> &firstAsked)
+{
+    flow_state &state = context.state;
+    const std::size_t bytes = packet.bytes.view().size();
+    if (state.held.size() >= maxHeldFlows || state.heldBytes + bytes > maxHeldBytes) {
+        context.actions.emplace_back(reset_caller {packet.bytes, base::error_code::tooManyLookups});
+        return;
+    }
+    const base::clock_time span = purpose == hold_purpose::open ? openHold : findHold;
+    const held_flow held {purpose, {packet}, context.now + span, context.now, {}, {}};
+    state.heldBytes += bytes;
+    state.held.put(packet.summary.key, asking(held, firstAsked, context.now));
+    if (firstAsked.empty())
+        proceed(context, packet.summary.key);
+    else
+        ask(context, packet.summary.key, *state.held.find(packet.summary.key));
+}
+
+void holdMore(flow_context &context, const held_flow &held, const forwarded_packet &packet)
+{
+    flow_state &state = context.state;
+    const std::size_t bytes = packet.bytes.view().size();
+    if (held.packets.size() >= maxPacketsOfFlow || state.heldBytes + bytes > maxHeldBytes) {
+        context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
+        return;
+    }
+    std::vector<forwarded_packet> packets = held.packets;
+    packets.push_back(packet);
+    state.heldBytes += bytes;
+    state.held.put(packet.summary.key,
+                   held_flow {held.purpose, std::move(packets), held.deadline, held.askAgainAt,
+                              held.asked, held.waitingFor});
+}
+
+void handleLookup(flow_context &context, const flow_lookup &lookup)
+{
+    const flow_state &state = context.state;
+    if (lookup.service != state.identity->service)
+        return;
+    const owned_flow *flow = state.owned.find(lookup.key);
+    if (flow != nullptr && flow->phase != flow_phase::ended) {
+        answer(context, lookup, lookup_verdict::owned, selfTarget(state));
+        return;
+    }
+    const std::optional<routing::target> owner = knownOwner(state, lookup.key);
+    if (owner)
+        answer(context, lookup, lookup_verdict::owned, *owner);
+    else
+        answerUnknown(context, lookup);
+}
+
+void handleLookupAnswer(flow_context &context, const lookup_answer &answer)
+{
+    flow_state &state = context.state;
+    const held_flow *held = state.held.find(answer.key);
+    if (answer.service != state.identity->service || held == nullptr
+        || !contains(held->waitingFor, answer.from.node))
+        return;
+    if (answer.verdict == lookup_verdict::redirect) {
+        sendAllTo(context, answer.key, answer.from, packet_stage::toDirector);
+        return;
+    }
+    if (answer.verdict == lookup_verdict::owned && !isSelf(state, answer.owner.node)) {
+        rememberOwner(context, answer.key, answer.owner, answer.at);
+        sendAllTo(context, answer.key, answer.owner, packet_stage::toOwner);
+        return;
+    }
+    if (answer.verdict == lookup_verdict::owned) {
+        const held_flow released = release(context, answer.key);
+        for (const forwarded_packet &packet : released.packets)
+            handlePacketAsOwner(context, packet);
+        return;
+    }
+    std::vector<base::node_id> waitingFor = held->waitingFor;
+    waitingFor.erase(std::find(waitingFor.begin(), waitingFor.end(), answer.from.node));
+    const bool allAnswered = waitingFor.empty();
+    state.held.put(answer.key,
+                   held_flow {held->purpose, held->packets, held->deadline, held->askAgainAt,
+                              held->asked, std::move(waitingFor)});
+    if (allAnswered)
+        proceed(context, answer.key);
+}
+
+void lookupTick(flow_context &context)
+{
+    std::vector<base::flow_key> keys;
+    for (auto it = context.state.held.begin(); it != context.state.held.end(); ++it) {
+        if (it->second.askAgainAt <= context.now || it->second.deadline <= context.now)
+            keys.push_back(it->first);
+    }
+    for (const base::flow_key &key : keys) {
+        const held_flow held = *context.state.held.find(key);
+        if (held.deadline <= context.now) {
+            giveUp(context, key);
+            continue;
+        }
+        // The silent ones are asked again, and the next ones too.
+        std::vector<base::node_id> next;
+        if (held.purpose == hold_purpose::find)
+            next = nextToAsk(context.state, key, held.asked);
+        context.state.held.put(key, asking(held, next, context.now));
+        ask(context, key, *context.state.held.find(key));
+    }
+}
+
+} // namespace lycheeshunt::flows::internal
--- /dev/null
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -0,0 +1,132 @@
+#include "lycheeshunt/flows/internal/packet_path.h"
+
+#include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/lookup.h"
+#include "lycheeshunt/flows/internal/ownership.h"
+#include "lycheeshunt/flows/internal/passing.h"
+#include "lycheeshunt/flows/internal/recovery.h"
+#include "lycheeshunt/flows/internal/service_view.h"
+
+namespace lycheeshunt::flows::internal {
+
+namespace {
+
+void refuse(flow_context &context, base::error_code reason)
+{
+    context.actions.emplace_back(refuse_packet {reason});
+}
+
+// This agent is the flow's director, and nobody has registered the flow.
+void handleUnknownAsDirector(flow_context &context, const forwarded_packet &packet)
+{
+    const base::flow_key &key = packet.summary.key;
+    if (!packet.summary.opens) {
+        holdPacket(context, packet, hold_purpose::find, {});
+        return;
+    }
+    // An agent that has not heard that it is no longer director may open the same flow now.
+    const std::vector<base::node_id> unsettled = unsettledDirectorsOf(context.state, key);
+    if (unsettled.empty())
+        openFlow(context, packet);
+    else
+        holdPacket(context, packet, hold_purpose::open, unsettled);
+}
+
+// By this agent's view another is director. The sender may know better: an entry that bypasses a
+// suspected director sends to the backup, and its view may be newer.
+void handleUnknownAsOther(flow_context &context, const forwarded_packet &packet,
+                          const routing::target &director)
+{
+    const flow_state &state = context.state;
+    const routing::target *backup = backupOf(state, packet.summary.key);
+    const bool stands = packet.stage == packet_stage::toDirector
+        && (isSelf(state, backup->node) || packet.at > currentGeneration(state));
+    if (!stands) {
+        passOn(context, packet, director, packet_stage::toDirector);
+        return;
+    }
+    const hold_purpose purpose = packet.summary.opens ? hold_purpose::open : hold_purpose::find;
+    holdPacket(context, packet, purpose, {director.node});
+}
+
+void handleUnknown(flow_context &context, const forwarded_packet &packet)
+{
+    const routing::target *director = directorOf(context.state, packet.summary.key);
+    if (director == nullptr)
+        refuse(context, base::error_code::noServer);
+    else if (packet.stage == packet_stage::offer && packet.summary.opens)
+        openFlow(context, packet);
+    else if (isSelf(context.state, director->node))
+        handleUnknownAsDirector(context, packet);
+    else
+        handleUnknownAsOther(context, packet, *director);
+}
+
+// Returns whether the packet was of a flow that this agent owns. A first packet on an ended flow
+// opens a new one.
+bool handledAsOwned(flow_context &context, const forwarded_packet &packet)
+{
+    const base::flow_key &key = packet.summary.key;
+    const owned_flow *flow = context.state.owned.find(key);
+    if (flow == nullptr)
+        return false;
+    if (flow->phase == flow_phase::ended && packet.summary.opens) {
+        context.state.owned.erase(key);
+        return false;
+    }
+    handleOwned(context, owned_flow(*flow), packet);
+    return true;
+}
+
+// The director's entry is wrong: this agent has lost no flow since it started.
+void decline(flow_context &context, const forwarded_packet &packet)
+{
+    const routing::target *director = directorOf(context.state, packet.summary.key);
+    if (director == nullptr || isSelf(context.state, director->node))
+        holdPacket(context, packet, hold_purpose::find, {});
+    else
+        passOn(context, packet, *director, packet_stage::declined);
+}
+
+} // namespace
+
+void handlePacketAsOwner(flow_context &context, const forwarded_packet &packet)
+{
+    if (handledAsOwned(context, packet))
+        return;
+    if (packet.summary.opens)
+        openOrDecline(context, packet);
+    else if (hasStartedLately(context.state, context.now))
+        adoptFlow(context, packet);
+    else
+        decline(context, packet);
+}
+
+void handlePacket(flow_context &context, const forwarded_packet &packet)
+{
+    flow_state &state = context.state;
+    const base::flow_key &key = packet.summary.key;
+    if (packet.service != state.identity->service)
+        return refuse(context, base::error_code::wrongService);
+    if (packet.life != state.identity->life)
+        return refuse(context, base::error_code::wrongIncarnation);
+    if (handledAsOwned(context, packet))
+        return;
+    if (packet.stage == packet_stage::declined)
+        state.directory.erase(key);
+    if (const held_flow *held = state.held.find(key)) {
+        holdMore(context, *held, packet);
+        return;
+    }
+    if (const std::optional<routing::target> owner = knownOwner(state, key)) {
+        touchEntry(context, key);
+        passOn(context, packet, *owner, packet_stage::toOwner);
+        return;
+    }
+    if (packet.stage == packet_stage::toOwner)
+        handlePacketAsOwner(context, packet);
+    else
+        handleUnknown(context, packet);
+}
+
+} // namespace lycheeshunt::flows::internal
--- /dev/null
+++ b/lycheeshunt/flows/internal/peer_codec.h
@@ -0,0 +1,38 @@
+// The fields of the messages between agents, in MessagePack arrays. The first field of each is
+// the version, the second its kind.
+
+#pragma once
+
+#include "lycheeshunt/base/result.h"
+#include "lycheeshunt/flows/peer_message.h"
+
+#include <msgpack.hpp>
+
+#include <string>
+
+namespace lycheeshunt::flows::internal {
+
+constexpr std::uint8_t wireVersion = 1;
+
+enum datagram_kind : std::uint8_t {
+    packetKind = 1,
+    registrationKind = 2,
+    acknowledgementKind = 3,
+    lookupKind = 4,
+    lookupAnswerKind = 5,
+    recoveryRequestKind = 6,
+    recoveryPageKind = 7,
+};
+
+// Flows that a batch or a page may carry.
+constexpr std::size_t maxFlowsInMessage = 64;
+
+base::error malformed(const char *what);
+
+std::string encodePeerFields(const peer_message &message);
+
+// Precondition: object is an array whose version has been checked. Throws msgpack's exceptions
+// for fields of other types.
+base::result<peer_message> decodePeerFields(std::uint8_t kind, const msgpack::object &object);
+
+} // namespace lycheeshunt::flows::internal
--- /dev/null
+++ b/lycheeshunt/flows/internal/service_view.cpp
@@ -0,0 +1,113 @@
+#include "lycheeshunt/flows/internal/service_view.h"
+
+#include <algorithm>
+
+namespace lycheeshunt::flows::internal {
+
+routing::target selfTarget(const flow_state &state)
+{
+    return routing::target {state.identity->node, state.identity->life, state.identity->packets};
+}
+
+base::generation currentGeneration(const flow_state &state)
+{
+    return state.view ? state.view->at : base::generation();
+}
+
+bool servesAddress(const flow_state &state, const base::flow_key &key)
+{
+    if (!state.view)
+        return false;
+    const auto service = state.view->services.find(state.identity->service);
+    if (service == state.view->services.end())
+        return false;
+    const std::vector<tickets::service_address> &addresses = service->second.addresses;
+    const tickets::service_address wanted {key.service, key.protocol};
+    return std::find(addresses.begin(), addresses.end(), wanted) != addresses.end();
+}
+
+std::optional<routing::target> targetOf(const flow_state &state, base::node_id node)
+{
+    if (!state.view)
+        return std::nullopt;
+    const auto found = state.view->members.find(node);
+    if (found == state.view->members.end())
+        return std::nullopt;
+    const membership::member &member = found->second;
+    if (member.role != membership::member_role::agent || member.service != state.identity->service)
+        return std::nullopt;
+    return routing::target {node, member.life, member.packets};
+}
+
+const routing::target *directorOf(const flow_state &state, const base::flow_key &key)
+{
+    if (!state.buckets || !state.buckets->hasTargets())
+        return nullptr;
+    return &state.buckets->directorOf(state.buckets->bucketOf(base::hashOf(key)));
+}
+
+const routing::target *backupOf(const flow_state &state, const base::flow_key &key)
+{
+    if (!state.buckets || !state.buckets->hasTargets())
+        return nullptr;
+    return &state.buckets->backupOf(state.buckets->bucketOf(base::hashOf(key)));
+}
+
+std::vector<routing::target> otherAgents(const flow_state &state)
+{
+    std::vector<routing::target> others;
+    if (!state.view)
+        return others;
+    for (auto it = state.view->members.begin(); it != state.view->members.end(); ++it) {
+        const std::optional<routing::target> agent = targetOf(state, it->first);
+        if (agent && !isSelf(state, agent->node))
+            others.push_back(*agent);
+    }
+    return others;
+}
+
+namespace {
+
+const std::vector<former_director> *formerOf(const flow_state &state, const base::flow_key &key)
+{
+    if (!state.buckets || !state.buckets->hasTargets())
+        return nullptr;
+    const auto found = state.formerDirectors.find(state.buckets->bucketOf(base::hashOf(key)));
+    return found == state.formerDirectors.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+std::vector<base::node_id> formerDirectorsOf(const flow_state &state, const base::flow_key &key)
+{
+    std::vector<base::node_id> nodes;
+    const std::vector<former_director> *former = formerOf(state, key);
+    if (former == nullptr)
+        return nodes;
+    for (auto it = former->rbegin(); it != former->rend(); ++it) {
+        const bool repeated = std::find(nodes.begin(), nodes.end(), it->node) != nodes.end();
+        if (!repeated && !isSelf(state, it->node) && targetOf(state, it->node))
+            nodes.push_back(it->node);
+    }
+    return nodes;
+}
+
+std::vector<base::node_id> unsettledDirectorsOf(const flow_state &state, const base::flow_key &key)
+{
+    std::vector<base::node_id> nodes;
+    const std::vector<former_director> *former = formerOf(state, key);
+    if (former == nullptr)
+        return nodes;
+    for (const former_director &candidate : *former) {
+        const auto reached = state.peerGenerations.find(candidate.node);
+        const bool settled
+            = reached != state.peerGenerations.end() && reached->second >= candidate.until;
+        const bool repeated = std::find(nodes.begin(), nodes.end(), candidate.node) != nodes.end();
+        if (!settled && !repeated && !isSelf(state, candidate.node)
+            && targetOf(state, candidate.node))
+            nodes.push_back(candidate.node);
+    }
+    return nodes;
+}
+
+} // namespace lycheeshunt::flows::internal
--- /dev/null
+++ b/lycheeshunt/flows/internal/service_view.h
@@ -0,0 +1,41 @@
+// What the current view says about this agent's service.
+
+#pragma once
+
+#include "lycheeshunt/flows/flow_state.h"
+
+#include <optional>
+#include <vector>
+
+namespace lycheeshunt::flows::internal {
+
+inline bool isSelf(const flow_state &state, base::node_id node)
+{
+    return node == state.identity->node;
+}
+
+routing::target selfTarget(const flow_state &state);
+
+// Generation of the current view; 0 before the first.
+base::generation currentGeneration(const flow_state &state);
+
+// Whether callers reach this agent's service at the flow's address.
+bool servesAddress(const flow_state &state, const base::flow_key &key);
+
+// An agent of this service, also one that drains; nothing for any other node.
+std::optional<routing::target> targetOf(const flow_state &state, base::node_id node);
+
+// Null while the view has no agent of this service.
+const routing::target *directorOf(const flow_state &state, const base::flow_key &key);
+const routing::target *backupOf(const flow_state &state, const base::flow_key &key);
+
+// The other agents of this service.
+std::vector<routing::target> otherAgents(const flow_state &state);
+
+// Other agents that may have opened flows of the bucket, the latest director first.
+std::vector<base::node_id> formerDirectorsOf(const flow_state &state, const base::flow_key &key);
+
+// Those of them that are not known to have learned that this agent is director.
+std::vector<base::node_id> unsettledDirectorsOf(const flow_state &state, const base::flow_key &key);
+
+} // namespace lycheeshunt::flows::internal
--- /dev/null
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -0,0 +1,111 @@
+#include "lycheeshunt/flows/internal/view_change.h"
+
+#include "lycheeshunt/flows/internal/recovery.h"
+#include "lycheeshunt/flows/internal/registrar.h"
+#include "lycheeshunt/flows/internal/service_view.h"
+#include "lycheeshunt/routing/routing_table.h"
+
+namespace lycheeshunt::flows::internal {
+
+namespace {
+
+constexpr std::size_t maxFormerDirectors = 4;
+
+bool hasTargets(const std::shared_ptr<const routing::bucket_table> &table)
+{
+    return table && table->hasTargets();
+}
+
+void appendFormer(std::vector<former_director> &former, const former_director &added)
+{
+    std::vector<former_director> kept;
+    const std::size_t first = former.size() >= maxFormerDirectors ? 1 : 0;
+    for (std::size_t i = first; i < former.size(); ++i) {
+        if (former[i].node != added.node)
+            kept.push_back(former[i]);
+    }
+    kept.push_back(added);
+    former.swap(kept);
+}
+
+// Notes for each bucket who may still take itself for its director. The backup is one of them:
+// with rendezvous hashing it was director before the present one came, also when this agent has
+// missed the views in between.
+void noteFormerDirectors(flow_state &state, const routing::bucket_table *before,
+                         std::uint32_t buckets)
+{
+    for (std::uint32_t i = 0; i < buckets; ++i) {
+        const base::bucket bucket(i);
+        const routing::target &director = state.buckets->directorOf(bucket);
+        const routing::target *old = before == nullptr ? nullptr : &before->directorOf(bucket);
+        if (old != nullptr && old->node == director.node)
+            continue;
+        std::vector<former_director> &former = state.formerDirectors[bucket];
+        const routing::target &backup = state.buckets->backupOf(bucket);
+        if (backup.node != director.node)
+            appendFormer(former, former_director {backup.node, currentGeneration(state)});
+        if (old != nullptr)
+            appendFormer(former, former_director {old->node, currentGeneration(state)});
+    }
+}
+
+// Registers the flow with the agents that are its director or backup now and were neither before,
+// or are in a new life.
+void registerMoved(flow_context &context, const routing::bucket_table *before,
+                   const base::flow_key &key)
+{
+    const routing::bucket_table &after = *context.state.buckets;
+    const base::bucket bucket = after.bucketOf(base::hashOf(key));
+    for (const routing::target *to : {&after.directorOf(bucket), &after.backupOf(bucket)}) {
+        const bool known = before != nullptr
+            && (before->directorOf(bucket) == *to || before->backupOf(bucket) == *to);
+        if (!known)
+            registerWith(context, *to, key, true, context.now);
+    }
+}
+
+void forgetPeersThatLeft(flow_state &state)
+{
+    std::erase_if(state.peerGenerations, [&state](const auto &peer) {
+        return state.view->members.count(peer.first) == 0;
+    });
+}
+
+} // namespace
+
+void handleView(flow_context &context, const view_update &update)
+{
+    flow_state &state = context.state;
+    const dissemination::cluster_view &view = *update.view;
+    if (state.view && view.at <= state.view->at)
+        return;
+    const auto service = view.services.find(state.identity->service);
+    state.view = update.view;
+    forgetPeersThatLeft(state);
+    if (service == view.services.end())
+        return;
+    const auto self = view.members.find(state.identity->node);
+    state.draining = self != view.members.end() && view.isDraining(self->second);
+    state.maxOwned = service->second.limits.connections;
+    const std::shared_ptr<const routing::bucket_table> before = state.buckets;
+    state.buckets = std::make_shared<const routing::bucket_table>(
+        service->second.buckets, routing::directorsOf(view, state.identity->service));
+    if (hasTargets(state.buckets)) {
+        const routing::bucket_table *known = hasTargets(before) ? before.get() : nullptr;
+        noteFormerDirectors(state, known, service->second.buckets);
+        for (auto it = state.owned.begin(); it != state.owned.end(); ++it)
+            registerMoved(context, known, it->first);
+    }
+    startRecovery(context);
+}
+
+void notePeer(flow_state &state, base::node_id node, base::generation at)
+{
+    const auto known = state.peerGenerations.find(node);
+    if (known == state.peerGenerations.end())
+        state.peerGenerations.emplace(node, at);
+    else if (known->second < at)
+        known->second = at;
+}
+
+} // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/owned_flow.h
+++ b/lycheeshunt/flows/owned_flow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/flows/flow_phase.h"
 
 namespace lycheeshunt::flows {
 
@@ -8,7 +9,9 @@
 struct owned_flow
 {
     const base::clock_time lastPacket;
-    const bool finishing = false;
+    // When its registrations are next repeated.
+    const base::clock_time refreshAt;
+    const flow_phase phase = flow_phase::opening;
 
     bool operator==(const owned_flow &) const = default;
 };
--- a/lycheeshunt/flows/packet_stage.h
+++ b/lycheeshunt/flows/packet_stage.h
@@ -9,6 +9,7 @@
     toDirector = 1, // from an entry, or from an agent that is not the director
     offer = 2, // first packet of a flow, offered to a second candidate
     toOwner = 3, // the director knows the owner
+    declined = 4, // back to the director: the agent taken for the owner will not open the flow
 };
 
 } // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/recovery_request.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "lycheeshunt/base/flow_key.h"
+#include "lycheeshunt/routing/target.h"
+
+namespace lycheeshunt::flows {
+
+// A restarted agent asks another for the flows that its earlier life registered there, in order
+// of their keys, from the first key after this one.
+struct recovery_request
+{
+    const base::service_id service;
+    const routing::target asker;
+    const base::flow_key after = {};
+
+    bool operator==(const recovery_request &) const = default;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/flows/registration_ack.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+
+namespace lycheeshunt::flows {
+
+// A director has stored the whole batch.
+struct registration_ack
+{
+    const base::service_id service;
+    const base::node_id from;
+    const base::generation at;
+    // Life of the owner that sent the batch.
+    const base::incarnation life;
+    const std::uint32_t sequence = 0;
+
+    bool operator==(const registration_ack &) const = default;
+};
+
+} // namespace lycheeshunt::flows
