--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -35,6 +35,7 @@
     {error_code::flowTableFull, "flow table is full"},
     {error_code::serverDraining, "backend server is draining"},
     {error_code::tooManyLookups, "too many packets wait for a lookup"},
+    {error_code::agentNotReady, "agent has not learned of its service yet"},
     {error_code::ticketMalformed, "ticket can't be decoded"},
     {error_code::ticketNumberTaken, "ticket number already holds other content"},
     {error_code::ticketAddressClash, "address belongs to another service"},
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -34,6 +34,7 @@
     flowTableFull = 307,
     serverDraining = 308,
     tooManyLookups = 309,
+    agentNotReady = 310,
     // tickets
     ticketMalformed = 601,
     ticketNumberTaken = 602,
--- a/lycheeshunt/flows/fake_cluster_test.h
+++ b/lycheeshunt/flows/fake_cluster_test.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/flows/codec.h"
 #include "lycheeshunt/flows/decision.h"
 #include "lycheeshunt/flows/fake_callers_test.h"
 #include "lycheeshunt/flows/fake_membership_test.h"
@@ -70,6 +71,10 @@
     void freezeEntry(std::size_t index, bool frozen) { m_entries[index].frozen = frozen; }
     void freezeAgent(const std::string &name, bool frozen) { m_agents.at(name).frozen = frozen; }
 
+    // Packets that the fabric hands to a dead entry are lost. One that joins knows nothing yet.
+    void killEntry(std::size_t index) { m_entries[index].alive = false; }
+    void joinEntry(std::size_t index) { m_entries[index] = entry {}; }
+
     // The VM's backend server goes with it.
     void killVm(const std::string &name)
     {
@@ -107,6 +112,8 @@
     // Sends a packet in through one entry.
     void sendThrough(std::size_t index, const packets::ip_summary &summary)
     {
+        if (!m_entries[index].alive)
+            return;
         const routing::routing_outcome outcome = m_entries[index].table->routeOf(summary.key);
         if (const routing::route *way = std::get_if<routing::route>(&outcome))
             send(way->to.packets,
@@ -136,6 +143,9 @@
             takeAnswer(owner, *pushed);
     }
 
+    // Bytes on the wire of what agents told each other, with IP and UDP headers.
+    std::uint64_t peerBytes() const { return m_peerBytes; }
+
     // Packets that reached a server of another service than their flow was begun with.
     std::size_t wrongService() const { return m_wrongService; }
 
@@ -182,6 +192,7 @@
     {
         routing::shared_table table = std::make_shared<const routing::routing_table>();
         bool frozen = false;
+        bool alive = true;
     };
 
     std::vector<std::string>
@@ -225,7 +236,10 @@
     {
         std::visit(base::overloaded {
                        [&](const send_packet &sent) { send(sent.to, sent.packet); },
-                       [&](const send_to_peer &sent) { send(sent.to, sent.message); },
+                       [&](const send_to_peer &sent) {
+                           m_peerBytes += encodePeer(sent.message).size() + datagramHeaderBytes;
+                           send(sent.to, sent.message);
+                       },
                        [&](const deliver_to_server &sent) { deliver(from, sent.bytes); },
                        [&](const answer_caller &sent) { answer(sent.bytes); },
                        [&](const reset_caller &sent) { reset(sent); },
@@ -290,6 +304,8 @@
         m_network.at(m_network.now() + tickEvery, [this]() { tickAll(); });
     }
 
+    static constexpr std::size_t datagramHeaderBytes = 28;
+
     fake_network m_network;
     fake_membership m_membership;
     fake_callers m_callers;
@@ -301,6 +317,7 @@
     std::vector<std::pair<packets::ip_summary, std::string>> m_packets;
     std::map<base::error_code, std::size_t> m_refusals;
     std::size_t m_wrongService = 0;
+    std::uint64_t m_peerBytes = 0;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/fake_membership_test.h
+++ b/lycheeshunt/flows/fake_membership_test.h
@@ -20,13 +20,13 @@
     membership::member join(const std::string &name, const std::string &service,
                             const std::string &zone, const base::endpoint &packets)
     {
-        const membership::member joined {name,
-                                         zone,
-                                         membership::member_role::agent,
-                                         base::serviceIdOf(service),
-                                         base::incarnation(++m_lives),
-                                         packets,
-                                         membership::member_phase::serving};
+        membership::member joined {name,
+                                   zone,
+                                   membership::member_role::agent,
+                                   base::serviceIdOf(service),
+                                   base::incarnation(++m_lives),
+                                   packets,
+                                   membership::member_phase::serving};
         change({{joined}, {}});
         return joined;
     }
@@ -49,6 +49,7 @@
     {
         constexpr std::uint32_t buckets = 64;
         std::vector<tickets::service_address> all;
+        all.reserve(addresses.size());
         for (const base::endpoint &address : addresses)
             all.push_back(tickets::service_address {address, 6});
         const tickets::service_limits limits {7, connections};
@@ -82,7 +83,8 @@
 
     base::generation nextGeneration() const { return base::generation(m_view->at.value() + 1); }
 
-    dissemination::shared_view m_view = std::make_shared<const dissemination::cluster_view>();
+    dissemination::shared_view m_view = std::make_shared<const dissemination::cluster_view>(
+        dissemination::cluster_view {base::generation()});
     std::uint64_t m_lives = 0;
 };
 
--- a/lycheeshunt/flows/faults_test.cpp
+++ b/lycheeshunt/flows/faults_test.cpp
@@ -33,7 +33,7 @@
 
 caller_set killAndEvict(fake_cluster &all, const std::string &name)
 {
-    const caller_set lost = all.callers().openAt(name);
+    caller_set lost = all.callers().openAt(name);
     all.killVm(name);
     all.run(base::clock_time::ofSeconds(1));
     all.membership().evict(name);
@@ -130,7 +130,7 @@
 caller_set serverRestarts(fake_cluster &all)
 {
     const std::string name = pickAlive(all, "logbook");
-    const caller_set lost = all.callers().openAt(name);
+    caller_set lost = all.callers().openAt(name);
     all.restartServer(name);
     return lost;
 }
@@ -138,7 +138,7 @@
 caller_set vmReturnsAsTheOtherService(fake_cluster &all)
 {
     const std::string name = pickAlive(all, "logbook");
-    const caller_set lost = all.callers().openAt(name);
+    caller_set lost = all.callers().openAt(name);
     all.replaceVm(name, "inspect");
     all.callers().sendOnAll(all.network().now());
     all.run(base::clock_time::ofMillis(200));
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -176,7 +176,7 @@
 {
     const base::flow_key &key = answer.summary.key;
     const owned_flow *flow = context.state.owned.find(key);
-    if (flow == nullptr && !answer.summary.resets) {
+    if (flow == nullptr && !answer.summary.resets && context.state.buckets) {
         // Its agent has restarted: the backend server's own connections tell it of its flows.
         if (!servesAddress(context.state, key)) {
             context.actions.emplace_back(refuse_packet {base::error_code::wrongService});
--- a/lycheeshunt/flows/internal/packet_path.cpp
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -110,6 +110,9 @@
         return refuse(context, base::error_code::wrongService);
     if (packet.life != state.identity->life)
         return refuse(context, base::error_code::wrongIncarnation);
+    // It can't tell yet whose flow this is; the caller's retransmission comes after the first view.
+    if (!state.buckets)
+        return refuse(context, base::error_code::agentNotReady);
     if (handledAsOwned(context, packet))
         return;
     if (packet.stage == packet_stage::declined)
--- a/lycheeshunt/flows/internal/registrar.cpp
+++ b/lycheeshunt/flows/internal/registrar.cpp
@@ -79,14 +79,13 @@
 // Two agents at most: the flow's director and its backup.
 std::vector<routing::target> registrantsOf(const flow_state &state, const base::flow_key &key)
 {
-    std::vector<routing::target> targets;
     const routing::target *director = directorOf(state, key);
     const routing::target *backup = backupOf(state, key);
-    if (director != nullptr)
-        targets.push_back(*director);
-    if (backup != nullptr && backup->node != director->node)
-        targets.push_back(*backup);
-    return targets;
+    if (director == nullptr || backup == nullptr)
+        return {};
+    if (director->node == backup->node)
+        return {*director};
+    return {*director, *backup};
 }
 
 void sendDue(flow_context &context)
