--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -34,6 +34,8 @@
     {error_code::flowUnknown, "no agent knows this flow"},
     {error_code::flowTableFull, "flow table is full"},
     {error_code::serverDraining, "backend server is draining"},
+    {error_code::tooManyLookups, "too many packets wait for a lookup"},
+    {error_code::agentNotReady, "agent has not learned of its service yet"},
     {error_code::queueFull, "admission queue is full"},
     {error_code::waitTooLong, "expected wait exceeds its bound"},
     {error_code::slotsHeldByLongWork, "long work holds every slot"},
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -33,6 +33,8 @@
     flowUnknown = 306,
     flowTableFull = 307,
     serverDraining = 308,
+    tooManyLookups = 309,
+    agentNotReady = 310,
     // admission and requests
     queueFull = 401,
     waitTooLong = 402,
