--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -39,12 +39,19 @@
     ticketAddressClash = 603,
     ticketUnknown = 604,
     ticketBadField = 605,
+    ticketOutOfOrder = 606,
+    ticketDuplicate = 607,
+    ticketTooLarge = 608,
+    ticketBucketsFixed = 609,
+    ticketServiceUnknown = 610,
+    ticketOutcomeUnknown = 611,
     // replication and storage
     logCorrupt = 701,
     storageFailed = 702,
     notLeader = 703,
     quorumLost = 704,
     tooBusy = 705,
+    diskFull = 706,
     // dissemination
     notInForce = 801,
     // operators
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -8,26 +8,59 @@
 #include "lycheeshunt/membership/membership_duty.h"
 #include "lycheeshunt/operators/api_server.h"
 #include "lycheeshunt/operators/operator_duty.h"
+#include "lycheeshunt/replication/peer_codec.h"
+#include "lycheeshunt/replication/peer_links.h"
 #include "lycheeshunt/replication/replication_duty.h"
 #include "lycheeshunt/streams/stream_server.h"
 #include "lycheeshunt/tickets/codec.h"
 #include "lycheeshunt/tickets/ticket_duty.h"
 
+#include <random>
+
 namespace lycheeshunt::daemon {
 
+namespace {
+
+std::uint64_t randomNumber()
+{
+    std::random_device source;
+    constexpr int halfBits = 32;
+    return (static_cast<std::uint64_t>(source()) << halfBits) | source();
+}
+
+base::result<replication::replica_storage> openStorage(const std::string &folder)
+{
+    base::result<replication::disk_files> files = replication::disk_files::open(folder);
+    if (const base::error *failure = base::errorOf(files))
+        return *failure;
+    return replication::replica_storage::open(base::takeValue(std::move(files)),
+                                              replication::storage_id(randomNumber()));
+}
+
+// What operators are told by a control VM that does not lead.
+std::optional<base::error> refusalBy(const replication::leadership &leadership)
+{
+    if (leadership.isLeader)
+        return std::nullopt;
+    if (leadership.leaderName.empty())
+        return base::error {base::error_code::quorumLost, "no leader is known"};
+    return base::error {base::error_code::notLeader, leadership.leaderText()};
+}
+
+} // namespace
+
 base::result<std::unique_ptr<control_process>>
-control_process::start(const settings::node_settings &, const settings::control_settings &own)
+control_process::start(const settings::node_settings &settings,
+                       const settings::control_settings &own)
 {
-    base::result<replication::log_store> store = replication::log_store::open(own.dataFolder);
-    if (const base::error *failure = base::errorOf(store))
+    base::result<replication::replica_storage> storage = openStorage(own.dataFolder);
+    if (const base::error *failure = base::errorOf(storage))
         return *failure;
     std::unique_ptr<control_process> process(new control_process());
     control_process *raw = process.get();
     process->startDuties();
     process->startOperators();
-    process->m_replication = std::make_unique<replication::replication_duty>(
-        base::takeValue(std::move(store)),
-        [raw](const replication::log_entry &entry) { raw->takeCommitted(entry); });
+    process->startReplication(settings.name, own, base::takeValue(std::move(storage)));
     base::result<std::unique_ptr<streams::stream_server>> streams = streams::stream_server::listen(
         own.streams, streams::stream_timing {},
         [raw](const streams::stream_event &event) { raw->takeStreamEvent(event); });
@@ -62,21 +95,31 @@
               return std::visit(
                   base::overloaded {
                       [this](const tickets::propose_ticket &proposed) {
-                          return m_replication->proposals().tryPush(
-                              replication::proposal {replication::entry_kind::ticket,
-                                                     tickets::encodeTicket(proposed.ticket)});
+                          return propose(replication::entry_kind::ticket,
+                                         tickets::encodeTicket(proposed.ticket), proposed.token);
                       },
                       [this](const tickets::ticket_answer &answer) {
                           return m_operators->inbox().tryPush(answer);
                       },
+                      [this](const tickets::apply_ticket &valid) {
+                          return m_publisher->inbox().push(dissemination::ticket_applied {
+                              valid.record.at, valid.record.ticket});
+                      },
+                      [this](const tickets::other_committed &other) {
+                          return applyBatch(other.at, other.payload);
+                      },
+                      [this](const tickets::confirm_read &read) {
+                          return m_replication->inbox().tryPush(
+                              replication::read_request {read.request});
+                      },
                   },
                   action);
           });
     m_membership = std::make_unique<membership::membership_duty>(
         [this](const membership::membership_action &action) {
             const membership::propose_batch &proposed = std::get<membership::propose_batch>(action);
-            m_replication->proposals().tryPush(replication::proposal {
-                replication::entry_kind::membership, membership::encodeBatch(proposed.batch)});
+            propose(replication::entry_kind::membership, membership::encodeBatch(proposed.batch),
+                    0);
         });
     m_publisher = std::make_unique<dissemination::publisher_duty>(
         [this](const dissemination::dissemination_action &action) {
@@ -113,24 +156,98 @@
         });
 }
 
+void control_process::startReplication(const std::string &name,
+                                       const settings::control_settings &own,
+                                       replication::replica_storage storage)
+{
+    std::vector<std::string> names;
+    std::vector<replication::control_peer> others;
+    for (const replication::control_peer &peer : own.peers) {
+        names.push_back(peer.name);
+        if (peer.name != name)
+            others.push_back(peer);
+    }
+    m_links = std::make_unique<replication::peer_links>(others, streams::stream_timing {},
+                                                        randomNumber());
+    replication::replica_state state = replication::startReplica(
+        std::make_shared<const replication::replica_settings>(
+            replication::replica_settings {name, std::move(names), own.api}),
+        storage.recovered(), static_cast<std::uint32_t>(randomNumber()),
+        base::clock_time::steady());
+    storage.forgetRecovered();
+    m_replication = std::make_unique<replication::replication_duty>(
+        std::move(state), std::move(storage),
+        replication::replication_hooks {
+            [this](const replication::peer_envelope &envelope) { m_links->send(envelope); },
+            [this](const replication::replication_notice &notice) { takeNotice(notice); },
+            [this](const std::vector<replication::log_entry> &entries) {
+                return m_compaction.compact(entries);
+            }});
+}
+
+bool control_process::propose(replication::entry_kind kind, std::string payload,
+                              std::uint64_t token)
+{
+    return m_replication->inbox().tryPush(replication::propose_entries {{replication::proposal {
+        kind, std::move(payload), token, base::clock_time::wall()}}});
+}
+
+void control_process::takeNotice(const replication::replication_notice &notice)
+{
+    std::visit(
+        base::overloaded {
+            [this](const replication::commit_entries &committed) {
+                for (const replication::log_entry &entry : committed.entries)
+                    takeCommitted(entry);
+            },
+            [this](const replication::state_restored &restored) {
+                for (const replication::log_entry &entry : restored.entries) {
+                    if (entry.index > m_appliedTo)
+                        takeCommitted(m_compaction.completed(entry));
+                }
+                m_appliedTo = restored.at;
+            },
+            [this](const replication::leadership_changed &changed) {
+                m_tickets->inbox().push(tickets::leadership_told {refusalBy(changed.leadership)});
+            },
+            [this](const replication::proposal_refused &refused) {
+                if (refused.kind == replication::entry_kind::ticket)
+                    m_tickets->inbox().push(
+                        tickets::proposal_withdrawn {refused.token, refused.reason});
+            },
+            [this](const replication::read_confirmed &read) {
+                m_tickets->inbox().push(tickets::read_settled {read.request});
+            },
+            [this](const replication::read_refused &read) {
+                m_tickets->inbox().push(tickets::read_settled {read.request, read.reason});
+            },
+        },
+        notice);
+}
+
 void control_process::takeCommitted(const replication::log_entry &entry)
 {
+    m_appliedTo = entry.index;
+    m_compaction.follow(entry);
     if (entry.kind == replication::entry_kind::ticket) {
         const base::result<tickets::ticket> ticket = tickets::decodeTicket(entry.payload);
-        if (const tickets::ticket *known = std::get_if<tickets::ticket>(&ticket)) {
+        if (const tickets::ticket *known = std::get_if<tickets::ticket>(&ticket))
             m_tickets->inbox().push(tickets::ticket_committed {
                 tickets::ticket_record {*known, entry.index, entry.acceptedAt}});
-            m_publisher->inbox().push(dissemination::ticket_applied {entry.index, *known});
-        }
     } else if (entry.kind == replication::entry_kind::membership) {
-        const base::result<membership::membership_batch> batch
-            = membership::decodeBatch(entry.payload);
-        if (const membership::membership_batch *known
-            = std::get_if<membership::membership_batch>(&batch)) {
-            m_membership->inbox().push(membership::batch_committed {*known});
-            m_publisher->inbox().push(dissemination::batch_applied {entry.index, *known});
-        }
+        m_tickets->inbox().push(tickets::other_committed {entry.index, entry.payload});
+    }
+}
+
+bool control_process::applyBatch(base::generation at, const std::string &payload)
+{
+    const base::result<membership::membership_batch> batch = membership::decodeBatch(payload);
+    if (const membership::membership_batch *known
+        = std::get_if<membership::membership_batch>(&batch)) {
+        m_membership->inbox().push(membership::batch_committed {*known});
+        m_publisher->inbox().push(dissemination::batch_applied {at, *known});
     }
+    return true;
 }
 
 void control_process::takeStreamEvent(const streams::stream_event &event)
@@ -162,6 +279,13 @@
         if (base::isOk(at))
             m_publisher->inbox().push(
                 dissemination::view_acknowledged {frame.connection, base::valueOf(at)});
+    } else if (frame.channel == streams::channel::replication) {
+        const base::result<replication::peer_envelope> envelope
+            = replication::decodeEnvelope(frame.bytes);
+        if (const base::error *failure = base::errorOf(envelope))
+            base::logWarning("replication", "message refused: " + failure->text());
+        else
+            m_replication->inbox().push(base::valueOf(envelope));
     }
 }
 
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -6,6 +6,8 @@
 #pragma once
 
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/daemon/internal/log_compaction.h"
+#include "lycheeshunt/replication/replication_notice.h"
 #include "lycheeshunt/settings/node_settings.h"
 #include "lycheeshunt/streams/stream_event.h"
 
@@ -25,8 +27,9 @@
 } // namespace lycheeshunt::operators
 
 namespace lycheeshunt::replication {
+class peer_links;
+class replica_storage;
 class replication_duty;
-struct log_entry;
 } // namespace lycheeshunt::replication
 
 namespace lycheeshunt::streams {
@@ -54,7 +57,13 @@
 
     void startDuties();
     void startOperators();
+    void startReplication(const std::string &name, const settings::control_settings &own,
+                          replication::replica_storage storage);
+    // Offers a proposal; false when replication can't take it now.
+    bool propose(replication::entry_kind kind, std::string payload, std::uint64_t token);
+    void takeNotice(const replication::replication_notice &notice);
     void takeCommitted(const replication::log_entry &entry);
+    bool applyBatch(base::generation at, const std::string &payload);
     void takeStreamEvent(const streams::stream_event &event);
     void takeFrame(const streams::stream_frame &frame);
 
@@ -62,6 +71,10 @@
     std::unique_ptr<membership::membership_duty> m_membership;
     std::unique_ptr<dissemination::publisher_duty> m_publisher;
     std::unique_ptr<operators::operator_duty> m_operators;
+    // These two belong to the replication thread.
+    internal::log_compaction m_compaction;
+    base::generation m_appliedTo;
+    std::unique_ptr<replication::peer_links> m_links;
     std::unique_ptr<replication::replication_duty> m_replication;
     std::unique_ptr<streams::stream_server> m_streams;
     std::unique_ptr<operators::api_server> m_api;
--- /dev/null
+++ b/lycheeshunt/daemon/internal/log_compaction.cpp
@@ -0,0 +1,94 @@
+#include "lycheeshunt/daemon/internal/log_compaction.h"
+
+#include "lycheeshunt/membership/codec.h"
+#include "lycheeshunt/membership/membership_batch.h"
+
+#include <map>
+#include <optional>
+
+namespace lycheeshunt::daemon::internal {
+
+namespace {
+
+std::optional<membership::membership_batch> batchOf(const replication::log_entry &entry)
+{
+    if (entry.kind != replication::entry_kind::membership)
+        return std::nullopt;
+    const base::result<membership::membership_batch> batch = membership::decodeBatch(entry.payload);
+    if (!base::isOk(batch))
+        return std::nullopt;
+    return base::valueOf(batch);
+}
+
+replication::log_entry withBatch(const replication::log_entry &entry,
+                                 const membership::membership_batch &batch)
+{
+    return replication::log_entry {entry.index, entry.term, entry.kind, entry.acceptedAt,
+                                   membership::encodeBatch(batch)};
+}
+
+} // namespace
+
+void log_compaction::follow(const replication::log_entry &entry)
+{
+    const std::optional<membership::membership_batch> batch = batchOf(entry);
+    if (!batch)
+        return;
+    for (const membership::member &member : batch->present)
+        m_members.insert(member.id());
+    for (const base::node_id &id : batch->gone)
+        m_members.erase(id);
+}
+
+std::vector<replication::log_entry>
+log_compaction::compact(const std::vector<replication::log_entry> &entries) const
+{
+    std::vector<replication::log_entry> kept;
+    std::map<base::node_id, membership::member> members;
+    const replication::log_entry *lastBatch = nullptr;
+    for (const replication::log_entry &entry : entries) {
+        if (entry.kind == replication::entry_kind::ticket)
+            kept.push_back(entry);
+        const std::optional<membership::membership_batch> batch = batchOf(entry);
+        if (!batch)
+            continue;
+        lastBatch = &entry;
+        for (const membership::member &member : batch->present) {
+            members.erase(member.id());
+            members.emplace(member.id(), member);
+        }
+        for (const base::node_id &id : batch->gone)
+            members.erase(id);
+    }
+    if (lastBatch == nullptr)
+        return kept;
+    std::vector<membership::member> present;
+    for (auto it = members.begin(); it != members.end(); ++it)
+        present.push_back(it->second);
+    // In its place in the order of the log.
+    std::vector<replication::log_entry> ordered;
+    bool isPlaced = false;
+    for (const replication::log_entry &entry : kept) {
+        if (!isPlaced && entry.index > lastBatch->index) {
+            ordered.push_back(withBatch(*lastBatch, {present, {}}));
+            isPlaced = true;
+        }
+        ordered.push_back(entry);
+    }
+    if (!isPlaced)
+        ordered.push_back(withBatch(*lastBatch, {present, {}}));
+    return ordered;
+}
+
+replication::log_entry log_compaction::completed(const replication::log_entry &entry) const
+{
+    const std::optional<membership::membership_batch> batch = batchOf(entry);
+    if (!batch)
+        return entry;
+    std::set<base::node_id> gone = m_members;
+    for (const membership::member &member : batch->present)
+        gone.erase(member.id());
+    return withBatch(entry, {batch->present, {gone.begin(), gone.end()}});
+}
+
+} // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/replication/codec.cpp
+++ b/lycheeshunt/replication/codec.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/replication/codec.h"
 
 #include "lycheeshunt/base/codec.h"
+#include "lycheeshunt/replication/configuration.h"
 #include "lycheeshunt/replication/log_entry.h"
 
 #include <tuple>
@@ -11,6 +12,25 @@
 
 using entry_fields
     = std::tuple<std::uint64_t, std::uint64_t, std::uint8_t, std::int64_t, std::string>;
+using member_fields = std::tuple<std::string, std::uint64_t, bool>;
+using configuration_fields = std::tuple<std::vector<member_fields>>;
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t bitsPerByte = 8;
+
+void appendLength(std::string &bytes, std::size_t length)
+{
+    for (std::size_t i = 0; i < lengthBytes; ++i)
+        bytes.push_back(static_cast<char>((length >> (bitsPerByte * i)) & 0xff));
+}
+
+std::size_t readLength(std::string_view bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < lengthBytes; ++i)
+        length |= std::size_t(static_cast<unsigned char>(bytes[i])) << (bitsPerByte * i);
+    return length;
+}
 
 } // namespace
 
@@ -33,4 +53,51 @@
                       base::clock_time::ofMillis(acceptedAt), payload};
 }
 
+std::string encodeEntries(const std::vector<log_entry> &entries)
+{
+    std::string bytes;
+    for (const log_entry &entry : entries) {
+        const std::string body = encodeEntry(entry);
+        appendLength(bytes, body.size());
+        bytes += body;
+    }
+    return bytes;
+}
+
+base::result<std::vector<log_entry>> decodeEntries(std::string_view bytes)
+{
+    std::vector<log_entry> entries;
+    while (!bytes.empty()) {
+        if (bytes.size() < lengthBytes || bytes.size() - lengthBytes < readLength(bytes))
+            return base::error {base::error_code::messageMalformed, "entry is cut short"};
+        const std::size_t length = readLength(bytes);
+        const base::result<log_entry> entry = decodeEntry(bytes.substr(lengthBytes, length));
+        if (const base::error *failure = base::errorOf(entry))
+            return *failure;
+        entries.push_back(base::valueOf(entry));
+        bytes.remove_prefix(lengthBytes + length);
+    }
+    return entries;
+}
+
+std::string encodeConfiguration(const configuration &members)
+{
+    std::vector<member_fields> fields;
+    for (const configuration_member &member : members.members)
+        fields.emplace_back(member.name, member.storage.value(), member.isVoter);
+    return base::packFields(configuration_fields(fields));
+}
+
+base::result<configuration> decodeConfiguration(std::string_view bytes)
+{
+    const base::result<configuration_fields> fields
+        = base::unpackFields<configuration_fields>(bytes);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    std::vector<configuration_member> members;
+    for (const auto &[name, storage, isVoter] : std::get<0>(base::valueOf(fields)))
+        members.push_back(configuration_member {name, storage_id(storage), isVoter});
+    return configuration {std::move(members)};
+}
+
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/codec.h
+++ b/lycheeshunt/replication/codec.h
@@ -1,4 +1,4 @@
-// MessagePack form of log entries.
+// MessagePack form of log entries and configurations.
 
 #pragma once
 
@@ -6,12 +6,21 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lycheeshunt::replication {
 
+struct configuration;
 struct log_entry;
 
 std::string encodeEntry(const log_entry &entry);
 base::result<log_entry> decodeEntry(std::string_view bytes);
 
+// One entry after another, each with a length of four bytes, least significant first.
+std::string encodeEntries(const std::vector<log_entry> &entries);
+base::result<std::vector<log_entry>> decodeEntries(std::string_view bytes);
+
+std::string encodeConfiguration(const configuration &members);
+base::result<configuration> decodeConfiguration(std::string_view bytes);
+
 } // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/control_peer.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+
+#include <string>
+
+namespace lycheeshunt::replication {
+
+// A control VM as the settings name it.
+struct control_peer
+{
+    const std::string name;
+    const base::endpoint streams;
+
+    bool operator==(const control_peer &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/decision_test.cpp
@@ -0,0 +1,284 @@
+#include "lycheeshunt/replication/decision.h"
+
+#include "lycheeshunt/replication/group_test.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::replication;
+
+namespace {
+
+template <typename notice_type>
+std::size_t countOf(const std::vector<replica_action> &actions)
+{
+    std::size_t count = 0;
+    for (const replica_action &action : actions)
+        count += std::holds_alternative<notice_type>(action) ? 1 : 0;
+    return count;
+}
+
+// Every replica that is up holds all that was accepted.
+bool allHoldAll(replica_group &group)
+{
+    for (std::size_t i = 0; i < group.size(); ++i) {
+        for (auto it = group.accepted().begin(); it != group.accepted().end(); ++it) {
+            const bool isTicket = it->second.kind == entry_kind::ticket;
+            if (group.at(i).isUp && isTicket && group.at(i).applied.count(it->first) == 0)
+                return false;
+        }
+    }
+    return true;
+}
+
+void checkPromises(replica_group &group)
+{
+    group.setNoise(0);
+    group.heal();
+    const std::size_t leader = group.awaitLeader();
+    group.propose(leader, "last");
+    CHECK(group.runUntil([&]() { return group.hasApplied(leader, "last") && allHoldAll(group); }));
+    STRCMP_EQUAL("", group.firstFault().c_str());
+}
+
+} // namespace
+
+TEST_GROUP(replication_decision) {};
+
+TEST(replication_decision, groupsOfEachSizeElectAndCommit)
+{
+    for (const std::size_t size : {1, 3, 5}) {
+        replica_group group(size, 11);
+        const std::size_t leader = group.awaitLeader();
+        group.propose(leader, "first");
+        CHECK(group.runUntil([&]() { return group.hasApplied(leader, "first"); }));
+        checkPromises(group);
+    }
+}
+
+TEST(replication_decision, lossDelayDuplicatesAndOrderChangeNothing)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        replica_group group(seed % 2 == 0 ? 3 : 5, seed);
+        group.awaitLeader();
+        group.setNoise(seed);
+        for (int i = 0; i < 40; ++i) {
+            if (const std::optional<std::size_t> leader = group.leader())
+                group.propose(*leader, "ticket " + std::to_string(i));
+            group.run(100);
+        }
+        checkPromises(group);
+    }
+}
+
+TEST(replication_decision, leadersKilledAtAnyMomentLoseNothing)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        replica_group group(3, seed);
+        for (int i = 0; i < 12; ++i) {
+            const std::size_t leader = group.awaitLeader();
+            group.propose(leader, "ticket " + std::to_string(i));
+            group.run(10 * (seed % 7));
+            group.crash(leader, seed % 2 == 0 ? crash_loss::allUnsynced : crash_loss::unsyncedHalf);
+            group.run(200);
+            group.restart(leader);
+        }
+        checkPromises(group);
+    }
+}
+
+TEST(replication_decision, anIsolatedLeaderAcceptsNothingAndAnswersNoRead)
+{
+    replica_group group(3, 5);
+    const std::size_t old = group.awaitLeader();
+    group.isolate(old);
+    group.propose(old, "lost");
+    group.give(old, read_request {base::request_id(1)});
+    constexpr std::int64_t hour = 3'600'000;
+    group.run(hour / 60);
+    const std::size_t present = group.awaitLeader();
+    CHECK(present != old);
+    group.propose(present, "kept");
+    group.propose(old, "refused");
+    group.give(old, read_request {base::request_id(2)});
+    group.run(1000);
+    CHECK(group.hasApplied(present, "kept"));
+    LONGS_EQUAL(2, countOf<read_refused>(group.at(old).notices));
+    LONGS_EQUAL(0, countOf<read_confirmed>(group.at(old).notices));
+    LONGS_EQUAL(1, countOf<proposal_refused>(group.at(old).notices));
+    CHECK_FALSE(group.hasApplied(old, "lost"));
+    checkPromises(group);
+    CHECK_FALSE(group.hasApplied(present, "lost"));
+}
+
+TEST(replication_decision, aLeaderThatCanSendButNotHearStepsDown)
+{
+    replica_group group(3, 6);
+    const std::size_t old = group.awaitLeader();
+    for (std::size_t i = 0; i < group.size(); ++i)
+        group.cut(i, old);
+    CHECK(group.runUntil([&]() {
+        return !std::holds_alternative<leader_role>(group.at(old).state.role);
+    }));
+    checkPromises(group);
+}
+
+TEST(replication_decision, aReplicaThatHearsNothingUnseatsNobody)
+{
+    replica_group group(3, 7);
+    const std::size_t leader = group.awaitLeader();
+    const std::uint64_t term = group.at(leader).state.term;
+    const std::size_t deaf = (leader + 1) % 3;
+    for (std::size_t i = 0; i < group.size(); ++i)
+        group.cut(i, deaf);
+    group.run(20'000);
+    group.heal();
+    group.run(3000);
+    CHECK(group.leader() == leader);
+    UNSIGNED_LONGS_EQUAL(term, group.at(leader).state.term);
+}
+
+TEST(replication_decision, aReadIsConfirmedByAQuorumAndRefusedByAFollower)
+{
+    replica_group group(3, 8);
+    const std::size_t leader = group.awaitLeader();
+    const std::size_t follower = (leader + 1) % 3;
+    group.run(500);
+    group.give(leader, read_request {base::request_id(1)});
+    LONGS_EQUAL(0, countOf<read_confirmed>(group.at(leader).notices));
+    group.run(200);
+    LONGS_EQUAL(1, countOf<read_confirmed>(group.at(leader).notices));
+    group.give(follower, read_request {base::request_id(2)});
+    const read_refused *refused = std::get_if<read_refused>(&group.at(follower).notices.back());
+    CHECK(refused != nullptr && refused->reason.code == base::error_code::notLeader);
+    STRCMP_CONTAINS(group.at(leader).name.c_str(), refused->reason.detail.c_str());
+}
+
+TEST(replication_decision, anEmptyDiskVotesOnlyAfterItHasCaughtUp)
+{
+    replica_group group(3, 9);
+    std::size_t leader = group.awaitLeader();
+    for (int i = 0; i < 30; ++i)
+        group.propose(leader, "ticket " + std::to_string(i));
+    group.run(1000);
+    const std::size_t replaced = (leader + 1) % 3;
+    const std::size_t second = (leader + 2) % 3;
+    group.stop(replaced);
+    group.run(1000);
+    group.startEmpty(replaced);
+    const auto isVoter = [&]() {
+        const configuration &members = group.at(leader).state.members();
+        return members.isVoter(group.at(replaced).state.id())
+            && group.at(leader).state.commit
+            >= group.at(leader).state.configurations.back().index;
+    };
+    CHECK_FALSE(isVoter());
+    CHECK(group.runUntil(isVoter));
+    group.run(500);
+    // The second VM is lost right after the repair.
+    group.stop(second);
+    leader = group.awaitLeader();
+    group.propose(leader, "after");
+    CHECK(group.runUntil([&]() { return group.hasApplied(leader, "after"); }));
+    CHECK(group.hasApplied(replaced, "ticket 0"));
+    STRCMP_EQUAL("", group.firstFault().c_str());
+}
+
+TEST(replication_decision, emptyDisksNeverOutvoteTheOneThatIsLeft)
+{
+    replica_group group(3, 10);
+    const std::size_t leader = group.awaitLeader();
+    group.propose(leader, "kept");
+    group.run(1000);
+    const std::size_t left = leader;
+    for (std::size_t i = 0; i < 3; ++i) {
+        if (i != left) {
+            group.stop(i);
+            group.startEmpty(i);
+        }
+    }
+    group.run(20'000);
+    CHECK_FALSE(group.leader().has_value());
+    group.isolate(left);
+    group.run(20'000);
+    CHECK_FALSE(group.leader().has_value());
+}
+
+TEST(replication_decision, aReplicaFarBehindGetsASnapshotInPieces)
+{
+    for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+        replica_bounds small {4096, 2000, 8, 1000, 64, 16, 100};
+        replica_group group(3, seed, small);
+        const std::size_t leader = group.awaitLeader();
+        const std::size_t behind = (leader + 1) % 3;
+        group.run(500);
+        group.crash(behind, crash_loss::allUnsynced);
+        for (int i = 0; i < 50; ++i)
+            group.propose(leader, "ticket " + std::to_string(i));
+        group.run(500);
+        group.compact(leader);
+        group.setNoise(seed);
+        group.restart(behind);
+        group.run(150 * seed);
+        // Interrupted, and begun again by whoever leads then.
+        group.crash(leader, crash_loss::allUnsynced);
+        group.run(500);
+        group.restart(leader);
+        checkPromises(group);
+        CHECK(group.hasApplied(behind, "ticket 49"));
+    }
+}
+
+TEST(replication_decision, theClockMayStepBack)
+{
+    replica_group group(1, 12);
+    const std::size_t leader = group.awaitLeader();
+    replica_state state = group.at(leader).state;
+    const base::clock_time earlier = state.now - base::clock_time::ofSeconds(3600);
+    const base::step<replica_state, replica_action> next
+        = decide(std::move(state), replica_tick {}, earlier);
+    CHECK(std::holds_alternative<leader_role>(next.state.role));
+    CHECK(next.state.now > earlier);
+}
+
+TEST(replication_decision, aFullDiskIsRefusedByCodeAndLosesNothing)
+{
+    replica_group group(1, 13);
+    const std::size_t leader = group.awaitLeader();
+    group.propose(leader, "kept");
+    memory_files &files = group.files(leader);
+    files.failAtStep(files.steps() + 1, base::error_code::diskFull);
+    group.propose(leader, "no room");
+    group.propose(leader, "refused");
+    const proposal_refused *refused
+        = std::get_if<proposal_refused>(&group.at(leader).notices.back());
+    CHECK(refused != nullptr && refused->reason.code == base::error_code::diskFull);
+    CHECK_FALSE(group.hasApplied(leader, "no room"));
+    group.crash(leader, crash_loss::nothing);
+    group.restart(leader);
+    group.awaitLeader();
+    CHECK(group.hasApplied(leader, "kept"));
+    STRCMP_EQUAL("", group.firstFault().c_str());
+}
+
+TEST(replication_decision, aStorageFailureAtAnyStepLosesNothing)
+{
+    for (std::uint64_t step = 1; step <= 60; ++step) {
+        const crash_loss losses[] = {crash_loss::nothing, crash_loss::unsyncedHalf,
+                                     crash_loss::allUnsynced};
+        for (const crash_loss loss : losses) {
+            replica_group group(3, 14);
+            const std::size_t failing = step % 3;
+            group.files(failing).failAtStep(group.files(failing).steps() + step,
+                                            base::error_code::storageFailed);
+            for (int i = 0; i < 10; ++i) {
+                if (const std::optional<std::size_t> leader = group.leader())
+                    group.propose(*leader, "ticket " + std::to_string(i));
+                group.run(400);
+            }
+            group.crash(failing, loss);
+            group.restart(failing);
+            checkPromises(group);
+        }
+    }
+}
--- /dev/null
+++ b/lycheeshunt/replication/group_test.h
@@ -0,0 +1,324 @@
+// Replicas driven by function calls in virtual time, for the tests of this slice: messages are
+// delivered late, twice, out of order or not at all, as a seed says, and every replica keeps its
+// files in memory, where each write can be made to fail.
+
+#pragma once
+
+#include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/replication/codec.h"
+#include "lycheeshunt/replication/decision.h"
+#include "lycheeshunt/replication/replica_storage.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+
+namespace lycheeshunt::replication {
+
+class replica_group
+{
+public:
+    struct node
+    {
+        std::string name;
+        std::unique_ptr<replica_storage> storage;
+        replica_state state;
+        bool isUp = false;
+        // What its duties were handed, by index, in this life.
+        std::map<std::uint64_t, log_entry> applied;
+        std::vector<replica_action> notices;
+        std::uint64_t greatestTerm = 0;
+    };
+
+    replica_group(std::size_t size, std::uint32_t seed, replica_bounds bounds = {})
+        : m_bounds(bounds), m_random(seed)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            m_names.push_back("control-" + std::to_string(i + 1));
+        for (const std::string &name : m_names) {
+            m_nodes.emplace_back();
+            m_nodes.back().name = name;
+        }
+        for (std::size_t i = 0; i < size; ++i)
+            startEmpty(i);
+    }
+
+    std::size_t size() const { return m_nodes.size(); }
+    node &at(std::size_t i) { return m_nodes.at(i); }
+    base::clock_time now() const { return m_now; }
+
+    void startEmpty(std::size_t i)
+    {
+        m_nodes.at(i).greatestTerm = 0;
+        start(i, memory_files());
+    }
+
+    void start(std::size_t i, memory_files files)
+    {
+        node &started = m_nodes.at(i);
+        base::result<replica_storage> storage
+            = replica_storage::open(std::move(files), storage_id(++m_lastStorage));
+        started.isUp = base::isOk(storage);
+        if (!started.isUp) {
+            m_faults.push_back(started.name + ": " + base::errorOf(storage)->text());
+            return;
+        }
+        started.storage = std::make_unique<replica_storage>(base::takeValue(std::move(storage)));
+        started.state = startReplica(
+            std::make_shared<const replica_settings>(replica_settings {
+                started.name, m_names, base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, {},
+                m_bounds}),
+            started.storage->recovered(), static_cast<std::uint32_t>(m_random()), m_now);
+        started.applied.clear();
+        if (started.state.latestSnapshot)
+            restore(started, *started.state.latestSnapshot);
+    }
+
+    memory_files &files(std::size_t i)
+    {
+        // The storage hands its files out for reading; the tests reach in to make them fail.
+        return const_cast<memory_files &>(
+            std::get<memory_files>(m_nodes.at(i).storage->files()));
+    }
+
+    void stop(std::size_t i) { m_nodes.at(i).isUp = false; }
+
+    void crash(std::size_t i, crash_loss loss)
+    {
+        stop(i);
+        m_crashed[i] = files(i).afterCrash(loss);
+    }
+
+    void restart(std::size_t i) { start(i, m_crashed.at(i)); }
+
+    // Messages from one to the other are lost; the other way is another link.
+    void cut(std::size_t from, std::size_t to) { m_cut.insert({from, to}); }
+    void isolate(std::size_t i)
+    {
+        for (std::size_t other = 0; other < size(); ++other) {
+            cut(i, other);
+            cut(other, i);
+        }
+    }
+    void heal() { m_cut.clear(); }
+    // Share of messages lost, doubled and delayed, in percent.
+    void setNoise(std::uint32_t percent) { m_noise = percent; }
+
+    // Lets time pass in steps of 10 ms.
+    void run(std::int64_t millis)
+    {
+        constexpr std::int64_t stepMillis = 10;
+        for (std::int64_t passed = 0; passed < millis; passed += stepMillis) {
+            m_now = m_now + base::clock_time::ofMillis(stepMillis);
+            deliver();
+            for (std::size_t i = 0; i < size(); ++i)
+                give(i, replica_tick {});
+        }
+    }
+
+    bool runUntil(const std::function<bool()> &isDone, std::int64_t maxMillis = 30'000)
+    {
+        constexpr std::int64_t stepMillis = 10;
+        for (std::int64_t passed = 0; passed < maxMillis && !isDone(); passed += stepMillis)
+            run(stepMillis);
+        return isDone();
+    }
+
+    std::optional<std::size_t> leader()
+    {
+        std::optional<std::size_t> found;
+        for (std::size_t i = 0; i < size(); ++i) {
+            const bool leads = m_nodes[i].isUp
+                && std::holds_alternative<leader_role>(m_nodes[i].state.role);
+            if (leads && (!found || m_nodes[i].state.term > m_nodes[*found].state.term))
+                found = i;
+        }
+        return found;
+    }
+
+    std::size_t awaitLeader()
+    {
+        const bool isLed = runUntil([this]() {
+            const std::optional<std::size_t> found = leader();
+            return found
+                && m_nodes[*found].state.commit
+                >= std::get<leader_role>(m_nodes[*found].state.role).firstOwn;
+        });
+        if (!isLed)
+            m_faults.push_back("no leader");
+        return leader().value_or(0);
+    }
+
+    void propose(std::size_t i, const std::string &payload)
+    {
+        give(i, propose_entries {{proposal {entry_kind::ticket, payload}}});
+    }
+
+    void give(std::size_t i, const replica_message &message)
+    {
+        node &receiver = m_nodes.at(i);
+        if (!receiver.isUp)
+            return;
+        base::step<replica_state, replica_action> next
+            = decide(std::move(receiver.state), message, m_now);
+        receiver.state = std::move(next.state);
+        for (const replica_action &action : next.actions) {
+            if (!perform(i, action))
+                return;
+        }
+        // A term whose sync failed was told to nobody.
+        if (std::holds_alternative<failed_role>(receiver.state.role))
+            return;
+        if (receiver.state.term < receiver.greatestTerm)
+            m_faults.push_back(receiver.name + ": term went back");
+        receiver.greatestTerm = receiver.state.term;
+    }
+
+    bool hasApplied(std::size_t i, const std::string &payload)
+    {
+        for (auto it = m_nodes.at(i).applied.begin(); it != m_nodes.at(i).applied.end(); ++it) {
+            if (it->second.payload == payload)
+                return true;
+        }
+        return false;
+    }
+
+    // Payloads that any replica ever applied, by index: what was accepted.
+    const std::map<std::uint64_t, log_entry> &accepted() const { return m_accepted; }
+    // Everything that broke a promise so far; empty when all is well.
+    const std::vector<std::string> &faults() const { return m_faults; }
+
+    std::string firstFault() const { return m_faults.empty() ? "" : m_faults.front(); }
+
+    // Folds everything applied into a snapshot.
+    void compact(std::size_t i)
+    {
+        node &folded = m_nodes.at(i);
+        std::vector<log_entry> entries;
+        for (auto it = folded.applied.begin(); it != folded.applied.end(); ++it) {
+            if (it->second.kind == entry_kind::ticket)
+                entries.push_back(it->second);
+        }
+        give(i, snapshot_taken {folded.state.commit, encodeEntries(entries)});
+    }
+
+private:
+    struct flying_message
+    {
+        base::clock_time arrival;
+        std::size_t to;
+        peer_envelope envelope;
+    };
+
+    std::size_t indexOf(base::node_id id) const
+    {
+        for (std::size_t i = 0; i < m_names.size(); ++i) {
+            if (base::nodeIdOf(m_names[i]) == id)
+                return i;
+        }
+        return m_names.size();
+    }
+
+    void post(std::size_t from, const peer_envelope &envelope)
+    {
+        const std::size_t to = indexOf(envelope.to.node);
+        if (m_cut.count({from, to}) != 0 || m_random() % 100 < m_noise)
+            return;
+        const std::size_t copies = m_random() % 100 < m_noise ? 2 : 1;
+        for (std::size_t i = 0; i < copies; ++i) {
+            const std::int64_t delay = 1 + static_cast<std::int64_t>(m_random() % (10 + 4 * m_noise));
+            m_flying.push_back(
+                {m_now + base::clock_time::ofMillis(delay), to, envelope});
+        }
+    }
+
+    void deliver()
+    {
+        std::list<flying_message> due;
+        for (auto it = m_flying.begin(); it != m_flying.end();) {
+            const auto next = std::next(it);
+            if (it->arrival <= m_now)
+                due.splice(due.end(), m_flying, it);
+            it = next;
+        }
+        for (const flying_message &message : due)
+            give(message.to, message.envelope);
+    }
+
+    bool perform(std::size_t i, const replica_action &action)
+    {
+        node &self = m_nodes.at(i);
+        if (const peer_envelope *envelope = std::get_if<peer_envelope>(&action))
+            post(i, *envelope);
+        else if (const commit_entries *committed = std::get_if<commit_entries>(&action))
+            apply(self, committed->entries);
+        else if (const std::optional<base::error> failure = persist(self, action)) {
+            give(i, storage_failure {*failure});
+            return false;
+        }
+        if (const persist_snapshot *taken = std::get_if<persist_snapshot>(&action)) {
+            if (taken->isInstalled)
+                restore(self, *taken->snapshot);
+        }
+        return true;
+    }
+
+    // Writes what is to be written; anything else is kept as a notice.
+    static std::optional<base::error> persist(node &self, const replica_action &action)
+    {
+        using outcome = std::optional<base::error>;
+        return std::visit(
+            base::overloaded {
+                [&](const hard_state &wanted) { return self.storage->persist(wanted); },
+                [&](const truncate_log &wanted) { return self.storage->persist(wanted); },
+                [&](const persist_entries &wanted) { return self.storage->persist(wanted); },
+                [&](const persist_snapshot &wanted) { return self.storage->persist(wanted); },
+                [&](const auto &notice) {
+                    self.notices.emplace_back(notice);
+                    return outcome();
+                },
+            },
+            action);
+    }
+
+    void restore(node &self, const snapshot &taken)
+    {
+        self.applied.clear();
+        const base::result<std::vector<log_entry>> entries = decodeEntries(taken.entries);
+        for (const log_entry &entry : base::valueOf(entries))
+            self.applied.emplace(entry.index.value(), entry);
+        for (auto it = m_accepted.begin(); it != m_accepted.end(); ++it) {
+            const bool isCovered
+                = it->first <= taken.index.value() && it->second.kind == entry_kind::ticket;
+            if (isCovered && self.applied.count(it->first) == 0)
+                m_faults.push_back(self.name + ": snapshot lacks " + std::to_string(it->first));
+        }
+    }
+
+    void apply(node &self, const std::vector<log_entry> &entries)
+    {
+        for (const log_entry &entry : entries) {
+            const auto [known, isNew] = m_accepted.emplace(entry.index.value(), entry);
+            if (!isNew && known->second != entry)
+                m_faults.push_back(self.name + ": other content at "
+                                   + std::to_string(entry.index.value()));
+            self.applied.emplace(entry.index.value(), entry);
+        }
+    }
+
+    const replica_bounds m_bounds;
+    std::mt19937 m_random;
+    std::vector<std::string> m_names;
+    std::deque<node> m_nodes;
+    std::map<std::size_t, memory_files> m_crashed;
+    std::set<std::pair<std::size_t, std::size_t>> m_cut;
+    std::list<flying_message> m_flying;
+    std::map<std::uint64_t, log_entry> m_accepted;
+    std::vector<std::string> m_faults;
+    std::uint32_t m_noise = 0;
+    std::uint64_t m_lastStorage = 0;
+    base::clock_time m_now = base::clock_time::ofSeconds(1000);
+};
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/indexed_configuration.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "lycheeshunt/replication/configuration.h"
+
+namespace lycheeshunt::replication {
+
+// A configuration and the log index that set it.
+struct indexed_configuration
+{
+    const base::generation index;
+    const replication::configuration configuration;
+
+    bool operator==(const indexed_configuration &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/internal/commit.cpp
@@ -0,0 +1,44 @@
+#include "lycheeshunt/replication/internal/commit.h"
+
+namespace lycheeshunt::replication::internal {
+
+namespace {
+
+const configuration &configurationAt(const replica_state &state, base::generation index)
+{
+    const indexed_configuration *found = &state.configurations.front();
+    for (const indexed_configuration &known : state.configurations) {
+        if (known.index <= index)
+            found = &known;
+    }
+    return found->configuration;
+}
+
+} // namespace
+
+void commitUpTo(replica_work work, base::generation index)
+{
+    replica_state &state = work.state;
+    const base::generation last = std::min(index, state.log.lastIndex());
+    if (last <= state.commit)
+        return;
+    work.actions.emplace_back(commit_entries {state.log.between(state.commit, last)});
+    state.commit = last;
+}
+
+void takeSnapshotTaken(replica_work work, const snapshot_taken &taken)
+{
+    replica_state &state = work.state;
+    const std::optional<std::uint64_t> term = state.log.termAt(taken.index);
+    if (taken.index > state.commit || taken.index <= state.log.baseIndex() || !term)
+        return;
+    const configuration members = configurationAt(state, taken.index);
+    state.latestSnapshot = std::make_shared<const snapshot>(
+        snapshot {taken.index, *term, members, taken.entries});
+    state.log.dropUpTo(taken.index);
+    while (state.configurations.size() > 1 && state.configurations[1].index <= taken.index)
+        state.configurations.pop_front();
+    work.actions.emplace_back(persist_snapshot {state.latestSnapshot, false});
+}
+
+} // namespace lycheeshunt::replication::internal
--- /dev/null
+++ b/lycheeshunt/replication/internal/log_segments.h
@@ -0,0 +1,46 @@
+// The log on the disk: files of records, each named after the index of its first entry. Only the
+// last one is written to.
+
+#pragma once
+
+#include "lycheeshunt/replication/file_set.h"
+#include "lycheeshunt/replication/log_entry.h"
+
+#include <map>
+
+namespace lycheeshunt::replication::internal {
+
+class log_segments
+{
+public:
+    // Reads every segment, in order, and cuts a torn tail off the last one.
+    base::result<std::vector<log_entry>> open(file_set &files,
+                                              const std::vector<std::string> &names);
+
+    std::optional<base::error> append(file_set &files, const std::vector<log_entry> &entries);
+    // Removes the entry at the index and all after it.
+    std::optional<base::error> truncateFrom(file_set &files, base::generation index);
+    // Removes the segments that hold nothing after the index.
+    std::optional<base::error> dropUpTo(file_set &files, base::generation index);
+
+    static bool isSegmentName(const std::string &name);
+
+private:
+    struct segment
+    {
+        std::string name;
+        // Where each of its records starts.
+        std::vector<std::uint64_t> offsets;
+        std::uint64_t size = 0;
+    };
+
+    base::result<std::vector<log_entry>> openSegment(file_set &files, const std::string &name,
+                                                     bool isLast);
+    std::optional<base::error> cutTail(file_set &files, const segment &torn, std::uint64_t length);
+    bool startsSegment() const;
+
+    // By the index of the first entry.
+    std::map<std::uint64_t, segment> m_segments;
+};
+
+} // namespace lycheeshunt::replication::internal
--- /dev/null
+++ b/lycheeshunt/replication/internal/record.cpp
@@ -0,0 +1,120 @@
+#include "lycheeshunt/replication/internal/record.h"
+
+#include <xxhash.h>
+
+#include <cstring>
+#include <optional>
+
+namespace lycheeshunt::replication::internal {
+
+namespace {
+
+constexpr std::uint32_t magic = 0x4c534852;
+constexpr std::size_t headerChecksumOffset = 16;
+constexpr std::size_t sectorBytes = 512;
+
+struct record_header
+{
+    std::uint32_t length = 0;
+    std::uint64_t checksum = 0;
+};
+
+// Nothing when the bytes are no whole header or one that fails its checksum.
+std::optional<record_header> headerAt(std::string_view bytes, std::size_t offset)
+{
+    if (bytes.size() - offset < recordHeaderBytes)
+        return std::nullopt;
+    const char *start = bytes.data() + offset;
+    std::uint32_t mark = 0;
+    std::uint64_t own = 0;
+    record_header header;
+    std::memcpy(&mark, start, sizeof mark);
+    std::memcpy(&header.length, start + 4, sizeof header.length);
+    std::memcpy(&header.checksum, start + 8, sizeof header.checksum);
+    std::memcpy(&own, start + headerChecksumOffset, sizeof own);
+    if (mark != magic || XXH3_64bits(start, headerChecksumOffset) != own)
+        return std::nullopt;
+    return header;
+}
+
+bool isGoodBody(std::string_view bytes, std::size_t offset, const record_header &header)
+{
+    const std::string_view body = bytes.substr(offset + recordHeaderBytes, header.length);
+    return body.size() == header.length
+        && XXH3_64bits(body.data(), body.size()) == header.checksum;
+}
+
+bool hasGoodRecordAfter(std::string_view bytes, std::size_t offset)
+{
+    for (std::size_t next = offset + 1; next + recordHeaderBytes <= bytes.size(); ++next) {
+        const std::optional<record_header> header = headerAt(bytes, next);
+        if (header && isGoodBody(bytes, next, *header))
+            return true;
+    }
+    return false;
+}
+
+// The file system may have lengthened the file before a crash kept it from writing the sectors.
+bool endsInUnwrittenSectors(std::string_view bytes, std::size_t offset)
+{
+    const std::size_t lastUsed = bytes.find_last_not_of('\0');
+    const std::size_t firstZero = lastUsed == std::string_view::npos ? 0 : lastUsed + 1;
+    const std::size_t boundary = (firstZero + sectorBytes - 1) / sectorBytes * sectorBytes;
+    return firstZero <= offset || (boundary > offset && boundary < bytes.size());
+}
+
+bool isTorn(std::string_view bytes, std::size_t offset)
+{
+    if (hasGoodRecordAfter(bytes, offset))
+        return false;
+    const std::size_t left = bytes.size() - offset;
+    const std::optional<record_header> header = headerAt(bytes, offset);
+    const bool isCutShort
+        = left < recordHeaderBytes || (header && left - recordHeaderBytes < header->length);
+    return isCutShort || endsInUnwrittenSectors(bytes, offset);
+}
+
+} // namespace
+
+std::string frameRecord(std::string_view body)
+{
+    const std::uint32_t length = static_cast<std::uint32_t>(body.size());
+    const std::uint64_t checksum = XXH3_64bits(body.data(), body.size());
+    std::string record(recordHeaderBytes, '\0');
+    std::memcpy(record.data(), &magic, sizeof magic);
+    std::memcpy(record.data() + 4, &length, sizeof length);
+    std::memcpy(record.data() + 8, &checksum, sizeof checksum);
+    const std::uint64_t own = XXH3_64bits(record.data(), headerChecksumOffset);
+    std::memcpy(record.data() + headerChecksumOffset, &own, sizeof own);
+    record += body;
+    return record;
+}
+
+base::result<record_scan> scanRecords(std::string_view bytes, const std::string &name)
+{
+    std::vector<std::string_view> bodies;
+    std::size_t offset = 0;
+    while (offset < bytes.size()) {
+        const std::optional<record_header> header = headerAt(bytes, offset);
+        if (!header || !isGoodBody(bytes, offset, *header)) {
+            if (isTorn(bytes, offset))
+                break;
+            return base::error {base::error_code::logCorrupt,
+                                name + " at byte " + std::to_string(offset)};
+        }
+        bodies.push_back(bytes.substr(offset + recordHeaderBytes, header->length));
+        offset += recordHeaderBytes + header->length;
+    }
+    return record_scan {std::move(bodies), offset};
+}
+
+base::result<std::string> soleRecord(std::string_view bytes, const std::string &name)
+{
+    const std::optional<record_header> header = headerAt(bytes, 0);
+    if (!header || bytes.size() != recordHeaderBytes + header->length
+        || !isGoodBody(bytes, 0, *header))
+        return base::error {base::error_code::logCorrupt, name};
+    return std::string(bytes.substr(recordHeaderBytes));
+}
+
+} // namespace lycheeshunt::replication::internal
--- /dev/null
+++ b/lycheeshunt/replication/internal/replica_work.h
@@ -0,0 +1,42 @@
+// What the parts of the replication decision hand each other: the state under change and the
+// actions so far.
+
+#pragma once
+
+#include "lycheeshunt/replication/replica_action.h"
+#include "lycheeshunt/replication/replica_message.h"
+#include "lycheeshunt/replication/replica_state.h"
+
+#include <vector>
+
+namespace lycheeshunt::replication::internal {
+
+struct replica_work
+{
+    replica_state &state;
+    std::vector<replica_action> &actions;
+
+    // Addresses the message to the disk that the configuration names.
+    void send(const configuration_member &to, const peer_message &message) const
+    {
+        actions.emplace_back(peer_envelope {state.id(), to.id(), message});
+    }
+
+    void answer(const replica_id &to, const peer_message &message) const
+    {
+        actions.emplace_back(peer_envelope {state.id(), to, message});
+    }
+
+    void persistHardState() const { actions.emplace_back(hard_state {state.term, state.vote()}); }
+
+    template <typename role_type>
+    role_type *roleAs() const
+    {
+        return std::get_if<role_type>(&state.role);
+    }
+
+    const replica_timing &timing() const { return state.settings->timing; }
+    const replica_bounds &bounds() const { return state.settings->bounds; }
+};
+
+} // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/log_entry.h
+++ b/lycheeshunt/replication/log_entry.h
@@ -16,7 +16,7 @@
     const entry_kind kind = entry_kind::none;
     // Wall clock of the leader that took it; for people only.
     const base::clock_time acceptedAt;
-    const std::string payload;
+    const std::string payload = {};
 
     bool operator==(const log_entry &) const = default;
 };
--- /dev/null
+++ b/lycheeshunt/replication/memory_files.cpp
@@ -0,0 +1,117 @@
+#include "lycheeshunt/replication/memory_files.h"
+
+namespace lycheeshunt::replication {
+
+bool memory_files::isFailing()
+{
+    return ++m_steps == m_failAt;
+}
+
+std::optional<base::error> memory_files::outcome()
+{
+    if (isFailing())
+        return base::error {m_failure, "step " + std::to_string(m_steps)};
+    return std::nullopt;
+}
+
+void memory_files::failAtStep(std::uint64_t step, base::error_code code)
+{
+    m_failAt = step;
+    m_failure = code;
+}
+
+base::result<std::vector<std::string>> memory_files::list() const
+{
+    std::vector<std::string> names;
+    for (auto it = m_files.begin(); it != m_files.end(); ++it)
+        names.push_back(it->first);
+    return names;
+}
+
+base::result<std::string> memory_files::read(const std::string &name) const
+{
+    const auto found = m_files.find(name);
+    if (found == m_files.end())
+        return base::error {base::error_code::storageFailed, "read " + name};
+    return found->second->bytes;
+}
+
+std::optional<base::error> memory_files::append(const std::string &name, std::string_view bytes)
+{
+    std::shared_ptr<content> &file = m_files[name];
+    if (!file)
+        file = std::make_shared<content>();
+    std::optional<base::error> failure = outcome();
+    file->bytes += failure ? bytes.substr(0, bytes.size() / 2) : bytes;
+    return failure;
+}
+
+std::optional<base::error> memory_files::sync(const std::string &name)
+{
+    std::optional<base::error> failure = outcome();
+    const auto found = m_files.find(name);
+    if (!failure && found != m_files.end())
+        found->second->synced = found->second->bytes;
+    return failure;
+}
+
+std::optional<base::error> memory_files::truncate(const std::string &name, std::uint64_t size)
+{
+    std::optional<base::error> failure = outcome();
+    const auto found = m_files.find(name);
+    if (!failure && found != m_files.end())
+        found->second->bytes.resize(size);
+    return failure;
+}
+
+std::optional<base::error> memory_files::rename(const std::string &from, const std::string &to)
+{
+    std::optional<base::error> failure = outcome();
+    if (!failure) {
+        m_files[to] = m_files[from];
+        m_files.erase(from);
+    }
+    return failure;
+}
+
+std::optional<base::error> memory_files::remove(const std::string &name)
+{
+    std::optional<base::error> failure = outcome();
+    if (!failure)
+        m_files.erase(name);
+    return failure;
+}
+
+std::optional<base::error> memory_files::syncFolder()
+{
+    std::optional<base::error> failure = outcome();
+    if (!failure)
+        m_syncedFolder = m_files;
+    return failure;
+}
+
+memory_files memory_files::afterCrash(crash_loss loss) const
+{
+    memory_files survivor;
+    const folder &names = loss == crash_loss::allUnsynced ? m_syncedFolder : m_files;
+    for (auto it = names.begin(); it != names.end(); ++it) {
+        const content &held = *it->second;
+        std::string kept = held.synced;
+        if (loss == crash_loss::nothing)
+            kept = held.bytes;
+        else if (loss == crash_loss::unsyncedHalf && held.bytes.size() > kept.size())
+            kept = held.bytes.substr(0, (kept.size() + held.bytes.size()) / 2);
+        survivor.m_files.emplace(it->first, std::make_shared<content>(content {kept, kept}));
+    }
+    survivor.m_syncedFolder = survivor.m_files;
+    return survivor;
+}
+
+void memory_files::flipByte(const std::string &name, std::size_t offset)
+{
+    content &file = *m_files.at(name);
+    file.bytes.at(offset) = static_cast<char>(file.bytes.at(offset) ^ 0x55);
+    file.synced = file.bytes;
+}
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/peer_presence.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/replication/storage_id.h"
+
+namespace lycheeshunt::replication {
+
+// What another control VM last said of itself.
+struct peer_presence
+{
+    const storage_id storage;
+    const bool isFormed = false;
+    const base::endpoint api = {};
+    const base::clock_time heardAt;
+
+    bool operator==(const peer_presence &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/persist_entries.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/replication/log_entry.h"
+
+#include <vector>
+
+namespace lycheeshunt::replication {
+
+// Append to the log and sync.
+struct persist_entries
+{
+    const std::vector<log_entry> entries = {};
+
+    bool operator==(const persist_entries &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/proposal.h
+++ b/lycheeshunt/replication/proposal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/replication/entry_kind.h"
 
 #include <string>
@@ -11,6 +12,10 @@
 {
     const entry_kind kind = entry_kind::none;
     const std::string payload;
+    // Given back with a refusal; its meaning is the proposer's.
+    const std::uint64_t token = 0;
+    // Wall clock, for people only.
+    const base::clock_time proposedAt = {};
 
     bool operator==(const proposal &) const = default;
 };
--- /dev/null
+++ b/lycheeshunt/replication/replica_log.h
@@ -0,0 +1,80 @@
+// The part of the log after the last snapshot, in memory: a value type without I/O.
+//
+//     log.append(entry);
+//     const std::optional<std::uint64_t> term = log.termAt(index);
+
+#pragma once
+
+#include "lycheeshunt/replication/log_entry.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace lycheeshunt::replication {
+
+inline base::generation after(base::generation index)
+{
+    return base::generation(index.value() + 1);
+}
+
+inline base::generation before(base::generation index)
+{
+    return base::generation(index.value() - 1);
+}
+
+class replica_log
+{
+public:
+    replica_log() = default;
+    // A log that starts after what a snapshot covers.
+    replica_log(base::generation baseIndex, std::uint64_t baseTerm)
+        : m_baseIndex(baseIndex), m_baseTerm(baseTerm)
+    {
+    }
+
+    base::generation baseIndex() const { return m_baseIndex; }
+    base::generation lastIndex() const
+    {
+        return base::generation(m_baseIndex.value() + m_entries.size());
+    }
+    std::uint64_t lastTerm() const { return m_entries.empty() ? m_baseTerm : m_entries.back().term; }
+    std::size_t size() const { return m_entries.size(); }
+
+    // Nothing for an index that the log does not reach or no longer holds.
+    std::optional<std::uint64_t> termAt(base::generation index) const
+    {
+        if (index == m_baseIndex)
+            return m_baseTerm;
+        const log_entry *entry = find(index);
+        return entry == nullptr ? std::nullopt : std::optional<std::uint64_t>(entry->term);
+    }
+
+    const log_entry *find(base::generation index) const
+    {
+        if (index <= m_baseIndex || index > lastIndex())
+            return nullptr;
+        return &m_entries[index.value() - m_baseIndex.value() - 1];
+    }
+
+    // Entries from the index on, up to both bounds but at least one if there is any.
+    std::vector<log_entry> from(base::generation index, std::size_t maxEntries,
+                                std::size_t maxBytes) const;
+    // Entries in (first, last].
+    std::vector<log_entry> between(base::generation first, base::generation last) const;
+
+    // Precondition: entry.index follows lastIndex().
+    void append(const log_entry &entry) { m_entries.push_back(entry); }
+    void truncateFrom(base::generation index);
+    // Precondition: baseIndex() <= index <= lastIndex().
+    void dropUpTo(base::generation index);
+
+    bool operator==(const replica_log &) const = default;
+
+private:
+    base::generation m_baseIndex;
+    std::uint64_t m_baseTerm = 0;
+    std::deque<log_entry> m_entries;
+};
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/replica_state.h
@@ -0,0 +1,55 @@
+// All that a replica's decisions depend on.
+
+#pragma once
+
+#include "lycheeshunt/replication/hard_state.h"
+#include "lycheeshunt/replication/incoming_snapshot.h"
+#include "lycheeshunt/replication/indexed_configuration.h"
+#include "lycheeshunt/replication/peer_presence.h"
+#include "lycheeshunt/replication/replica_log.h"
+#include "lycheeshunt/replication/replica_role.h"
+#include "lycheeshunt/replication/replica_settings.h"
+#include "lycheeshunt/replication/snapshot.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace lycheeshunt::replication {
+
+struct replica_state
+{
+    std::shared_ptr<const replica_settings> settings;
+    base::node_id self;
+    storage_id storage;
+
+    std::uint64_t term = 0;
+    base::node_id votedNode;
+    storage_id votedStorage;
+    replica_log log;
+    base::generation commit;
+    // The newest configuration in the log rules, committed or not; older ones are kept for a
+    // truncation. Empty while the VM belongs to no cluster.
+    std::deque<indexed_configuration> configurations;
+    shared_snapshot latestSnapshot;
+
+    replica_role role = follower_role {};
+    std::minstd_rand random;
+    base::clock_time now;
+    base::clock_time electionDeadline;
+    base::clock_time lastLeaderContact;
+    base::clock_time nextPresence;
+    std::map<base::node_id, peer_presence> presences;
+    incoming_snapshot incoming;
+
+    replica_id id() const { return replica_id {self, storage}; }
+    replica_id vote() const { return replica_id {votedNode, votedStorage}; }
+    bool isFormed() const { return !configurations.empty(); }
+    // Precondition: isFormed().
+    const configuration &members() const { return configurations.back().configuration; }
+
+    bool operator==(const replica_state &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/replica_storage.h
@@ -0,0 +1,60 @@
+// What a replica keeps on its disk: its identity, its term and vote, the last snapshot, and the
+// log in segments of bounded size.
+//
+//     result<replica_storage> storage = replica_storage::open(file_set(...), freshIdentity);
+//     startReplica(settings, valueOf(storage).recovered(), seed, now);
+//     storage.persist(persist_entries {...});
+//
+// Every call returns only after the sync. After a failed one the disk's content is unknown, so
+// each later call returns the same error. Not thread-safe.
+
+#pragma once
+
+#include "lycheeshunt/replication/file_set.h"
+#include "lycheeshunt/replication/internal/log_segments.h"
+#include "lycheeshunt/replication/persist_entries.h"
+#include "lycheeshunt/replication/persist_snapshot.h"
+#include "lycheeshunt/replication/recovered_storage.h"
+#include "lycheeshunt/replication/truncate_log.h"
+
+namespace lycheeshunt::replication {
+
+class replica_storage
+{
+public:
+    // An empty folder gets the fresh identity. A torn tail is cut off with a log line; damage is
+    // logCorrupt, and nothing is skipped.
+    static base::result<replica_storage> open(file_set files, storage_id fresh);
+
+    const recovered_storage &recovered() const { return *m_recovered; }
+    // The recovered entries are not kept for ever.
+    void forgetRecovered() { m_recovered.reset(); }
+
+    std::optional<base::error> persist(const hard_state &state);
+    std::optional<base::error> persist(const persist_entries &action);
+    std::optional<base::error> persist(const persist_snapshot &action);
+    std::optional<base::error> persist(const truncate_log &action);
+
+    const file_set &files() const { return m_files; }
+
+private:
+    explicit replica_storage(file_set files) : m_files(std::move(files)) { }
+
+    template <typename fields_type>
+    base::result<fields_type> readSole(const std::string &name) const;
+    base::result<storage_id> readIdentity(const std::vector<std::string> &names, storage_id fresh);
+    base::result<hard_state> readVote(const std::vector<std::string> &names) const;
+    base::result<shared_snapshot> readSnapshot(const std::vector<std::string> &names) const;
+    base::result<std::vector<log_entry>> readEntries(const std::vector<std::string> &names,
+                                                     const snapshot *taken);
+    std::optional<base::error> readAll(storage_id fresh);
+    std::optional<base::error> replaceFile(const std::string &name, const std::string &bytes);
+    std::optional<base::error> remember(std::optional<base::error> failure);
+
+    file_set m_files;
+    internal::log_segments m_segments;
+    std::shared_ptr<const recovered_storage> m_recovered;
+    std::shared_ptr<const base::error> m_failure;
+};
+
+} // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/replica_storage_test.cpp
@@ -0,0 +1,180 @@
+#include "lycheeshunt/replication/replica_storage.h"
+
+#include "lycheeshunt/replication/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::replication;
+
+namespace {
+
+log_entry entryOf(std::uint64_t index, std::uint64_t term = 1)
+{
+    return log_entry {base::generation(index), term, entry_kind::ticket, base::clock_time(),
+                      "ticket " + std::to_string(index)};
+}
+
+base::result<replica_storage> openFiles(const memory_files &files)
+{
+    return replica_storage::open(files, storage_id(77));
+}
+
+const memory_files &filesOf(const replica_storage &storage)
+{
+    return std::get<memory_files>(storage.files());
+}
+
+constexpr std::uint64_t snapshotAt = 4;
+
+// Writes a fixed series up to the first failure and tells what was acknowledged.
+void writeSeries(replica_storage &storage, std::uint64_t &lastEntry, std::uint64_t &lastTerm)
+{
+    const replica_id self {base::node_id(1), storage_id(77)};
+    for (std::uint64_t index = 1; index <= 8; ++index) {
+        if (storage.persist(hard_state {index, self}))
+            return;
+        lastTerm = index;
+        if (storage.persist(persist_entries {{entryOf(index, index)}}))
+            return;
+        lastEntry = index;
+        const bool isDue = index == snapshotAt;
+        const persist_snapshot taken {std::make_shared<const snapshot>(snapshot {
+            base::generation(snapshotAt), snapshotAt, {}, encodeEntries({entryOf(1, 1)})})};
+        if (isDue && storage.persist(taken))
+            return;
+    }
+}
+
+std::uint64_t lastHeld(const recovered_storage &recovered)
+{
+    if (!recovered.entries.empty())
+        return recovered.entries.back().index.value();
+    return recovered.snapshot ? recovered.snapshot->index.value() : 0;
+}
+
+memory_files writtenFiles()
+{
+    base::result<replica_storage> opened = openFiles(memory_files());
+    replica_storage storage = base::takeValue(std::move(opened));
+    storage.persist(hard_state {1, {}});
+    for (std::uint64_t index = 1; index <= 3; ++index)
+        storage.persist(persist_entries {{entryOf(index)}});
+    return filesOf(storage).afterCrash(crash_loss::nothing);
+}
+
+const std::string segmentName = "log-00000000000000000001";
+
+std::size_t recordSize()
+{
+    return 24 + encodeEntry(entryOf(1)).size();
+}
+
+} // namespace
+
+TEST_GROUP(replica_storage) {};
+
+TEST(replica_storage, whatWasSyncedSurvivesACrashAtEveryStep)
+{
+    base::result<replica_storage> whole = openFiles(memory_files());
+    replica_storage complete = base::takeValue(std::move(whole));
+    std::uint64_t ignored = 0;
+    writeSeries(complete, ignored, ignored);
+    const std::uint64_t steps = filesOf(complete).steps();
+    CHECK(steps > 50);
+    for (std::uint64_t step = 1; step <= steps; ++step) {
+        for (const crash_loss loss :
+             {crash_loss::nothing, crash_loss::unsyncedHalf, crash_loss::allUnsynced}) {
+            memory_files files;
+            files.failAtStep(step, base::error_code::storageFailed);
+            base::result<replica_storage> opened = openFiles(files);
+            std::uint64_t lastEntry = 0;
+            std::uint64_t lastTerm = 0;
+            if (!base::isOk(opened))
+                continue;
+            replica_storage storage = base::takeValue(std::move(opened));
+            writeSeries(storage, lastEntry, lastTerm);
+            const base::result<replica_storage> again
+                = openFiles(filesOf(storage).afterCrash(loss));
+            CHECK(base::isOk(again));
+            const recovered_storage &recovered = base::valueOf(again).recovered();
+            CHECK(recovered.storage == storage_id(77));
+            CHECK(recovered.hard.term >= lastTerm);
+            CHECK(lastHeld(recovered) >= lastEntry);
+            CHECK(lastHeld(recovered) <= lastEntry + 1);
+        }
+    }
+}
+
+TEST(replica_storage, aTornTailIsCutOffAtEveryLength)
+{
+    const memory_files files = writtenFiles();
+    const std::size_t length = base::valueOf(files.read(segmentName)).size();
+    LONGS_EQUAL(3 * recordSize(), length);
+    for (std::size_t kept = 0; kept <= length; ++kept) {
+        memory_files torn = files.afterCrash(crash_loss::nothing);
+        torn.truncate(segmentName, kept);
+        const base::result<replica_storage> opened = openFiles(torn);
+        CHECK(base::isOk(opened));
+        LONGS_EQUAL(kept / recordSize(), lastHeld(base::valueOf(opened).recovered()));
+    }
+}
+
+TEST(replica_storage, anyChangedByteIsRefusedAndNothingIsSkipped)
+{
+    const memory_files files = writtenFiles();
+    const std::size_t length = base::valueOf(files.read(segmentName)).size();
+    for (std::size_t offset = 0; offset < length; ++offset) {
+        memory_files damaged = files.afterCrash(crash_loss::nothing);
+        damaged.flipByte(segmentName, offset);
+        const base::result<replica_storage> opened = openFiles(damaged);
+        CHECK(!base::isOk(opened));
+        CHECK(base::errorOf(opened)->code == base::error_code::logCorrupt);
+    }
+}
+
+TEST(replica_storage, aChangedByteInIdentityOrVoteIsRefused)
+{
+    for (const char *name : {"identity", "vote"}) {
+        memory_files damaged = writtenFiles();
+        damaged.flipByte(name, base::valueOf(damaged.read(name)).size() - 1);
+        CHECK(!base::isOk(openFiles(damaged)));
+    }
+    memory_files lost = writtenFiles();
+    lost.remove("identity");
+    CHECK(!base::isOk(openFiles(lost)));
+}
+
+TEST(replica_storage, sectorsThatWereNeverWrittenAreATornTail)
+{
+    memory_files files = writtenFiles();
+    files.append(segmentName, std::string(4096, '\0'));
+    const base::result<replica_storage> opened = openFiles(files);
+    CHECK(base::isOk(opened));
+    LONGS_EQUAL(3, lastHeld(base::valueOf(opened).recovered()));
+}
+
+TEST(replica_storage, truncationAndNewEntriesAreKept)
+{
+    base::result<replica_storage> opened = openFiles(writtenFiles());
+    replica_storage storage = base::takeValue(std::move(opened));
+    storage.persist(hard_state {2, {}});
+    storage.persist(truncate_log {base::generation(2)});
+    storage.persist(persist_entries {{entryOf(2, 2), entryOf(3, 2)}});
+    const base::result<replica_storage> again
+        = openFiles(filesOf(storage).afterCrash(crash_loss::allUnsynced));
+    const std::vector<log_entry> expected {entryOf(1), entryOf(2, 2), entryOf(3, 2)};
+    CHECK(base::valueOf(again).recovered().entries == expected);
+}
+
+TEST(replica_storage, aFailureIsFinal)
+{
+    base::result<replica_storage> opened = openFiles(memory_files());
+    replica_storage storage = base::takeValue(std::move(opened));
+    memory_files failing = filesOf(storage).afterCrash(crash_loss::nothing);
+    failing.failAtStep(1, base::error_code::diskFull);
+    base::result<replica_storage> reopened = openFiles(failing);
+    replica_storage second = base::takeValue(std::move(reopened));
+    CHECK(second.persist(hard_state {1, {}})->code == base::error_code::diskFull);
+    CHECK(second.persist(persist_entries {{entryOf(1)}})->code == base::error_code::diskFull);
+}
--- /dev/null
+++ b/lycheeshunt/replication/replica_timing.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+
+namespace lycheeshunt::replication {
+
+// When silence between control VMs is acted on.
+struct replica_timing
+{
+    const base::clock_time heartbeatEvery = base::clock_time::ofMillis(150);
+    // An election timeout is drawn between these two at each start of the timer. A leader that has
+    // not heard from a quorum for the shorter one steps down.
+    const base::clock_time electionMin = base::clock_time::ofMillis(750);
+    const base::clock_time electionMax = base::clock_time::ofMillis(1500);
+    // Entries or a snapshot piece without an answer are sent again after this.
+    const base::clock_time resendAfter = base::clock_time::ofMillis(600);
+    const base::clock_time presenceEvery = base::clock_time::ofMillis(500);
+    // Presence older than this counts for nothing.
+    const base::clock_time presenceValid = base::clock_time::ofMillis(2000);
+
+    bool operator==(const replica_timing &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replication_duty.cpp
+++ b/lycheeshunt/replication/replication_duty.cpp
@@ -1,16 +1,35 @@
 #include "lycheeshunt/replication/replication_duty.h"
 
 #include "lycheeshunt/base/log.h"
+#include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/replication/codec.h"
 
 namespace lycheeshunt::replication {
 
 namespace {
-constexpr std::size_t proposalCapacity = 256;
+
+constexpr std::size_t inboxCapacity = 1024;
+constexpr base::clock_time tickEvery = base::clock_time::ofMillis(25);
+// Proposals that waited while the disk synced go into one write.
+constexpr std::size_t maxGathered = 256;
+
+void logLeadership(const leadership &leadership)
+{
+    const std::string term = "term " + std::to_string(leadership.term) + ": ";
+    if (leadership.isLeader)
+        base::logInfo("replication", term + "this VM leads");
+    else if (leadership.leaderName.empty())
+        base::logInfo("replication", term + "no leader");
+    else
+        base::logInfo("replication", term + leadership.leaderName + " leads");
 }
 
-replication_duty::replication_duty(log_store store, commit_sink sink)
-    : m_store(std::move(store)), m_sink(std::move(sink)), m_proposals(proposalCapacity),
-      m_thread([this]() { run(); })
+} // namespace
+
+replication_duty::replication_duty(replica_state state, replica_storage storage,
+                                   replication_hooks hooks)
+    : m_state(std::move(state)), m_storage(std::move(storage)), m_hooks(std::move(hooks)),
+      m_inbox(inboxCapacity), m_thread([this]() { run(); })
 {
 }
 
@@ -21,29 +40,127 @@
 
 void replication_duty::stop()
 {
-    m_proposals.close();
+    m_inbox.close();
     if (m_thread.joinable())
         m_thread.join();
 }
 
 void replication_duty::run()
 {
-    std::uint64_t last = 0;
-    for (const log_entry &entry : m_store.recovered()) {
-        last = entry.index.value();
-        m_sink(entry);
+    if (const snapshot *taken = m_state.latestSnapshot.get())
+        restoreFrom(*taken);
+    base::clock_time nextTick = base::clock_time::steady();
+    while (!m_inbox.isClosed()) {
+        const base::clock_time wait = nextTick - base::clock_time::steady();
+        if (const std::optional<replica_message> message
+            = m_inbox.popFor(std::max(wait, base::clock_time())))
+            take(*message);
+        const base::clock_time now = base::clock_time::steady();
+        if (now >= nextTick) {
+            nextTick = now + tickEvery;
+            step(replica_tick {});
+            compactIfDue();
+        }
+    }
+}
+
+void replication_duty::take(const replica_message &message)
+{
+    const propose_entries *first = std::get_if<propose_entries>(&message);
+    if (first == nullptr) {
+        step(message);
+        return;
     }
-    while (const std::optional<proposal> next = m_proposals.pop()) {
-        const log_entry entry {base::generation(last + 1), 1, next->kind, base::clock_time::wall(),
-                               next->payload};
-        if (const std::optional<base::error> failure = m_store.append(entry)) {
-            base::logError("replication", failure->text());
-            m_proposals.close();
+    std::vector<proposal> gathered = first->proposals;
+    while (gathered.size() < maxGathered) {
+        const std::optional<replica_message> next = m_inbox.tryPop();
+        const propose_entries *more = next ? std::get_if<propose_entries>(&*next) : nullptr;
+        if (more == nullptr) {
+            step(propose_entries {std::move(gathered)});
+            if (next)
+                step(*next);
+            return;
+        }
+        for (const proposal &wanted : more->proposals)
+            gathered.push_back(wanted);
+    }
+    step(propose_entries {std::move(gathered)});
+}
+
+void replication_duty::step(const replica_message &message)
+{
+    base::step<replica_state, replica_action> next
+        = decide(std::move(m_state), message, base::clock_time::steady());
+    m_state = std::move(next.state);
+    for (const replica_action &action : next.actions) {
+        if (const std::optional<base::error> failure = perform(action)) {
+            base::logError("replication", "storage failed: " + failure->text());
+            step(storage_failure {*failure});
             return;
         }
-        ++last;
-        m_sink(entry);
     }
 }
 
+std::optional<base::error> replication_duty::perform(const replica_action &action)
+{
+    using outcome = std::optional<base::error>;
+    const auto tell = [this](const auto &notice) {
+        announce(notice);
+        return outcome();
+    };
+    return std::visit(
+        base::overloaded {
+            [this](const peer_envelope &envelope) {
+                m_hooks.send(envelope);
+                return outcome();
+            },
+            [this](const hard_state &hard) { return m_storage.persist(hard); },
+            [this](const truncate_log &truncation) { return m_storage.persist(truncation); },
+            [this](const persist_entries &entries) { return m_storage.persist(entries); },
+            [this](const persist_snapshot &taken) { return install(taken); },
+            [&](const leadership_changed &changed) {
+                logLeadership(changed.leadership);
+                return tell(changed);
+            },
+            tell,
+        },
+        action);
+}
+
+std::optional<base::error> replication_duty::install(const persist_snapshot &action)
+{
+    std::optional<base::error> failure = m_storage.persist(action);
+    if (!failure && action.isInstalled)
+        restoreFrom(*action.snapshot);
+    return failure;
+}
+
+void replication_duty::restoreFrom(const snapshot &taken)
+{
+    const base::result<std::vector<log_entry>> entries = decodeEntries(taken.entries);
+    if (const base::error *failure = base::errorOf(entries))
+        base::logError("replication", "snapshot can't be read: " + failure->text());
+    else
+        announce(state_restored {taken.index, base::valueOf(entries)});
+}
+
+void replication_duty::compactIfDue()
+{
+    const base::generation start = m_state.log.baseIndex();
+    const std::uint64_t applied = m_state.commit.value() - start.value();
+    if (applied < m_state.settings->bounds.compactAfter || m_state.commit < m_nextSnapshot)
+        return;
+    const shared_snapshot earlier = m_state.latestSnapshot;
+    base::result<std::vector<log_entry>> known = decodeEntries(earlier ? earlier->entries : "");
+    if (const base::error *failure = base::errorOf(known)) {
+        base::logError("replication", "snapshot can't be read: " + failure->text());
+        m_nextSnapshot = base::generation(m_state.commit.value() + applied);
+        return;
+    }
+    std::vector<log_entry> entries = base::takeValue(std::move(known));
+    for (const log_entry &entry : m_state.log.between(start, m_state.commit))
+        entries.push_back(entry);
+    step(snapshot_taken {m_state.commit, encodeEntries(m_hooks.compact(entries))});
+}
+
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replication_duty.h
+++ b/lycheeshunt/replication/replication_duty.h
@@ -1,42 +1,62 @@
-// The replication thread of a control process: turns proposals into log entries, syncs them, and
-// hands every committed entry, in order, to the other duties.
+// The replication thread of a control process: runs the decision, carries out its writes and
+// sends, and tells the other duties what became of their proposals.
 //
-// Proposals are offered with tryPush: the thread itself pushes committed entries to the duties
-// that propose, so neither side may wait for the other at once.
+//     replication_duty duty(std::move(state), std::move(storage), {send, notify, compact});
+//     duty.inbox().tryPush(propose_entries {{proposal {...}}});
+//
+// Proposals are offered with tryPush: the thread itself pushes notices to the duties that propose,
+// so neither side may wait for the other at once. What peers send is waited for (push).
 
 #pragma once
 
 #include "lycheeshunt/base/ring.h"
-#include "lycheeshunt/replication/log_entry.h"
-#include "lycheeshunt/replication/log_store.h"
-#include "lycheeshunt/replication/proposal.h"
+#include "lycheeshunt/replication/decision.h"
+#include "lycheeshunt/replication/replica_storage.h"
+#include "lycheeshunt/replication/replication_notice.h"
 
 #include <functional>
 #include <thread>
 
 namespace lycheeshunt::replication {
 
+// All are called on the replication thread.
+struct replication_hooks
+{
+    const std::function<void(const peer_envelope &)> send;
+    const std::function<void(const replication_notice &)> notify;
+    // Entries that amount to the same as the given ones, which start with the last snapshot's.
+    const std::function<std::vector<log_entry>(const std::vector<log_entry> &)> compact;
+};
+
 class replication_duty
 {
 public:
-    using commit_sink = std::function<void(const log_entry &)>;
-
-    // The sink is called on the replication thread, first for every recovered entry.
-    replication_duty(log_store store, commit_sink sink);
+    // The first notice is the snapshot that the storage held, if there is one.
+    replication_duty(replica_state state, replica_storage storage, replication_hooks hooks);
     ~replication_duty();
 
     replication_duty(const replication_duty &) = delete;
     replication_duty &operator=(const replication_duty &) = delete;
 
-    base::ring<proposal> &proposals() { return m_proposals; }
+    base::ring<replica_message> &inbox() { return m_inbox; }
     void stop();
 
 private:
     void run();
-
-    log_store m_store;
-    const commit_sink m_sink;
-    base::ring<proposal> m_proposals;
+    void take(const replica_message &message);
+    void step(const replica_message &message);
+    std::optional<base::error> perform(const replica_action &action);
+    std::optional<base::error> install(const persist_snapshot &action);
+    void announce(const replication_notice &notice) const { m_hooks.notify(notice); }
+    void restoreFrom(const snapshot &taken);
+    void compactIfDue();
+
+    replica_state m_state;
+    replica_storage m_storage;
+    const replication_hooks m_hooks;
+    // A snapshot is not tried again before this index when it could not be made.
+    base::generation m_nextSnapshot;
+    base::ring<replica_message> m_inbox;
     std::thread m_thread;
 };
 
--- a/lycheeshunt/settings/control_settings.h
+++ b/lycheeshunt/settings/control_settings.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/replication/control_peer.h"
 
 #include <string>
+#include <vector>
 
 namespace lycheeshunt::settings {
 
@@ -15,6 +17,8 @@
     const base::endpoint api;
     // Holds the log; must be on a disk that lasts.
     const std::string dataFolder;
+    // All control VMs, this one included; one entry for a control VM alone.
+    const std::vector<replication::control_peer> peers = {};
 
     bool operator==(const control_settings &) const = default;
 };
--- a/lycheeshunt/settings/internal/table_reader.cpp
+++ b/lycheeshunt/settings/internal/table_reader.cpp
@@ -84,6 +84,22 @@
     return all;
 }
 
+std::vector<const toml::table *> table_reader::tables(const std::string &key)
+{
+    std::vector<const toml::table *> all;
+    const toml::node *node = find(key);
+    if (node == nullptr)
+        return all;
+    const toml::array *array = node->as_array();
+    if (array == nullptr || !array->is_homogeneous<toml::table>()) {
+        fail(base::error_code::settingsWrongType, key, "expected an array of tables");
+        return all;
+    }
+    for (auto it = array->begin(); it != array->end(); ++it)
+        all.push_back(it->as_table());
+    return all;
+}
+
 const toml::table *table_reader::subtable(const std::string &key)
 {
     const toml::node *node = find(key);
--- a/lycheeshunt/settings/internal/table_reader.h
+++ b/lycheeshunt/settings/internal/table_reader.h
@@ -23,6 +23,10 @@
     std::string text(const std::string &key);
     base::endpoint endpoint(const std::string &key);
     std::vector<base::endpoint> endpoints(const std::string &key);
+    // Whether an optional key is there.
+    bool has(const std::string &key) const { return m_table.contains(key); }
+    // The tables of an array of tables.
+    std::vector<const toml::table *> tables(const std::string &key);
     // Null when the key is missing or no table.
     const toml::table *subtable(const std::string &key);
 
@@ -31,6 +35,7 @@
 
     void fail(base::error_code code, const std::string &key, const std::string &what);
     void take(const table_reader &other);
+    const std::string &path() const { return m_path; }
     const std::optional<base::error> &fault() const { return m_fault; }
 
 private:
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -4,6 +4,7 @@
 
 #include <fstream>
 #include <functional>
+#include <set>
 #include <sstream>
 
 namespace lycheeshunt::settings {
@@ -27,16 +28,43 @@
     return agent_settings {service, sockets};
 }
 
-role_settings readControl(table_reader &reader)
+std::vector<replication::control_peer> readPeers(table_reader &reader, const std::string &self,
+                                                 const base::endpoint &streams)
+{
+    if (!reader.has("peers"))
+        return {replication::control_peer {self, streams}};
+    std::vector<replication::control_peer> peers;
+    std::set<std::string> names;
+    std::set<base::endpoint> addresses;
+    for (const toml::table *table : reader.tables("peers")) {
+        table_reader peer(*table, reader.path());
+        peers.push_back({peer.text("name"), peer.endpoint("streams")});
+        peer.refuseUnknownKeys();
+        reader.take(peer);
+        names.insert(peers.back().name);
+        addresses.insert(peers.back().streams);
+    }
+    if (peers.size() != 1 && peers.size() != 3 && peers.size() != 5)
+        reader.fail(base::error_code::settingsBadValue, "peers", "must be 1, 3 or 5 control VMs");
+    if (names.size() != peers.size() || addresses.size() != peers.size())
+        reader.fail(base::error_code::settingsClash, "peers", "a name or an address comes twice");
+    if (names.count(self) == 0)
+        reader.fail(base::error_code::settingsClash, "peers", "must list " + self + " itself");
+    return peers;
+}
+
+role_settings readControl(table_reader &reader, const std::string &self)
 {
     const base::endpoint streams = reader.endpoint("streams");
     const base::endpoint api = reader.endpoint("api");
     if (streams.port != 0 && streams == api)
         reader.fail(base::error_code::settingsClash, "api", "same address as streams");
-    return control_settings {streams, api, reader.text("data_folder")};
+    return control_settings {streams, api, reader.text("data_folder"),
+                             readPeers(reader, self, streams)};
 }
 
-role_settings readRole(table_reader &top, const std::string &role, const std::string &path)
+role_settings readRole(table_reader &top, const std::string &role, const std::string &self,
+                       const std::string &path)
 {
     const toml::table *table = top.subtable(role);
     if (table == nullptr)
@@ -44,7 +72,7 @@
     table_reader reader(*table, path);
     role_settings settings = role == "entry" ? readEntry(reader)
         : role == "agent"                    ? readAgent(reader)
-                                             : readControl(reader);
+                                             : readControl(reader, self);
     reader.refuseUnknownKeys();
     top.take(reader);
     return settings;
@@ -66,7 +94,7 @@
         const std::string name = reader.text("name");
         const std::string zone = reader.text("availability_zone");
         const std::vector<base::endpoint> control = reader.endpoints("control_addresses");
-        const role_settings settings = readRole(reader, role, path);
+        const role_settings settings = readRole(reader, role, name, path);
         reader.refuseUnknownKeys();
         if (reader.fault())
             return *reader.fault();
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -1,142 +1,242 @@
 #include "lycheeshunt/tickets/decision.h"
 
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/tickets/difference.h"
+#include "lycheeshunt/tickets/validation.h"
+
+#include <ctime>
 
 namespace lycheeshunt::tickets {
 
 namespace {
 
-using services_by_name = std::map<std::string, service_definition>;
 using ticket_step = base::step<ticket_state, ticket_action>;
+using action_list = std::vector<ticket_action>;
 
-void applyChange(services_by_name &services, const ticket_change &change)
+std::string numberText(base::ticket_number number)
 {
-    std::visit(base::overloaded {
-                   [&](const service_definition &service) {
-                       services.erase(service.name);
-                       services.emplace(service.name, service);
-                   },
-                   [&](const service_removal &removal) { services.erase(removal.name); },
-                   [](const drain_order &) {},
-               },
-               change);
+    return "ticket " + std::to_string(number.value());
 }
 
-void checkService(const service_definition &service, std::vector<base::error> &faults)
+// "2026-03-01T09:30:00Z"
+std::string timeText(base::clock_time wall)
 {
-    if (service.name.empty())
-        faults.push_back({base::error_code::ticketBadField, "service without a name"});
-    if (service.limits.slots == 0 || service.limits.connections == 0)
-        faults.push_back({base::error_code::ticketBadField, service.name + ": limits of zero"});
-    if (service.buckets == 0)
-        faults.push_back({base::error_code::ticketBadField, service.name + ": no buckets"});
+    constexpr std::int64_t millisPerSecond = 1000;
+    const std::time_t seconds = wall.millis() / millisPerSecond;
+    std::tm parts {};
+    ::gmtime_r(&seconds, &parts);
+    char text[sizeof "0000-00-00T00:00:00Z"] = {};
+    return std::string(text, std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts));
 }
 
-void checkAddresses(const services_by_name &services, std::vector<base::error> &faults)
+base::error takenBy(const ticket_record &held, const ticket &other)
 {
-    std::map<service_address, std::string> holders;
-    for (auto it = services.begin(); it != services.end(); ++it) {
-        for (const service_address &address : it->second.addresses) {
-            const auto [holder, isNew] = holders.emplace(address, it->first);
-            if (!isNew)
-                faults.push_back(
-                    {base::error_code::ticketAddressClash,
-                     address.where.text() + " in " + holder->second + " and " + it->first});
-        }
-    }
+    return base::error {base::error_code::ticketNumberTaken,
+                        numberText(other.number) + " is held by " + held.ticket.author + " since "
+                            + timeText(held.acceptedAt) + " and differs in "
+                            + firstDifference(held.ticket, other)};
 }
 
-void submit(ticket_state &state, const submit_ticket &message, std::vector<ticket_action> &actions)
+base::error takenBy(const pending_ticket &held, const ticket &other)
+{
+    return base::error {base::error_code::ticketNumberTaken,
+                        numberText(other.number) + " of " + held.ticket.author
+                            + " is being accepted and differs in "
+                            + firstDifference(held.ticket, other)};
+}
+
+void refuse(base::request_id request, const base::error &fault, action_list &actions)
+{
+    actions.emplace_back(ticket_answer {request, ticket_refusal {{fault}}});
+}
+
+// Records never change, so they may be told by any control VM at any time.
+bool answerFromRecord(const ticket_state &state, base::request_id request, const ticket &wanted,
+                      action_list &actions)
 {
-    const ticket &wanted = message.ticket;
-    const base::error taken {base::error_code::ticketNumberTaken,
-                             "ticket " + std::to_string(wanted.number.value())};
     const auto known = state.records.find(wanted.number);
-    if (known != state.records.end()) {
-        if (known->second.ticket == wanted)
-            actions.emplace_back(ticket_answer {message.request, known->second});
-        else
-            actions.emplace_back(ticket_answer {message.request, ticket_refusal {{taken}}});
-        return;
-    }
+    if (known == state.records.end())
+        return false;
+    if (known->second.ticket == wanted)
+        actions.emplace_back(ticket_answer {request, known->second});
+    else
+        refuse(request, takenBy(known->second, wanted), actions);
+    return true;
+}
+
+// A submitted ticket joins one of its number that is under way, or is refused by it.
+bool joinPending(ticket_state &state, base::request_id request, const ticket &wanted,
+                 action_list &actions)
+{
     const auto proposed = state.pending.find(wanted.number);
-    if (proposed != state.pending.end()) {
-        if (proposed->second.ticket != wanted) {
-            actions.emplace_back(ticket_answer {message.request, ticket_refusal {{taken}}});
-            return;
-        }
-        std::vector<base::request_id> waiting = proposed->second.waiting;
-        waiting.push_back(message.request);
-        state.pending.erase(proposed);
-        state.pending.emplace(wanted.number, pending_ticket {wanted, std::move(waiting)});
+    if (proposed == state.pending.end())
+        return false;
+    if (proposed->second.ticket == wanted)
+        proposed->second.waiting.push_back(request);
+    else
+        refuse(request, takenBy(proposed->second, wanted), actions);
+    return true;
+}
+
+void propose(ticket_state &state, base::request_id request, const ticket &wanted,
+             action_list &actions)
+{
+    const std::uint64_t token = ++state.lastToken;
+    state.pending.emplace(wanted.number, pending_ticket {wanted, token, {request}});
+    actions.emplace_back(propose_ticket {wanted, token});
+}
+
+void submit(ticket_state &state, const submit_ticket &message, action_list &actions)
+{
+    const ticket &wanted = message.ticket;
+    if (answerFromRecord(state, message.request, wanted, actions)
+        || joinPending(state, message.request, wanted, actions))
+        return;
+    if (!state.refusal.empty()) {
+        refuse(message.request, state.refusal.front(), actions);
         return;
     }
-    std::vector<base::error> faults = faultsOf(wanted, state.services);
-    if (!faults.empty()) {
-        actions.emplace_back(ticket_answer {message.request, ticket_refusal {std::move(faults)}});
+    if (faultsOf(wanted, state).empty()) {
+        propose(state, message.request, wanted, actions);
         return;
     }
-    state.pending.emplace(wanted.number, pending_ticket {wanted, {message.request}});
-    actions.emplace_back(propose_ticket {wanted});
+    // The faults may be those of a VM that has missed something.
+    state.reads.emplace(message.request, wanted);
+    actions.emplace_back(confirm_read {message.request});
+}
+
+void show(ticket_state &state, const show_ticket &message, action_list &actions)
+{
+    state.reads.emplace(message.request, message.number);
+    actions.emplace_back(confirm_read {message.request});
 }
 
-void show(const ticket_state &state, const show_ticket &message,
-          std::vector<ticket_action> &actions)
+void answerShow(const ticket_state &state, base::request_id request, base::ticket_number number,
+                action_list &actions)
 {
-    const auto known = state.records.find(message.number);
-    if (known != state.records.end()) {
-        actions.emplace_back(ticket_answer {message.request, known->second});
+    const auto known = state.records.find(number);
+    if (known != state.records.end())
+        actions.emplace_back(ticket_answer {request, known->second});
+    else
+        refuse(request, {base::error_code::ticketUnknown, numberText(number)}, actions);
+}
+
+void answerSubmit(ticket_state &state, base::request_id request, const ticket &wanted,
+                  action_list &actions)
+{
+    if (answerFromRecord(state, request, wanted, actions)
+        || joinPending(state, request, wanted, actions))
         return;
-    }
-    const base::error unknown {base::error_code::ticketUnknown,
-                               "ticket " + std::to_string(message.number.value())};
-    actions.emplace_back(ticket_answer {message.request, ticket_refusal {{unknown}}});
+    std::vector<base::error> faults = faultsOf(wanted, state);
+    if (faults.empty())
+        propose(state, request, wanted, actions);
+    else
+        actions.emplace_back(ticket_answer {request, ticket_refusal {std::move(faults)}});
 }
 
-void commit(ticket_state &state, const ticket_committed &message,
-            std::vector<ticket_action> &actions)
+void settleRead(ticket_state &state, const read_settled &message, action_list &actions)
 {
-    const ticket_record &record = message.record;
-    const base::ticket_number number = record.ticket.number;
-    const bool isFirst = state.records.emplace(number, record).second;
-    if (isFirst) {
-        for (const ticket_change &change : record.ticket.changes)
-            applyChange(state.services, change);
+    const auto found = state.reads.find(message.request);
+    if (found == state.reads.end())
+        return;
+    const awaited_read awaited = found->second;
+    state.reads.erase(found);
+    if (message.failure) {
+        refuse(message.request, *message.failure, actions);
+        return;
     }
-    const auto proposed = state.pending.find(number);
+    std::visit(base::overloaded {
+                   [&](const base::ticket_number &number) {
+                       answerShow(state, message.request, number, actions);
+                   },
+                   [&](const ticket &wanted) {
+                       answerSubmit(state, message.request, wanted, actions);
+                   },
+               },
+               awaited);
+}
+
+ticket_outcome outcomeFor(const ticket_state &state, const ticket &wanted,
+                          const std::vector<base::error> &faults)
+{
+    const auto known = state.records.find(wanted.number);
+    if (known == state.records.end())
+        return ticket_refusal {faults};
+    if (known->second.ticket == wanted)
+        return known->second;
+    return ticket_refusal {{takenBy(known->second, wanted)}};
+}
+
+void answerPending(ticket_state &state, const ticket &committed,
+                   const std::vector<base::error> &faults, action_list &actions)
+{
+    const auto proposed = state.pending.find(committed.number);
     if (proposed == state.pending.end())
         return;
+    // A refused ticket of other content leaves the number free for the one that waits.
+    const bool isOther = proposed->second.ticket != committed;
+    if (isOther && state.records.count(committed.number) == 0)
+        return;
+    const ticket_outcome outcome = outcomeFor(state, proposed->second.ticket, faults);
     for (const base::request_id &request : proposed->second.waiting)
-        actions.emplace_back(ticket_answer {request, state.records.at(number)});
+        actions.emplace_back(ticket_answer {request, outcome});
     state.pending.erase(proposed);
 }
 
-} // namespace
-
-std::vector<base::error> faultsOf(const ticket &ticket, const services_by_name &services)
+void commit(ticket_state &state, const ticket_committed &message, action_list &actions)
 {
+    const ticket_record &record = message.record;
     std::vector<base::error> faults;
-    if (ticket.number.value() == 0)
-        faults.push_back({base::error_code::ticketBadField, "number must be 1 or more"});
-    if (ticket.changes.empty())
-        faults.push_back({base::error_code::ticketBadField, "ticket changes nothing"});
-    services_by_name after = services;
-    for (const ticket_change &change : ticket.changes) {
-        if (const service_definition *service = std::get_if<service_definition>(&change))
-            checkService(*service, faults);
-        applyChange(after, change);
+    if (state.records.count(record.ticket.number) == 0) {
+        faults = faultsOf(record.ticket, state);
+        if (faults.empty()) {
+            state.records.emplace(record.ticket.number, record);
+            applyTicket(state, record.ticket);
+            actions.emplace_back(apply_ticket {record});
+        }
+    }
+    answerPending(state, record.ticket, faults, actions);
+}
+
+void withdraw(ticket_state &state, const proposal_withdrawn &message, action_list &actions)
+{
+    for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
+        if (it->second.token != message.token)
+            continue;
+        for (const base::request_id &request : it->second.waiting)
+            refuse(request, message.reason, actions);
+        state.pending.erase(it);
+        return;
+    }
+}
+
+void changeLeadership(ticket_state &state, const leadership_told &message, action_list &actions)
+{
+    state.refusal.clear();
+    if (message.refusal)
+        state.refusal.push_back(*message.refusal);
+    // Of an earlier leadership of this VM, or of one that has just ended.
+    for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
+        for (const base::request_id &request : it->second.waiting)
+            refuse(request, {base::error_code::ticketOutcomeUnknown, numberText(it->first)},
+                   actions);
     }
-    checkAddresses(after, faults);
-    return faults;
+    state.pending.clear();
 }
 
+} // namespace
+
 ticket_step decide(ticket_state state, const ticket_message &message)
 {
-    std::vector<ticket_action> actions;
+    action_list actions;
     std::visit(base::overloaded {
-                   [&](const submit_ticket &wanted) { submit(state, wanted, actions); },
-                   [&](const show_ticket &question) { show(state, question, actions); },
-                   [&](const ticket_committed &done) { commit(state, done, actions); },
+                   [&](const submit_ticket &m) { submit(state, m, actions); },
+                   [&](const show_ticket &m) { show(state, m, actions); },
+                   [&](const ticket_committed &m) { commit(state, m, actions); },
+                   [&](const other_committed &m) { actions.emplace_back(m); },
+                   [&](const proposal_withdrawn &m) { withdraw(state, m, actions); },
+                   [&](const read_settled &m) { settleRead(state, m, actions); },
+                   [&](const leadership_told &m) { changeLeadership(state, m, actions); },
                },
                message);
     return ticket_step {std::move(state), std::move(actions)};
--- a/lycheeshunt/tickets/decision.h
+++ b/lycheeshunt/tickets/decision.h
@@ -1,6 +1,10 @@
 // Decides what becomes of each ticket: one outcome a number, whatever is sent again.
 //
 //     step<ticket_state, ticket_action> next = decide(std::move(state), message);
+//
+// A ticket is checked when it is submitted, so that its operator hears of every fault at once, and
+// again when the log has committed it, since another may have been committed in between. Only the
+// second check decides, and it comes out the same on every control VM.
 
 #pragma once
 
@@ -12,8 +16,4 @@
 
 base::step<ticket_state, ticket_action> decide(ticket_state state, const ticket_message &message);
 
-// Every fault of a ticket against the services in force; empty when there is none.
-std::vector<base::error> faultsOf(const ticket &ticket,
-                                  const std::map<std::string, service_definition> &services);
-
 } // namespace lycheeshunt::tickets
--- /dev/null
+++ b/lycheeshunt/tickets/leadership_told.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/base/error.h"
+
+#include <optional>
+
+namespace lycheeshunt::tickets {
+
+// Whether this VM may propose tickets, and if not, what to tell operators. Proposals made before
+// an end of leadership may still be committed by the next leader, or be lost.
+struct leadership_told
+{
+    const std::optional<base::error> refusal = {};
+
+    bool operator==(const leadership_told &) const = default;
+};
+
+} // namespace lycheeshunt::tickets
--- /dev/null
+++ b/lycheeshunt/tickets/other_committed.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+
+#include <string>
+
+namespace lycheeshunt::tickets {
+
+// A committed entry that is no ticket. It passes through here, in and out, so that those who
+// apply entries get all of them in the order of the log.
+struct other_committed
+{
+    const base::generation at;
+    const std::string payload;
+
+    bool operator==(const other_committed &) const = default;
+};
+
+} // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/pending_ticket.h
+++ b/lycheeshunt/tickets/pending_ticket.h
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/request_id.h"
 #include "lycheeshunt/tickets/ticket.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace lycheeshunt::tickets {
@@ -11,7 +12,8 @@
 struct pending_ticket
 {
     const tickets::ticket ticket;
-    const std::vector<base::request_id> waiting;
+    const std::uint64_t token = 0;
+    std::vector<base::request_id> waiting;
 
     bool operator==(const pending_ticket &) const = default;
 };
--- a/lycheeshunt/tickets/ticket_duty.cpp
+++ b/lycheeshunt/tickets/ticket_duty.cpp
@@ -11,27 +11,27 @@
 ticket_duty::ticket_duty(action_sink sink)
     : m_sink(std::move(sink)),
       m_duty(inboxCapacity,
-             [this](const ticket_message &message, base::clock_time now) { handle(message, now); })
+             [this](const ticket_message &message, base::clock_time) { handle(message); })
 {
 }
 
-void ticket_duty::handle(const ticket_message &message, base::clock_time /*now*/)
+void ticket_duty::handle(const ticket_message &message)
 {
     base::step<ticket_state, ticket_action> next = decide(std::move(m_state), message);
     m_state = std::move(next.state);
     for (const ticket_action &action : next.actions) {
-        const propose_ticket *proposed = std::get_if<propose_ticket>(&action);
-        if (!m_sink(action) && proposed != nullptr)
-            withdraw(proposed->ticket.number);
+        if (!m_sink(action))
+            giveUp(action);
     }
 }
 
-void ticket_duty::withdraw(base::ticket_number number)
+void ticket_duty::giveUp(const ticket_action &action)
 {
-    const auto pending = m_state.pending.find(number);
-    for (const base::request_id &request : pending->second.waiting)
-        m_sink(ticket_answer {request, ticket_refusal {{{base::error_code::tooBusy, ""}}}});
-    m_state.pending.erase(pending);
+    const base::error busy {base::error_code::tooBusy, "replication"};
+    if (const propose_ticket *proposed = std::get_if<propose_ticket>(&action))
+        handle(proposal_withdrawn {proposed->token, busy});
+    else if (const confirm_read *read = std::get_if<confirm_read>(&action))
+        handle(read_settled {read->request, busy});
 }
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/ticket_duty.h
+++ b/lycheeshunt/tickets/ticket_duty.h
@@ -11,8 +11,8 @@
 class ticket_duty
 {
 public:
-    // Called on the ticket thread for every action. Returns false when a proposal can't be taken
-    // now; its operators are then told so.
+    // Called on the ticket thread for every action. Returns false when a proposal or a
+    // question can't be taken now; those who wait for it are then told so.
     using action_sink = std::function<bool(const ticket_action &)>;
 
     explicit ticket_duty(action_sink sink);
@@ -21,8 +21,9 @@
     void stop() { m_duty.stop(); }
 
 private:
-    void handle(const ticket_message &message, base::clock_time now);
-    void withdraw(base::ticket_number number);
+    void handle(const ticket_message &message);
+    // Lets the decision know of an action that could not be taken.
+    void giveUp(const ticket_action &action);
 
     ticket_state m_state;
     const action_sink m_sink;
--- a/lycheeshunt/tickets/ticket_message.h
+++ b/lycheeshunt/tickets/ticket_message.h
@@ -1,6 +1,12 @@
 #pragma once
 
+#include "lycheeshunt/tickets/apply_ticket.h"
+#include "lycheeshunt/tickets/confirm_read.h"
+#include "lycheeshunt/tickets/leadership_told.h"
+#include "lycheeshunt/tickets/other_committed.h"
+#include "lycheeshunt/tickets/proposal_withdrawn.h"
 #include "lycheeshunt/tickets/propose_ticket.h"
+#include "lycheeshunt/tickets/read_settled.h"
 #include "lycheeshunt/tickets/show_ticket.h"
 #include "lycheeshunt/tickets/submit_ticket.h"
 #include "lycheeshunt/tickets/ticket_answer.h"
@@ -10,7 +16,9 @@
 
 namespace lycheeshunt::tickets {
 
-using ticket_message = std::variant<submit_ticket, show_ticket, ticket_committed>;
-using ticket_action = std::variant<propose_ticket, ticket_answer>;
+using ticket_message = std::variant<submit_ticket, show_ticket, ticket_committed, other_committed,
+                                    proposal_withdrawn, read_settled, leadership_told>;
+using ticket_action
+    = std::variant<propose_ticket, ticket_answer, apply_ticket, other_committed, confirm_read>;
 
 } // namespace lycheeshunt::tickets
