--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -90,31 +90,30 @@
 
 void control_process::startDuties()
 {
-    m_tickets
-        = std::make_unique<tickets::ticket_duty>([this](const tickets::ticket_action &action) {
-              return std::visit(
-                  base::overloaded {
-                      [this](const tickets::propose_ticket &proposed) {
-                          return propose(replication::entry_kind::ticket,
-                                         tickets::encodeTicket(proposed.ticket), proposed.token);
-                      },
-                      [this](const tickets::ticket_answer &answer) {
-                          return m_operators->inbox().tryPush(answer);
-                      },
-                      [this](const tickets::apply_ticket &valid) {
-                          return m_publisher->inbox().push(dissemination::ticket_applied {
-                              valid.record.at, valid.record.ticket});
-                      },
-                      [this](const tickets::other_committed &other) {
-                          return applyBatch(other.at, other.payload);
-                      },
-                      [this](const tickets::confirm_read &read) {
-                          return m_replication->inbox().tryPush(
-                              replication::read_request {read.request});
-                      },
-                  },
-                  action);
-          });
+    m_tickets = std::make_unique<tickets::ticket_duty>([this](
+                                                           const tickets::ticket_action &action) {
+        return std::visit(
+            base::overloaded {
+                [this](const tickets::propose_ticket &proposed) {
+                    return propose(replication::entry_kind::ticket,
+                                   tickets::encodeTicket(proposed.ticket), proposed.token);
+                },
+                [this](const tickets::ticket_answer &answer) {
+                    return m_operators->inbox().tryPush(answer);
+                },
+                [this](const tickets::apply_ticket &valid) {
+                    return m_publisher->inbox().push(
+                        dissemination::ticket_applied {valid.record.at, valid.record.ticket});
+                },
+                [this](const tickets::other_committed &other) {
+                    return applyBatch(other.at, other.payload);
+                },
+                [this](const tickets::confirm_read &read) {
+                    return m_replication->inbox().tryPush(replication::read_request {read.request});
+                },
+            },
+            action);
+    });
     m_membership = std::make_unique<membership::membership_duty>(
         [this](const membership::membership_action &action) {
             const membership::propose_batch &proposed = std::get<membership::propose_batch>(action);
@@ -174,6 +173,8 @@
             replication::replica_settings {name, std::move(names), own.api}),
         storage.recovered(), static_cast<std::uint32_t>(randomNumber()),
         base::clock_time::steady());
+    if (const std::uint64_t torn = storage.recovered().tornBytes)
+        base::logWarning("replication", "cut " + std::to_string(torn) + " bytes of torn tail");
     storage.forgetRecovered();
     m_replication = std::make_unique<replication::replication_duty>(
         std::move(state), std::move(storage),
@@ -188,41 +189,41 @@
 bool control_process::propose(replication::entry_kind kind, std::string payload,
                               std::uint64_t token)
 {
-    return m_replication->inbox().tryPush(replication::propose_entries {{replication::proposal {
-        kind, std::move(payload), token, base::clock_time::wall()}}});
+    return m_replication->inbox().tryPush(replication::propose_entries {
+        {replication::proposal {kind, std::move(payload), token, base::clock_time::wall()}}});
 }
 
 void control_process::takeNotice(const replication::replication_notice &notice)
 {
-    std::visit(
-        base::overloaded {
-            [this](const replication::commit_entries &committed) {
-                for (const replication::log_entry &entry : committed.entries)
-                    takeCommitted(entry);
-            },
-            [this](const replication::state_restored &restored) {
-                for (const replication::log_entry &entry : restored.entries) {
-                    if (entry.index > m_appliedTo)
-                        takeCommitted(m_compaction.completed(entry));
-                }
-                m_appliedTo = restored.at;
-            },
-            [this](const replication::leadership_changed &changed) {
-                m_tickets->inbox().push(tickets::leadership_told {refusalBy(changed.leadership)});
-            },
-            [this](const replication::proposal_refused &refused) {
-                if (refused.kind == replication::entry_kind::ticket)
-                    m_tickets->inbox().push(
-                        tickets::proposal_withdrawn {refused.token, refused.reason});
-            },
-            [this](const replication::read_confirmed &read) {
-                m_tickets->inbox().push(tickets::read_settled {read.request});
-            },
-            [this](const replication::read_refused &read) {
-                m_tickets->inbox().push(tickets::read_settled {read.request, read.reason});
-            },
-        },
-        notice);
+    std::visit(base::overloaded {
+                   [this](const replication::commit_entries &committed) {
+                       for (const replication::log_entry &entry : committed.entries)
+                           takeCommitted(entry);
+                   },
+                   [this](const replication::state_restored &restored) {
+                       for (const replication::log_entry &entry : restored.entries) {
+                           if (entry.index > m_appliedTo)
+                               takeCommitted(m_compaction.completed(entry));
+                       }
+                       m_appliedTo = restored.at;
+                   },
+                   [this](const replication::leadership_changed &changed) {
+                       m_tickets->inbox().push(
+                           tickets::leadership_told {refusalBy(changed.leadership)});
+                   },
+                   [this](const replication::proposal_refused &refused) {
+                       if (refused.kind == replication::entry_kind::ticket)
+                           m_tickets->inbox().push(
+                               tickets::proposal_withdrawn {refused.token, refused.reason});
+                   },
+                   [this](const replication::read_confirmed &read) {
+                       m_tickets->inbox().push(tickets::read_settled {read.request});
+                   },
+                   [this](const replication::read_refused &read) {
+                       m_tickets->inbox().push(tickets::read_settled {read.request, read.reason});
+                   },
+               },
+               notice);
 }
 
 void control_process::takeCommitted(const replication::log_entry &entry)
--- a/lycheeshunt/replication/decision.cpp
+++ b/lycheeshunt/replication/decision.cpp
@@ -45,18 +45,17 @@
     }
     if (envelope.to.storage != work.state.storage || !isFromKnownDisk(work.state, from))
         return;
-    std::visit(
-        base::overloaded {
-            [&](const vote_request &m) { internal::takeVoteRequest(work, from, m); },
-            [&](const vote_answer &m) { internal::takeVoteAnswer(work, from, m); },
-            [&](const append_request &m) { internal::takeAppendRequest(work, from, m); },
-            [&](const append_answer &m) { internal::takeAppendAnswer(work, from, m); },
-            [&](const snapshot_piece &m) { internal::takeSnapshotPiece(work, from, m); },
-            [&](const snapshot_answer &m) { internal::takeSnapshotAnswer(work, from, m); },
-            [&](const forwarded_proposal &m) { internal::takeForwarded(work, m); },
-            [](const presence &) {},
-        },
-        envelope.message);
+    std::visit(base::overloaded {
+                   [&](const vote_request &m) { internal::takeVoteRequest(work, from, m); },
+                   [&](const vote_answer &m) { internal::takeVoteAnswer(work, from, m); },
+                   [&](const append_request &m) { internal::takeAppendRequest(work, from, m); },
+                   [&](const append_answer &m) { internal::takeAppendAnswer(work, from, m); },
+                   [&](const snapshot_piece &m) { internal::takeSnapshotPiece(work, from, m); },
+                   [&](const snapshot_answer &m) { internal::takeSnapshotAnswer(work, from, m); },
+                   [&](const forwarded_proposal &m) { internal::takeForwarded(work, m); },
+                   [](const presence &) {},
+               },
+               envelope.message);
 }
 
 void takeFailure(replica_work work, const storage_failure &message)
@@ -97,8 +96,7 @@
     if (std::holds_alternative<leader_role>(state.role))
         return leadership {state.term, true, state.settings->name, state.settings->api};
     const follower_role *follower = std::get_if<follower_role>(&state.role);
-    const configuration_member *leader
-        = follower != nullptr && follower->leader && state.isFormed()
+    const configuration_member *leader = follower != nullptr && follower->leader && state.isFormed()
         ? state.members().find(*follower->leader)
         : nullptr;
     if (leader == nullptr)
@@ -108,9 +106,8 @@
                        seen == state.presences.end() ? base::endpoint {} : seen->second.api};
 }
 
-base::step<replica_state, replica_action> decide(replica_state state,
-                                                 const replica_message &message,
-                                                 base::clock_time now)
+base::step<replica_state, replica_action>
+decide(replica_state state, const replica_message &message, base::clock_time now)
 {
     std::vector<replica_action> actions;
     state.now = std::max(state.now, now);
--- a/lycheeshunt/replication/decision.h
+++ b/lycheeshunt/replication/decision.h
@@ -20,9 +20,8 @@
 
 struct recovered_storage;
 
-base::step<replica_state, replica_action> decide(replica_state state,
-                                                 const replica_message &message,
-                                                 base::clock_time now);
+base::step<replica_state, replica_action>
+decide(replica_state state, const replica_message &message, base::clock_time now);
 
 // The state after a start with what the disk held. Only a snapshot counts as committed.
 replica_state startReplica(std::shared_ptr<const replica_settings> settings,
--- a/lycheeshunt/replication/decision_test.cpp
+++ b/lycheeshunt/replication/decision_test.cpp
@@ -117,9 +117,8 @@
     const std::size_t old = group.awaitLeader();
     for (std::size_t i = 0; i < group.size(); ++i)
         group.cut(i, old);
-    CHECK(group.runUntil([&]() {
-        return !std::holds_alternative<leader_role>(group.at(old).state.role);
-    }));
+    CHECK(group.runUntil(
+        [&]() { return !std::holds_alternative<leader_role>(group.at(old).state.role); }));
     checkPromises(group);
 }
 
@@ -169,8 +168,7 @@
     const auto isVoter = [&]() {
         const configuration &members = group.at(leader).state.members();
         return members.isVoter(group.at(replaced).state.id())
-            && group.at(leader).state.commit
-            >= group.at(leader).state.configurations.back().index;
+            && group.at(leader).state.commit >= group.at(leader).state.configurations.back().index;
     };
     CHECK_FALSE(isVoter());
     CHECK(group.runUntil(isVoter));
@@ -264,8 +262,8 @@
 TEST(replication_decision, aStorageFailureAtAnyStepLosesNothing)
 {
     for (std::uint64_t step = 1; step <= 60; ++step) {
-        const crash_loss losses[] = {crash_loss::nothing, crash_loss::unsyncedHalf,
-                                     crash_loss::allUnsynced};
+        const crash_loss losses[]
+            = {crash_loss::nothing, crash_loss::unsyncedHalf, crash_loss::allUnsynced};
         for (const crash_loss loss : losses) {
             replica_group group(3, 14);
             const std::size_t failing = step % 3;
--- a/lycheeshunt/replication/group_test.h
+++ b/lycheeshunt/replication/group_test.h
@@ -65,11 +65,14 @@
             return;
         }
         started.storage = std::make_unique<replica_storage>(base::takeValue(std::move(storage)));
-        started.state = startReplica(
-            std::make_shared<const replica_settings>(replica_settings {
-                started.name, m_names, base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, {},
-                m_bounds}),
-            started.storage->recovered(), static_cast<std::uint32_t>(m_random()), m_now);
+        started.state = startReplica(std::make_shared<const replica_settings>(replica_settings {
+                                         started.name,
+                                         m_names,
+                                         base::endpoint {1, static_cast<std::uint16_t>(i + 1)},
+                                         {},
+                                         m_bounds}),
+                                     started.storage->recovered(),
+                                     static_cast<std::uint32_t>(m_random()), m_now);
         started.applied.clear();
         if (started.state.latestSnapshot)
             restore(started, *started.state.latestSnapshot);
@@ -78,8 +81,7 @@
     memory_files &files(std::size_t i)
     {
         // The storage hands its files out for reading; the tests reach in to make them fail.
-        return const_cast<memory_files &>(
-            std::get<memory_files>(m_nodes.at(i).storage->files()));
+        return const_cast<memory_files &>(std::get<memory_files>(m_nodes.at(i).storage->files()));
     }
 
     void stop(std::size_t i) { m_nodes.at(i).isUp = false; }
@@ -129,8 +131,8 @@
     {
         std::optional<std::size_t> found;
         for (std::size_t i = 0; i < size(); ++i) {
-            const bool leads = m_nodes[i].isUp
-                && std::holds_alternative<leader_role>(m_nodes[i].state.role);
+            const bool leads
+                = m_nodes[i].isUp && std::holds_alternative<leader_role>(m_nodes[i].state.role);
             if (leads && (!found || m_nodes[i].state.term > m_nodes[*found].state.term))
                 found = i;
         }
@@ -227,9 +229,9 @@
             return;
         const std::size_t copies = m_random() % 100 < m_noise ? 2 : 1;
         for (std::size_t i = 0; i < copies; ++i) {
-            const std::int64_t delay = 1 + static_cast<std::int64_t>(m_random() % (10 + 4 * m_noise));
-            m_flying.push_back(
-                {m_now + base::clock_time::ofMillis(delay), to, envelope});
+            const std::int64_t delay
+                = 1 + static_cast<std::int64_t>(m_random() % (10 + 4 * m_noise));
+            m_flying.push_back({m_now + base::clock_time::ofMillis(delay), to, envelope});
         }
     }
 
--- a/lycheeshunt/replication/internal/commit.cpp
+++ b/lycheeshunt/replication/internal/commit.cpp
@@ -33,8 +33,8 @@
     if (taken.index > state.commit || taken.index <= state.log.baseIndex() || !term)
         return;
     const configuration members = configurationAt(state, taken.index);
-    state.latestSnapshot = std::make_shared<const snapshot>(
-        snapshot {taken.index, *term, members, taken.entries});
+    state.latestSnapshot
+        = std::make_shared<const snapshot>(snapshot {taken.index, *term, members, taken.entries});
     state.log.dropUpTo(taken.index);
     while (state.configurations.size() > 1 && state.configurations[1].index <= taken.index)
         state.configurations.pop_front();
--- a/lycheeshunt/replication/internal/election.cpp
+++ b/lycheeshunt/replication/internal/election.cpp
@@ -103,8 +103,8 @@
     const bool isRefused = request.term < state.term || hasLiveLeader(work);
     if (!isRefused && !request.isPreVote && request.term > state.term)
         becomeFollower(work, request.term, std::nullopt);
-    const bool isFree = request.isPreVote || state.votedNode == base::node_id()
-        || state.vote() == from;
+    const bool isFree
+        = request.isPreVote || state.votedNode == base::node_id() || state.vote() == from;
     const bool isNewTerm = !request.isPreVote || request.term > state.term;
     const bool isGranted = !isRefused && isFree && isNewTerm && isUpToDate(state, request);
     if (isGranted && !request.isPreVote)
--- a/lycheeshunt/replication/internal/following.cpp
+++ b/lycheeshunt/replication/internal/following.cpp
@@ -94,15 +94,17 @@
         return;
     }
     if (!isMatch(state, request)) {
-        work.answer(from, append_answer {state.term, request.round, false,
-                                         retryIndex(state, request.previousIndex)});
+        work.answer(from,
+                    append_answer {state.term, request.round, false,
+                                   retryIndex(state, request.previousIndex)});
         return;
     }
     if (!storeEntries(work, request.entries))
         return;
     const base::generation last(request.previousIndex.value() + request.entries.size());
-    work.answer(from, append_answer {state.term, request.round, true,
-                                     std::max(last, state.log.baseIndex())});
+    work.answer(
+        from,
+        append_answer {state.term, request.round, true, std::max(last, state.log.baseIndex())});
     commitUpTo(work, std::min(request.commit, last));
 }
 
@@ -123,8 +125,8 @@
     if (piece.offset == incoming.bytes.size())
         incoming.bytes += piece.bytes;
     if (incoming.bytes.size() < piece.totalBytes) {
-        work.answer(from, snapshot_answer {state.term, piece.round, piece.index,
-                                           incoming.bytes.size()});
+        work.answer(from,
+                    snapshot_answer {state.term, piece.round, piece.index, incoming.bytes.size()});
         return;
     }
     installSnapshot(work, piece);
--- a/lycheeshunt/replication/internal/leading.cpp
+++ b/lycheeshunt/replication/internal/leading.cpp
@@ -179,8 +179,8 @@
         sendPiece(work, member, progress);
         return;
     }
-    std::vector<log_entry> entries = state.log.from(progress.next, work.bounds().appendEntries,
-                                                    work.bounds().appendBytes);
+    std::vector<log_entry> entries
+        = state.log.from(progress.next, work.bounds().appendEntries, work.bounds().appendBytes);
     const base::generation last = entries.back().index;
     work.send(member,
               append_request {state.term, leader.round, previous, *previousTerm,
@@ -199,7 +199,8 @@
         return;
     }
     peer_progress *progress = progressOf(work, from);
-    if (progress == nullptr || answer.term < state.term || answer.index > after(state.log.lastIndex()))
+    if (progress == nullptr || answer.term < state.term
+        || answer.index > after(state.log.lastIndex()))
         return;
     progress->lastHeard = state.now;
     progress->roundAnswered = std::max(progress->roundAnswered, answer.round);
--- a/lycheeshunt/replication/internal/log_segments.cpp
+++ b/lycheeshunt/replication/internal/log_segments.cpp
@@ -1,6 +1,5 @@
 #include "lycheeshunt/replication/internal/log_segments.h"
 
-#include "lycheeshunt/base/log.h"
 #include "lycheeshunt/replication/codec.h"
 #include "lycheeshunt/replication/internal/file_calls.h"
 #include "lycheeshunt/replication/internal/record.h"
@@ -99,9 +98,7 @@
 std::optional<base::error> log_segments::cutTail(file_set &files, const segment &torn,
                                                  std::uint64_t length)
 {
-    base::logWarning("replication",
-                     "cut " + std::to_string(length - torn.size) + " bytes of torn tail off "
-                         + torn.name);
+    m_tornBytes = length - torn.size;
     if (std::optional<base::error> failure = truncateFile(files, torn.name, torn.size))
         return failure;
     return syncFile(files, torn.name);
--- a/lycheeshunt/replication/internal/log_segments.h
+++ b/lycheeshunt/replication/internal/log_segments.h
@@ -23,6 +23,9 @@
     // Removes the segments that hold nothing after the index.
     std::optional<base::error> dropUpTo(file_set &files, base::generation index);
 
+    // How much was cut off on opening.
+    std::uint64_t tornBytes() const { return m_tornBytes; }
+
     static bool isSegmentName(const std::string &name);
 
 private:
@@ -41,6 +44,7 @@
 
     // By the index of the first entry.
     std::map<std::uint64_t, segment> m_segments;
+    std::uint64_t m_tornBytes = 0;
 };
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -121,8 +121,9 @@
         change.emplace(nextVoter(state, *leader).value_or(configuration_member {}));
     if (change->name.empty())
         return;
-    leadEntries(work, {proposal {entry_kind::configuration,
-                                 encodeConfiguration(state.members().with(*change))}});
+    leadEntries(
+        work,
+        {proposal {entry_kind::configuration, encodeConfiguration(state.members().with(*change))}});
 }
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/record.cpp
+++ b/lycheeshunt/replication/internal/record.cpp
@@ -40,8 +40,7 @@
 bool isGoodBody(std::string_view bytes, std::size_t offset, const record_header &header)
 {
     const std::string_view body = bytes.substr(offset + recordHeaderBytes, header.length);
-    return body.size() == header.length
-        && XXH3_64bits(body.data(), body.size()) == header.checksum;
+    return body.size() == header.length && XXH3_64bits(body.data(), body.size()) == header.checksum;
 }
 
 bool hasGoodRecordAfter(std::string_view bytes, std::size_t offset)
--- a/lycheeshunt/replication/peer_codec.cpp
+++ b/lycheeshunt/replication/peer_codec.cpp
@@ -49,10 +49,9 @@
                     append_answer_fields(m.term, m.round, m.isMatch, m.index.value()));
             },
             [](const snapshot_piece &m) {
-                return base::packFields(
-                    snapshot_piece_fields(m.term, m.round, m.index.value(), m.snapshotTerm,
-                                          encodeConfiguration(m.configuration), m.totalBytes,
-                                          m.offset, m.bytes));
+                return base::packFields(snapshot_piece_fields(
+                    m.term, m.round, m.index.value(), m.snapshotTerm,
+                    encodeConfiguration(m.configuration), m.totalBytes, m.offset, m.bytes));
             },
             [](const snapshot_answer &m) {
                 return base::packFields(
@@ -62,9 +61,9 @@
                 return base::packFields(presence_fields(m.isFormed, m.api.address, m.api.port));
             },
             [](const forwarded_proposal &m) {
-                return base::packFields(
-                    forwarded_fields(static_cast<std::uint8_t>(m.proposal.kind), m.proposal.payload,
-                                     m.proposal.proposedAt.millis()));
+                return base::packFields(forwarded_fields(static_cast<std::uint8_t>(m.proposal.kind),
+                                                         m.proposal.payload,
+                                                         m.proposal.proposedAt.millis()));
             },
         },
         message);
@@ -111,8 +110,8 @@
 {
     if (kind != static_cast<std::uint8_t>(entry_kind::membership))
         return base::error {base::error_code::messageMalformed, "kind can't be forwarded"};
-    return peer_message(forwarded_proposal {proposal {
-        entry_kind::membership, payload, 0, base::clock_time::ofMillis(proposedAt)}});
+    return peer_message(forwarded_proposal {
+        proposal {entry_kind::membership, payload, 0, base::clock_time::ofMillis(proposedAt)}});
 }
 
 using body_decoder = base::result<peer_message> (*)(std::string_view);
@@ -150,11 +149,10 @@
             });
     },
     [](std::string_view body) {
-        return decodeAs<presence_fields>(
-            body, [](bool isFormed, std::uint32_t address, std::uint16_t port) {
-                return base::result<peer_message>(
-                    presence {isFormed, base::endpoint {address, port}});
-            });
+        return decodeAs<
+            presence_fields>(body, [](bool isFormed, std::uint32_t address, std::uint16_t port) {
+            return base::result<peer_message>(presence {isFormed, base::endpoint {address, port}});
+        });
     },
     [](std::string_view body) { return decodeAs<forwarded_fields>(body, buildForwarded); },
 };
--- a/lycheeshunt/replication/peer_codec_test.cpp
+++ b/lycheeshunt/replication/peer_codec_test.cpp
@@ -51,8 +51,7 @@
 
 TEST(peer_codec, sizeAndVersionAreCheckedFirst)
 {
-    const base::result<peer_envelope> large
-        = decodeEnvelope(std::string(3 * 1024 * 1024, 'x'));
+    const base::result<peer_envelope> large = decodeEnvelope(std::string(3 * 1024 * 1024, 'x'));
     CHECK(base::errorOf(large)->code == base::error_code::messageTooLarge);
     std::string later
         = encodeEnvelope(peer_envelope {sender, receiver, vote_answer {3, 4, true, true}});
--- a/lycheeshunt/replication/recovered_storage.h
+++ b/lycheeshunt/replication/recovered_storage.h
@@ -17,6 +17,8 @@
     const shared_snapshot snapshot;
     // The entries after the snapshot.
     const std::vector<log_entry> entries = {};
+    // Bytes of a write that was never acknowledged, cut off the end of the log.
+    const std::uint64_t tornBytes = 0;
 
     bool operator==(const recovered_storage &) const = default;
 };
--- a/lycheeshunt/replication/replica_action.h
+++ b/lycheeshunt/replication/replica_action.h
@@ -17,9 +17,8 @@
 
 // Carried out in order. When one that writes fails, the rest of its step must not be carried out:
 // an answer that follows a write stands for its sync.
-using replica_action
-    = std::variant<peer_envelope, hard_state, truncate_log, persist_entries, persist_snapshot,
-                   commit_entries, leadership_changed, proposal_refused, read_confirmed,
-                   read_refused>;
+using replica_action = std::variant<peer_envelope, hard_state, truncate_log, persist_entries,
+                                    persist_snapshot, commit_entries, leadership_changed,
+                                    proposal_refused, read_confirmed, read_refused>;
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replica_log.h
+++ b/lycheeshunt/replication/replica_log.h
@@ -38,7 +38,10 @@
     {
         return base::generation(m_baseIndex.value() + m_entries.size());
     }
-    std::uint64_t lastTerm() const { return m_entries.empty() ? m_baseTerm : m_entries.back().term; }
+    std::uint64_t lastTerm() const
+    {
+        return m_entries.empty() ? m_baseTerm : m_entries.back().term;
+    }
     std::size_t size() const { return m_entries.size(); }
 
     // Nothing for an index that the log does not reach or no longer holds.
--- a/lycheeshunt/replication/replica_storage.cpp
+++ b/lycheeshunt/replication/replica_storage.cpp
@@ -29,8 +29,8 @@
 // The head is packed and measured; the entries, which may be large, follow as they are.
 std::string encodeSnapshot(const snapshot &taken)
 {
-    const std::string head = base::packFields(snapshot_fields(
-        taken.index.value(), taken.term, encodeConfiguration(taken.configuration)));
+    const std::string head = base::packFields(
+        snapshot_fields(taken.index.value(), taken.term, encodeConfiguration(taken.configuration)));
     return internal::frameRecord(head) + internal::frameRecord(taken.entries);
 }
 
@@ -200,7 +200,8 @@
     if (!kept.empty() && kept.back().term > base::valueOf(hard).term)
         return corrupt("the term on the disk is older than the log");
     m_recovered = std::make_shared<const recovered_storage>(
-        recovered_storage {base::valueOf(self), base::valueOf(hard), base::valueOf(taken), kept});
+        recovered_storage {base::valueOf(self), base::valueOf(hard), base::valueOf(taken), kept,
+                           m_segments.tornBytes()});
     return std::nullopt;
 }
 
--- a/lycheeshunt/replication/replica_storage.h
+++ b/lycheeshunt/replication/replica_storage.h
@@ -22,7 +22,7 @@
 class replica_storage
 {
 public:
-    // An empty folder gets the fresh identity. A torn tail is cut off with a log line; damage is
+    // An empty folder gets the fresh identity. A torn tail is cut off and counted; damage is
     // logCorrupt, and nothing is skipped.
     static base::result<replica_storage> open(file_set files, storage_id fresh);
 
--- a/lycheeshunt/replication/replica_storage_test.cpp
+++ b/lycheeshunt/replication/replica_storage_test.cpp
@@ -117,6 +117,7 @@
         const base::result<replica_storage> opened = openFiles(torn);
         CHECK(base::isOk(opened));
         LONGS_EQUAL(kept / recordSize(), lastHeld(base::valueOf(opened).recovered()));
+        LONGS_EQUAL(kept % recordSize(), base::valueOf(opened).recovered().tornBytes);
     }
 }
 
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -145,15 +145,14 @@
         refuse(message.request, *message.failure, actions);
         return;
     }
-    std::visit(base::overloaded {
-                   [&](const base::ticket_number &number) {
-                       answerShow(state, message.request, number, actions);
-                   },
-                   [&](const ticket &wanted) {
-                       answerSubmit(state, message.request, wanted, actions);
-                   },
-               },
-               awaited);
+    std::visit(
+        base::overloaded {
+            [&](const base::ticket_number &number) {
+                answerShow(state, message.request, number, actions);
+            },
+            [&](const ticket &wanted) { answerSubmit(state, message.request, wanted, actions); },
+        },
+        awaited);
 }
 
 ticket_outcome outcomeFor(const ticket_state &state, const ticket &wanted,
--- a/lycheeshunt/tickets/decision_test.cpp
+++ b/lycheeshunt/tickets/decision_test.cpp
@@ -30,7 +30,10 @@
     }
 
     // This VM leads.
-    void setup() override { run(leadership_told {}); }
+    void setup() override
+    {
+        run(leadership_told {});
+    }
 
     const ticket_refusal *refusalIn(const std::vector<ticket_action> &actions)
     {
@@ -81,9 +84,8 @@
     const ticket held = ticketOf(4, "logbook");
     run(ticket_committed {
         ticket_record {held, base::generation(5), base::clock_time::ofSeconds(86'400)}});
-    const ticket other {base::ticket_number(4),
-                        "test",
-                        {service_definition {"logbook", {{address, 6}}, {8}, 64}}};
+    const ticket other {
+        base::ticket_number(4), "test", {service_definition {"logbook", {{address, 6}}, {8}, 64}}};
     const std::vector<ticket_action> answers = run(submit_ticket {base::request_id(1), other});
     const base::error &fault = refusalIn(answers)->faults.at(0);
     CHECK(fault.code == base::error_code::ticketNumberTaken);
--- a/lycheeshunt/tickets/difference.cpp
+++ b/lycheeshunt/tickets/difference.cpp
@@ -33,20 +33,20 @@
 
 std::string changeDifference(const ticket_change &held, const ticket_change &other)
 {
-    return std::visit(
-        base::overloaded {
-            [](const service_definition &one, const service_definition &two) {
-                return serviceDifference(one, two);
-            },
-            [](const service_removal &, const service_removal &) {
-                return std::string("remove_service");
-            },
-            [](const drain_order &one, const drain_order &two) {
-                return std::string(one.node != two.node ? "drain.node" : "drain.draining");
-            },
-            [](const auto &, const auto &) { return std::string("kind"); },
-        },
-        held, other);
+    return std::visit(base::overloaded {
+                          [](const service_definition &one, const service_definition &two) {
+                              return serviceDifference(one, two);
+                          },
+                          [](const service_removal &, const service_removal &) {
+                              return std::string("remove_service");
+                          },
+                          [](const drain_order &one, const drain_order &two) {
+                              return std::string(one.node != two.node ? "drain.node"
+                                                                      : "drain.draining");
+                          },
+                          [](const auto &, const auto &) { return std::string("kind"); },
+                      },
+                      held, other);
 }
 
 } // namespace
--- a/lycheeshunt/tickets/ticket_state.h
+++ b/lycheeshunt/tickets/ticket_state.h
@@ -26,8 +26,8 @@
     std::map<base::request_id, awaited_read> reads;
     std::uint64_t lastToken = 0;
     // Why this VM can't propose; empty while it leads.
-    std::vector<base::error> refusal = {
-        base::error {base::error_code::quorumLost, "no leader is known"}};
+    std::vector<base::error> refusal
+        = {base::error {base::error_code::quorumLost, "no leader is known"}};
 
     bool operator==(const ticket_state &) const = default;
 };
--- a/lycheeshunt/tickets/validation.cpp
+++ b/lycheeshunt/tickets/validation.cpp
@@ -63,19 +63,18 @@
     checkRange(name + ": queue_length", limits.queueLength, 0, maxQueueLength, faults);
     checkRange(name + ": queue_wait_ms", limits.queueWait.millis(), 0, maxQueueWait.millis(),
                faults);
-    checkRange(name + ": long_work_age_ms", limits.longWorkAge.millis(), 1,
-               maxLongWorkAge.millis(), faults);
+    checkRange(name + ": long_work_age_ms", limits.longWorkAge.millis(), 1, maxLongWorkAge.millis(),
+               faults);
     if (limits.slots > 0)
-        checkRange(name + ": short_only_slots", limits.shortOnlySlots, 0, limits.slots - 1,
-                   faults);
+        checkRange(name + ": short_only_slots", limits.shortOnlySlots, 0, limits.slots - 1, faults);
 }
 
 void checkAddressesOf(const service_definition &service, fault_list &faults)
 {
     if (service.addresses.size() > maxAddresses)
-        faults.push_back({base::error_code::ticketTooLarge,
-                          service.name + ": more than " + std::to_string(maxAddresses)
-                              + " addresses"});
+        faults.push_back(
+            {base::error_code::ticketTooLarge,
+             service.name + ": more than " + std::to_string(maxAddresses) + " addresses"});
     std::set<service_address> seen;
     for (const service_address &address : service.addresses) {
         const std::string text = service.name + ": address " + address.where.text();
@@ -102,20 +101,18 @@
 
 void checkChange(const ticket_change &change, const services_by_name &earlier, fault_list &faults)
 {
-    std::visit(base::overloaded {
-                   [&](const service_definition &service) {
-                       checkService(service, earlier, faults);
-                   },
-                   [&](const service_removal &removal) {
-                       if (earlier.count(removal.name) == 0)
-                           faults.push_back(
-                               {base::error_code::ticketServiceUnknown, removal.name});
-                   },
-                   // A node that nobody knows may be drained: it may be away just now, and what
-                   // is valid must not depend on that.
-                   [&](const drain_order &order) { checkName(order.node, "node", faults); },
-               },
-               change);
+    std::visit(
+        base::overloaded {
+            [&](const service_definition &service) { checkService(service, earlier, faults); },
+            [&](const service_removal &removal) {
+                if (earlier.count(removal.name) == 0)
+                    faults.push_back({base::error_code::ticketServiceUnknown, removal.name});
+            },
+            // A node that nobody knows may be drained: it may be away just now, and what
+            // is valid must not depend on that.
+            [&](const drain_order &order) { checkName(order.node, "node", faults); },
+        },
+        change);
 }
 
 // Across services; what a service says twice by itself is a duplicate.
--- a/lycheeshunt/tickets/validation_test.cpp
+++ b/lycheeshunt/tickets/validation_test.cpp
@@ -37,11 +37,11 @@
 ticket_state stateWithInspect()
 {
     ticket_state state;
-    applyTicket(state,
-                ticket {base::ticket_number(3),
-                        "test",
-                        {service_definition {"inspect", {second}, {}, 64},
-                         drain_order {"agent-1"}}});
+    applyTicket(
+        state,
+        ticket {base::ticket_number(3),
+                "test",
+                {service_definition {"inspect", {second}, {}, 64}, drain_order {"agent-1"}}});
     return state;
 }
 
