--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -7,6 +7,7 @@
 
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/daemon/internal/log_compaction.h"
+#include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/replication/replication_notice.h"
 #include "lycheeshunt/settings/node_settings.h"
 #include "lycheeshunt/streams/stream_event.h"
@@ -52,6 +53,9 @@
     control_process(const control_process &) = delete;
     control_process &operator=(const control_process &) = delete;
 
+    // What the process counts. Thread-safe.
+    metrics::report metrics() const;
+
 private:
     control_process();
 
@@ -66,6 +70,7 @@
     bool applyBatch(base::generation at, const std::string &payload);
     void takeStreamEvent(const streams::stream_event &event);
     void takeFrame(const streams::stream_frame &frame);
+    void takeMemberFrame(const streams::stream_frame &frame);
 
     std::unique_ptr<tickets::ticket_duty> m_tickets;
     std::unique_ptr<membership::membership_duty> m_membership;
