--- a/lycheeshunt/replication/internal/leading.cpp
+++ b/lycheeshunt/replication/internal/leading.cpp
@@ -26,6 +26,22 @@
     return found == leader->progress.end() ? nullptr : &found->second;
 }
 
+// Notes a sign of life. Null unless this replica leads the sender in the answer's term.
+peer_progress *hearAnswer(replica_work work, const replica_id &from, std::uint64_t term,
+                          std::uint64_t round)
+{
+    if (term > work.state.term) {
+        becomeFollower(work, term, std::nullopt);
+        return nullptr;
+    }
+    peer_progress *progress = progressOf(work, from);
+    if (progress == nullptr || term < work.state.term)
+        return nullptr;
+    progress->lastHeard = work.state.now;
+    progress->roundAnswered = std::max(progress->roundAnswered, round);
+    return progress;
+}
+
 // Starts the progress of every member whose disk the earlier configuration does not name.
 void followConfiguration(replica_work work, leader_role &leader, const configuration &earlier,
                          base::generation next)
@@ -194,16 +210,9 @@
 void takeAppendAnswer(replica_work work, const replica_id &from, const append_answer &answer)
 {
     replica_state &state = work.state;
-    if (answer.term > state.term) {
-        becomeFollower(work, answer.term, std::nullopt);
+    peer_progress *progress = hearAnswer(work, from, answer.term, answer.round);
+    if (progress == nullptr || answer.index > after(state.log.lastIndex()))
         return;
-    }
-    peer_progress *progress = progressOf(work, from);
-    if (progress == nullptr || answer.term < state.term
-        || answer.index > after(state.log.lastIndex()))
-        return;
-    progress->lastHeard = state.now;
-    progress->roundAnswered = std::max(progress->roundAnswered, answer.round);
     if (answer.isMatch && answer.index > progress->match) {
         progress->match = answer.index;
         progress->snapshotOffset = 0;
@@ -223,15 +232,9 @@
 void takeSnapshotAnswer(replica_work work, const replica_id &from, const snapshot_answer &answer)
 {
     replica_state &state = work.state;
-    if (answer.term > state.term) {
-        becomeFollower(work, answer.term, std::nullopt);
-        return;
-    }
-    peer_progress *progress = progressOf(work, from);
-    if (progress == nullptr || answer.term < state.term)
+    peer_progress *progress = hearAnswer(work, from, answer.term, answer.round);
+    if (progress == nullptr)
         return;
-    progress->lastHeard = state.now;
-    progress->roundAnswered = std::max(progress->roundAnswered, answer.round);
     const bool isPresent = state.latestSnapshot && state.latestSnapshot->index == answer.index;
     // An answer that comes twice must not send the same piece twice.
     if (isPresent && progress->isInFlight && progress->snapshotOffset == answer.nextOffset)
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -70,3 +70,29 @@
         CHECK_TEXT(failure->detail.find(row.detail) != std::string::npos, failure->detail.c_str());
     }
 }
+
+TEST(settings_file, peersAreOneThreeOrFiveAndListTheVmItself)
+{
+    const std::string control = "role = \"control\"\nname = \"control-1\"\n"
+                                "availability_zone = \"leith-1\"\n"
+                                "control_addresses = [\"127.0.0.1:7400\"]\n[control]\n"
+                                "streams = \"127.0.0.1:7400\"\napi = \"127.0.0.1:7480\"\n"
+                                "data_folder = \"data\"\n";
+    const std::string first = "{ name = \"control-1\", streams = \"127.0.0.1:7400\" }";
+    const std::string second = "{ name = \"control-2\", streams = \"127.0.0.1:7401\" }";
+    const std::string third = "{ name = \"control-3\", streams = \"127.0.0.1:7402\" }";
+    const auto parse = [&](const std::string &peers) {
+        return settings::parseSettings(control + peers, "control.toml");
+    };
+    CHECK(base::isOk(parse("")));
+    CHECK(base::isOk(parse("peers = [" + first + "," + second + "," + third + "]")));
+    const std::pair<std::string, error_code> cases[] = {
+        {"peers = [" + first + "," + second + "]", error_code::settingsBadValue},
+        {"peers = [" + second + "]", error_code::settingsClash},
+        {"peers = [" + first + "," + second + "," + second + "]", error_code::settingsClash},
+        {"peers = [\"control-1\"]", error_code::settingsWrongType},
+        {"peers = [{ name = \"control-1\" }]", error_code::settingsMissingKey},
+    };
+    for (const auto &[text, code] : cases)
+        CHECK(base::errorOf(parse(text))->code == code);
+}
