--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/daemon/internal/self.h"
 #include "lycheeshunt/dissemination/follower.h"
+#include "lycheeshunt/metrics/ring_sample.h"
 #include "lycheeshunt/routing/entry_port.h"
 
 namespace lycheeshunt::daemon {
@@ -27,7 +28,7 @@
         [packets, latest = std::make_shared<const routing::routing_table>()](
             const dissemination::shared_view &view) mutable {
             latest = std::make_shared<const routing::routing_table>(*view, *latest);
-            packets->tables().push(latest);
+            packets->updates().push(latest);
         });
     return process;
 }
@@ -37,4 +38,15 @@
 
 entry_process::~entry_process() = default;
 
+metrics::report entry_process::metrics() const
+{
+    std::vector<metrics::sample> samples {
+        metrics::sample {"packets_malformed_total", "Datagrams that are no IP packet.",
+                         metrics::counter_value {m_port->malformed()}},
+        metrics::sample {"packets_unroutable_total", "Packets without a service or server.",
+                         metrics::counter_value {m_port->unroutable()}}};
+    metrics::addRing(samples, "updates", m_port->updates());
+    return metrics::report {"entry", std::move(samples)};
+}
+
 } // namespace lycheeshunt::daemon
--- a/lycheeshunt/flows/codec.h
+++ b/lycheeshunt/flows/codec.h
@@ -7,12 +7,15 @@
 #include "lycheeshunt/flows/forwarded_packet.h"
 #include "lycheeshunt/flows/peer_message.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
 
 namespace lycheeshunt::flows {
 
+struct packet_header;
+
 using flow_datagram = std::variant<forwarded_packet, peer_message>;
 
 // Everything of a forwarded packet but the IP packet itself, whose bytes follow directly.
@@ -23,4 +26,11 @@
 
 base::result<flow_datagram> decodeDatagram(std::string_view bytes);
 
+// No header is longer: three 64-bit numbers and eight short fields.
+constexpr std::size_t maxPacketHeaderBytes = 64;
+
+// As encodePacketHeader, into a buffer of at least maxPacketHeaderBytes. Returns the bytes used.
+std::size_t writePacketHeader(const packet_header &header, std::size_t packetBytes,
+                              std::span<char> out);
+
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/internal/packet_path.cpp
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -78,6 +78,16 @@
     return true;
 }
 
+// The sender knows better than the directory: it is not the owner, or it offers the flow although
+// this agent has noted that it was about to open it.
+bool isEntryOverruled(const flow_state &state, const forwarded_packet &packet)
+{
+    const directory_entry *entry = state.directory.find(packet.summary.key);
+    const bool registered = entry != nullptr && entry->sequence != 0;
+    return packet.stage == packet_stage::declined
+        || (packet.stage == packet_stage::offer && packet.summary.opens && !registered);
+}
+
 // The director's entry is wrong: this agent has lost no flow since it started.
 void decline(flow_context &context, const forwarded_packet &packet)
 {
@@ -115,7 +125,7 @@
         return refuse(context, base::error_code::agentNotReady);
     if (handledAsOwned(context, packet))
         return;
-    if (packet.stage == packet_stage::declined)
+    if (isEntryOverruled(state, packet))
         state.directory.erase(key);
     if (const held_flow *held = state.held.find(key)) {
         holdMore(context, *held, packet);
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -56,9 +56,12 @@
 {
     const routing::bucket_table &after = *context.state.buckets;
     const base::bucket bucket = after.bucketOf(base::hashOf(key));
+    const auto isSame = [](const routing::target &left, const routing::target &right) {
+        return left.node == right.node && left.life == right.life;
+    };
     for (const routing::target *to : {&after.directorOf(bucket), &after.backupOf(bucket)}) {
         const bool known = before != nullptr
-            && (before->directorOf(bucket) == *to || before->backupOf(bucket) == *to);
+            && (isSame(before->directorOf(bucket), *to) || isSame(before->backupOf(bucket), *to));
         if (!known)
             registerWith(context, *to, key, true, context.now);
     }
