--- /dev/null
+++ b/lycheeshunt/health/endpoint_poller.cpp
@@ -0,0 +1,65 @@
+#include "lycheeshunt/health/endpoint_poller.h"
+
+#include <cpprest/http_client.h>
+
+namespace lycheeshunt::health {
+
+namespace {
+
+constexpr std::chrono::seconds answerWithin {1};
+
+web::http::client::http_client_config pollConfig()
+{
+    web::http::client::http_client_config config;
+    config.set_timeout(answerWithin);
+    return config;
+}
+
+reported_health askHealth(web::http::client::http_client &client)
+{
+    try {
+        const web::http::http_response answer
+            = client.request(web::http::methods::GET, "/health").get();
+        return answer.status_code() == web::http::status_codes::OK ? reported_health::good
+                                                                   : reported_health::bad;
+    } catch (const std::exception &) {
+        return reported_health::unreachable;
+    }
+}
+
+// Whatever is no such object counts as no answer.
+std::uint32_t askLoad(web::http::client::http_client &client)
+{
+    try {
+        const web::json::value load
+            = client.request(web::http::methods::GET, "/load").get().extract_json(true).get();
+        return load.at("busy").as_number().to_uint32();
+    } catch (const std::exception &) {
+        return 0;
+    }
+}
+
+} // namespace
+
+struct endpoint_poller::connection
+{
+    web::http::client::http_client client;
+};
+
+endpoint_poller::endpoint_poller(const base::endpoint &server)
+    : m_connection(std::make_unique<connection>(
+        connection {web::http::client::http_client("http://" + server.text(), pollConfig())}))
+{
+}
+
+endpoint_poller::~endpoint_poller() = default;
+
+health_report endpoint_poller::poll()
+{
+    const reported_health health = askHealth(m_connection->client);
+    const std::uint32_t busy
+        = health == reported_health::unreachable ? 0 : askLoad(m_connection->client);
+    return health_report {health, busy};
+}
+
+} // namespace lycheeshunt::health
