--- a/lycheeshunt/health/health_state.h
+++ b/lycheeshunt/health/health_state.h
@@ -11,7 +11,7 @@
 struct health_state
 {
     const membership::member_health verdict = membership::member_health::good;
-    const base::clock_time since;
+    const base::clock_time since = {};
     const reported_streak reported = {};
     const seen_window seen = {};
 
--- a/lycheeshunt/health/reported_streak.h
+++ b/lycheeshunt/health/reported_streak.h
@@ -10,7 +10,7 @@
 {
     const reported_health health = reported_health::good;
     const std::uint32_t length = 0;
-    const base::clock_time lastAt;
+    const base::clock_time lastAt = {};
 
     bool operator==(const reported_streak &) const = default;
 };
--- a/lycheeshunt/health/seen_window.h
+++ b/lycheeshunt/health/seen_window.h
@@ -9,7 +9,7 @@
 // Answers and failures of the last few seconds.
 struct seen_window
 {
-    const base::clock_time startedAt;
+    const base::clock_time startedAt = {};
     const std::uint32_t answered = 0;
     const std::uint32_t failed = 0;
     const std::uint32_t answeredBefore = 0;
