--- a/tools/measurements/crest.cpp
+++ b/tools/measurements/crest.cpp
@@ -154,13 +154,14 @@
 }
 
 // Agents whose load reports stop for 3 s at a time while their servers work on.
-void measureSilence(const std::string &name, const placement::placement_rules &rules)
+void measureSilence(const std::string &name, const placement::placement_rules &rules,
+                    std::uint32_t seed)
 {
     const scenario given {.duration = 30 * minute,
                           .feedRate = 3,
                           .reportLoss = 0.1,
                           .reportPauses = true,
-                          .seed = 3,
+                          .seed = seed,
                           .rules = rules};
     const run_result result = runReal(given);
     print({"silent agents, " + name + ", busy slots worst",
@@ -176,12 +177,12 @@
     printWaits("silent agents, " + name + ", short wait", shortWaits(result), {});
 }
 
-void measureSilences()
+void measureSilences(std::uint32_t seed)
 {
     const base::clock_time second = base::clock_time::ofSeconds(1);
-    measureSilence("suspected after 1 s", {});
-    measureSilence("evicted after 1 s", {.evictAfter = second});
-    measureSilence("believed for ever", {.suspectAfter = second * 3600});
+    measureSilence("suspected after 1 s", {}, seed);
+    measureSilence("evicted after 1 s", {.evictAfter = second}, seed);
+    measureSilence("believed for ever", {.suspectAfter = second * 3600}, seed);
 }
 
 struct variant
@@ -248,6 +249,6 @@
             measureGrowth(servers);
     }
     if (part.empty() || part == "silence")
-        measureSilences();
+        measureSilences(seed);
     return 0;
 }
