--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -45,6 +45,7 @@
     {error_code::quorumLost, "no quorum of control VMs"},
     {error_code::tooBusy, "too many requests under way"},
     {error_code::notInForce, "not yet in force on every VM"},
+    {error_code::viewMismatch, "view differs from the one that control holds"},
     {error_code::requestMalformed, "request can't be decoded"},
     {error_code::notAuthorized, "token missing or wrong"},
     {error_code::bodyTooLarge, "request body too large"},
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -47,6 +47,7 @@
     tooBusy = 705,
     // dissemination
     notInForce = 801,
+    viewMismatch = 802,
     // operators
     requestMalformed = 901,
     notAuthorized = 902,
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -81,10 +81,10 @@
     m_publisher = std::make_unique<dissemination::publisher_duty>(
         [this](const dissemination::dissemination_action &action) {
             std::visit(base::overloaded {
-                           [this](const dissemination::send_view &send) {
+                           [this](const dissemination::send_to_node &send) {
                                m_streams->outgoing().tryPush(streams::stream_frame {
                                    send.connection, streams::channel::dissemination,
-                                   dissemination::encodeView(*send.view)});
+                                   dissemination::encodeControlMessage(send.message)});
                            },
                            [this](const dissemination::force_answer &answer) {
                                m_operators->inbox().tryPush(answer);
@@ -152,16 +152,14 @@
 {
     if (frame.channel == streams::channel::membership) {
         const base::result<membership::member> member = membership::decodeMember(frame.bytes);
-        if (const membership::member *known = std::get_if<membership::member>(&member)) {
-            m_publisher->inbox().push(
-                dissemination::subscriber_named {frame.connection, known->id()});
+        if (const membership::member *known = std::get_if<membership::member>(&member))
             m_membership->inbox().push(membership::member_announced {*known});
-        }
     } else if (frame.channel == streams::channel::dissemination) {
-        const base::result<base::generation> at = dissemination::decodeAcknowledgement(frame.bytes);
-        if (base::isOk(at))
+        const base::result<dissemination::node_message> message
+            = dissemination::decodeNodeMessage(frame.bytes);
+        if (base::isOk(message))
             m_publisher->inbox().push(
-                dissemination::view_acknowledged {frame.connection, base::valueOf(at)});
+                dissemination::node_said {frame.connection, base::valueOf(message)});
     }
 }
 
--- a/lycheeshunt/dissemination/send_view.h
+++ b/lycheeshunt/dissemination/announce_self.h
@@ -1,17 +1,16 @@
 #pragma once
 
-#include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/membership/member.h"
 #include "lycheeshunt/streams/connection_id.h"
 
 namespace lycheeshunt::dissemination {
 
-// Send a node the whole view.
-struct send_view
+struct announce_self
 {
     const streams::connection_id connection;
-    const shared_view view;
+    const membership::member self;
 
-    bool operator==(const send_view &) const = default;
+    bool operator==(const announce_self &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/codec.cpp
+++ b/lycheeshunt/dissemination/codec.cpp
@@ -1,7 +1,7 @@
 #include "lycheeshunt/dissemination/codec.h"
 
 #include "lycheeshunt/base/codec.h"
-#include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/tickets/codec.h"
 
@@ -11,61 +11,220 @@
 
 namespace {
 
-using view_fields
-    = std::tuple<std::uint64_t, std::vector<std::string>, std::string, std::vector<std::string>>;
-using acknowledgement_fields = std::tuple<std::uint64_t>;
+enum message_kind : std::uint8_t { deltaKind = 1, pieceKind = 2, requestKind = 3, heardKind = 4 };
 
-} // namespace
+// Services set, removed; members present, gone; names draining, no longer draining.
+using change_fields
+    = std::tuple<std::vector<std::string>, std::vector<std::uint64_t>, std::vector<std::string>,
+                 std::vector<std::uint64_t>, std::vector<std::string>, std::vector<std::string>>;
+using cursor_fields = std::tuple<std::uint8_t, std::uint64_t, std::string>;
+using delta_fields
+    = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t, change_fields>;
+using piece_fields = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, cursor_fields,
+                                cursor_fields, change_fields>;
+using request_fields = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t,
+                                  std::uint64_t, std::uint64_t, cursor_fields>;
+using heard_fields = std::tuple<std::uint64_t, std::uint64_t>;
 
-std::string encodeView(const cluster_view &view)
+template <typename fields_type>
+std::string pack(message_kind kind, const fields_type &fields)
 {
-    std::vector<std::string> services;
-    for (auto it = view.services.begin(); it != view.services.end(); ++it)
-        services.push_back(tickets::encodeService(it->second));
-    std::vector<membership::member> members;
-    for (auto it = view.members.begin(); it != view.members.end(); ++it)
-        members.push_back(it->second);
-    const std::vector<std::string> draining(view.draining.begin(), view.draining.end());
-    return base::packFields(view_fields(
-        view.at.value(), services,
-        membership::encodeBatch(membership::membership_batch {std::move(members), {}}), draining));
+    return std::string(1, static_cast<char>(kind)) + base::packFields(fields);
 }
 
-base::result<cluster_view> decodeView(std::string_view bytes)
+change_fields fieldsOf(const view_change &change)
 {
-    const base::result<view_fields> fields = base::unpackFields<view_fields>(bytes);
-    if (const base::error *failure = base::errorOf(fields))
-        return *failure;
-    const auto &[at, rawServices, rawMembers, rawDraining] = base::valueOf(fields);
-    std::map<base::service_id, tickets::service_definition> services;
+    change_fields fields;
+    auto &[services, removed, members, gone, draining, undrained] = fields;
+    for (auto it = change.services.begin(); it != change.services.end(); ++it) {
+        if (it->second)
+            services.push_back(tickets::encodeService(*it->second));
+        else
+            removed.push_back(it->first.value());
+    }
+    for (auto it = change.members.begin(); it != change.members.end(); ++it) {
+        if (it->second.now)
+            members.push_back(membership::encodeMember(*it->second.now));
+        else
+            gone.push_back(it->first.value());
+    }
+    for (auto it = change.draining.begin(); it != change.draining.end(); ++it)
+        (it->second ? draining : undrained).push_back(it->first);
+    return fields;
+}
+
+base::result<view_change> changeFrom(const change_fields &fields)
+{
+    const auto &[rawServices, removed, rawMembers, gone, draining, undrained] = fields;
+    std::map<base::service_id, std::optional<tickets::service_definition>> services;
     for (const std::string &raw : rawServices) {
         const base::result<tickets::service_definition> service = tickets::decodeService(raw);
         if (const base::error *failure = base::errorOf(service))
             return *failure;
         services.emplace(base::valueOf(service).id(), base::valueOf(service));
     }
-    const base::result<membership::membership_batch> batch = membership::decodeBatch(rawMembers);
-    if (const base::error *failure = base::errorOf(batch))
+    for (const std::uint64_t id : removed)
+        services.emplace(base::service_id(id), std::nullopt);
+    std::map<base::node_id, member_change> members;
+    for (const std::string &raw : rawMembers) {
+        const base::result<membership::member> member = membership::decodeMember(raw);
+        if (const base::error *failure = base::errorOf(member))
+            return *failure;
+        members.emplace(base::valueOf(member).id(),
+                        member_change {base::valueOf(member), base::service_id()});
+    }
+    for (const std::uint64_t id : gone)
+        members.emplace(base::node_id(id), member_change {std::nullopt, base::service_id()});
+    std::map<std::string, bool> drains;
+    for (const std::string &name : draining)
+        drains.emplace(name, true);
+    for (const std::string &name : undrained)
+        drains.emplace(name, false);
+    return view_change {std::move(services), std::move(members), std::move(drains)};
+}
+
+cursor_fields fieldsOf(const snapshot_cursor &cursor)
+{
+    return cursor_fields(static_cast<std::uint8_t>(cursor.section), cursor.key, cursor.name);
+}
+
+base::result<snapshot_cursor> cursorFrom(const cursor_fields &fields)
+{
+    const auto &[section, key, name] = fields;
+    if (section < static_cast<std::uint8_t>(snapshot_section::services)
+        || section > static_cast<std::uint8_t>(snapshot_section::end))
+        return base::error {base::error_code::messageMalformed, "unknown snapshot section"};
+    return snapshot_cursor {static_cast<snapshot_section>(section), key, name};
+}
+
+base::result<control_message> decodeDelta(std::string_view body)
+{
+    const base::result<delta_fields> fields = base::unpackFields<delta_fields>(body);
+    if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    std::map<base::node_id, membership::member> members;
-    for (const membership::member &member : base::valueOf(batch).present)
-        members.emplace(member.id(), member);
-    return cluster_view {base::generation(at), std::move(services), std::move(members),
-                         std::set<std::string>(rawDraining.begin(), rawDraining.end())};
+    const auto &[from, to, newest, digest, rawChange] = base::valueOf(fields);
+    const base::result<view_change> change = changeFrom(rawChange);
+    if (const base::error *failure = base::errorOf(change))
+        return *failure;
+    return control_message(view_delta {base::generation(from), base::generation(to),
+                                       base::generation(newest), view_digest(digest),
+                                       base::valueOf(change)});
 }
 
-std::string encodeAcknowledgement(base::generation at)
+base::result<control_message> decodePiece(std::string_view body)
 {
-    return base::packFields(acknowledgement_fields(at.value()));
+    const base::result<piece_fields> fields = base::unpackFields<piece_fields>(body);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    const auto &[at, newest, digest, rawStart, rawNext, rawPart] = base::valueOf(fields);
+    const base::result<snapshot_cursor> start = cursorFrom(rawStart);
+    if (const base::error *failure = base::errorOf(start))
+        return *failure;
+    const base::result<snapshot_cursor> next = cursorFrom(rawNext);
+    if (const base::error *failure = base::errorOf(next))
+        return *failure;
+    const base::result<view_change> part = changeFrom(rawPart);
+    if (const base::error *failure = base::errorOf(part))
+        return *failure;
+    return control_message(snapshot_piece {base::generation(at), base::generation(newest),
+                                           view_digest(digest), base::valueOf(start),
+                                           base::valueOf(next), base::valueOf(part)});
 }
 
-base::result<base::generation> decodeAcknowledgement(std::string_view bytes)
+base::result<node_message> decodeRequest(std::string_view body)
 {
-    const base::result<acknowledgement_fields> fields
-        = base::unpackFields<acknowledgement_fields>(bytes);
+    const base::result<request_fields> fields = base::unpackFields<request_fields>(body);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    return base::generation(std::get<0>(base::valueOf(fields)));
+    const auto &[node, life, scope, held, atLeast, snapshotAt, rawCursor] = base::valueOf(fields);
+    const base::result<snapshot_cursor> cursor = cursorFrom(rawCursor);
+    if (const base::error *failure = base::errorOf(cursor))
+        return *failure;
+    return node_message(view_request {base::node_id(node), base::incarnation(life),
+                                      view_scope {base::service_id(scope)}, base::generation(held),
+                                      base::generation(atLeast), base::generation(snapshotAt),
+                                      base::valueOf(cursor)});
+}
+
+base::result<node_message> decodeHeard(std::string_view body)
+{
+    const base::result<heard_fields> fields = base::unpackFields<heard_fields>(body);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    const auto &[at, digest] = base::valueOf(fields);
+    return node_message(acknowledgement {base::generation(at), view_digest(digest)});
+}
+
+base::error unknownKind()
+{
+    return base::error {base::error_code::messageVersion, "unknown kind of view message"};
+}
+
+} // namespace
+
+std::string encodeControlMessage(const control_message &message)
+{
+    return std::visit(base::overloaded {
+                          [](const view_delta &delta) {
+                              return pack(deltaKind,
+                                          delta_fields(delta.from.value(), delta.to.value(),
+                                                       delta.newest.value(), delta.digest.value(),
+                                                       fieldsOf(delta.change)));
+                          },
+                          [](const snapshot_piece &piece) {
+                              return pack(pieceKind,
+                                          piece_fields(piece.at.value(), piece.newest.value(),
+                                                       piece.digest.value(), fieldsOf(piece.start),
+                                                       fieldsOf(piece.next), fieldsOf(piece.part)));
+                          },
+                      },
+                      message);
+}
+
+base::result<control_message> decodeControlMessage(std::string_view bytes)
+{
+    if (bytes.empty())
+        return unknownKind();
+    switch (static_cast<std::uint8_t>(bytes.front())) {
+    case deltaKind:
+        return decodeDelta(bytes.substr(1));
+    case pieceKind:
+        return decodePiece(bytes.substr(1));
+    default:
+        return unknownKind();
+    }
+}
+
+std::string encodeNodeMessage(const node_message &message)
+{
+    return std::visit(
+        base::overloaded {
+            [](const view_request &request) {
+                return pack(requestKind,
+                            request_fields(request.node.value(), request.life.value(),
+                                           request.scope.service.value(), request.held.value(),
+                                           request.atLeast.value(), request.snapshotAt.value(),
+                                           fieldsOf(request.cursor)));
+            },
+            [](const acknowledgement &heard) {
+                return pack(heardKind, heard_fields(heard.at.value(), heard.digest.value()));
+            },
+        },
+        message);
+}
+
+base::result<node_message> decodeNodeMessage(std::string_view bytes)
+{
+    if (bytes.empty())
+        return unknownKind();
+    switch (static_cast<std::uint8_t>(bytes.front())) {
+    case requestKind:
+        return decodeRequest(bytes.substr(1));
+    case heardKind:
+        return decodeHeard(bytes.substr(1));
+    default:
+        return unknownKind();
+    }
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/codec.h
+++ b/lycheeshunt/dissemination/codec.h
@@ -1,21 +1,22 @@
-// MessagePack form of the view and of what passes between control and the nodes about it.
+// MessagePack form of what passes between control and the nodes about views. The first byte of a
+// message is its kind; an unknown kind is messageVersion.
 
 #pragma once
 
-#include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/dissemination/control_message.h"
+#include "lycheeshunt/dissemination/node_message.h"
 
 #include <string>
 #include <string_view>
 
 namespace lycheeshunt::dissemination {
 
-struct cluster_view;
+// The services that members had before a change are control's own and are not encoded.
+std::string encodeControlMessage(const control_message &message);
+base::result<control_message> decodeControlMessage(std::string_view bytes);
 
-std::string encodeView(const cluster_view &view);
-base::result<cluster_view> decodeView(std::string_view bytes);
-
-std::string encodeAcknowledgement(base::generation at);
-base::result<base::generation> decodeAcknowledgement(std::string_view bytes);
+std::string encodeNodeMessage(const node_message &message);
+base::result<node_message> decodeNodeMessage(std::string_view bytes);
 
 } // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/control_message.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "lycheeshunt/dissemination/snapshot_piece.h"
+#include "lycheeshunt/dissemination/view_delta.h"
+
+#include <variant>
+
+namespace lycheeshunt::dissemination {
+
+// What control says to a node about views.
+using control_message = std::variant<view_delta, snapshot_piece>;
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/control_said.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/dissemination/control_message.h"
+
+namespace lycheeshunt::dissemination {
+
+// Control's message, as a node received it.
+struct control_said
+{
+    const control_message message;
+
+    bool operator==(const control_said &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/dissemination_test.cpp
@@ -0,0 +1,531 @@
+// Publisher and followers together, in virtual time over a seeded network that delays, loses,
+// repeats and reorders.
+
+#include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/dissemination/codec.h"
+#include "lycheeshunt/dissemination/decision.h"
+#include "lycheeshunt/dissemination/follower_decision.h"
+#include "lycheeshunt/dissemination/snapshot.h"
+
+#include <functional>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::dissemination;
+
+namespace {
+
+constexpr base::clock_time networkStep = base::clock_time::ofMillis(10);
+constexpr base::clock_time publisherTicks = base::clock_time::ofMillis(50);
+constexpr base::clock_time settleLimit = base::clock_time::ofSeconds(60);
+
+membership::member memberOf(const std::string &name, const std::string &service,
+                            std::uint64_t life = 1)
+{
+    const bool isEntry = service.empty();
+    return membership::member {name,
+                               "zone-1",
+                               isEntry ? membership::member_role::entry
+                                       : membership::member_role::agent,
+                               isEntry ? base::service_id() : base::serviceIdOf(service),
+                               base::incarnation(life),
+                               base::endpoint {1, 1},
+                               membership::member_phase::serving};
+}
+
+tickets::ticket ticketOf(std::uint64_t number)
+{
+    const bool isLogbook = number % 2 == 0;
+    const tickets::service_definition service {
+        isLogbook ? "logbook" : "inspect",
+        {{base::endpoint {0xc0000201, static_cast<std::uint16_t>(number)}, 6}},
+        {},
+        64};
+    return tickets::ticket {base::ticket_number(number),
+                            "test",
+                            {service, tickets::drain_order {"agent-1", number % 3 == 0}}};
+}
+
+struct network_faults
+{
+    const int lostPercent = 0;
+    const int repeatedPercent = 0;
+    const std::int64_t maxDelayMillis = 20;
+};
+
+struct fake_node
+{
+    follower_state state;
+    std::uint64_t connection = 0;
+    bool isCut = false;
+    std::vector<shared_view> adopted;
+    int mismatches = 0;
+    int pieces = 0;
+};
+
+class fake_cluster
+{
+public:
+    fake_cluster(std::uint64_t seed, const network_faults &faults)
+        : m_random(seed), m_faults(faults)
+    {
+    }
+
+    void join(const std::string &name, const std::string &service, std::uint64_t life = 1)
+    {
+        nodes[name] = fake_node {followerOf(memberOf(name, service, life)), 0, false, {}, 0, 0};
+        connect(name);
+    }
+
+    void connect(const std::string &name)
+    {
+        fake_node &node = nodes.at(name);
+        if (node.connection != 0) {
+            toPublisher(subscriber_closed {streams::connection_id(node.connection)});
+            toFollower(name, link_closed {streams::connection_id(node.connection)});
+        }
+        node.connection = ++m_lastConnection;
+        toFollower(name, link_opened {streams::connection_id(node.connection)});
+    }
+
+    // Control starts again with its log, but without what it knew of the nodes.
+    void restartControl()
+    {
+        publisher = publisher_state {};
+        for (const std::function<void()> &entry : log)
+            entry();
+        publisher.history.clear();
+        for (auto it = nodes.begin(); it != nodes.end(); ++it)
+            connect(it->first);
+    }
+
+    void change(std::uint64_t number)
+    {
+        const base::generation at(++lastGeneration);
+        apply([this, at, number]() { toPublisher(ticket_applied {at, ticketOf(number)}); });
+    }
+
+    void admit(const std::vector<membership::member> &present)
+    {
+        const base::generation at(++lastGeneration);
+        apply([this, at, present]() { toPublisher(batch_applied {at, {present, {}}}); });
+    }
+
+    void runFor(base::clock_time span)
+    {
+        const base::clock_time until = now + span;
+        while (now < until)
+            advance();
+    }
+
+    bool settles()
+    {
+        const base::clock_time until = now + settleLimit;
+        do {
+            runFor(publisherTicks);
+        } while (now < until && !isSettled());
+        return isSettled();
+    }
+
+    bool isSettled() const
+    {
+        for (auto it = nodes.begin(); it != nodes.end(); ++it) {
+            const follower_state &state = it->second.state;
+            if (!state.isReady || state.held->at != publisher.view->at
+                || *state.held != restrictedTo(*publisher.view, state.scope()))
+                return false;
+        }
+        return true;
+    }
+
+    void toPublisher(const dissemination_message &message)
+    {
+        base::step<publisher_state, dissemination_action> next
+            = decide(std::move(publisher), message, now);
+        publisher = std::move(next.state);
+        for (const dissemination_action &action : next.actions) {
+            if (const force_answer *answer = std::get_if<force_answer>(&action))
+                answers.push_back(std::make_shared<const force_answer>(*answer));
+            else
+                sendDown(std::get<send_to_node>(action));
+        }
+    }
+
+    std::map<std::string, fake_node> nodes;
+    publisher_state publisher;
+    std::vector<std::function<void()>> log;
+    std::vector<std::shared_ptr<const force_answer>> answers;
+    std::uint64_t lastGeneration = 0;
+    base::clock_time now = base::clock_time::ofSeconds(100);
+
+private:
+    void apply(const std::function<void()> &entry)
+    {
+        log.push_back(entry);
+        entry();
+    }
+
+    void advance()
+    {
+        now = now + networkStep;
+        std::vector<std::function<void()>> due;
+        while (!m_flying.empty() && m_flying.begin()->first <= now) {
+            due.push_back(m_flying.begin()->second);
+            m_flying.erase(m_flying.begin());
+        }
+        for (const std::function<void()> &deliver : due)
+            deliver();
+        if (now.millis() % publisherTicks.millis() != 0)
+            return;
+        toPublisher(publisher_tick {});
+        for (auto it = nodes.begin(); it != nodes.end(); ++it)
+            toFollower(it->first, follower_tick {});
+    }
+
+    bool happens(int percent) { return static_cast<int>(m_random() % 100) < percent; }
+
+    void fly(const std::function<void()> &deliver)
+    {
+        if (happens(m_faults.lostPercent))
+            return;
+        const int copies = happens(m_faults.repeatedPercent) ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            const std::int64_t delay = static_cast<std::int64_t>(
+                m_random() % static_cast<std::uint64_t>(m_faults.maxDelayMillis + 1));
+            m_flying.emplace(now + base::clock_time::ofMillis(delay), deliver);
+        }
+    }
+
+    void sendDown(const send_to_node &send)
+    {
+        const std::string bytes = encodeControlMessage(send.message);
+        for (auto it = nodes.begin(); it != nodes.end(); ++it) {
+            if (it->second.connection != send.connection.value() || it->second.isCut)
+                continue;
+            it->second.pieces += std::holds_alternative<snapshot_piece>(send.message) ? 1 : 0;
+            const std::string name = it->first;
+            const std::uint64_t connection = send.connection.value();
+            fly([this, name, connection, bytes]() {
+                if (nodes.at(name).connection == connection)
+                    toFollower(name, control_said {base::valueOf(decodeControlMessage(bytes))});
+            });
+        }
+    }
+
+    void toFollower(const std::string &name, const follower_message &message)
+    {
+        fake_node &node = nodes.at(name);
+        base::step<follower_state, follower_action> next
+            = decide(std::move(node.state), message, now);
+        node.state = std::move(next.state);
+        for (const follower_action &action : next.actions) {
+            std::visit(base::overloaded {
+                           [&](const send_to_control &send) { sendUp(node, send); },
+                           [](const announce_self &) {},
+                           [&](const adopt_view &adopt) { node.adopted.push_back(adopt.view); },
+                           [&](const report_mismatch &) { ++node.mismatches; },
+                       },
+                       action);
+        }
+    }
+
+    void sendUp(const fake_node &node, const send_to_control &send)
+    {
+        if (node.isCut)
+            return;
+        const std::string bytes = encodeNodeMessage(send.message);
+        const streams::connection_id connection = send.connection;
+        fly([this, connection, bytes]() {
+            toPublisher(node_said {connection, base::valueOf(decodeNodeMessage(bytes))});
+        });
+    }
+
+    std::mt19937_64 m_random;
+    const network_faults m_faults;
+    std::multimap<base::clock_time, std::function<void()>> m_flying;
+    std::uint64_t m_lastConnection = 0;
+};
+
+void fill(fake_cluster &cluster)
+{
+    cluster.admit({memberOf("entry-1", ""), memberOf("agent-1", "logbook"),
+                   memberOf("agent-2", "logbook"), memberOf("agent-3", "inspect")});
+    cluster.change(1);
+    cluster.change(2);
+    cluster.join("entry-1", "");
+    cluster.join("agent-1", "logbook");
+    cluster.join("agent-2", "logbook");
+    cluster.join("agent-3", "inspect");
+}
+
+std::vector<membership::member> manyMembers(std::size_t count, const std::string &service)
+{
+    std::vector<membership::member> all;
+    for (std::size_t i = 0; i < count; ++i)
+        all.push_back(memberOf(service + "-" + std::to_string(i), service));
+    return all;
+}
+
+struct fault_case
+{
+    const char *what;
+    const network_faults faults;
+    const std::function<void(fake_cluster &)> provoke;
+};
+
+std::vector<fault_case> faultCases()
+{
+    const network_faults good {};
+    const network_faults bad {20, 20, 300};
+    const auto pause
+        = [](fake_cluster &cluster) { cluster.runFor(base::clock_time::ofSeconds(1)); };
+    return {
+        {"nothing fails", good, [](fake_cluster &cluster) { cluster.change(3); }},
+        {"frames are lost, repeated and reordered", bad,
+         [pause](fake_cluster &cluster) {
+             for (std::uint64_t number = 3; number < 30; ++number) {
+                 cluster.change(number);
+                 pause(cluster);
+             }
+         }},
+        {"updates reach nodes unevenly", good,
+         [pause](fake_cluster &cluster) {
+             cluster.nodes.at("agent-2").isCut = true;
+             for (std::uint64_t number = 3; number < 10; ++number) {
+                 cluster.change(number);
+                 pause(cluster);
+             }
+             cluster.nodes.at("agent-2").isCut = false;
+         }},
+        {"a node is 300 generations behind", good,
+         [pause](fake_cluster &cluster) {
+             cluster.nodes.at("entry-1").isCut = true;
+             for (std::uint64_t number = 3; number < 303; ++number)
+                 cluster.change(number);
+             pause(cluster);
+             cluster.nodes.at("entry-1").isCut = false;
+         }},
+        {"a node is behind the whole history", good,
+         [pause](fake_cluster &cluster) {
+             cluster.nodes.at("entry-1").isCut = true;
+             for (std::uint64_t number = 3; number < 2000; ++number)
+                 cluster.change(number);
+             pause(cluster);
+             cluster.nodes.at("entry-1").isCut = false;
+         }},
+        {"control restarts and its history is gone", good,
+         [pause](fake_cluster &cluster) {
+             cluster.change(3);
+             cluster.restartControl();
+             pause(cluster);
+             cluster.change(4);
+             cluster.restartControl();
+         }},
+        {"snapshot pieces are lost, repeated and reordered", bad,
+         [pause](fake_cluster &cluster) {
+             cluster.admit(manyMembers(1500, "logbook"));
+             cluster.join("entry-2", "");
+             pause(cluster);
+             cluster.change(3);
+             cluster.restartControl();
+         }},
+        {"a node restarts during its snapshot", bad,
+         [pause](fake_cluster &cluster) {
+             cluster.admit(manyMembers(1500, "logbook"));
+             cluster.join("entry-1", "", 2);
+             pause(cluster);
+             cluster.join("entry-1", "", 3);
+         }},
+        {"streams break again and again", bad,
+         [pause](fake_cluster &cluster) {
+             for (std::uint64_t number = 3; number < 12; ++number) {
+                 cluster.change(number);
+                 pause(cluster);
+                 cluster.connect("agent-1");
+                 cluster.connect("entry-1");
+             }
+         }},
+        {"a node holds other content", good,
+         [](fake_cluster &cluster) {
+             follower_state &state = cluster.nodes.at("agent-3").state;
+             state.held = std::make_shared<const cluster_view>(
+                 cluster_view {state.held->at, {}, state.held->members, {}});
+             state.digest = digestOf(*state.held);
+             cluster.change(3);
+         }},
+        {"a member moves to another service", good,
+         [](fake_cluster &cluster) { cluster.admit({memberOf("agent-2", "inspect")}); }},
+    };
+}
+
+void checkNeverBack(const fake_node &node, const char *what)
+{
+    for (std::size_t i = 1; i < node.adopted.size(); ++i)
+        CHECK_TEXT(node.adopted[i - 1]->at <= node.adopted[i]->at, what);
+}
+
+} // namespace
+
+TEST_GROUP(dissemination) {};
+
+TEST(dissemination, everyNodeReachesControlsViewAfterEachFault)
+{
+    for (const fault_case &row : faultCases()) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            for (int times = 1; times <= 2; ++times) {
+                fake_cluster cluster(seed, row.faults);
+                fill(cluster);
+                CHECK_TEXT(cluster.settles(), row.what);
+                for (int i = 0; i < times; ++i)
+                    row.provoke(cluster);
+                CHECK_TEXT(cluster.settles(), row.what);
+                for (auto it = cluster.nodes.begin(); it != cluster.nodes.end(); ++it)
+                    checkNeverBack(it->second, row.what);
+            }
+        }
+    }
+}
+
+TEST(dissemination, nodesThatComeBeforeAnyChangeGetTheFirst)
+{
+    fake_cluster cluster(1, {});
+    cluster.join("entry-1", "");
+    cluster.runFor(base::clock_time::ofSeconds(3));
+    cluster.admit({memberOf("entry-1", "")});
+    CHECK(cluster.settles());
+    LONGS_EQUAL(1, cluster.nodes.at("entry-1").adopted.size());
+}
+
+TEST(dissemination, aNodeAheadOfControlKeepsWhatItHolds)
+{
+    fake_cluster cluster(1, {});
+    fill(cluster);
+    CHECK(cluster.settles());
+    const base::generation before = cluster.nodes.at("entry-1").state.heldAt();
+    cluster.publisher = publisher_state {};
+    cluster.connect("entry-1");
+    cluster.runFor(base::clock_time::ofSeconds(5));
+    CHECK(cluster.nodes.at("entry-1").state.heldAt() == before);
+    cluster.toPublisher(force_query {base::request_id(1), base::generation(1)});
+    CHECK(!cluster.answers.back()->isInForce());
+}
+
+TEST(dissemination, aNewNodeTakesNoViewOlderThanControlsNewest)
+{
+    fake_cluster cluster(1, {});
+    fill(cluster);
+    CHECK(cluster.settles());
+    cluster.change(3);
+    cluster.join("entry-2", "");
+    CHECK(cluster.settles());
+    LONGS_EQUAL(cluster.lastGeneration, cluster.nodes.at("entry-2").adopted.front()->at.value());
+}
+
+TEST(dissemination, aLostPieceIsAskedForAgainAndTheRestIsNot)
+{
+    fake_cluster cluster(1, network_faults {30, 0, 20});
+    fill(cluster);
+    cluster.admit(manyMembers(20 * snapshotPieceObjects, "logbook"));
+    cluster.join("entry-2", "");
+    CHECK(cluster.settles());
+    const int piecesWithoutLoss = 21;
+    CHECK(cluster.nodes.at("entry-2").pieces >= piecesWithoutLoss);
+    CHECK(cluster.nodes.at("entry-2").pieces < 2 * piecesWithoutLoss);
+}
+
+TEST(dissemination, otherContentIsFoundByItsDigestAndReplaced)
+{
+    fake_cluster cluster(1, {});
+    fill(cluster);
+    CHECK(cluster.settles());
+    fake_node &node = cluster.nodes.at("agent-3");
+    node.state.held = std::make_shared<const cluster_view>(cluster_view {node.state.held->at});
+    node.state.digest = view_digest();
+    cluster.connect("agent-3");
+    CHECK(cluster.settles());
+    LONGS_EQUAL(1, cluster.nodes.at("agent-3").mismatches);
+}
+
+TEST(dissemination, anAgentGetsNothingOfOtherServices)
+{
+    fake_cluster cluster(1, {});
+    fill(cluster);
+    CHECK(cluster.settles());
+    const cluster_view &view = *cluster.nodes.at("agent-3").state.held;
+    LONGS_EQUAL(1, view.services.size());
+    LONGS_EQUAL(1, view.members.size());
+    CHECK(view.at == cluster.publisher.view->at);
+}
+
+TEST(dissemination, aQuestionWaitsUntilEveryMemberHasTheGeneration)
+{
+    fake_cluster cluster(1, {});
+    fill(cluster);
+    CHECK(cluster.settles());
+    cluster.runFor(base::clock_time::ofSeconds(1));
+    cluster.change(3);
+    cluster.toPublisher(force_query {base::request_id(7), base::generation(cluster.lastGeneration),
+                                     base::clock_time::ofSeconds(4)});
+    CHECK(cluster.answers.empty());
+    cluster.runFor(base::clock_time::ofSeconds(1));
+    LONGS_EQUAL(1, cluster.answers.size());
+    CHECK(cluster.answers.front()->isInForce());
+}
+
+TEST(dissemination, atItsDeadlineAQuestionNamesThoseBehindAndThoseUnreachable)
+{
+    fake_cluster cluster(1, {});
+    fill(cluster);
+    cluster.admit({memberOf("entry-9", "")});
+    CHECK(cluster.settles());
+    cluster.runFor(base::clock_time::ofSeconds(1));
+    // The present life of agent-1 has not spoken.
+    cluster.admit({memberOf("agent-1", "logbook", 2)});
+    cluster.nodes.at("agent-2").isCut = true;
+    cluster.change(3);
+    cluster.toPublisher(force_query {base::request_id(7), base::generation(cluster.lastGeneration),
+                                     base::clock_time::ofSeconds(4)});
+    cluster.runFor(base::clock_time::ofMillis(3900));
+    CHECK(cluster.answers.empty());
+    cluster.runFor(base::clock_time::ofMillis(200));
+    LONGS_EQUAL(1, cluster.answers.size());
+    const force_answer &answer = *cluster.answers.front();
+    CHECK(!answer.isInForce());
+    CHECK(answer.behind == std::vector<std::string> {"agent-2"});
+    LONGS_EQUAL(2, answer.unreachableCount);
+}
+
+TEST(dissemination, theListsOfAnAnswerAreBoundedAndTheCountsAreNot)
+{
+    fake_cluster cluster(1, {});
+    cluster.admit(manyMembers(250, "logbook"));
+    cluster.toPublisher(force_query {base::request_id(7), base::generation(1)});
+    LONGS_EQUAL(250, cluster.answers.front()->unreachableCount);
+    LONGS_EQUAL(forceAnswerNames, cluster.answers.front()->unreachable.size());
+}
+
+TEST(dissemination, anAcknowledgementFromAnotherHistoryCountsForNothing)
+{
+    fake_cluster cluster(1, {});
+    fill(cluster);
+    const view_request request {base::nodeIdOf("entry-1"), base::incarnation(1), view_scope {},
+                                base::generation(3), base::generation(3)};
+    const streams::connection_id other(99);
+    cluster.toPublisher(node_said {other, request});
+    cluster.toPublisher(node_said {other, acknowledgement {base::generation(3), view_digest(1)}});
+    cluster.toPublisher(node_said {other, acknowledgement {base::generation(9), view_digest(1)}});
+    CHECK(cluster.publisher.subscribers.at(other).acknowledged == base::generation());
+}
+
+TEST(dissemination, malformedMessagesAreRefusedByCode)
+{
+    const view_request request {base::nodeIdOf("entry-1"), base::incarnation(1)};
+    const std::string whole = encodeNodeMessage(request);
+    CHECK(base::valueOf(decodeNodeMessage(whole)) == node_message(request));
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        CHECK(!base::isOk(decodeNodeMessage(whole.substr(0, length))));
+    CHECK(base::errorOf(decodeNodeMessage("\x63"))->code == base::error_code::messageVersion);
+    CHECK(base::errorOf(decodeControlMessage(whole))->code == base::error_code::messageVersion);
+}
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -3,82 +3,91 @@
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/codec.h"
+#include "lycheeshunt/dissemination/follower_decision.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/streams/stream_client.h"
 
-#include <optional>
-
 namespace lycheeshunt::dissemination {
 
 namespace {
 constexpr std::size_t inboxCapacity = 256;
-constexpr base::clock_time announceEvery = base::clock_time::ofSeconds(1);
+constexpr base::clock_time tickEvery = base::clock_time::ofMillis(250);
 constexpr const char *logPart = "dissemination";
 } // namespace
 
 follower::follower(std::vector<base::endpoint> control, const membership::member &self,
                    std::uint64_t seed, view_sink sink)
-    : m_self(self), m_sink(std::move(sink)), m_inbox(inboxCapacity),
-      m_client(std::make_unique<streams::stream_client>(
-          std::move(control), streams::stream_timing {}, seed,
-          [this](const streams::stream_event &event) { m_inbox.push(event); })),
-      m_thread([this]() { run(); })
+    : m_state(followerOf(self)), m_sink(std::move(sink)), m_started(1),
+      m_duty(
+          inboxCapacity, tickEvery, follower_tick {},
+          [this](const follower_message &message, base::clock_time now) { handle(message, now); })
 {
+    m_client = std::make_unique<streams::stream_client>(
+        std::move(control), streams::stream_timing {}, seed,
+        [this](const streams::stream_event &event) { takeEvent(event); });
+    m_started.count_down();
 }
 
 follower::~follower()
 {
-    m_inbox.close();
-    m_thread.join();
+    m_duty.stop();
+    m_client.reset();
 }
 
-void follower::run()
+void follower::handle(const follower_message &message, base::clock_time now)
 {
-    std::optional<streams::connection_id> current;
-    base::clock_time lastAnnounced;
-    while (!m_inbox.isClosed()) {
-        const std::optional<streams::stream_event> event = m_inbox.popFor(announceEvery);
-        if (event) {
-            std::visit(base::overloaded {
-                           [&](const streams::stream_opened &opened) {
-                               current = opened.connection;
-                               lastAnnounced = base::clock_time();
-                           },
-                           [&](const streams::stream_closed &) { current.reset(); },
-                           [&](const streams::stream_frame &frame) { takeView(frame); },
-                       },
-                       *event);
-        }
-        const base::clock_time now = base::clock_time::steady();
-        if (current && now - lastAnnounced >= announceEvery) {
-            lastAnnounced = now;
-            announce(*current);
-        }
-    }
+    base::step<follower_state, follower_action> next = decide(std::move(m_state), message, now);
+    m_state = std::move(next.state);
+    for (const follower_action &action : next.actions)
+        carryOut(action);
 }
 
-void follower::announce(streams::connection_id connection)
+void follower::carryOut(const follower_action &action)
 {
-    m_client->outgoing().tryPush(streams::stream_frame {connection, streams::channel::membership,
-                                                        membership::encodeMember(m_self)});
+    std::visit(base::overloaded {
+                   [this](const send_to_control &send) {
+                       m_client->outgoing().tryPush(
+                           streams::stream_frame {send.connection, streams::channel::dissemination,
+                                                  encodeNodeMessage(send.message)});
+                   },
+                   [this](const announce_self &announce) {
+                       m_client->outgoing().tryPush(
+                           streams::stream_frame {announce.connection, streams::channel::membership,
+                                                  membership::encodeMember(announce.self)});
+                   },
+                   [this](const adopt_view &adopt) { m_sink(adopt.view); },
+                   [](const report_mismatch &report) {
+                       const base::error failure {base::error_code::viewMismatch,
+                                                  "generation "
+                                                      + std::to_string(report.at.value())};
+                       base::logWarning(logPart, failure.text());
+                   },
+               },
+               action);
 }
 
-void follower::takeView(const streams::stream_frame &frame)
+void follower::takeEvent(const streams::stream_event &event)
 {
-    if (frame.channel != streams::channel::dissemination)
-        return;
-    const base::result<cluster_view> decoded = decodeView(frame.bytes);
-    if (const base::error *failure = base::errorOf(decoded)) {
-        base::logWarning(logPart, "view refused: " + failure->text());
-        return;
-    }
-    const shared_view view = std::make_shared<const cluster_view>(base::valueOf(decoded));
-    if (view->at > m_held) {
-        m_held = view->at;
-        m_sink(view);
-    }
-    m_client->outgoing().tryPush(streams::stream_frame {
-        frame.connection, streams::channel::dissemination, encodeAcknowledgement(m_held)});
+    m_started.wait();
+    std::visit(base::overloaded {
+                   [this](const streams::stream_opened &opened) {
+                       m_duty.inbox().push(link_opened {opened.connection});
+                   },
+                   [this](const streams::stream_closed &closed) {
+                       m_duty.inbox().push(link_closed {closed.connection});
+                   },
+                   [this](const streams::stream_frame &frame) {
+                       if (frame.channel != streams::channel::dissemination)
+                           return;
+                       const base::result<control_message> message
+                           = decodeControlMessage(frame.bytes);
+                       if (const base::error *failure = base::errorOf(message))
+                           base::logWarning(logPart, "message refused: " + failure->text());
+                       else
+                           m_duty.inbox().push(control_said {base::valueOf(message)});
+                   },
+               },
+               event);
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/follower.h
+++ b/lycheeshunt/dissemination/follower.h
@@ -1,19 +1,19 @@
-// Keeps one node at the newest generation: announces the node to control, takes views as they
-// come, acknowledges them, and hands each newer one to the node's other duties. A view older than
-// the one held is discarded, so a node never goes back.
+// Keeps one node at the newest generation: announces the node to control, takes deltas and
+// snapshots as follower_decision.h says, and hands each newer view to the node's other duties.
 //
 //     follower link(control, self, seed, [&](const shared_view &view) { ... });
 
 #pragma once
 
+#include "lycheeshunt/base/duty.h"
 #include "lycheeshunt/base/endpoint.h"
-#include "lycheeshunt/base/ring.h"
-#include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/dissemination/follower_message.h"
+#include "lycheeshunt/dissemination/follower_state.h"
 #include "lycheeshunt/streams/stream_event.h"
 
 #include <functional>
+#include <latch>
 #include <memory>
-#include <thread>
 #include <vector>
 
 namespace lycheeshunt::streams {
@@ -30,22 +30,23 @@
     // The sink is called on the follower's thread.
     follower(std::vector<base::endpoint> control, const membership::member &self,
              std::uint64_t seed, view_sink sink);
+    // Closes the stream, so that control knows at once that the node has left.
     ~follower();
 
     follower(const follower &) = delete;
     follower &operator=(const follower &) = delete;
 
 private:
-    void run();
-    void announce(streams::connection_id connection);
-    void takeView(const streams::stream_frame &frame);
+    void handle(const follower_message &message, base::clock_time now);
+    void carryOut(const follower_action &action);
+    void takeEvent(const streams::stream_event &event);
 
-    const membership::member m_self;
+    follower_state m_state;
     const view_sink m_sink;
-    base::ring<streams::stream_event> m_inbox;
-    base::generation m_held;
     std::unique_ptr<streams::stream_client> m_client;
-    std::thread m_thread;
+    // Holds back the client's thread until m_client is set.
+    std::latch m_started;
+    base::duty<follower_message> m_duty;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/force_answer.h
+++ b/lycheeshunt/dissemination/force_answer.h
@@ -8,14 +8,22 @@
 
 namespace lycheeshunt::dissemination {
 
-// The names of the members that have not acknowledged the generation, reachable or not.
+// Names in each list of an answer, at the most; the counts are always whole.
+constexpr std::size_t forceAnswerNames = 100;
+
+// The members that have not acknowledged the generation: those whose stream is up, and those that
+// can't be reached, or of which only an earlier life has spoken.
 struct force_answer
 {
     const base::request_id request;
+    const base::generation at;
     const shared_view view;
     const std::vector<std::string> behind;
+    const std::size_t behindCount = 0;
+    const std::vector<std::string> unreachable = {};
+    const std::size_t unreachableCount = 0;
 
-    bool isInForce() const { return behind.empty(); }
+    bool isInForce() const { return view->at >= at && behindCount == 0 && unreachableCount == 0; }
 
     bool operator==(const force_answer &) const = default;
 };
--- a/lycheeshunt/dissemination/force_query.h
+++ b/lycheeshunt/dissemination/force_query.h
@@ -1,15 +1,17 @@
 #pragma once
 
+#include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/base/request_id.h"
 
 namespace lycheeshunt::dissemination {
 
-// An operator asks which nodes have not reached a generation.
+// An operator asks which nodes have not reached a generation, and may wait until all have.
 struct force_query
 {
     const base::request_id request;
     const base::generation at;
+    const base::clock_time wait = {};
 
     bool operator==(const force_query &) const = default;
 };
--- /dev/null
+++ b/lycheeshunt/dissemination/node_said.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/dissemination/node_message.h"
+#include "lycheeshunt/streams/connection_id.h"
+
+namespace lycheeshunt::dissemination {
+
+// A node's message, and the stream it came by.
+struct node_said
+{
+    const streams::connection_id connection;
+    const node_message message;
+
+    bool operator==(const node_said &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/publisher_duty.cpp
+++ b/lycheeshunt/dissemination/publisher_duty.cpp
@@ -6,19 +6,21 @@
 
 namespace {
 constexpr std::size_t inboxCapacity = 4096;
-}
+// Changes that come within one tick reach the nodes as one.
+constexpr base::clock_time tickEvery = base::clock_time::ofMillis(50);
+} // namespace
 
 publisher_duty::publisher_duty(action_sink sink)
-    : m_sink(std::move(sink)),
-      m_duty(inboxCapacity, [this](const dissemination_message &message, base::clock_time now) {
-          handle(message, now);
-      })
+    : m_sink(std::move(sink)), m_duty(inboxCapacity, tickEvery, publisher_tick {},
+                                      [this](const dissemination_message &message,
+                                             base::clock_time now) { handle(message, now); })
 {
 }
 
-void publisher_duty::handle(const dissemination_message &message, base::clock_time /*now*/)
+void publisher_duty::handle(const dissemination_message &message, base::clock_time now)
 {
-    base::step<publisher_state, dissemination_action> next = decide(std::move(m_state), message);
+    base::step<publisher_state, dissemination_action> next
+        = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
     for (const dissemination_action &action : next.actions)
         m_sink(action);
--- a/lycheeshunt/dissemination/publisher_state.h
+++ b/lycheeshunt/dissemination/publisher_state.h
@@ -1,18 +1,33 @@
 #pragma once
 
 #include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/dissemination/history_entry.h"
+#include "lycheeshunt/dissemination/scope_digests.h"
+#include "lycheeshunt/dissemination/snapshot_base.h"
 #include "lycheeshunt/dissemination/subscriber.h"
+#include "lycheeshunt/dissemination/waiting_query.h"
 #include "lycheeshunt/streams/connection_id.h"
 
+#include <deque>
 #include <map>
+#include <memory>
+#include <vector>
 
 namespace lycheeshunt::dissemination {
 
-// The newest view and how far each node has come.
+// The newest view, the changes that led to it, and how far each node has come.
 struct publisher_state
 {
     shared_view view = std::make_shared<const cluster_view>(cluster_view {});
+    scope_digests digests;
+    std::deque<history_entry> history;
+    std::size_t historyObjects = 0;
+    std::shared_ptr<const snapshot_base> base;
     std::map<streams::connection_id, subscriber> subscribers;
+    std::vector<waiting_query> waiting;
+
+    // Whether the changes after this generation are all known.
+    bool reachesBackTo(base::generation from) const;
 
     bool operator==(const publisher_state &) const = default;
 };
--- /dev/null
+++ b/lycheeshunt/dissemination/scope_digests.h
@@ -0,0 +1,36 @@
+// The digests of every scope of control's newest view, kept by the changes alone.
+//
+//     digests.apply(view, change);
+//     const view_digest expected = digests.of(scope);
+
+#pragma once
+
+#include "lycheeshunt/dissemination/view_digest.h"
+#include "lycheeshunt/dissemination/view_scope.h"
+
+#include <map>
+
+namespace lycheeshunt::dissemination {
+
+struct cluster_view;
+struct view_change;
+
+class scope_digests
+{
+public:
+    view_digest of(const view_scope &scope) const;
+
+    // Takes in a change to the view, which is as it was before.
+    void apply(const cluster_view &view, const view_change &change);
+
+    bool operator==(const scope_digests &) const = default;
+
+private:
+    void add(base::service_id service, std::uint64_t part);
+
+    std::uint64_t m_whole = 0;
+    std::uint64_t m_draining = 0;
+    std::map<base::service_id, std::uint64_t> m_services;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/sent_delta.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/dissemination/view_digest.h"
+
+namespace lycheeshunt::dissemination {
+
+// A delta that awaits its acknowledgement.
+struct sent_delta
+{
+    const base::generation to;
+    const view_digest digest;
+    const base::clock_time at;
+
+    bool operator==(const sent_delta &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/snapshot.cpp
@@ -0,0 +1,107 @@
+#include "lycheeshunt/dissemination/snapshot.h"
+
+#include "lycheeshunt/dissemination/cluster_view.h"
+
+namespace lycheeshunt::dissemination {
+
+namespace {
+
+// Collects objects until the piece is full.
+struct collector
+{
+    std::map<base::service_id, std::optional<tickets::service_definition>> services = {};
+    std::map<base::node_id, member_change> members = {};
+    std::map<std::string, bool> draining = {};
+
+    std::size_t size() const { return services.size() + members.size() + draining.size(); }
+    bool isFull() const { return size() >= snapshotPieceObjects; }
+
+    snapshot_part upTo(const snapshot_cursor &next)
+    {
+        return snapshot_part {
+            view_change {std::move(services), std::move(members), std::move(draining)}, next};
+    }
+};
+
+std::optional<snapshot_cursor> takeServices(const cluster_view &view, const view_scope &scope,
+                                            std::uint64_t after, collector &taken)
+{
+    const base::service_id first = scope.isWhole() ? base::service_id(after) : scope.service;
+    auto it = scope.isWhole() ? view.services.upper_bound(first) : view.services.find(first);
+    for (; it != view.services.end() && scope.covers(it->first); ++it) {
+        if (taken.isFull())
+            return snapshot_cursor {snapshot_section::services,
+                                    taken.services.rbegin()->first.value()};
+        taken.services.emplace(it->first, it->second);
+    }
+    return std::nullopt;
+}
+
+std::optional<snapshot_cursor> takeMembers(const cluster_view &view, const view_scope &scope,
+                                           std::uint64_t after, collector &taken)
+{
+    std::uint64_t last = after;
+    for (auto it = view.members.upper_bound(base::node_id(after)); it != view.members.end(); ++it) {
+        if (!scope.covers(it->second.service))
+            continue;
+        if (taken.isFull())
+            return snapshot_cursor {snapshot_section::members, last};
+        taken.members.emplace(it->first, member_change {it->second, base::service_id()});
+        last = it->first.value();
+    }
+    return std::nullopt;
+}
+
+std::optional<snapshot_cursor> takeDraining(const cluster_view &view, const std::string &after,
+                                            collector &taken)
+{
+    std::string last = after;
+    for (auto it = view.draining.upper_bound(after); it != view.draining.end(); ++it) {
+        if (taken.isFull())
+            return snapshot_cursor {snapshot_section::draining, 0, last};
+        taken.draining.emplace(*it, true);
+        last = *it;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+snapshot_part partAfter(const cluster_view &view, const view_scope &scope,
+                        const snapshot_cursor &cursor)
+{
+    collector taken;
+    std::optional<snapshot_cursor> stopped;
+    if (cursor.section == snapshot_section::services)
+        stopped.emplace(takeServices(view, scope, cursor.key, taken)
+                            .value_or(snapshot_cursor {snapshot_section::members}));
+    if (stopped && stopped->section == snapshot_section::services)
+        return taken.upTo(*stopped);
+    const bool isInMembers = cursor.section == snapshot_section::members;
+    if (stopped || isInMembers) {
+        const std::optional<snapshot_cursor> full
+            = takeMembers(view, scope, isInMembers ? cursor.key : 0, taken);
+        if (full)
+            return taken.upTo(*full);
+    }
+    const std::optional<snapshot_cursor> full = takeDraining(
+        view, cursor.section == snapshot_section::draining ? cursor.name : "", taken);
+    return taken.upTo(full.value_or(snapshot_cursor {snapshot_section::end}));
+}
+
+cluster_view restrictedTo(const cluster_view &view, const view_scope &scope)
+{
+    std::map<base::service_id, tickets::service_definition> services;
+    std::map<base::node_id, membership::member> members;
+    for (auto it = view.services.begin(); it != view.services.end(); ++it) {
+        if (scope.covers(it->first))
+            services.insert(*it);
+    }
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        if (scope.covers(it->second.service))
+            members.insert(*it);
+    }
+    return cluster_view {view.at, std::move(services), std::move(members), view.draining};
+}
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/snapshot_piece.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "lycheeshunt/dissemination/snapshot_cursor.h"
+#include "lycheeshunt/dissemination/view_change.h"
+#include "lycheeshunt/dissemination/view_digest.h"
+
+namespace lycheeshunt::dissemination {
+
+// A bounded part of a node's view at one generation.
+struct snapshot_piece
+{
+    const base::generation at;
+    const base::generation newest;
+    // Of the whole snapshot.
+    const view_digest digest;
+    const snapshot_cursor start;
+    const snapshot_cursor next;
+    const view_change part;
+
+    bool operator==(const snapshot_piece &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/view_change.cpp
@@ -0,0 +1,124 @@
+#include "lycheeshunt/dissemination/view_change.h"
+
+#include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/dissemination/cluster_view.h"
+
+namespace lycheeshunt::dissemination {
+
+namespace {
+
+using service_changes = std::map<base::service_id, std::optional<tickets::service_definition>>;
+using member_changes = std::map<base::node_id, member_change>;
+
+template <typename map_type>
+void replace(map_type &map, const typename map_type::key_type &key,
+             const typename map_type::mapped_type &value)
+{
+    map.erase(key);
+    map.emplace(key, value);
+}
+
+base::service_id serviceBefore(const cluster_view &view, base::node_id id)
+{
+    const auto found = view.members.find(id);
+    return found == view.members.end() ? base::service_id() : found->second.service;
+}
+
+} // namespace
+
+view_change view_change::within(const view_scope &scope) const
+{
+    if (scope.isWhole())
+        return *this;
+    service_changes ownServices;
+    const auto service = services.find(scope.service);
+    if (service != services.end())
+        ownServices.insert(*service);
+    member_changes ownMembers;
+    for (auto it = members.begin(); it != members.end(); ++it) {
+        const member_change &change = it->second;
+        if (change.now && change.now->service == scope.service)
+            ownMembers.insert(*it);
+        else if (change.serviceBefore == scope.service)
+            ownMembers.emplace(it->first, member_change {std::nullopt, change.serviceBefore});
+    }
+    return view_change {std::move(ownServices), std::move(ownMembers), draining};
+}
+
+cluster_view view_change::appliedTo(const cluster_view &view, base::generation next) const
+{
+    std::map<base::service_id, tickets::service_definition> nextServices = view.services;
+    for (auto it = services.begin(); it != services.end(); ++it) {
+        nextServices.erase(it->first);
+        if (it->second)
+            nextServices.emplace(it->first, *it->second);
+    }
+    std::map<base::node_id, membership::member> nextMembers = view.members;
+    for (auto it = members.begin(); it != members.end(); ++it) {
+        nextMembers.erase(it->first);
+        if (it->second.now)
+            nextMembers.emplace(it->first, *it->second.now);
+    }
+    std::set<std::string> nextDraining = view.draining;
+    for (auto it = draining.begin(); it != draining.end(); ++it) {
+        if (it->second)
+            nextDraining.insert(it->first);
+        else
+            nextDraining.erase(it->first);
+    }
+    return cluster_view {next, std::move(nextServices), std::move(nextMembers),
+                         std::move(nextDraining)};
+}
+
+view_change merged(const std::vector<const view_change *> &changes)
+{
+    service_changes services;
+    member_changes members;
+    std::map<std::string, bool> draining;
+    for (const view_change *change : changes) {
+        for (auto it = change->services.begin(); it != change->services.end(); ++it)
+            replace(services, it->first, it->second);
+        for (auto it = change->members.begin(); it != change->members.end(); ++it) {
+            const auto earlier = members.find(it->first);
+            const base::service_id before = earlier == members.end()
+                ? it->second.serviceBefore
+                : earlier->second.serviceBefore;
+            replace(members, it->first, member_change {it->second.now, before});
+        }
+        for (auto it = change->draining.begin(); it != change->draining.end(); ++it)
+            draining[it->first] = it->second;
+    }
+    return view_change {std::move(services), std::move(members), std::move(draining)};
+}
+
+view_change changeOf(const tickets::ticket &ticket)
+{
+    service_changes services;
+    std::map<std::string, bool> draining;
+    for (const tickets::ticket_change &change : ticket.changes) {
+        std::visit(
+            base::overloaded {
+                [&](const tickets::service_definition &service) {
+                    replace(services, service.id(), std::make_optional(service));
+                },
+                [&](const tickets::service_removal &removal) {
+                    replace(services, base::serviceIdOf(removal.name), std::nullopt);
+                },
+                [&](const tickets::drain_order &order) { draining[order.node] = order.draining; },
+            },
+            change);
+    }
+    return view_change {std::move(services), {}, std::move(draining)};
+}
+
+view_change changeOf(const cluster_view &view, const membership::membership_batch &batch)
+{
+    member_changes members;
+    for (const membership::member &member : batch.present)
+        replace(members, member.id(), member_change {member, serviceBefore(view, member.id())});
+    for (const base::node_id &id : batch.gone)
+        replace(members, id, member_change {std::nullopt, serviceBefore(view, id)});
+    return view_change {{}, std::move(members), {}};
+}
+
+} // namespace lycheeshunt::dissemination
--- /dev/null
+++ b/lycheeshunt/dissemination/view_digest.cpp
@@ -0,0 +1,72 @@
+#include "lycheeshunt/dissemination/view_digest.h"
+
+#include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/dissemination/view_change.h"
+#include "lycheeshunt/membership/codec.h"
+#include "lycheeshunt/tickets/codec.h"
+
+#include <xxhash.h>
+
+namespace lycheeshunt::dissemination {
+
+namespace {
+
+// Distinct seeds keep objects of different kinds apart.
+enum part_seed : std::uint64_t { serviceSeed = 11, memberSeed = 12, drainingSeed = 13 };
+
+std::uint64_t hashOf(std::string_view bytes, part_seed seed)
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+} // namespace
+
+std::uint64_t digestPart(const tickets::service_definition &service)
+{
+    return hashOf(tickets::encodeService(service), serviceSeed);
+}
+
+std::uint64_t digestPart(const membership::member &member)
+{
+    return hashOf(membership::encodeMember(member), memberSeed);
+}
+
+std::uint64_t digestPart(std::string_view drainingName)
+{
+    return hashOf(drainingName, drainingSeed);
+}
+
+view_digest digestOf(const cluster_view &view)
+{
+    std::uint64_t sum = 0;
+    for (auto it = view.services.begin(); it != view.services.end(); ++it)
+        sum += digestPart(it->second);
+    for (auto it = view.members.begin(); it != view.members.end(); ++it)
+        sum += digestPart(it->second);
+    for (const std::string &name : view.draining)
+        sum += digestPart(name);
+    return view_digest(sum);
+}
+
+view_digest digestAfter(view_digest held, const cluster_view &view, const view_change &change)
+{
+    std::uint64_t sum = held.value();
+    for (auto it = change.services.begin(); it != change.services.end(); ++it) {
+        const auto old = view.services.find(it->first);
+        sum -= old == view.services.end() ? 0 : digestPart(old->second);
+        sum += it->second ? digestPart(*it->second) : 0;
+    }
+    for (auto it = change.members.begin(); it != change.members.end(); ++it) {
+        const auto old = view.members.find(it->first);
+        sum -= old == view.members.end() ? 0 : digestPart(old->second);
+        sum += it->second.now ? digestPart(*it->second.now) : 0;
+    }
+    for (auto it = change.draining.begin(); it != change.draining.end(); ++it) {
+        const bool was = view.draining.count(it->first) > 0;
+        if (was != it->second)
+            sum += it->second ? digestPart(it->first) : 0 - digestPart(it->first);
+    }
+    return view_digest(sum);
+}
+
+} // namespace lycheeshunt::dissemination
--- a/lycheeshunt/operators/json.cpp
+++ b/lycheeshunt/operators/json.cpp
@@ -122,6 +122,15 @@
     return value::array(all);
 }
 
+// The lists are bounded; the counts are whole.
+void addLaggards(value &json, const dissemination::force_answer &force)
+{
+    json["behind"] = namesJson(force.behind);
+    json["behind_count"] = value::number(static_cast<std::uint64_t>(force.behindCount));
+    json["unreachable"] = namesJson(force.unreachable);
+    json["unreachable_count"] = value::number(static_cast<std::uint64_t>(force.unreachableCount));
+}
+
 const char *phaseName(const dissemination::cluster_view &view, const membership::member &member)
 {
     if (view.isDraining(member))
@@ -172,7 +181,7 @@
     json["generation"] = value::number(record.at.value());
     json["accepted_at_ms"] = value::number(record.acceptedAt.millis());
     json["in_force"] = value::boolean(force.isInForce());
-    json["behind"] = namesJson(force.behind);
+    addLaggards(json, force);
     return json.serialize();
 }
 
@@ -197,7 +206,7 @@
     json["generation"] = value::number(view.at.value());
     json["members"] = value::array(members);
     json["services"] = namesJson(services);
-    json["behind"] = namesJson(force.behind);
+    addLaggards(json, force);
     return json.serialize();
 }
 
