Wait for a ticket in control, and split the client by job

Cause: the client polled for a ticket to be in force, anyone could submit, and one control address was tried. Change: POST and GET of a ticket take wait_ms and are answered when it is in force or at the deadline with those behind and unreachable. Changes need the token of a file of mode 0600 unless the API is bound to loopback. The client tries its servers in turn, prints tables or JSON, has drain and servers, and ends with one of five statuses.

--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -51,6 +51,7 @@
     {error_code::bodyTooLarge, "request body too large"},
     {error_code::noSuchResource, "no such resource"},
     {error_code::controlUnreachable, "control VM can't be reached"},
+    {error_code::tokenFileUnsafe, "token file missing, empty or open to other users"},
     {error_code::socketFailed, "socket operation failed"},
 };
 
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -54,6 +54,7 @@
     bodyTooLarge = 903,
     noSuchResource = 904,
     controlUnreachable = 905,
+    tokenFileUnsafe = 906,
     // network
     socketFailed = 1001,
 };
--- a/lycheeshunt/ctl/main.cpp
+++ b/lycheeshunt/ctl/main.cpp
@@ -1,9 +1,11 @@
 // lycheeshuntctl: the operators' command-line client.
 
-#include "lycheeshunt/base/error.h"
+#include "lycheeshunt/ctl/control_client.h"
+#include "lycheeshunt/ctl/report.h"
+#include "lycheeshunt/operators/token_file.h"
 
 #include <CLI/CLI.hpp>
-#include <cpprest/http_client.h>
+#include <cpprest/json.h>
 
 #include <fstream>
 #include <iostream>
@@ -11,76 +13,152 @@
 
 namespace {
 
-using lycheeshunt::base::error;
-using lycheeshunt::base::error_code;
+using namespace lycheeshunt;
 
-enum exit_status : int { success = 0, refused = 1, badUsage = 2, unreachable = 3, notInForce = 4 };
+struct options
+{
+    std::vector<std::string> servers = {"127.0.0.1:7480"};
+    std::string tokenFile;
+    std::string ticketPath;
+    std::string node;
+    std::string author = "lycheeshuntctl";
+    std::uint64_t number = 0;
+    std::int64_t waitMillis = 10'000;
+    bool isWaiting = false;
+    bool isUndo = false;
+    bool isJson = false;
+};
 
-int report(const web::http::http_response &response)
+constexpr const char *examples = "Examples:\n"
+                                 "  lycheeshuntctl ticket submit change.json --wait\n"
+                                 "  lycheeshuntctl ticket show 12 --wait\n"
+                                 "  lycheeshuntctl drain logbook-2 --number 13 --wait\n"
+                                 "  lycheeshuntctl --server 10.0.0.1:7480 --server 10.0.0.2:7480 "
+                                 "--json status\n"
+                                 "Exit statuses: 0 done, 1 refused, 2 usage, 3 unreachable, "
+                                 "4 accepted but not in force everywhere";
+
+ctl::report_form formOf(const options &given)
 {
-    const std::string body = response.extract_utf8string(true).get();
-    const bool isOk = response.status_code() == web::http::status_codes::OK;
-    (isOk ? std::cout : std::cerr) << body << "\n";
-    return isOk ? success : refused;
+    return given.isJson ? ctl::report_form::json : ctl::report_form::table;
 }
 
-int send(const std::string &server, const web::http::http_request &request)
+base::clock_time waitOf(const options &given)
 {
-    constexpr int timeoutSeconds = 10;
-    try {
-        web::http::client::http_client_config config;
-        config.set_timeout(std::chrono::seconds(timeoutSeconds));
-        web::http::client::http_client client("http://" + server, config);
-        return report(client.request(request).get());
-    } catch (const std::exception &failure) {
-        std::cerr << error {error_code::controlUnreachable, server + ": " + failure.what()}.text()
-                  << "\n";
-        return unreachable;
-    }
+    return base::clock_time::ofMillis(given.isWaiting ? given.waitMillis : 0);
 }
 
-int get(const std::string &server, const std::string &path)
+std::string withWait(const std::string &path, const options &given)
 {
-    web::http::http_request request(web::http::methods::GET);
-    request.set_request_uri(path);
-    return send(server, request);
+    return given.isWaiting ? path + "?wait_ms=" + std::to_string(given.waitMillis) : path;
 }
 
-int submit(const std::string &server, const std::string &path)
+int submit(const ctl::control_client &client, const options &given, const std::string &body)
 {
-    const std::ifstream file(path);
+    return ctl::reportTicket(client.post(withWait("/v1/tickets", given), body, waitOf(given)),
+                             formOf(given), given.isWaiting, std::cout, std::cerr);
+}
+
+int submitFile(const ctl::control_client &client, const options &given)
+{
+    const std::ifstream file(given.ticketPath);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf())) {
-        std::cerr << error {error_code::requestMalformed, "can't read " + path}.text() << "\n";
-        return badUsage;
+        std::cerr << base::error {base::error_code::requestMalformed,
+                                  "can't read " + given.ticketPath}
+                         .text()
+                  << "\n";
+        return ctl::badUsage;
     }
-    web::http::http_request request(web::http::methods::POST);
-    request.set_request_uri("/v1/tickets");
-    request.set_body(text.str(), "application/json");
-    return send(server, request);
+    return submit(client, given, text.str());
+}
+
+int drain(const ctl::control_client &client, const options &given)
+{
+    using web::json::value;
+    value order = value::object();
+    order["node"] = value::string(given.node);
+    order["draining"] = value::boolean(!given.isUndo);
+    value change = value::object();
+    change["drain"] = order;
+    value ticket = value::object();
+    ticket["number"] = value::number(given.number);
+    ticket["author"] = value::string(given.author);
+    ticket["changes"] = value::array({change});
+    return submit(client, given, ticket.serialize());
+}
+
+int show(const ctl::control_client &client, const options &given)
+{
+    const std::string path = "/v1/tickets/" + std::to_string(given.number);
+    return ctl::reportTicket(client.get(withWait(path, given), waitOf(given)), formOf(given),
+                             given.isWaiting, std::cout, std::cerr);
+}
+
+int list(const ctl::control_client &client, const options &given, const std::string &path,
+         const std::string &name)
+{
+    return ctl::reportMembers(client.get(path, base::clock_time()), formOf(given), name, std::cout,
+                              std::cerr);
+}
+
+void addWait(CLI::App &command, options &given)
+{
+    constexpr std::int64_t longestWait = 60'000;
+    command.add_flag("--wait", given.isWaiting, "wait until it is in force on every VM");
+    command.add_option("--wait-ms", given.waitMillis, "longest wait in milliseconds")
+        ->check(CLI::Range(std::int64_t {1}, longestWait));
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
+    options given;
     CLI::App app("lycheeshuntctl: operators' client of lycheeshunt");
     app.require_subcommand(1);
-    std::string server = "127.0.0.1:7480";
-    app.add_option("--server", server, "API address of a control VM");
-    std::string ticketPath;
-    std::uint64_t ticketNumber = 0;
+    app.footer(examples);
+    app.add_option("--server", given.servers, "API address of a control VM; may be repeated");
+    app.add_option("--token-file", given.tokenFile, "file with the operators' token, mode 0600");
+    app.add_flag("--json", given.isJson, "print JSON for programs");
     CLI::App *ticket = app.add_subcommand("ticket", "change tickets")->require_subcommand(1);
     CLI::App *submitTicket = ticket->add_subcommand("submit", "submit a ticket file (JSON)");
-    submitTicket->add_option("file", ticketPath)->required();
+    submitTicket->add_option("file", given.ticketPath)->required();
+    addWait(*submitTicket, given);
     CLI::App *showTicket = ticket->add_subcommand("show", "show a ticket and where it is in force");
-    showTicket->add_option("number", ticketNumber)->required();
-    CLI::App *status = app.add_subcommand("status", "what is in force and who is behind");
-    CLI11_PARSE(app, argc, argv);
+    showTicket->add_option("number", given.number)->required();
+    addWait(*showTicket, given);
+    CLI::App *drainNode = app.add_subcommand("drain", "drain a backend server by a ticket");
+    drainNode->add_option("node", given.node, "name of its agent")->required();
+    drainNode->add_option("--number", given.number, "number of the ticket")->required();
+    drainNode->add_option("--author", given.author);
+    drainNode->add_flag("--undo", given.isUndo, "end the draining");
+    addWait(*drainNode, given);
+    CLI::App *status = app.add_subcommand("status", "every member and its state");
+    CLI::App *servers = app.add_subcommand("servers", "backend servers and their state");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &failure) {
+        return app.exit(failure) == 0 ? ctl::done : ctl::badUsage;
+    }
 
+    std::string token;
+    if (!given.tokenFile.empty()) {
+        const base::result<std::string> read = operators::readToken(given.tokenFile);
+        if (const base::error *failure = base::errorOf(read)) {
+            std::cerr << failure->text() << "\n";
+            return ctl::badUsage;
+        }
+        token = base::valueOf(read);
+    }
+    const ctl::control_client client(given.servers, token);
     if (submitTicket->parsed())
-        return submit(server, ticketPath);
+        return submitFile(client, given);
     if (showTicket->parsed())
-        return get(server, "/v1/tickets/" + std::to_string(ticketNumber));
-    return status->parsed() ? get(server, "/v1/status") : badUsage;
+        return show(client, given);
+    if (drainNode->parsed())
+        return drain(client, given);
+    if (servers->parsed())
+        return list(client, given, "/v1/servers", "servers");
+    return status->parsed() ? list(client, given, "/v1/status", "members") : ctl::badUsage;
 }
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -8,6 +8,7 @@
 #include "lycheeshunt/membership/membership_duty.h"
 #include "lycheeshunt/operators/api_server.h"
 #include "lycheeshunt/operators/operator_duty.h"
+#include "lycheeshunt/operators/token_file.h"
 #include "lycheeshunt/replication/replication_duty.h"
 #include "lycheeshunt/streams/stream_server.h"
 #include "lycheeshunt/tickets/codec.h"
@@ -18,13 +19,20 @@
 base::result<std::unique_ptr<control_process>>
 control_process::start(const settings::node_settings &, const settings::control_settings &own)
 {
+    std::string token;
+    if (!own.tokenFile.empty()) {
+        const base::result<std::string> read = operators::readToken(own.tokenFile);
+        if (const base::error *failure = base::errorOf(read))
+            return *failure;
+        token = base::valueOf(read);
+    }
     base::result<replication::log_store> store = replication::log_store::open(own.dataFolder);
     if (const base::error *failure = base::errorOf(store))
         return *failure;
     std::unique_ptr<control_process> process(new control_process());
     control_process *raw = process.get();
     process->startDuties();
-    process->startOperators();
+    process->startOperators(token);
     process->m_replication = std::make_unique<replication::replication_duty>(
         base::takeValue(std::move(store)),
         [raw](const replication::log_entry &entry) { raw->takeCommitted(entry); });
@@ -94,10 +102,10 @@
         });
 }
 
-void control_process::startOperators()
+void control_process::startOperators(const std::string &token)
 {
     m_operators = std::make_unique<operators::operator_duty>(
-        [this](const operators::operator_action &action) {
+        token, [this](const operators::operator_action &action) {
             std::visit(
                 base::overloaded {
                     [this](const tickets::submit_ticket &submit) {
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -53,7 +53,7 @@
     control_process();
 
     void startDuties();
-    void startOperators();
+    void startOperators(const std::string &token);
     void takeCommitted(const replication::log_entry &entry);
     void takeStreamEvent(const streams::stream_event &event);
     void takeFrame(const streams::stream_frame &frame);
--- a/lycheeshunt/operators/api_server.cpp
+++ b/lycheeshunt/operators/api_server.cpp
@@ -1,5 +1,7 @@
 #include "lycheeshunt/operators/api_server.h"
 
+#include "lycheeshunt/operators/json.h"
+
 #include <cpprest/http_listener.h>
 
 #include <map>
@@ -17,7 +19,7 @@
 void refuse(const http_request &request, web::http::status_code status, base::error_code code)
 {
     const base::error failure {code, ""};
-    request.reply(status, failure.text() + "\n", "text/plain");
+    request.reply(status, refusalJson(tickets::ticket_refusal {{failure}}), "application/json");
 }
 
 } // namespace
@@ -38,7 +40,12 @@
         }
         request.extract_utf8string(true).then([this, request](const pplx::task<std::string> &body) {
             try {
-                pass(request, body.get());
+                // A body in chunks does not tell its length beforehand.
+                if (body.get().size() > maxBodyBytes)
+                    refuse(request, web::http::status_codes::RequestEntityTooLarge,
+                           base::error_code::bodyTooLarge);
+                else
+                    pass(request, body.get());
             } catch (const std::exception &) {
                 refuse(request, web::http::status_codes::BadRequest,
                        base::error_code::requestMalformed);
@@ -49,7 +56,11 @@
     void pass(const http_request &request, const std::string &body)
     {
         const base::request_id id = remember(request);
-        const http_arrived arrived {id, request.method(), request.relative_uri().path(), body};
+        const web::uri address = request.relative_uri();
+        std::string authorization;
+        request.headers().match("Authorization", authorization);
+        const http_arrived arrived {id,   request.method(), address.path(),
+                                    body, address.query(),  authorization};
         if (id != base::request_id() && inbox.tryPush(arrived))
             return;
         forget(id);
--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -3,6 +3,8 @@
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/operators/json.h"
 
+#include <openssl/crypto.h>
+
 #include <charconv>
 
 namespace lycheeshunt::operators {
@@ -11,73 +13,145 @@
 
 using operator_step = base::step<operator_state, operator_action>;
 
-enum http_status : int { ok = 200, badRequest = 400, notFound = 404, conflict = 409, busy = 503 };
+enum http_status : int {
+    ok = 200,
+    badRequest = 400,
+    unauthorized = 401,
+    notFound = 404,
+    conflict = 409,
+    busy = 503
+};
 
+constexpr base::clock_time maxWait = base::clock_time::ofSeconds(60);
 const std::string ticketsPath = "/v1/tickets";
 
+http_status statusOf(base::error_code code)
+{
+    switch (code) {
+    case base::error_code::ticketNumberTaken:
+        return conflict;
+    case base::error_code::ticketUnknown:
+    case base::error_code::noSuchResource:
+        return notFound;
+    case base::error_code::notAuthorized:
+        return unauthorized;
+    case base::error_code::tooBusy:
+    case base::error_code::notLeader:
+    case base::error_code::quorumLost:
+        return busy;
+    default:
+        return badRequest;
+    }
+}
+
 http_reply refuse(base::request_id request, const base::error &failure)
 {
-    http_status status = badRequest;
-    if (failure.code == base::error_code::ticketNumberTaken)
-        status = conflict;
-    else if (failure.code == base::error_code::ticketUnknown
-             || failure.code == base::error_code::noSuchResource)
-        status = notFound;
-    else if (failure.code == base::error_code::tooBusy)
-        status = busy;
-    return http_reply {request, status, refusalJson(tickets::ticket_refusal {{failure}})};
+    return http_reply {request, statusOf(failure.code),
+                       refusalJson(tickets::ticket_refusal {{failure}})};
+}
+
+bool isNumber(std::string_view text, std::uint64_t &number)
+{
+    const char *last = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data(), last, number);
+    return parsed.ec == std::errc() && parsed.ptr == last;
+}
+
+// The only query is wait_ms=N.
+base::result<base::clock_time> waitOf(const http_arrived &arrived)
+{
+    if (arrived.query.empty())
+        return base::clock_time();
+    const std::string prefix = "wait_ms=";
+    const std::string_view query = arrived.query;
+    std::uint64_t millis = 0;
+    const bool isWait = query.substr(0, prefix.size()) == prefix
+        && isNumber(query.substr(prefix.size()), millis);
+    if (!isWait || millis > static_cast<std::uint64_t>(maxWait.millis()))
+        return base::error {base::error_code::requestMalformed,
+                            "only wait_ms from 0 to " + std::to_string(maxWait.millis())};
+    return base::clock_time::ofMillis(static_cast<std::int64_t>(millis));
 }
 
-operator_action submit(const http_arrived &arrived)
+// Takes as long whichever byte differs.
+bool isAuthorized(const operator_state &state, const http_arrived &arrived)
 {
+    const std::string wanted = "Bearer " + state.token;
+    return state.token.empty()
+        || (arrived.authorization.size() == wanted.size()
+            && CRYPTO_memcmp(arrived.authorization.data(), wanted.data(), wanted.size()) == 0);
+}
+
+operator_action submit(operator_state &state, const http_arrived &arrived, base::clock_time wait)
+{
+    if (!isAuthorized(state, arrived))
+        return refuse(arrived.request, {base::error_code::notAuthorized, ""});
     const base::result<tickets::ticket> ticket = ticketFromJson(arrived.body);
     if (const base::error *failure = base::errorOf(ticket))
         return refuse(arrived.request, *failure);
+    state.waiting.emplace(arrived.request, pending_request {request_kind::ticket, wait});
     return tickets::submit_ticket {arrived.request, base::valueOf(ticket)};
 }
 
-operator_action show(const http_arrived &arrived, std::string_view numberText)
+operator_action show(operator_state &state, const http_arrived &arrived, base::clock_time wait)
 {
     std::uint64_t number = 0;
-    const char *last = numberText.data() + numberText.size();
-    const std::from_chars_result parsed = std::from_chars(numberText.data(), last, number);
-    if (parsed.ec != std::errc() || parsed.ptr != last)
+    if (!isNumber(std::string_view(arrived.path).substr(ticketsPath.size() + 1), number))
         return refuse(arrived.request, {base::error_code::requestMalformed, "ticket number"});
+    state.waiting.emplace(arrived.request, pending_request {request_kind::ticket, wait});
     return tickets::show_ticket {arrived.request, base::ticket_number(number)};
 }
 
+operator_action askForView(operator_state &state, const http_arrived &arrived, request_kind kind)
+{
+    state.waiting.emplace(arrived.request, pending_request {kind});
+    return dissemination::force_query {arrived.request, base::generation()};
+}
+
 operator_action arrive(operator_state &state, const http_arrived &arrived)
 {
+    const base::result<base::clock_time> wait = waitOf(arrived);
+    if (const base::error *failure = base::errorOf(wait))
+        return refuse(arrived.request, *failure);
     if (arrived.method == "POST" && arrived.path == ticketsPath)
-        return submit(arrived);
+        return submit(state, arrived, base::valueOf(wait));
     if (arrived.method == "GET" && arrived.path.rfind(ticketsPath + "/", 0) == 0)
-        return show(arrived, std::string_view(arrived.path).substr(ticketsPath.size() + 1));
-    if (arrived.method == "GET" && arrived.path == "/v1/status") {
-        state.waiting.emplace(arrived.request, std::nullopt);
-        return dissemination::force_query {arrived.request, base::generation()};
-    }
+        return show(state, arrived, base::valueOf(wait));
+    if (arrived.method == "GET" && arrived.path == "/v1/status")
+        return askForView(state, arrived, request_kind::status);
+    if (arrived.method == "GET" && arrived.path == "/v1/servers")
+        return askForView(state, arrived, request_kind::servers);
     return refuse(arrived.request,
                   {base::error_code::noSuchResource, arrived.method + " " + arrived.path});
 }
 
 operator_action takeOutcome(operator_state &state, const tickets::ticket_answer &answer)
 {
+    const auto found = state.waiting.find(answer.request);
+    const base::clock_time wait
+        = found == state.waiting.end() ? base::clock_time() : found->second.wait;
+    state.waiting.erase(answer.request);
     if (const tickets::ticket_refusal *refusal
-        = std::get_if<tickets::ticket_refusal>(&answer.outcome)) {
-        const http_reply first = refuse(answer.request, refusal->faults.front());
-        return http_reply {answer.request, first.status, refusalJson(*refusal)};
-    }
+        = std::get_if<tickets::ticket_refusal>(&answer.outcome))
+        return http_reply {answer.request, statusOf(refusal->faults.front().code),
+                           refusalJson(*refusal)};
     const tickets::ticket_record &record = std::get<tickets::ticket_record>(answer.outcome);
-    state.waiting.emplace(answer.request, record);
-    return dissemination::force_query {answer.request, record.at};
+    state.waiting.emplace(answer.request, pending_request {request_kind::ticket, wait, record});
+    return dissemination::force_query {answer.request, record.at, wait};
+}
+
+std::string bodyFor(const pending_request &pending, const dissemination::force_answer &force)
+{
+    if (pending.record)
+        return recordJson(*pending.record, force);
+    return pending.kind == request_kind::servers ? serversJson(*force.view) : statusJson(force);
 }
 
 operator_action takeForce(operator_state &state, const dissemination::force_answer &force)
 {
     const auto found = state.waiting.find(force.request);
-    const std::string body = found != state.waiting.end() && found->second
-        ? recordJson(*found->second, force)
-        : statusJson(force);
+    const std::string body = found == state.waiting.end() ? statusJson(force)
+                                                          : bodyFor(found->second, force);
     state.waiting.erase(force.request);
     return http_reply {force.request, ok, body};
 }
--- a/lycheeshunt/operators/json.cpp
+++ b/lycheeshunt/operators/json.cpp
@@ -138,6 +138,19 @@
     return member.phase == membership::member_phase::suspected ? "suspected" : "serving";
 }
 
+value memberJson(const dissemination::cluster_view &view, const membership::member &member)
+{
+    value json = value::object();
+    json["name"] = value::string(member.name);
+    json["availability_zone"] = value::string(member.availabilityZone);
+    json["role"] = value::string(member.role == membership::member_role::entry ? "entry" : "agent");
+    json["state"] = value::string(phaseName(view, member));
+    const auto service = view.services.find(member.service);
+    if (service != view.services.end())
+        json["service"] = value::string(service->second.name);
+    return json;
+}
+
 } // namespace
 
 base::result<tickets::ticket> ticketFromJson(const std::string &text)
@@ -185,20 +198,25 @@
     return json.serialize();
 }
 
+std::string serversJson(const dissemination::cluster_view &view)
+{
+    std::vector<value> servers;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        if (it->second.role == membership::member_role::agent)
+            servers.push_back(memberJson(view, it->second));
+    }
+    value json = value::object();
+    json["generation"] = value::number(view.at.value());
+    json["servers"] = value::array(servers);
+    return json.serialize();
+}
+
 std::string statusJson(const dissemination::force_answer &force)
 {
     const dissemination::cluster_view &view = *force.view;
     std::vector<value> members;
-    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
-        const membership::member &member = it->second;
-        value json = value::object();
-        json["name"] = value::string(member.name);
-        json["availability_zone"] = value::string(member.availabilityZone);
-        json["role"]
-            = value::string(member.role == membership::member_role::entry ? "entry" : "agent");
-        json["state"] = value::string(phaseName(view, member));
-        members.push_back(json);
-    }
+    for (auto it = view.members.begin(); it != view.members.end(); ++it)
+        members.push_back(memberJson(view, it->second));
     std::vector<std::string> services;
     for (auto it = view.services.begin(); it != view.services.end(); ++it)
         services.push_back(it->second.name);
--- a/lycheeshunt/operators/json.h
+++ b/lycheeshunt/operators/json.h
@@ -8,6 +8,7 @@
 #include <string>
 
 namespace lycheeshunt::dissemination {
+struct cluster_view;
 struct force_answer;
 }
 
@@ -24,6 +25,7 @@
 std::string refusalJson(const tickets::ticket_refusal &refusal);
 std::string recordJson(const tickets::ticket_record &record,
                        const dissemination::force_answer &force);
+std::string serversJson(const dissemination::cluster_view &view);
 std::string statusJson(const dissemination::force_answer &force);
 
 } // namespace lycheeshunt::operators
--- a/lycheeshunt/operators/operator_duty.cpp
+++ b/lycheeshunt/operators/operator_duty.cpp
@@ -8,8 +8,8 @@
 constexpr std::size_t inboxCapacity = 256;
 }
 
-operator_duty::operator_duty(action_sink sink)
-    : m_sink(std::move(sink)),
+operator_duty::operator_duty(std::string token, action_sink sink)
+    : m_state {std::move(token), {}}, m_sink(std::move(sink)),
       m_duty(inboxCapacity, [this](const operator_message &message, base::clock_time now) {
           handle(message, now);
       })
--- a/lycheeshunt/operators/operator_duty.h
+++ b/lycheeshunt/operators/operator_duty.h
@@ -14,7 +14,8 @@
     // Called on the operator thread for every action.
     using action_sink = std::function<void(const operator_action &)>;
 
-    explicit operator_duty(action_sink sink);
+    // The token is empty where none is needed.
+    operator_duty(std::string token, action_sink sink);
 
     base::ring<operator_message> &inbox() { return m_duty.inbox(); }
     void stop() { m_duty.stop(); }
--- a/lycheeshunt/operators/operator_state.h
+++ b/lycheeshunt/operators/operator_state.h
@@ -1,18 +1,18 @@
 #pragma once
 
 #include "lycheeshunt/base/request_id.h"
-#include "lycheeshunt/tickets/ticket_record.h"
+#include "lycheeshunt/operators/pending_request.h"
 
 #include <map>
-#include <optional>
+#include <string>
 
 namespace lycheeshunt::operators {
 
-// Requests under way. One that asks about a ticket holds its record while the nodes' state is
-// looked up; one that asks for the status holds none.
 struct operator_state
 {
-    std::map<base::request_id, std::optional<tickets::ticket_record>> waiting;
+    // Needed for every request that changes something; empty: none is needed.
+    std::string token;
+    std::map<base::request_id, pending_request> waiting;
 
     bool operator==(const operator_state &) const = default;
 };
--- a/lycheeshunt/settings/control_settings.h
+++ b/lycheeshunt/settings/control_settings.h
@@ -15,6 +15,8 @@
     const base::endpoint api;
     // Holds the log; must be on a disk that lasts.
     const std::string dataFolder;
+    // Holds the operators' token; empty only where the API is bound to loopback.
+    const std::string tokenFile = {};
 
     bool operator==(const control_settings &) const = default;
 };
--- a/lycheeshunt/settings/internal/table_reader.cpp
+++ b/lycheeshunt/settings/internal/table_reader.cpp
@@ -47,6 +47,12 @@
     return value.value_or("");
 }
 
+std::string table_reader::optionalText(const std::string &key)
+{
+    m_asked.insert(key);
+    return m_table.contains(key) ? text(key) : std::string();
+}
+
 base::endpoint table_reader::endpointFrom(const toml::node &node, const std::string &key)
 {
     const std::optional<std::string> value = node.value_exact<std::string>();
--- a/lycheeshunt/settings/internal/table_reader.h
+++ b/lycheeshunt/settings/internal/table_reader.h
@@ -21,6 +21,8 @@
     table_reader(const toml::table &table, std::string path);
 
     std::string text(const std::string &key);
+    // Empty when the key is missing.
+    std::string optionalText(const std::string &key);
     base::endpoint endpoint(const std::string &key);
     std::vector<base::endpoint> endpoints(const std::string &key);
     // Null when the key is missing or no table.
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -33,7 +33,13 @@
     const base::endpoint api = reader.endpoint("api");
     if (streams.port != 0 && streams == api)
         reader.fail(base::error_code::settingsClash, "api", "same address as streams");
-    return control_settings {streams, api, reader.text("data_folder")};
+    const std::string tokenFile = reader.optionalText("token_file");
+    constexpr std::uint32_t loopbackNetwork = 127;
+    constexpr int networkShift = 24;
+    if (tokenFile.empty() && api.address >> networkShift != loopbackNetwork)
+        reader.fail(base::error_code::settingsMissingKey, "token_file",
+                    "needed where the API is not bound to loopback");
+    return control_settings {streams, api, reader.text("data_folder"), tokenFile};
 }
 
 role_settings readRole(table_reader &top, const std::string &role, const std::string &path)
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -42,6 +42,20 @@
           == (base::endpoint {0x7f000001, 7500}));
 }
 
+TEST(settings_file, onlyAnApiOnLoopbackNeedsNoToken)
+{
+    const std::string control = "role = \"control\"\nname = \"control-1\"\n"
+                                "availability_zone = \"leith-1\"\n"
+                                "control_addresses = [\"127.0.0.1:7400\"]\n"
+                                "[control]\nstreams = \"127.0.0.1:7400\"\n"
+                                "data_folder = \"data\"\n";
+    const std::string open = control + "api = \"10.0.0.1:7480\"\n";
+    CHECK(base::isOk(settings::parseSettings(control + "api = \"127.0.0.1:7480\"\n", "c.toml")));
+    CHECK(base::isOk(settings::parseSettings(open + "token_file = \"token\"\n", "c.toml")));
+    const base::result<settings::node_settings> read = settings::parseSettings(open, "c.toml");
+    CHECK(base::errorOf(read)->code == error_code::settingsMissingKey);
+}
+
 TEST(settings_file, namesFileLineAndKeyOfEachFault)
 {
     const fault_case cases[] = {
--- a/tools/measurements/slopes.cpp
+++ b/tools/measurements/slopes.cpp
@@ -3,11 +3,11 @@
 
 #include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
-#include "lycheeshunt/dissemination/codec.h"
 #include "lycheeshunt/routing/routing_table.h"
 #include "lycheeshunt/streams/stream_client.h"
 #include "lycheeshunt/streams/stream_server.h"
 #include "tools/measurements/measurement.h"
+#include "tools/measurements/snapshot_size.h"
 
 #include <malloc.h>
 #include <sys/resource.h>
@@ -81,7 +81,8 @@
         const double held = heapBytes();
         report("view_bytes_at_" + size, held - before, "bytes");
         report("view_snapshot_bytes_at_" + size,
-               static_cast<double>(dissemination::encodeView(*view).size()), "bytes");
+               static_cast<double>(measurements::snapshotBytes(*view, dissemination::view_scope {})),
+               "bytes");
         double start = processorMicros();
         const dissemination::cluster_view next
             = view->withBatch(base::generation(3), {{agentAt(0)}, {}});
