--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -63,11 +63,13 @@
     {error_code::tooBusy, "too many requests under way"},
     {error_code::diskFull, "no room left on the disk"},
     {error_code::notInForce, "not yet in force on every VM"},
+    {error_code::viewMismatch, "view differs from the one that control holds"},
     {error_code::requestMalformed, "request can't be decoded"},
     {error_code::notAuthorized, "token missing or wrong"},
     {error_code::bodyTooLarge, "request body too large"},
     {error_code::noSuchResource, "no such resource"},
     {error_code::controlUnreachable, "control VM can't be reached"},
+    {error_code::tokenFileUnsafe, "token file missing, empty or open to other users"},
     {error_code::socketFailed, "socket operation failed"},
 };
 
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -66,12 +66,14 @@
     diskFull = 706,
     // dissemination
     notInForce = 801,
+    viewMismatch = 802,
     // operators
     requestMalformed = 901,
     notAuthorized = 902,
     bodyTooLarge = 903,
     noSuchResource = 904,
     controlUnreachable = 905,
+    tokenFileUnsafe = 906,
     // network
     socketFailed = 1001,
 };
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -9,6 +9,7 @@
 #include "lycheeshunt/metrics/ring_sample.h"
 #include "lycheeshunt/operators/api_server.h"
 #include "lycheeshunt/operators/operator_duty.h"
+#include "lycheeshunt/operators/token_file.h"
 #include "lycheeshunt/replication/peer_codec.h"
 #include "lycheeshunt/replication/peer_links.h"
 #include "lycheeshunt/replication/replication_duty.h"
@@ -54,13 +55,20 @@
 control_process::start(const settings::node_settings &settings,
                        const settings::control_settings &own)
 {
+    std::string token;
+    if (!own.tokenFile.empty()) {
+        const base::result<std::string> read = operators::readToken(own.tokenFile);
+        if (const base::error *failure = base::errorOf(read))
+            return *failure;
+        token = base::valueOf(read);
+    }
     base::result<replication::replica_storage> storage = openStorage(own.dataFolder);
     if (const base::error *failure = base::errorOf(storage))
         return *failure;
     std::unique_ptr<control_process> process(new control_process());
     control_process *raw = process.get();
     process->startDuties();
-    process->startOperators();
+    process->startOperators(token);
     process->startReplication(settings.name, own, base::takeValue(std::move(storage)));
     base::result<std::unique_ptr<streams::stream_server>> streams = streams::stream_server::listen(
         own.streams, streams::stream_timing {},
@@ -134,10 +142,10 @@
     m_publisher = std::make_unique<dissemination::publisher_duty>(
         [this](const dissemination::dissemination_action &action) {
             std::visit(base::overloaded {
-                           [this](const dissemination::send_view &send) {
+                           [this](const dissemination::send_to_node &send) {
                                m_streams->outgoing().tryPush(streams::stream_frame {
                                    send.connection, streams::channel::dissemination,
-                                   dissemination::encodeView(*send.view)});
+                                   dissemination::encodeControlMessage(send.message)});
                            },
                            [this](const dissemination::force_answer &answer) {
                                m_operators->inbox().tryPush(answer);
@@ -147,10 +155,10 @@
         });
 }
 
-void control_process::startOperators()
+void control_process::startOperators(const std::string &token)
 {
     m_operators = std::make_unique<operators::operator_duty>(
-        [this](const operators::operator_action &action) {
+        token, [this](const operators::operator_action &action) {
             std::visit(
                 base::overloaded {
                     [this](const tickets::submit_ticket &submit) {
@@ -284,10 +292,11 @@
     if (frame.channel == streams::channel::membership) {
         takeMemberFrame(frame);
     } else if (frame.channel == streams::channel::dissemination) {
-        const base::result<base::generation> at = dissemination::decodeAcknowledgement(frame.bytes);
-        if (base::isOk(at))
+        const base::result<dissemination::node_message> message
+            = dissemination::decodeNodeMessage(frame.bytes);
+        if (base::isOk(message))
             m_publisher->inbox().push(
-                dissemination::view_acknowledged {frame.connection, base::valueOf(at)});
+                dissemination::node_said {frame.connection, base::valueOf(message)});
     } else if (frame.channel == streams::channel::replication) {
         const base::result<replication::peer_envelope> envelope
             = replication::decodeEnvelope(frame.bytes);
@@ -314,14 +323,7 @@
     const base::result<membership::member_frame> decoded = membership::decodeFrame(frame.bytes);
     if (!base::isOk(decoded))
         return;
-    std::visit(base::overloaded {
-                   [&](const membership::member_announced &announced) {
-                       m_publisher->inbox().push(dissemination::subscriber_named {
-                           frame.connection, announced.member.id()});
-                       m_membership->inbox().push(announced);
-                   },
-                   [&](const membership::member_left &left) { m_membership->inbox().push(left); },
-               },
+    std::visit([this](const auto &message) { m_membership->inbox().push(message); },
                base::valueOf(decoded));
 }
 
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -60,7 +60,7 @@
     control_process();
 
     void startDuties();
-    void startOperators();
+    void startOperators(const std::string &token);
     void startReplication(const std::string &name, const settings::control_settings &own,
                           replication::replica_storage storage);
     // Offers a proposal; false when replication can't take it now.
--- a/lycheeshunt/settings/control_settings.h
+++ b/lycheeshunt/settings/control_settings.h
@@ -19,6 +19,8 @@
     const std::string dataFolder;
     // All control VMs, this one included; one entry for a control VM alone.
     const std::vector<replication::control_peer> peers = {};
+    // Holds the operators' token; empty only where the API is bound to loopback.
+    const std::string tokenFile = {};
 
     bool operator==(const control_settings &) const = default;
 };
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -59,8 +59,14 @@
     const base::endpoint api = reader.endpoint("api");
     if (streams.port != 0 && streams == api)
         reader.fail(base::error_code::settingsClash, "api", "same address as streams");
+    const std::string tokenFile = reader.optionalText("token_file");
+    constexpr std::uint32_t loopbackNetwork = 127;
+    constexpr int networkShift = 24;
+    if (tokenFile.empty() && api.address >> networkShift != loopbackNetwork)
+        reader.fail(base::error_code::settingsMissingKey, "token_file",
+                    "needed where the API is not bound to loopback");
     return control_settings {streams, api, reader.text("data_folder"),
-                             readPeers(reader, self, streams)};
+                             readPeers(reader, self, streams), tokenFile};
 }
 
 std::optional<base::endpoint> readMetrics(table_reader &top, const toml::table &table,
