--- a/lycheeshunt/flows/decision_test.cpp
+++ b/lycheeshunt/flows/decision_test.cpp
@@ -1,11 +1,7 @@
 // Drives routing and flow decisions as another front end would: values in, values out, without a
 // socket or a thread, with the time passed in.
 
-#include "lycheeshunt/flows/decision.h"
-
-#include "lycheeshunt/routing/routing_table.h"
-
-#include <map>
+#include "lycheeshunt/flows/fake_cluster_test.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,122 +10,187 @@
 
 namespace {
 
-const base::endpoint logbookAddress {0xc0000201, 443};
-const base::clock_time now = base::clock_time::ofSeconds(100);
-
-membership::member agentNamed(const std::string &name, std::uint16_t port)
-{
-    return membership::member {name,
-                               "zone-1",
-                               membership::member_role::agent,
-                               base::serviceIdOf("logbook"),
-                               base::incarnation(1),
-                               base::endpoint {0x7f000001, port},
-                               membership::member_phase::serving};
-}
+using fate = fake_caller::fate;
 
-dissemination::shared_view viewOf(std::uint64_t generation,
-                                  const std::vector<membership::member> &members,
-                                  const std::vector<std::string> &draining = {})
-{
-    std::vector<tickets::ticket_change> changes {
-        tickets::service_definition {"logbook", {{logbookAddress, 6}}, {}, 64}};
-    for (const std::string &node : draining)
-        changes.emplace_back(tickets::drain_order {node, true});
-    const dissemination::cluster_view view
-        = dissemination::cluster_view {}
-              .withBatch(base::generation(generation), {members, {}})
-              .withTicket(base::generation(generation), {base::ticket_number(1), "test", changes});
-    return std::make_shared<const dissemination::cluster_view>(view);
-}
+const base::endpoint address {0xc0000201, 443};
+constexpr base::clock_time settling = base::clock_time::ofSeconds(3);
 
-// A few agents, joined by function calls in place of a network.
-class agents
+class small_service
 {
 public:
-    explicit agents(const std::vector<membership::member> &members)
+    explicit small_service(std::size_t agents, std::uint32_t connections = 2000)
+        : all(1, fake_network::faults {})
     {
-        for (const membership::member &member : members) {
-            const agent_identity identity {member.id(), member.service, member.life};
-            m_states.emplace(member.packets, flow_state(identity));
-        }
+        all.membership().define("logbook", {address}, connections);
+        for (std::size_t i = 1; i <= agents; ++i)
+            all.addAgent(std::string("a") + std::to_string(i), "logbook", "zone-1");
+        settle();
     }
 
-    void show(const dissemination::shared_view &view)
+    void settle()
     {
-        m_view = view;
-        for (auto it = m_states.begin(); it != m_states.end(); ++it)
-            pass(it->first, view_update {view});
+        all.publish();
+        all.run(settling);
     }
 
-    // Sends a packet in through an entry that has the newest view. Returns the agent whose
-    // backend server got it; port 0 for none.
-    std::uint16_t send(std::uint16_t callerPort, bool opens)
+    forwarded_packet packetFor(const std::string &agent, const packets::ip_summary &summary)
     {
-        const base::flow_key key {base::endpoint {0x0a000001, callerPort}, logbookAddress, 6};
-        const routing::routing_outcome outcome = routing::routing_table(*m_view).routeOf(key);
-        const routing::route &way = std::get<routing::route>(outcome);
-        const packets::ip_summary summary {key, opens, false, false, 0};
-        m_deliveredAt = 0;
-        pass(way.to.packets,
-             forwarded_packet {way.service, way.to.life, way.at, packet_stage::toDirector, 0,
-                               summary, base::packet_bytes("packet")});
-        return m_deliveredAt;
+        const membership::member &to = all.memberOf(agent);
+        return forwarded_packet {
+            to.service, to.life, all.membership().view()->at, packet_stage::toDirector,
+            0,          summary, all.remember(summary, {})};
     }
 
-    std::size_t resets() const { return m_resets; }
-
-private:
-    void pass(const base::endpoint &to, const flow_message &message)
+    std::size_t serversOf(std::size_t caller)
     {
-        const auto found = m_states.find(to);
-        base::step<flow_state, flow_action> next = decide(std::move(found->second), message, now);
-        found->second = std::move(next.state);
-        for (const flow_action &action : next.actions) {
-            if (const send_packet *send = std::get_if<send_packet>(&action))
-                pass(send->to, send->packet);
-            else if (const send_registration *told = std::get_if<send_registration>(&action))
-                pass(told->to, told->registration);
-            else if (std::holds_alternative<deliver_to_server>(action))
-                m_deliveredAt = to.port;
-            else if (std::holds_alternative<reset_caller>(action))
-                ++m_resets;
-        }
+        std::size_t servers = 0;
+        for (const std::string &name : all.agentsOf("logbook"))
+            servers += all.serverKnows(name, all.callers().keyOf(caller)) ? 1 : 0;
+        return servers;
     }
 
-    dissemination::shared_view m_view;
-    std::map<base::endpoint, flow_state> m_states;
-    std::uint16_t m_deliveredAt = 0;
-    std::size_t m_resets = 0;
+    fake_cluster all;
 };
 
 } // namespace
 
 TEST_GROUP(flow_decision) {};
 
-TEST(flow_decision, aFlowStaysWithItsOwnerWhileItsServerDrains)
+TEST(flow_decision, aPacketOfAnUnknownFlowIsResetAfterEveryAgentWasAsked)
+{
+    small_service service(3);
+    // Later, no agent could have lost the flow in a restart.
+    service.all.run(base::clock_time::ofSeconds(1000));
+    const packets::ip_summary stray {base::flow_key {base::endpoint {0x0a000009, 9}, address, 6},
+                                     false};
+    service.all.sendThrough(0, stray);
+    service.all.run(settling);
+    LONGS_EQUAL(1, service.all.refusals(base::error_code::flowUnknown));
+}
+
+TEST(flow_decision, aFirstPacketAtDirectorAndBackupOpensOneFlow)
+{
+    small_service service(4);
+    for (int i = 0; i < 50; ++i) {
+        const std::size_t caller = service.all.openFlows(address, 1).front();
+        const packets::ip_summary first = service.all.callers().summaryOf(caller);
+        for (const std::string &name : service.all.agentsOf("logbook"))
+            service.all.inject(name, service.packetFor(name, first));
+        service.all.run(settling);
+        LONGS_EQUAL(1, service.serversOf(caller));
+    }
+    LONGS_EQUAL(0, service.all.callers().countSplit());
+}
+
+TEST(flow_decision, aDrainingAgentRefusesNewFlowsAndKeepsOldOnes)
+{
+    small_service service(3);
+    service.all.openFlows(address, 60);
+    service.all.run(settling);
+    const std::size_t kept = service.all.callers().openAt("a1").size();
+    CHECK(kept > 0);
+    service.all.membership().drain("a1", true);
+    // Every entry stays behind.
+    for (std::size_t i = 0; i < 3; ++i)
+        service.all.freezeEntry(i, true);
+    service.settle();
+    service.all.openFlows(address, 60);
+    service.all.callers().sendOnAll(service.all.network().now());
+    service.all.run(settling);
+    LONGS_EQUAL(kept, service.all.callers().openAt("a1").size());
+    LONGS_EQUAL(120, service.all.callers().thatAre(fate::open).size());
+}
+
+TEST(flow_decision, aFullServiceRefusesNewFlowsByCodeAndKeepsOldOnes)
+{
+    constexpr std::uint32_t connections = 10;
+    small_service service(2, connections);
+    service.all.openFlows(address, 60);
+    service.all.run(settling);
+    LONGS_EQUAL(20, service.all.callers().thatAre(fate::open).size());
+    LONGS_EQUAL(40, service.all.callers().thatAre(fate::refused).size());
+    LONGS_EQUAL(40, service.all.refusals(base::error_code::flowTableFull));
+    service.all.callers().sendOnAll(service.all.network().now());
+    service.all.run(settling);
+    LONGS_EQUAL(20, service.all.callers().thatAre(fate::open).size());
+}
+
+TEST(flow_decision, packetsForAnotherServiceOrLifeAreRefusedByCode)
+{
+    small_service service(2);
+    const packets::ip_summary first {base::flow_key {base::endpoint {0x0a000009, 9}, address, 6},
+                                     true};
+    const forwarded_packet known = service.packetFor("a1", first);
+    service.all.inject("a1",
+                       forwarded_packet {base::serviceIdOf("inspect"), known.life, known.at,
+                                         known.stage, 0, first, known.bytes});
+    service.all.inject("a1",
+                       forwarded_packet {known.service, base::incarnation(99), known.at,
+                                         known.stage, 0, first, known.bytes});
+    LONGS_EQUAL(1, service.all.refusals(base::error_code::wrongService));
+    LONGS_EQUAL(1, service.all.refusals(base::error_code::wrongIncarnation));
+    LONGS_EQUAL(0, service.all.stateOf("a1").owned.size());
+}
+
+TEST(flow_decision, anAddressThatMovedToAnotherServiceOpensNothingAtTheOld)
 {
-    const std::vector<membership::member> members
-        = {agentNamed("a", 1), agentNamed("b", 2), agentNamed("c", 3)};
-    agents all(members);
-    all.show(viewOf(1, members));
-    constexpr std::uint16_t flows = 100;
-    std::map<std::uint16_t, std::uint16_t> owners;
-    for (std::uint16_t caller = 1; caller <= flows; ++caller)
-        owners[caller] = all.send(caller, true);
-    all.show(viewOf(2, members, {"b"}));
-    for (std::uint16_t caller = 1; caller <= flows; ++caller)
-        LONGS_EQUAL(owners[caller], all.send(caller, false));
-    for (std::uint16_t caller = flows + 1; caller <= 2 * flows; ++caller)
-        CHECK(all.send(caller, true) != 2);
-    LONGS_EQUAL(0, all.resets());
+    small_service service(2);
+    const base::endpoint other {0xc0000209, 443};
+    service.all.openFlows(address, 10);
+    service.all.run(settling);
+    // Entries have not heard of the ticket.
+    for (std::size_t i = 0; i < 3; ++i)
+        service.all.freezeEntry(i, true);
+    service.all.membership().define("logbook", {other}, 2000);
+    service.settle();
+    service.all.openFlows(address, 5);
+    service.all.callers().sendOnAll(service.all.network().now());
+    service.all.run(settling);
+    CHECK(service.all.refusals(base::error_code::wrongService) > 0);
+    LONGS_EQUAL(10, service.all.callers().thatAre(fate::open).size());
 }
 
-TEST(flow_decision, aPacketOfAnUnknownFlowIsReset)
+TEST(flow_decision, theServersOwnPacketsTellARestartedAgentOfItsFlows)
 {
-    const std::vector<membership::member> members = {agentNamed("a", 1), agentNamed("b", 2)};
-    agents all(members);
-    all.show(viewOf(1, members));
-    LONGS_EQUAL(0, all.send(7, false));
-    LONGS_EQUAL(1, all.resets());
+    small_service service(1);
+    const std::size_t caller = service.all.openFlows(address, 1).front();
+    service.all.run(settling);
+    service.all.restartAgent("a1");
+    service.settle();
+    LONGS_EQUAL(0, service.all.stateOf("a1").owned.size());
+    service.all.serverPushes(caller);
+    service.all.run(settling);
+    LONGS_EQUAL(1, service.all.stateOf("a1").owned.size());
+}
+
+TEST(flow_decision, endedFlowsLeaveOwnerAndDirectory)
+{
+    small_service service(3);
+    const std::vector<std::size_t> opened = service.all.openFlows(address, 30);
+    service.all.run(settling);
+    for (const std::size_t caller : opened)
+        service.all.callers().close(caller, service.all.network().now());
+    service.all.run(base::clock_time::ofSeconds(20));
+    for (const std::string &name : service.all.agentsOf("logbook")) {
+        LONGS_EQUAL(0, service.all.stateOf(name).owned.size());
+        LONGS_EQUAL(0, service.all.stateOf(name).directory.size());
+        LONGS_EQUAL(0, service.all.stateOf(name).registrar.pending.size());
+    }
+}
+
+TEST(flow_decision, heldPacketsAreBounded)
+{
+    small_service service(2);
+    // Nobody answers any more.
+    service.all.killVm("a2");
+    for (std::uint16_t port = 1; port <= 3000; ++port) {
+        const packets::ip_summary stray {
+            base::flow_key {base::endpoint {0x0a000009, port}, address, 6}, false};
+        service.all.inject("a1", service.packetFor("a1", stray));
+    }
+    CHECK(service.all.stateOf("a1").held.size() <= 512);
+    CHECK(service.all.refusals(base::error_code::tooManyLookups) > 0);
+    service.all.run(settling);
+    LONGS_EQUAL(0, service.all.stateOf("a1").held.size());
+    LONGS_EQUAL(0, service.all.stateOf("a1").heldBytes);
 }
--- a/lycheeshunt/settings/internal/table_reader.cpp
+++ b/lycheeshunt/settings/internal/table_reader.cpp
@@ -47,6 +47,12 @@
     return value.value_or("");
 }
 
+std::string table_reader::optionalText(const std::string &key)
+{
+    m_asked.insert(key);
+    return m_table.contains(key) ? text(key) : std::string();
+}
+
 base::endpoint table_reader::endpointFrom(const toml::node &node, const std::string &key)
 {
     const std::optional<std::string> value = node.value_exact<std::string>();
@@ -84,6 +90,22 @@
     return all;
 }
 
+std::vector<const toml::table *> table_reader::tables(const std::string &key)
+{
+    std::vector<const toml::table *> all;
+    const toml::node *node = find(key);
+    if (node == nullptr)
+        return all;
+    const toml::array *array = node->as_array();
+    if (array == nullptr || !array->is_homogeneous<toml::table>()) {
+        fail(base::error_code::settingsWrongType, key, "expected an array of tables");
+        return all;
+    }
+    for (auto it = array->begin(); it != array->end(); ++it)
+        all.push_back(it->as_table());
+    return all;
+}
+
 const toml::table *table_reader::subtable(const std::string &key)
 {
     const toml::node *node = find(key);
--- a/lycheeshunt/settings/internal/table_reader.h
+++ b/lycheeshunt/settings/internal/table_reader.h
@@ -21,8 +21,14 @@
     table_reader(const toml::table &table, std::string path);
 
     std::string text(const std::string &key);
+    // Empty when the key is missing.
+    std::string optionalText(const std::string &key);
     base::endpoint endpoint(const std::string &key);
     std::vector<base::endpoint> endpoints(const std::string &key);
+    // Whether an optional key is there.
+    bool has(const std::string &key) const { return m_table.contains(key); }
+    // The tables of an array of tables.
+    std::vector<const toml::table *> tables(const std::string &key);
     // Null when the key is missing or no table.
     const toml::table *subtable(const std::string &key);
 
@@ -31,6 +37,7 @@
 
     void fail(base::error_code code, const std::string &key, const std::string &what);
     void take(const table_reader &other);
+    const std::string &path() const { return m_path; }
     const std::optional<base::error> &fault() const { return m_fault; }
 
 private:
