--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -31,9 +31,19 @@
 follower::~follower()
 {
     m_duty.stop();
+    leave();
     m_client.reset();
 }
 
+void follower::leave()
+{
+    if (!m_state.connection)
+        return;
+    const membership::member_left left {m_state.self->id(), m_state.self->life};
+    m_client->outgoing().tryPush(streams::stream_frame {
+        *m_state.connection, streams::channel::membership, membership::encodeLeave(left)});
+}
+
 void follower::handle(const follower_message &message, base::clock_time now)
 {
     base::step<follower_state, follower_action> next = decide(std::move(m_state), message, now);
--- a/lycheeshunt/dissemination/follower.h
+++ b/lycheeshunt/dissemination/follower.h
@@ -30,13 +30,14 @@
     // The sink is called on the follower's thread.
     follower(std::vector<base::endpoint> control, const membership::member &self,
              std::uint64_t seed, view_sink sink);
-    // Closes the stream, so that control knows at once that the node has left.
+    // Tells control that the node has left, then closes the stream.
     ~follower();
 
     follower(const follower &) = delete;
     follower &operator=(const follower &) = delete;
 
 private:
+    void leave();
     void handle(const follower_message &message, base::clock_time now);
     void carryOut(const follower_action &action);
     void takeEvent(const streams::stream_event &event);
--- a/lycheeshunt/replication/replica_storage.cpp
+++ b/lycheeshunt/replication/replica_storage.cpp
@@ -169,7 +169,7 @@
     const base::result<std::vector<log_entry>> held = m_segments.open(m_files, names);
     if (const base::error *failure = base::errorOf(held))
         return *failure;
-    const base::result<std::vector<log_entry>> kept = entriesAfter(taken, base::valueOf(held));
+    base::result<std::vector<log_entry>> kept = entriesAfter(taken, base::valueOf(held));
     if (!base::isOk(kept) || !base::valueOf(kept).empty() || base::valueOf(held).empty())
         return kept;
     if (const std::optional<base::error> failure
--- a/lycheeshunt/streams/internal/h2_connection.cpp
+++ b/lycheeshunt/streams/internal/h2_connection.cpp
@@ -213,4 +213,9 @@
     nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
 }
 
+void h2_connection::endSending()
+{
+    ::shutdown(m_socket.get(), SHUT_WR);
+}
+
 } // namespace lycheeshunt::streams::internal
--- a/lycheeshunt/streams/internal/h2_connection.h
+++ b/lycheeshunt/streams/internal/h2_connection.h
@@ -51,6 +51,9 @@
     void sendFrame(std::string_view bytes);
     void sendPing();
 
+    // Ends this side; what was sent before still arrives.
+    void endSending();
+
 private:
     struct callbacks;
 
--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -91,6 +91,24 @@
             && now - connection.lastHeard() <= m_timing.silenceLimit;
         m_bytesCarried = carriedBefore + connection.bytesReceived() + connection.bytesSent();
     }
+    if (alive)
+        finish(connection, id);
+}
+
+// A stop sends what was queued before it. Closing at once, with bytes of the server still unread,
+// would reset the connection and lose what is under way, so the server's end is waited for.
+void stream_client::finish(internal::h2_connection &connection, connection_id id)
+{
+    bool alive = sendQueued(connection, id);
+    connection.endSending();
+    const base::clock_time until = base::clock_time::steady() + m_timing.reconnectWait;
+    base::clock_time now = base::clock_time::steady();
+    while (alive && now < until) {
+        pollfd watched {connection.descriptor(), POLLIN, 0};
+        ::poll(&watched, 1, static_cast<int>((until - now).millis()));
+        now = base::clock_time::steady();
+        connection.receive(now, alive);
+    }
 }
 
 bool stream_client::sendQueued(internal::h2_connection &connection, connection_id id)
--- a/lycheeshunt/streams/stream_client.h
+++ b/lycheeshunt/streams/stream_client.h
@@ -4,7 +4,8 @@
 //     client.outgoing().push(stream_frame {connection, channel::membership, bytes});
 //
 // The sink hears of each opening, frame and closing. When a server is lost or silent the next
-// one is tried after a jittered wait. Frames for a connection that is gone are discarded.
+// one is tried after a jittered wait. Frames for a connection that is gone are discarded; those
+// queued before the client is destroyed are still sent where the socket takes them.
 
 #pragma once
 
@@ -45,6 +46,7 @@
     void run();
     std::unique_ptr<internal::h2_connection> connectNext();
     void serve(internal::h2_connection &connection, connection_id id);
+    void finish(internal::h2_connection &connection, connection_id id);
     bool sendQueued(internal::h2_connection &connection, connection_id id);
     void waitBeforeRetry();
 
--- a/lycheeshunt/streams/stream_test.cpp
+++ b/lycheeshunt/streams/stream_test.cpp
@@ -60,6 +60,18 @@
     CHECK(client.bytesCarried() > large.size());
 }
 
+TEST(streams, aStopStillSendsWhatWasQueued)
+{
+    const std::unique_ptr<stream_server> server = listen();
+    std::unique_ptr<stream_client> client = std::make_unique<stream_client>(
+        std::vector<base::endpoint> {server->local()}, stream_timing {}, 1,
+        [this](const stream_event &event) { clientEvents.push(event); });
+    const connection_id connection = await<stream_opened>(clientEvents).connection;
+    client->outgoing().push({connection, channel::membership, "last"});
+    client.reset();
+    STRCMP_EQUAL("last", await<stream_frame>(serverEvents).bytes.c_str());
+}
+
 TEST(streams, aServerThatStaysSilentIsLeftForAnother)
 {
     // Accepts connections in its backlog and never says a word.
--- a/lycheeshunt/tickets/validation_test.cpp
+++ b/lycheeshunt/tickets/validation_test.cpp
@@ -28,8 +28,10 @@
 
 std::vector<ticket_change> manyChanges()
 {
+    constexpr int tooMany = 65;
     std::vector<ticket_change> changes;
-    for (int i = 0; i < 65; ++i)
+    changes.reserve(tooMany);
+    for (int i = 0; i < tooMany; ++i)
         changes.emplace_back(drain_order {"agent-" + std::to_string(i)});
     return changes;
 }
