Take nodes in at the leader only

Cause: with three control VMs a node that had reached a follower announced itself there and became no member, since leases are kept by the leader; tools/measure tickets stopped with 'not all 25 members are serving'. Ruled out: passing announcements and acknowledgements on from followers; it is wanted for relays but touches both protocols. Change: a control VM that does not lead closes the streams of nodes, which try the next; the stream thread waits until the process is whole before it hands events on. A contract test covers the closing of a stream. Conclusion: the leader carries every node's stream until relays are built.

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -76,6 +76,7 @@
     if (const base::error *failure = base::errorOf(streams))
         return *failure;
     process->m_streams = base::takeValue(std::move(streams));
+    process->m_started.count_down();
     base::result<std::unique_ptr<operators::api_server>> api
         = operators::api_server::open(own.api, process->m_operators->inbox());
     if (const base::error *failure = base::errorOf(api))
@@ -227,6 +228,7 @@
                        m_appliedTo = restored.at;
                    },
                    [this](const replication::leadership_changed &changed) {
+                       m_isLeading = changed.leadership.isLeader;
                        m_tickets->inbox().push(
                            tickets::leadership_told {refusalBy(changed.leadership)});
                        m_membership->inbox().push(
@@ -274,6 +276,7 @@
 
 void control_process::takeStreamEvent(const streams::stream_event &event)
 {
+    m_started.wait();
     std::visit(
         base::overloaded {
             [this](const streams::stream_opened &opened) {
@@ -289,6 +292,11 @@
 
 void control_process::takeFrame(const streams::stream_frame &frame)
 {
+    if (frame.channel != streams::channel::replication && !m_isLeading) {
+        // Membership and acknowledgements count at the leader only: the node tries the next VM.
+        m_streams->outgoing().tryPush(streams::stream_frame {frame.connection, frame.channel, {}});
+        return;
+    }
     if (frame.channel == streams::channel::membership) {
         takeMemberFrame(frame);
     } else if (frame.channel == streams::channel::dissemination) {
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -12,6 +12,8 @@
 #include "lycheeshunt/settings/node_settings.h"
 #include "lycheeshunt/streams/stream_event.h"
 
+#include <atomic>
+#include <latch>
 #include <memory>
 
 namespace lycheeshunt::dissemination {
@@ -72,6 +74,9 @@
     void takeFrame(const streams::stream_frame &frame);
     void takeMemberFrame(const streams::stream_frame &frame);
 
+    std::atomic<bool> m_isLeading = false;
+    // Holds back the stream thread until m_streams is set.
+    std::latch m_started {1};
     std::unique_ptr<tickets::ticket_duty> m_tickets;
     std::unique_ptr<membership::membership_duty> m_membership;
     std::unique_ptr<dissemination::publisher_duty> m_publisher;
--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -96,6 +96,10 @@
         const auto found = m_connections.find(frame->connection);
         if (found == m_connections.end())
             continue;
+        if (frame->bytes.empty()) {
+            closeConnection(frame->connection);
+            continue;
+        }
         found->second->sendFrame(internal::frameText(*frame));
         if (found->second->queuedBytes() > maxQueuedBytes || !found->second->flush())
             closeConnection(frame->connection);
--- a/lycheeshunt/streams/stream_server.h
+++ b/lycheeshunt/streams/stream_server.h
@@ -38,6 +38,7 @@
     stream_server &operator=(const stream_server &) = delete;
 
     base::endpoint local() const;
+    // A frame without bytes asks for its connection to be closed.
     base::ring<stream_frame> &outgoing() { return m_outgoing; }
 
 private:
--- a/lycheeshunt/streams/stream_test.cpp
+++ b/lycheeshunt/streams/stream_test.cpp
@@ -60,6 +60,17 @@
     CHECK(client.bytesCarried() > large.size());
 }
 
+TEST(streams, aFrameWithoutBytesClosesItsConnectionAndTheClientComesBack)
+{
+    const std::unique_ptr<stream_server> server = listen();
+    stream_client client({server->local()}, {}, 1,
+                         [this](const stream_event &event) { clientEvents.push(event); });
+    const connection_id connection = await<stream_opened>(serverEvents).connection;
+    server->outgoing().push({connection, channel::membership, ""});
+    CHECK(await<stream_closed>(serverEvents).connection == connection);
+    CHECK(await<stream_opened>(serverEvents).connection != connection);
+}
+
 TEST(streams, aStopStillSendsWhatWasQueued)
 {
     const std::unique_ptr<stream_server> server = listen();
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -59,10 +59,13 @@
     } >"$work/$name.toml"
     start "$name" "$bin/lycheeshuntd" --config "$work/$name.toml"
 }
+# Asks each control VM in turn until one does what is asked; only the leader takes tickets.
 ctl() {
-    local n servers=()
-    for n in $(seq "$controls"); do servers+=(--server "$(port $((410 + n)))"); done
-    "$bin/lycheeshuntctl" "${servers[@]}" "$@"
+    local n
+    for n in $(seq "$controls"); do
+        "$bin/lycheeshuntctl" --server "$(port $((410 + n)))" "$@" && return 0
+    done
+    return 1
 }
 awaitServing() { # number of members
     for _ in $(seq 400); do
