Refuse to measure flows without their trace

Cause: run outside the repository's root, measure_flows replayed nothing and reported 0 flows broken.

--- a/tools/measurements/flows.cpp
+++ b/tools/measurements/flows.cpp
@@ -38,10 +38,16 @@
                            address, 6};
 }
 
-void measureTrace()
+// Returns false when the trace is not there: a replay of nothing breaks nothing.
+bool measureTrace()
 {
+    const std::vector<trace_step> steps = readTrace("traces/membership-300.txt");
+    if (steps.empty()) {
+        std::cerr << "no steps in traces/membership-300.txt below the current folder\n";
+        return false;
+    }
     trace_replay replay(seed);
-    const trace_outcome outcome = replay.play(readTrace("traces/membership-300.txt"));
+    const trace_outcome outcome = replay.play(steps);
     const std::string feeds = std::to_string(outcome.feeds) + " feeds";
     report("flows_broken_by_planned_change_or_entry_loss", double(outcome.brokenByPlan), feeds, "0",
            "{\"consistent_hashing\":" + std::to_string(outcome.brokenWithHashing)
@@ -49,6 +55,7 @@
     report("flows_broken_by_their_dead_server", double(outcome.broken - outcome.brokenByPlan),
            feeds, std::to_string(outcome.ownOfDeadServers));
     report("flows_silent_or_at_two_servers", double(outcome.notReset + outcome.split), feeds, "0");
+    return true;
 }
 
 // One agent of seven, alone with its state; its messages go nowhere.
@@ -202,7 +209,8 @@
 
 int main()
 {
-    measureTrace();
+    if (!measureTrace())
+        return 1;
     measureMemory();
     measureRate();
     measureRegistrations(false);
