Read heap and processor time in one place for measurements

Cause: two measurement programs each had their own copy of both readings. Change: tools/measurements/process_use.h holds them; flows keeps its figure in seconds by dividing.

--- a/tools/measurements/flows.cpp
+++ b/tools/measurements/flows.cpp
@@ -4,33 +4,19 @@
 
 #include "lycheeshunt/flows/trace_replay_test.h"
 #include "tools/measurements/measurement.h"
-
-#include <malloc.h>
-
-#include <ctime>
+#include "tools/measurements/process_use.h"
 
 namespace {
 
 using namespace lycheeshunt;
 using namespace lycheeshunt::flows;
+using measurements::heapBytes;
+using measurements::processorMicros;
 using measurements::report;
 
 constexpr std::uint64_t seed = 21;
 const base::endpoint address {0xc0000201, 443};
 
-double heapBytes()
-{
-    const struct mallinfo2 info = mallinfo2();
-    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
-}
-
-double processorSeconds()
-{
-    timespec used {};
-    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / 1e9;
-}
-
 base::flow_key keyNumber(std::uint32_t number)
 {
     return base::flow_key {base::endpoint {0x0a000000 + number / 60000,
@@ -160,7 +146,7 @@
     constexpr std::uint32_t openAtOnce = 1000;
     constexpr std::uint32_t tickEvery = 100;
     lone_agent agent;
-    const double began = processorSeconds();
+    const double began = processorMicros();
     for (std::uint32_t i = 0; i < flows; ++i) {
         agent.open(keyNumber(i));
         if (i >= openAtOnce)
@@ -168,7 +154,7 @@
         if (i % tickEvery == 0)
             agent.tell(tick {});
     }
-    const double spent = processorSeconds() - began;
+    const double spent = (processorMicros() - began) / 1e6;
     report("new_flows_a_second_per_core", double(flows) / spent,
            "flows (opened, registered, acknowledged, ended)");
 }
--- a/tools/measurements/slopes.cpp
+++ b/tools/measurements/slopes.cpp
@@ -7,35 +7,21 @@
 #include "lycheeshunt/streams/stream_client.h"
 #include "lycheeshunt/streams/stream_server.h"
 #include "tools/measurements/measurement.h"
+#include "tools/measurements/process_use.h"
 #include "tools/measurements/snapshot_size.h"
 
-#include <malloc.h>
-#include <sys/resource.h>
-
 #include <condition_variable>
-#include <ctime>
 #include <mutex>
 
 namespace {
 
 using namespace lycheeshunt;
+using measurements::heapBytes;
+using measurements::processorMicros;
 using measurements::report;
 
 constexpr std::uint32_t serversAService = 9;
 
-double heapBytes()
-{
-    const struct mallinfo2 info = mallinfo2();
-    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
-}
-
-double processorMicros()
-{
-    timespec used {};
-    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-    return static_cast<double>(used.tv_sec) * 1e6 + static_cast<double>(used.tv_nsec) / 1e3;
-}
-
 tickets::service_definition serviceAt(std::uint32_t index)
 {
     constexpr std::uint32_t firstAddress = 0xc0000200;
