--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -1,5 +1,7 @@
 #include "lycheeshunt/daemon/agent_process.h"
 
+#include "lycheeshunt/base/log.h"
+#include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/daemon/internal/self.h"
 #include "lycheeshunt/dissemination/follower.h"
 #include "lycheeshunt/flows/agent_port.h"
@@ -9,10 +11,12 @@
 namespace lycheeshunt::daemon {
 
 base::result<std::unique_ptr<agent_process>>
-agent_process::start(const settings::node_settings &settings, const settings::agent_settings &own)
+agent_process::start(const settings::node_settings &settings, const settings::agent_settings &own,
+                     const packets::packet_codec &codec, confirm_sink confirm)
 {
     std::unique_ptr<agent_process> process(new agent_process());
     agent_process *raw = process.get();
+    const bool listens = static_cast<bool>(confirm);
     const membership::member self {settings.name,
                                    settings.availabilityZone,
                                    membership::member_role::agent,
@@ -22,35 +26,86 @@
                                    membership::member_phase::serving};
     // No message reaches the flow thread before the port is open, so the sink finds it there.
     process->m_flows = std::make_unique<flows::flow_duty>(
-        flows::agent_identity {self.id(), self.service, self.life, self.packets},
+        flows::agent_identity {self.id(), self.service, self.life, self.packets,
+                               self.availabilityZone, listens},
         [raw](const flows::flow_action &action) { raw->m_port->actions().tryPush(action); });
     base::result<std::unique_ptr<flows::agent_port>> port
-        = flows::agent_port::open(own.sockets, self.life, process->m_flows->inbox());
+        = flows::agent_port::open(own.sockets, codec, self.life, process->m_flows->inbox());
     if (const base::error *failure = base::errorOf(port))
         return *failure;
     process->m_port = base::takeValue(std::move(port));
+    if (listens)
+        process->m_servers = std::make_unique<servers::server_duty>(
+            self.life, [raw, self, confirm](const servers::server_action &action) {
+                std::visit(base::overloaded {
+                               [&](const servers::server_standing &standing) {
+                                   raw->takeStanding(self, standing);
+                               },
+                               [&](const servers::confirm_announcement &announcement) {
+                                   confirm(announcement.request);
+                               },
+                           },
+                           action);
+            });
     process->m_follower = std::make_unique<dissemination::follower>(
-        settings.control, self, self.life.value(), [raw](const dissemination::shared_view &view) {
+        settings.control, self, self.life.value(),
+        [raw](const dissemination::shared_view &view) {
             raw->m_flows->inbox().push(flows::view_update {view});
-        });
+        },
+        [raw](base::incarnation life) {
+            if (raw->m_servers)
+                raw->m_servers->inbox().tryPush(servers::life_taken {life});
+        },
+        !listens);
     return process;
 }
 
+// What takes effect here at once is told to the others afterwards; until they know, this agent
+// refuses or passes on what they send.
+void agent_process::takeStanding(const membership::member &self,
+                                 const servers::server_standing &standing)
+{
+    const base::service_id service = base::serviceIdOf(standing.service);
+    m_isAccepting = standing.isAccepting;
+    m_port->setLife(standing.life);
+    m_flows->inbox().push(flows::server_changed {service, standing.life, standing.isAccepting,
+                                                 standing.slots, standing.isOlder});
+    const membership::member_phase phase = standing.isAccepting
+        ? membership::member_phase::serving
+        : membership::member_phase::draining;
+    if (m_follower)
+        m_follower->changeSelf(dissemination::self_changed {
+            membership::member {self.name, self.availabilityZone, self.role, service, standing.life,
+                                self.packets, phase}});
+    base::logInfo("servers",
+                  "server of " + standing.service + (standing.isAccepting ? " serves" : " drains")
+                      + ", incarnation " + std::to_string(standing.life.value()));
+}
+
 agent_process::agent_process() = default;
 
 agent_process::~agent_process()
 {
+    if (m_servers)
+        m_servers->stop();
     m_follower.reset();
     m_flows->stop();
 }
 
+void agent_process::useControl(const std::vector<base::endpoint> &seeds)
+{
+    m_follower->addSeeds(seeds);
+}
+
 metrics::report agent_process::metrics() const
 {
     std::vector<metrics::sample> samples {
         metrics::sample {"packets_malformed_total", "Datagrams that could not be decoded.",
                          metrics::counter_value {m_port->malformed()}},
         metrics::sample {"packets_refused_total", "Packets refused by code.",
-                         metrics::counter_value {m_port->refused()}}};
+                         metrics::counter_value {m_port->refused()}},
+        metrics::sample {"callers_reset_total", "Flows refused or ended towards the caller.",
+                         metrics::counter_value {m_port->resets()}}};
     metrics::addRing(samples, "flows", m_flows->inbox());
     metrics::addRing(samples, "packets", m_port->actions());
     return metrics::report {"agent", std::move(samples)};
--- a/lycheeshunt/daemon/agent_process.h
+++ b/lycheeshunt/daemon/agent_process.h
@@ -2,11 +2,19 @@
 
 #pragma once
 
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/base/request_id.h"
 #include "lycheeshunt/base/result.h"
+#include "lycheeshunt/membership/member.h"
 #include "lycheeshunt/metrics/report.h"
+#include "lycheeshunt/packets/packet_codec.h"
+#include "lycheeshunt/servers/server_duty.h"
 #include "lycheeshunt/settings/node_settings.h"
 
+#include <atomic>
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace lycheeshunt::dissemination {
 class follower;
@@ -22,22 +30,38 @@
 class agent_process
 {
 public:
+    // Called on the thread that listens to the backend server. With it, the agent serves only once
+    // its server has announced itself, and takes it that the server returns what it does not hold.
+    using confirm_sink = std::function<void(base::request_id)>;
+
     static base::result<std::unique_ptr<agent_process>>
-    start(const settings::node_settings &settings, const settings::agent_settings &own);
+    start(const settings::node_settings &settings, const settings::agent_settings &own,
+          const packets::packet_codec &codec = packets::ipPackets(), confirm_sink confirm = {});
     ~agent_process();
 
     agent_process(const agent_process &) = delete;
     agent_process &operator=(const agent_process &) = delete;
 
+    // Looks for control at these addresses too. Thread-safe.
+    void useControl(const std::vector<base::endpoint> &seeds);
     // What the process counts. Thread-safe.
     metrics::report metrics() const;
+    // The backend server's announcements.
+    base::ring<servers::server_message> &announcements() { return m_servers->inbox(); }
+    // Whether the backend server takes new flows. Thread-safe.
+    bool isReady() const { return m_isAccepting; }
 
 private:
     agent_process();
 
+    void takeStanding(const membership::member &self, const servers::server_standing &standing);
+
+    std::atomic<bool> m_isAccepting = false;
     std::unique_ptr<flows::flow_duty> m_flows;
     std::unique_ptr<flows::agent_port> m_port;
     std::unique_ptr<dissemination::follower> m_follower;
+    // Null where the backend server announces nothing.
+    std::unique_ptr<servers::server_duty> m_servers;
 };
 
 } // namespace lycheeshunt::daemon
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -4,6 +4,7 @@
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/codec.h"
 #include "lycheeshunt/dissemination/publisher_duty.h"
+#include "lycheeshunt/dissemination/state_applied.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/membership/membership_duty.h"
 #include "lycheeshunt/metrics/ring_sample.h"
@@ -13,6 +14,8 @@
 #include "lycheeshunt/replication/peer_codec.h"
 #include "lycheeshunt/replication/peer_links.h"
 #include "lycheeshunt/replication/replication_duty.h"
+#include "lycheeshunt/states/codec.h"
+#include "lycheeshunt/states/state_duty.h"
 #include "lycheeshunt/streams/stream_server.h"
 #include "lycheeshunt/tickets/codec.h"
 #include "lycheeshunt/tickets/ticket_duty.h"
@@ -53,7 +56,7 @@
 
 base::result<std::unique_ptr<control_process>>
 control_process::start(const settings::node_settings &settings,
-                       const settings::control_settings &own)
+                       const settings::control_settings &own, state_sink answers)
 {
     std::string token;
     if (!own.tokenFile.empty()) {
@@ -67,9 +70,10 @@
         return *failure;
     std::unique_ptr<control_process> process(new control_process());
     control_process *raw = process.get();
+    process->m_stateAnswers = std::move(answers);
     process->startDuties();
     process->startOperators(token);
-    process->startReplication(settings.name, own, base::takeValue(std::move(storage)));
+    process->startReplication(settings, own, base::takeValue(std::move(storage)));
     base::result<std::unique_ptr<streams::stream_server>> streams = streams::stream_server::listen(
         own.streams, streams::stream_timing {},
         [raw](const streams::stream_event &event) { raw->takeStreamEvent(event); });
@@ -95,6 +99,7 @@
     m_operators->stop();
     m_publisher->stop();
     m_membership->stop();
+    m_states->stop();
     m_tickets->stop();
 }
 
@@ -115,15 +120,15 @@
                     return m_publisher->inbox().push(
                         dissemination::ticket_applied {valid.record.at, valid.record.ticket});
                 },
-                [this](const tickets::other_committed &other) {
-                    return applyBatch(other.at, other.payload);
-                },
+                [this](const tickets::other_committed &other) { return applyOther(other); },
                 [this](const tickets::confirm_read &read) {
                     return m_replication->inbox().tryPush(replication::read_request {read.request});
                 },
             },
             action);
     });
+    m_states = std::make_unique<states::state_duty>(
+        [this](const states::state_action &action) { return carryOutState(action); });
     m_membership = std::make_unique<membership::membership_duty>(
         [this](const membership::membership_action &action) {
             std::visit(base::overloaded {
@@ -175,35 +180,73 @@
         });
 }
 
-void control_process::startReplication(const std::string &name,
+// Reads of desired states and of tickets are told apart by the highest bit of their number.
+constexpr std::uint64_t stateReadBit = std::uint64_t(1) << 63;
+
+bool control_process::carryOutState(const states::state_action &action)
+{
+    return std::visit(base::overloaded {
+                          [this](const states::propose_state &proposed) {
+                              return propose(replication::entry_kind::state,
+                                             states::encodeState(*proposed.state), proposed.token);
+                          },
+                          [this](const states::state_answer &answer) {
+                              if (m_stateAnswers)
+                                  m_stateAnswers(answer);
+                              return true;
+                          },
+                          [this](const states::confirm_read &read) {
+                              return m_replication->inbox().tryPush(replication::read_request {
+                                  base::request_id(read.request.value() | stateReadBit)});
+                          },
+                      },
+                      action);
+}
+
+void control_process::startReplication(const settings::node_settings &settings,
                                        const settings::control_settings &own,
                                        replication::replica_storage storage)
 {
+    const std::string &name = settings.name;
     std::vector<std::string> names;
-    std::vector<replication::control_peer> others;
-    for (const replication::control_peer &peer : own.peers) {
+    for (const replication::control_peer &peer : own.peers)
         names.push_back(peer.name);
-        if (peer.name != name)
-            others.push_back(peer);
+    const std::vector<base::endpoint> seeds
+        = own.isOpenGroup ? settings.control : std::vector<base::endpoint>();
+    m_links = std::make_unique<replication::peer_links>(streams::stream_timing {}, randomNumber());
+    for (const replication::control_peer &peer : own.peers) {
+        if (peer.name != name && !own.isOpenGroup)
+            m_links->locate(replication::locate_peer {base::nodeIdOf(peer.name), peer.streams});
     }
-    m_links = std::make_unique<replication::peer_links>(others, streams::stream_timing {},
-                                                        randomNumber());
-    replication::replica_state state = replication::startReplica(
-        std::make_shared<const replication::replica_settings>(
-            replication::replica_settings {name, std::move(names), own.api}),
-        storage.recovered(), static_cast<std::uint32_t>(randomNumber()),
-        base::clock_time::steady());
+    replication::replica_state state
+        = replication::startReplica(std::make_shared<const replication::replica_settings>(
+                                        replication::replica_settings {name,
+                                                                       std::move(names),
+                                                                       own.states.value_or(own.api),
+                                                                       {},
+                                                                       {},
+                                                                       own.streams,
+                                                                       seeds,
+                                                                       own.mayFound,
+                                                                       own.toleratedLosses}),
+                                    storage.recovered(), static_cast<std::uint32_t>(randomNumber()),
+                                    base::clock_time::steady());
     if (const std::uint64_t torn = storage.recovered().tornBytes)
         base::logWarning("replication", "cut " + std::to_string(torn) + " bytes of torn tail");
     storage.forgetRecovered();
+    if (state.isFormed())
+        m_members = std::make_shared<const replication::configuration>(state.members());
     m_replication = std::make_unique<replication::replication_duty>(
         std::move(state), std::move(storage),
         replication::replication_hooks {
             [this](const replication::peer_envelope &envelope) { m_links->send(envelope); },
+            [this](const replication::greet_contact &greeting) { m_links->greet(greeting); },
+            [this](const replication::locate_peer &located) { m_links->locate(located); },
             [this](const replication::replication_notice &notice) { takeNotice(notice); },
             [this](const std::vector<replication::log_entry> &entries) {
                 return m_compaction.compact(entries);
-            }});
+            },
+            [folder = own.dataFolder]() { return openStorage(folder); }});
 }
 
 bool control_process::propose(replication::entry_kind kind, std::string payload,
@@ -215,42 +258,96 @@
 
 void control_process::takeNotice(const replication::replication_notice &notice)
 {
-    std::visit(base::overloaded {
-                   [this](const replication::commit_entries &committed) {
-                       for (const replication::log_entry &entry : committed.entries)
-                           takeCommitted(entry);
-                   },
-                   [this](const replication::state_restored &restored) {
-                       for (const replication::log_entry &entry : restored.entries) {
-                           if (entry.index > m_appliedTo)
-                               takeCommitted(m_compaction.completed(entry));
-                       }
-                       m_appliedTo = restored.at;
-                   },
-                   [this](const replication::leadership_changed &changed) {
-                       m_isLeading = changed.leadership.isLeader;
-                       m_tickets->inbox().push(
-                           tickets::leadership_told {refusalBy(changed.leadership)});
-                       m_membership->inbox().push(
-                           membership::leadership_changed {changed.leadership.isLeader});
-                   },
-                   [this](const replication::proposal_refused &refused) {
-                       if (refused.kind == replication::entry_kind::ticket)
-                           m_tickets->inbox().push(
-                               tickets::proposal_withdrawn {refused.token, refused.reason});
-                   },
-                   [this](const replication::read_confirmed &read) {
-                       m_tickets->inbox().push(tickets::read_settled {read.request});
-                   },
-                   [this](const replication::read_refused &read) {
-                       m_tickets->inbox().push(tickets::read_settled {read.request, read.reason});
-                   },
-               },
-               notice);
+    std::visit(
+        base::overloaded {
+            [this](const replication::commit_entries &committed) {
+                for (const replication::log_entry &entry : committed.entries)
+                    takeCommitted(entry);
+            },
+            [this](const replication::state_restored &restored) {
+                for (const replication::log_entry &entry : restored.entries)
+                    takeCommitted(m_compaction.completed(entry));
+                m_appliedTo = std::max(m_appliedTo, restored.at);
+            },
+            [this](const replication::leadership_changed &changed) {
+                m_isLeading = changed.leadership.isLeader;
+                tellLeadership(changed.leadership);
+                m_tickets->inbox().push(tickets::leadership_told {refusalBy(changed.leadership)});
+                m_membership->inbox().push(
+                    membership::leadership_changed {changed.leadership.isLeader});
+            },
+            [this](const replication::members_changed &changed) {
+                m_members
+                    = std::make_shared<const replication::configuration>(changed.configuration);
+                if (m_leadership)
+                    setDirectory(*m_members, *m_leadership);
+            },
+            [this](const replication::proposal_refused &refused) {
+                if (refused.kind == replication::entry_kind::state)
+                    m_states->inbox().push(states::state_withdrawn {refused.token, refused.reason});
+                if (refused.kind == replication::entry_kind::ticket)
+                    m_tickets->inbox().push(
+                        tickets::proposal_withdrawn {refused.token, refused.reason});
+            },
+            [this](const replication::read_confirmed &read) {
+                settleRead(read.request, std::nullopt);
+            },
+            [this](const replication::read_refused &read) {
+                settleRead(read.request, read.reason);
+            },
+        },
+        notice);
+}
+
+void control_process::settleRead(base::request_id request,
+                                 const std::optional<base::error> &failure)
+{
+    if ((request.value() & stateReadBit) == 0)
+        m_tickets->inbox().push(tickets::read_settled {request, failure});
+    else
+        m_states->inbox().push(
+            states::read_settled {base::request_id(request.value() & ~stateReadBit), failure});
+}
+
+void control_process::tellLeadership(const replication::leadership &leadership)
+{
+    m_leadership = std::make_shared<const replication::leadership>(leadership);
+    m_states->inbox().push(states::leadership_told {leadership.isLeader, leadership.leaderApi});
+    if (m_members)
+        setDirectory(*m_members, leadership);
+}
+
+void control_process::setDirectory(const replication::configuration &members,
+                                   const replication::leadership &leadership)
+{
+    std::vector<base::endpoint> known;
+    for (const replication::configuration_member &member : members.members) {
+        if (member.streams.port == 0)
+            return;
+        known.push_back(member.streams);
+    }
+    const replication::configuration_member *leading
+        = members.find(base::nodeIdOf(leadership.leaderName));
+    const dissemination::control_directory directory {
+        leading == nullptr ? base::endpoint {} : leading->streams, std::move(known)};
+    const std::lock_guard<std::mutex> lock(m_directoryLock);
+    m_directory = std::make_shared<const dissemination::control_directory>(directory);
+}
+
+void control_process::sendDirectory(streams::connection_id connection)
+{
+    const std::lock_guard<std::mutex> lock(m_directoryLock);
+    if (m_directory)
+        m_streams->outgoing().tryPush(
+            streams::stream_frame {connection, streams::channel::dissemination,
+                                   dissemination::encodeControlMessage(*m_directory)});
 }
 
 void control_process::takeCommitted(const replication::log_entry &entry)
 {
+    // What a VM applies again after its disk had failed is known already.
+    if (entry.index <= m_appliedTo)
+        return;
     m_appliedTo = entry.index;
     m_compaction.follow(entry);
     if (entry.kind == replication::entry_kind::ticket) {
@@ -258,11 +355,32 @@
         if (const tickets::ticket *known = std::get_if<tickets::ticket>(&ticket))
             m_tickets->inbox().push(tickets::ticket_committed {
                 tickets::ticket_record {*known, entry.index, entry.acceptedAt}});
+    } else if (entry.kind == replication::entry_kind::state) {
+        m_tickets->inbox().push(tickets::other_committed {entry.index, entry.payload, true});
     } else if (entry.kind == replication::entry_kind::membership) {
         m_tickets->inbox().push(tickets::other_committed {entry.index, entry.payload});
     }
 }
 
+// On the ticket thread, so that views change in the order of the log.
+bool control_process::applyOther(const tickets::other_committed &other)
+{
+    return other.isState ? applyState(other.at, other.payload)
+                         : applyBatch(other.at, other.payload);
+}
+
+bool control_process::applyState(base::generation at, const std::string &payload)
+{
+    const base::result<states::shared_state> state = states::decodeState(payload);
+    if (const base::error *failure = base::errorOf(state)) {
+        base::logError("states", "committed state can't be read: " + failure->text());
+        return true;
+    }
+    m_publisher->inbox().push(dissemination::state_applied {at, base::valueOf(state)});
+    m_states->inbox().push(states::state_committed {base::valueOf(state)});
+    return true;
+}
+
 bool control_process::applyBatch(base::generation at, const std::string &payload)
 {
     const base::result<membership::membership_batch> batch = membership::decodeBatch(payload);
@@ -293,7 +411,8 @@
 void control_process::takeFrame(const streams::stream_frame &frame)
 {
     if (frame.channel != streams::channel::replication && !m_isLeading) {
-        // Membership and acknowledgements count at the leader only: the node tries the next VM.
+        // Membership and acknowledgements count at the leader only: the node goes there.
+        sendDirectory(frame.connection);
         m_streams->outgoing().tryPush(streams::stream_frame {frame.connection, frame.channel, {}});
         return;
     }
@@ -302,6 +421,10 @@
     } else if (frame.channel == streams::channel::dissemination) {
         const base::result<dissemination::node_message> message
             = dissemination::decodeNodeMessage(frame.bytes);
+        const bool isRequest = base::isOk(message)
+            && std::holds_alternative<dissemination::view_request>(base::valueOf(message));
+        if (isRequest)
+            sendDirectory(frame.connection);
         if (base::isOk(message))
             m_publisher->inbox().push(
                 dissemination::node_said {frame.connection, base::valueOf(message)});
@@ -315,6 +438,11 @@
     }
 }
 
+void control_process::useControl(const std::vector<base::endpoint> &seeds)
+{
+    m_replication->inbox().tryPush(replication::contacts_told {seeds});
+}
+
 metrics::report control_process::metrics() const
 {
     std::vector<metrics::sample> samples;
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -5,20 +5,26 @@
 
 #pragma once
 
+#include "lycheeshunt/base/request_id.h"
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/daemon/internal/log_compaction.h"
 #include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/replication/replication_notice.h"
 #include "lycheeshunt/settings/node_settings.h"
+#include "lycheeshunt/states/state_duty.h"
 #include "lycheeshunt/streams/stream_event.h"
 
 #include <atomic>
+#include <functional>
 #include <latch>
 #include <memory>
+#include <mutex>
+#include <vector>
 
 namespace lycheeshunt::dissemination {
+struct control_directory;
 class publisher_duty;
-}
+} // namespace lycheeshunt::dissemination
 
 namespace lycheeshunt::membership {
 class membership_duty;
@@ -30,6 +36,7 @@
 } // namespace lycheeshunt::operators
 
 namespace lycheeshunt::replication {
+struct configuration;
 class peer_links;
 class replica_storage;
 class replication_duty;
@@ -40,36 +47,55 @@
 }
 
 namespace lycheeshunt::tickets {
+struct other_committed;
 class ticket_duty;
-}
+} // namespace lycheeshunt::tickets
 
 namespace lycheeshunt::daemon {
 
 class control_process
 {
 public:
+    // Told what became of desired states; called on the state thread.
+    using state_sink = std::function<void(const states::state_answer &)>;
+
     static base::result<std::unique_ptr<control_process>>
-    start(const settings::node_settings &settings, const settings::control_settings &own);
+    start(const settings::node_settings &settings, const settings::control_settings &own,
+          state_sink answers = {});
     ~control_process();
 
     control_process(const control_process &) = delete;
     control_process &operator=(const control_process &) = delete;
 
+    // Greets the control VMs at these addresses too. Thread-safe.
+    void useControl(const std::vector<base::endpoint> &seeds);
     // What the process counts. Thread-safe.
     metrics::report metrics() const;
 
+    // Takes submit_state and show_state of a front end for operators.
+    base::ring<states::state_message> &states() { return m_states->inbox(); }
+
 private:
     control_process();
 
+    bool carryOutState(const states::state_action &action);
+    void tellLeadership(const replication::leadership &leadership);
+    void setDirectory(const replication::configuration &members,
+                      const replication::leadership &leadership);
+    void sendDirectory(streams::connection_id connection);
     void startDuties();
     void startOperators(const std::string &token);
-    void startReplication(const std::string &name, const settings::control_settings &own,
+    void startReplication(const settings::node_settings &settings,
+                          const settings::control_settings &own,
                           replication::replica_storage storage);
     // Offers a proposal; false when replication can't take it now.
     bool propose(replication::entry_kind kind, std::string payload, std::uint64_t token);
     void takeNotice(const replication::replication_notice &notice);
+    void settleRead(base::request_id request, const std::optional<base::error> &failure);
     void takeCommitted(const replication::log_entry &entry);
+    bool applyOther(const tickets::other_committed &other);
     bool applyBatch(base::generation at, const std::string &payload);
+    bool applyState(base::generation at, const std::string &payload);
     void takeStreamEvent(const streams::stream_event &event);
     void takeFrame(const streams::stream_frame &frame);
     void takeMemberFrame(const streams::stream_frame &frame);
@@ -78,10 +104,16 @@
     // Holds back the stream thread until m_streams is set.
     std::latch m_started {1};
     std::unique_ptr<tickets::ticket_duty> m_tickets;
+    std::unique_ptr<states::state_duty> m_states;
+    state_sink m_stateAnswers;
     std::unique_ptr<membership::membership_duty> m_membership;
     std::unique_ptr<dissemination::publisher_duty> m_publisher;
     std::unique_ptr<operators::operator_duty> m_operators;
-    // These two belong to the replication thread.
+    std::mutex m_directoryLock;
+    std::shared_ptr<const dissemination::control_directory> m_directory;
+    // These belong to the replication thread.
+    std::shared_ptr<const replication::configuration> m_members;
+    std::shared_ptr<const replication::leadership> m_leadership;
     internal::log_compaction m_compaction;
     base::generation m_appliedTo;
     std::unique_ptr<replication::peer_links> m_links;
--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -9,10 +9,11 @@
 namespace lycheeshunt::daemon {
 
 base::result<std::unique_ptr<entry_process>>
-entry_process::start(const settings::node_settings &settings, const settings::entry_settings &own)
+entry_process::start(const settings::node_settings &settings, const settings::entry_settings &own,
+                     const packets::packet_codec &codec)
 {
-    base::result<std::unique_ptr<routing::entry_port>> port
-        = routing::entry_port::open(own.packets);
+    base::result<std::unique_ptr<routing::entry_port>> port = routing::entry_port::open(
+        routing::entry_sockets {own.packets, own.hints, own.fabric}, codec);
     if (const base::error *failure = base::errorOf(port))
         return *failure;
     std::unique_ptr<entry_process> process(new entry_process(base::takeValue(std::move(port))));
@@ -47,6 +48,16 @@
 
 entry_process::~entry_process() = default;
 
+bool entry_process::isReady() const
+{
+    return m_port->isReady();
+}
+
+void entry_process::useControl(const std::vector<base::endpoint> &seeds)
+{
+    m_follower->addSeeds(seeds);
+}
+
 metrics::report entry_process::metrics() const
 {
     std::vector<metrics::sample> samples {
@@ -55,7 +66,11 @@
         metrics::sample {"packets_unroutable_total", "Packets without a service or server.",
                          metrics::counter_value {m_port->unroutable()}},
         metrics::sample {"packets_unsent_total", "Routed packets that could not be sent on.",
-                         metrics::counter_value {m_port->unsent()}}};
+                         metrics::counter_value {m_port->unsent()}},
+        metrics::sample {"packets_hinted_total", "Packets sent to the owner by a hint.",
+                         metrics::counter_value {m_port->hinted()}},
+        metrics::sample {"callers_reset_total", "Flows refused towards the caller.",
+                         metrics::counter_value {m_port->resets()}}};
     metrics::addRing(samples, "updates", m_port->updates());
     return metrics::report {"entry", std::move(samples)};
 }
--- a/lycheeshunt/daemon/entry_process.h
+++ b/lycheeshunt/daemon/entry_process.h
@@ -3,11 +3,14 @@
 
 #pragma once
 
+#include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/metrics/report.h"
+#include "lycheeshunt/packets/packet_codec.h"
 #include "lycheeshunt/settings/node_settings.h"
 
 #include <memory>
+#include <vector>
 
 namespace lycheeshunt::dissemination {
 class follower;
@@ -24,14 +27,19 @@
 {
 public:
     static base::result<std::unique_ptr<entry_process>>
-    start(const settings::node_settings &settings, const settings::entry_settings &own);
+    start(const settings::node_settings &settings, const settings::entry_settings &own,
+          const packets::packet_codec &codec = packets::ipPackets());
     ~entry_process();
 
     entry_process(const entry_process &) = delete;
     entry_process &operator=(const entry_process &) = delete;
 
+    // Looks for control at these addresses too. Thread-safe.
+    void useControl(const std::vector<base::endpoint> &seeds);
     // What the process counts. Thread-safe.
     metrics::report metrics() const;
+    // Whether callers' packets can be routed. Thread-safe.
+    bool isReady() const;
 
 private:
     explicit entry_process(std::unique_ptr<routing::entry_port> port);
--- a/lycheeshunt/daemon/internal/log_compaction.cpp
+++ b/lycheeshunt/daemon/internal/log_compaction.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/membership/membership_batch.h"
+#include "lycheeshunt/states/codec.h"
 
 #include <map>
 #include <optional>
@@ -27,6 +28,23 @@
                                    membership::encodeBatch(batch)};
 }
 
+// The first of the highest version: a later one of the same version changed nothing.
+const replication::log_entry *highestState(const std::vector<replication::log_entry> &entries)
+{
+    const replication::log_entry *highest = nullptr;
+    std::uint64_t most = 0;
+    for (const replication::log_entry &entry : entries) {
+        if (entry.kind != replication::entry_kind::state)
+            continue;
+        const base::result<std::uint64_t> version = states::versionOf(entry.payload);
+        if (base::isOk(version) && base::valueOf(version) > most) {
+            most = base::valueOf(version);
+            highest = &entry;
+        }
+    }
+    return highest;
+}
+
 } // namespace
 
 void log_compaction::follow(const replication::log_entry &entry)
@@ -46,8 +64,9 @@
     std::vector<replication::log_entry> kept;
     std::map<base::node_id, membership::member> members;
     const replication::log_entry *lastBatch = nullptr;
+    const replication::log_entry *state = highestState(entries);
     for (const replication::log_entry &entry : entries) {
-        if (entry.kind == replication::entry_kind::ticket)
+        if (entry.kind == replication::entry_kind::ticket || &entry == state)
             kept.push_back(entry);
         const std::optional<membership::membership_batch> batch = batchOf(entry);
         if (!batch)
--- a/lycheeshunt/daemon/internal/log_compaction.h
+++ b/lycheeshunt/daemon/internal/log_compaction.h
@@ -1,5 +1,6 @@
 // What a control process knows of the entries' meaning to keep its snapshots small: every ticket
-// stays, since its number must be answered for ever, and membership batches become one.
+// stays, since its number must be answered for ever; of the desired states the highest stays, and
+// membership batches become one.
 //
 //     log_compaction compaction;
 //     compaction.follow(entry);                        // for each committed entry
--- a/lycheeshunt/daemon/main.cpp
+++ b/lycheeshunt/daemon/main.cpp
@@ -6,11 +6,12 @@
 #include "lycheeshunt/daemon/control_process.h"
 #include "lycheeshunt/daemon/entry_process.h"
 #include "lycheeshunt/daemon/internal/metrics_endpoint.h"
+#include "lycheeshunt/daemon/process_signals.h"
+#include "lycheeshunt/daemon/settings_watch.h"
 #include "lycheeshunt/settings/settings_file.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
 #include <iostream>
 
 namespace {
@@ -19,19 +20,13 @@
 
 enum exit_status : int { success = 0, badSettings = 2, startFailed = 3 };
 
-// Blocked in every thread, so that sigwait alone takes them.
-sigset_t stopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
+// How often a changed settings file is looked for.
+constexpr base::clock_time lookEvery = base::clock_time::ofSeconds(5);
 
 template <typename process_type>
 int runUntilStopped(const base::result<std::unique_ptr<process_type>> &process,
-                    const settings::node_settings &settings, const sigset_t &signals)
+                    const settings::node_settings &settings, const std::string &path,
+                    const daemon::process_signals &signals)
 {
     if (const base::error *failure = base::errorOf(process)) {
         base::logError("daemon", failure->text());
@@ -45,29 +40,29 @@
         return startFailed;
     }
     base::logInfo("daemon", "started");
-    int received = 0;
-    sigwait(&signals, &received);
+    daemon::settings_watch watch(path, settings);
+    while (signals.wait(lookEvery) != daemon::process_signal::stop)
+        watch.poll();
     base::logInfo("daemon", "stopping");
     return success;
 }
 
-int run(const settings::node_settings &settings)
+int run(const settings::node_settings &settings, const std::string &path)
 {
-    const sigset_t signals = stopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const daemon::process_signals signals;
     base::startLog(settings.name);
     return std::visit(base::overloaded {
                           [&](const settings::entry_settings &own) {
                               return runUntilStopped(daemon::entry_process::start(settings, own),
-                                                     settings, signals);
+                                                     settings, path, signals);
                           },
                           [&](const settings::agent_settings &own) {
                               return runUntilStopped(daemon::agent_process::start(settings, own),
-                                                     settings, signals);
+                                                     settings, path, signals);
                           },
                           [&](const settings::control_settings &own) {
                               return runUntilStopped(daemon::control_process::start(settings, own),
-                                                     settings, signals);
+                                                     settings, path, signals);
                           },
                       },
                       settings.role);
@@ -89,5 +84,5 @@
         std::cerr << failure->text() << "\n";
         return badSettings;
     }
-    return checkOnly ? success : run(base::valueOf(settings));
+    return checkOnly ? success : run(base::valueOf(settings), path);
 }
--- a/lycheeshunt/dissemination/cluster_view.h
+++ b/lycheeshunt/dissemination/cluster_view.h
@@ -7,6 +7,7 @@
 
 #include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/membership/membership_batch.h"
+#include "lycheeshunt/tickets/address_route.h"
 #include "lycheeshunt/tickets/ticket.h"
 
 #include <map>
@@ -23,6 +24,8 @@
     const std::map<base::node_id, membership::member> members = {};
     // Names of the agents that a ticket has put into draining.
     const std::set<std::string> draining = {};
+    // Addresses that split their flows over services; only in a whole view.
+    const std::map<tickets::service_address, tickets::address_route> routes = {};
 
     cluster_view withTicket(base::generation next, const tickets::ticket &ticket) const;
     cluster_view withBatch(base::generation next, const membership::membership_batch &batch) const;
--- a/lycheeshunt/dissemination/codec.cpp
+++ b/lycheeshunt/dissemination/codec.cpp
@@ -11,12 +11,22 @@
 
 namespace {
 
-enum message_kind : std::uint8_t { deltaKind = 1, pieceKind = 2, requestKind = 3, heardKind = 4 };
+enum message_kind : std::uint8_t {
+    deltaKind = 1,
+    pieceKind = 2,
+    requestKind = 3,
+    heardKind = 4,
+    directoryKind = 5,
+};
 
-// Services set, removed; members present, gone; names draining, no longer draining.
+constexpr std::size_t maxDirectory = 64;
+
+// Services set, removed; members present, gone; names draining, no longer draining; routes set,
+// removed.
 using change_fields
     = std::tuple<std::vector<std::string>, std::vector<std::uint64_t>, std::vector<std::string>,
-                 std::vector<std::uint64_t>, std::vector<std::string>, std::vector<std::string>>;
+                 std::vector<std::uint64_t>, std::vector<std::string>, std::vector<std::string>,
+                 std::vector<std::string>, std::vector<std::string>>;
 using cursor_fields = std::tuple<std::uint8_t, std::uint64_t, std::string>;
 using delta_fields
     = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t, change_fields>;
@@ -24,6 +34,8 @@
                                 cursor_fields, change_fields>;
 using request_fields = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t,
                                   std::uint64_t, std::uint64_t, cursor_fields>;
+using address_fields = std::tuple<std::uint32_t, std::uint16_t>;
+using directory_fields = std::tuple<address_fields, std::vector<address_fields>>;
 using heard_fields = std::tuple<std::uint64_t, std::uint64_t>;
 
 template <typename fields_type>
@@ -35,7 +47,7 @@
 change_fields fieldsOf(const view_change &change)
 {
     change_fields fields;
-    auto &[services, removed, members, gone, draining, undrained] = fields;
+    auto &[services, removed, members, gone, draining, undrained, routes, unrouted] = fields;
     for (auto it = change.services.begin(); it != change.services.end(); ++it) {
         if (it->second)
             services.push_back(tickets::encodeService(*it->second));
@@ -50,12 +62,19 @@
     }
     for (auto it = change.draining.begin(); it != change.draining.end(); ++it)
         (it->second ? draining : undrained).push_back(it->first);
+    for (auto it = change.routes.begin(); it != change.routes.end(); ++it) {
+        if (it->second)
+            routes.push_back(tickets::encodeRoute(*it->second));
+        else
+            unrouted.push_back(tickets::encodeAddress(it->first));
+    }
     return fields;
 }
 
 base::result<view_change> changeFrom(const change_fields &fields)
 {
-    const auto &[rawServices, removed, rawMembers, gone, draining, undrained] = fields;
+    const auto &[rawServices, removed, rawMembers, gone, draining, undrained, rawRoutes, unrouted]
+        = fields;
     std::map<base::service_id, std::optional<tickets::service_definition>> services;
     for (const std::string &raw : rawServices) {
         const base::result<tickets::service_definition> service = tickets::decodeService(raw);
@@ -80,7 +99,21 @@
         drains.emplace(name, true);
     for (const std::string &name : undrained)
         drains.emplace(name, false);
-    return view_change {std::move(services), std::move(members), std::move(drains)};
+    std::map<tickets::service_address, std::optional<tickets::address_route>> routes;
+    for (const std::string &raw : rawRoutes) {
+        const base::result<tickets::address_route> route = tickets::decodeRoute(raw);
+        if (const base::error *failure = base::errorOf(route))
+            return *failure;
+        routes.emplace(base::valueOf(route).address, base::valueOf(route));
+    }
+    for (const std::string &raw : unrouted) {
+        const base::result<tickets::service_address> address = tickets::decodeAddress(raw);
+        if (const base::error *failure = base::errorOf(address))
+            return *failure;
+        routes.emplace(base::valueOf(address), std::nullopt);
+    }
+    return view_change {std::move(services), std::move(members), std::move(drains),
+                        std::move(routes)};
 }
 
 cursor_fields fieldsOf(const snapshot_cursor &cursor)
@@ -92,7 +125,7 @@
 {
     const auto &[section, key, name] = fields;
     if (section < static_cast<std::uint8_t>(snapshot_section::services)
-        || section > static_cast<std::uint8_t>(snapshot_section::end))
+        || section > static_cast<std::uint8_t>(snapshot_section::routes))
         return base::error {base::error_code::messageMalformed, "unknown snapshot section"};
     return snapshot_cursor {static_cast<snapshot_section>(section), key, name};
 }
@@ -131,6 +164,38 @@
                                            base::valueOf(next), base::valueOf(part)});
 }
 
+address_fields fieldsOf(const base::endpoint &where)
+{
+    return address_fields(where.address, where.port);
+}
+
+base::endpoint endpointOf(const address_fields &fields)
+{
+    return base::endpoint {std::get<0>(fields), std::get<1>(fields)};
+}
+
+std::string encodeDirectory(const control_directory &directory)
+{
+    std::vector<address_fields> members;
+    for (const base::endpoint &member : directory.members)
+        members.push_back(fieldsOf(member));
+    return pack(directoryKind, directory_fields(fieldsOf(directory.leader), members));
+}
+
+base::result<control_message> decodeDirectory(std::string_view body)
+{
+    const base::result<directory_fields> fields = base::unpackFields<directory_fields>(body);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    const auto &[leader, raw] = base::valueOf(fields);
+    if (raw.size() > maxDirectory)
+        return base::error {base::error_code::messageTooLarge, "control VMs"};
+    std::vector<base::endpoint> members;
+    for (const address_fields &member : raw)
+        members.push_back(endpointOf(member));
+    return control_message(control_directory {endpointOf(leader), std::move(members)});
+}
+
 base::result<node_message> decodeRequest(std::string_view body)
 {
     const base::result<request_fields> fields = base::unpackFields<request_fields>(body);
@@ -164,21 +229,22 @@
 
 std::string encodeControlMessage(const control_message &message)
 {
-    return std::visit(base::overloaded {
-                          [](const view_delta &delta) {
-                              return pack(deltaKind,
-                                          delta_fields(delta.from.value(), delta.to.value(),
-                                                       delta.newest.value(), delta.digest.value(),
-                                                       fieldsOf(delta.change)));
-                          },
-                          [](const snapshot_piece &piece) {
-                              return pack(pieceKind,
-                                          piece_fields(piece.at.value(), piece.newest.value(),
-                                                       piece.digest.value(), fieldsOf(piece.start),
-                                                       fieldsOf(piece.next), fieldsOf(piece.part)));
-                          },
-                      },
-                      message);
+    return std::visit(
+        base::overloaded {
+            [](const view_delta &delta) {
+                return pack(deltaKind,
+                            delta_fields(delta.from.value(), delta.to.value(), delta.newest.value(),
+                                         delta.digest.value(), fieldsOf(delta.change)));
+            },
+            [](const snapshot_piece &piece) {
+                return pack(pieceKind,
+                            piece_fields(piece.at.value(), piece.newest.value(),
+                                         piece.digest.value(), fieldsOf(piece.start),
+                                         fieldsOf(piece.next), fieldsOf(piece.part)));
+            },
+            [](const control_directory &directory) { return encodeDirectory(directory); },
+        },
+        message);
 }
 
 base::result<control_message> decodeControlMessage(std::string_view bytes)
@@ -190,6 +256,8 @@
         return decodeDelta(bytes.substr(1));
     case pieceKind:
         return decodePiece(bytes.substr(1));
+    case directoryKind:
+        return decodeDirectory(bytes.substr(1));
     default:
         return unknownKind();
     }
--- a/lycheeshunt/dissemination/control_message.h
+++ b/lycheeshunt/dissemination/control_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheeshunt/dissemination/control_directory.h"
 #include "lycheeshunt/dissemination/snapshot_piece.h"
 #include "lycheeshunt/dissemination/view_delta.h"
 
@@ -8,6 +9,6 @@
 namespace lycheeshunt::dissemination {
 
 // What control says to a node about views.
-using control_message = std::variant<view_delta, snapshot_piece>;
+using control_message = std::variant<view_delta, snapshot_piece, control_directory>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -226,6 +226,13 @@
             [&](const batch_applied &applied) {
                 publish(state, applied.at, changeOf(*state.view, applied.batch));
             },
+            [&](const state_applied &applied) {
+                // The highest version is in force, whatever the order in the log.
+                if (applied.state->version <= state.stateVersion)
+                    return;
+                state.stateVersion = applied.state->version;
+                publish(state, applied.at, changeOf(*state.view, *applied.state));
+            },
             [&](const force_query &query) {
                 state.waiting.push_back(waiting_query {query, now + query.wait});
                 answerWaiting(state, now, actions);
--- a/lycheeshunt/dissemination/dissemination_message.h
+++ b/lycheeshunt/dissemination/dissemination_message.h
@@ -6,6 +6,7 @@
 #include "lycheeshunt/dissemination/node_said.h"
 #include "lycheeshunt/dissemination/publisher_tick.h"
 #include "lycheeshunt/dissemination/send_to_node.h"
+#include "lycheeshunt/dissemination/state_applied.h"
 #include "lycheeshunt/dissemination/subscriber_closed.h"
 #include "lycheeshunt/dissemination/subscriber_opened.h"
 #include "lycheeshunt/dissemination/ticket_applied.h"
@@ -16,7 +17,7 @@
 
 using dissemination_message
     = std::variant<subscriber_opened, subscriber_closed, node_said, ticket_applied, batch_applied,
-                   force_query, publisher_tick>;
+                   state_applied, force_query, publisher_tick>;
 using dissemination_action = std::variant<send_to_node, force_answer>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/fake_cluster_test.h
+++ b/lycheeshunt/dissemination/fake_cluster_test.h
@@ -223,6 +223,8 @@
                            [](const announce_self &) {},
                            [&](const adopt_view &adopt) { node.adopted.push_back(adopt.view); },
                            [&](const report_mismatch &) { ++node.mismatches; },
+                           [](const report_life &) {},
+                           [](const use_servers &) {},
                        },
                        action);
         }
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -7,6 +7,8 @@
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/streams/stream_client.h"
 
+#include <algorithm>
+
 namespace lycheeshunt::dissemination {
 
 namespace {
@@ -16,12 +18,15 @@
 } // namespace
 
 follower::follower(std::vector<base::endpoint> control, const membership::member &self,
-                   std::uint64_t seed, view_sink sink)
-    : m_state(followerOf(self)), m_sink(std::move(sink)), m_started(1),
+                   std::uint64_t seed, view_sink sink, life_sink lives, bool isAnnounced)
+    : m_state(followerOf(self)), m_seeds(control), m_sink(std::move(sink)),
+      m_lives(std::move(lives)), m_started(1),
       m_duty(
           inboxCapacity, tickEvery, follower_tick {},
           [this](const follower_message &message, base::clock_time now) { handle(message, now); })
 {
+    if (!isAnnounced)
+        m_duty.inbox().push(self_changed {self, false});
     m_client = std::make_unique<streams::stream_client>(
         std::move(control), streams::stream_timing {}, seed,
         [this](const streams::stream_event &event) { takeEvent(event); });
@@ -37,13 +42,37 @@
 
 void follower::leave()
 {
-    if (!m_state.connection)
+    const bool isExpectedBack = m_state.self->phase == membership::member_phase::draining;
+    if (!m_state.connection || !m_state.isAnnounced || isExpectedBack)
         return;
     const membership::member_left left {m_state.self->id(), m_state.self->life};
     m_client->outgoing().tryPush(streams::stream_frame {
         *m_state.connection, streams::channel::membership, membership::encodeLeave(left)});
 }
 
+// The seeds stay in the list: all members known may be gone.
+void follower::useServers(std::vector<base::endpoint> servers)
+{
+    const std::lock_guard<std::mutex> lock(m_seedsLock);
+    std::vector<base::endpoint>(servers).swap(m_known);
+    for (const base::endpoint &seed : m_seeds) {
+        if (std::find(servers.begin(), servers.end(), seed) == servers.end())
+            servers.push_back(seed);
+    }
+    m_client->prefer(std::move(servers));
+}
+
+void follower::addSeeds(const std::vector<base::endpoint> &seeds)
+{
+    std::vector<base::endpoint> known;
+    {
+        const std::lock_guard<std::mutex> lock(m_seedsLock);
+        std::vector<base::endpoint>(seeds).swap(m_seeds);
+        std::vector<base::endpoint>(m_known).swap(known);
+    }
+    useServers(std::move(known));
+}
+
 void follower::handle(const follower_message &message, base::clock_time now)
 {
     base::step<follower_state, follower_action> next = decide(std::move(m_state), message, now);
@@ -66,6 +95,14 @@
                                                   membership::encodeMember(announce.self)});
                    },
                    [this](const adopt_view &adopt) { m_sink(adopt.view); },
+                   [this](const use_servers &use) { useServers(use.servers); },
+                   [this](const report_life &report) {
+                       base::logWarning(logPart,
+                                        "the clock was set back: taking incarnation "
+                                            + std::to_string(report.life.value()));
+                       if (m_lives)
+                           m_lives(report.life);
+                   },
                    [](const report_mismatch &report) {
                        const base::error failure {base::error_code::viewMismatch,
                                                   "generation "
@@ -81,9 +118,13 @@
     m_started.wait();
     std::visit(base::overloaded {
                    [this](const streams::stream_opened &opened) {
+                       m_isConnected = true;
+                       base::logInfo(logPart, "connected to control");
                        m_duty.inbox().push(link_opened {opened.connection});
                    },
                    [this](const streams::stream_closed &closed) {
+                       m_isConnected = false;
+                       base::logWarning(logPart, "lost the connection to control");
                        m_duty.inbox().push(link_closed {closed.connection});
                    },
                    [this](const streams::stream_frame &frame) {
--- a/lycheeshunt/dissemination/follower.h
+++ b/lycheeshunt/dissemination/follower.h
@@ -11,9 +11,11 @@
 #include "lycheeshunt/dissemination/follower_state.h"
 #include "lycheeshunt/streams/stream_event.h"
 
+#include <atomic>
 #include <functional>
 #include <latch>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 namespace lycheeshunt::streams {
@@ -27,23 +29,38 @@
 public:
     using view_sink = std::function<void(const shared_view &)>;
 
-    // The sink is called on the follower's thread.
+    using life_sink = std::function<void(base::incarnation)>;
+
+    // The sinks are called on the follower's thread. One that is not announced follows views
+    // without being a member, until changeSelf() says that it is.
     follower(std::vector<base::endpoint> control, const membership::member &self,
-             std::uint64_t seed, view_sink sink);
-    // Tells control that the node has left, then closes the stream.
+             std::uint64_t seed, view_sink sink, life_sink lives = {}, bool isAnnounced = true);
+    // Tells control that the node has left, unless it drains, then closes the stream.
     ~follower();
 
     follower(const follower &) = delete;
     follower &operator=(const follower &) = delete;
 
+    // Thread-safe.
+    void changeSelf(const self_changed &changed) { m_duty.inbox().push(changed); }
+    // Looks for control at these addresses too.
+    void addSeeds(const std::vector<base::endpoint> &seeds);
+    bool isConnected() const { return m_isConnected; }
+
 private:
     void leave();
+    void useServers(std::vector<base::endpoint> servers);
     void handle(const follower_message &message, base::clock_time now);
     void carryOut(const follower_action &action);
     void takeEvent(const streams::stream_event &event);
 
     follower_state m_state;
+    std::mutex m_seedsLock;
+    std::vector<base::endpoint> m_seeds;
+    std::vector<base::endpoint> m_known;
     const view_sink m_sink;
+    const life_sink m_lives;
+    std::atomic<bool> m_isConnected = false;
     std::unique_ptr<streams::stream_client> m_client;
     // Holds back the client's thread until m_client is set.
     std::latch m_started;
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -37,10 +37,29 @@
 void announce(follower_state &state, base::clock_time now, action_list &actions)
 {
     state.announcedAt = now;
+    if (!state.isAnnounced || !state.connection)
+        return;
     actions.emplace_back(announce_self {*state.connection, *state.self});
 }
 
-void adopt(follower_state &state, shared_view view, view_digest digest, action_list &actions)
+// The clock of this VM was set back between two lives: without a later incarnation control would
+// take this life for one that is over.
+void outliveView(follower_state &state, base::clock_time now, action_list &actions)
+{
+    const membership::member &self = *state.self;
+    const auto known = state.held->members.find(self.id());
+    if (!state.isAnnounced || known == state.held->members.end() || known->second.life <= self.life)
+        return;
+    const base::incarnation next(known->second.life.value() + 1);
+    state.self = std::make_shared<const membership::member>(
+        membership::member {self.name, self.availabilityZone, self.role, self.service, next,
+                            self.packets, self.phase, self.health, self.share});
+    actions.emplace_back(report_life {next});
+    announce(state, now, actions);
+}
+
+void adopt(follower_state &state, shared_view view, view_digest digest, base::clock_time now,
+           action_list &actions)
 {
     state.held = std::move(view);
     state.digest = digest;
@@ -50,6 +69,7 @@
         state.isReady = true;
     if (state.isReady)
         actions.emplace_back(adopt_view {state.held});
+    outliveView(state, now, actions);
 }
 
 void learnRequired(follower_state &state, base::generation newest)
@@ -93,7 +113,7 @@
     if (delta.to > state.heldAt())
         adopt(state,
               std::make_shared<const cluster_view>(delta.change.appliedTo(*state.held, delta.to)),
-              digest, actions);
+              digest, now, actions);
     acknowledge(state, actions);
 }
 
@@ -108,7 +128,7 @@
         state.askedAt = now;
         return;
     }
-    adopt(state, std::move(view), digest, actions);
+    adopt(state, std::move(view), digest, now, actions);
     ask(state, now, actions);
 }
 
@@ -144,6 +164,29 @@
     ask(state, now, actions);
 }
 
+void changeSelf(follower_state &state, const self_changed &changed, base::clock_time now,
+                action_list &actions)
+{
+    const bool isMoved = state.self->service != changed.self.service;
+    state.self = std::make_shared<const membership::member>(changed.self);
+    state.isAnnounced = changed.isAnnounced;
+    announce(state, now, actions);
+    if (!isMoved)
+        return;
+    // The view of another service is another view.
+    state.held.reset();
+    state.digest = view_digest();
+    state.assembly.reset();
+    ask(state, now, actions);
+}
+
+void takeDirectory(const control_directory &directory, action_list &actions)
+{
+    std::vector<base::endpoint> servers = directory.inOrder();
+    if (!servers.empty())
+        actions.emplace_back(use_servers {std::move(servers)});
+}
+
 void check(follower_state &state, base::clock_time now, action_list &actions)
 {
     if (!state.connection)
@@ -184,9 +227,11 @@
                     base::overloaded {
                         [&](const view_delta &delta) { takeDelta(state, delta, now, actions); },
                         [&](const snapshot_piece &piece) { takePiece(state, piece, now, actions); },
+                        [&](const control_directory &known) { takeDirectory(known, actions); },
                     },
                     said.message);
             },
+            [&](const self_changed &changed) { changeSelf(state, changed, now, actions); },
             [&](const follower_tick &) { check(state, now, actions); },
         },
         message);
--- a/lycheeshunt/dissemination/follower_message.h
+++ b/lycheeshunt/dissemination/follower_message.h
@@ -6,14 +6,19 @@
 #include "lycheeshunt/dissemination/follower_tick.h"
 #include "lycheeshunt/dissemination/link_closed.h"
 #include "lycheeshunt/dissemination/link_opened.h"
+#include "lycheeshunt/dissemination/report_life.h"
 #include "lycheeshunt/dissemination/report_mismatch.h"
+#include "lycheeshunt/dissemination/self_changed.h"
 #include "lycheeshunt/dissemination/send_to_control.h"
+#include "lycheeshunt/dissemination/use_servers.h"
 
 #include <variant>
 
 namespace lycheeshunt::dissemination {
 
-using follower_message = std::variant<link_opened, link_closed, control_said, follower_tick>;
-using follower_action = std::variant<send_to_control, announce_self, adopt_view, report_mismatch>;
+using follower_message
+    = std::variant<link_opened, link_closed, control_said, self_changed, follower_tick>;
+using follower_action = std::variant<send_to_control, announce_self, adopt_view, report_mismatch,
+                                     report_life, use_servers>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/follower_state.h
+++ b/lycheeshunt/dissemination/follower_state.h
@@ -27,6 +27,8 @@
     bool awaitsAnswer = false;
     base::clock_time askedAt;
     base::clock_time announcedAt;
+    // Whether the node says that it is a member.
+    bool isAnnounced = true;
 
     base::generation heldAt() const { return held ? held->at : base::generation(); }
     view_scope scope() const;
--- a/lycheeshunt/dissemination/publisher_state.h
+++ b/lycheeshunt/dissemination/publisher_state.h
@@ -25,6 +25,8 @@
     std::shared_ptr<const snapshot_base> base;
     std::map<streams::connection_id, subscriber> subscribers;
     std::vector<waiting_query> waiting;
+    // Of the desired state in the view; 0 before the first.
+    std::uint64_t stateVersion = 0;
 
     // Whether the changes after this generation are all known.
     bool reachesBackTo(base::generation from) const;
--- a/lycheeshunt/dissemination/snapshot.cpp
+++ b/lycheeshunt/dissemination/snapshot.cpp
@@ -13,13 +13,19 @@
     std::map<base::node_id, member_change> members = {};
     std::map<std::string, bool> draining = {};
 
-    std::size_t size() const { return services.size() + members.size() + draining.size(); }
+    std::map<tickets::service_address, std::optional<tickets::address_route>> routes = {};
+
+    std::size_t size() const
+    {
+        return services.size() + members.size() + draining.size() + routes.size();
+    }
     bool isFull() const { return size() >= snapshotPieceObjects; }
 
     snapshot_part upTo(const snapshot_cursor &next)
     {
-        return snapshot_part {
-            view_change {std::move(services), std::move(members), std::move(draining)}, next};
+        return snapshot_part {view_change {std::move(services), std::move(members),
+                                           std::move(draining), std::move(routes)},
+                              next};
     }
 };
 
@@ -52,6 +58,32 @@
     return std::nullopt;
 }
 
+// An address as one number, in the order of addresses.
+std::uint64_t keyOf(const tickets::service_address &address)
+{
+    constexpr int portBits = 16;
+    constexpr int protocolBits = 8;
+    return (std::uint64_t(address.where.address) << (portBits + protocolBits))
+        | (std::uint64_t(address.where.port) << protocolBits) | address.protocol;
+}
+
+std::optional<snapshot_cursor> takeRoutes(const cluster_view &view, const view_scope &scope,
+                                          std::uint64_t after, collector &taken)
+{
+    if (!scope.isWhole())
+        return std::nullopt;
+    std::uint64_t last = after;
+    for (auto it = view.routes.begin(); it != view.routes.end(); ++it) {
+        if (keyOf(it->first) <= after)
+            continue;
+        if (taken.isFull())
+            return snapshot_cursor {snapshot_section::routes, last};
+        taken.routes.emplace(it->first, it->second);
+        last = keyOf(it->first);
+    }
+    return std::nullopt;
+}
+
 std::optional<snapshot_cursor> takeDraining(const cluster_view &view, const std::string &after,
                                             collector &taken)
 {
@@ -84,8 +116,15 @@
         if (full)
             return taken.upTo(*full);
     }
-    const std::optional<snapshot_cursor> full = takeDraining(
-        view, cursor.section == snapshot_section::draining ? cursor.name : "", taken);
+    const bool isInRoutes = cursor.section == snapshot_section::routes;
+    if (!isInRoutes) {
+        const std::optional<snapshot_cursor> full = takeDraining(
+            view, cursor.section == snapshot_section::draining ? cursor.name : "", taken);
+        if (full)
+            return taken.upTo(*full);
+    }
+    const std::optional<snapshot_cursor> full
+        = takeRoutes(view, scope, isInRoutes ? cursor.key : 0, taken);
     return taken.upTo(full.value_or(snapshot_cursor {snapshot_section::end}));
 }
 
@@ -101,7 +140,11 @@
         if (scope.covers(it->second.service))
             members.insert(*it);
     }
-    return cluster_view {view.at, std::move(services), std::move(members), view.draining};
+    std::map<tickets::service_address, tickets::address_route> routes;
+    if (scope.isWhole())
+        routes = view.routes;
+    return cluster_view {view.at, std::move(services), std::move(members), view.draining,
+                         std::move(routes)};
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/snapshot_assembly.cpp
+++ b/lycheeshunt/dissemination/snapshot_assembly.cpp
@@ -12,22 +12,10 @@
 
 cluster_view snapshot_assembly::assembled() const
 {
-    std::map<base::service_id, tickets::service_definition> services;
-    std::map<base::node_id, membership::member> members;
-    std::set<std::string> draining;
-    for (const view_change &part : parts) {
-        for (auto it = part.services.begin(); it != part.services.end(); ++it) {
-            if (it->second)
-                services.emplace(it->first, *it->second);
-        }
-        for (auto it = part.members.begin(); it != part.members.end(); ++it) {
-            if (it->second.now)
-                members.emplace(it->first, *it->second.now);
-        }
-        for (auto it = part.draining.begin(); it != part.draining.end(); ++it)
-            draining.insert(it->first);
-    }
-    return cluster_view {at, std::move(services), std::move(members), std::move(draining)};
+    std::vector<const view_change *> changes;
+    for (const view_change &part : parts)
+        changes.push_back(&part);
+    return merged(changes).appliedTo(cluster_view {}, at);
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/view_change.cpp
+++ b/lycheeshunt/dissemination/view_change.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/states/desired_state.h"
 
 namespace lycheeshunt::dissemination {
 
@@ -9,6 +10,7 @@
 
 using service_changes = std::map<base::service_id, std::optional<tickets::service_definition>>;
 using member_changes = std::map<base::node_id, member_change>;
+using route_changes = std::map<tickets::service_address, std::optional<tickets::address_route>>;
 
 template <typename map_type>
 void replace(map_type &map, const typename map_type::key_type &key,
@@ -66,8 +68,14 @@
         else
             nextDraining.erase(it->first);
     }
+    std::map<tickets::service_address, tickets::address_route> nextRoutes = view.routes;
+    for (auto it = routes.begin(); it != routes.end(); ++it) {
+        nextRoutes.erase(it->first);
+        if (it->second)
+            nextRoutes.emplace(it->first, *it->second);
+    }
     return cluster_view {next, std::move(nextServices), std::move(nextMembers),
-                         std::move(nextDraining)};
+                         std::move(nextDraining), std::move(nextRoutes)};
 }
 
 view_change merged(const std::vector<const view_change *> &changes)
@@ -75,7 +83,10 @@
     service_changes services;
     member_changes members;
     std::map<std::string, bool> draining;
+    route_changes routes;
     for (const view_change *change : changes) {
+        for (auto it = change->routes.begin(); it != change->routes.end(); ++it)
+            replace(routes, it->first, it->second);
         for (auto it = change->services.begin(); it != change->services.end(); ++it)
             replace(services, it->first, it->second);
         for (auto it = change->members.begin(); it != change->members.end(); ++it) {
@@ -88,7 +99,8 @@
         for (auto it = change->draining.begin(); it != change->draining.end(); ++it)
             draining[it->first] = it->second;
     }
-    return view_change {std::move(services), std::move(members), std::move(draining)};
+    return view_change {std::move(services), std::move(members), std::move(draining),
+                        std::move(routes)};
 }
 
 view_change changeOf(const tickets::ticket &ticket)
@@ -111,6 +123,29 @@
     return view_change {std::move(services), {}, std::move(draining)};
 }
 
+view_change changeOf(const cluster_view &view, const states::desired_state &state)
+{
+    service_changes services;
+    for (auto it = view.services.begin(); it != view.services.end(); ++it)
+        services.emplace(it->first, std::nullopt);
+    for (const tickets::service_definition &service : state.services) {
+        const auto held = view.services.find(service.id());
+        services.erase(service.id());
+        if (held == view.services.end() || held->second != service)
+            services.emplace(service.id(), service);
+    }
+    route_changes routes;
+    for (auto it = view.routes.begin(); it != view.routes.end(); ++it)
+        routes.emplace(it->first, std::nullopt);
+    for (const tickets::address_route &route : state.routes) {
+        const auto held = view.routes.find(route.address);
+        routes.erase(route.address);
+        if (held == view.routes.end() || held->second != route)
+            routes.emplace(route.address, route);
+    }
+    return view_change {std::move(services), {}, {}, std::move(routes)};
+}
+
 view_change changeOf(const cluster_view &view, const membership::membership_batch &batch)
 {
     member_changes members;
--- a/lycheeshunt/dissemination/view_digest.cpp
+++ b/lycheeshunt/dissemination/view_digest.cpp
@@ -12,7 +12,12 @@
 namespace {
 
 // Distinct seeds keep objects of different kinds apart.
-enum part_seed : std::uint64_t { serviceSeed = 11, memberSeed = 12, drainingSeed = 13 };
+enum part_seed : std::uint64_t {
+    serviceSeed = 11,
+    memberSeed = 12,
+    drainingSeed = 13,
+    routeSeed = 14,
+};
 
 std::uint64_t hashOf(std::string_view bytes, part_seed seed)
 {
@@ -36,6 +41,11 @@
     return hashOf(drainingName, drainingSeed);
 }
 
+std::uint64_t digestPart(const tickets::address_route &route)
+{
+    return hashOf(tickets::encodeRoute(route), routeSeed);
+}
+
 view_digest digestOf(const cluster_view &view)
 {
     std::uint64_t sum = 0;
@@ -45,6 +55,8 @@
         sum += digestPart(it->second);
     for (const std::string &name : view.draining)
         sum += digestPart(name);
+    for (auto it = view.routes.begin(); it != view.routes.end(); ++it)
+        sum += digestPart(it->second);
     return view_digest(sum);
 }
 
@@ -66,6 +78,11 @@
         if (was != it->second)
             sum += it->second ? digestPart(it->first) : 0 - digestPart(it->first);
     }
+    for (auto it = change.routes.begin(); it != change.routes.end(); ++it) {
+        const auto old = view.routes.find(it->first);
+        sum -= old == view.routes.end() ? 0 : digestPart(old->second);
+        sum += it->second ? digestPart(*it->second) : 0;
+    }
     return view_digest(sum);
 }
 
--- a/lycheeshunt/dissemination/view_digest.h
+++ b/lycheeshunt/dissemination/view_digest.h
@@ -16,8 +16,9 @@
 }
 
 namespace lycheeshunt::tickets {
+struct address_route;
 struct service_definition;
-}
+} // namespace lycheeshunt::tickets
 
 namespace lycheeshunt::dissemination {
 
@@ -36,5 +37,6 @@
 std::uint64_t digestPart(const tickets::service_definition &service);
 std::uint64_t digestPart(const membership::member &member);
 std::uint64_t digestPart(std::string_view drainingName);
+std::uint64_t digestPart(const tickets::address_route &route);
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -13,6 +13,10 @@
     const base::incarnation life;
     // Where other agents and entries reach it.
     const base::endpoint packets;
+    const std::string availabilityZone = {};
+    // The backend server gives back packets of flows that it does not hold, so a packet may be
+    // tried at any server without harm.
+    const bool serverReturns = false;
 
     bool operator==(const agent_identity &) const = default;
 };
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -21,6 +21,7 @@
 } // namespace
 
 base::result<std::unique_ptr<agent_port>> agent_port::open(const agent_sockets &sockets,
+                                                           const packets::packet_codec &codec,
                                                            base::incarnation life,
                                                            base::ring<flow_message> &inbox)
 {
@@ -31,14 +32,14 @@
     if (const base::error *failure = base::errorOf(serverSide))
         return *failure;
     return std::unique_ptr<agent_port>(
-        new agent_port(sockets, life, base::takeValue(std::move(peerSide)),
+        new agent_port(sockets, codec, life, base::takeValue(std::move(peerSide)),
                        base::takeValue(std::move(serverSide)), inbox));
 }
 
-agent_port::agent_port(const agent_sockets &sockets, base::incarnation life,
-                       base::file_descriptor peerSide, base::file_descriptor serverSide,
-                       base::ring<flow_message> &inbox)
-    : m_addresses(sockets), m_life(life), m_peerSide(std::move(peerSide)),
+agent_port::agent_port(const agent_sockets &sockets, const packets::packet_codec &codec,
+                       base::incarnation life, base::file_descriptor peerSide,
+                       base::file_descriptor serverSide, base::ring<flow_message> &inbox)
+    : m_addresses(sockets), m_codec(codec), m_life(life.value()), m_peerSide(std::move(peerSide)),
       m_serverSide(std::move(serverSide)), m_inbox(inbox), m_actions(actionCapacity),
       m_thread([this]() { run(); })
 {
@@ -77,7 +78,7 @@
             answerProbe(*received);
             continue;
         }
-        const base::result<flow_datagram> decoded = decodeDatagram(received->bytes);
+        const base::result<flow_datagram> decoded = decodeDatagram(received->bytes, m_codec);
         if (!base::isOk(decoded)) {
             ++m_malformed;
             continue;
@@ -89,7 +90,8 @@
 
 void agent_port::answerProbe(const packets::received_datagram &received)
 {
-    const std::optional<std::string> echo = routing::echoOf(received.bytes, m_life);
+    const std::optional<std::string> echo
+        = routing::echoOf(received.bytes, base::incarnation(m_life));
     if (echo)
         packets::sendDatagram(m_peerSide.get(), received.from, *echo);
     else
@@ -103,40 +105,48 @@
         if (!bytes)
             return;
         const base::result<packets::ip_summary> summary
-            = packets::summarize(*bytes, packets::direction::toCaller);
+            = m_codec.summarize(*bytes, packets::direction::toCaller);
         if (!base::isOk(summary)) {
             ++m_malformed;
             continue;
         }
-        m_inbox.tryPush(
-            server_answer {base::valueOf(summary), base::packet_bytes(std::move(*bytes))});
+        m_inbox.tryPush(server_answer {base::valueOf(summary),
+                                       base::packet_bytes(m_codec.asSent(std::move(*bytes)))});
     }
 }
 
+void agent_port::sendToCaller(std::string_view bytes)
+{
+    const base::result<packets::ip_summary> summary
+        = m_codec.summarize(bytes, packets::direction::toCaller);
+    if (const packets::ip_summary *known = std::get_if<packets::ip_summary>(&summary))
+        packets::sendDatagram(m_peerSide.get(),
+                              m_codec.towardsCaller(known->key, m_addresses.fabric), bytes);
+}
+
 void agent_port::carryOut(const flow_action &action)
 {
-    std::visit(
-        base::overloaded {
-            [this](const send_packet &send) {
-                packets::sendDatagram(m_peerSide.get(), send.to, encodePacket(send.packet));
-            },
-            [this](const send_to_peer &send) {
-                packets::sendDatagram(m_peerSide.get(), send.to, encodePeer(send.message));
-            },
-            [this](const deliver_to_server &deliver) {
-                packets::sendDatagram(m_serverSide.get(), m_addresses.server, deliver.bytes.view());
-            },
-            [this](const answer_caller &answer) {
-                packets::sendDatagram(m_serverSide.get(), m_addresses.fabric, answer.bytes.view());
-            },
-            [this](const reset_caller &reset) {
-                const std::string bytes = packets::resetFor(reset.callerPacket.view());
-                if (!bytes.empty())
-                    packets::sendDatagram(m_serverSide.get(), m_addresses.fabric, bytes);
-            },
-            [this](const refuse_packet &) { ++m_refused; },
-        },
-        action);
+    std::visit(base::overloaded {
+                   [this](const send_packet &send) {
+                       packets::sendDatagram(m_peerSide.get(), send.to, encodePacket(send.packet));
+                   },
+                   [this](const send_to_peer &send) {
+                       packets::sendDatagram(m_peerSide.get(), send.to, encodePeer(send.message));
+                   },
+                   [this](const deliver_to_server &deliver) {
+                       packets::sendDatagram(m_serverSide.get(), m_addresses.server,
+                                             deliver.bytes.view());
+                   },
+                   [this](const answer_caller &answer) { sendToCaller(answer.bytes.view()); },
+                   [this](const reset_caller &reset) {
+                       ++m_resets;
+                       const std::string bytes = m_codec.resetFor(reset.callerPacket.view());
+                       if (!bytes.empty())
+                           sendToCaller(bytes);
+                   },
+                   [this](const refuse_packet &) { ++m_refused; },
+               },
+               action);
 }
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/agent_port.h
+++ b/lycheeshunt/flows/agent_port.h
@@ -13,6 +13,7 @@
 #include "lycheeshunt/flows/agent_sockets.h"
 #include "lycheeshunt/flows/flow_action.h"
 #include "lycheeshunt/flows/flow_message.h"
+#include "lycheeshunt/packets/packet_codec.h"
 
 #include <atomic>
 #include <memory>
@@ -28,35 +29,45 @@
 {
 public:
     // The inbox must outlive the port. Probes of another life than this are not answered.
-    static base::result<std::unique_ptr<agent_port>>
-    open(const agent_sockets &sockets, base::incarnation life, base::ring<flow_message> &inbox);
+    static base::result<std::unique_ptr<agent_port>> open(const agent_sockets &sockets,
+                                                          const packets::packet_codec &codec,
+                                                          base::incarnation life,
+                                                          base::ring<flow_message> &inbox);
     ~agent_port();
 
     agent_port(const agent_port &) = delete;
     agent_port &operator=(const agent_port &) = delete;
 
     base::ring<flow_action> &actions() { return m_actions; }
+    // Probes of this life are answered from now on. Thread-safe.
+    void setLife(base::incarnation life) { m_life = life.value(); }
+
     std::uint64_t malformed() const { return m_malformed; }
     std::uint64_t refused() const { return m_refused; }
+    std::uint64_t resets() const { return m_resets; }
 
 private:
-    agent_port(const agent_sockets &sockets, base::incarnation life, base::file_descriptor peerSide,
+    agent_port(const agent_sockets &sockets, const packets::packet_codec &codec,
+               base::incarnation life, base::file_descriptor peerSide,
                base::file_descriptor serverSide, base::ring<flow_message> &inbox);
 
     void run();
     void receiveFromPeers();
     void answerProbe(const packets::received_datagram &received);
     void receiveFromServer();
+    void sendToCaller(std::string_view bytes);
     void carryOut(const flow_action &action);
 
     const agent_sockets m_addresses;
-    const base::incarnation m_life;
+    const packets::packet_codec m_codec;
+    std::atomic<std::uint64_t> m_life;
     base::file_descriptor m_peerSide;
     base::file_descriptor m_serverSide;
     base::ring<flow_message> &m_inbox;
     base::ring<flow_action> m_actions;
     std::atomic<std::uint64_t> m_malformed = 0;
     std::atomic<std::uint64_t> m_refused = 0;
+    std::atomic<std::uint64_t> m_resets = 0;
     std::thread m_thread;
 };
 
--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -16,29 +16,41 @@
 using internal::packetKind;
 using internal::wireVersion;
 
-using packet_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t,
-                                 std::uint64_t, std::uint8_t, std::uint8_t, msgpack::type::raw_ref>;
+using packet_fields
+    = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t, std::uint64_t,
+                 std::uint8_t, std::uint8_t, std::uint32_t, std::uint16_t,
+                 std::vector<std::uint64_t>, bool, msgpack::type::raw_ref>;
 
-base::result<flow_datagram> packetFrom(const msgpack::object &object)
+base::result<flow_datagram> packetFrom(const msgpack::object &object,
+                                       const packets::packet_codec &codec)
 {
     const packet_fields fields = object.as<packet_fields>();
     const std::uint8_t stage = std::get<5>(fields);
     if (stage < static_cast<std::uint8_t>(packet_stage::toDirector)
-        || stage > static_cast<std::uint8_t>(packet_stage::declined))
+        || stage > static_cast<std::uint8_t>(packet_stage::unknown))
         return malformed("packet stage");
-    const msgpack::type::raw_ref &raw = std::get<7>(fields);
+    const std::vector<std::uint64_t> &listed = std::get<9>(fields);
+    if (listed.size() > maxListedAgents)
+        return base::error {base::error_code::messageTooLarge, "agents of a packet"};
+    std::vector<base::node_id> agents;
+    for (const std::uint64_t node : listed)
+        agents.emplace_back(node);
+    const msgpack::type::raw_ref &raw = std::get<11>(fields);
     std::string bytes(raw.ptr, raw.size);
     const base::result<packets::ip_summary> summary
-        = packets::summarize(bytes, packets::direction::fromCaller);
+        = codec.summarize(bytes, packets::direction::fromCaller);
     if (const base::error *failure = base::errorOf(summary))
         return *failure;
     return flow_datagram(forwarded_packet {
         base::service_id(std::get<2>(fields)), base::incarnation(std::get<3>(fields)),
         base::generation(std::get<4>(fields)), static_cast<packet_stage>(stage),
-        std::get<6>(fields), base::valueOf(summary), base::packet_bytes(std::move(bytes))});
+        std::get<6>(fields), base::valueOf(summary), base::packet_bytes(std::move(bytes)),
+        base::endpoint {std::get<7>(fields), std::get<8>(fields)}, std::move(agents),
+        std::get<10>(fields)});
 }
 
-base::result<flow_datagram> datagramFrom(const msgpack::object &object)
+base::result<flow_datagram> datagramFrom(const msgpack::object &object,
+                                         const packets::packet_codec &codec)
 {
     constexpr std::uint32_t leastFields = 2;
     if (object.type != msgpack::type::ARRAY || object.via.array.size < leastFields)
@@ -47,7 +59,7 @@
         return base::error {base::error_code::messageVersion, "flow datagram"};
     const std::uint8_t kind = object.via.array.ptr[1].as<std::uint8_t>();
     if (kind == packetKind && object.via.array.size == std::tuple_size_v<packet_fields>)
-        return packetFrom(object);
+        return packetFrom(object, codec);
     const base::result<peer_message> message = internal::decodePeerFields(kind, object);
     if (const base::error *failure = base::errorOf(message))
         return *failure;
@@ -69,6 +81,12 @@
     packer.pack(header.at.value());
     packer.pack(static_cast<std::uint8_t>(header.stage));
     packer.pack(header.hops);
+    packer.pack(header.entry.address);
+    packer.pack(header.entry.port);
+    packer.pack_array(static_cast<std::uint32_t>(std::min(header.agents.size(), maxListedAgents)));
+    for (std::size_t i = 0; i < std::min(header.agents.size(), maxListedAgents); ++i)
+        packer.pack(header.agents[i].value());
+    packer.pack(header.isDoubtful);
     packer.pack_bin(static_cast<std::uint32_t>(packetBytes));
     return writer.used();
 }
@@ -76,7 +94,8 @@
 std::string encodePacketHeader(const forwarded_packet &packet, std::size_t packetBytes)
 {
     char buffer[maxPacketHeaderBytes];
-    const packet_header header {packet.service, packet.life, packet.at, packet.stage, packet.hops};
+    const packet_header header {packet.service, packet.life,  packet.at,     packet.stage,
+                                packet.hops,    packet.entry, packet.agents, packet.isDoubtful};
     return std::string(buffer, writePacketHeader(header, packetBytes, buffer));
 }
 
@@ -92,7 +111,8 @@
     return internal::encodePeerFields(message);
 }
 
-base::result<flow_datagram> decodeDatagram(std::string_view bytes)
+base::result<flow_datagram> decodeDatagram(std::string_view bytes,
+                                           const packets::packet_codec &codec)
 {
     try {
         std::size_t offset = 0;
@@ -100,7 +120,7 @@
             bytes.data(), bytes.size(), offset, nullptr, nullptr, base::unpackLimit());
         if (offset != bytes.size())
             return malformed("bytes after the message");
-        return datagramFrom(handle.get());
+        return datagramFrom(handle.get(), codec);
     } catch (const std::exception &failure) {
         return malformed(failure.what());
     }
--- a/lycheeshunt/flows/codec.h
+++ b/lycheeshunt/flows/codec.h
@@ -6,6 +6,7 @@
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/flows/forwarded_packet.h"
 #include "lycheeshunt/flows/peer_message.h"
+#include "lycheeshunt/packets/packet_codec.h"
 
 #include <span>
 #include <string>
@@ -24,10 +25,13 @@
 std::string encodePacket(const forwarded_packet &packet);
 std::string encodePeer(const peer_message &message);
 
-base::result<flow_datagram> decodeDatagram(std::string_view bytes);
+base::result<flow_datagram>
+decodeDatagram(std::string_view bytes, const packets::packet_codec &codec = packets::ipPackets());
 
-// No header is longer: three 64-bit numbers and eight short fields.
-constexpr std::size_t maxPacketHeaderBytes = 64;
+// Agents that a packet lists at most; an agent that is left out is only asked once more.
+constexpr std::size_t maxListedAgents = 16;
+// No header is longer: three 64-bit numbers, the agents and twelve short fields.
+constexpr std::size_t maxPacketHeaderBytes = 96 + 9 * maxListedAgents;
 
 // As encodePacketHeader, into a buffer of at least maxPacketHeaderBytes. Returns the bytes used.
 std::size_t writePacketHeader(const packet_header &header, std::size_t packetBytes,
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -5,8 +5,10 @@
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
+#include "lycheeshunt/flows/internal/placing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/registrar.h"
+#include "lycheeshunt/flows/internal/returning.h"
 #include "lycheeshunt/flows/internal/view_change.h"
 
 namespace lycheeshunt::flows {
@@ -39,6 +41,11 @@
                        internal::handleRecoveryRequest(context, request);
                    },
                    [&](const recovery_page &page) { internal::handleRecoveryPage(context, page); },
+                   // For entries.
+                   [](const owner_hint &) {},
+                   [&](const placement::load_report &report) {
+                       internal::handleLoadReport(context, report);
+                   },
                },
                message);
 }
@@ -50,6 +57,8 @@
     internal::ownershipTick(context);
     internal::directoryTick(context);
     internal::registrarTick(context);
+    if (context.state.identity->serverReturns)
+        internal::returningTick(context);
 }
 
 } // namespace
@@ -59,14 +68,28 @@
 {
     std::vector<flow_action> actions;
     flow_context context {state, now, actions};
-    std::visit(base::overloaded {
-                   [&](const forwarded_packet &packet) { internal::handlePacket(context, packet); },
-                   [&](const server_answer &answer) { internal::handleAnswer(context, answer); },
-                   [&](const peer_message &peer) { handlePeer(context, peer); },
-                   [&](const view_update &update) { internal::handleView(context, update); },
-                   [&](const tick &) { handleTick(context); },
-               },
-               message);
+    const bool returns = state.identity->serverReturns;
+    std::visit(
+        base::overloaded {
+            [&](const forwarded_packet &packet) {
+                if (returns)
+                    internal::handleReturningPacket(context, packet);
+                else
+                    internal::handlePacket(context, packet);
+            },
+            [&](const server_answer &answer) {
+                if (returns)
+                    internal::handleReturningAnswer(context, answer);
+                else
+                    internal::handleAnswer(context, answer);
+            },
+            [&](const server_changed &changed) { internal::handleServerChange(context, changed); },
+            [&](const peer_message &peer) { handlePeer(context, peer); },
+            [&](const view_update &update) { internal::handleView(context, update); },
+            [&](const tick &) { handleTick(context); },
+        },
+        message);
+    internal::shareLoad(context);
     return base::step<flow_state, flow_action> {std::move(state), std::move(actions)};
 }
 
--- a/lycheeshunt/flows/flow_message.h
+++ b/lycheeshunt/flows/flow_message.h
@@ -3,6 +3,7 @@
 #include "lycheeshunt/flows/forwarded_packet.h"
 #include "lycheeshunt/flows/peer_message.h"
 #include "lycheeshunt/flows/server_answer.h"
+#include "lycheeshunt/flows/server_changed.h"
 #include "lycheeshunt/flows/tick.h"
 #include "lycheeshunt/flows/view_update.h"
 
@@ -10,6 +11,7 @@
 
 namespace lycheeshunt::flows {
 
-using flow_message = std::variant<forwarded_packet, server_answer, peer_message, view_update, tick>;
+using flow_message = std::variant<forwarded_packet, server_answer, peer_message, view_update,
+                                  server_changed, tick>;
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -12,6 +12,9 @@
 #include "lycheeshunt/flows/owned_flow.h"
 #include "lycheeshunt/flows/recovery_state.h"
 #include "lycheeshunt/flows/registrar_state.h"
+#include "lycheeshunt/flows/server_view.h"
+#include "lycheeshunt/flows/visit.h"
+#include "lycheeshunt/placement/placement_state.h"
 #include "lycheeshunt/routing/bucket_table.h"
 
 #include <deque>
@@ -38,6 +41,8 @@
     std::map<base::node_id, base::generation> peerGenerations;
     bool draining = false;
     std::size_t maxOwned = 0;
+    // From the limits of the service.
+    base::clock_time openIdle = tickets::service_limits {}.idleTimeout;
 
     flow_map<owned_flow> owned;
     // In the order in which they leave.
@@ -47,6 +52,14 @@
     std::size_t heldBytes = 0;
     registrar_state registrar;
     recovery_state recovery;
+    server_view server;
+    // Only where backend servers return packets: flows that were handed to the server, or passed
+    // on as new, until the server answers.
+    flow_map<visit> visits;
+    // Owned flows with a request at the server.
+    std::size_t busyFlows = 0;
+    // Only where backend servers return packets.
+    std::optional<placement::placement_state> placement;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/forwarded_packet.h
+++ b/lycheeshunt/flows/forwarded_packet.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/base/packet_bytes.h"
 #include "lycheeshunt/flows/packet_stage.h"
 #include "lycheeshunt/packets/ip_summary.h"
 
+#include <vector>
+
 namespace lycheeshunt::flows {
 
 // A caller's packet on its way to the agent that owns its flow. Service and life say whom it is
@@ -18,6 +21,12 @@
     const std::uint8_t hops = 0;
     const packets::ip_summary summary;
     const base::packet_bytes bytes;
+    // Where the entry hears who owns the flow; port 0 when it does not want to.
+    const base::endpoint entry = {};
+    // For an offer, the agents that did not take the flow; for a trial, those still to be tried.
+    const std::vector<base::node_id> agents = {};
+    // An agent that might have the flow could not be asked.
+    const bool isDoubtful = false;
 
     bool operator==(const forwarded_packet &) const = default;
 };
--- a/lycheeshunt/flows/held_flow.h
+++ b/lycheeshunt/flows/held_flow.h
@@ -18,6 +18,8 @@
     // Every agent asked so far, and those of them that have not answered.
     const std::vector<base::node_id> asked = {};
     const std::vector<base::node_id> waitingFor = {};
+    // Agents whose servers may have the flow although the agents do not know it.
+    const std::vector<base::node_id> mayOwn = {};
 
     bool operator==(const held_flow &) const = default;
 };
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/flows/internal/packet_path.h"
 #include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
+#include "lycheeshunt/flows/internal/returning.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
 #include <algorithm>
@@ -77,8 +78,8 @@
     std::vector<base::node_id> waitingFor = held.waitingFor;
     asked.insert(asked.end(), more.begin(), more.end());
     waitingFor.insert(waitingFor.end(), more.begin(), more.end());
-    return held_flow {held.purpose,   held.packets,     held.deadline,
-                      now + askEvery, std::move(asked), std::move(waitingFor)};
+    return held_flow {held.purpose,     held.packets,          held.deadline, now + askEvery,
+                      std::move(asked), std::move(waitingFor), held.mayOwn};
 }
 
 held_flow release(flow_context &context, const base::flow_key &key)
@@ -94,6 +95,11 @@
 {
     const held_flow held = release(context, key);
     const forwarded_packet &first = held.packets.front();
+    if (context.state.identity->serverReturns) {
+        for (const forwarded_packet &packet : held.packets)
+            tryCandidates(context, packet, held.mayOwn, !held.waitingFor.empty());
+        return;
+    }
     if (held.purpose == hold_purpose::open)
         openFlow(context, first);
     else if (hasStartedLately(context.state, context.now))
@@ -180,7 +186,12 @@
     flow_state &state = context.state;
     const std::size_t bytes = packet.bytes.view().size();
     if (state.held.size() >= maxHeldFlows || state.heldBytes + bytes > maxHeldBytes) {
-        context.actions.emplace_back(reset_caller {packet.bytes, base::error_code::tooManyLookups});
+        // A reset would end a flow that somebody may well own.
+        if (state.identity->serverReturns)
+            context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
+        else
+            context.actions.emplace_back(
+                reset_caller {packet.bytes, base::error_code::tooManyLookups});
         return;
     }
     const base::clock_time span = purpose == hold_purpose::open ? openHold : findHold;
@@ -206,7 +217,7 @@
     state.heldBytes += bytes;
     state.held.put(packet.summary.key,
                    held_flow {held.purpose, std::move(packets), held.deadline, held.askAgainAt,
-                              held.asked, held.waitingFor});
+                              held.asked, held.waitingFor, held.mayOwn});
 }
 
 void handleLookup(flow_context &context, const flow_lookup &lookup)
@@ -222,6 +233,10 @@
     const std::optional<routing::target> owner = knownOwner(state, lookup.key);
     if (owner)
         answer(context, lookup, lookup_verdict::owned, *owner);
+    else if (state.identity->serverReturns)
+        answer(context, lookup,
+               state.server.isOlder ? lookup_verdict::mayOwn : lookup_verdict::unknown,
+               selfTarget(state));
     else
         answerUnknown(context, lookup);
 }
@@ -244,16 +259,23 @@
     }
     if (answer.verdict == lookup_verdict::owned) {
         const held_flow released = release(context, answer.key);
-        for (const forwarded_packet &packet : released.packets)
-            handlePacketAsOwner(context, packet);
+        for (const forwarded_packet &packet : released.packets) {
+            if (state.identity->serverReturns)
+                adoptReturning(context, packet);
+            else
+                handlePacketAsOwner(context, packet);
+        }
         return;
     }
     std::vector<base::node_id> waitingFor = held->waitingFor;
     waitingFor.erase(std::find(waitingFor.begin(), waitingFor.end(), answer.from.node));
     const bool allAnswered = waitingFor.empty();
+    std::vector<base::node_id> mayOwn = held->mayOwn;
+    if (answer.verdict == lookup_verdict::mayOwn)
+        mayOwn.push_back(answer.from.node);
     state.held.put(answer.key,
                    held_flow {held->purpose, held->packets, held->deadline, held->askAgainAt,
-                              held->asked, std::move(waitingFor)});
+                              held->asked, std::move(waitingFor), std::move(mayOwn)});
     if (allAnswered)
         proceed(context, answer.key);
 }
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -10,12 +10,13 @@
 
 namespace {
 
-// RFC 5382 asks for 2 h 4 min at least for an open TCP connection, and 4 min for others;
-// RFC 4787 recommends 5 min for UDP.
-constexpr base::clock_time openIdle = base::clock_time::ofSeconds(7440);
+// RFC 5382 asks for 4 min at least for a connection that is closing; RFC 4787 recommends 5 min for
+// UDP.
 constexpr base::clock_time closingIdle = base::clock_time::ofSeconds(240);
 constexpr base::clock_time datagramIdle = base::clock_time::ofSeconds(300);
 constexpr base::clock_time openingIdle = base::clock_time::ofSeconds(30);
+// Callers that open flows at such servers give up sooner.
+constexpr base::clock_time unansweredIdle = base::clock_time::ofSeconds(5);
 constexpr base::clock_time endedLinger = base::clock_time::ofSeconds(2);
 constexpr std::size_t sweepSteps = 100;
 
@@ -31,7 +32,7 @@
 
 void endFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow)
 {
-    context.state.owned.put(key, owned_flow {context.now, flow.refreshAt, flow_phase::ended});
+    putOwned(context.state, key, owned_flow {context.now, flow.refreshAt, flow_phase::ended});
     context.state.ended.push_back(ended_flow {key, context.now + endedLinger});
     registerLater(context, key, false);
 }
@@ -56,16 +57,19 @@
     if (phase == flow_phase::ended)
         endFlow(context, key, flow);
     else
-        context.state.owned.put(key, owned_flow {context.now, flow.refreshAt, phase});
+        putOwned(context.state, key,
+                 owned_flow {context.now, flow.refreshAt, phase, flow.isBusy, flow.isAnswered});
 }
 
-base::clock_time idleLimit(const base::flow_key &key, flow_phase phase)
+base::clock_time idleLimit(const flow_state &state, const base::flow_key &key, flow_phase phase)
 {
+    if (state.identity->serverReturns && phase == flow_phase::opening)
+        return unansweredIdle;
     if (phase == flow_phase::opening)
         return openingIdle;
     if (key.protocol != IPPROTO_TCP)
         return datagramIdle;
-    return phase == flow_phase::open ? openIdle : closingIdle;
+    return phase == flow_phase::open ? state.openIdle : std::min(state.openIdle, closingIdle);
 }
 
 void letEndedGo(flow_context &context)
@@ -76,7 +80,7 @@
         const owned_flow *flow = state.owned.find(key);
         // The key may have been opened again in the meantime.
         if (flow != nullptr && flow->phase == flow_phase::ended)
-            state.owned.erase(key);
+            eraseOwned(state, key);
         state.ended.pop_front();
     }
 }
@@ -85,19 +89,35 @@
 {
     if (flow.phase == flow_phase::ended)
         return;
-    if (context.now - flow.lastPacket >= idleLimit(key, flow.phase)) {
+    if (context.now - flow.lastPacket >= idleLimit(context.state, key, flow.phase)) {
         endFlow(context, key, flow);
         return;
     }
     if (flow.refreshAt > context.now)
         return;
     registerLater(context, key, true);
-    context.state.owned.put(key,
-                            owned_flow {flow.lastPacket, context.now + refreshEvery, flow.phase});
+    putOwned(context.state, key,
+             owned_flow {flow.lastPacket, context.now + refreshEvery, flow.phase, flow.isBusy,
+                         flow.isAnswered});
 }
 
 } // namespace
 
+void putOwned(flow_state &state, const base::flow_key &key, const owned_flow &flow)
+{
+    const owned_flow *before = state.owned.find(key);
+    state.busyFlows -= before != nullptr && before->isBusy ? 1 : 0;
+    state.busyFlows += flow.isBusy ? 1 : 0;
+    state.owned.put(key, flow);
+}
+
+void eraseOwned(flow_state &state, const base::flow_key &key)
+{
+    const owned_flow *before = state.owned.find(key);
+    state.busyFlows -= before != nullptr && before->isBusy ? 1 : 0;
+    state.owned.erase(key);
+}
+
 void deliverToServer(flow_context &context, const forwarded_packet &packet)
 {
     context.actions.emplace_back(deliver_to_server {packet.bytes});
@@ -106,7 +126,7 @@
 void own(flow_context &context, const base::flow_key &key, flow_phase phase)
 {
     context.state.directory.erase(key);
-    context.state.owned.put(key, owned_flow {context.now, context.now + refreshEvery, phase});
+    putOwned(context.state, key, owned_flow {context.now, context.now + refreshEvery, phase});
     registerNow(context, key);
 }
 
@@ -118,7 +138,9 @@
         return;
     const flow_phase next
         = packet.summary.resets ? flow_phase::ended : phaseAfterCaller(flow.phase, packet.summary);
-    moveOn(context, key, flow, next);
+    const bool isBusy = flow.isBusy || packet.summary.payloadBytes > 0;
+    moveOn(context, key,
+           owned_flow {flow.lastPacket, flow.refreshAt, flow.phase, isBusy, flow.isAnswered}, next);
 }
 
 void openFlow(flow_context &context, const forwarded_packet &packet)
@@ -178,7 +200,9 @@
     const owned_flow *flow = context.state.owned.find(key);
     if (flow == nullptr && !answer.summary.resets && context.state.buckets) {
         // Its agent has restarted: the backend server's own connections tell it of its flows.
-        if (!servesAddress(context.state, key)) {
+        const bool isForeign
+            = !context.state.identity->serverReturns && !servesAddress(context.state, key);
+        if (isForeign) {
             context.actions.emplace_back(refuse_packet {base::error_code::wrongService});
             return;
         }
@@ -190,7 +214,11 @@
         return;
     const flow_phase next
         = answer.summary.resets ? flow_phase::ended : phaseAfterServer(flow->phase, answer.summary);
-    moveOn(context, key, *flow, next);
+    const bool hasPayload = answer.summary.payloadBytes > 0;
+    moveOn(context, key,
+           owned_flow {flow->lastPacket, flow->refreshAt, flow->phase, flow->isBusy && !hasPayload,
+                       flow->isAnswered || hasPayload},
+           next);
 }
 
 void ownershipTick(flow_context &context)
--- a/lycheeshunt/flows/internal/ownership.h
+++ b/lycheeshunt/flows/internal/ownership.h
@@ -27,6 +27,10 @@
 
 void handleAnswer(flow_context &context, const server_answer &answer);
 
+// The only ways to change the flows that this agent owns.
+void putOwned(flow_state &state, const base::flow_key &key, const owned_flow &flow);
+void eraseOwned(flow_state &state, const base::flow_key &key);
+
 // Owns the flow from now on and registers it.
 void own(flow_context &context, const base::flow_key &key, flow_phase phase);
 
--- a/lycheeshunt/flows/internal/packet_path.cpp
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -71,7 +71,7 @@
     if (flow == nullptr)
         return false;
     if (flow->phase == flow_phase::ended && packet.summary.opens) {
-        context.state.owned.erase(key);
+        eraseOwned(context.state, key);
         return false;
     }
     handleOwned(context, owned_flow(*flow), packet);
--- a/lycheeshunt/flows/internal/passing.cpp
+++ b/lycheeshunt/flows/internal/passing.cpp
@@ -18,9 +18,10 @@
     }
     context.actions.emplace_back(send_packet {
         to.packets,
-        forwarded_packet {
-            packet.service, to.life, std::max(packet.at, currentGeneration(context.state)), stage,
-            static_cast<std::uint8_t>(packet.hops + 1), packet.summary, packet.bytes}});
+        forwarded_packet {packet.service, to.life,
+                          std::max(packet.at, currentGeneration(context.state)), stage,
+                          static_cast<std::uint8_t>(packet.hops + 1), packet.summary, packet.bytes,
+                          packet.entry, packet.agents, packet.isDoubtful}});
 }
 
 void rememberOwner(flow_context &context, const base::flow_key &key, const routing::target &owner,
--- a/lycheeshunt/flows/internal/peer_codec.cpp
+++ b/lycheeshunt/flows/internal/peer_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/placement/codec.h"
 
 #include <tuple>
 
@@ -27,6 +28,9 @@
 using page_fields
     = std::tuple<std::uint8_t, std::uint8_t, number, number, number, std::vector<key_fields>, bool>;
 
+using hint_fields = std::tuple<std::uint8_t, std::uint8_t, number, key_fields, target_fields>;
+using report_fields = std::tuple<std::uint8_t, std::uint8_t, std::string>;
+
 key_fields fieldsOf(const base::flow_key &key)
 {
     return key_fields(key.caller.address, key.caller.port, key.service.address, key.service.port,
@@ -102,6 +106,18 @@
                                         page.more));
 }
 
+std::string encode(const owner_hint &hint)
+{
+    return base::packFields(hint_fields(wireVersion, ownerHintKind, hint.service.value(),
+                                        fieldsOf(hint.key), fieldsOf(hint.owner)));
+}
+
+std::string encode(const placement::load_report &report)
+{
+    return base::packFields(
+        report_fields(wireVersion, loadReportKind, placement::encodeReport(report)));
+}
+
 // The fields after version and kind, when their number is right.
 template <typename fields_type>
 bool hasFields(const msgpack::object &object)
@@ -144,7 +160,7 @@
     const answer_fields fields = object.as<answer_fields>();
     const std::uint8_t verdict = std::get<6>(fields);
     if (verdict < static_cast<std::uint8_t>(lookup_verdict::unknown)
-        || verdict > static_cast<std::uint8_t>(lookup_verdict::redirect))
+        || verdict > static_cast<std::uint8_t>(lookup_verdict::mayOwn))
         return malformed("lookup verdict");
     return peer_message(
         lookup_answer {base::service_id(std::get<2>(fields)), keyOf(std::get<3>(fields)),
@@ -173,6 +189,22 @@
         base::incarnation(std::get<4>(fields)), std::move(flows), std::get<6>(fields)});
 }
 
+base::result<peer_message> hintFrom(const msgpack::object &object)
+{
+    const hint_fields fields = object.as<hint_fields>();
+    return peer_message(owner_hint {base::service_id(std::get<2>(fields)),
+                                    keyOf(std::get<3>(fields)), targetOf(std::get<4>(fields))});
+}
+
+base::result<peer_message> reportFrom(const msgpack::object &object)
+{
+    const base::result<placement::load_report> report
+        = placement::decodeReport(std::get<2>(object.as<report_fields>()));
+    if (const base::error *failure = base::errorOf(report))
+        return *failure;
+    return peer_message(base::valueOf(report));
+}
+
 } // namespace
 
 base::error malformed(const char *what)
@@ -199,6 +231,10 @@
         return requestFrom(object);
     if (kind == recoveryPageKind && hasFields<page_fields>(object))
         return pageFrom(object);
+    if (kind == ownerHintKind && hasFields<hint_fields>(object))
+        return hintFrom(object);
+    if (kind == loadReportKind && hasFields<report_fields>(object))
+        return reportFrom(object);
     return malformed("unknown kind of datagram, or wrong number of fields");
 }
 
--- a/lycheeshunt/flows/internal/peer_codec.h
+++ b/lycheeshunt/flows/internal/peer_codec.h
@@ -22,6 +22,8 @@
     lookupAnswerKind = 5,
     recoveryRequestKind = 6,
     recoveryPageKind = 7,
+    ownerHintKind = 8,
+    loadReportKind = 9,
 };
 
 // Flows that a batch or a page may carry.
--- a/lycheeshunt/flows/internal/service_view.cpp
+++ b/lycheeshunt/flows/internal/service_view.cpp
@@ -21,7 +21,10 @@
     const auto service = state.view->services.find(state.identity->service);
     if (service == state.view->services.end())
         return false;
+    // The addresses of a service without its own are split over services; entries know how.
     const std::vector<tickets::service_address> &addresses = service->second.addresses;
+    if (addresses.empty() && state.identity->serverReturns)
+        return true;
     const tickets::service_address wanted {key.service, key.protocol};
     return std::find(addresses.begin(), addresses.end(), wanted) != addresses.end();
 }
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/internal/view_change.h"
 
+#include "lycheeshunt/flows/internal/placing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/service_view.h"
@@ -90,6 +91,8 @@
     const auto self = view.members.find(state.identity->node);
     state.draining = self != view.members.end() && view.isDraining(self->second);
     state.maxOwned = service->second.limits.connections;
+    state.openIdle = service->second.limits.idleTimeout;
+    placementPeers(context);
     const std::shared_ptr<const routing::bucket_table> before = state.buckets;
     state.buckets = std::make_shared<const routing::bucket_table>(
         service->second.buckets, routing::directorsOf(view, state.identity->service));
--- a/lycheeshunt/flows/packet_header.h
+++ b/lycheeshunt/flows/packet_header.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/flows/packet_stage.h"
 
+#include <vector>
+
 namespace lycheeshunt::flows {
 
 // What goes before the IP packet in a forwarded packet's datagram.
@@ -13,6 +16,9 @@
     const base::generation at;
     const packet_stage stage = packet_stage::toDirector;
     const std::uint8_t hops = 0;
+    const base::endpoint entry = {};
+    const std::vector<base::node_id> agents = {};
+    const bool isDoubtful = false;
 
     bool operator==(const packet_header &) const = default;
 };
--- /dev/null
+++ b/lycheeshunt/flows/visit.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/flows/forwarded_packet.h"
+
+namespace lycheeshunt::flows {
+
+// A packet that the backend server may give back, or whose flow was offered to another agent: what
+// is needed to go on from there.
+struct visit
+{
+    const forwarded_packet packet;
+    const base::clock_time at;
+
+    bool operator==(const visit &) const = default;
+};
+
+} // namespace lycheeshunt::flows
--- /dev/null
+++ b/lycheeshunt/http/http_listener.h
@@ -0,0 +1,46 @@
+// Takes HTTP requests on one address, by cpprestsdk, whose threads only pass them on. Bounds the
+// size of a body and the requests under way.
+//
+//     result<std::unique_ptr<http_listener>> api
+//         = http_listener::open(local, maxBodyBytes, [&](const http_call &call) { ... });
+//     valueOf(api)->answer(http_answer {call.request, 200, "{}"});
+
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/http/http_answer.h"
+#include "lycheeshunt/http/http_call.h"
+
+#include <functional>
+#include <memory>
+
+namespace lycheeshunt::http {
+
+// The library's threads in this process; call it once, before the first listener opens.
+void useThreads(std::size_t count);
+
+class http_listener
+{
+public:
+    // Called on the library's threads; must not wait. False refuses the request as too busy.
+    using call_sink = std::function<bool(const http_call &)>;
+
+    static base::result<std::unique_ptr<http_listener>>
+    open(const base::endpoint &local, std::size_t maxBodyBytes, call_sink sink);
+    ~http_listener();
+
+    http_listener(const http_listener &) = delete;
+    http_listener &operator=(const http_listener &) = delete;
+
+    // Thread-safe. An answer to an unknown request is discarded.
+    void answer(const http_answer &answer);
+
+private:
+    struct implementation;
+
+    explicit http_listener(std::unique_ptr<implementation> hidden);
+
+    std::unique_ptr<implementation> m_hidden;
+};
+
+} // namespace lycheeshunt::http
--- a/lycheeshunt/operators/api_server.h
+++ b/lycheeshunt/operators/api_server.h
@@ -11,6 +11,10 @@
 
 #include <memory>
 
+namespace lycheeshunt::http {
+class http_listener;
+}
+
 namespace lycheeshunt::operators {
 
 class api_server
@@ -28,11 +32,9 @@
     void reply(const http_reply &reply);
 
 private:
-    struct implementation;
-
-    explicit api_server(std::unique_ptr<implementation> hidden);
+    explicit api_server(std::unique_ptr<http::http_listener> listener);
 
-    std::unique_ptr<implementation> m_hidden;
+    std::unique_ptr<http::http_listener> m_listener;
 };
 
 } // namespace lycheeshunt::operators
--- a/lycheeshunt/packets/ip_packet.cpp
+++ b/lycheeshunt/packets/ip_packet.cpp
@@ -1,5 +1,7 @@
 #include "lycheeshunt/packets/ip_packet.h"
 
+#include "lycheeshunt/packets/packet_codec.h"
+
 #include <netinet/in.h>
 #include <netinet/ip.h>
 #include <netinet/tcp.h>
@@ -106,4 +108,11 @@
     return std::string(raw.begin(), raw.end());
 }
 
+packet_codec ipPackets()
+{
+    return packet_codec {
+        summarize, resetFor, [](std::string bytes) { return bytes; },
+        [](const base::flow_key &, const base::endpoint &fabric) { return fabric; }};
+}
+
 } // namespace lycheeshunt::packets
--- a/lycheeshunt/packets/ip_summary.h
+++ b/lycheeshunt/packets/ip_summary.h
@@ -13,6 +13,11 @@
     const bool finishes = false;
     const bool resets = false;
     const std::uint16_t payloadBytes = 0;
+    // The caller's opening packet once more, since nobody answered it yet.
+    const bool isRepeated = false;
+    // A caller's packet that the backend server gave back: it holds no such flow, or takes no new
+    // one.
+    const bool isReturned = false;
 
     bool operator==(const ip_summary &) const = default;
 };
--- a/lycheeshunt/replication/codec.cpp
+++ b/lycheeshunt/replication/codec.cpp
@@ -12,7 +12,7 @@
 
 using entry_fields
     = std::tuple<std::uint64_t, std::uint64_t, std::uint8_t, std::int64_t, std::string>;
-using member_fields = std::tuple<std::string, std::uint64_t, bool>;
+using member_fields = std::tuple<std::string, std::uint64_t, bool, std::uint32_t, std::uint16_t>;
 using configuration_fields = std::tuple<std::vector<member_fields>>;
 
 constexpr std::size_t lengthBytes = 4;
@@ -47,7 +47,7 @@
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     const auto &[index, term, kind, acceptedAt, payload] = base::valueOf(fields);
-    if (kind > static_cast<std::uint8_t>(entry_kind::configuration))
+    if (kind > static_cast<std::uint8_t>(entry_kind::state))
         return base::error {base::error_code::messageMalformed, "unknown kind of log entry"};
     return log_entry {base::generation(index), term, static_cast<entry_kind>(kind),
                       base::clock_time::ofMillis(acceptedAt), payload};
@@ -84,7 +84,8 @@
 {
     std::vector<member_fields> fields;
     for (const configuration_member &member : members.members)
-        fields.emplace_back(member.name, member.storage.value(), member.isVoter);
+        fields.emplace_back(member.name, member.storage.value(), member.isVoter,
+                            member.streams.address, member.streams.port);
     return base::packFields(configuration_fields(fields));
 }
 
@@ -95,8 +96,9 @@
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     std::vector<configuration_member> members;
-    for (const auto &[name, storage, isVoter] : std::get<0>(base::valueOf(fields)))
-        members.push_back(configuration_member {name, storage_id(storage), isVoter});
+    for (const auto &[name, storage, isVoter, address, port] : std::get<0>(base::valueOf(fields)))
+        members.push_back(configuration_member {name, storage_id(storage), isVoter,
+                                                base::endpoint {address, port}});
     return configuration {std::move(members)};
 }
 
--- a/lycheeshunt/replication/configuration.h
+++ b/lycheeshunt/replication/configuration.h
@@ -50,6 +50,16 @@
         return configuration {std::move(next)};
     }
 
+    configuration without(const std::string &name) const
+    {
+        std::vector<configuration_member> next;
+        for (const configuration_member &member : members) {
+            if (member.name != name)
+                next.push_back(member);
+        }
+        return configuration {std::move(next)};
+    }
+
     bool operator==(const configuration &) const = default;
 };
 
--- a/lycheeshunt/replication/configuration_member.h
+++ b/lycheeshunt/replication/configuration_member.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/replication/replica_id.h"
 
 #include <string>
@@ -13,6 +14,8 @@
     const storage_id storage;
     // A non-voter receives the log and counts for no quorum.
     const bool isVoter = true;
+    // Where it takes streams; port 0 where the settings of each VM list the others.
+    const base::endpoint streams = {};
 
     replica_id id() const { return replica_id {base::nodeIdOf(name), storage}; }
 
--- a/lycheeshunt/replication/decision.cpp
+++ b/lycheeshunt/replication/decision.cpp
@@ -37,7 +37,9 @@
 void takeEnvelope(replica_work work, const peer_envelope &envelope)
 {
     const replica_id &from = envelope.from;
-    if (envelope.to.node != work.state.self || from.node == work.state.self)
+    const bool isGreeting
+        = envelope.to.node == base::node_id() && std::holds_alternative<presence>(envelope.message);
+    if ((envelope.to.node != work.state.self && !isGreeting) || from.node == work.state.self)
         return;
     if (const presence *there = std::get_if<presence>(&envelope.message)) {
         internal::takePresence(work, from, *there);
@@ -85,6 +87,7 @@
                    [&](const read_request &m) { internal::takeRead(work, m); },
                    [&](const snapshot_taken &m) { internal::takeSnapshotTaken(work, m); },
                    [&](const storage_failure &m) { takeFailure(work, m); },
+                   [&](const contacts_told &m) { internal::takeContacts(work, m.contacts); },
                },
                message);
 }
@@ -112,6 +115,7 @@
     std::vector<replica_action> actions;
     state.now = std::max(state.now, now);
     const leadership earlier = leadershipOf(state);
+    const configuration membersBefore = state.isFormed() ? state.members() : configuration {};
     const replica_work work {state, actions};
     if (std::holds_alternative<failed_role>(state.role))
         refuseAll(work, message);
@@ -120,6 +124,8 @@
     const leadership present = leadershipOf(state);
     if (present != earlier)
         actions.emplace_back(leadership_changed {present});
+    if (state.isFormed() && state.members() != membersBefore)
+        actions.emplace_back(members_changed {state.members()});
     return {std::move(state), std::move(actions)};
 }
 
--- a/lycheeshunt/replication/entry_kind.h
+++ b/lycheeshunt/replication/entry_kind.h
@@ -5,6 +5,12 @@
 namespace lycheeshunt::replication {
 
 // Which slice a log entry's payload belongs to.
-enum class entry_kind : std::uint8_t { none = 0, ticket = 1, membership = 2, configuration = 3 };
+enum class entry_kind : std::uint8_t {
+    none = 0,
+    ticket = 1,
+    membership = 2,
+    configuration = 3,
+    state = 4,
+};
 
 } // namespace lycheeshunt::replication
--- /dev/null
+++ b/lycheeshunt/replication/greet_contact.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/replication/peer_envelope.h"
+
+namespace lycheeshunt::replication {
+
+// Send this to whichever control VM takes streams at the address; its identity may be unknown.
+struct greet_contact
+{
+    const base::endpoint to;
+    const peer_envelope envelope;
+
+    bool operator==(const greet_contact &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/internal/membership_change.h
+++ b/lycheeshunt/replication/internal/membership_change.h
@@ -44,4 +44,7 @@
 // A leader's next change, if one is due and none is under way.
 void changeMembers(replica_work work);
 
+// Greets these control VMs for a while.
+void takeContacts(replica_work work, const std::vector<base::endpoint> &contacts);
+
 } // namespace lycheeshunt::replication::internal
--- /dev/null
+++ b/lycheeshunt/replication/locate_peer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/base/identifiers.h"
+
+namespace lycheeshunt::replication {
+
+// Messages for this control VM go to this address from now on.
+struct locate_peer
+{
+    const base::node_id node;
+    const base::endpoint streams;
+
+    bool operator==(const locate_peer &) const = default;
+};
+
+} // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/peer_codec.cpp
+++ b/lycheeshunt/replication/peer_codec.cpp
@@ -24,9 +24,22 @@
 using snapshot_piece_fields
     = std::tuple<number, number, number, number, std::string, number, number, std::string>;
 using snapshot_answer_fields = std::tuple<number, number, number, number>;
-using presence_fields = std::tuple<bool, std::uint32_t, std::uint16_t>;
+using address_fields = std::tuple<std::uint32_t, std::uint16_t>;
+using presence_fields
+    = std::tuple<bool, address_fields, std::string, address_fields, std::vector<address_fields>>;
+constexpr std::size_t maxContacts = 64;
 using forwarded_fields = std::tuple<std::uint8_t, std::string, std::int64_t>;
 
+address_fields fieldsOf(const base::endpoint &where)
+{
+    return address_fields(where.address, where.port);
+}
+
+base::endpoint endpointOf(const address_fields &fields)
+{
+    return base::endpoint {std::get<0>(fields), std::get<1>(fields)};
+}
+
 std::string encodeBody(const peer_message &message)
 {
     return std::visit(
@@ -58,7 +71,11 @@
                     snapshot_answer_fields(m.term, m.round, m.index.value(), m.nextOffset));
             },
             [](const presence &m) {
-                return base::packFields(presence_fields(m.isFormed, m.api.address, m.api.port));
+                std::vector<address_fields> contacts;
+                for (const base::endpoint &contact : m.contacts)
+                    contacts.push_back(fieldsOf(contact));
+                return base::packFields(presence_fields(m.isFormed, fieldsOf(m.api), m.name,
+                                                        fieldsOf(m.streams), contacts));
             },
             [](const forwarded_proposal &m) {
                 return base::packFields(forwarded_fields(static_cast<std::uint8_t>(m.proposal.kind),
@@ -114,6 +131,19 @@
         proposal {entry_kind::membership, payload, 0, base::clock_time::ofMillis(proposedAt)}});
 }
 
+base::result<peer_message> buildPresence(bool isFormed, const address_fields &api,
+                                         const std::string &name, const address_fields &streams,
+                                         const std::vector<address_fields> &raw)
+{
+    if (raw.size() > maxContacts)
+        return base::error {base::error_code::messageTooLarge, "contacts of a control VM"};
+    std::vector<base::endpoint> contacts;
+    for (const address_fields &contact : raw)
+        contacts.push_back(endpointOf(contact));
+    return peer_message(
+        presence {isFormed, endpointOf(api), name, endpointOf(streams), std::move(contacts)});
+}
+
 using body_decoder = base::result<peer_message> (*)(std::string_view);
 
 // In the order of peer_message's alternatives.
@@ -148,12 +178,7 @@
                     snapshot_answer {term, round, base::generation(index), nextOffset});
             });
     },
-    [](std::string_view body) {
-        return decodeAs<
-            presence_fields>(body, [](bool isFormed, std::uint32_t address, std::uint16_t port) {
-            return base::result<peer_message>(presence {isFormed, base::endpoint {address, port}});
-        });
-    },
+    [](std::string_view body) { return decodeAs<presence_fields>(body, buildPresence); },
     [](std::string_view body) { return decodeAs<forwarded_fields>(body, buildForwarded); },
 };
 
--- a/lycheeshunt/replication/peer_links.cpp
+++ b/lycheeshunt/replication/peer_links.cpp
@@ -1,44 +1,84 @@
 #include "lycheeshunt/replication/peer_links.h"
 
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/replication/greet_contact.h"
+#include "lycheeshunt/replication/locate_peer.h"
 #include "lycheeshunt/replication/peer_codec.h"
-#include "lycheeshunt/replication/peer_envelope.h"
 
 namespace lycheeshunt::replication {
 
-peer_links::peer_links(const std::vector<control_peer> &others,
-                       const streams::stream_timing &timing, std::uint64_t seed)
+namespace {
+
+// Contacts are greeted every half second; one that no longer is has left the group.
+constexpr base::clock_time unusedKept = base::clock_time::ofSeconds(10);
+
+} // namespace
+
+peer_links::peer_links(const streams::stream_timing &timing, std::uint64_t seed)
+    : m_timing(timing), m_seed(seed)
 {
-    for (const control_peer &peer : others) {
-        std::unique_ptr<link> made = std::make_unique<link>();
-        link *raw = made.get();
-        const streams::stream_sink sink = [raw](const streams::stream_event &event) {
-            std::visit(base::overloaded {
-                           [raw](const streams::stream_opened &opened) {
-                               raw->connection = opened.connection.value();
-                           },
-                           [raw](const streams::stream_closed &) { raw->connection = 0; },
-                           // Answers come on the peer's own stream to this process.
-                           [](const streams::stream_frame &) {},
-                       },
-                       event);
-        };
-        made->client = std::make_unique<streams::stream_client>(
-            std::vector<base::endpoint> {peer.streams}, timing, seed++, sink);
-        m_links.emplace(base::nodeIdOf(peer.name), std::move(made));
-    }
+}
+
+void peer_links::locate(const locate_peer &located)
+{
+    m_addresses.erase(located.node);
+    if (located.streams.port != 0)
+        m_addresses.emplace(located.node, located.streams);
 }
 
 void peer_links::send(const peer_envelope &envelope)
 {
-    const auto found = m_links.find(envelope.to.node);
-    if (found == m_links.end())
-        return;
-    const std::uint64_t connection = found->second->connection;
+    const auto found = m_addresses.find(envelope.to.node);
+    if (found != m_addresses.end())
+        sendTo(found->second, envelope);
+}
+
+void peer_links::greet(const greet_contact &greeting)
+{
+    sendTo(greeting.to, greeting.envelope);
+    dropUnused(base::clock_time::steady());
+}
+
+peer_links::link &peer_links::linkTo(const base::endpoint &to)
+{
+    std::unique_ptr<link> &known = m_links[to];
+    if (known)
+        return *known;
+    known = std::make_unique<link>();
+    link *raw = known.get();
+    const streams::stream_sink sink = [raw](const streams::stream_event &event) {
+        std::visit(base::overloaded {
+                       [raw](const streams::stream_opened &opened) {
+                           raw->connection = opened.connection.value();
+                       },
+                       [raw](const streams::stream_closed &) { raw->connection = 0; },
+                       // Answers come on the peer's own stream to this process.
+                       [](const streams::stream_frame &) {},
+                   },
+                   event);
+    };
+    known->client = std::make_unique<streams::stream_client>(std::vector<base::endpoint> {to},
+                                                             m_timing, m_seed++, sink);
+    return *known;
+}
+
+void peer_links::sendTo(const base::endpoint &to, const peer_envelope &envelope)
+{
+    link &used = linkTo(to);
+    used.usedAt = base::clock_time::steady();
+    const std::uint64_t connection = used.connection;
     if (connection != 0)
-        found->second->client->outgoing().tryPush(
-            streams::stream_frame {streams::connection_id(connection),
-                                   streams::channel::replication, encodeEnvelope(envelope)});
+        used.client->outgoing().tryPush(streams::stream_frame {streams::connection_id(connection),
+                                                               streams::channel::replication,
+                                                               encodeEnvelope(envelope)});
+}
+
+void peer_links::dropUnused(base::clock_time now)
+{
+    std::erase_if(m_links,
+                  [now](const std::pair<const base::endpoint, std::unique_ptr<link>> &row) {
+                      return now - row.second->usedAt > unusedKept;
+                  });
 }
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/peer_presence.h
+++ b/lycheeshunt/replication/peer_presence.h
@@ -4,6 +4,8 @@
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/replication/storage_id.h"
 
+#include <string>
+
 namespace lycheeshunt::replication {
 
 // What another control VM last said of itself.
@@ -13,6 +15,8 @@
     const bool isFormed = false;
     const base::endpoint api = {};
     const base::clock_time heardAt;
+    const std::string name = {};
+    const base::endpoint streams = {};
 
     bool operator==(const peer_presence &) const = default;
 };
--- a/lycheeshunt/replication/presence.h
+++ b/lycheeshunt/replication/presence.h
@@ -2,6 +2,9 @@
 
 #include "lycheeshunt/base/endpoint.h"
 
+#include <string>
+#include <vector>
+
 namespace lycheeshunt::replication {
 
 // A control VM says that it is there. While none of them is formed, this lets the first
@@ -11,6 +14,10 @@
     // Whether the sender's disk holds a configuration.
     const bool isFormed = false;
     const base::endpoint api = {};
+    const std::string name = {};
+    const base::endpoint streams = {};
+    // Other control VMs that the sender knows to be members or has heard itself.
+    const std::vector<base::endpoint> contacts = {};
 
     bool operator==(const presence &) const = default;
 };
--- a/lycheeshunt/replication/replica_action.h
+++ b/lycheeshunt/replication/replica_action.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "lycheeshunt/replication/commit_entries.h"
+#include "lycheeshunt/replication/greet_contact.h"
 #include "lycheeshunt/replication/hard_state.h"
 #include "lycheeshunt/replication/leadership_changed.h"
+#include "lycheeshunt/replication/locate_peer.h"
+#include "lycheeshunt/replication/members_changed.h"
 #include "lycheeshunt/replication/peer_envelope.h"
 #include "lycheeshunt/replication/persist_entries.h"
 #include "lycheeshunt/replication/persist_snapshot.h"
@@ -17,8 +20,9 @@
 
 // Carried out in order. When one that writes fails, the rest of its step must not be carried out:
 // an answer that follows a write stands for its sync.
-using replica_action = std::variant<peer_envelope, hard_state, truncate_log, persist_entries,
-                                    persist_snapshot, commit_entries, leadership_changed,
-                                    proposal_refused, read_confirmed, read_refused>;
+using replica_action
+    = std::variant<peer_envelope, greet_contact, locate_peer, hard_state, truncate_log,
+                   persist_entries, persist_snapshot, commit_entries, leadership_changed,
+                   members_changed, proposal_refused, read_confirmed, read_refused>;
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replica_bounds.h
+++ b/lycheeshunt/replication/replica_bounds.h
@@ -15,6 +15,8 @@
     const std::size_t pendingReads = 256;
     // Applied entries beyond this many are folded into a snapshot.
     const std::size_t compactAfter = 10'000;
+    // So are entries whose payloads amount to this many bytes.
+    const std::size_t compactAfterBytes = 256 * 1024;
 
     bool operator==(const replica_bounds &) const = default;
 };
--- a/lycheeshunt/replication/replica_settings.h
+++ b/lycheeshunt/replication/replica_settings.h
@@ -19,6 +19,18 @@
     const base::endpoint api = {};
     const replica_timing timing = {};
     const replica_bounds bounds = {};
+    // Where this VM takes streams of the others.
+    const base::endpoint streams = {};
+    // Some control VMs to begin with. When given, `peers` is not used: the seeds found the group,
+    // any control VM that announces itself joins, and one that falls silent for good is let go.
+    const std::vector<base::endpoint> seeds = {};
+    // Whether a group may be founded; false on a VM that replaces another.
+    const bool mayFound = true;
+    // Disks that may be lost at once; the group never shrinks to so few voters that one change
+    // could be lost with them.
+    const std::size_t toleratedLosses = 1;
+
+    bool isOpen() const { return !seeds.empty(); }
 
     bool operator==(const replica_settings &) const = default;
 };
--- a/lycheeshunt/replication/replica_state.h
+++ b/lycheeshunt/replication/replica_state.h
@@ -41,6 +41,8 @@
     base::clock_time lastLeaderContact;
     base::clock_time nextPresence;
     std::map<base::node_id, peer_presence> presences;
+    // Control VMs that others told of, and when; only in a group that finds its members itself.
+    std::map<base::endpoint, base::clock_time> contacts;
     incoming_snapshot incoming;
 
     replica_id id() const { return replica_id {self, storage}; }
--- a/lycheeshunt/replication/replica_timing.h
+++ b/lycheeshunt/replication/replica_timing.h
@@ -18,6 +18,10 @@
     // Presence older than this counts for nothing.
     const base::clock_time presenceValid = base::clock_time::ofMillis(2000);
 
+    // In a group that finds its members itself, a member that is silent for longer is let go. It
+    // joins again when it is back, so that this may be shorter than a restart.
+    const base::clock_time removeAfter = base::clock_time::ofMillis(3000);
+
     bool operator==(const replica_timing &) const = default;
 };
 
--- a/lycheeshunt/replication/replication_duty.cpp
+++ b/lycheeshunt/replication/replication_duty.cpp
@@ -12,6 +12,8 @@
 constexpr base::clock_time tickEvery = base::clock_time::ofMillis(25);
 // Proposals that waited while the disk synced go into one write.
 constexpr std::size_t maxGathered = 256;
+// Short against an election, so that a VM whose disk is well again is missed for no longer.
+constexpr base::clock_time recoverEvery = base::clock_time::ofMillis(500);
 
 void logLeadership(const leadership &leadership)
 {
@@ -60,6 +62,7 @@
             nextTick = now + tickEvery;
             step(replica_tick {});
             compactIfDue();
+            recoverIfDue(now);
         }
     }
 }
@@ -114,9 +117,21 @@
                 m_hooks.send(envelope);
                 return outcome();
             },
+            [this](const greet_contact &greeting) {
+                m_hooks.greet(greeting);
+                return outcome();
+            },
+            [this](const locate_peer &located) {
+                m_hooks.locate(located);
+                return outcome();
+            },
             [this](const hard_state &hard) { return m_storage.persist(hard); },
             [this](const truncate_log &truncation) { return m_storage.persist(truncation); },
-            [this](const persist_entries &entries) { return m_storage.persist(entries); },
+            [this](const persist_entries &entries) {
+                for (const log_entry &entry : entries.entries)
+                    m_bytesSinceSnapshot += entry.payload.size();
+                return m_storage.persist(entries);
+            },
             [this](const persist_snapshot &taken) { return install(taken); },
             [&](const leadership_changed &changed) {
                 logLeadership(changed.leadership);
@@ -148,8 +163,11 @@
 {
     const base::generation start = m_state.log.baseIndex();
     const std::uint64_t applied = m_state.commit.value() - start.value();
-    if (applied < m_state.settings->bounds.compactAfter || m_state.commit < m_nextSnapshot)
+    const replica_bounds &bounds = m_state.settings->bounds;
+    const bool isLarge = applied > 0 && m_bytesSinceSnapshot >= bounds.compactAfterBytes;
+    if ((applied < bounds.compactAfter && !isLarge) || m_state.commit < m_nextSnapshot)
         return;
+    m_bytesSinceSnapshot = 0;
     const shared_snapshot earlier = m_state.latestSnapshot;
     base::result<std::vector<log_entry>> known = decodeEntries(earlier ? earlier->entries : "");
     if (const base::error *failure = base::errorOf(known)) {
@@ -163,4 +181,20 @@
     step(snapshot_taken {m_state.commit, encodeEntries(m_hooks.compact(entries))});
 }
 
+void replication_duty::recoverIfDue(base::clock_time now)
+{
+    if (!std::holds_alternative<failed_role>(m_state.role) || now < m_nextRecovery)
+        return;
+    m_nextRecovery = now + recoverEvery;
+    base::result<replica_storage> reopened = m_hooks.reopen();
+    if (const base::error *failure = base::errorOf(reopened)) {
+        base::logWarning("replication", "storage still fails: " + failure->text());
+        return;
+    }
+    m_storage = base::takeValue(std::move(reopened));
+    m_state = startReplica(m_state.settings, m_storage.recovered(), ++m_recoveries, now);
+    m_storage.forgetRecovered();
+    base::logInfo("replication", "storage takes writes again, taking part as after a start");
+}
+
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replication_duty.h
+++ b/lycheeshunt/replication/replication_duty.h
@@ -23,9 +23,13 @@
 struct replication_hooks
 {
     const std::function<void(const peer_envelope &)> send;
+    const std::function<void(const greet_contact &)> greet;
+    const std::function<void(const locate_peer &)> locate;
     const std::function<void(const replication_notice &)> notify;
     // Entries that amount to the same as the given ones, which start with the last snapshot's.
     const std::function<std::vector<log_entry>(const std::vector<log_entry> &)> compact;
+    // Opens the data folder afresh after a write has failed.
+    const std::function<base::result<replica_storage>()> reopen;
 };
 
 class replication_duty
@@ -50,10 +54,15 @@
     void announce(const replication_notice &notice) const { m_hooks.notify(notice); }
     void restoreFrom(const snapshot &taken);
     void compactIfDue();
+    // After a failed write this VM is as one that has just started, once its disk takes writes.
+    void recoverIfDue(base::clock_time now);
 
     replica_state m_state;
     replica_storage m_storage;
     const replication_hooks m_hooks;
+    std::uint64_t m_bytesSinceSnapshot = 0;
+    std::uint32_t m_recoveries = 0;
+    base::clock_time m_nextRecovery;
     // A snapshot is not tried again before this index when it could not be made.
     base::generation m_nextSnapshot;
     base::ring<replica_message> m_inbox;
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -1,7 +1,8 @@
 // The packet thread of an entry: receives callers' packets from the fabric in batches, routes
-// each by the current table and sends it on. It keeps no state for a flow.
+// each by the current table and sends it on. What it remembers of flows are hints, which agents
+// give on a socket of their own; without that socket it keeps nothing.
 //
-//     base::result<std::unique_ptr<entry_port>> port = entry_port::open(local);
+//     base::result<std::unique_ptr<entry_port>> port = entry_port::open({local}, ipPackets());
 //     valueOf(port)->updates().push(table);
 
 #pragma once
@@ -9,13 +10,20 @@
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/file_descriptor.h"
 #include "lycheeshunt/base/ring.h"
+#include "lycheeshunt/packets/packet_codec.h"
 #include "lycheeshunt/routing/bypassed_agents.h"
+#include "lycheeshunt/routing/entry_sockets.h"
+#include "lycheeshunt/routing/flow_hints.h"
 #include "lycheeshunt/routing/routing_table.h"
 
 #include <atomic>
 #include <memory>
 #include <thread>
 
+namespace lycheeshunt::flows {
+struct forwarded_packet;
+}
+
 namespace lycheeshunt::routing {
 
 namespace internal {
@@ -28,7 +36,8 @@
 class entry_port
 {
 public:
-    static base::result<std::unique_ptr<entry_port>> open(const base::endpoint &local);
+    static base::result<std::unique_ptr<entry_port>> open(const entry_sockets &sockets,
+                                                          const packets::packet_codec &codec);
     ~entry_port();
 
     entry_port(const entry_port &) = delete;
@@ -43,22 +52,41 @@
     std::uint64_t malformed() const { return m_malformed; }
     std::uint64_t unroutable() const { return m_unroutable; }
     std::uint64_t unsent() const { return m_unsent; }
+    // Packets that were sent to the owner by a hint, and resets to callers.
+    std::uint64_t hinted() const { return m_hinted; }
+    std::uint64_t resets() const { return m_resets; }
+    // Whether it has a table.
+    bool isReady() const { return m_isReady; }
 
 private:
-    explicit entry_port(base::file_descriptor socket);
+    entry_port(const entry_sockets &sockets, const packets::packet_codec &codec,
+               base::file_descriptor socket, base::file_descriptor hintSocket);
 
     void run();
     void takeUpdate(const entry_update &update);
     void routeBatch(internal::packet_batch &packets);
     void routePacket(internal::packet_batch &packets, std::size_t index);
 
+    void receiveHints();
+    void takeUnknown(const flows::forwarded_packet &packet);
+    void refuseCaller(std::string_view packet, const base::flow_key &key);
+
+    const entry_sockets m_sockets;
+    const packets::packet_codec m_codec;
+    // What agents are told to send hints to; port 0 without hints.
+    base::endpoint m_hintsAt;
     base::file_descriptor m_socket;
+    base::file_descriptor m_hintSocket;
+    flow_hints m_hints;
     base::ring<entry_update> m_updates;
     shared_table m_table;
     shared_bypass m_bypass;
     std::atomic<std::uint64_t> m_malformed = 0;
     std::atomic<std::uint64_t> m_unroutable = 0;
     std::atomic<std::uint64_t> m_unsent = 0;
+    std::atomic<std::uint64_t> m_hinted = 0;
+    std::atomic<std::uint64_t> m_resets = 0;
+    std::atomic<bool> m_isReady = false;
     std::thread m_thread;
 };
 
--- a/lycheeshunt/routing/ports_test.cpp
+++ b/lycheeshunt/routing/ports_test.cpp
@@ -71,7 +71,8 @@
 {
     const base::file_descriptor agent = openSocket();
     const base::file_descriptor fabric = openSocket();
-    const std::unique_ptr<entry_port> port = base::takeValue(entry_port::open(anyPort));
+    const std::unique_ptr<entry_port> port
+        = base::takeValue(entry_port::open({anyPort}, packets::ipPackets()));
     port->updates().push(std::make_shared<const routing_table>(viewOf(base::localEndpoint(agent))));
     const std::string good = callerPacket(1);
     for (int round = 0; round < 2; ++round) {
@@ -115,8 +116,8 @@
     const flows::agent_sockets sockets {closedAddress(), closedAddress(), closedAddress(),
                                         closedAddress()};
     base::ring<flows::flow_message> inbox(8);
-    const std::unique_ptr<flows::agent_port> port
-        = base::takeValue(flows::agent_port::open(sockets, base::incarnation(7), inbox));
+    const std::unique_ptr<flows::agent_port> port = base::takeValue(
+        flows::agent_port::open(sockets, packets::ipPackets(), base::incarnation(7), inbox));
     const base::file_descriptor entry = openSocket();
     for (const std::uint64_t life : {6U, 8U, 7U}) {
         const probe_datagram probe {probe_kind::probe, base::incarnation(life), life + 100};
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -22,6 +22,20 @@
     const bucket_table buckets;
 };
 
+// Of an address: a service's weight among the new flows.
+struct weighted_service
+{
+    const base::service_id service;
+    const std::uint32_t weight = 1;
+};
+
+struct routing_table::address_entry
+{
+    const std::vector<weighted_service> shares;
+    const std::uint64_t totalWeight = 1;
+    const std::vector<base::service_id> former = {};
+};
+
 routing_table::routing_table(const dissemination::cluster_view &view, const routing_table &before)
     : m_at(view.at)
 {
@@ -40,27 +54,75 @@
                 service_entry {it->first, bucket_table(service.buckets, std::move(directors))});
         m_services.emplace(it->first, entry);
         for (const tickets::service_address &address : service.addresses)
-            m_addresses[addressKey(address.where, address.protocol)] = entry;
+            m_addresses[addressKey(address.where, address.protocol)]
+                = std::make_shared<const address_entry>(address_entry {{{it->first, 1}}});
     }
+    takeRoutes(view);
 }
 
-routing_outcome routing_table::routeOf(const base::flow_key &key,
-                                       const bypassed_agents &bypassed) const
+void routing_table::takeRoutes(const dissemination::cluster_view &view)
+{
+    for (auto it = view.routes.begin(); it != view.routes.end(); ++it) {
+        std::vector<weighted_service> shares;
+        std::uint64_t total = 0;
+        for (const tickets::route_share &share : it->second.shares) {
+            shares.push_back(weighted_service {share.service, share.weight});
+            total += share.weight;
+        }
+        if (total > 0)
+            m_addresses[addressKey(it->first.where, it->first.protocol)]
+                = std::make_shared<const address_entry>(
+                    address_entry {std::move(shares), total, it->second.former});
+    }
+}
+
+std::vector<base::service_id> routing_table::servicesFor(const base::flow_key &key) const
 {
     const auto found = m_addresses.find(addressKey(key.service, key.protocol));
     if (found == m_addresses.end())
+        return {};
+    const address_entry &entry = *found->second;
+    // Other bits of the hash than those that choose the bucket.
+    constexpr int bucketBits = 32;
+    std::uint64_t position = (base::hashOf(key) >> bucketBits) % entry.totalWeight;
+    std::vector<base::service_id> services;
+    std::size_t chosen = 0;
+    while (position >= entry.shares[chosen].weight)
+        position -= entry.shares[chosen++].weight;
+    for (std::size_t i = 0; i < entry.shares.size(); ++i) {
+        const weighted_service &share = entry.shares[(chosen + i) % entry.shares.size()];
+        if (share.weight > 0)
+            services.push_back(share.service);
+    }
+    services.insert(services.end(), entry.former.begin(), entry.former.end());
+    return services;
+}
+
+routing_outcome routing_table::routeOf(const base::flow_key &key,
+                                       const bypassed_agents &bypassed) const
+{
+    const std::vector<base::service_id> services = servicesFor(key);
+    if (services.empty())
         return unroutable {base::error_code::noSuchAddress};
-    const service_entry &entry = *found->second;
-    if (!entry.buckets.hasTargets())
+    return routeWithin(services.front(), key, bypassed, false);
+}
+
+routing_outcome routing_table::routeWithin(base::service_id service, const base::flow_key &key,
+                                           const bypassed_agents &bypassed,
+                                           bool avoidsDirector) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || !found->second->buckets.hasTargets())
         return unroutable {base::error_code::noServer};
-    const base::bucket bucket = entry.buckets.bucketOf(base::hashOf(key));
-    const target &director = entry.buckets.directorOf(bucket);
-    if (!bypassed.empty() && bypassed.count(director.node) > 0) {
-        const target &backup = entry.buckets.backupOf(bucket);
+    const bucket_table &buckets = found->second->buckets;
+    const base::bucket bucket = buckets.bucketOf(base::hashOf(key));
+    const target &director = buckets.directorOf(bucket);
+    if (avoidsDirector || (!bypassed.empty() && bypassed.count(director.node) > 0)) {
+        const target &backup = buckets.backupOf(bucket);
         if (bypassed.count(backup.node) == 0)
-            return route {entry.service, m_at, backup};
+            return route {service, m_at, backup};
     }
-    return route {entry.service, m_at, director};
+    return route {service, m_at, director};
 }
 
 std::vector<target> routing_table::targets() const
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -33,6 +33,13 @@
     // The bucket's director, or its backup while only the director is bypassed.
     routing_outcome routeOf(const base::flow_key &key, const bypassed_agents &bypassed = {}) const;
 
+    // The services that may have a flow to this address: the one that a new flow goes to, others
+    // with a share, then those that had one before. Empty when the address is not served.
+    std::vector<base::service_id> servicesFor(const base::flow_key &key) const;
+    // As routeOf, within one service; with `avoidsDirector`, to the bucket's backup.
+    routing_outcome routeWithin(base::service_id service, const base::flow_key &key,
+                                const bypassed_agents &bypassed, bool avoidsDirector) const;
+
     // Every agent that packets may go to.
     std::vector<target> targets() const;
     // Held for one service, in bytes; 0 when there is no such service.
@@ -40,11 +47,15 @@
 
 private:
     struct service_entry;
+    struct address_entry;
     using shared_entry = std::shared_ptr<const service_entry>;
+    using shared_address = std::shared_ptr<const address_entry>;
+
+    void takeRoutes(const dissemination::cluster_view &view);
 
     base::generation m_at;
     std::unordered_map<base::service_id, shared_entry> m_services;
-    std::unordered_map<std::uint64_t, shared_entry> m_addresses;
+    std::unordered_map<std::uint64_t, shared_address> m_addresses;
 };
 
 using shared_table = std::shared_ptr<const routing_table>;
--- /dev/null
+++ b/lycheeshunt/servers/decision.cpp
@@ -0,0 +1,115 @@
+#include "lycheeshunt/servers/decision.h"
+
+#include "lycheeshunt/base/overloaded.h"
+
+#include <algorithm>
+
+namespace lycheeshunt::servers {
+
+namespace {
+
+using action_list = std::vector<server_action>;
+
+// Servers announce themselves about every 1.2 s; three in a row are missing.
+constexpr base::clock_time silentAfter = base::clock_time::ofMillis(4000);
+// A server that starts together with its agent is not further than this in its announcements.
+constexpr std::uint64_t earlySequence = 3;
+
+// A late announcement of an earlier life must not undo what a later one said. The clocks of two
+// lives may disagree, so one that goes on while the other is silent is believed in the end.
+bool isLate(const servers_state &state, const server_announcement &said, base::clock_time now)
+{
+    if (!state.current || now - state.heardAt >= silentAfter)
+        return false;
+    if (said.isSameLifeAs(*state.current))
+        return said.sequence < state.current->sequence;
+    return said.born < state.current->born;
+}
+
+void tell(servers_state &state, action_list &actions)
+{
+    if (!state.current)
+        return;
+    const server_standing standing {state.current->service, state.life,
+                                    !state.isOver && !state.isStopping, state.current->slots,
+                                    state.isOlder};
+    if (state.told && *state.told == standing)
+        return;
+    state.told = std::make_shared<const server_standing>(standing);
+    actions.emplace_back(standing);
+}
+
+void startLife(servers_state &state, const server_announcement &said)
+{
+    state.isOlder = !state.current && said.sequence > earlySequence;
+    const bool isFirst = !state.current;
+    state.isOver = false;
+    if (!isFirst)
+        state.life = base::incarnation(state.life.value() + 1);
+}
+
+void announce(servers_state &state, const server_announced &message, base::clock_time now,
+              action_list &actions)
+{
+    const server_announcement &said = message.announcement;
+    const bool contradicts = state.current && said.isSameLifeAs(*state.current)
+        && said.service != state.current->service;
+    if (!contradicts && !isLate(state, said, now)) {
+        if (!state.current || !said.isSameLifeAs(*state.current))
+            startLife(state, said);
+        else if (state.isOver && !said.isDraining && !state.current->isDraining)
+            // It was only silent. A life that has drained never serves again, so this is another
+            // one.
+            startLife(state, said);
+        const bool drains = said.isDraining
+            || (state.current && state.current->isSameLifeAs(said) && state.current->isDraining);
+        state.current = std::make_shared<const server_announcement>(server_announcement {
+            said.identity, said.born, said.sequence, said.service, drains, said.slots});
+        state.isOver = state.isOver || drains;
+        state.heardAt = now;
+        tell(state, actions);
+    }
+    actions.emplace_back(confirm_announcement {message.request});
+}
+
+void leave(servers_state &state, const server_left &message, action_list &actions)
+{
+    if (state.current && state.current->identity == message.identity) {
+        state.isOver = true;
+        tell(state, actions);
+    }
+    actions.emplace_back(confirm_announcement {message.request});
+}
+
+void check(servers_state &state, base::clock_time now, action_list &actions)
+{
+    if (!state.current || now - state.heardAt < silentAfter)
+        return;
+    state.isOver = true;
+    tell(state, actions);
+}
+
+} // namespace
+
+base::step<servers_state, server_action> decide(servers_state state, const server_message &message,
+                                                base::clock_time now)
+{
+    action_list actions;
+    std::visit(base::overloaded {
+                   [&](const server_announced &m) { announce(state, m, now, actions); },
+                   [&](const server_left &m) { leave(state, m, actions); },
+                   [&](const life_taken &taken) {
+                       state.life = std::max(state.life, taken.life);
+                       tell(state, actions);
+                   },
+                   [&](const agent_stopping &) {
+                       state.isStopping = true;
+                       tell(state, actions);
+                   },
+                   [&](const servers_tick &) { check(state, now, actions); },
+               },
+               message);
+    return {std::move(state), std::move(actions)};
+}
+
+} // namespace lycheeshunt::servers
--- /dev/null
+++ b/lycheeshunt/servers/server_duty.cpp
@@ -0,0 +1,36 @@
+#include "lycheeshunt/servers/server_duty.h"
+
+#include "lycheeshunt/servers/decision.h"
+
+namespace lycheeshunt::servers {
+
+namespace {
+
+constexpr std::size_t inboxCapacity = 256;
+constexpr base::clock_time tickEvery = base::clock_time::ofMillis(500);
+
+servers_state startingWith(base::incarnation life)
+{
+    servers_state state;
+    state.life = life;
+    return state;
+}
+
+} // namespace
+
+server_duty::server_duty(base::incarnation life, action_sink sink)
+    : m_state(startingWith(life)), m_sink(std::move(sink)),
+      m_duty(inboxCapacity, tickEvery, servers_tick {},
+             [this](const server_message &message, base::clock_time now) { handle(message, now); })
+{
+}
+
+void server_duty::handle(const server_message &message, base::clock_time now)
+{
+    base::step<servers_state, server_action> next = decide(std::move(m_state), message, now);
+    m_state = std::move(next.state);
+    for (const server_action &action : next.actions)
+        m_sink(action);
+}
+
+} // namespace lycheeshunt::servers
--- /dev/null
+++ b/lycheeshunt/servers/server_left.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lycheeshunt/base/request_id.h"
+
+#include <string>
+
+namespace lycheeshunt::servers {
+
+// A backend server says that it is about to end.
+struct server_left
+{
+    const base::request_id request;
+    const std::string identity;
+
+    bool operator==(const server_left &) const = default;
+};
+
+} // namespace lycheeshunt::servers
--- /dev/null
+++ b/lycheeshunt/servers/servers_state.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "lycheeshunt/servers/server_announcement.h"
+#include "lycheeshunt/servers/server_standing.h"
+
+#include <memory>
+
+namespace lycheeshunt::servers {
+
+// What one agent knows of its backend server.
+struct servers_state
+{
+    // Null before the first announcement.
+    std::shared_ptr<const server_announcement> current;
+    base::clock_time heardAt;
+    // Draining, left, or silent for too long.
+    bool isOver = false;
+    bool isStopping = false;
+    bool isOlder = false;
+    base::incarnation life;
+    // What was last told, to tell changes only.
+    std::shared_ptr<const server_standing> told;
+};
+
+} // namespace lycheeshunt::servers
--- a/lycheeshunt/settings/control_settings.h
+++ b/lycheeshunt/settings/control_settings.h
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/replication/control_peer.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,14 @@
     const std::vector<replication::control_peer> peers = {};
     // Holds the operators' token; empty only where the API is bound to loopback.
     const std::string tokenFile = {};
+    // Bound here: desired states from operators (HTTP).
+    const std::optional<base::endpoint> states = {};
+    // The control addresses of the settings are seeds: they found the group, others join it.
+    const bool isOpenGroup = false;
+    // Whether this VM may take part in founding a group; false on one that replaces another.
+    const bool mayFound = true;
+    // Disks of control VMs that may be lost at once.
+    const std::size_t toleratedLosses = 1;
 
     bool operator==(const control_settings &) const = default;
 };
--- a/lycheeshunt/settings/internal/table_reader.cpp
+++ b/lycheeshunt/settings/internal/table_reader.cpp
@@ -53,6 +53,38 @@
     return m_table.contains(key) ? text(key) : std::string();
 }
 
+bool table_reader::flag(const std::string &key, bool byDefault)
+{
+    m_asked.insert(key);
+    const toml::node *node = m_table.get(key);
+    if (node == nullptr)
+        return byDefault;
+    const std::optional<bool> value = node->value_exact<bool>();
+    if (!value)
+        fail(base::error_code::settingsWrongType, key, "expected true or false");
+    return value.value_or(byDefault);
+}
+
+std::int64_t table_reader::number(const std::string &key, std::int64_t byDefault)
+{
+    m_asked.insert(key);
+    const toml::node *node = m_table.get(key);
+    if (node == nullptr)
+        return byDefault;
+    const std::optional<std::int64_t> value = node->value_exact<std::int64_t>();
+    if (!value)
+        fail(base::error_code::settingsWrongType, key, "expected a whole number");
+    return value.value_or(byDefault);
+}
+
+std::optional<base::endpoint> table_reader::optionalEndpoint(const std::string &key)
+{
+    m_asked.insert(key);
+    if (!m_table.contains(key))
+        return std::nullopt;
+    return endpoint(key);
+}
+
 base::endpoint table_reader::endpointFrom(const toml::node &node, const std::string &key)
 {
     const std::optional<std::string> value = node.value_exact<std::string>();
--- a/lycheeshunt/settings/internal/table_reader.h
+++ b/lycheeshunt/settings/internal/table_reader.h
@@ -23,6 +23,10 @@
     std::string text(const std::string &key);
     // Empty when the key is missing.
     std::string optionalText(const std::string &key);
+    // The default when the key is missing.
+    bool flag(const std::string &key, bool byDefault);
+    std::int64_t number(const std::string &key, std::int64_t byDefault);
+    std::optional<base::endpoint> optionalEndpoint(const std::string &key);
     base::endpoint endpoint(const std::string &key);
     std::vector<base::endpoint> endpoints(const std::string &key);
     // Whether an optional key is there.
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -15,7 +15,12 @@
 
 role_settings readEntry(table_reader &reader)
 {
-    return entry_settings {reader.endpoint("packets")};
+    const base::endpoint packets = reader.endpoint("packets");
+    const std::optional<base::endpoint> hints = reader.optionalEndpoint("hints");
+    const std::optional<base::endpoint> fabric = reader.optionalEndpoint("fabric");
+    if (hints && packets.port != 0 && *hints == packets)
+        reader.fail(base::error_code::settingsClash, "hints", "same address as packets");
+    return entry_settings {packets, hints, fabric, reader.optionalEndpoint("readiness")};
 }
 
 role_settings readAgent(table_reader &reader)
@@ -25,7 +30,8 @@
                                         reader.endpoint("server"), reader.endpoint("fabric")};
     if (sockets.packets.port != 0 && sockets.packets == sockets.serverSide)
         reader.fail(base::error_code::settingsClash, "server_side", "same address as packets");
-    return agent_settings {service, sockets};
+    const std::optional<base::endpoint> announcements = reader.optionalEndpoint("announcements");
+    return agent_settings {service, sockets, announcements, reader.optionalEndpoint("readiness")};
 }
 
 std::vector<replication::control_peer> readPeers(table_reader &reader, const std::string &self,
@@ -65,8 +71,33 @@
     if (tokenFile.empty() && api.address >> networkShift != loopbackNetwork)
         reader.fail(base::error_code::settingsMissingKey, "token_file",
                     "needed where the API is not bound to loopback");
-    return control_settings {streams, api, reader.text("data_folder"),
-                             readPeers(reader, self, streams), tokenFile};
+    constexpr std::int64_t mostLosses = 8;
+    const std::int64_t losses = reader.number("tolerated_losses", 1);
+    if (losses < 0 || losses > mostLosses)
+        reader.fail(base::error_code::settingsBadValue, "tolerated_losses", "must be from 0 to 8");
+    const std::string folder = reader.text("data_folder");
+    const std::optional<base::endpoint> states = reader.optionalEndpoint("states");
+    const bool isOpenGroup = reader.flag("open_group", false);
+    const bool mayFound = reader.flag("found", true);
+    return control_settings {
+        streams, api,         folder,   readPeers(reader, self, streams), tokenFile,
+        states,  isOpenGroup, mayFound, static_cast<std::size_t>(losses)};
+}
+
+// With `control_port`, only the IP addresses of the list count.
+std::vector<base::endpoint> readControlAddresses(table_reader &reader)
+{
+    constexpr std::int64_t lastPort = 65535;
+    const std::vector<base::endpoint> listed = reader.endpoints("control_addresses");
+    const std::int64_t port = reader.number("control_port", 0);
+    if (port < 0 || port > lastPort)
+        reader.fail(base::error_code::settingsBadValue, "control_port", "must be a port");
+    if (port == 0)
+        return listed;
+    std::vector<base::endpoint> addresses;
+    for (const base::endpoint &address : listed)
+        addresses.push_back(base::endpoint {address.address, static_cast<std::uint16_t>(port)});
+    return addresses;
 }
 
 std::optional<base::endpoint> readMetrics(table_reader &top, const toml::table &table,
@@ -114,7 +145,7 @@
             return *reader.fault();
         const std::string name = reader.text("name");
         const std::string zone = reader.text("availability_zone");
-        const std::vector<base::endpoint> control = reader.endpoints("control_addresses");
+        const std::vector<base::endpoint> control = readControlAddresses(reader);
         const role_settings settings = readRole(reader, role, name, path);
         const std::optional<base::endpoint> metrics = readMetrics(reader, table, path);
         reader.refuseUnknownKeys();
--- /dev/null
+++ b/lycheeshunt/states/codec.cpp
@@ -0,0 +1,108 @@
+#include "lycheeshunt/states/codec.h"
+
+#include "lycheeshunt/base/codec.h"
+#include "lycheeshunt/tickets/codec.h"
+
+#include <zlib.h>
+
+#include <tuple>
+
+namespace lycheeshunt::states {
+
+namespace {
+
+// Version of the state, bytes before compression, compressed bytes.
+using envelope_fields = std::tuple<std::uint64_t, std::uint32_t, std::string>;
+using state_fields
+    = std::tuple<std::uint64_t, std::string, std::vector<std::string>, std::vector<std::string>>;
+
+// More than any document that the API takes, with its routes beside it.
+constexpr std::uint32_t maxStateBytes = 4 * 1024 * 1024;
+
+base::error malformed(const char *what)
+{
+    return base::error {base::error_code::messageMalformed, what};
+}
+
+std::string compressed(const std::string &plain)
+{
+    uLongf length = compressBound(plain.size());
+    std::string bytes(length, '\0');
+    compress2(reinterpret_cast<Bytef *>(bytes.data()), &length,
+              reinterpret_cast<const Bytef *>(plain.data()), plain.size(), Z_BEST_SPEED);
+    bytes.resize(length);
+    return bytes;
+}
+
+base::result<std::string> expanded(const std::string &bytes, std::uint32_t length)
+{
+    if (length > maxStateBytes)
+        return base::error {base::error_code::messageTooLarge, "desired state"};
+    std::string plain(length, '\0');
+    uLongf written = length;
+    const int outcome = uncompress(reinterpret_cast<Bytef *>(plain.data()), &written,
+                                   reinterpret_cast<const Bytef *>(bytes.data()), bytes.size());
+    if (outcome != Z_OK || written != length)
+        return malformed("compressed desired state");
+    return plain;
+}
+
+} // namespace
+
+std::string encodeState(const desired_state &state)
+{
+    std::vector<std::string> services;
+    for (const tickets::service_definition &service : state.services)
+        services.push_back(tickets::encodeService(service));
+    std::vector<std::string> routes;
+    for (const tickets::address_route &route : state.routes)
+        routes.push_back(tickets::encodeRoute(route));
+    const std::string plain
+        = base::packFields(state_fields(state.version, state.document, services, routes));
+    return base::packFields(envelope_fields(state.version, static_cast<std::uint32_t>(plain.size()),
+                                            compressed(plain)));
+}
+
+base::result<shared_state> decodeState(std::string_view bytes)
+{
+    const base::result<envelope_fields> envelope = base::unpackFields<envelope_fields>(bytes);
+    if (const base::error *failure = base::errorOf(envelope))
+        return *failure;
+    const auto &[told, length, packed] = base::valueOf(envelope);
+    const base::result<std::string> plain = expanded(packed, length);
+    if (const base::error *failure = base::errorOf(plain))
+        return *failure;
+    const base::result<state_fields> fields
+        = base::unpackFields<state_fields>(base::valueOf(plain));
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    const auto &[version, document, rawServices, rawRoutes] = base::valueOf(fields);
+    if (version != told)
+        return malformed("version of a desired state");
+    std::vector<tickets::service_definition> services;
+    for (const std::string &raw : rawServices) {
+        const base::result<tickets::service_definition> service = tickets::decodeService(raw);
+        if (const base::error *failure = base::errorOf(service))
+            return *failure;
+        services.push_back(base::valueOf(service));
+    }
+    std::vector<tickets::address_route> routes;
+    for (const std::string &raw : rawRoutes) {
+        const base::result<tickets::address_route> route = tickets::decodeRoute(raw);
+        if (const base::error *failure = base::errorOf(route))
+            return *failure;
+        routes.push_back(base::valueOf(route));
+    }
+    return std::make_shared<const desired_state>(
+        desired_state {version, document, std::move(services), std::move(routes)});
+}
+
+base::result<std::uint64_t> versionOf(std::string_view bytes)
+{
+    const base::result<envelope_fields> envelope = base::unpackFields<envelope_fields>(bytes);
+    if (const base::error *failure = base::errorOf(envelope))
+        return *failure;
+    return std::get<0>(base::valueOf(envelope));
+}
+
+} // namespace lycheeshunt::states
--- /dev/null
+++ b/lycheeshunt/states/decision.cpp
@@ -0,0 +1,173 @@
+#include "lycheeshunt/states/decision.h"
+
+#include "lycheeshunt/base/overloaded.h"
+
+#include <algorithm>
+
+namespace lycheeshunt::states {
+
+namespace {
+
+using action_list = std::vector<state_action>;
+
+// Former services of one route. Flows may be open for a minute; few routes move more often in it.
+constexpr std::size_t maxFormer = 4;
+
+void answer(action_list &actions, base::request_id request, state_outcome outcome)
+{
+    actions.emplace_back(state_answer {request, std::move(outcome)});
+}
+
+state_outcome elsewhere(const states_state &state)
+{
+    if (state.leadership->leaderApi.port != 0)
+        return ask_leader {state.leadership->leaderApi};
+    return base::error {base::error_code::quorumLost, "no leader is known"};
+}
+
+void submit(states_state &state, const submit_state &message, action_list &actions)
+{
+    if (!state.leadership->isLeader) {
+        answer(actions, message.request, elsewhere(state));
+        return;
+    }
+    const std::uint64_t version = message.state->version;
+    if (version <= state.currentVersion()) {
+        state.reads.emplace(message.request, version);
+        actions.emplace_back(confirm_read {message.request});
+        return;
+    }
+    const auto proposed = state.pending.find(version);
+    if (proposed == state.pending.end()) {
+        const shared_state latest
+            = state.pending.empty() ? state.current : state.pending.rbegin()->second.state;
+        const shared_state next = succeeding(latest, message.state);
+        const std::uint64_t token = ++state.lastToken;
+        state.pending.emplace(version, pending_state {next, token, {message.request}});
+        actions.emplace_back(propose_state {next, token});
+        return;
+    }
+    // Whatever becomes of the first of this number, the second changes nothing after it.
+    std::vector<base::request_id> waiting = proposed->second.waiting;
+    waiting.push_back(message.request);
+    const pending_state joined {proposed->second.state, proposed->second.token, std::move(waiting)};
+    state.pending.erase(proposed);
+    state.pending.emplace(version, joined);
+}
+
+void show(states_state &state, const show_state &message, action_list &actions)
+{
+    if (!state.leadership->isLeader) {
+        answer(actions, message.request, elsewhere(state));
+        return;
+    }
+    state.reads.emplace(message.request, message);
+    actions.emplace_back(confirm_read {message.request});
+}
+
+void commit(states_state &state, const state_committed &message, action_list &actions)
+{
+    if (message.state->version > state.currentVersion())
+        state.current = message.state;
+    while (!state.pending.empty() && state.pending.begin()->first <= state.currentVersion()) {
+        for (const base::request_id &request : state.pending.begin()->second.waiting)
+            answer(actions, request, state_accepted {});
+        state.pending.erase(state.pending.begin());
+    }
+}
+
+void withdraw(states_state &state, const state_withdrawn &message, action_list &actions)
+{
+    const auto found = std::find_if(state.pending.begin(), state.pending.end(),
+                                    [&](const std::pair<const std::uint64_t, pending_state> &row) {
+                                        return row.second.token == message.token;
+                                    });
+    if (found == state.pending.end())
+        return;
+    for (const base::request_id &request : found->second.waiting)
+        answer(actions, request, message.reason);
+    state.pending.erase(found);
+}
+
+void settleRead(states_state &state, const read_settled &message, action_list &actions)
+{
+    const auto found = state.reads.find(message.request);
+    if (found == state.reads.end())
+        return;
+    const awaited_read awaited = found->second;
+    state.reads.erase(found);
+    if (message.failure)
+        answer(actions, message.request, *message.failure);
+    else if (std::holds_alternative<show_state>(awaited))
+        answer(actions, message.request, state_shown {state.current});
+    else
+        answer(actions, message.request, state_accepted {});
+}
+
+void changeLeadership(states_state &state, const leadership_told &message, action_list &actions)
+{
+    const bool ends = state.leadership->isLeader && !message.isLeader;
+    state.leadership = std::make_shared<const leadership_told>(message);
+    if (!ends)
+        return;
+    for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
+        for (const base::request_id &request : it->second.waiting)
+            answer(actions, request,
+                   base::error {base::error_code::ticketOutcomeUnknown,
+                                "state " + std::to_string(it->first)});
+    }
+    state.pending.clear();
+}
+
+tickets::address_route withFormer(const tickets::address_route &route,
+                                  const tickets::address_route &before)
+{
+    std::vector<base::service_id> former;
+    const auto add = [&](base::service_id service) {
+        const bool known = std::find(former.begin(), former.end(), service) != former.end();
+        if (!known && !route.hasShare(service) && former.size() < maxFormer)
+            former.push_back(service);
+    };
+    for (const tickets::route_share &share : before.shares)
+        add(share.service);
+    for (const base::service_id &service : before.former)
+        add(service);
+    return tickets::address_route {route.address, route.shares,  std::move(former),
+                                   route.kind,    route.timeout, route.targetLatency,
+                                   route.priority};
+}
+
+} // namespace
+
+shared_state succeeding(const shared_state &present, const shared_state &sent)
+{
+    if (!present)
+        return sent;
+    std::map<tickets::service_address, const tickets::address_route *> before;
+    for (const tickets::address_route &route : present->routes)
+        before.emplace(route.address, &route);
+    std::vector<tickets::address_route> routes;
+    for (const tickets::address_route &route : sent->routes) {
+        const auto known = before.find(route.address);
+        routes.push_back(known == before.end() ? route : withFormer(route, *known->second));
+    }
+    return std::make_shared<const desired_state>(
+        desired_state {sent->version, sent->document, sent->services, std::move(routes)});
+}
+
+base::step<states_state, state_action> decide(states_state state, const state_message &message)
+{
+    action_list actions;
+    std::visit(base::overloaded {
+                   [&](const submit_state &m) { submit(state, m, actions); },
+                   [&](const show_state &m) { show(state, m, actions); },
+                   [&](const state_committed &m) { commit(state, m, actions); },
+                   [&](const state_withdrawn &m) { withdraw(state, m, actions); },
+                   [&](const read_settled &m) { settleRead(state, m, actions); },
+                   [&](const leadership_told &m) { changeLeadership(state, m, actions); },
+               },
+               message);
+    return {std::move(state), std::move(actions)};
+}
+
+} // namespace lycheeshunt::states
--- /dev/null
+++ b/lycheeshunt/states/state_answer.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "lycheeshunt/base/error.h"
+#include "lycheeshunt/base/request_id.h"
+#include "lycheeshunt/states/ask_leader.h"
+#include "lycheeshunt/states/state_accepted.h"
+#include "lycheeshunt/states/state_shown.h"
+
+#include <variant>
+
+namespace lycheeshunt::states {
+
+using state_outcome = std::variant<state_accepted, state_shown, ask_leader, base::error>;
+
+// The answer to submit_state or show_state. An error says that the outcome is not known.
+struct state_answer
+{
+    const base::request_id request;
+    const state_outcome outcome;
+
+    bool operator==(const state_answer &) const = default;
+};
+
+} // namespace lycheeshunt::states
--- /dev/null
+++ b/lycheeshunt/states/state_duty.h
@@ -0,0 +1,32 @@
+// The thread of a control process that keeps the desired state.
+
+#pragma once
+
+#include "lycheeshunt/base/duty.h"
+#include "lycheeshunt/states/state_message.h"
+#include "lycheeshunt/states/states_state.h"
+
+namespace lycheeshunt::states {
+
+class state_duty
+{
+public:
+    // Called on the duty's thread for every action. Returns false when a proposal or a question
+    // can't be taken now; those who wait for it are then told so.
+    using action_sink = std::function<bool(const state_action &)>;
+
+    explicit state_duty(action_sink sink);
+
+    base::ring<state_message> &inbox() { return m_duty.inbox(); }
+    void stop() { m_duty.stop(); }
+
+private:
+    void handle(const state_message &message);
+    void giveUp(const state_action &action);
+
+    states_state m_state;
+    const action_sink m_sink;
+    base::duty<state_message> m_duty;
+};
+
+} // namespace lycheeshunt::states
--- /dev/null
+++ b/lycheeshunt/states/state_message.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "lycheeshunt/states/confirm_read.h"
+#include "lycheeshunt/states/leadership_told.h"
+#include "lycheeshunt/states/propose_state.h"
+#include "lycheeshunt/states/read_settled.h"
+#include "lycheeshunt/states/show_state.h"
+#include "lycheeshunt/states/state_answer.h"
+#include "lycheeshunt/states/state_committed.h"
+#include "lycheeshunt/states/state_withdrawn.h"
+#include "lycheeshunt/states/submit_state.h"
+
+#include <variant>
+
+namespace lycheeshunt::states {
+
+using state_message = std::variant<submit_state, show_state, state_committed, state_withdrawn,
+                                   read_settled, leadership_told>;
+using state_action = std::variant<propose_state, state_answer, confirm_read>;
+
+} // namespace lycheeshunt::states
--- /dev/null
+++ b/lycheeshunt/states/state_shown.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheeshunt/states/desired_state.h"
+
+namespace lycheeshunt::states {
+
+// The desired state in force; null before the first.
+struct state_shown
+{
+    const shared_state state;
+
+    bool operator==(const state_shown &) const = default;
+};
+
+} // namespace lycheeshunt::states
--- /dev/null
+++ b/lycheeshunt/states/states_state.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "lycheeshunt/states/leadership_told.h"
+#include "lycheeshunt/states/pending_state.h"
+#include "lycheeshunt/states/show_state.h"
+
+#include <map>
+#include <memory>
+#include <variant>
+
+namespace lycheeshunt::states {
+
+// What a reader waits for: the state in force, or that one is not above it (its version).
+using awaited_read = std::variant<show_state, std::uint64_t>;
+
+struct states_state
+{
+    // Null before the first.
+    shared_state current;
+    std::map<std::uint64_t, pending_state> pending;
+    std::map<base::request_id, awaited_read> reads;
+    std::uint64_t lastToken = 0;
+    std::shared_ptr<const leadership_told> leadership = std::make_shared<const leadership_told>();
+
+    std::uint64_t currentVersion() const { return current ? current->version : 0; }
+};
+
+} // namespace lycheeshunt::states
--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -51,17 +51,48 @@
     }
 }
 
+void stream_client::prefer(std::vector<base::endpoint> servers)
+{
+    const std::lock_guard<std::mutex> lock(m_serversLock);
+    m_servers = std::move(servers);
+    m_nextServer = 0;
+}
+
+base::endpoint stream_client::nextServer()
+{
+    const std::lock_guard<std::mutex> lock(m_serversLock);
+    std::size_t chosen = m_nextServer % m_servers.size();
+    if (m_servers.size() > 1 && m_lostServer && m_servers[chosen] == *m_lostServer)
+        chosen = (chosen + 1) % m_servers.size();
+    m_lostServer.reset();
+    m_nextServer = chosen + 1;
+    m_lostServer.emplace(m_servers[chosen]);
+    return m_servers[chosen];
+}
+
+// Wakes for a stop too. Frames that were queued for the connection before are discarded.
+bool stream_client::awaitConnected(int descriptor)
+{
+    const base::clock_time until = base::clock_time::steady() + m_timing.connectLimit;
+    base::clock_time now = base::clock_time::steady();
+    while (now < until && !m_outgoing.isClosed()) {
+        pollfd watched[] = {{descriptor, POLLOUT, 0}, {m_outgoing.descriptor(), POLLIN, 0}};
+        ::poll(watched, std::size(watched), static_cast<int>((until - now).millis()));
+        if (watched[0].revents != 0)
+            return (watched[0].revents & POLLOUT) != 0 && isConnected(descriptor);
+        m_outgoing.tryPop();
+        now = base::clock_time::steady();
+    }
+    return false;
+}
+
 std::unique_ptr<internal::h2_connection> stream_client::connectNext()
 {
-    const base::endpoint &server = m_servers[m_nextServer];
-    m_nextServer = (m_nextServer + 1) % m_servers.size();
-    base::result<base::file_descriptor> started = base::startConnection(server);
+    base::result<base::file_descriptor> started = base::startConnection(nextServer());
     if (!base::isOk(started))
         return nullptr;
     base::file_descriptor socket = base::takeValue(std::move(started));
-    pollfd watched {socket.get(), POLLOUT, 0};
-    ::poll(&watched, 1, static_cast<int>(m_timing.silenceLimit.millis()));
-    if ((watched.revents & POLLOUT) == 0 || !isConnected(socket.get()))
+    if (!awaitConnected(socket.get()))
         return nullptr;
     return std::make_unique<internal::h2_connection>(
         std::move(socket), internal::connection_side::client, base::clock_time::steady());
@@ -87,8 +118,9 @@
             lastPing = now;
             connection.sendPing();
         }
-        alive = alive && sendQueued(connection, id)
-            && now - connection.lastHeard() <= m_timing.silenceLimit;
+        const base::clock_time limit
+            = connection.bytesReceived() > 0 ? m_timing.silenceLimit : m_timing.connectLimit;
+        alive = alive && sendQueued(connection, id) && now - connection.lastHeard() <= limit;
         m_bytesCarried = carriedBefore + connection.bytesReceived() + connection.bytesSent();
     }
     if (alive)
--- a/lycheeshunt/streams/stream_client.h
+++ b/lycheeshunt/streams/stream_client.h
@@ -16,6 +16,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <random>
 #include <thread>
 #include <vector>
@@ -39,23 +41,31 @@
 
     base::ring<stream_frame> &outgoing() { return m_outgoing; }
 
+    // Tries these from now on, the first one first; the present connection stays. Thread-safe.
+    void prefer(std::vector<base::endpoint> servers);
+
     // Bytes of TCP payload in both directions since the client began. Thread-safe.
     std::uint64_t bytesCarried() const { return m_bytesCarried; }
 
 private:
     void run();
     std::unique_ptr<internal::h2_connection> connectNext();
+    base::endpoint nextServer();
+    bool awaitConnected(int descriptor);
     void serve(internal::h2_connection &connection, connection_id id);
     void finish(internal::h2_connection &connection, connection_id id);
     bool sendQueued(internal::h2_connection &connection, connection_id id);
     void waitBeforeRetry();
 
-    const std::vector<base::endpoint> m_servers;
+    std::mutex m_serversLock;
+    std::vector<base::endpoint> m_servers;
     const stream_timing m_timing;
     const stream_sink m_sink;
     base::ring<stream_frame> m_outgoing;
     std::mt19937_64 m_random;
     std::size_t m_nextServer = 0;
+    // The one whose connection was lost last; another one is tried before it.
+    std::optional<base::endpoint> m_lostServer;
     std::uint64_t m_nextConnection = 1;
     std::atomic<std::uint64_t> m_bytesCarried = 0;
     std::thread m_thread;
--- a/lycheeshunt/tickets/codec.cpp
+++ b/lycheeshunt/tickets/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/tickets/address_route.h"
 #include "lycheeshunt/tickets/ticket.h"
 
 #include <tuple>
@@ -12,15 +13,30 @@
 
 using address_fields = std::tuple<std::uint32_t, std::uint16_t, std::uint8_t>;
 using limits_fields = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::int64_t,
-                                 std::int64_t, std::uint32_t>;
+                                 std::int64_t, std::uint32_t, std::int64_t>;
 using service_fields
     = std::tuple<std::string, std::vector<address_fields>, limits_fields, std::uint32_t>;
+using share_fields = std::tuple<std::uint64_t, std::uint32_t>;
+using route_fields
+    = std::tuple<address_fields, std::vector<share_fields>, std::vector<std::uint64_t>,
+                 std::uint8_t, std::int64_t, std::int64_t, std::uint32_t>;
 using drain_fields = std::tuple<std::string, bool>;
 using change_fields = std::tuple<std::uint8_t, std::string>;
 using ticket_fields = std::tuple<std::uint64_t, std::string, std::vector<change_fields>>;
 
 enum change_kind : std::uint8_t { definitionKind = 1, removalKind = 2, drainKind = 3 };
 
+address_fields fieldsOf(const service_address &address)
+{
+    return address_fields(address.where.address, address.where.port, address.protocol);
+}
+
+service_address addressOf(const address_fields &fields)
+{
+    const auto &[address, port, protocol] = fields;
+    return service_address {base::endpoint {address, port}, protocol};
+}
+
 change_fields encodeChange(const ticket_change &change)
 {
     return std::visit(
@@ -67,13 +83,13 @@
 {
     std::vector<address_fields> addresses;
     for (const service_address &address : service.addresses)
-        addresses.emplace_back(address.where.address, address.where.port, address.protocol);
+        addresses.push_back(fieldsOf(address));
     const service_limits &limits = service.limits;
     return base::packFields(
         service_fields(service.name, addresses,
                        limits_fields(limits.slots, limits.connections, limits.queueLength,
                                      limits.queueWait.millis(), limits.longWorkAge.millis(),
-                                     limits.shortOnlySlots),
+                                     limits.shortOnlySlots, limits.idleTimeout.millis()),
                        service.buckets));
 }
 
@@ -84,13 +100,15 @@
         return *failure;
     const auto &[name, rawAddresses, rawLimits, buckets] = base::valueOf(fields);
     std::vector<service_address> addresses;
-    for (const auto &[address, port, protocol] : rawAddresses)
-        addresses.push_back(service_address {base::endpoint {address, port}, protocol});
-    const auto &[slots, connections, queueLength, queueWait, longWorkAge, shortOnly] = rawLimits;
+    for (const address_fields &raw : rawAddresses)
+        addresses.push_back(addressOf(raw));
+    const auto &[slots, connections, queueLength, queueWait, longWorkAge, shortOnly, idle]
+        = rawLimits;
     return service_definition {name, std::move(addresses),
                                service_limits {slots, connections, queueLength,
                                                base::clock_time::ofMillis(queueWait),
-                                               base::clock_time::ofMillis(longWorkAge), shortOnly},
+                                               base::clock_time::ofMillis(longWorkAge), shortOnly,
+                                               base::clock_time::ofMillis(idle)},
                                buckets};
 }
 
@@ -118,4 +136,55 @@
     return ticket {base::ticket_number(number), author, std::move(changes)};
 }
 
+std::string encodeRoute(const address_route &route)
+{
+    std::vector<share_fields> shares;
+    for (const route_share &share : route.shares)
+        shares.emplace_back(share.service.value(), share.weight);
+    std::vector<std::uint64_t> former;
+    for (const base::service_id &service : route.former)
+        former.push_back(service.value());
+    return base::packFields(
+        route_fields(fieldsOf(route.address), shares, former, static_cast<std::uint8_t>(route.kind),
+                     route.timeout.millis(), route.targetLatency.millis(), route.priority));
+}
+
+base::result<address_route> decodeRoute(std::string_view bytes)
+{
+    const base::result<route_fields> fields = base::unpackFields<route_fields>(bytes);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    const auto &[address, rawShares, rawFormer, kind, timeout, target, priority]
+        = base::valueOf(fields);
+    if (kind < static_cast<std::uint8_t>(request_kind::idempotent)
+        || kind > static_cast<std::uint8_t>(request_kind::upload))
+        return base::error {base::error_code::messageMalformed, "kind of request"};
+    std::vector<route_share> shares;
+    for (const auto &[service, weight] : rawShares)
+        shares.push_back(route_share {base::service_id(service), weight});
+    std::vector<base::service_id> former;
+    for (const std::uint64_t service : rawFormer)
+        former.emplace_back(service);
+    return address_route {addressOf(address),
+                          std::move(shares),
+                          std::move(former),
+                          static_cast<request_kind>(kind),
+                          base::clock_time::ofMillis(timeout),
+                          base::clock_time::ofMillis(target),
+                          priority};
+}
+
+std::string encodeAddress(const service_address &address)
+{
+    return base::packFields(fieldsOf(address));
+}
+
+base::result<service_address> decodeAddress(std::string_view bytes)
+{
+    const base::result<address_fields> fields = base::unpackFields<address_fields>(bytes);
+    if (const base::error *failure = base::errorOf(fields))
+        return *failure;
+    return addressOf(base::valueOf(fields));
+}
+
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/codec.h
+++ b/lycheeshunt/tickets/codec.h
@@ -9,6 +9,8 @@
 
 namespace lycheeshunt::tickets {
 
+struct address_route;
+struct service_address;
 struct service_definition;
 struct ticket;
 
@@ -18,4 +20,10 @@
 std::string encodeService(const service_definition &service);
 base::result<service_definition> decodeService(std::string_view bytes);
 
+std::string encodeRoute(const address_route &route);
+base::result<address_route> decodeRoute(std::string_view bytes);
+
+std::string encodeAddress(const service_address &address);
+base::result<service_address> decodeAddress(std::string_view bytes);
+
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/other_committed.h
+++ b/lycheeshunt/tickets/other_committed.h
@@ -12,6 +12,8 @@
 {
     const base::generation at;
     const std::string payload;
+    // A desired state; else a membership batch.
+    const bool isState = false;
 
     bool operator==(const other_committed &) const = default;
 };
--- a/lycheeshunt/tickets/service_limits.h
+++ b/lycheeshunt/tickets/service_limits.h
@@ -18,6 +18,9 @@
     // Slots that long work may not take while short work waits.
     const std::uint32_t shortOnlySlots = 2;
 
+    // An open flow without a packet for this long is forgotten. RFC 5382 asks for 2 h 4 min.
+    const base::clock_time idleTimeout = base::clock_time::ofSeconds(7440);
+
     bool operator==(const service_limits &) const = default;
 };
 
--- a/tools/measurements/packets.cpp
+++ b/tools/measurements/packets.cpp
@@ -186,7 +186,7 @@
     const base::file_descriptor sink = openSocket();
     const base::endpoint to = base::localEndpoint(sink);
     const std::unique_ptr<routing::entry_port> port
-        = base::takeValue(routing::entry_port::open(anyLoopback));
+        = base::takeValue(routing::entry_port::open({anyLoopback}, packets::ipPackets()));
     port->updates().push(std::make_shared<const routing::routing_table>(viewOf(7, to)));
     const bare_forwarder bare(openSocket(), to);
     std::vector<double> entryRates;
