Let nodes search on among control VMs that know no leader, and test the new slices

Ruled out: late deltas - the entry had no stream to the leader at all.

Change: a directory without a leader leaves the search where it was. Lookups ask all agents at once where servers return packets.

--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -51,7 +51,7 @@
 }
 
 // The seeds stay in the list: all members known may be gone.
-void follower::useServers(std::vector<base::endpoint> servers)
+void follower::useServers(std::vector<base::endpoint> servers, bool isLeaderFirst)
 {
     const std::lock_guard<std::mutex> lock(m_seedsLock);
     std::vector<base::endpoint>(servers).swap(m_known);
@@ -59,7 +59,7 @@
         if (std::find(servers.begin(), servers.end(), seed) == servers.end())
             servers.push_back(seed);
     }
-    m_client->prefer(std::move(servers));
+    m_client->useServers(std::move(servers), isLeaderFirst);
 }
 
 void follower::addSeeds(const std::vector<base::endpoint> &seeds)
@@ -70,7 +70,7 @@
         std::vector<base::endpoint>(seeds).swap(m_seeds);
         std::vector<base::endpoint>(m_known).swap(known);
     }
-    useServers(std::move(known));
+    useServers(std::move(known), false);
 }
 
 void follower::handle(const follower_message &message, base::clock_time now)
@@ -95,7 +95,7 @@
                                                   membership::encodeMember(announce.self)});
                    },
                    [this](const adopt_view &adopt) { m_sink(adopt.view); },
-                   [this](const use_servers &use) { useServers(use.servers); },
+                   [this](const use_servers &use) { useServers(use.servers, use.isLeaderFirst); },
                    [this](const report_life &report) {
                        base::logWarning(logPart,
                                         "the clock was set back: taking incarnation "
--- a/lycheeshunt/dissemination/follower.h
+++ b/lycheeshunt/dissemination/follower.h
@@ -49,7 +49,7 @@
 
 private:
     void leave();
-    void useServers(std::vector<base::endpoint> servers);
+    void useServers(std::vector<base::endpoint> servers, bool isLeaderFirst);
     void handle(const follower_message &message, base::clock_time now);
     void carryOut(const follower_action &action);
     void takeEvent(const streams::stream_event &event);
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -184,7 +184,7 @@
 {
     std::vector<base::endpoint> servers = directory.inOrder();
     if (!servers.empty())
-        actions.emplace_back(use_servers {std::move(servers)});
+        actions.emplace_back(use_servers {std::move(servers), directory.leader.port != 0});
 }
 
 void check(follower_state &state, base::clock_time now, action_list &actions)
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -60,11 +60,12 @@
         if (!contains(asked, node))
             next.push_back(node);
     }
-    if (!next.empty())
+    // Servers that return packets make a wrong guess cheap and a second round dear.
+    if (!next.empty() && !state.identity->serverReturns)
         return next;
     for (const routing::target &agent : otherAgents(state)) {
         if (next.size() < askedInRound && asked.size() + next.size() < maxAsked
-            && !contains(asked, agent.node))
+            && !contains(asked, agent.node) && !contains(next, agent.node))
             next.push_back(agent.node);
     }
     return next;
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returning.cpp
@@ -277,7 +277,7 @@
         const base::clock_time age = context.now - it->second.at;
         const owned_flow *flow = state.owned.find(it->first);
         const bool waits = it->second.packet.summary.opens && flow != nullptr
-            && state.server.lastHeard < it->second.at;
+            && state.server.lastHeard <= it->second.at;
         if (age >= visitKept)
             old.push_back(it->first);
         else if (waits && age >= answerWithin)
--- /dev/null
+++ b/lycheeshunt/states/decision_test.cpp
@@ -0,0 +1,204 @@
+// Cases of desired states that race, repeat and come late, driven without sockets or a log.
+
+#include "lycheeshunt/states/decision.h"
+
+#include "lycheeshunt/states/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::states;
+
+namespace {
+
+const base::service_id logbook = base::serviceIdOf("logbook");
+const base::service_id inspect = base::serviceIdOf("inspect");
+const tickets::service_address address {base::endpoint {0xc6120001, 443}, 6};
+const base::endpoint leaderApi {0x0a000004, 8080};
+
+shared_state stateOf(std::uint64_t version, base::service_id service = logbook,
+                     const std::string &document = "{}")
+{
+    return std::make_shared<const desired_state>(desired_state {
+        version,
+        document,
+        {tickets::service_definition {"logbook"}, tickets::service_definition {"inspect"}},
+        {tickets::address_route {address, {tickets::route_share {service, 1}}}}});
+}
+
+base::request_id requestOf(std::uint64_t number)
+{
+    return base::request_id(number);
+}
+
+} // namespace
+
+TEST_GROUP(states)
+{
+    states_state state;
+    std::vector<state_action> actions;
+
+    void setup() override
+    {
+        give(leadership_told {true, leaderApi});
+    }
+
+    void give(const state_message &message)
+    {
+        base::step<states_state, state_action> next = decide(std::move(state), message);
+        state = std::move(next.state);
+        actions.swap(next.actions);
+    }
+
+    template <typename action_type>
+    std::vector<action_type> all() const
+    {
+        std::vector<action_type> found;
+        for (const state_action &action : actions) {
+            if (const action_type *known = std::get_if<action_type>(&action))
+                found.push_back(*known);
+        }
+        return found;
+    }
+
+    // Submits and lets the log commit what is proposed.
+    void put(std::uint64_t version, base::service_id service = logbook)
+    {
+        give(submit_state {requestOf(version), stateOf(version, service)});
+        const std::vector<propose_state> proposed = all<propose_state>();
+        CHECK_EQUAL(1U, proposed.size());
+        give(state_committed {proposed.front().state});
+        CHECK_EQUAL(1U, all<state_answer>().size());
+    }
+
+    bool isAccepted(std::uint64_t request) const
+    {
+        for (const state_answer &answer : all<state_answer>()) {
+            if (answer.request == requestOf(request))
+                return std::holds_alternative<state_accepted>(answer.outcome);
+        }
+        return false;
+    }
+};
+
+TEST(states, aStateIsAnsweredOnceTheLogHasIt)
+{
+    give(submit_state {requestOf(1), stateOf(4)});
+    CHECK(all<state_answer>().empty());
+    give(state_committed {all<propose_state>().front().state});
+    CHECK(isAccepted(1));
+    CHECK_EQUAL(4U, state.currentVersion());
+}
+
+TEST(states, oneThatIsNotHigherIsAcceptedAfterAConfirmedReadAndChangesNothing)
+{
+    put(7, logbook);
+    for (const std::uint64_t version : {7U, 3U}) {
+        give(submit_state {requestOf(20), stateOf(version, inspect, "{\"other\":1}")});
+        CHECK(all<propose_state>().empty());
+        CHECK_EQUAL(1U, all<confirm_read>().size());
+        give(read_settled {requestOf(20)});
+        CHECK(isAccepted(20));
+        CHECK(*state.current == *stateOf(7, logbook));
+    }
+}
+
+TEST(states, aRaceOnOneNumberIsWonByTheFirstAndBothAreAccepted)
+{
+    give(submit_state {requestOf(1), stateOf(5, logbook)});
+    const propose_state first = all<propose_state>().front();
+    give(submit_state {requestOf(2), stateOf(5, inspect)});
+    CHECK(all<propose_state>().empty());
+    give(state_committed {first.state});
+    CHECK(isAccepted(1));
+    CHECK(isAccepted(2));
+    CHECK(state.current->routes.front().hasShare(logbook));
+}
+
+TEST(states, theHighestNumberIsInForceWhateverTheOrderInTheLog)
+{
+    give(state_committed {stateOf(9, inspect)});
+    give(state_committed {stateOf(8, logbook)});
+    CHECK_EQUAL(9U, state.currentVersion());
+    CHECK(state.current->routes.front().hasShare(inspect));
+}
+
+TEST(states, aHigherStateAnswersForLowerOnesThatWait)
+{
+    give(submit_state {requestOf(1), stateOf(5)});
+    give(submit_state {requestOf(2), stateOf(6)});
+    give(state_committed {all<propose_state>().front().state});
+    CHECK(isAccepted(1));
+    CHECK(isAccepted(2));
+}
+
+TEST(states, aVmThatDoesNotLeadSendsOperatorsToTheOneThatDoes)
+{
+    give(leadership_told {false, leaderApi});
+    for (const state_message &message : {state_message(show_state {requestOf(1)}),
+                                         state_message(submit_state {requestOf(1), stateOf(1)})}) {
+        give(message);
+        const state_outcome outcome = all<state_answer>().front().outcome;
+        CHECK(std::get<ask_leader>(outcome).api == leaderApi);
+    }
+    give(leadership_told {false, {}});
+    give(show_state {requestOf(2)});
+    CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
+}
+
+TEST(states, aReadThatNoQuorumConfirmsIsRefused)
+{
+    put(3);
+    give(show_state {requestOf(8)});
+    CHECK(all<state_answer>().empty());
+    give(read_settled {requestOf(8), base::error {base::error_code::quorumLost, ""}});
+    CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
+    give(show_state {requestOf(9)});
+    give(read_settled {requestOf(9)});
+    const state_outcome outcome = all<state_answer>().front().outcome;
+    CHECK_EQUAL(3U, std::get<state_shown>(outcome).state->version);
+}
+
+TEST(states, whenLeadershipEndsNobodyIsToldThatAStateWasAccepted)
+{
+    give(submit_state {requestOf(1), stateOf(5)});
+    const propose_state proposed = all<propose_state>().front();
+    give(leadership_told {false, leaderApi});
+    CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
+    // It may be committed all the same; nobody waits for it any more.
+    give(state_committed {proposed.state});
+    CHECK(all<state_answer>().empty());
+    CHECK_EQUAL(5U, state.currentVersion());
+}
+
+TEST(states, aWithdrawnProposalMayBeSentAgain)
+{
+    give(submit_state {requestOf(1), stateOf(5)});
+    give(state_withdrawn {all<propose_state>().front().token,
+                          base::error {base::error_code::tooBusy, ""}});
+    CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
+    put(5);
+}
+
+TEST(states, aRouteKeepsTheServicesThatItLeft)
+{
+    put(1, logbook);
+    put(2, inspect);
+    const tickets::address_route moved = state.current->routes.front();
+    CHECK(moved.hasShare(inspect));
+    CHECK(moved.former == std::vector<base::service_id> {logbook});
+    put(3, logbook);
+    CHECK(state.current->routes.front().former == std::vector<base::service_id> {inspect});
+}
+
+TEST(states, encodedStatesComeBackWhole)
+{
+    const std::string document(100'000, 'x');
+    const desired_state sent = *stateOf(77, inspect, document);
+    const std::string bytes = encodeState(sent);
+    CHECK(bytes.size() < document.size() / 10);
+    CHECK(*base::valueOf(decodeState(bytes)) == sent);
+    CHECK_EQUAL(77U, base::valueOf(versionOf(bytes)));
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(base::isOk(decodeState(std::string_view(bytes).substr(0, length))));
+}
--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -6,8 +6,11 @@
 #include "lycheeshunt/streams/internal/frame_text.h"
 
 #include <poll.h>
+
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace lycheeshunt::streams {
 
 namespace {
@@ -51,22 +54,27 @@
     }
 }
 
-void stream_client::prefer(std::vector<base::endpoint> servers)
+void stream_client::useServers(std::vector<base::endpoint> servers, bool startsAfresh)
 {
     const std::lock_guard<std::mutex> lock(m_serversLock);
     m_servers = std::move(servers);
     m_nextServer = 0;
+    if (startsAfresh || !m_lastServer)
+        return;
+    const auto last = std::find(m_servers.begin(), m_servers.end(), *m_lastServer);
+    if (last != m_servers.end())
+        m_nextServer = static_cast<std::size_t>(last - m_servers.begin()) + 1;
 }
 
 base::endpoint stream_client::nextServer()
 {
     const std::lock_guard<std::mutex> lock(m_serversLock);
     std::size_t chosen = m_nextServer % m_servers.size();
-    if (m_servers.size() > 1 && m_lostServer && m_servers[chosen] == *m_lostServer)
+    if (m_servers.size() > 1 && m_lastServer && m_servers[chosen] == *m_lastServer)
         chosen = (chosen + 1) % m_servers.size();
-    m_lostServer.reset();
     m_nextServer = chosen + 1;
-    m_lostServer.emplace(m_servers[chosen]);
+    m_lastServer.reset();
+    m_lastServer.emplace(m_servers[chosen]);
     return m_servers[chosen];
 }
 
--- a/lycheeshunt/streams/stream_client.h
+++ b/lycheeshunt/streams/stream_client.h
@@ -41,8 +41,9 @@
 
     base::ring<stream_frame> &outgoing() { return m_outgoing; }
 
-    // Tries these from now on, the first one first; the present connection stays. Thread-safe.
-    void prefer(std::vector<base::endpoint> servers);
+    // Tries these from now on; the present connection stays. The next attempt goes to the first one
+    // or, without `startsAfresh`, to the one after the last that was tried. Thread-safe.
+    void useServers(std::vector<base::endpoint> servers, bool startsAfresh);
 
     // Bytes of TCP payload in both directions since the client began. Thread-safe.
     std::uint64_t bytesCarried() const { return m_bytesCarried; }
@@ -64,8 +65,8 @@
     base::ring<stream_frame> m_outgoing;
     std::mt19937_64 m_random;
     std::size_t m_nextServer = 0;
-    // The one whose connection was lost last; another one is tried before it.
-    std::optional<base::endpoint> m_lostServer;
+    // Another one is tried before it is tried again.
+    std::optional<base::endpoint> m_lastServer;
     std::uint64_t m_nextConnection = 1;
     std::atomic<std::uint64_t> m_bytesCarried = 0;
     std::thread m_thread;
--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -81,6 +81,7 @@
             ::accept4(m_listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!socket.isOpen())
             return;
+        ++m_accepted;
         const connection_id id(m_nextConnection++);
         m_connections.emplace(id,
                               std::make_unique<internal::h2_connection>(
--- a/lycheeshunt/streams/stream_server.h
+++ b/lycheeshunt/streams/stream_server.h
@@ -15,6 +15,7 @@
 #include "lycheeshunt/streams/stream_event.h"
 #include "lycheeshunt/streams/stream_timing.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <thread>
@@ -39,6 +40,9 @@
 
     base::endpoint local() const;
     // A frame without bytes asks for its connection to be closed.
+    // Connections taken since the start. Thread-safe.
+    std::uint64_t accepted() const { return m_accepted; }
+
     base::ring<stream_frame> &outgoing() { return m_outgoing; }
 
 private:
@@ -58,6 +62,7 @@
     std::map<connection_id, std::unique_ptr<internal::h2_connection>> m_connections;
     std::uint64_t m_nextConnection = 1;
     base::clock_time m_lastCheck;
+    std::atomic<std::uint64_t> m_accepted = 0;
     std::thread m_thread;
 };
 
--- a/lycheeshunt/streams/stream_test.cpp
+++ b/lycheeshunt/streams/stream_test.cpp
@@ -97,6 +97,47 @@
     await<stream_opened>(serverEvents);
 }
 
+// A VM that stands still: its system takes connections, and its process says nothing.
+TEST(streams, aServerThatTookTheConnectionAndNeverSpokeIsNotTriedAgainAtOnce)
+{
+    const base::file_descriptor frozen = base::takeValue(base::openListener(anyPort));
+    const std::unique_ptr<stream_server> server = listen();
+    const stream_timing quick {base::clock_time::ofMillis(20), base::clock_time::ofMillis(5000),
+                               base::clock_time::ofMillis(60), base::clock_time::ofMillis(10)};
+    const base::endpoint still = base::localEndpoint(frozen);
+    stream_client client({still}, quick, 1,
+                         [this](const stream_event &event) { clientEvents.push(event); });
+    await<stream_opened>(clientEvents);
+    // The directory names it first, as the leader that it was.
+    client.useServers({still, server->local()}, true);
+    await<stream_closed>(clientEvents);
+    await<stream_opened>(serverEvents);
+}
+
+// Two servers that send the client away, as control VMs that are cut off from the others do.
+TEST(streams, theSearchGoesOnWhenNoServerIsKnownToLead)
+{
+    const std::unique_ptr<stream_server> first = listen();
+    const std::unique_ptr<stream_server> second = listen();
+    const std::unique_ptr<stream_server> third = listen();
+    const stream_timing quick {base::clock_time::ofMillis(20), base::clock_time::ofMillis(500),
+                               base::clock_time::ofMillis(500), base::clock_time::ofMillis(10)};
+    const std::vector<base::endpoint> all {first->local(), second->local(), third->local()};
+    stream_client client(all, quick, 1,
+                         [this](const stream_event &event) { clientEvents.push(event); });
+    for (int i = 0; i < 3; ++i) {
+        const connection_id at = await<stream_opened>(serverEvents).connection;
+        // Whichever it was says who else there is and closes.
+        client.useServers(std::vector<base::endpoint>(all), false);
+        for (const std::unique_ptr<stream_server> *each : {&first, &second, &third})
+            (*each)->outgoing().tryPush(stream_frame {at, channel::dissemination, {}});
+        await<stream_closed>(clientEvents);
+    }
+    CHECK_EQUAL(1U, first->accepted());
+    CHECK_EQUAL(1U, second->accepted());
+    CHECK_EQUAL(1U, third->accepted());
+}
+
 TEST(streams, aClosedServerIsReportedAndTheClientComesBack)
 {
     std::unique_ptr<stream_server> server = listen();
