Write one structured line for each decision, bounded and never waited for

Cause: on-call engineers have only logs, and the landed lines were sentences on standard error, written by whichever thread had something to say.

Change: key=value lines on standard output through Boost.Log; a thread of its own writes what is queued, 1,024 lines at most, drops are counted; 20 lines a second of each kind, and the next one says how many were left out. Key=value and not JSON: a line is found with grep and read without a tool.

--- a/lycheeshunt/base/flow_key.h
+++ b/lycheeshunt/base/flow_key.h
@@ -15,6 +15,9 @@
     const endpoint service;
     const std::uint8_t protocol = 0;
 
+    // "192.0.2.7:40001>198.51.100.1:443"
+    std::string text() const { return caller.text() + ">" + service.text(); }
+
     bool operator==(const flow_key &) const = default;
     std::strong_ordering operator<=>(const flow_key &) const = default;
 };
--- /dev/null
+++ b/lycheeshunt/base/line_writer.h
@@ -0,0 +1,36 @@
+// Writes lines to a descriptor on a thread of its own. Nobody waits for the reader of the lines:
+// what finds the ring full is dropped and counted.
+
+#pragma once
+
+#include "lycheeshunt/base/ring.h"
+
+#include <string>
+#include <thread>
+
+namespace lycheeshunt::base {
+
+class line_writer
+{
+public:
+    line_writer(int descriptor, std::size_t capacity);
+    // Writes what is queued, unless the reader stands still.
+    ~line_writer();
+
+    line_writer(const line_writer &) = delete;
+    line_writer &operator=(const line_writer &) = delete;
+
+    // Never waits.
+    bool offer(std::string line) { return m_lines.tryPush(std::move(line)); }
+    std::uint64_t dropped() const { return m_lines.dropped(); }
+
+private:
+    void run();
+    bool writeWhole(std::string_view bytes);
+
+    const int m_descriptor;
+    ring<std::string> m_lines;
+    std::thread m_thread;
+};
+
+} // namespace lycheeshunt::base
--- a/lycheeshunt/base/log.cpp
+++ b/lycheeshunt/base/log.cpp
@@ -1,13 +1,20 @@
 #include "lycheeshunt/base/log.h"
 
+#include "lycheeshunt/base/line_writer.h"
+#include "lycheeshunt/base/log_budget.h"
+
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/formatter_parser.hpp>
+
+#include <unistd.h>
 
-#include <iostream>
+#include <memory>
 #include <string>
 
 namespace lycheeshunt::base {
@@ -16,11 +23,61 @@
 
 using boost::log::trivial::severity_level;
 
-void write(severity_level level, std::string_view part, std::string_view sentence)
+// Some 200 KB of lines; more than a second of every budget.
+constexpr std::size_t queuedLines = 1024;
+constexpr std::uint32_t linesPerSecondOfKind = 20;
+
+// Queues formatted lines for the writer.
+class queueing_backend : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    queueing_backend() : m_writer(STDOUT_FILENO, queuedLines) { }
+
+    void consume(const boost::log::record_view &, const std::string &line)
+    {
+        m_writer.offer(line + "\n");
+    }
+
+    std::uint64_t dropped() const { return m_writer.dropped(); }
+
+private:
+    line_writer m_writer;
+};
+
+using queueing_sink = boost::log::sinks::synchronous_sink<queueing_backend>;
+
+boost::shared_ptr<queueing_sink> &installedSink()
 {
+    static boost::shared_ptr<queueing_sink> sink;
+    return sink;
+}
+
+log_budget &budget()
+{
+    static log_budget shared(linesPerSecondOfKind);
+    return shared;
+}
+
+void write(severity_level level, std::string_view part, std::string_view event,
+           const std::string &fields)
+{
+    const std::string kind = std::string(part) + " " + std::string(event);
+    const std::optional<std::uint64_t> omitted = budget().admit(kind, clock_time::steady());
+    if (!omitted)
+        return;
     boost::log::sources::severity_logger_mt<severity_level> &logger
         = boost::log::trivial::logger::get();
-    BOOST_LOG_SEV(logger, level) << "[" << part << "] " << sentence;
+    const std::string left = *omitted == 0 ? "" : " omitted=" + std::to_string(*omitted);
+    BOOST_LOG_SEV(logger, level) << "part=" << part << " event=" << event << fields << left;
+}
+
+// Quoted, since it has spaces.
+std::string quoted(std::string_view sentence)
+{
+    std::string text = " text=\"";
+    for (const char letter : sentence)
+        text += letter == '"' || letter == '\n' ? '\'' : letter;
+    return text + "\"";
 }
 
 } // namespace
@@ -30,24 +87,45 @@
     boost::log::add_common_attributes();
     boost::log::core::get()->add_global_attribute(
         "Process", boost::log::attributes::constant<std::string>(std::string(processName)));
-    boost::log::add_console_log(std::clog, boost::log::keywords::auto_flush = true,
-                                boost::log::keywords::format
-                                = "%TimeStamp% %Process% %Severity% %Message%");
+    installedSink() = boost::make_shared<queueing_sink>();
+    installedSink()->set_formatter(boost::log::parse_formatter(
+        "time=%TimeStamp% process=%Process% level=%Severity% %Message%"));
+    boost::log::core::get()->add_sink(installedSink());
+}
+
+void stopLog()
+{
+    boost::log::core::get()->remove_sink(installedSink());
+    installedSink().reset();
+}
+
+void logEvent(std::string_view part, std::string_view event,
+              std::initializer_list<log_field> fields)
+{
+    std::string text;
+    for (const log_field &field : fields)
+        text += " " + field.name + "=" + (field.value.empty() ? "none" : field.value);
+    write(severity_level::info, part, event, text);
 }
 
 void logInfo(std::string_view part, std::string_view sentence)
 {
-    write(severity_level::info, part, sentence);
+    write(severity_level::info, part, "note", quoted(sentence));
 }
 
 void logWarning(std::string_view part, std::string_view sentence)
 {
-    write(severity_level::warning, part, sentence);
+    write(severity_level::warning, part, "warning", quoted(sentence));
 }
 
 void logError(std::string_view part, std::string_view sentence)
 {
-    write(severity_level::error, part, sentence);
+    write(severity_level::error, part, "error", quoted(sentence));
+}
+
+std::uint64_t logLinesDropped()
+{
+    return installedSink() ? installedSink()->locked_backend()->dropped() : 0;
 }
 
 } // namespace lycheeshunt::base
--- /dev/null
+++ b/lycheeshunt/base/log_test.cpp
@@ -0,0 +1,63 @@
+// The log's bounds: a budget for each kind of line, and nobody who waits for the reader.
+
+#include "lycheeshunt/base/line_writer.h"
+#include "lycheeshunt/base/log_budget.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace lycheeshunt::base;
+
+TEST_GROUP(log) {};
+
+TEST(log, aKindThatIsOverItsBudgetIsLeftOutAndCounted)
+{
+    log_budget budget(3);
+    for (int i = 0; i < 3; ++i)
+        CHECK_EQUAL(0U, *budget.admit("flows opened", clock_time::ofMillis(5000)));
+    for (int i = 0; i < 7; ++i)
+        CHECK_FALSE(budget.admit("flows opened", clock_time::ofMillis(5900)).has_value());
+    CHECK(budget.admit("flows reset", clock_time::ofMillis(5900)).has_value());
+    CHECK_EQUAL(7U, *budget.admit("flows opened", clock_time::ofMillis(6000)));
+    CHECK_EQUAL(0U, *budget.admit("flows opened", clock_time::ofMillis(6001)));
+}
+
+TEST(log, aReaderThatStandsStillHoldsNobodyUp)
+{
+    int ends[2] = {};
+    CHECK_EQUAL(0, ::pipe(ends));
+    constexpr std::size_t capacity = 64;
+    constexpr std::size_t offered = 20'000;
+    std::uint64_t dropped = 0;
+    const clock_time before = clock_time::steady();
+    {
+        line_writer writer(ends[1], capacity);
+        for (std::size_t i = 0; i < offered; ++i)
+            writer.offer(std::string(200, 'x') + "\n");
+        dropped = writer.dropped();
+    }
+    // Nobody ever read; the offers went on and the writer ended all the same.
+    CHECK(dropped > 0);
+    CHECK(clock_time::steady() - before < clock_time::ofSeconds(10));
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+TEST(log, linesArriveWholeAndInOrder)
+{
+    int ends[2] = {};
+    CHECK_EQUAL(0, ::pipe(ends));
+    {
+        line_writer writer(ends[1], 16);
+        CHECK(writer.offer("first\n"));
+        CHECK(writer.offer("second\n"));
+    }
+    ::close(ends[1]);
+    char text[64] = {};
+    const ssize_t length = ::read(ends[0], text, sizeof text);
+    CHECK_EQUAL(13, length);
+    STRCMP_EQUAL("first\nsecond\n", text);
+    ::close(ends[0]);
+}
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -42,6 +42,55 @@
                                               replication::storage_id(randomNumber()));
 }
 
+void logMembers(const replication::configuration &members)
+{
+    std::string names;
+    for (const replication::configuration_member &member : members.members)
+        names += (names.empty() ? "" : ",") + member.name + (member.isVoter ? "" : "(learning)");
+    base::logEvent("replication", "members",
+                   {{"members", names}, {"voters", std::to_string(members.voterCount())}});
+}
+
+const char *nameOf(membership::member_phase phase)
+{
+    switch (phase) {
+    case membership::member_phase::serving:
+        return "serving";
+    case membership::member_phase::suspected:
+        return "suspected";
+    case membership::member_phase::draining:
+        return "draining";
+    }
+    return "other";
+}
+
+void logBatch(base::generation at, const membership::membership_batch &batch)
+{
+    const std::string generation = std::to_string(at.value());
+    for (const membership::member &member : batch.present)
+        base::logEvent("membership", "member",
+                       {{"generation", generation},
+                        {"name", member.name},
+                        {"node", std::to_string(member.id().value())},
+                        {"phase", nameOf(member.phase)},
+                        {"incarnation", std::to_string(member.life.value())},
+                        {"share", std::to_string(member.share)}});
+    for (const base::node_id &node : batch.gone)
+        base::logEvent("membership", "gone",
+                       {{"generation", generation}, {"node", std::to_string(node.value())}});
+}
+
+const char *nameOf(const states::state_outcome &outcome)
+{
+    return std::visit(base::overloaded {
+                          [](const states::state_accepted &) { return "accepted"; },
+                          [](const states::state_shown &) { return "shown"; },
+                          [](const states::ask_leader &) { return "sent_to_leader"; },
+                          [](const base::error &) { return "not_known"; },
+                      },
+                      outcome);
+}
+
 // What operators are told by a control VM that does not lead.
 std::optional<base::error> refusalBy(const replication::leadership &leadership)
 {
@@ -191,6 +240,9 @@
                                              states::encodeState(*proposed.state), proposed.token);
                           },
                           [this](const states::state_answer &answer) {
+                              base::logEvent("states", "answered",
+                                             {{"request", std::to_string(answer.request.value())},
+                                              {"outcome", nameOf(answer.outcome)}});
                               if (m_stateAnswers)
                                   m_stateAnswers(answer);
                               return true;
@@ -403,6 +455,10 @@
         base::logError("states", "committed state can't be read: " + failure->text());
         return true;
     }
+    base::logEvent("states", "in_log",
+                   {{"version", std::to_string(base::valueOf(state)->version)},
+                    {"generation", std::to_string(at.value())},
+                    {"routes", std::to_string(base::valueOf(state)->routes.size())}});
     m_publisher->inbox().push(dissemination::state_applied {at, base::valueOf(state)});
     m_states->inbox().push(states::state_committed {base::valueOf(state)});
     return true;
@@ -413,6 +469,7 @@
     const base::result<membership::membership_batch> batch = membership::decodeBatch(payload);
     if (const membership::membership_batch *known
         = std::get_if<membership::membership_batch>(&batch)) {
+        logBatch(at, *known);
         m_membership->inbox().push(membership::batch_committed {*known});
         m_publisher->inbox().push(dissemination::batch_applied {at, *known});
     }
--- a/lycheeshunt/daemon/main.cpp
+++ b/lycheeshunt/daemon/main.cpp
@@ -51,21 +51,24 @@
 {
     const daemon::process_signals signals;
     base::startLog(settings.name);
-    return std::visit(base::overloaded {
-                          [&](const settings::entry_settings &own) {
-                              return runUntilStopped(daemon::entry_process::start(settings, own),
-                                                     settings, path, signals);
-                          },
-                          [&](const settings::agent_settings &own) {
-                              return runUntilStopped(daemon::agent_process::start(settings, own),
-                                                     settings, path, signals);
-                          },
-                          [&](const settings::control_settings &own) {
-                              return runUntilStopped(daemon::control_process::start(settings, own),
-                                                     settings, path, signals);
-                          },
-                      },
-                      settings.role);
+    const int status
+        = std::visit(base::overloaded {
+                         [&](const settings::entry_settings &own) {
+                             return runUntilStopped(daemon::entry_process::start(settings, own),
+                                                    settings, path, signals);
+                         },
+                         [&](const settings::agent_settings &own) {
+                             return runUntilStopped(daemon::agent_process::start(settings, own),
+                                                    settings, path, signals);
+                         },
+                         [&](const settings::control_settings &own) {
+                             return runUntilStopped(daemon::control_process::start(settings, own),
+                                                    settings, path, signals);
+                         },
+                     },
+                     settings.role);
+    base::stopLog();
+    return status;
 }
 
 } // namespace
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -94,7 +94,13 @@
                            streams::stream_frame {announce.connection, streams::channel::membership,
                                                   membership::encodeMember(announce.self)});
                    },
-                   [this](const adopt_view &adopt) { m_sink(adopt.view); },
+                   [this](const adopt_view &adopt) {
+                       base::logEvent(logPart, "view",
+                                      {{"generation", std::to_string(adopt.view->at.value())},
+                                       {"members", std::to_string(adopt.view->members.size())},
+                                       {"routes", std::to_string(adopt.view->routes.size())}});
+                       m_sink(adopt.view);
+                   },
                    [this](const use_servers &use) { useServers(use.servers, use.isLeaderFirst); },
                    [this](const report_life &report) {
                        base::logWarning(logPart,
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -145,6 +145,8 @@
                            sendToCaller(bytes);
                    },
                    [this](const refuse_packet &) { ++m_refused; },
+                   // The flow thread has logged it.
+                   [](const flow_event &) {},
                },
                action);
 }
--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -33,6 +33,7 @@
     if (listed.size() > maxListedAgents)
         return base::error {base::error_code::messageTooLarge, "agents of a packet"};
     std::vector<base::node_id> agents;
+    agents.reserve(listed.size());
     for (const std::uint64_t node : listed)
         agents.emplace_back(node);
     const msgpack::type::raw_ref &raw = std::get<11>(fields);
--- a/lycheeshunt/flows/flow_duty.cpp
+++ b/lycheeshunt/flows/flow_duty.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/flows/flow_duty.h"
 
 #include "lycheeshunt/flows/decision.h"
+#include "lycheeshunt/flows/event_log.h"
 
 namespace lycheeshunt::flows {
 
@@ -20,8 +21,12 @@
 {
     base::step<flow_state, flow_action> next = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
-    for (const flow_action &action : next.actions)
-        m_sink(action);
+    for (const flow_action &action : next.actions) {
+        if (const flow_event *event = std::get_if<flow_event>(&action))
+            logFlowEvent(*event);
+        else
+            m_sink(action);
+    }
 }
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/placing.cpp
@@ -45,7 +45,7 @@
     if (packet.summary.isRepeated)
         context.actions.emplace_back(refuse_packet {reason});
     else
-        context.actions.emplace_back(reset_caller {packet.bytes, reason});
+        refuseCaller(context, packet, reason);
 }
 
 void offer(flow_context &context, const forwarded_packet &packet, const placement::pass_flow &pass)
@@ -53,6 +53,7 @@
     const std::optional<routing::target> to = targetOf(context.state, pass.to);
     if (!to)
         return refuse(context, packet, base::error_code::noServer);
+    noteEvent(context, flow_event_kind::offered, packet, pass.to);
     std::vector<base::node_id> offered = pass.offer.tried;
     passOn(context, withAgents(packet, offered), *to, packet_stage::offer);
     // A copy of the packet goes to yet another agent: this one may be dead.
@@ -94,6 +95,22 @@
 
 } // namespace
 
+void noteEvent(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
+               base::node_id other, std::optional<base::error_code> reason)
+{
+    const flow_state &state = context.state;
+    context.actions.emplace_back(
+        flow_event {kind, packet.summary.key, packet.stage, currentGeneration(state), other,
+                    static_cast<std::uint32_t>(state.busyFlows),
+                    static_cast<std::uint32_t>(state.owned.size()), packet.isDoubtful, reason});
+}
+
+void refuseCaller(flow_context &context, const forwarded_packet &packet, base::error_code reason)
+{
+    noteEvent(context, flow_event_kind::refused, packet, base::node_id(), reason);
+    context.actions.emplace_back(reset_caller {packet.bytes, reason});
+}
+
 bool canAccept(const flow_state &state, base::clock_time now)
 {
     return state.server.isAccepting && !state.draining && now >= state.server.silentUntil
--- a/lycheeshunt/flows/internal/placing.h
+++ b/lycheeshunt/flows/internal/placing.h
@@ -2,11 +2,18 @@
 
 #pragma once
 
+#include "lycheeshunt/flows/flow_event.h"
 #include "lycheeshunt/flows/internal/flow_context.h"
 #include "lycheeshunt/placement/load_report.h"
 
 namespace lycheeshunt::flows::internal {
 
+// Adds what was decided to the log.
+void noteEvent(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
+               base::node_id other = {}, std::optional<base::error_code> reason = std::nullopt);
+// Resets the caller, with a line in the log.
+void refuseCaller(flow_context &context, const forwarded_packet &packet, base::error_code reason);
+
 // Whether the backend server may get a new flow now.
 bool canAccept(const flow_state &state, base::clock_time now);
 
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returning.cpp
@@ -29,6 +29,12 @@
                              std::move(agents), isDoubtful};
 }
 
+void note(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
+          std::optional<base::error_code> reason = std::nullopt)
+{
+    noteEvent(context, kind, packet, base::node_id(), reason);
+}
+
 void sendHint(flow_context &context, const forwarded_packet &packet)
 {
     const flow_state &state = context.state;
@@ -40,6 +46,8 @@
 
 void tellEntry(flow_context &context, const forwarded_packet &packet, bool isDoubtful)
 {
+    note(context, flow_event_kind::unknown, with(packet, packet.stage, {}, isDoubtful),
+         base::error_code::flowUnknown);
     if (packet.entry.port != 0)
         context.actions.emplace_back(
             send_packet {packet.entry, with(packet, packet_stage::unknown, {}, isDoubtful)});
@@ -63,9 +71,10 @@
         tellEntry(context, packet, true);
     else if (director == nullptr || packet.service != state.identity->service)
         tellEntry(context, packet, packet.isDoubtful);
-    else if (isSelf(state, director->node) || packet.hops > 0)
+    else if (isSelf(state, director->node) || packet.hops > 0) {
+        note(context, flow_event_kind::searched, packet);
         holdPacket(context, packet, hold_purpose::find, {});
-    else
+    } else
         passOn(context, packet, *director, packet_stage::declined);
 }
 
@@ -164,13 +173,14 @@
         eraseOwned(state, key);
         registerLater(context, key, false);
     }
+    note(context, flow_event_kind::givenBack, packet);
     if (answer.summary.opens)
         offerElsewhere(context, packet);
     else if (isOver || answer.summary.resets)
         context.actions.emplace_back(refuse_packet {base::error_code::flowUnknown});
     else if (wasServed)
         // It was this server's and is no more: the server has closed it or started again.
-        context.actions.emplace_back(reset_caller {answer.bytes, base::error_code::flowUnknown});
+        refuseCaller(context, packet, base::error_code::flowUnknown);
     else if (packet.stage == packet_stage::trial)
         tryNext(context, packet);
     else
@@ -183,6 +193,7 @@
 {
     const base::flow_key &key = packet.summary.key;
     own(context, key, flow_phase::opening);
+    note(context, flow_event_kind::opened, packet);
     context.state.visits.put(key, visit {packet, context.now});
     deliverToServer(context, packet);
     sendHint(context, packet);
@@ -191,8 +202,10 @@
 void adoptReturning(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
-    if (context.state.owned.find(key) == nullptr)
+    if (context.state.owned.find(key) == nullptr) {
         own(context, key, flow_phase::open);
+        note(context, flow_event_kind::adopted, packet);
+    }
     context.state.visits.put(key, visit {packet, context.now});
     handleOwned(context, owned_flow(*context.state.owned.find(key)), packet);
     if (packet.hops > 0 || packet.stage == packet_stage::trial)
@@ -287,6 +300,7 @@
         state.visits.erase(key);
     for (const visit &late : unanswered) {
         state.server.silentUntil = context.now + silentFor;
+        note(context, flow_event_kind::serverSilent, late.packet);
         state.visits.erase(late.packet.summary.key);
         eraseOwned(state, late.packet.summary.key);
         registerLater(context, late.packet.summary.key, false);
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/routing/entry_port.h"
 
+#include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/flows/codec.h"
@@ -122,6 +123,37 @@
                    [&](const drop_packet &) { ++m_unroutable; },
                },
                way);
+    if (summary.opens || !std::holds_alternative<steer_to>(way))
+        logSteering(summary, way);
+}
+
+void entry_port::logSteering(const packets::ip_summary &packet, const steering &way) const
+{
+    const std::string generation = std::to_string(m_table->at().value());
+    std::visit(base::overloaded {
+                   [&](const steer_to &to) {
+                       base::logEvent(
+                           "routing", "steered",
+                           {{"flow", packet.key.text()},
+                            {"generation", generation},
+                            {"to", to.way.to.packets.text()},
+                            {"by", to.stage == flows::packet_stage::toOwner ? "hint" : "director"},
+                            {"copy", packet.isRepeated ? "yes" : "no"}});
+                   },
+                   [&](const refuse_caller &refused) {
+                       base::logEvent("routing", "refused",
+                                      {{"flow", packet.key.text()},
+                                       {"generation", generation},
+                                       {"code", std::to_string(static_cast<int>(refused.reason))}});
+                   },
+                   [&](const drop_packet &dropped) {
+                       base::logEvent("routing", "dropped",
+                                      {{"flow", packet.key.text()},
+                                       {"generation", generation},
+                                       {"code", std::to_string(static_cast<int>(dropped.reason))}});
+                   },
+               },
+               way);
 }
 
 void entry_port::refuseCaller(std::string_view packet, const base::flow_key &key)
@@ -176,6 +208,7 @@
             [&](const drop_packet &) { ++m_unroutable; },
         },
         way);
+    logSteering(packet.summary, way);
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -15,6 +15,7 @@
 #include "lycheeshunt/routing/entry_sockets.h"
 #include "lycheeshunt/routing/flow_hints.h"
 #include "lycheeshunt/routing/routing_table.h"
+#include "lycheeshunt/routing/steering.h"
 
 #include <atomic>
 #include <memory>
@@ -69,6 +70,7 @@
 
     void receiveHints();
     void takeUnknown(const flows::forwarded_packet &packet);
+    void logSteering(const packets::ip_summary &packet, const steering &way) const;
     void refuseCaller(std::string_view packet, const base::flow_key &key);
 
     const entry_sockets m_sockets;
