--- a/lycheeshunt/base/line_writer.cpp
+++ b/lycheeshunt/base/line_writer.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/base/line_writer.h"
 
+#include <fcntl.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -9,13 +10,20 @@
 
 namespace {
 
-// A reader that takes nothing for this long while the process ends is given up.
-constexpr int lastWaitMillis = 200;
+// How often a reader that takes nothing is tried again.
+constexpr int retryMillis = 20;
+
+// Else a write could hold up the end of the process.
+int nonBlocking(int descriptor)
+{
+    ::fcntl(descriptor, F_SETFL, ::fcntl(descriptor, F_GETFL) | O_NONBLOCK);
+    return descriptor;
+}
 
 } // namespace
 
 line_writer::line_writer(int descriptor, std::size_t capacity)
-    : m_descriptor(descriptor), m_lines(capacity), m_thread([this]() { run(); })
+    : m_descriptor(nonBlocking(descriptor)), m_lines(capacity), m_thread([this]() { run(); })
 {
 }
 
@@ -41,21 +49,19 @@
 bool line_writer::writeWhole(std::string_view bytes)
 {
     while (!bytes.empty()) {
-        pollfd watched {m_descriptor, POLLOUT, 0};
         const bool isEnding = m_lines.isClosed();
-        const int ready = ::poll(&watched, 1, lastWaitMillis);
-        if (ready == 0 && isEnding)
-            return false;
-        if (ready <= 0)
+        const ssize_t written = ::write(m_descriptor, bytes.data(), bytes.size());
+        if (written > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(written));
             continue;
-        // Small enough that a pipe which is writable takes it without waiting.
-        constexpr std::size_t pipeAtom = 4096;
-        const ssize_t written
-            = ::write(m_descriptor, bytes.data(), std::min(bytes.size(), pipeAtom));
+        }
         if (written < 0 && errno != EINTR && errno != EAGAIN)
             return false;
-        if (written > 0)
-            bytes.remove_prefix(static_cast<std::size_t>(written));
+        if (isEnding)
+            return false;
+        // A pipe may be called writable while it has no room for a whole line, so time is waited
+        // for and not the descriptor.
+        ::poll(nullptr, 0, retryMillis);
     }
     return true;
 }
--- a/lycheeshunt/base/log.cpp
+++ b/lycheeshunt/base/log.cpp
@@ -61,6 +61,8 @@
 void write(severity_level level, std::string_view part, std::string_view event,
            const std::string &fields)
 {
+    if (!installedSink())
+        return;
     const std::string kind = std::string(part) + " " + std::string(event);
     const std::optional<std::uint64_t> omitted = budget().admit(kind, clock_time::steady());
     if (!omitted)
--- a/lycheeshunt/base/log.h
+++ b/lycheeshunt/base/log.h
@@ -19,6 +19,7 @@
 
 namespace lycheeshunt::base {
 
+// Before this nothing is written.
 void startLog(std::string_view processName);
 // Writes what is queued. Call it last.
 void stopLog();
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -329,7 +329,7 @@
                     membership::leadership_changed {changed.leadership.isLeader});
             },
             [this](const replication::members_changed &changed) {
-                       logMembers(changed.configuration);
+                logMembers(changed.configuration);
                 m_members
                     = std::make_shared<const replication::configuration>(changed.configuration);
                 if (m_leadership)
--- a/lycheeshunt/flows/fake_cluster_test.h
+++ b/lycheeshunt/flows/fake_cluster_test.h
@@ -244,6 +244,7 @@
                        [&](const answer_caller &sent) { answer(sent.bytes); },
                        [&](const reset_caller &sent) { reset(sent); },
                        [&](const refuse_packet &sent) { ++m_refusals[sent.reason]; },
+                       [](const flow_event &) {},
                    },
                    action);
     }
