--- a/lycheeshunt/ctl/main.cpp
+++ b/lycheeshunt/ctl/main.cpp
@@ -1,6 +1,7 @@
 // lycheeshuntctl: the operators' command-line client.
 
 #include "lycheeshunt/ctl/control_client.h"
+#include "lycheeshunt/ctl/explain.h"
 #include "lycheeshunt/ctl/report.h"
 #include "lycheeshunt/operators/token_file.h"
 
@@ -27,6 +28,8 @@
     bool isWaiting = false;
     bool isUndo = false;
     bool isJson = false;
+    std::string caller;
+    std::vector<std::string> logs;
 };
 
 constexpr const char *examples = "Examples:\n"
@@ -35,6 +38,7 @@
                                  "  lycheeshuntctl drain logbook-2 --number 13 --wait\n"
                                  "  lycheeshuntctl --server 10.0.0.1:7480 --server 10.0.0.2:7480 "
                                  "--json status\n"
+                                 "  lycheeshuntctl explain 192.0.2.7:40001 entry-1.log a1.log\n"
                                  "Exit statuses: 0 done, 1 refused, 2 usage, 3 unreachable, "
                                  "4 accepted but not in force everywhere";
 
@@ -102,6 +106,22 @@
                               std::cerr);
 }
 
+int explainFiles(const options &given)
+{
+    std::vector<std::string> lines;
+    for (const std::string &path : given.logs) {
+        std::ifstream file(path);
+        if (!file) {
+            std::cerr << "can't read " << path << "\n";
+            return ctl::badUsage;
+        }
+        std::string line;
+        while (std::getline(file, line))
+            lines.push_back(line);
+    }
+    return ctl::explainFlow(given.caller, lines, std::cout);
+}
+
 void addWait(CLI::App &command, options &given)
 {
     constexpr std::int64_t longestWait = 60'000;
@@ -134,6 +154,10 @@
     drainNode->add_option("--author", given.author);
     drainNode->add_flag("--undo", given.isUndo, "end the draining");
     addWait(*drainNode, given);
+    CLI::App *explain
+        = app.add_subcommand("explain", "what logs of several processes say of a flow");
+    explain->add_option("flow", given.caller, "address and port of its caller")->required();
+    explain->add_option("logs", given.logs, "log files")->required();
     CLI::App *status = app.add_subcommand("status", "every member and its state");
     CLI::App *servers = app.add_subcommand("servers", "backend servers and their state");
     try {
@@ -142,6 +166,8 @@
         return app.exit(failure) == 0 ? ctl::done : ctl::badUsage;
     }
 
+    if (explain->parsed())
+        return explainFiles(given);
     std::string token;
     if (!given.tokenFile.empty()) {
         const base::result<std::string> read = operators::readToken(given.tokenFile);
