Hold nodes at a control VM without a leader only while all have just started

Control VMs on the smaller side of a cut kept the nodes that came to them, waiting for a leader that could not be elected there.

Ruled out: the node's search, which goes on as soon as it is sent away.

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/daemon/internal/node_hold.h"
 #include "lycheeshunt/dissemination/codec.h"
 #include "lycheeshunt/dissemination/publisher_duty.h"
 #include "lycheeshunt/dissemination/state_applied.h"
@@ -356,7 +357,8 @@
 {
     {
         const std::lock_guard<std::mutex> lock(m_directoryLock);
-        if (m_directory && m_directory->leader.port == 0) {
+        const base::clock_time uptime = base::clock_time::steady() - m_startedAt;
+        if (m_directory && internal::holdsNode(*m_directory, uptime)) {
             m_undirected.insert(connection);
             return;
         }
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/base/request_id.h"
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/daemon/internal/log_compaction.h"
@@ -113,6 +114,7 @@
     std::unique_ptr<membership::membership_duty> m_membership;
     std::unique_ptr<dissemination::publisher_duty> m_publisher;
     std::unique_ptr<operators::operator_duty> m_operators;
+    const base::clock_time m_startedAt = base::clock_time::steady();
     std::mutex m_directoryLock;
     std::shared_ptr<const dissemination::control_directory> m_directory;
     // Nodes that wait to hear who leads.
