--- a/lycheeshunt/replication/open_group_test.cpp
+++ b/lycheeshunt/replication/open_group_test.cpp
@@ -49,6 +49,7 @@
     void start(std::size_t number, bool mayFound, const std::vector<std::size_t> &seeds = {1, 2, 3})
     {
         std::vector<base::endpoint> addresses;
+        addresses.reserve(seeds.size());
         for (const std::size_t seed : seeds)
             addresses.push_back(endpointOf(seed));
         const replica_settings settings {"control-" + std::to_string(number),
--- a/lycheeshunt/replication/peer_codec.cpp
+++ b/lycheeshunt/replication/peer_codec.cpp
@@ -138,6 +138,7 @@
     if (raw.size() > maxContacts)
         return base::error {base::error_code::messageTooLarge, "contacts of a control VM"};
     std::vector<base::endpoint> contacts;
+    contacts.reserve(raw.size());
     for (const address_fields &contact : raw)
         contacts.push_back(endpointOf(contact));
     return peer_message(
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -58,11 +58,11 @@
     const bool contradicts = state.current && said.isSameLifeAs(*state.current)
         && said.service != state.current->service;
     if (!contradicts && !isLate(state, said, now)) {
-        if (!state.current || !said.isSameLifeAs(*state.current))
-            startLife(state, said);
-        else if (state.isOver && !said.isDraining && !state.current->isDraining)
-            // It was only silent. A life that has drained never serves again, so this is another
-            // one.
+        const bool isOtherLife = !state.current || !said.isSameLifeAs(*state.current);
+        // One that was only silent is another life too: a life that has drained never serves again.
+        const bool isBack
+            = !isOtherLife && state.isOver && !said.isDraining && !state.current->isDraining;
+        if (isOtherLife || isBack)
             startLife(state, said);
         const bool drains = said.isDraining
             || (state.current && state.current->isSameLifeAs(said) && state.current->isDraining);
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -88,13 +88,14 @@
 std::vector<base::endpoint> readControlAddresses(table_reader &reader)
 {
     constexpr std::int64_t lastPort = 65535;
-    const std::vector<base::endpoint> listed = reader.endpoints("control_addresses");
+    std::vector<base::endpoint> listed = reader.endpoints("control_addresses");
     const std::int64_t port = reader.number("control_port", 0);
     if (port < 0 || port > lastPort)
         reader.fail(base::error_code::settingsBadValue, "control_port", "must be a port");
     if (port == 0)
         return listed;
     std::vector<base::endpoint> addresses;
+    addresses.reserve(listed.size());
     for (const base::endpoint &address : listed)
         addresses.push_back(base::endpoint {address.address, static_cast<std::uint16_t>(port)});
     return addresses;
