--- a/lycheeshunt/dissemination/codec.cpp
+++ b/lycheeshunt/dissemination/codec.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/dissemination/codec.h"
 
 #include "lycheeshunt/base/codec.h"
+#include "lycheeshunt/base/endpoint_fields.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/tickets/codec.h"
@@ -34,7 +35,7 @@
                                 cursor_fields, change_fields>;
 using request_fields = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t,
                                   std::uint64_t, std::uint64_t, cursor_fields>;
-using address_fields = std::tuple<std::uint32_t, std::uint16_t>;
+using address_fields = base::endpoint_fields;
 using directory_fields = std::tuple<address_fields, std::vector<address_fields>>;
 using heard_fields = std::tuple<std::uint64_t, std::uint64_t>;
 
@@ -164,22 +165,12 @@
                                            base::valueOf(next), base::valueOf(part)});
 }
 
-address_fields fieldsOf(const base::endpoint &where)
-{
-    return address_fields(where.address, where.port);
-}
-
-base::endpoint endpointOf(const address_fields &fields)
-{
-    return base::endpoint {std::get<0>(fields), std::get<1>(fields)};
-}
-
 std::string encodeDirectory(const control_directory &directory)
 {
     std::vector<address_fields> members;
     for (const base::endpoint &member : directory.members)
-        members.push_back(fieldsOf(member));
-    return pack(directoryKind, directory_fields(fieldsOf(directory.leader), members));
+        members.push_back(base::fieldsOf(member));
+    return pack(directoryKind, directory_fields(base::fieldsOf(directory.leader), members));
 }
 
 base::result<control_message> decodeDirectory(std::string_view body)
@@ -192,8 +183,8 @@
         return base::error {base::error_code::messageTooLarge, "control VMs"};
     std::vector<base::endpoint> members;
     for (const address_fields &member : raw)
-        members.push_back(endpointOf(member));
-    return control_message(control_directory {endpointOf(leader), std::move(members)});
+        members.push_back(base::endpointOf(member));
+    return control_message(control_directory {base::endpointOf(leader), std::move(members)});
 }
 
 base::result<node_message> decodeRequest(std::string_view body)
--- a/lycheeshunt/flows/forwarded_packet.h
+++ b/lycheeshunt/flows/forwarded_packet.h
@@ -6,6 +6,7 @@
 #include "lycheeshunt/flows/packet_stage.h"
 #include "lycheeshunt/packets/ip_summary.h"
 
+#include <utility>
 #include <vector>
 
 namespace lycheeshunt::flows {
@@ -28,6 +29,13 @@
     // An agent that might have the flow could not be asked.
     const bool isDoubtful = false;
 
+    // The same packet at another stage of its way.
+    forwarded_packet with(packet_stage next, std::vector<base::node_id> listed, bool doubt) const
+    {
+        return forwarded_packet {service,           life, at, next, hops, summary, bytes, entry,
+                                 std::move(listed), doubt};
+    }
+
     bool operator==(const forwarded_packet &) const = default;
 };
 
--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/placing.cpp
@@ -32,13 +32,6 @@
                                        defaults.reportBytesPerSecond};
 }
 
-forwarded_packet withAgents(const forwarded_packet &packet, std::vector<base::node_id> agents)
-{
-    return forwarded_packet {packet.service,    packet.life,      packet.at,    packet.stage,
-                             packet.hops,       packet.summary,   packet.bytes, packet.entry,
-                             std::move(agents), packet.isDoubtful};
-}
-
 void refuse(flow_context &context, const forwarded_packet &packet, base::error_code reason)
 {
     // A copy of an opening packet may be refused by all because one of them has the flow.
@@ -55,11 +48,13 @@
         return refuse(context, packet, base::error_code::noServer);
     noteEvent(context, flow_event_kind::offered, packet, pass.to);
     std::vector<base::node_id> offered = pass.offer.tried;
-    passOn(context, withAgents(packet, offered), *to, packet_stage::offer);
+    passOn(context, packet.with(packet.stage, offered, packet.isDoubtful), *to,
+           packet_stage::offer);
     // A copy of the packet goes to yet another agent: this one may be dead.
     offered.push_back(pass.to);
-    context.state.visits.put(packet.summary.key,
-                             visit {withAgents(packet, std::move(offered)), context.now});
+    context.state.visits.put(
+        packet.summary.key,
+        visit {packet.with(packet.stage, std::move(offered), packet.isDoubtful), context.now});
 }
 
 void carryOut(flow_context &context, const placement::placement_action &action)
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returning.cpp
@@ -21,14 +21,6 @@
 // Longer than a caller repeats an opening packet.
 constexpr base::clock_time visitKept = base::clock_time::ofSeconds(2);
 
-forwarded_packet with(const forwarded_packet &packet, packet_stage stage,
-                      std::vector<base::node_id> agents, bool isDoubtful)
-{
-    return forwarded_packet {packet.service,    packet.life,    packet.at,    stage,
-                             packet.hops,       packet.summary, packet.bytes, packet.entry,
-                             std::move(agents), isDoubtful};
-}
-
 void note(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
           std::optional<base::error_code> reason = std::nullopt)
 {
@@ -46,11 +38,11 @@
 
 void tellEntry(flow_context &context, const forwarded_packet &packet, bool isDoubtful)
 {
-    note(context, flow_event_kind::unknown, with(packet, packet.stage, {}, isDoubtful),
+    note(context, flow_event_kind::unknown, packet.with(packet.stage, {}, isDoubtful),
          base::error_code::flowUnknown);
     if (packet.entry.port != 0)
         context.actions.emplace_back(
-            send_packet {packet.entry, with(packet, packet_stage::unknown, {}, isDoubtful)});
+            send_packet {packet.entry, packet.with(packet_stage::unknown, {}, isDoubtful)});
     else if (isDoubtful || packet.summary.opens)
         context.actions.emplace_back(refuse_packet {base::error_code::flowUnknown});
     else
@@ -87,12 +79,12 @@
         const base::node_id next = rest.front();
         rest.erase(rest.begin());
         if (isSelf(state, next)) {
-            adoptReturning(context, with(packet, packet_stage::trial, rest, packet.isDoubtful));
+            adoptReturning(context, packet.with(packet_stage::trial, rest, packet.isDoubtful));
             return;
         }
         if (const std::optional<routing::target> to = targetOf(state, next)) {
             context.actions.emplace_back(send_packet {
-                to->packets, with(packet, packet_stage::trial, rest, packet.isDoubtful)});
+                to->packets, packet.with(packet_stage::trial, rest, packet.isDoubtful)});
             return;
         }
     }
@@ -116,7 +108,7 @@
         placeFlow(context, packet);
         return;
     }
-    placeFlow(context, with(packet, packet.stage, earlier->packet.agents, packet.isDoubtful));
+    placeFlow(context, packet.with(packet.stage, earlier->packet.agents, packet.isDoubtful));
 }
 
 void handleOngoing(flow_context &context, const forwarded_packet &packet)
@@ -146,7 +138,7 @@
     if (std::find(tried.begin(), tried.end(), self) == tried.end())
         tried.push_back(self);
     if (context.state.placement)
-        placeFlow(context, with(packet, packet_stage::offer, std::move(tried), packet.isDoubtful));
+        placeFlow(context, packet.with(packet_stage::offer, std::move(tried), packet.isDoubtful));
 }
 
 void handleGivenBack(flow_context &context, const server_answer &answer)
@@ -223,7 +215,7 @@
     if (isDoubtful || tried.empty() || packet.summary.resets)
         tellEntry(context, packet, doubt);
     else
-        tryNext(context, with(packet, packet_stage::trial, std::move(tried), doubt));
+        tryNext(context, packet.with(packet_stage::trial, std::move(tried), doubt));
 }
 
 void handleReturningPacket(flow_context &context, const forwarded_packet &packet)
@@ -278,7 +270,6 @@
                             self.availabilityZone, self.serverReturns});
         startPlacement(context);
     }
-    shareLoad(context);
 }
 
 void returningTick(flow_context &context)
--- a/lycheeshunt/replication/peer_codec.cpp
+++ b/lycheeshunt/replication/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/replication/peer_codec.h"
 
 #include "lycheeshunt/base/codec.h"
+#include "lycheeshunt/base/endpoint_fields.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/replication/codec.h"
 #include "lycheeshunt/replication/peer_envelope.h"
@@ -24,22 +25,12 @@
 using snapshot_piece_fields
     = std::tuple<number, number, number, number, std::string, number, number, std::string>;
 using snapshot_answer_fields = std::tuple<number, number, number, number>;
-using address_fields = std::tuple<std::uint32_t, std::uint16_t>;
+using address_fields = base::endpoint_fields;
 using presence_fields
     = std::tuple<bool, address_fields, std::string, address_fields, std::vector<address_fields>>;
 constexpr std::size_t maxContacts = 64;
 using forwarded_fields = std::tuple<std::uint8_t, std::string, std::int64_t>;
 
-address_fields fieldsOf(const base::endpoint &where)
-{
-    return address_fields(where.address, where.port);
-}
-
-base::endpoint endpointOf(const address_fields &fields)
-{
-    return base::endpoint {std::get<0>(fields), std::get<1>(fields)};
-}
-
 std::string encodeBody(const peer_message &message)
 {
     return std::visit(
@@ -73,9 +64,9 @@
             [](const presence &m) {
                 std::vector<address_fields> contacts;
                 for (const base::endpoint &contact : m.contacts)
-                    contacts.push_back(fieldsOf(contact));
-                return base::packFields(presence_fields(m.isFormed, fieldsOf(m.api), m.name,
-                                                        fieldsOf(m.streams), contacts));
+                    contacts.push_back(base::fieldsOf(contact));
+                return base::packFields(presence_fields(m.isFormed, base::fieldsOf(m.api), m.name,
+                                                        base::fieldsOf(m.streams), contacts));
             },
             [](const forwarded_proposal &m) {
                 return base::packFields(forwarded_fields(static_cast<std::uint8_t>(m.proposal.kind),
@@ -140,9 +131,9 @@
     std::vector<base::endpoint> contacts;
     contacts.reserve(raw.size());
     for (const address_fields &contact : raw)
-        contacts.push_back(endpointOf(contact));
-    return peer_message(
-        presence {isFormed, endpointOf(api), name, endpointOf(streams), std::move(contacts)});
+        contacts.push_back(base::endpointOf(contact));
+    return peer_message(presence {isFormed, base::endpointOf(api), name, base::endpointOf(streams),
+                                  std::move(contacts)});
 }
 
 using body_decoder = base::result<peer_message> (*)(std::string_view);
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -76,6 +76,11 @@
     }
 }
 
+bool routing_table::serves(const base::flow_key &key) const
+{
+    return m_addresses.count(addressKey(key.service, key.protocol)) > 0;
+}
+
 std::vector<base::service_id> routing_table::servicesFor(const base::flow_key &key) const
 {
     const auto found = m_addresses.find(addressKey(key.service, key.protocol));
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -33,6 +33,8 @@
     // The bucket's director, or its backup while only the director is bypassed.
     routing_outcome routeOf(const base::flow_key &key, const bypassed_agents &bypassed = {}) const;
 
+    // Whether callers reach any service at the address.
+    bool serves(const base::flow_key &key) const;
     // The services that may have a flow to this address: the one that a new flow goes to, others
     // with a share, then those that had one before. Empty when the address is not served.
     std::vector<base::service_id> servicesFor(const base::flow_key &key) const;
--- a/lycheeshunt/routing/steering.cpp
+++ b/lycheeshunt/routing/steering.cpp
@@ -37,8 +37,7 @@
 steering steer(const routing_table &table, const bypassed_agents &bypassed, flow_hints &hints,
                const packets::ip_summary &packet, base::clock_time now)
 {
-    const std::vector<base::service_id> services = table.servicesFor(packet.key);
-    if (services.empty()) {
+    if (!table.serves(packet.key)) {
         hints.erase(packet.key);
         if (packet.opens)
             return refuse_caller {base::error_code::noSuchAddress};
@@ -49,6 +48,7 @@
     if (hint != nullptr && !isNew)
         return steer_to {route {hint->service, table.at(), hint->owner},
                          flows::packet_stage::toOwner};
+    const std::vector<base::service_id> services = table.servicesFor(packet.key);
     if (!packet.opens)
         return firstOf(table, bypassed, packet, services, 0);
     // Former services get no new flows.
