--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -269,9 +269,7 @@
             [this](const replication::commit_entries &committed) {
                 m_log->take(committed.entries);
             },
-            [this](const replication::state_restored &restored) {
-                m_log->restore(restored);
-            },
+            [this](const replication::state_restored &restored) { m_log->restore(restored); },
             [this](const replication::leadership_changed &changed) {
                 m_isLeading = changed.leadership.isLeader;
                 tellLeadership(changed.leadership);
--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -99,8 +99,7 @@
             m_followers.tickets.inbox().push(tickets::ticket_committed {
                 tickets::ticket_record {*known, entry.index, entry.acceptedAt}});
     } else if (entry.kind == replication::entry_kind::state) {
-        m_followers.tickets.inbox().push(
-            tickets::other_committed {entry.index, {}, entry.payload});
+        m_followers.tickets.inbox().push(tickets::other_committed {entry.index, {}, entry.payload});
     } else if (entry.kind == replication::entry_kind::membership) {
         m_followers.tickets.inbox().push(tickets::other_committed {entry.index, entry.payload});
     }
@@ -124,8 +123,7 @@
     else if (batch)
         logBatch(other.at, *batch);
     if (other.isMerged) {
-        m_followers.publisher.inbox().push(
-            dissemination::entries_merged {other.at, batch, state});
+        m_followers.publisher.inbox().push(dissemination::entries_merged {other.at, batch, state});
     } else if (state) {
         m_followers.publisher.inbox().push(dissemination::state_applied {other.at, state});
     } else if (batch) {
--- a/lycheeshunt/daemon/internal/log_compaction.cpp
+++ b/lycheeshunt/daemon/internal/log_compaction.cpp
@@ -126,8 +126,7 @@
     return ordered;
 }
 
-tickets::other_committed
-log_compaction::merge(const std::vector<replication::log_entry> &entries)
+tickets::other_committed log_compaction::merge(const std::vector<replication::log_entry> &entries)
 {
     batch_merger members;
     base::generation at;
--- a/lycheeshunt/daemon/log_compaction_test.cpp
+++ b/lycheeshunt/daemon/log_compaction_test.cpp
@@ -36,8 +36,7 @@
                                base::endpoint {1, 2}};
 }
 
-replication::log_entry batchEntry(std::uint64_t index,
-                                  const membership::membership_batch &batch)
+replication::log_entry batchEntry(std::uint64_t index, const membership::membership_batch &batch)
 {
     return entryOf(index, replication::entry_kind::membership, membership::encodeBatch(batch));
 }
@@ -53,8 +52,8 @@
 
 TEST(log_compaction, theHighestStateIsAllThatIsLeftOfStates)
 {
-    const tickets::other_committed merged = log_compaction::merge(
-        {stateEntry(1, 5), stateEntry(2, 9), stateEntry(3, 7)});
+    const tickets::other_committed merged
+        = log_compaction::merge({stateEntry(1, 5), stateEntry(2, 9), stateEntry(3, 7)});
     CHECK(merged.at == base::generation(3));
     CHECK(merged.isMerged);
     LONGS_EQUAL(9, base::valueOf(states::decodeState(merged.state))->version);
@@ -63,9 +62,9 @@
 
 TEST(log_compaction, ofAMemberTheLatestLifeIsLeft)
 {
-    const tickets::other_committed merged = log_compaction::merge(
-        {batchEntry(1, {{memberOf("n1", 1), memberOf("n2", 1)}, {}}),
-         batchEntry(2, {{memberOf("n1", 2)}, {}})});
+    const tickets::other_committed merged
+        = log_compaction::merge({batchEntry(1, {{memberOf("n1", 1), memberOf("n2", 1)}, {}}),
+                                 batchEntry(2, {{memberOf("n1", 2)}, {}})});
     const membership::membership_batch batch = batchOf(merged);
     LONGS_EQUAL(2, batch.present.size());
     for (const membership::member &member : batch.present)
@@ -76,8 +75,8 @@
 TEST(log_compaction, aMemberThatLeftIsToldAsGone)
 {
     const membership::member left = memberOf("n1", 1);
-    const tickets::other_committed merged = log_compaction::merge(
-        {batchEntry(1, {{left}, {}}), batchEntry(4, {{}, {left.id()}})});
+    const tickets::other_committed merged
+        = log_compaction::merge({batchEntry(1, {{left}, {}}), batchEntry(4, {{}, {left.id()}})});
     const membership::membership_batch batch = batchOf(merged);
     LONGS_EQUAL(0, batch.present.size());
     LONGS_EQUAL(1, batch.gone.size());
@@ -87,8 +86,8 @@
 TEST(log_compaction, aMemberThatCameBackIsNotGone)
 {
     const membership::member back = memberOf("n1", 2);
-    const tickets::other_committed merged = log_compaction::merge(
-        {batchEntry(1, {{}, {back.id()}}), batchEntry(2, {{back}, {}})});
+    const tickets::other_committed merged
+        = log_compaction::merge({batchEntry(1, {{}, {back.id()}}), batchEntry(2, {{back}, {}})});
     const membership::membership_batch batch = batchOf(merged);
     LONGS_EQUAL(1, batch.present.size());
     LONGS_EQUAL(0, batch.gone.size());
@@ -96,7 +95,7 @@
 
 TEST(log_compaction, entriesWithoutEffectComeToNothing)
 {
-    const tickets::other_committed merged = log_compaction::merge(
-        {entryOf(1, replication::entry_kind::none, "")});
+    const tickets::other_committed merged
+        = log_compaction::merge({entryOf(1, replication::entry_kind::none, "")});
     CHECK(merged.at == base::generation());
 }
--- a/lycheeshunt/streams/stream_test.cpp
+++ b/lycheeshunt/streams/stream_test.cpp
@@ -146,7 +146,7 @@
 {
     const std::unique_ptr<stream_server> first = listen();
     const std::unique_ptr<stream_server> second = listen();
-    const stream_timing patient {base::clock_time::ofMillis(20), base::clock_time::ofMillis(5000),
+    const stream_timing patient {base::clock_time::ofMillis(20),   base::clock_time::ofMillis(5000),
                                  base::clock_time::ofMillis(5000), base::clock_time::ofMillis(5000),
                                  base::clock_time::ofSeconds(600), base::clock_time::ofMillis(10)};
     stream_client client({first->local()}, patient, 1,
