Keep new flows away from servers that give them back or stay silent

An agent whose server gave an opening packet back took it again at once when all other agents had been tried (8,000 times a second on one agent); a dead server got every new flow for 250 ms of each 1.2 s, since its agent reported no load; and packets of flows that nobody held were left in silence for 18 s, since agents of removed servers stayed members and could not be asked.

Change: a server that gives a flow back gets none for 100 ms and is reported as not accepting; one that was silent is tried by one flow at a time; an agent whose server has said that it ends leaves the group when it stops.

Ruled out: uneven weights of the servers; with the loop gone the spread after the restart is even.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -92,9 +92,13 @@
     if (m_follower)
         m_follower->changeSelf(dissemination::self_changed {
             membership::member {self.name, self.availabilityZone, self.role, service, standing.life,
-                                self.packets, phase}});
+                                self.packets, phase},
+            true, !standing.hasLeft});
     base::logInfo("servers",
-                  "server of " + standing.service + (standing.isAccepting ? " serves" : " drains")
+                  "server of " + standing.service
+                      + (standing.isAccepting   ? " serves"
+                             : standing.hasLeft ? " has left"
+                                                : " drains")
                       + ", incarnation " + std::to_string(standing.life.value()));
 }
 
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -42,7 +42,8 @@
 
 void follower::leave()
 {
-    const bool isExpectedBack = m_state.self->phase == membership::member_phase::draining;
+    const bool isExpectedBack
+        = m_state.isExpectedBack && m_state.self->phase == membership::member_phase::draining;
     if (!m_state.connection || !m_state.isAnnounced || isExpectedBack)
         return;
     const membership::member_left left {m_state.self->id(), m_state.self->life};
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -170,6 +170,7 @@
     const bool isMoved = state.self->service != changed.self.service;
     state.self = std::make_shared<const membership::member>(changed.self);
     state.isAnnounced = changed.isAnnounced;
+    state.isExpectedBack = changed.isExpectedBack;
     announce(state, now, actions);
     if (!isMoved)
         return;
--- a/lycheeshunt/dissemination/follower_test.cpp
+++ b/lycheeshunt/dissemination/follower_test.cpp
@@ -43,6 +43,33 @@
 
 TEST_GROUP(follower) {};
 
+// A node that drains mostly comes back to what it holds, and stays a member; one with nothing left
+// to hold leaves, so that nobody waits for its answers.
+TEST(follower, aDrainingNodeThatHoldsNothingLeaves)
+{
+    base::ring<streams::stream_event> events(eventCapacity);
+    const std::unique_ptr<streams::stream_server> server
+        = base::takeValue(streams::stream_server::listen(
+            base::endpoint {0x7f000001, 0}, {},
+            [&events](const streams::stream_event &event) { events.push(event); }));
+    const membership::member self = entryNode();
+    std::unique_ptr<dissemination::follower> node = std::make_unique<dissemination::follower>(
+        std::vector<base::endpoint> {server->local()}, self, 1,
+        [](const dissemination::shared_view &) {});
+    await<membership::member_announced>(events);
+    const membership::member draining {self.name,
+                                       self.availabilityZone,
+                                       self.role,
+                                       self.service,
+                                       self.life,
+                                       self.packets,
+                                       membership::member_phase::draining};
+    node->changeSelf(dissemination::self_changed {draining, true, false});
+    CHECK(await<membership::member_announced>(events).member == draining);
+    node.reset();
+    CHECK(await<membership::member_left>(events).life == self.life);
+}
+
 TEST(follower, announcesItselfAndSaysWhenItLeaves)
 {
     base::ring<streams::stream_event> events(eventCapacity);
--- a/lycheeshunt/dissemination/self_changed.h
+++ b/lycheeshunt/dissemination/self_changed.h
@@ -10,6 +10,8 @@
 {
     const membership::member self;
     const bool isAnnounced = true;
+    // Whether a draining node that ends is to stay a member, since it comes back to what it holds.
+    const bool isExpectedBack = true;
 
     bool operator==(const self_changed &) const = default;
 };
--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/placing.cpp
@@ -108,8 +108,9 @@
 
 bool canAccept(const flow_state &state, base::clock_time now)
 {
-    return state.server.isAccepting && !state.draining && now >= state.server.silentUntil
-        && state.owned.size() < state.maxOwned;
+    const server_view &server = state.server;
+    return server.isAccepting && !state.draining && now >= server.refusesUntil
+        && !(server.isSilent && now < server.silentUntil) && state.owned.size() < state.maxOwned;
 }
 
 void placeFlow(flow_context &context, const forwarded_packet &packet)
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returning.cpp
@@ -16,8 +16,12 @@
 
 // A server on the same VM answers an opening packet within a millisecond.
 constexpr base::clock_time answerWithin = base::clock_time::ofMillis(150);
-// A server that left an opening packet unanswered gets no new flow for this long.
+// A server that left an opening packet unanswered gets no new flow for this long, and then one to
+// try it.
 constexpr base::clock_time silentFor = base::clock_time::ofMillis(1000);
+// A server that gave an opening packet back gets no new flow for this long: it is full or starts,
+// and will not take the next packet of the same moment either.
+constexpr base::clock_time refusesFor = base::clock_time::ofMillis(100);
 // Longer than a caller repeats an opening packet.
 constexpr base::clock_time visitKept = base::clock_time::ofSeconds(2);
 
@@ -166,9 +170,10 @@
         registerLater(context, key, false);
     }
     note(context, flow_event_kind::givenBack, packet);
-    if (answer.summary.opens)
+    if (answer.summary.opens) {
+        state.server.refusesUntil = context.now + refusesFor;
         offerElsewhere(context, packet);
-    else if (isOver || answer.summary.resets)
+    } else if (isOver || answer.summary.resets)
         context.actions.emplace_back(refuse_packet {base::error_code::flowUnknown});
     else if (wasServed)
         // It was this server's and is no more: the server has closed it or started again.
@@ -184,6 +189,9 @@
 void openReturning(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
+    // One flow tries a server that was silent; others wait for its outcome.
+    if (context.state.server.isSilent)
+        context.state.server.silentUntil = context.now + silentFor;
     own(context, key, flow_phase::opening);
     note(context, flow_event_kind::opened, packet);
     context.state.visits.put(key, visit {packet, context.now});
@@ -253,7 +261,7 @@
 {
     flow_state &state = context.state;
     state.server.lastHeard = context.now;
-    state.server.silentUntil = base::clock_time();
+    state.server.isSilent = false;
     if (answer.summary.isReturned) {
         handleGivenBack(context, answer);
         return;
@@ -300,6 +308,7 @@
     for (const base::flow_key &key : old)
         state.visits.erase(key);
     for (const visit &late : unanswered) {
+        state.server.isSilent = true;
         state.server.silentUntil = context.now + silentFor;
         note(context, flow_event_kind::serverSilent, late.packet);
         state.visits.erase(late.packet.summary.key);
--- a/lycheeshunt/flows/returning_test.cpp
+++ b/lycheeshunt/flows/returning_test.cpp
@@ -215,6 +215,56 @@
     CHECK(all<deliver_to_server>().empty());
 }
 
+// A server that starts gives everything back. Its agent must not hand it the same packet again and
+// again when no other agent takes the flow either.
+TEST(returning, anOpeningPacketThatNobodyTakesIsNotOpenedTwiceAtOneServer)
+{
+    const packets::ip_summary opening = directed(true);
+    give(packetFor(opening, packet_stage::offer,
+                   {nodeOf("a4"), nodeOf("a5"), nodeOf("a2"), nodeOf("a3")}));
+    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+    answer(returned(opening));
+    CHECK(all<deliver_to_server>().empty());
+    CHECK_EQUAL(1U, all<reset_caller>().size());
+}
+
+TEST(returning, aServerThatGaveAFlowBackGetsNoOtherAtTheSameMoment)
+{
+    hearOthers();
+    const packets::ip_summary opening = directed(true);
+    give(packetFor(opening, packet_stage::toDirector));
+    answer(returned(opening));
+    const packets::ip_summary other {base::flow_key {base::endpoint {1, 2}, address, 6}, true};
+    give(packetFor(other, packet_stage::toDirector));
+    CHECK(all<deliver_to_server>().empty());
+    now += 150;
+    give(packetFor(packets::ip_summary {base::flow_key {base::endpoint {1, 3}, address, 6}, true},
+                   packet_stage::toDirector));
+    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+}
+
+// Every flow that is opened at a dead server waits in vain, so that few may find out.
+TEST(returning, aServerThatWasSilentIsTriedByOneFlowAtATime)
+{
+    hearOthers();
+    give(packetFor(directed(true), packet_stage::toDirector));
+    now += 200;
+    give(tick {});
+    now += 1000;
+    hearOthers();
+    const packets::ip_summary second {base::flow_key {base::endpoint {1, 2}, address, 6}, true};
+    give(packetFor(second, packet_stage::toDirector));
+    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+    const packets::ip_summary third {base::flow_key {base::endpoint {1, 3}, address, 6}, true};
+    give(packetFor(third, packet_stage::toDirector));
+    CHECK(all<deliver_to_server>().empty());
+    // The server is back.
+    answer(packets::ip_summary {second.key});
+    const packets::ip_summary fourth {base::flow_key {base::endpoint {1, 4}, address, 6}, true};
+    give(packetFor(fourth, packet_stage::offer, {nodeOf("a2"), nodeOf("a3")}));
+    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+}
+
 TEST(returning, aFlowThatAllOthersDenyIsUnknownForCertain)
 {
     const packets::ip_summary data = directed(false, 10);
--- a/lycheeshunt/flows/server_view.h
+++ b/lycheeshunt/flows/server_view.h
@@ -15,7 +15,11 @@
     bool isOlder = true;
     std::uint32_t slots = 0;
     base::clock_time lastHeard;
-    // Until then it gets no new flows, since it left one unanswered.
+    // Until then it gets no new flows, since it gave one back.
+    base::clock_time refusesUntil;
+    // It left an opening packet unanswered and has sent nothing since. Until then it gets no new
+    // flows; afterwards one at a time.
+    bool isSilent = false;
     base::clock_time silentUntil;
 };
 
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -32,9 +32,9 @@
 {
     if (!state.current)
         return;
-    const server_standing standing {state.current->service, state.life,
-                                    !state.isOver && !state.isStopping, state.current->slots,
-                                    state.isOlder};
+    const server_standing standing {
+        state.current->service, state.life,    !state.isOver && !state.isStopping,
+        state.current->slots,   state.isOlder, state.hasLeft};
     if (state.told && *state.told == standing)
         return;
     state.told = std::make_shared<const server_standing>(standing);
@@ -69,6 +69,7 @@
         state.current = std::make_shared<const server_announcement>(server_announcement {
             said.identity, said.born, said.sequence, said.service, drains, said.slots});
         state.isOver = state.isOver || drains;
+        state.hasLeft = false;
         state.heardAt = now;
         tell(state, actions);
     }
@@ -79,6 +80,7 @@
 {
     if (state.current && state.current->identity == message.identity) {
         state.isOver = true;
+        state.hasLeft = true;
         tell(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
--- a/lycheeshunt/servers/decision_test.cpp
+++ b/lycheeshunt/servers/decision_test.cpp
@@ -193,3 +193,24 @@
     give(server_recalled {"logbook", base::incarnation(300), slots}, 10);
     CHECK_FALSE(isAccepting());
 }
+
+// The agent of a server that has said that it ends has nothing to come back to.
+TEST(servers, aServerThatLeavesIsToldAsGoneUntilAnotherLifeBegins)
+{
+    announce(said("i1", 1000, 1), 1000);
+    give(server_left {base::request_id(2), "i1"}, 2000);
+    CHECK(state.told->hasLeft);
+    CHECK_FALSE(isAccepting());
+    give(agent_stopping {}, 2100);
+    CHECK(state.told->hasLeft);
+    announce(said("i2", 3000, 1), 3000);
+    CHECK_FALSE(state.told->hasLeft);
+}
+
+TEST(servers, aDrainingServerHasNotLeft)
+{
+    announce(said("i1", 1000, 1), 1000);
+    announce(said("i1", 1000, 2, true), 2000);
+    give(agent_stopping {}, 2100);
+    CHECK_FALSE(state.told->hasLeft);
+}
--- a/lycheeshunt/servers/server_standing.h
+++ b/lycheeshunt/servers/server_standing.h
@@ -17,6 +17,8 @@
     const std::uint32_t slots = 0;
     // The server was there before this process.
     const bool isOlder = false;
+    // The server has said that it ends: there is nothing left that this agent would have to serve.
+    const bool hasLeft = false;
 
     bool operator==(const server_standing &) const = default;
 };
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -16,6 +16,8 @@
     // Draining, left, or silent for too long.
     bool isOver = false;
     bool isStopping = false;
+    // It has said that it ends.
+    bool hasLeft = false;
     bool isOlder = false;
     // What is told comes from the view; the server has not spoken yet.
     bool isRecalled = false;
