Elect as soon as a quorum is up after a restart of all control VMs

Cause: VMs that started first asked for votes in vain and then waited 750 to 1,500 ms, so that the election waited for the timer of the last one.

Change: while a VM has heard of no leader since its start, its timeouts stay short, and where it has heard from a quorum it asks for votes within 100 ms.

--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -39,6 +39,7 @@
         changes.push_back(changeOf(*state.view, *entries.state));
     }
     std::vector<const view_change *> parts;
+    parts.reserve(changes.size());
     for (const view_change &change : changes)
         parts.push_back(&change);
     publish(state, entries.at, merged(parts));
--- a/lycheeshunt/replication/decision.cpp
+++ b/lycheeshunt/replication/decision.cpp
@@ -142,6 +142,7 @@
     state.votedStorage = recovered.hard.vote.storage;
     state.random.seed(seed);
     state.now = now;
+    state.startedAt = now;
     state.latestSnapshot = recovered.snapshot;
     if (const snapshot *taken = state.latestSnapshot.get()) {
         state.log = replica_log(taken->index, taken->term);
@@ -152,7 +153,7 @@
         state.log.append(entry);
         internal::trackConfiguration(state, entry);
     }
-    internal::startElectionTimer(state);
+    internal::restartElectionTimer(state);
     if (state.isFormed() && state.members().isQuorum(1))
         state.electionDeadline = now;
     return state;
--- a/lycheeshunt/replication/internal/election.cpp
+++ b/lycheeshunt/replication/internal/election.cpp
@@ -30,6 +30,26 @@
     state.electionDeadline = state.now + base::clock_time::ofMillis(span(state.random));
 }
 
+// Nobody has led since this VM started, as far as it knows.
+bool isInFirstElection(const replica_state &state)
+{
+    return state.lastLeaderContact == base::clock_time()
+        && !std::holds_alternative<leader_role>(state.role)
+        && state.now - state.startedAt < state.settings->timing.firstElectionsFor;
+}
+
+bool hearsQuorum(const replica_state &state)
+{
+    std::size_t heard = 1;
+    for (const configuration_member &member : state.members().members) {
+        const auto found = state.presences.find(member.id().node);
+        const bool isHeard = found != state.presences.end()
+            && state.now - found->second.heardAt < state.settings->timing.presenceValid;
+        heard += member.isVoter && member.id() != state.id() && isHeard ? 1 : 0;
+    }
+    return state.members().isQuorum(heard);
+}
+
 void askForVotes(replica_work work, std::uint64_t term, bool isPreVote)
 {
     const vote_request request {term, isPreVote, work.state.log.lastIndex(),
@@ -71,13 +91,22 @@
 void restartElectionTimer(replica_state &state)
 {
     const replica_timing &timing = state.settings->timing;
-    drawDeadline(state, timing.electionMin, timing.electionMax);
+    if (isInFirstElection(state))
+        drawDeadline(state, timing.firstElectionMin, timing.firstElectionMax);
+    else
+        drawDeadline(state, timing.electionMin, timing.electionMax);
 }
 
-void startElectionTimer(replica_state &state)
+// Early starters have asked for votes in vain: they need not wait for their timers.
+void hurryFirstElection(replica_state &state)
 {
+    const bool mayLead = state.isFormed() && state.members().isVoter(state.id());
+    if (!mayLead || !isInFirstElection(state) || !hearsQuorum(state))
+        return;
+    const base::clock_time before = state.electionDeadline;
     const replica_timing &timing = state.settings->timing;
-    drawDeadline(state, timing.firstElectionMin, timing.firstElectionMax);
+    drawDeadline(state, timing.quorumSeenMin, timing.quorumSeenMax);
+    state.electionDeadline = std::min(before, state.electionDeadline);
 }
 
 void becomeFollower(replica_work work, std::uint64_t term, std::optional<base::node_id> leader)
--- a/lycheeshunt/replication/internal/election.h
+++ b/lycheeshunt/replication/internal/election.h
@@ -7,8 +7,9 @@
 namespace lycheeshunt::replication::internal {
 
 void restartElectionTimer(replica_state &state);
-// For a VM that has just started.
-void startElectionTimer(replica_state &state);
+// Called when another VM was heard: where a quorum is up and nobody has led yet, there is no reason
+// to wait any longer.
+void hurryFirstElection(replica_state &state);
 
 // Leaves any other role. A greater term is persisted first, and the vote forgotten.
 void becomeFollower(replica_work work, std::uint64_t term, std::optional<base::node_id> leader);
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/replication/internal/membership_change.h"
 
 #include "lycheeshunt/replication/codec.h"
+#include "lycheeshunt/replication/internal/election.h"
 #include "lycheeshunt/replication/internal/leading.h"
 
 #include <algorithm>
@@ -207,6 +208,7 @@
     state.presences.emplace(from.node,
                             peer_presence {from.storage, message.isFormed, message.api, state.now,
                                            message.name, message.streams});
+    hurryFirstElection(state);
     if (!state.settings->isOpen())
         return;
     work.actions.emplace_back(locate_peer {from.node, message.streams});
--- a/lycheeshunt/replication/open_group_test.cpp
+++ b/lycheeshunt/replication/open_group_test.cpp
@@ -69,6 +69,19 @@
                         static_cast<std::uint32_t>(number), base::clock_time::ofMillis(now)))});
     }
 
+    // With its disk as it was.
+    void startAgain(std::size_t number)
+    {
+        const replica_state &before = *vms.at(number).state;
+        const recovered_storage disk {
+            before.storage, hard_state {before.term, before.vote()}, before.latestSnapshot,
+            before.log.between(before.log.baseIndex(), before.log.lastIndex())};
+        vms.at(number).state = std::make_unique<replica_state>(
+            startReplica(before.settings, disk, static_cast<std::uint32_t>(now + number),
+                         base::clock_time::ofMillis(now)));
+        vms.at(number).isUp = true;
+    }
+
     void give(std::size_t number, const replica_message &message)
     {
         vm &self = vms.at(number);
@@ -194,6 +207,30 @@
     CHECK_EQUAL(5U, voters(leaders().front()));
 }
 
+// After a power loss of all VMs the group serves as soon as a quorum is up; those that were up
+// before have asked for votes in vain by then.
+TEST(open_group, whereAllHaveRestartedAQuorumElectsAtOnce)
+{
+    formFive();
+    for (int round = 0; round < 10; ++round) {
+        for (auto it = vms.begin(); it != vms.end(); ++it)
+            it->second.isUp = false;
+        run(500);
+        startAgain(1);
+        startAgain(2);
+        run(1000);
+        CHECK(leaders().empty());
+        startAgain(3 + static_cast<std::size_t>(round) % 3);
+        run(300);
+        CHECK_EQUAL(1U, leaders().size());
+        for (std::size_t number = 1; number <= 5; ++number) {
+            if (!vms.at(number).isUp)
+                startAgain(number);
+        }
+        run(1000);
+    }
+}
+
 TEST(open_group, anEmptyVmThatReplacesAnotherNeverFoundsAGroup)
 {
     for (std::size_t number = 1; number <= 3; ++number)
--- a/lycheeshunt/replication/replica_state.h
+++ b/lycheeshunt/replication/replica_state.h
@@ -37,6 +37,7 @@
     replica_role role = follower_role {};
     std::minstd_rand random;
     base::clock_time now;
+    base::clock_time startedAt;
     base::clock_time electionDeadline;
     base::clock_time lastLeaderContact;
     base::clock_time nextPresence;
--- a/lycheeshunt/replication/replica_timing.h
+++ b/lycheeshunt/replication/replica_timing.h
@@ -12,10 +12,15 @@
     // not heard from a quorum for the shorter one steps down.
     const base::clock_time electionMin = base::clock_time::ofMillis(750);
     const base::clock_time electionMax = base::clock_time::ofMillis(1500);
-    // The first timeout of a VM that has just started is shorter: where all have, nobody leads, and
-    // where somebody does, the others refuse the pre-vote.
+    // The timeouts of a VM that has just started and heard of no leader are shorter: where all
+    // have, nobody leads, and where somebody does, the others refuse the pre-vote.
     const base::clock_time firstElectionMin = base::clock_time::ofMillis(50);
     const base::clock_time firstElectionMax = base::clock_time::ofMillis(400);
+    const base::clock_time firstElectionsFor = base::clock_time::ofSeconds(5);
+    // Such a VM waits no longer than this once it has heard from a quorum. The spread is several
+    // times a vote's way and its sync to disk.
+    const base::clock_time quorumSeenMin = base::clock_time::ofMillis(10);
+    const base::clock_time quorumSeenMax = base::clock_time::ofMillis(100);
     // Entries or a snapshot piece without an answer are sent again after this.
     const base::clock_time resendAfter = base::clock_time::ofMillis(600);
     const base::clock_time presenceEvery = base::clock_time::ofMillis(500);
