Let requests wait at the agent for a slot of the server, the newest first under overload

Change: an agent hands its server as many requests as it has slots and two more. The others wait at the agent, in order of arrival while the oldest has waited less than 100 ms, the newest first beyond that. What a caller repeats is told from a new request by its sequence. An agent whose server has said that it ends leaves the group at once and until control has heard, not only when it stops.

An agent whose leave was lost with all control VMs kept every search for an unknown flow in doubt for 20 s.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -93,7 +93,7 @@
         m_follower->changeSelf(dissemination::self_changed {
             membership::member {self.name, self.availabilityZone, self.role, service, standing.life,
                                 self.packets, phase},
-            true, !standing.hasLeft});
+            !standing.hasLeft});
     base::logInfo("servers",
                   "server of " + standing.service
                       + (standing.isAccepting   ? " serves"
--- a/lycheeshunt/dissemination/fake_cluster_test.h
+++ b/lycheeshunt/dissemination/fake_cluster_test.h
@@ -230,6 +230,7 @@
             std::visit(base::overloaded {
                            [&](const send_to_control &send) { sendUp(node, send); },
                            [](const announce_self &) {},
+                           [](const leave_group &) {},
                            [&](const adopt_view &adopt) { node.adopted.push_back(adopt.view); },
                            [&](const report_mismatch &) { ++node.mismatches; },
                            [](const report_life &) {},
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -42,8 +42,7 @@
 
 void follower::leave()
 {
-    const bool isExpectedBack
-        = m_state.isExpectedBack && m_state.self->phase == membership::member_phase::draining;
+    const bool isExpectedBack = m_state.self->phase == membership::member_phase::draining;
     if (!m_state.connection || !m_state.isAnnounced || isExpectedBack)
         return;
     const membership::member_left left {m_state.self->id(), m_state.self->life};
@@ -95,6 +94,11 @@
                            streams::stream_frame {announce.connection, streams::channel::membership,
                                                   membership::encodeMember(announce.self)});
                    },
+                   [this](const leave_group &leave) {
+                       m_client->outgoing().tryPush(
+                           streams::stream_frame {leave.connection, streams::channel::membership,
+                                                  membership::encodeLeave(leave.left)});
+                   },
                    [this](const adopt_view &adopt) {
                        base::logEvent(logPart, "view",
                                       {{"generation", std::to_string(adopt.view->at.value())},
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -34,12 +34,25 @@
     actions.emplace_back(send_to_control {*state.connection, requestOf(state)});
 }
 
+// Control has not heard yet that the node has left.
+bool isStillMember(const follower_state &state)
+{
+    if (!state.hasLeft || !state.held)
+        return false;
+    const auto known = state.held->members.find(state.self->id());
+    return known != state.held->members.end() && known->second.life <= state.self->life;
+}
+
+// Says that the node is a member, or that it is none any more.
 void announce(follower_state &state, base::clock_time now, action_list &actions)
 {
     state.announcedAt = now;
-    if (!state.isAnnounced || !state.connection)
+    if (!state.connection)
         return;
-    actions.emplace_back(announce_self {*state.connection, *state.self});
+    if (state.isAnnounced)
+        actions.emplace_back(announce_self {*state.connection, *state.self});
+    else if (isStillMember(state))
+        actions.emplace_back(leave_group {*state.connection, {state.self->id(), state.self->life}});
 }
 
 // The clock of this VM was set back between two lives: without a later incarnation control would
@@ -169,8 +182,8 @@
 {
     const bool isMoved = state.self->service != changed.self.service;
     state.self = std::make_shared<const membership::member>(changed.self);
+    state.hasLeft = !changed.isAnnounced && (state.isAnnounced || state.hasLeft);
     state.isAnnounced = changed.isAnnounced;
-    state.isExpectedBack = changed.isExpectedBack;
     announce(state, now, actions);
     if (!isMoved)
         return;
--- a/lycheeshunt/dissemination/follower_message.h
+++ b/lycheeshunt/dissemination/follower_message.h
@@ -4,6 +4,7 @@
 #include "lycheeshunt/dissemination/announce_self.h"
 #include "lycheeshunt/dissemination/control_said.h"
 #include "lycheeshunt/dissemination/follower_tick.h"
+#include "lycheeshunt/dissemination/leave_group.h"
 #include "lycheeshunt/dissemination/link_closed.h"
 #include "lycheeshunt/dissemination/link_opened.h"
 #include "lycheeshunt/dissemination/report_life.h"
@@ -18,7 +19,7 @@
 
 using follower_message
     = std::variant<link_opened, link_closed, control_said, self_changed, follower_tick>;
-using follower_action = std::variant<send_to_control, announce_self, adopt_view, report_mismatch,
-                                     report_life, use_servers>;
+using follower_action = std::variant<send_to_control, announce_self, leave_group, adopt_view,
+                                     report_mismatch, report_life, use_servers>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/follower_state.h
+++ b/lycheeshunt/dissemination/follower_state.h
@@ -29,8 +29,8 @@
     base::clock_time announcedAt;
     // Whether the node says that it is a member.
     bool isAnnounced = true;
-    // Whether it stays one when it ends while it drains.
-    bool isExpectedBack = true;
+    // It was a member in this life and is none any more.
+    bool hasLeft = false;
 
     base::generation heldAt() const { return held ? held->at : base::generation(); }
     view_scope scope() const;
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -4,6 +4,7 @@
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
+#include "lycheeshunt/flows/internal/pacing.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
 #include "lycheeshunt/flows/internal/placing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
@@ -57,8 +58,10 @@
     internal::ownershipTick(context);
     internal::directoryTick(context);
     internal::registrarTick(context);
-    if (context.state.identity->serverReturns)
+    if (context.state.identity->serverReturns) {
         internal::returningTick(context);
+        internal::pacingTick(context);
+    }
 }
 
 } // namespace
@@ -89,6 +92,7 @@
             [&](const tick &) { handleTick(context); },
         },
         message);
+    internal::releaseWaiting(context);
     internal::shareLoad(context);
     return base::step<flow_state, flow_action> {std::move(state), std::move(actions)};
 }
--- a/lycheeshunt/flows/event_log.cpp
+++ b/lycheeshunt/flows/event_log.cpp
@@ -28,6 +28,8 @@
         return "refused";
     case flow_event_kind::held:
         return "held";
+    case flow_event_kind::waits:
+        return "waits";
     }
     return "other";
 }
--- a/lycheeshunt/flows/flow_event.h
+++ b/lycheeshunt/flows/flow_event.h
@@ -19,6 +19,7 @@
     serverSilent, // left an opening packet unanswered
     refused, // its caller is reset
     held, // until the first view
+    waits, // a request, for a slot of the server
 };
 
 // What was decided about a flow and what decided it, for the log.
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -15,6 +15,7 @@
 #include "lycheeshunt/flows/registrar_state.h"
 #include "lycheeshunt/flows/server_view.h"
 #include "lycheeshunt/flows/visit.h"
+#include "lycheeshunt/flows/waiting_requests.h"
 #include "lycheeshunt/placement/placement_state.h"
 #include "lycheeshunt/routing/bucket_table.h"
 
@@ -62,6 +63,9 @@
     flow_map<visit> visits;
     // Owned flows with a request at the server.
     std::size_t busyFlows = 0;
+    // Requests of owned flows for which the server has no slot. Only where backend servers return
+    // packets.
+    waiting_requests waiting;
     // Only where backend servers return packets.
     std::optional<placement::placement_state> placement;
 };
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/internal/ownership.h"
 
+#include "lycheeshunt/flows/internal/pacing.h"
 #include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/service_view.h"
@@ -52,13 +53,12 @@
 }
 
 void moveOn(flow_context &context, const base::flow_key &key, const owned_flow &flow,
-            flow_phase phase)
+            flow_phase phase, const request_progress &progress)
 {
     if (phase == flow_phase::ended)
         endFlow(context, key, flow);
     else
-        putOwned(context.state, key,
-                 owned_flow {context.now, flow.refreshAt, phase, flow.isBusy, flow.isAnswered});
+        putOwned(context.state, key, owned_flow {context.now, flow.refreshAt, phase, progress});
 }
 
 base::clock_time idleLimit(const flow_state &state, const base::flow_key &key, flow_phase phase)
@@ -97,8 +97,7 @@
         return;
     registerLater(context, key, true);
     putOwned(context.state, key,
-             owned_flow {flow.lastPacket, context.now + refreshEvery, flow.phase, flow.isBusy,
-                         flow.isAnswered});
+             owned_flow {flow.lastPacket, context.now + refreshEvery, flow.phase, flow.progress});
 }
 
 } // namespace
@@ -106,15 +105,16 @@
 void putOwned(flow_state &state, const base::flow_key &key, const owned_flow &flow)
 {
     const owned_flow *before = state.owned.find(key);
-    state.busyFlows -= before != nullptr && before->isBusy ? 1 : 0;
-    state.busyFlows += flow.isBusy ? 1 : 0;
+    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
+    state.busyFlows += flow.progress.isBusy ? 1 : 0;
     state.owned.put(key, flow);
 }
 
 void eraseOwned(flow_state &state, const base::flow_key &key)
 {
     const owned_flow *before = state.owned.find(key);
-    state.busyFlows -= before != nullptr && before->isBusy ? 1 : 0;
+    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
+    state.waiting.erase(key);
     state.owned.erase(key);
 }
 
@@ -133,14 +133,14 @@
 void handleOwned(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
+    if (holdsForSlot(context, flow, packet))
+        return;
     deliverToServer(context, packet);
     if (flow.phase == flow_phase::ended)
         return;
     const flow_phase next
         = packet.summary.resets ? flow_phase::ended : phaseAfterCaller(flow.phase, packet.summary);
-    const bool isBusy = flow.isBusy || packet.summary.payloadBytes > 0;
-    moveOn(context, key,
-           owned_flow {flow.lastPacket, flow.refreshAt, flow.phase, isBusy, flow.isAnswered}, next);
+    moveOn(context, key, flow, next, flow.progress.afterCaller(packet.summary));
 }
 
 void openFlow(flow_context &context, const forwarded_packet &packet)
@@ -214,11 +214,7 @@
         return;
     const flow_phase next
         = answer.summary.resets ? flow_phase::ended : phaseAfterServer(flow->phase, answer.summary);
-    const bool hasPayload = answer.summary.payloadBytes > 0;
-    moveOn(context, key,
-           owned_flow {flow->lastPacket, flow->refreshAt, flow->phase, flow->isBusy && !hasPayload,
-                       flow->isAnswered || hasPayload},
-           next);
+    moveOn(context, key, owned_flow(*flow), next, flow->progress.afterServer(answer.summary));
 }
 
 void ownershipTick(flow_context &context)
--- /dev/null
+++ b/lycheeshunt/flows/internal/pacing.cpp
@@ -0,0 +1,88 @@
+#include "lycheeshunt/flows/internal/pacing.h"
+
+#include "lycheeshunt/flows/internal/ownership.h"
+#include "lycheeshunt/flows/internal/placing.h"
+
+namespace lycheeshunt::flows::internal {
+
+namespace {
+
+// Requests beyond its slots that the server holds, so that no slot is idle between an answer and
+// the next request.
+constexpr std::size_t headroom = 2;
+// A request that has had neither answer nor packet for this long takes no slot any more: its caller
+// has gone, or what was taken for a request was the copy of an earlier one.
+constexpr base::clock_time answerWithin = base::clock_time::ofSeconds(2);
+
+bool hasFreeSlot(const flow_state &state)
+{
+    return state.server.slots == 0 || state.busyFlows < state.server.slots + headroom;
+}
+
+} // namespace
+
+bool holdsForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
+{
+    flow_state &state = context.state;
+    const base::flow_key &key = packet.summary.key;
+    if (!state.identity->serverReturns)
+        return false;
+    if (packet.summary.finishes || packet.summary.resets) {
+        state.waiting.erase(key);
+        return false;
+    }
+    // A packet that tries whether the server knows its flow is no request yet.
+    const visit *visited = state.visits.find(key);
+    const bool isTrial = visited != nullptr && !visited->packet.summary.opens;
+    if (packet.summary.payloadBytes == 0 || isTrial)
+        return false;
+    if (state.waiting.holds(key))
+        return state.waiting.add(packet, context.now);
+    const bool begins = !flow.progress.isBusy && flow.progress.isNews(packet.summary)
+        && flow.phase != flow_phase::ended;
+    if (!begins || (hasFreeSlot(state) && state.waiting.isEmpty()))
+        return false;
+    if (!state.waiting.add(packet, context.now))
+        return false;
+    noteEvent(context, flow_event_kind::waits, packet);
+    return true;
+}
+
+void releaseWaiting(flow_context &context)
+{
+    flow_state &state = context.state;
+    while (!state.waiting.isEmpty() && hasFreeSlot(state)) {
+        const waiting_request next = *state.waiting.takeNext(context.now);
+        const owned_flow *flow = state.owned.find(next.key());
+        if (flow == nullptr || flow->phase == flow_phase::ended)
+            continue;
+        for (const forwarded_packet &packet : next.packets) {
+            const owned_flow before = *state.owned.find(next.key());
+            deliverToServer(context, packet);
+            putOwned(state, next.key(),
+                     owned_flow {context.now, before.refreshAt, before.phase,
+                                 before.progress.afterCaller(packet.summary)});
+        }
+    }
+}
+
+void pacingTick(flow_context &context)
+{
+    flow_state &state = context.state;
+    if (state.waiting.isEmpty())
+        return;
+    state.waiting.dropAbandoned(context.now);
+    std::vector<base::flow_key> stuck;
+    for (auto it = state.owned.begin(); it != state.owned.end(); ++it) {
+        if (it->second.progress.isBusy && context.now - it->second.lastPacket >= answerWithin)
+            stuck.push_back(it->first);
+    }
+    for (const base::flow_key &key : stuck) {
+        const owned_flow flow = *state.owned.find(key);
+        putOwned(state, key,
+                 owned_flow {flow.lastPacket, flow.refreshAt, flow.phase,
+                             flow.progress.withoutRequest()});
+    }
+}
+
+} // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/placing.cpp
@@ -80,7 +80,7 @@
 
 placement::server_load loadOf(const flow_state &state, base::clock_time now)
 {
-    const std::uint32_t busy = static_cast<std::uint32_t>(state.busyFlows);
+    const std::uint32_t busy = static_cast<std::uint32_t>(state.busyFlows + state.waiting.size());
     const std::uint32_t held = std::min(busy, state.server.slots);
     return placement::server_load {
         admission::slot_counts {state.server.slots, held, 0, busy - held,
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returning.cpp
@@ -150,7 +150,7 @@
     flow_state &state = context.state;
     const base::flow_key &key = answer.summary.key;
     const owned_flow *flow = state.owned.find(key);
-    const bool wasServed = flow != nullptr && flow->isAnswered;
+    const bool wasServed = flow != nullptr && flow->progress.isAnswered;
     const bool isOver = flow != nullptr && flow->phase == flow_phase::ended;
     const visit *visited = state.visits.find(key);
     const forwarded_packet before
--- a/lycheeshunt/flows/owned_flow.h
+++ b/lycheeshunt/flows/owned_flow.h
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/flows/flow_phase.h"
+#include "lycheeshunt/flows/request_progress.h"
 
 namespace lycheeshunt::flows {
 
@@ -12,10 +13,7 @@
     // When its registrations are next repeated.
     const base::clock_time refreshAt;
     const flow_phase phase = flow_phase::opening;
-    // The caller has sent something that the backend server has not begun to answer.
-    const bool isBusy = false;
-    // The backend server has sent payload, so the flow is certainly its own.
-    const bool isAnswered = false;
+    const request_progress progress = {};
 
     bool operator==(const owned_flow &) const = default;
 };
--- a/lycheeshunt/flows/returning_test.cpp
+++ b/lycheeshunt/flows/returning_test.cpp
@@ -379,7 +379,13 @@
     CHECK_EQUAL(1U, state->placement->ownLoad->slots.busy);
     answer(summaryOf(port, false, 500));
     CHECK_EQUAL(0U, state->busyFlows);
+    // The first packet once more: its caller has not heard yet that it came.
     give(packetFor(summaryOf(port, false, 100), packet_stage::toOwner));
+    CHECK_EQUAL(0U, state->busyFlows);
+    const base::flow_key key = opening.key;
+    give(packetFor(packets::ip_summary {key, false, false, false, 100, false, false, 100},
+                   packet_stage::toOwner));
+    CHECK_EQUAL(1U, state->busyFlows);
     answer(returned(summaryOf(port, false, 100)));
     CHECK_EQUAL(0U, state->busyFlows);
 }
@@ -438,3 +444,116 @@
     LONGS_EQUAL(0, said<flow_lookup>().size());
     LONGS_EQUAL(0, all<send_packet>().size());
 }
+
+// Queueing in front of the server instead of in it, so that a request can be put before another.
+TEST(returning, requestsBeyondTheSlotsWaitForAnAnswer)
+{
+    hearOthers();
+    std::vector<packets::ip_summary> flows;
+    for (std::uint32_t i = 0; i < slots + 4; ++i) {
+        const packets::ip_summary opening {
+            base::flow_key {base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, address, 6},
+            true};
+        give(packetFor(opening, packet_stage::offer, {nodeOf("a2"), nodeOf("a3")}));
+        flows.push_back(packets::ip_summary {opening.key, false, false, false, 100});
+    }
+    std::size_t delivered = 0;
+    for (const packets::ip_summary &request : flows) {
+        give(packetFor(request, packet_stage::toOwner));
+        delivered += all<deliver_to_server>().size();
+    }
+    LONGS_EQUAL(slots + 2, delivered);
+    LONGS_EQUAL(2, state->waiting.size());
+    // An acknowledgement is no request.
+    const packets::ip_summary acknowledgement {flows.back().key};
+    give(packetFor(acknowledgement, packet_stage::toOwner));
+    LONGS_EQUAL(1, all<deliver_to_server>().size());
+    answer(packets::ip_summary {flows.front().key, false, false, false, 500});
+    LONGS_EQUAL(1, all<deliver_to_server>().size());
+    LONGS_EQUAL(1, state->waiting.size());
+    LONGS_EQUAL(slots + 2, state->busyFlows);
+}
+
+// Under overload every caller repeats its request before it is answered. Were the copies taken for
+// requests, they would hold slots that nothing frees.
+TEST(returning, aRepeatedRequestTakesNoSlot)
+{
+    hearOthers();
+    for (std::uint32_t i = 0; i < slots + 3; ++i) {
+        const base::flow_key key {base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, address,
+                                  6};
+        give(packetFor(packets::ip_summary {key, true}, packet_stage::offer,
+                       {nodeOf("a2"), nodeOf("a3")}));
+        give(packetFor(packets::ip_summary {key, false, false, false, 100}, packet_stage::toOwner));
+    }
+    const base::flow_key last {base::endpoint {1, slots + 3}, address, 6};
+    const packets::ip_summary request {last, false, false, false, 100};
+    give(packetFor(request, packet_stage::toOwner));
+    LONGS_EQUAL(1, state->waiting.size());
+    for (std::uint32_t i = 0; i < slots + 3; ++i) {
+        const base::flow_key key {base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, address,
+                                  6};
+        answer(packets::ip_summary {key, false, false, false, 500});
+    }
+    LONGS_EQUAL(0, state->busyFlows);
+    give(packetFor(request, packet_stage::toOwner));
+    LONGS_EQUAL(1, all<deliver_to_server>().size());
+    LONGS_EQUAL(0, state->busyFlows);
+}
+
+TEST(returning, aCallerThatGivesUpTakesItsRequestOutOfTheQueue)
+{
+    hearOthers();
+    for (std::uint32_t i = 0; i < slots + 3; ++i) {
+        const base::flow_key key {base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, address,
+                                  6};
+        give(packetFor(packets::ip_summary {key, true}, packet_stage::offer,
+                       {nodeOf("a2"), nodeOf("a3")}));
+        give(packetFor(packets::ip_summary {key, false, false, false, 100}, packet_stage::toOwner));
+    }
+    LONGS_EQUAL(1, state->waiting.size());
+    const base::flow_key last {base::endpoint {1, slots + 3}, address, 6};
+    give(packetFor(packets::ip_summary {last, false, true}, packet_stage::toOwner));
+    LONGS_EQUAL(0, state->waiting.size());
+}
+
+// A slot is not lost to a request that will never be answered.
+TEST(returning, aRequestWithoutAnAnswerGivesItsSlotUp)
+{
+    hearOthers();
+    for (std::uint32_t i = 0; i < slots + 3; ++i) {
+        const base::flow_key key {base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, address,
+                                  6};
+        give(packetFor(packets::ip_summary {key, true}, packet_stage::offer,
+                       {nodeOf("a2"), nodeOf("a3")}));
+        give(packetFor(packets::ip_summary {key, false, false, false, 100}, packet_stage::toOwner));
+    }
+    now += 1500;
+    const base::flow_key last {base::endpoint {1, slots + 3}, address, 6};
+    give(packetFor(packets::ip_summary {last, false, false, false, 100}, packet_stage::toOwner));
+    LONGS_EQUAL(1, state->waiting.size());
+    now += 600;
+    give(tick {});
+    LONGS_EQUAL(0, state->waiting.size());
+    LONGS_EQUAL(1, state->busyFlows);
+}
+
+// A packet that is only tried at a server must not wait for one of its slots, nor be lost there.
+TEST(returning, aPacketThatTriesAFullServerDoesNotWait)
+{
+    hearOthers();
+    for (std::uint32_t i = 0; i < slots + 2; ++i) {
+        const base::flow_key key {base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, address,
+                                  6};
+        give(packetFor(packets::ip_summary {key, true}, packet_stage::offer,
+                       {nodeOf("a2"), nodeOf("a3")}));
+        answer(packets::ip_summary {key});
+        give(packetFor(packets::ip_summary {key, false, false, false, 100}, packet_stage::toOwner));
+    }
+    LONGS_EQUAL(slots + 2, state->busyFlows);
+    const packets::ip_summary foreign = summaryOf(500, false, 100);
+    give(packetFor(foreign, packet_stage::trial, {nodeOf("a2")}));
+    LONGS_EQUAL(1, all<deliver_to_server>().size());
+    answer(returned(foreign));
+    CHECK(all<send_packet>().front().packet.stage == packet_stage::trial);
+}
--- a/lycheeshunt/packets/ip_packet.cpp
+++ b/lycheeshunt/packets/ip_packet.cpp
@@ -41,9 +41,14 @@
     const std::size_t headerBytes = tcp.doff * wordBytes;
     if (headerBytes < sizeof tcp || headerBytes > segment.size())
         return truncated("TCP options");
-    return ip_summary {keyOf(ip, tcp.source, tcp.dest, way), tcp.syn != 0 && tcp.ack == 0,
-                       tcp.fin != 0, tcp.rst != 0,
-                       static_cast<std::uint16_t>(segment.size() - headerBytes)};
+    return ip_summary {keyOf(ip, tcp.source, tcp.dest, way),
+                       tcp.syn != 0 && tcp.ack == 0,
+                       tcp.fin != 0,
+                       tcp.rst != 0,
+                       static_cast<std::uint16_t>(segment.size() - headerBytes),
+                       false,
+                       false,
+                       ntohl(tcp.seq) + (tcp.syn != 0 ? 1U : 0U)};
 }
 
 base::result<ip_summary> summarizeUdp(const iphdr &ip, std::string_view datagram, direction way)
--- a/lycheeshunt/packets/ip_summary.h
+++ b/lycheeshunt/packets/ip_summary.h
@@ -18,6 +18,8 @@
     // A caller's packet that the backend server gave back: it holds no such flow, or takes no new
     // one.
     const bool isReturned = false;
+    // Where the payload begins in the sender's sequence, which wraps around.
+    const std::uint32_t sequence = 0;
 
     bool operator==(const ip_summary &) const = default;
 };
