--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -126,6 +126,8 @@
                          metrics::counter_value {m_port->refused()}},
         metrics::sample {"callers_reset_total", "Flows refused or ended towards the caller.",
                          metrics::counter_value {m_port->resets()}}};
+    for (const metrics::sample &counted : m_flows->meter().samples())
+        samples.push_back(counted);
     metrics::addRing(samples, "flows", m_flows->inbox());
     metrics::addRing(samples, "packets", m_port->actions());
     return metrics::report {"agent", std::move(samples)};
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -401,6 +401,8 @@
     metrics::addRing(samples, "dissemination", m_publisher->inbox());
     metrics::addRing(samples, "operators", m_operators->inbox());
     metrics::addRing(samples, "streams", m_streams->outgoing());
+    samples.push_back(m_states->answerTimes());
+    samples.push_back(m_replication->storageWrites());
     return metrics::report {"control", std::move(samples)};
 }
 
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -145,8 +145,9 @@
                            sendToCaller(bytes);
                    },
                    [this](const refuse_packet &) { ++m_refused; },
-                   // The flow thread has logged it.
+                   // The flow thread has logged and counted them.
                    [](const flow_event &) {},
+                   [](const request_timing &) {},
                },
                action);
 }
--- a/lycheeshunt/flows/event_log.cpp
+++ b/lycheeshunt/flows/event_log.cpp
@@ -5,8 +5,6 @@
 
 namespace lycheeshunt::flows {
 
-namespace {
-
 const char *nameOf(flow_event_kind kind)
 {
     switch (kind) {
@@ -34,6 +32,8 @@
     return "other";
 }
 
+namespace {
+
 const char *nameOf(packet_stage stage)
 {
     switch (stage) {
--- a/lycheeshunt/flows/fake_cluster_test.h
+++ b/lycheeshunt/flows/fake_cluster_test.h
@@ -245,6 +245,7 @@
                        [&](const reset_caller &sent) { reset(sent); },
                        [&](const refuse_packet &sent) { ++m_refusals[sent.reason]; },
                        [](const flow_event &) {},
+                       [](const request_timing &) {},
                    },
                    action);
     }
--- a/lycheeshunt/flows/flow_duty.cpp
+++ b/lycheeshunt/flows/flow_duty.cpp
@@ -22,10 +22,14 @@
     base::step<flow_state, flow_action> next = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
     for (const flow_action &action : next.actions) {
-        if (const flow_event *event = std::get_if<flow_event>(&action))
+        if (const flow_event *event = std::get_if<flow_event>(&action)) {
+            m_meter.record(*event);
             logFlowEvent(*event);
-        else
+        } else if (const request_timing *timing = std::get_if<request_timing>(&action)) {
+            m_meter.record(*timing);
+        } else {
             m_sink(action);
+        }
     }
 }
 
--- a/lycheeshunt/flows/flow_duty.h
+++ b/lycheeshunt/flows/flow_duty.h
@@ -6,6 +6,7 @@
 #include "lycheeshunt/flows/agent_identity.h"
 #include "lycheeshunt/flows/flow_action.h"
 #include "lycheeshunt/flows/flow_message.h"
+#include "lycheeshunt/flows/flow_meter.h"
 #include "lycheeshunt/flows/flow_state.h"
 
 namespace lycheeshunt::flows {
@@ -20,12 +21,14 @@
 
     base::ring<flow_message> &inbox() { return m_duty.inbox(); }
     void stop() { m_duty.stop(); }
+    const flow_meter &meter() const { return m_meter; }
 
 private:
     void handle(const flow_message &message, base::clock_time now);
 
     flow_state m_state;
     const action_sink m_sink;
+    flow_meter m_meter;
     base::duty<flow_message> m_duty;
 };
 
--- a/lycheeshunt/flows/flow_event.h
+++ b/lycheeshunt/flows/flow_event.h
@@ -22,6 +22,9 @@
     waits, // a request, for a slot of the server
 };
 
+// The last of the kinds.
+constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::waits);
+
 // What was decided about a flow and what decided it, for the log.
 struct flow_event
 {
--- /dev/null
+++ b/lycheeshunt/flows/flow_meter.h
@@ -0,0 +1,31 @@
+// Counts what an agent decided about flows, and how long requests took. Thread-safe: the flow
+// thread records, the metrics thread asks.
+
+#pragma once
+
+#include "lycheeshunt/flows/flow_event.h"
+#include "lycheeshunt/flows/request_timing.h"
+#include "lycheeshunt/metrics/span_histogram.h"
+
+#include <array>
+#include <atomic>
+#include <vector>
+
+namespace lycheeshunt::flows {
+
+class flow_meter
+{
+public:
+    flow_meter();
+
+    void record(const flow_event &event);
+    void record(const request_timing &timing);
+    std::vector<metrics::sample> samples() const;
+
+private:
+    std::array<std::atomic<std::uint64_t>, flowEventKinds + 1> m_events {};
+    metrics::span_histogram m_waited;
+    metrics::span_histogram m_answered;
+};
+
+} // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -140,7 +140,7 @@
         return;
     const flow_phase next
         = packet.summary.resets ? flow_phase::ended : phaseAfterCaller(flow.phase, packet.summary);
-    moveOn(context, key, flow, next, flow.progress.afterCaller(packet.summary));
+    moveOn(context, key, flow, next, flow.progress.afterCaller(packet.summary, context.now));
 }
 
 void openFlow(flow_context &context, const forwarded_packet &packet)
@@ -214,6 +214,9 @@
         return;
     const flow_phase next
         = answer.summary.resets ? flow_phase::ended : phaseAfterServer(flow->phase, answer.summary);
+    if (flow->progress.isBusy && answer.summary.payloadBytes > 0)
+        context.actions.emplace_back(
+            request_timing {request_step::answered, context.now - flow->progress.since});
     moveOn(context, key, owned_flow(*flow), next, flow->progress.afterServer(answer.summary));
 }
 
--- a/lycheeshunt/flows/internal/pacing.cpp
+++ b/lycheeshunt/flows/internal/pacing.cpp
@@ -56,12 +56,14 @@
         const owned_flow *flow = state.owned.find(next.key());
         if (flow == nullptr || flow->phase == flow_phase::ended)
             continue;
+        context.actions.emplace_back(
+            request_timing {request_step::waited, context.now - next.since});
         for (const forwarded_packet &packet : next.packets) {
             const owned_flow before = *state.owned.find(next.key());
             deliverToServer(context, packet);
             putOwned(state, next.key(),
                      owned_flow {context.now, before.refreshAt, before.phase,
-                                 before.progress.afterCaller(packet.summary)});
+                                 before.progress.afterCaller(packet.summary, context.now)});
         }
     }
 }
--- a/lycheeshunt/flows/request_progress.h
+++ b/lycheeshunt/flows/request_progress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/packets/ip_summary.h"
 
 #include <netinet/in.h>
@@ -18,6 +19,8 @@
     // Whether the caller has sent payload, and where it ended in the caller's sequence.
     const bool hasSent = false;
     const std::uint32_t sentTo = 0;
+    // When the request that the server works on reached it.
+    const base::clock_time since = {};
 
     // Whether the packet carries payload that did not come before: a caller repeats a packet that
     // is not acknowledged in time, also when it is answered already.
@@ -29,24 +32,25 @@
                 || static_cast<std::int32_t>(packet.sequence - sentTo) >= 0);
     }
 
-    request_progress afterCaller(const packets::ip_summary &packet) const
+    request_progress afterCaller(const packets::ip_summary &packet, base::clock_time now) const
     {
         if (!isNews(packet))
             return *this;
-        return request_progress {true, isAnswered, true, packet.sequence + packet.payloadBytes};
+        return request_progress {true, isAnswered, true, packet.sequence + packet.payloadBytes,
+                                 isBusy ? since : now};
     }
 
     request_progress afterServer(const packets::ip_summary &packet) const
     {
         if (packet.payloadBytes == 0)
             return *this;
-        return request_progress {false, true, hasSent, sentTo};
+        return request_progress {false, true, hasSent, sentTo, since};
     }
 
     // Nothing is expected of the server any more.
     request_progress withoutRequest() const
     {
-        return request_progress {false, isAnswered, hasSent, sentTo};
+        return request_progress {false, isAnswered, hasSent, sentTo, since};
     }
 
     bool operator==(const request_progress &) const = default;
--- a/lycheeshunt/replication/replication_duty.cpp
+++ b/lycheeshunt/replication/replication_duty.cpp
@@ -130,7 +130,10 @@
             [this](const persist_entries &entries) {
                 for (const log_entry &entry : entries.entries)
                     m_bytesSinceSnapshot += entry.payload.size();
-                return m_storage.persist(entries);
+                const base::clock_time begun = base::clock_time::steady();
+                std::optional<base::error> failure = m_storage.persist(entries);
+                m_writes.record(base::clock_time::steady() - begun);
+                return failure;
             },
             [this](const persist_snapshot &taken) { return install(taken); },
             [&](const leadership_changed &changed) {
--- a/lycheeshunt/replication/replication_duty.h
+++ b/lycheeshunt/replication/replication_duty.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "lycheeshunt/base/ring.h"
+#include "lycheeshunt/metrics/span_histogram.h"
 #include "lycheeshunt/replication/decision.h"
 #include "lycheeshunt/replication/replica_storage.h"
 #include "lycheeshunt/replication/replication_notice.h"
@@ -44,6 +45,8 @@
 
     base::ring<replica_message> &inbox() { return m_inbox; }
     void stop();
+    // Thread-safe.
+    metrics::sample storageWrites() const { return m_writes.current(); }
 
 private:
     void run();
@@ -60,6 +63,8 @@
     replica_state m_state;
     replica_storage m_storage;
     const replication_hooks m_hooks;
+    metrics::span_histogram m_writes {"storage_write_ms",
+                                      "Time that entries took to be written and synced."};
     std::uint64_t m_bytesSinceSnapshot = 0;
     std::uint32_t m_recoveries = 0;
     base::clock_time m_nextRecovery;
--- a/lycheeshunt/states/state_duty.cpp
+++ b/lycheeshunt/states/state_duty.cpp
@@ -17,11 +17,32 @@
 {
 }
 
+void state_duty::noteRequest(const state_message &message)
+{
+    const base::clock_time now = base::clock_time::steady();
+    if (const submit_state *submitted = std::get_if<submit_state>(&message))
+        m_askedAt.emplace(submitted->request, now);
+    else if (const show_state *shown = std::get_if<show_state>(&message))
+        m_askedAt.emplace(shown->request, now);
+}
+
+void state_duty::noteAnswer(base::request_id request)
+{
+    const auto asked = m_askedAt.find(request);
+    if (asked == m_askedAt.end())
+        return;
+    m_answers.record(base::clock_time::steady() - asked->second);
+    m_askedAt.erase(asked);
+}
+
 void state_duty::handle(const state_message &message)
 {
+    noteRequest(message);
     base::step<states_state, state_action> next = decide(std::move(m_state), message);
     m_state = std::move(next.state);
     for (const state_action &action : next.actions) {
+        if (const state_answer *answer = std::get_if<state_answer>(&action))
+            noteAnswer(answer->request);
         if (!m_sink(action))
             giveUp(action);
     }
--- a/lycheeshunt/states/state_duty.h
+++ b/lycheeshunt/states/state_duty.h
@@ -3,9 +3,12 @@
 #pragma once
 
 #include "lycheeshunt/base/duty.h"
+#include "lycheeshunt/metrics/span_histogram.h"
 #include "lycheeshunt/states/state_message.h"
 #include "lycheeshunt/states/states_state.h"
 
+#include <map>
+
 namespace lycheeshunt::states {
 
 class state_duty
@@ -19,12 +22,19 @@
 
     base::ring<state_message> &inbox() { return m_duty.inbox(); }
     void stop() { m_duty.stop(); }
+    // Thread-safe.
+    metrics::sample answerTimes() const { return m_answers.current(); }
 
 private:
     void handle(const state_message &message);
+    void noteRequest(const state_message &message);
+    void noteAnswer(base::request_id request);
     void giveUp(const state_action &action);
 
     states_state m_state;
+    std::map<base::request_id, base::clock_time> m_askedAt;
+    metrics::span_histogram m_answers {"state_answer_ms",
+                                       "From an operator's request to its answer."};
     const action_sink m_sink;
     base::duty<state_message> m_duty;
 };
