--- /dev/null
+++ b/lycheeshunt/replication/duty_recovery_test.cpp
@@ -0,0 +1,116 @@
+// The replication thread after a failed write: it takes part again in place, as after a start, once
+// the disk takes writes.
+
+#include "lycheeshunt/replication/decision.h"
+#include "lycheeshunt/replication/replication_duty.h"
+
+#include <atomic>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::replication;
+
+namespace {
+
+constexpr std::size_t noticeCapacity = 4096;
+
+} // namespace
+
+TEST_GROUP(duty_recovery)
+{
+    base::ring<replication_notice> notices {noticeCapacity};
+    std::atomic<bool> takesWrites = false;
+    std::unique_ptr<replication_duty> duty;
+
+    void start(memory_files files)
+    {
+        replica_storage storage
+            = base::takeValue(replica_storage::open(std::move(files), storage_id(7)));
+        replica_state state
+            = startReplica(std::make_shared<const replica_settings>(replica_settings {
+                               "control-1", {"control-1"}, base::endpoint {1, 1}}),
+                           storage.recovered(), 1, base::clock_time::steady());
+        storage.forgetRecovered();
+        duty = std::make_unique<replication_duty>(
+            std::move(state), std::move(storage),
+            replication_hooks {[](const peer_envelope &) {}, [](const greet_contact &) {},
+                               [](const locate_peer &) {},
+                               [this](const replication_notice &notice) { notices.push(notice); },
+                               [](const std::vector<log_entry> &entries) { return entries; },
+                               [this]() -> base::result<replica_storage> {
+                                   if (!takesWrites)
+                                       return base::error {base::error_code::diskFull, "still"};
+                                   return replica_storage::open(memory_files(), storage_id(8));
+                               }});
+    }
+
+    template <typename wanted>
+    wanted await()
+    {
+        while (true) {
+            const std::optional<replication_notice> notice = notices.pop();
+            if (const wanted *found = std::get_if<wanted>(&*notice))
+                return *found;
+        }
+    }
+
+    void awaitLeading(bool isLeader)
+    {
+        while (await<leadership_changed>().leadership.isLeader != isLeader) { }
+    }
+
+    // Of the last proposal: committed, refused, or unknown since this VM does not lead any more.
+    replication_notice awaitOutcome()
+    {
+        while (true) {
+            const std::optional<replication_notice> notice = notices.pop();
+            const commit_entries *done = std::get_if<commit_entries>(&*notice);
+            const bool isProposal
+                = done != nullptr && done->entries.back().kind == entry_kind::state;
+            const leadership_changed *changed = std::get_if<leadership_changed>(&*notice);
+            const bool ends = changed != nullptr && !changed->leadership.isLeader;
+            if (isProposal || ends || std::holds_alternative<proposal_refused>(*notice))
+                return *notice;
+        }
+    }
+
+    void propose(const std::string &payload)
+    {
+        duty->inbox().push(propose_entries {{proposal {entry_kind::state, payload, 1}}});
+    }
+
+    void teardown() override
+    {
+        if (duty)
+            duty->stop();
+    }
+};
+
+TEST(duty_recovery, afterAFullDiskTheVmTakesPartAgain)
+{
+    memory_files files;
+    // Some writes after the group was founded.
+    const std::uint64_t lateStep = 30;
+    files.failAtStep(lateStep, base::error_code::diskFull);
+    start(files);
+    awaitLeading(true);
+    std::size_t committed = 0;
+    bool isLeading = true;
+    while (isLeading) {
+        propose("state " + std::to_string(committed));
+        isLeading = std::holds_alternative<commit_entries>(awaitOutcome());
+        committed += isLeading ? 1 : 0;
+        CHECK(committed < lateStep);
+    }
+    CHECK(committed > 0);
+    propose("while the disk is full");
+    const replication_notice outcome = awaitOutcome();
+    const proposal_refused *refused = std::get_if<proposal_refused>(&outcome);
+    CHECK(refused != nullptr && refused->reason.code == base::error_code::diskFull);
+    takesWrites = true;
+    // The folder is empty when it is opened again, as that of a VM whose disk was replaced.
+    awaitLeading(true);
+    propose("after");
+    CHECK(std::holds_alternative<commit_entries>(awaitOutcome()));
+}
