--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -63,8 +63,6 @@
     flow_map<visit> visits;
     // Owned flows with a request at the server.
     std::size_t busyFlows = 0;
-    // Those of them whose callers still send the request.
-    std::size_t uploadingFlows = 0;
     // Requests of owned flows for which the server has no slot. Only where backend servers return
     // packets.
     waiting_requests waiting;
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -38,14 +38,6 @@
     registerLater(context, key, false);
 }
 
-void countFlow(flow_state &state, const owned_flow *flow, int change)
-{
-    if (flow == nullptr)
-        return;
-    state.busyFlows += flow->progress.isBusy ? change : 0;
-    state.uploadingFlows += flow->progress.isUploading() ? change : 0;
-}
-
 flow_phase phaseAfterCaller(flow_phase phase, const packets::ip_summary &summary)
 {
     if (summary.finishes)
@@ -113,15 +105,15 @@
 void putOwned(flow_state &state, const base::flow_key &key, const owned_flow &flow)
 {
     const owned_flow *before = state.owned.find(key);
-    countFlow(state, before, -1);
-    countFlow(state, &flow, 1);
+    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
+    state.busyFlows += flow.progress.isBusy ? 1 : 0;
     state.owned.put(key, flow);
 }
 
 void eraseOwned(flow_state &state, const base::flow_key &key)
 {
     const owned_flow *before = state.owned.find(key);
-    countFlow(state, before, -1);
+    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
     state.waiting.erase(key);
     state.owned.erase(key);
 }
--- a/lycheeshunt/flows/internal/pacing.cpp
+++ b/lycheeshunt/flows/internal/pacing.cpp
@@ -16,8 +16,7 @@
 
 bool hasFreeSlot(const flow_state &state)
 {
-    const std::size_t atWork = state.busyFlows - state.uploadingFlows;
-    return state.server.slots == 0 || atWork < state.server.slots + headroom;
+    return state.server.slots == 0 || state.busyFlows < state.server.slots + headroom;
 }
 
 } // namespace
--- a/lycheeshunt/flows/request_progress.h
+++ b/lycheeshunt/flows/request_progress.h
@@ -21,13 +21,6 @@
     const std::uint32_t sentTo = 0;
     // When the request that the server works on reached it.
     const base::clock_time since = {};
-    // Packets of that request so far; counted up to one more than a short request has.
-    const std::uint8_t packets = 0;
-
-    // A request in so many packets is an upload under way: what it costs the server comes after its
-    // last packet, and until then it waits for its caller, not for a slot.
-    static constexpr std::uint8_t shortPackets = 2;
-    bool isUploading() const { return isBusy && packets > shortPackets; }
 
     // Whether the packet carries payload that did not come before: a caller repeats a packet that
     // is not acknowledged in time, also when it is answered already.
@@ -43,11 +36,8 @@
     {
         if (!isNews(packet))
             return *this;
-        const std::uint8_t before = isBusy ? packets : 0;
-        const std::uint8_t counted = before > shortPackets ? before : before + 1;
-        return request_progress {
-            true,   isAnswered, true, packet.sequence + packet.payloadBytes, isBusy ? since : now,
-            counted};
+        return request_progress {true, isAnswered, true, packet.sequence + packet.payloadBytes,
+                                 isBusy ? since : now};
     }
 
     request_progress afterServer(const packets::ip_summary &packet) const
