--- a/lycheeshunt/flows/waiting_requests.cpp
+++ b/lycheeshunt/flows/waiting_requests.cpp
@@ -28,12 +28,12 @@
 {
     if (isEmpty())
         return std::nullopt;
-    const waiting_request *oldest = nullptr;
-    const waiting_request *newest = nullptr;
+    const waiting_request *oldest = &m_requests.begin()->second;
+    const waiting_request *newest = oldest;
     for (auto it = m_requests.begin(); it != m_requests.end(); ++it) {
-        if (oldest == nullptr || it->second.since < oldest->since)
+        if (it->second.since < oldest->since)
             oldest = &it->second;
-        if (newest == nullptr || it->second.since > newest->since)
+        if (it->second.since > newest->since)
             newest = &it->second;
     }
     const waiting_request next = now - oldest->since >= burstWait ? *newest : *oldest;
