Take a flow whose first request waits for open

Where a flow's first data waited at the agent, the flow stayed in its opening phase, and 5 s without a packet were then enough to forget it. A search after the entry's restart found nobody who knew it.

Change: a packet that waits moves its flow on as any other does.

Shown: aFlowWhoseFirstRequestWaitsIsOpen fails before and passes after.

--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -133,8 +133,12 @@
 void handleOwned(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
-    if (holdsForSlot(context, flow, packet))
+    if (holdsForSlot(context, flow, packet)) {
+        // The caller is there, and has taken the server's answer to its opening packet.
+        if (flow.phase != flow_phase::ended)
+            moveOn(context, key, flow, phaseAfterCaller(flow.phase, packet.summary), flow.progress);
         return;
+    }
     deliverToServer(context, packet);
     if (flow.phase == flow_phase::ended)
         return;
--- a/lycheeshunt/flows/returning_test.cpp
+++ b/lycheeshunt/flows/returning_test.cpp
@@ -557,3 +557,33 @@
     answer(returned(foreign));
     CHECK(all<send_packet>().front().packet.stage == packet_stage::trial);
 }
+
+// A flow whose first request waits is as open as any other: it must not be given up after the short
+// time that a flow gets whose caller never came back.
+TEST(returning, aFlowWhoseFirstRequestWaitsIsOpen)
+{
+    hearOthers();
+    for (std::uint32_t i = 0; i < slots + 3; ++i) {
+        const base::flow_key key {base::endpoint {1, static_cast<std::uint16_t>(i + 1)}, address,
+                                  6};
+        give(packetFor(packets::ip_summary {key, true}, packet_stage::offer,
+                       {nodeOf("a2"), nodeOf("a3")}));
+        answer(packets::ip_summary {key});
+        give(packetFor(packets::ip_summary {key, false, false, false, 100}, packet_stage::toOwner));
+    }
+    const base::flow_key last {base::endpoint {1, slots + 3}, address, 6};
+    CHECK(state->waiting.holds(last));
+    const base::flow_key first {base::endpoint {1, 1}, address, 6};
+    answer(packets::ip_summary {first, false, false, false, 500});
+    CHECK_FALSE(state->waiting.holds(last));
+    // Longer than an unanswered flow is kept, and a whole round of the table.
+    for (int i = 0; i < 120; ++i) {
+        now += 100;
+        give(tick {});
+    }
+    give(peer_message(flow_lookup {logbook, last, routing::target {nodeOf("a2"), {}, {}},
+                                   base::generation(1), false}));
+    const std::vector<lookup_answer> answers = said<lookup_answer>();
+    CHECK_EQUAL(1U, answers.size());
+    CHECK(answers.front().verdict == lookup_verdict::owned);
+}
