--- a/lycheeshunt/flows/event_log.cpp
+++ b/lycheeshunt/flows/event_log.cpp
@@ -28,6 +28,8 @@
         return "held";
     case flow_event_kind::waits:
         return "waits";
+    case flow_event_kind::abandoned:
+        return "abandoned";
     }
     return "other";
 }
--- a/lycheeshunt/flows/flow_event.h
+++ b/lycheeshunt/flows/flow_event.h
@@ -20,10 +20,11 @@
     refused, // its caller is reset
     held, // until the first view
     waits, // a request, for a slot of the server
+    abandoned, // a request that waited, its caller being silent
 };
 
 // The last of the kinds.
-constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::waits);
+constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::abandoned);
 
 // What was decided about a flow and what decided it, for the log.
 struct flow_event
--- a/lycheeshunt/flows/internal/pacing.cpp
+++ b/lycheeshunt/flows/internal/pacing.cpp
@@ -73,7 +73,8 @@
     flow_state &state = context.state;
     if (state.waiting.isEmpty())
         return;
-    state.waiting.dropAbandoned(context.now);
+    for (const waiting_request &abandoned : state.waiting.takeAbandoned(context.now))
+        noteEvent(context, flow_event_kind::abandoned, abandoned.packets.front());
     std::vector<base::flow_key> stuck;
     for (auto it = state.owned.begin(); it != state.owned.end(); ++it) {
         if (it->second.progress.isBusy && context.now - it->second.lastPacket >= answerWithin)
--- a/lycheeshunt/flows/pacing_test.cpp
+++ b/lycheeshunt/flows/pacing_test.cpp
@@ -83,6 +83,18 @@
     LONGS_EQUAL(1, state->busyFlows);
 }
 
+TEST(pacing, aRequestWhoseCallerIsSilentIsDroppedWithALineInTheLog)
+{
+    open(slots + 3);
+    now += 1800;
+    give(tick {});
+    LONGS_EQUAL(0, state->waiting.size());
+    std::size_t noted = 0;
+    for (const flow_event &event : all<flow_event>())
+        noted += event.kind == flow_event_kind::abandoned ? 1 : 0;
+    LONGS_EQUAL(1, noted);
+}
+
 // A packet that is only tried at a server must not wait for one of its slots, nor be lost there.
 TEST(pacing, aPacketThatTriesAFullServerDoesNotWait)
 {
--- a/lycheeshunt/flows/waiting_requests.cpp
+++ b/lycheeshunt/flows/waiting_requests.cpp
@@ -50,16 +50,16 @@
     m_requests.erase(base::flow_key(key));
 }
 
-std::size_t waiting_requests::dropAbandoned(base::clock_time now)
+std::vector<waiting_request> waiting_requests::takeAbandoned(base::clock_time now)
 {
-    std::vector<base::flow_key> abandoned;
+    std::vector<waiting_request> abandoned;
     for (auto it = m_requests.begin(); it != m_requests.end(); ++it) {
         if (now - it->second.heardAt > repeatWithin)
-            abandoned.push_back(it->first);
+            abandoned.push_back(it->second);
     }
-    for (const base::flow_key &key : abandoned)
-        erase(key);
-    return abandoned.size();
+    for (const waiting_request &request : abandoned)
+        erase(request.key());
+    return abandoned;
 }
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/waiting_requests.h
+++ b/lycheeshunt/flows/waiting_requests.h
@@ -37,8 +37,8 @@
     // Empty when nothing waits any more.
     std::optional<waiting_request> takeNext(base::clock_time now);
     void erase(const base::flow_key &key);
-    // Drops requests whose callers have gone, and tells how many.
-    std::size_t dropAbandoned(base::clock_time now);
+    // Takes out the requests whose callers have gone.
+    std::vector<waiting_request> takeAbandoned(base::clock_time now);
 
 private:
     flow_map<waiting_request> m_requests;
--- a/lycheeshunt/flows/waiting_requests_test.cpp
+++ b/lycheeshunt/flows/waiting_requests_test.cpp
@@ -88,7 +88,7 @@
     waiting.add(packetOf(1), at(0));
     waiting.add(packetOf(2), at(0));
     waiting.add(packetOf(2), at(1400));
-    LONGS_EQUAL(1, waiting.dropAbandoned(at(1800)));
+    LONGS_EQUAL(1, waiting.takeAbandoned(at(1800)).size());
     LONGS_EQUAL(2, nextFlow(1800));
 }
 
