Name the placement actions and the peer's state by what they do

The old names (known_peer, pass_flow, take_flow, give_work) left open what is passed, taken or given. The new ones say it: an agent accepts a flow, forwards its offer, or releases queued work.

rename: known_peer peer_state rename: pass_flow forward_offer rename: take_flow accept_flow rename: give_work release_work

--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/placing.cpp
@@ -41,7 +41,8 @@
         refuseCaller(context, packet, reason);
 }
 
-void offer(flow_context &context, const forwarded_packet &packet, const placement::pass_flow &pass)
+void offer(flow_context &context, const forwarded_packet &packet,
+           const placement::forward_offer &pass)
 {
     const std::optional<routing::target> to = targetOf(context.state, pass.to);
     if (!to)
@@ -123,8 +124,8 @@
     state.placement = std::move(next.state);
     for (const placement::placement_action &action : next.actions) {
         std::visit(base::overloaded {
-                       [&](const placement::take_flow &) { openReturning(context, packet); },
-                       [&](const placement::pass_flow &pass) { offer(context, packet, pass); },
+                       [&](const placement::accept_flow &) { openReturning(context, packet); },
+                       [&](const placement::forward_offer &pass) { offer(context, packet, pass); },
                        [&](const placement::refuse_flow &refused) {
                            refuse(context, packet, refused.reason);
                        },
--- a/lycheeshunt/placement/take_flow.h
+++ b/lycheeshunt/placement/accept_flow.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::placement {
 
 // This agent becomes the owner.
-struct take_flow
+struct accept_flow
 {
     const offer_id id;
 
-    bool operator==(const take_flow &) const = default;
+    bool operator==(const accept_flow &) const = default;
 };
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -45,7 +45,7 @@
 }
 
 // What is known of an agent fades towards the average of those that were heard of lately.
-candidate candidateOf(const placement_state &state, base::node_id node, const known_peer &known,
+candidate candidateOf(const placement_state &state, base::node_id node, const peer_state &known,
                       const averages &mean, base::clock_time now)
 {
     const bool sameZone = known.zone == state.self->zone;
@@ -56,7 +56,7 @@
                       static_cast<double>(load.flows) + known.passedSince, sameZone, load.failing};
 }
 
-bool isFresh(const placement_state &state, const known_peer &known, base::clock_time now)
+bool isFresh(const placement_state &state, const peer_state &known, base::clock_time now)
 {
     return known.report && now - known.heardAt < state.rules->suspectAfter;
 }
@@ -76,7 +76,7 @@
     return averages {cost / count, flows / count};
 }
 
-bool isCandidate(const placement_state &state, const known_peer &known, base::clock_time now)
+bool isCandidate(const placement_state &state, const peer_state &known, base::clock_time now)
 {
     const base::clock_time evictAfter = state.rules->evictAfter;
     if (evictAfter > base::clock_time() && now - known.heardAt >= evictAfter)
@@ -147,7 +147,7 @@
     std::vector<base::node_id> tried = offer.tried;
     tried.push_back(state.self->node);
     const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
-    actions.emplace_back(pass_flow {to, flow_offered {offer.id, std::move(tried), own}});
+    actions.emplace_back(forward_offer {to, flow_offered {offer.id, std::move(tried), own}});
 }
 
 void learn(placement_state &state, const load_report &report, base::clock_time now)
@@ -155,7 +155,7 @@
     const auto found = state.peers.find(report.node);
     if (found == state.peers.end() || found->second.life != report.life)
         return;
-    known_peer &known = found->second;
+    peer_state &known = found->second;
     if (known.report && known.report->sequence >= report.sequence)
         return;
     known.report = std::make_shared<const load_report>(report);
@@ -189,7 +189,7 @@
     const std::optional<base::node_id> back
         = offer.tried.size() < state.rules->maxOffers ? waitingPlace(state, offer) : std::nullopt;
     if (canTake(*state.ownLoad))
-        actions.emplace_back(take_flow {offer.id});
+        actions.emplace_back(accept_flow {offer.id});
     else if (back)
         pass(state, offer, *back, actions);
     else
@@ -206,7 +206,7 @@
     dropFailing(candidates);
     const candidate *chosen = choose(state, candidates, mean);
     if (chosen != nullptr && chosen->node == state.self->node)
-        actions.emplace_back(take_flow {offer.id});
+        actions.emplace_back(accept_flow {offer.id});
     else if (chosen == nullptr || offer.tried.size() + 1 >= state.rules->maxOffers)
         placeLast(state, offer, actions);
     else
@@ -231,14 +231,14 @@
         ordered.emplace(each.node, &each);
     const auto self = ordered.find(state.self->node);
     const std::size_t own = static_cast<std::size_t>(std::distance(ordered.begin(), self));
-    std::map<base::node_id, known_peer> next;
+    std::map<base::node_id, peer_state> next;
     std::size_t position = 0;
     for (auto it = ordered.begin(); it != ordered.end(); ++it, ++position) {
         if (it == self || !isNeighbour(state, own, position, ordered.size()))
             continue;
         const auto old = state.peers.find(it->first);
         const bool same = old != state.peers.end() && old->second.life == it->second->life;
-        known_peer known = same ? old->second : known_peer {it->second->life};
+        peer_state known = same ? old->second : peer_state {it->second->life};
         known.zone = it->second->zone;
         next.emplace(it->first, std::move(known));
     }
@@ -291,7 +291,7 @@
 }
 
 // What is left of the queue that a peer told of.
-std::uint32_t queueLeft(const known_peer &known)
+std::uint32_t queueLeft(const peer_state &known)
 {
     const std::uint32_t queued = known.report ? known.report->load.slots.queued : 0;
     return queued > known.askedSince ? queued - known.askedSince : 0;
@@ -306,8 +306,8 @@
         return;
     const auto longest
         = std::max_element(state.peers.begin(), state.peers.end(),
-                           [](const std::pair<const base::node_id, known_peer> &left,
-                              const std::pair<const base::node_id, known_peer> &right) {
+                           [](const std::pair<const base::node_id, peer_state> &left,
+                              const std::pair<const base::node_id, peer_state> &right) {
                                return queueLeft(left.second) < queueLeft(right.second);
                            });
     if (longest == state.peers.end() || queueLeft(longest->second) == 0)
@@ -320,7 +320,7 @@
 void giveWork(const placement_state &state, const work_requested &request, action_list &actions)
 {
     if (hasQueue(*state.ownLoad) && state.peers.contains(request.from))
-        actions.emplace_back(give_work {request.from});
+        actions.emplace_back(release_work {request.from});
 }
 
 } // namespace
--- a/lycheeshunt/placement/decision_test.cpp
+++ b/lycheeshunt/placement/decision_test.cpp
@@ -74,9 +74,9 @@
     {
         const std::vector<placement_action> actions = apply(flow_offered {offer_id(1), tried}, now);
         LONGS_EQUAL(1, actions.size());
-        if (std::holds_alternative<take_flow>(actions.front()))
+        if (std::holds_alternative<accept_flow>(actions.front()))
             return self.value();
-        if (const pass_flow *passed = std::get_if<pass_flow>(&actions.front()))
+        if (const forward_offer *passed = std::get_if<forward_offer>(&actions.front()))
             return passed->to.value();
         return 0;
     }
@@ -152,7 +152,7 @@
     CHECK(apply(work_requested {node_id(2)}, 1).empty());
     apply(own_load_changed {loadOf(7, 1)}, 2);
     const std::vector<placement_action> given = apply(work_requested {node_id(2)}, 3);
-    const std::vector<placement_action> expected {give_work {node_id(2)}};
+    const std::vector<placement_action> expected {release_work {node_id(2)}};
     CHECK(given == expected);
     CHECK(apply(work_requested {node_id(99)}, 3).empty());
 }
--- a/lycheeshunt/placement/pass_flow.h
+++ b/lycheeshunt/placement/forward_offer.h
@@ -6,12 +6,12 @@
 namespace lycheeshunt::placement {
 
 // Offer the flow to another agent.
-struct pass_flow
+struct forward_offer
 {
     const base::node_id to;
     const flow_offered offer;
 
-    bool operator==(const pass_flow &) const = default;
+    bool operator==(const forward_offer &) const = default;
 };
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/known_peer.h
+++ b/lycheeshunt/placement/peer_state.h
@@ -9,7 +9,7 @@
 namespace lycheeshunt::placement {
 
 // What this agent knows of another. State, not a message: it changes in place.
-struct known_peer
+struct peer_state
 {
     base::incarnation life = {};
     std::string zone = {};
--- a/lycheeshunt/placement/placement_state.h
+++ b/lycheeshunt/placement/placement_state.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include "lycheeshunt/placement/known_peer.h"
 #include "lycheeshunt/placement/peer.h"
+#include "lycheeshunt/placement/peer_state.h"
 #include "lycheeshunt/placement/placement_rules.h"
 #include <map>
 
@@ -21,7 +21,7 @@
     std::shared_ptr<const peer> self;
     std::shared_ptr<const placement_rules> rules;
     std::shared_ptr<const server_load> ownLoad;
-    std::map<base::node_id, known_peer> peers;
+    std::map<base::node_id, peer_state> peers;
     std::uint64_t sequence = 0;
     // Load last sent, and the control bytes that may be sent now.
     std::shared_ptr<const server_load> sentLoad = {};
--- a/tools/measurements/crest/real_cluster.cpp
+++ b/tools/measurements/crest/real_cluster.cpp
@@ -175,7 +175,7 @@
 void real_cluster::carryOut(std::size_t index, const placement::placement_action &action)
 {
     std::visit(base::overloaded {
-                   [&](const placement::take_flow &taken) {
+                   [&](const placement::accept_flow &taken) {
                        const std::size_t work = static_cast<std::size_t>(taken.id.value());
                        if (m_given.callerFaults)
                            send(directorOf(work),
@@ -183,7 +183,7 @@
                        else
                            take(index, work);
                    },
-                   [&](const placement::pass_flow &passed) {
+                   [&](const placement::forward_offer &passed) {
                        const std::size_t to = indexOf(passed.to);
                        m_events.after(hopMillis, [this, to, offer = passed.offer]() {
                            ++m_result.outcomes[offer.id.value()].offers;
@@ -199,7 +199,7 @@
                            place(to, placement::work_requested {nodeOf(index)});
                        });
                    },
-                   [&](const placement::give_work &given) { give(index, indexOf(given.to)); },
+                   [&](const placement::release_work &given) { give(index, indexOf(given.to)); },
                    [&](const placement::send_report &sent) { report(index, sent); },
                },
                action);
