Name the files and functions of the returned-packets path by their duty

'returning', 'placing' and 'pacing' did not say what returns, is placed or is paced. The files are now returned_packets, flow_placement and request_queueing; their functions say what they do to a packet, a flow or a request.

rename: holdsForSlot queueForSlot rename: releaseWaiting deliverQueuedRequests rename: pacingTick requestQueueTick rename: handleReturningPacket handleReturnablePacket rename: handleReturningAnswer handleServerPacket rename: adoptReturning adoptTentatively rename: tryCandidates tryCandidateServers rename: returningTick deliveryTick rename: returningView handleEarlyPackets rename: shareLoad publishOwnLoad rename: placementPeers updatePlacementPeers rename: passMargin forwardMargin rename: lycheeshunt/flows/internal/returning lycheeshunt/flows/internal/returned_packets rename: lycheeshunt/flows/internal/placing lycheeshunt/flows/internal/flow_placement rename: lycheeshunt/flows/internal/pacing lycheeshunt/flows/internal/request_queueing

--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -2,14 +2,14 @@
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
-#include "lycheeshunt/flows/internal/pacing.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
-#include "lycheeshunt/flows/internal/placing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/registrar.h"
-#include "lycheeshunt/flows/internal/returning.h"
+#include "lycheeshunt/flows/internal/request_queueing.h"
+#include "lycheeshunt/flows/internal/returned_packets.h"
 #include "lycheeshunt/flows/internal/view_change.h"
 
 namespace lycheeshunt::flows {
@@ -59,8 +59,8 @@
     internal::directoryTick(context);
     internal::registrarTick(context);
     if (context.state.identity->serverReturns) {
-        internal::returningTick(context);
-        internal::pacingTick(context);
+        internal::deliveryTick(context);
+        internal::requestQueueTick(context);
     }
 }
 
@@ -76,13 +76,13 @@
         base::overloaded {
             [&](const forwarded_packet &packet) {
                 if (returns)
-                    internal::handleReturningPacket(context, packet);
+                    internal::handleReturnablePacket(context, packet);
                 else
                     internal::handlePacket(context, packet);
             },
             [&](const server_answer &answer) {
                 if (returns)
-                    internal::handleReturningAnswer(context, answer);
+                    internal::handleServerPacket(context, answer);
                 else
                     internal::handleAnswer(context, answer);
             },
@@ -92,8 +92,8 @@
             [&](const tick &) { handleTick(context); },
         },
         message);
-    internal::releaseWaiting(context);
-    internal::shareLoad(context);
+    internal::deliverQueuedRequests(context);
+    internal::publishOwnLoad(context);
     return base::step<flow_state, flow_action> {std::move(state), std::move(actions)};
 }
 
--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -1,9 +1,9 @@
-#include "lycheeshunt/flows/internal/placing.h"
+#include "lycheeshunt/flows/internal/flow_placement.h"
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/flows/internal/passing.h"
-#include "lycheeshunt/flows/internal/returning.h"
+#include "lycheeshunt/flows/internal/returned_packets.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 #include "lycheeshunt/placement/decision.h"
 
@@ -21,7 +21,7 @@
     placement::placement_rules defaults;
     return placement::placement_rules {defaults.maxOffers,
                                        defaults.maxPeers,
-                                       defaults.passMargin,
+                                       defaults.forwardMargin,
                                        defaults.flowWeight,
                                        defaults.flowSlots,
                                        defaults.probesWhenFull,
@@ -47,7 +47,7 @@
     const std::optional<routing::target> to = targetOf(context.state, pass.to);
     if (!to)
         return refuse(context, packet, base::error_code::noServer);
-    noteEvent(context, flow_event_kind::offered, packet, pass.to);
+    recordEvent(context, flow_event_kind::offered, packet, pass.to);
     std::vector<base::node_id> offered = pass.offer.tried;
     passOn(context, packet.with(packet.stage, offered, packet.isDoubtful), *to,
            packet_stage::offer);
@@ -85,14 +85,15 @@
     const std::uint32_t held = std::min(busy, state.server.slots);
     return placement::server_load {
         admission::slot_counts {state.server.slots, held, 0, busy - held,
-                                !state.server.isAccepting || state.draining, canAccept(state, now)},
+                                !state.server.isAccepting || state.draining,
+                                canAcceptFlow(state, now)},
         static_cast<std::uint32_t>(state.owned.size() - state.ended.size())};
 }
 
 } // namespace
 
-void noteEvent(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
-               base::node_id other, std::optional<base::error_code> reason)
+void recordEvent(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
+                 base::node_id other, std::optional<base::error_code> reason)
 {
     const flow_state &state = context.state;
     context.actions.emplace_back(
@@ -103,11 +104,11 @@
 
 void refuseCaller(flow_context &context, const forwarded_packet &packet, base::error_code reason)
 {
-    noteEvent(context, flow_event_kind::refused, packet, base::node_id(), reason);
+    recordEvent(context, flow_event_kind::refused, packet, base::node_id(), reason);
     context.actions.emplace_back(reset_caller {packet.bytes, reason});
 }
 
-bool canAccept(const flow_state &state, base::clock_time now)
+bool canAcceptFlow(const flow_state &state, base::clock_time now)
 {
     const server_view &server = state.server;
     return server.isAccepting && !state.draining && now >= server.refusesUntil
@@ -117,14 +118,14 @@
 void placeFlow(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
-    shareLoad(context);
+    publishOwnLoad(context);
     base::step<placement::placement_state, placement::placement_action> next = placement::decide(
         std::move(*state.placement), placement::flow_offered {placement::offer_id(), packet.agents},
         context.now);
     state.placement = std::move(next.state);
     for (const placement::placement_action &action : next.actions) {
         std::visit(base::overloaded {
-                       [&](const placement::accept_flow &) { openReturning(context, packet); },
+                       [&](const placement::accept_flow &) { openTentatively(context, packet); },
                        [&](const placement::forward_offer &pass) { offer(context, packet, pass); },
                        [&](const placement::refuse_flow &refused) {
                            refuse(context, packet, refused.reason);
@@ -142,10 +143,10 @@
     if (!self.serverReturns)
         return;
     state.placement.emplace(placement::peer {self.node, self.life, self.availabilityZone}, rules());
-    placementPeers(context);
+    updatePlacementPeers(context);
 }
 
-void placementPeers(flow_context &context)
+void updatePlacementPeers(flow_context &context)
 {
     const flow_state &state = context.state;
     if (!state.placement || !state.view)
@@ -169,7 +170,7 @@
     run(context, report);
 }
 
-void shareLoad(flow_context &context)
+void publishOwnLoad(flow_context &context)
 {
     flow_state &state = context.state;
     if (!state.placement)
@@ -181,7 +182,7 @@
 
 void placementTick(flow_context &context)
 {
-    shareLoad(context);
+    publishOwnLoad(context);
     run(context, placement::placement_tick {});
 }
 
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -5,7 +5,7 @@
 #include "lycheeshunt/flows/internal/packet_path.h"
 #include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
-#include "lycheeshunt/flows/internal/returning.h"
+#include "lycheeshunt/flows/internal/returned_packets.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
 #include <algorithm>
@@ -98,7 +98,7 @@
     const forwarded_packet &first = held.packets.front();
     if (context.state.identity->serverReturns) {
         for (const forwarded_packet &packet : held.packets)
-            tryCandidates(context, packet, held.mayOwn, !held.waitingFor.empty());
+            tryCandidateServers(context, packet, held.mayOwn, !held.waitingFor.empty());
         return;
     }
     if (held.purpose == hold_purpose::open)
@@ -262,7 +262,7 @@
         const held_flow released = release(context, answer.key);
         for (const forwarded_packet &packet : released.packets) {
             if (state.identity->serverReturns)
-                adoptReturning(context, packet);
+                adoptTentatively(context, packet);
             else
                 handlePacketAsOwner(context, packet);
         }
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -1,8 +1,8 @@
 #include "lycheeshunt/flows/internal/ownership.h"
 
-#include "lycheeshunt/flows/internal/pacing.h"
 #include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/registrar.h"
+#include "lycheeshunt/flows/internal/request_queueing.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
 #include <netinet/in.h>
@@ -133,7 +133,7 @@
 void handleOwned(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
-    if (holdsForSlot(context, flow, packet)) {
+    if (queueForSlot(context, flow, packet)) {
         // The caller is there, and has taken the server's answer to its opening packet.
         if (flow.phase != flow_phase::ended)
             moveOn(context, key, flow, phaseAfterCaller(flow.phase, packet.summary), flow.progress);
--- a/lycheeshunt/flows/internal/pacing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -1,7 +1,7 @@
-#include "lycheeshunt/flows/internal/pacing.h"
+#include "lycheeshunt/flows/internal/request_queueing.h"
 
+#include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/ownership.h"
-#include "lycheeshunt/flows/internal/placing.h"
 
 namespace lycheeshunt::flows::internal {
 
@@ -21,7 +21,7 @@
 
 } // namespace
 
-bool holdsForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
+bool queueForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
@@ -44,11 +44,11 @@
         return false;
     if (!state.waiting.add(packet, context.now))
         return false;
-    noteEvent(context, flow_event_kind::waits, packet);
+    recordEvent(context, flow_event_kind::waits, packet);
     return true;
 }
 
-void releaseWaiting(flow_context &context)
+void deliverQueuedRequests(flow_context &context)
 {
     flow_state &state = context.state;
     while (!state.waiting.isEmpty() && hasFreeSlot(state)) {
@@ -68,13 +68,13 @@
     }
 }
 
-void pacingTick(flow_context &context)
+void requestQueueTick(flow_context &context)
 {
     flow_state &state = context.state;
     if (state.waiting.isEmpty())
         return;
     for (const waiting_request &abandoned : state.waiting.takeAbandoned(context.now))
-        noteEvent(context, flow_event_kind::abandoned, abandoned.packets.front());
+        recordEvent(context, flow_event_kind::abandoned, abandoned.packets.front());
     std::vector<base::flow_key> stuck;
     for (auto it = state.owned.begin(); it != state.owned.end(); ++it) {
         if (it->second.progress.isBusy && context.now - it->second.lastPacket >= answerWithin)
--- a/lycheeshunt/flows/internal/pacing.h
+++ b/lycheeshunt/flows/internal/request_queueing.h
@@ -13,12 +13,12 @@
 namespace lycheeshunt::flows::internal {
 
 // Whether the packet of this flow waits here now.
-bool holdsForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet);
+bool queueForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet);
 
 // Hands over what waits, as far as slots are free.
-void releaseWaiting(flow_context &context);
+void deliverQueuedRequests(flow_context &context);
 
 // Frees slots that no answer will free any more.
-void pacingTick(flow_context &context);
+void requestQueueTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -1,10 +1,10 @@
-#include "lycheeshunt/flows/internal/returning.h"
+#include "lycheeshunt/flows/internal/returned_packets.h"
 
 #include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/passing.h"
-#include "lycheeshunt/flows/internal/placing.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
@@ -28,7 +28,7 @@
 void note(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
           std::optional<base::error_code> reason = std::nullopt)
 {
-    noteEvent(context, kind, packet, base::node_id(), reason);
+    recordEvent(context, kind, packet, base::node_id(), reason);
 }
 
 void sendHint(flow_context &context, const forwarded_packet &packet)
@@ -83,7 +83,7 @@
         const base::node_id next = rest.front();
         rest.erase(rest.begin());
         if (isSelf(state, next)) {
-            adoptReturning(context, packet.with(packet_stage::trial, rest, packet.isDoubtful));
+            adoptTentatively(context, packet.with(packet_stage::trial, rest, packet.isDoubtful));
             return;
         }
         if (const std::optional<routing::target> to = targetOf(state, next)) {
@@ -120,7 +120,7 @@
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
     if (packet.stage == packet_stage::toOwner || packet.stage == packet_stage::trial) {
-        adoptReturning(context, packet);
+        adoptTentatively(context, packet);
         return;
     }
     if (packet.stage == packet_stage::declined)
@@ -186,7 +186,7 @@
 
 } // namespace
 
-void openReturning(flow_context &context, const forwarded_packet &packet)
+void openTentatively(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
     // One flow tries a server that was silent; others wait for its outcome.
@@ -199,7 +199,7 @@
     sendHint(context, packet);
 }
 
-void adoptReturning(flow_context &context, const forwarded_packet &packet)
+void adoptTentatively(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
     if (context.state.owned.find(key) == nullptr) {
@@ -212,8 +212,8 @@
         sendHint(context, packet);
 }
 
-void tryCandidates(flow_context &context, const forwarded_packet &packet,
-                   const std::vector<base::node_id> &candidates, bool isDoubtful)
+void tryCandidateServers(flow_context &context, const forwarded_packet &packet,
+                         const std::vector<base::node_id> &candidates, bool isDoubtful)
 {
     const bool doubt = isDoubtful || packet.isDoubtful;
     std::vector<base::node_id> tried = candidates;
@@ -226,7 +226,7 @@
         tryNext(context, packet.with(packet_stage::trial, std::move(tried), doubt));
 }
 
-void handleReturningPacket(flow_context &context, const forwarded_packet &packet)
+void handleReturnablePacket(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
@@ -249,15 +249,15 @@
         handleOngoing(context, packet);
 }
 
-void returningView(flow_context &context)
+void handleEarlyPackets(flow_context &context)
 {
     if (!context.state.buckets || context.state.early.isEmpty())
         return;
     for (const forwarded_packet &packet : context.state.early.take(context.now))
-        handleReturningPacket(context, packet);
+        handleReturnablePacket(context, packet);
 }
 
-void handleReturningAnswer(flow_context &context, const server_answer &answer)
+void handleServerPacket(flow_context &context, const server_answer &answer)
 {
     flow_state &state = context.state;
     state.server.lastHeard = context.now;
@@ -290,7 +290,7 @@
     }
 }
 
-void returningTick(flow_context &context)
+void deliveryTick(flow_context &context)
 {
     flow_state &state = context.state;
     std::vector<visit> unanswered;
--- a/lycheeshunt/flows/internal/returning.h
+++ b/lycheeshunt/flows/internal/returned_packets.h
@@ -10,26 +10,26 @@
 
 namespace lycheeshunt::flows::internal {
 
-void handleReturningPacket(flow_context &context, const forwarded_packet &packet);
+void handleReturnablePacket(flow_context &context, const forwarded_packet &packet);
 
 // What the server sends: answers to callers, and packets that it gives back.
-void handleReturningAnswer(flow_context &context, const server_answer &answer);
+void handleServerPacket(flow_context &context, const server_answer &answer);
 
 void handleServerChange(flow_context &context, const server_changed &changed);
 
 // Opens the flow here. The server gives the packet back when it can't take it.
-void openReturning(flow_context &context, const forwarded_packet &packet);
+void openTentatively(flow_context &context, const forwarded_packet &packet);
 
 // Takes the packet for one of the own server's, which gives it back when it is not.
-void adoptReturning(flow_context &context, const forwarded_packet &packet);
+void adoptTentatively(flow_context &context, const forwarded_packet &packet);
 
 // No agent knows the flow: tries the servers of these agents in turn, or tells the entry. When some
 // agent could not be asked, the flow is taken to be there and nothing is tried.
-void tryCandidates(flow_context &context, const forwarded_packet &packet,
-                   const std::vector<base::node_id> &candidates, bool isDoubtful);
+void tryCandidateServers(flow_context &context, const forwarded_packet &packet,
+                         const std::vector<base::node_id> &candidates, bool isDoubtful);
 
-void returningTick(flow_context &context);
+void deliveryTick(flow_context &context);
 // Goes on with packets that came before the first view.
-void returningView(flow_context &context);
+void handleEarlyPackets(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -1,9 +1,9 @@
 #include "lycheeshunt/flows/internal/view_change.h"
 
-#include "lycheeshunt/flows/internal/placing.h"
+#include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/registrar.h"
-#include "lycheeshunt/flows/internal/returning.h"
+#include "lycheeshunt/flows/internal/returned_packets.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 #include "lycheeshunt/routing/routing_table.h"
 
@@ -93,7 +93,7 @@
     state.draining = self != view.members.end() && view.isDraining(self->second);
     state.maxOwned = service->second.limits.connections;
     state.openIdle = service->second.limits.idleTimeout;
-    placementPeers(context);
+    updatePlacementPeers(context);
     const std::shared_ptr<const routing::bucket_table> before = state.buckets;
     state.buckets = std::make_shared<const routing::bucket_table>(
         service->second.buckets, routing::directorsOf(view, state.identity->service));
@@ -105,7 +105,7 @@
     }
     startRecovery(context);
     if (state.identity->serverReturns)
-        returningView(context);
+        handleEarlyPackets(context);
 }
 
 void notePeer(flow_state &state, base::node_id node, base::generation at)
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -52,8 +52,9 @@
     if (!known.report || now - known.heardAt >= state.rules->suspectAfter)
         return candidate {node, mean.cost, mean.flows, sameZone, false};
     const server_load &load = known.report->load;
-    return candidate {node, costOf(load, known.passedSince),
-                      static_cast<double>(load.flows) + known.passedSince, sameZone, load.failing};
+    return candidate {node, costOf(load, known.forwardedSinceReport),
+                      static_cast<double>(load.flows) + known.forwardedSinceReport, sameZone,
+                      load.failing};
 }
 
 bool isFresh(const placement_state &state, const peer_state &known, base::clock_time now)
@@ -69,7 +70,7 @@
     for (const auto &[node, known] : state.peers) {
         if (!isFresh(state, known, now))
             continue;
-        cost += costOf(known.report->load, known.passedSince);
+        cost += costOf(known.report->load, known.forwardedSinceReport);
         flows += known.report->load.flows;
         count += 1;
     }
@@ -136,14 +137,14 @@
         return &*best;
     if (state.rules->probesWhenFull && first.cost >= 1 && candidates.size() > 1)
         return &*std::min_element(std::next(candidates.begin()), candidates.end(), better);
-    if (rankOf(state, first, mean) <= rankOf(state, *best, mean) + state.rules->passMargin)
+    if (rankOf(state, first, mean) <= rankOf(state, *best, mean) + state.rules->forwardMargin)
         return &first;
     return &*best;
 }
 
 void pass(placement_state &state, const flow_offered &offer, base::node_id to, action_list &actions)
 {
-    ++state.peers[to].passedSince;
+    ++state.peers[to].forwardedSinceReport;
     std::vector<base::node_id> tried = offer.tried;
     tried.push_back(state.self->node);
     const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
@@ -160,8 +161,8 @@
         return;
     known.report = std::make_shared<const load_report>(report);
     known.heardAt = now;
-    known.passedSince = 0;
-    known.askedSince = 0;
+    known.forwardedSinceReport = 0;
+    known.requestedSinceReport = 0;
 }
 
 // An agent that passed the flow on because it was full, but would have let it wait.
@@ -174,7 +175,7 @@
         if (found == state.peers.end() || !found->second.report
             || !canTake(found->second.report->load))
             continue;
-        const double cost = costOf(found->second.report->load, found->second.passedSince);
+        const double cost = costOf(found->second.report->load, found->second.forwardedSinceReport);
         if (!best || cost < least) {
             best = node;
             least = cost;
@@ -294,7 +295,7 @@
 std::uint32_t queueLeft(const peer_state &known)
 {
     const std::uint32_t queued = known.report ? known.report->load.slots.queued : 0;
-    return queued > known.askedSince ? queued - known.askedSince : 0;
+    return queued > known.requestedSinceReport ? queued - known.requestedSinceReport : 0;
 }
 
 // With a free slot, asks the agent with the longest queue for work.
@@ -313,7 +314,7 @@
     if (longest == state.peers.end() || queueLeft(longest->second) == 0)
         return;
     state.budgetBytes -= reportBytes;
-    ++longest->second.askedSince;
+    ++longest->second.requestedSinceReport;
     actions.emplace_back(request_work {longest->first});
 }
 
@@ -325,10 +326,11 @@
 
 } // namespace
 
-double costOf(const server_load &load, double passedSince)
+double costOf(const server_load &load, double forwardedSinceReport)
 {
     const double allowed = std::max(1U, load.slots.allowed);
-    const double busy = load.slots.busy + load.hintedBusy + load.slots.queued + passedSince;
+    const double busy
+        = load.slots.busy + load.hintedBusy + load.slots.queued + forwardedSinceReport;
     if (busy < allowed)
         return busy / allowed;
     // Only slots that long work does not hold will come free soon.
--- a/lycheeshunt/placement/decision.h
+++ b/lycheeshunt/placement/decision.h
@@ -17,6 +17,6 @@
 decide(placement_state state, const placement_message &message, base::clock_time now);
 
 // Lower is better. Below 1 the server has a free slot.
-double costOf(const server_load &load, double passedSince);
+double costOf(const server_load &load, double forwardedSinceReport);
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/peer_state.h
+++ b/lycheeshunt/placement/peer_state.h
@@ -16,9 +16,9 @@
     std::shared_ptr<const load_report> report = {};
     base::clock_time heardAt = {};
     // Flows that this agent passed to it since its report.
-    std::uint32_t passedSince = 0;
+    std::uint32_t forwardedSinceReport = 0;
     // Times that this agent asked it for work since its report.
-    std::uint32_t askedSince = 0;
+    std::uint32_t requestedSinceReport = 0;
 };
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/placement_rules.h
+++ b/lycheeshunt/placement/placement_rules.h
@@ -13,7 +13,7 @@
     // Agents that an agent hears from; in a larger service each has neighbours of its own.
     const std::size_t maxPeers = 16;
     // An agent that is told of a flow passes it on only to one better by more than this.
-    const double passMargin = 0.05;
+    const double forwardMargin = 0.05;
     // Weight of open flows against busy slots.
     const double flowWeight = 0.15;
     // Most that flows may weigh, in slots: less than one, so that they only break near ties.
