--- a/lycheeshunt/flows/returning_agent_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -1,5 +1,4 @@
-// One agent whose backend server returns packets, its messages and actions as values, for the tests
-// of this slice.
+// Test fixture: one agent whose backend server returns packets. Messages and actions are values.
 
 #pragma once
 
@@ -43,14 +42,14 @@
                                 opens, false, false, payload};
 }
 
-inline packets::ip_summary returned(const packets::ip_summary &sent)
+inline packets::ip_summary returnedSummary(const packets::ip_summary &sent)
 {
     return packets::ip_summary {sent.key,          sent.opens,      sent.finishes, sent.resets,
                                 sent.payloadBytes, sent.isRepeated, true};
 }
 
 // The agent under test is "a1"; "a2" and "a3" are others of the service.
-struct returning_agent : public Utest
+struct agent_fixture : public Utest
 {
     std::unique_ptr<flow_state> state;
     std::vector<flow_action> actions;
@@ -66,28 +65,28 @@
             members.emplace(member.id(), member);
         std::map<base::service_id, tickets::service_definition> services;
         services.emplace(logbook, tickets::service_definition {"logbook", {}, {}, 64});
-        give(view_update {std::make_shared<const dissemination::cluster_view>(
+        apply(view_update {std::make_shared<const dissemination::cluster_view>(
             dissemination::cluster_view {base::generation(1), services, members})});
-        serve(true);
+        setServer(true);
     }
 
-    void give(const flow_message &message)
+    void apply(const flow_message &message)
     {
         base::step<flow_state, flow_action> next = decide(std::move(*state), message, at(now));
         state = std::make_unique<flow_state>(std::move(next.state));
         actions.swap(next.actions);
     }
 
-    void serve(bool isAccepting, bool isOlder = false)
+    void setServer(bool isAccepting, bool isOlder = false)
     {
-        give(server_changed {logbook, base::incarnation(1), isAccepting, slots, isOlder});
+        apply(server_changed {logbook, base::incarnation(1), isAccepting, slots, isOlder});
     }
 
-    // Reports of idle others, so that they can be offered flows.
-    void hearOthers()
+    // Load reports of the idle peers, so that they can be offered flows.
+    void receivePeerReports()
     {
         for (const char *name : {"a2", "a3"})
-            give(peer_message(placement::load_report {
+            apply(peer_message(placement::load_report {
                 nodeOf(name), base::incarnation(1), static_cast<std::uint64_t>(now + 1),
                 placement::server_load {admission::slot_counts {slots}, 0}}));
     }
@@ -106,13 +105,13 @@
                                  std::move(agents)};
     }
 
-    void answer(const packets::ip_summary &summary)
+    void receiveFromServer(const packets::ip_summary &summary)
     {
-        give(server_answer {summary, base::packet_bytes("answer")});
+        apply(server_answer {summary, base::packet_bytes("answer")});
     }
 
     template <typename action_type>
-    std::vector<action_type> all() const
+    std::vector<action_type> actionsOf() const
     {
         std::vector<action_type> found;
         for (const flow_action &action : actions) {
@@ -123,18 +122,18 @@
     }
 
     template <typename message_type>
-    std::vector<message_type> said() const
+    std::vector<message_type> sentMessages() const
     {
         std::vector<message_type> found;
-        for (const send_to_peer &send : all<send_to_peer>()) {
+        for (const send_to_peer &send : actionsOf<send_to_peer>()) {
             if (const message_type *known = std::get_if<message_type>(&send.message))
                 found.push_back(*known);
         }
         return found;
     }
 
-    // A flow of which this agent is the director.
-    packets::ip_summary directed(bool opens, std::uint16_t payload = 0) const
+    // A packet of a flow whose director is this agent.
+    packets::ip_summary summaryForOwnBucket(bool opens, std::uint16_t payload = 0) const
     {
         for (std::uint16_t port = 1;; ++port) {
             const packets::ip_summary summary = summaryOf(port, opens, payload);
@@ -149,7 +148,7 @@
     {
         for (const std::string &name : names) {
             const membership::member member = agentNamed(name, name == "a2" ? 2 : 3);
-            give(peer_message(lookup_answer {
+            apply(peer_message(lookup_answer {
                 logbook, key, routing::target {member.id(), member.life, member.packets},
                 base::generation(1), verdict, routing::target {}}));
         }
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-// Agents report at least every 400 ms; one that has missed three reports gets no offers.
-constexpr base::clock_time reportsMissed = base::clock_time::ofMillis(1300);
+// Agents report at least every 400 ms; an agent that has missed three reports gets no offers.
+constexpr base::clock_time reportTimeout = base::clock_time::ofMillis(1300);
 
-placement::placement_rules rules()
+placement::placement_rules placementRules()
 {
     placement::placement_rules defaults;
     return placement::placement_rules {defaults.maxOffers,
@@ -28,31 +28,33 @@
                                        false,
                                        defaults.zoneWeight,
                                        defaults.suspectAfter,
-                                       reportsMissed,
+                                       reportTimeout,
                                        defaults.reportBytesPerSecond};
 }
 
-void refuse(flow_context &context, const forwarded_packet &packet, base::error_code reason)
+void refuseFlow(flow_context &context, const forwarded_packet &packet, base::error_code reason)
 {
-    // A copy of an opening packet may be refused by all because one of them has the flow.
+    // All agents may refuse a retransmitted opening packet because one of them already owns the
+    // flow.
     if (packet.summary.isRepeated)
         context.actions.emplace_back(refuse_packet {reason});
     else
         refuseCaller(context, packet, reason);
 }
 
-void offer(flow_context &context, const forwarded_packet &packet,
-           const placement::forward_offer &pass)
+void offerFlow(flow_context &context, const forwarded_packet &packet,
+               const placement::forward_offer &forwarded)
 {
-    const std::optional<routing::target> to = targetOf(context.state, pass.to);
+    const std::optional<routing::target> to = targetOf(context.state, forwarded.to);
     if (!to)
-        return refuse(context, packet, base::error_code::noServer);
-    recordEvent(context, flow_event_kind::offered, packet, pass.to);
-    std::vector<base::node_id> offered = pass.offer.tried;
+        return refuseFlow(context, packet, base::error_code::noServer);
+    recordEvent(context, flow_event_kind::offered, packet, forwarded.to);
+    std::vector<base::node_id> offered = forwarded.offer.tried;
     passOn(context, packet.with(packet.stage, offered, packet.isDoubtful), *to,
            packet_stage::offer);
-    // A copy of the packet goes to yet another agent: this one may be dead.
-    offered.push_back(pass.to);
+    // A retransmission goes to an agent that is not in this list, since the one just chosen may
+    // have failed.
+    offered.push_back(forwarded.to);
     context.state.visits.put(
         packet.summary.key,
         visit {packet.with(packet.stage, std::move(offered), packet.isDoubtful), context.now});
@@ -67,7 +69,7 @@
     }
 }
 
-void run(flow_context &context, const placement::placement_message &message)
+void runPlacement(flow_context &context, const placement::placement_message &message)
 {
     flow_state &state = context.state;
     if (!state.placement)
@@ -82,9 +84,9 @@
 placement::server_load loadOf(const flow_state &state, base::clock_time now)
 {
     const std::uint32_t busy = static_cast<std::uint32_t>(state.busyFlows + state.waiting.size());
-    const std::uint32_t held = std::min(busy, state.server.slots);
+    const std::uint32_t busySlots = std::min(busy, state.server.slots);
     return placement::server_load {
-        admission::slot_counts {state.server.slots, held, 0, busy - held,
+        admission::slot_counts {state.server.slots, busySlots, 0, busy - busySlots,
                                 !state.server.isAccepting || state.draining,
                                 canAcceptFlow(state, now)},
         static_cast<std::uint32_t>(state.owned.size() - state.ended.size())};
@@ -126,9 +128,11 @@
     for (const placement::placement_action &action : next.actions) {
         std::visit(base::overloaded {
                        [&](const placement::accept_flow &) { openTentatively(context, packet); },
-                       [&](const placement::forward_offer &pass) { offer(context, packet, pass); },
+                       [&](const placement::forward_offer &forwarded) {
+                           offerFlow(context, packet, forwarded);
+                       },
                        [&](const placement::refuse_flow &refused) {
-                           refuse(context, packet, refused.reason);
+                           refuseFlow(context, packet, refused.reason);
                        },
                        [&](const auto &other) { carryOut(context, other); },
                    },
@@ -142,7 +146,8 @@
     const agent_identity &self = *state.identity;
     if (!self.serverReturns)
         return;
-    state.placement.emplace(placement::peer {self.node, self.life, self.availabilityZone}, rules());
+    state.placement.emplace(placement::peer {self.node, self.life, self.availabilityZone},
+                            placementRules());
     updatePlacementPeers(context);
 }
 
@@ -162,12 +167,12 @@
         if (isPeer)
             peers.push_back(placement::peer {it->first, member.life, member.availabilityZone});
     }
-    run(context, placement::peers_changed {std::move(peers)});
+    runPlacement(context, placement::peers_changed {std::move(peers)});
 }
 
 void handleLoadReport(flow_context &context, const placement::load_report &report)
 {
-    run(context, report);
+    runPlacement(context, report);
 }
 
 void publishOwnLoad(flow_context &context)
@@ -177,13 +182,13 @@
         return;
     const placement::server_load load = loadOf(state, context.now);
     if (load != *state.placement->ownLoad)
-        run(context, placement::own_load_changed {load});
+        runPlacement(context, placement::own_load_changed {load});
 }
 
 void placementTick(flow_context &context)
 {
     publishOwnLoad(context);
-    run(context, placement::placement_tick {});
+    runPlacement(context, placement::placement_tick {});
 }
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/flow_placement.h
+++ b/lycheeshunt/flows/internal/flow_placement.h
@@ -1,4 +1,4 @@
-// Choosing the agent that a new flow is opened at, by the load that agents tell each other.
+// Chooses the agent at which a new flow is opened, by the load reports that agents exchange.
 
 #pragma once
 
@@ -8,25 +8,26 @@
 
 namespace lycheeshunt::flows::internal {
 
-// Adds what was decided to the log.
+// Adds a decision about the packet's flow to the log.
 void recordEvent(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
                  base::node_id other = {}, std::optional<base::error_code> reason = std::nullopt);
-// Resets the caller, with a line in the log.
+// Resets the caller and logs the reason.
 void refuseCaller(flow_context &context, const forwarded_packet &packet, base::error_code reason);
 
-// Whether the backend server may get a new flow now.
+// Returns true if the backend server may get a new flow now.
 bool canAcceptFlow(const flow_state &state, base::clock_time now);
 
-// Opens the flow here, offers it to another agent, or tells its caller that nobody takes it. The
-// agents that the packet lists are left out.
+// Opens the flow here, offers it to another agent, or resets the caller if no agent accepts the
+// flow. Agents that the packet lists are not offered the flow.
 void placeFlow(flow_context &context, const forwarded_packet &packet);
 
-// Starts over with this agent's present identity.
+// Creates the placement state anew for this agent's current identity.
 void startPlacement(flow_context &context);
-// Takes up the agents of the current view.
+// Passes the agents of the current view to placement.
 void updatePlacementPeers(flow_context &context);
 void handleLoadReport(flow_context &context, const placement::load_report &report);
-// Tells the others when what this agent counts has changed.
+// Passes this agent's load to placement if it has changed; placement reports it to the other
+// agents.
 void publishOwnLoad(flow_context &context);
 void placementTick(flow_context &context);
 
--- a/lycheeshunt/flows/internal/request_queueing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -7,16 +7,16 @@
 
 namespace {
 
-// Requests beyond its slots that the server holds, so that no slot is idle between an answer and
-// the next request.
-constexpr std::size_t headroom = 2;
-// A request that has had neither answer nor packet for this long takes no slot any more: its caller
-// has gone, or what was taken for a request was the copy of an earlier one.
-constexpr base::clock_time answerWithin = base::clock_time::ofSeconds(2);
+// Requests that the server gets beyond its slots, so that no slot is idle between an answer and the
+// next request.
+constexpr std::size_t slotHeadroom = 2;
+// A request frees its slot if its flow has had neither an answer nor a packet for this long: its
+// caller has disconnected, or the request was a retransmission of an earlier one.
+constexpr base::clock_time requestTimeout = base::clock_time::ofSeconds(2);
 
 bool hasFreeSlot(const flow_state &state)
 {
-    return state.server.slots == 0 || state.busyFlows < state.server.slots + headroom;
+    return state.server.slots == 0 || state.busyFlows < state.server.slots + slotHeadroom;
 }
 
 } // namespace
@@ -31,16 +31,16 @@
         state.waiting.erase(key);
         return false;
     }
-    // A packet that tries whether the server knows its flow is no request yet.
-    const visit *visited = state.visits.find(key);
-    const bool isTrial = visited != nullptr && !visited->packet.summary.opens;
+    // A packet that probes whether the server holds its flow is not counted as a request.
+    const visit *delivery = state.visits.find(key);
+    const bool isTrial = delivery != nullptr && !delivery->packet.summary.opens;
     if (packet.summary.payloadBytes == 0 || isTrial)
         return false;
-    if (state.waiting.holds(key))
+    if (state.waiting.contains(key))
         return state.waiting.add(packet, context.now);
-    const bool begins = !flow.progress.isBusy && flow.progress.isNews(packet.summary)
+    const bool startsRequest = !flow.progress.isBusy && flow.progress.isNews(packet.summary)
         && flow.phase != flow_phase::ended;
-    if (!begins || (hasFreeSlot(state) && state.waiting.isEmpty()))
+    if (!startsRequest || (hasFreeSlot(state) && state.waiting.isEmpty()))
         return false;
     if (!state.waiting.add(packet, context.now))
         return false;
@@ -77,7 +77,7 @@
         recordEvent(context, flow_event_kind::abandoned, abandoned.packets.front());
     std::vector<base::flow_key> stuck;
     for (auto it = state.owned.begin(); it != state.owned.end(); ++it) {
-        if (it->second.progress.isBusy && context.now - it->second.lastPacket >= answerWithin)
+        if (it->second.progress.isBusy && context.now - it->second.lastPacket >= requestTimeout)
             stuck.push_back(it->first);
     }
     for (const base::flow_key &key : stuck) {
--- a/lycheeshunt/flows/internal/request_queueing.h
+++ b/lycheeshunt/flows/internal/request_queueing.h
@@ -1,5 +1,5 @@
-// Gives the backend server no more requests than it has slots for; the others wait here. Only where
-// backend servers return packets.
+// Limits the requests at the backend server to its slots; further requests are queued at the agent.
+// Used only where backend servers return packets.
 
 #pragma once
 
@@ -12,13 +12,13 @@
 
 namespace lycheeshunt::flows::internal {
 
-// Whether the packet of this flow waits here now.
+// Queues the packet if its request must wait for a slot. Returns true if the packet was queued.
 bool queueForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet);
 
-// Hands over what waits, as far as slots are free.
+// Delivers queued requests to the server while slots are free.
 void deliverQueuedRequests(flow_context &context);
 
-// Frees slots that no answer will free any more.
+// Drops requests whose callers are silent, and frees the slots of requests that have timed out.
 void requestQueueTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -14,24 +14,24 @@
 
 namespace {
 
-// A server on the same VM answers an opening packet within a millisecond.
-constexpr base::clock_time answerWithin = base::clock_time::ofMillis(150);
-// A server that left an opening packet unanswered gets no new flow for this long, and then one to
-// try it.
-constexpr base::clock_time silentFor = base::clock_time::ofMillis(1000);
-// A server that gave an opening packet back gets no new flow for this long: it is full or starts,
-// and will not take the next packet of the same moment either.
-constexpr base::clock_time refusesFor = base::clock_time::ofMillis(100);
-// Longer than a caller repeats an opening packet.
-constexpr base::clock_time visitKept = base::clock_time::ofSeconds(2);
+// A server on the same VM answers an opening packet within 1 ms.
+constexpr base::clock_time openingAnswerTimeout = base::clock_time::ofMillis(150);
+// A server that left an opening packet unanswered gets no new flows for this long, and then a
+// single one as a probe.
+constexpr base::clock_time silentServerBackoff = base::clock_time::ofMillis(1000);
+// A server that returned an opening packet gets no new flows for this long. It is full or still
+// starting, so it would also return the next opening packet.
+constexpr base::clock_time returnBackoff = base::clock_time::ofMillis(100);
+// Longer than a caller retransmits an opening packet.
+constexpr base::clock_time pendingDeliveryLifetime = base::clock_time::ofSeconds(2);
 
-void note(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
-          std::optional<base::error_code> reason = std::nullopt)
+void record(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
+            std::optional<base::error_code> reason = std::nullopt)
 {
     recordEvent(context, kind, packet, base::node_id(), reason);
 }
 
-void sendHint(flow_context &context, const forwarded_packet &packet)
+void sendOwnerHint(flow_context &context, const forwarded_packet &packet)
 {
     const flow_state &state = context.state;
     if (packet.entry.port != 0)
@@ -40,10 +40,10 @@
             owner_hint {state.identity->service, packet.summary.key, selfTarget(state)}});
 }
 
-void tellEntry(flow_context &context, const forwarded_packet &packet, bool isDoubtful)
+void notifyEntry(flow_context &context, const forwarded_packet &packet, bool isDoubtful)
 {
-    note(context, flow_event_kind::unknown, packet.with(packet.stage, {}, isDoubtful),
-         base::error_code::flowUnknown);
+    record(context, flow_event_kind::unknown, packet.with(packet.stage, {}, isDoubtful),
+           base::error_code::flowUnknown);
     if (packet.entry.port != 0)
         context.actions.emplace_back(
             send_packet {packet.entry, packet.with(packet_stage::unknown, {}, isDoubtful)});
@@ -53,46 +53,48 @@
         context.actions.emplace_back(reset_caller {packet.bytes, base::error_code::flowUnknown});
 }
 
-// Asks the other agents, here or at the flow's director.
-void search(flow_context &context, const forwarded_packet &packet)
+// Queries the other agents for the flow's owner, or forwards the packet to the flow's director,
+// which does so.
+void lookUpOwner(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
-    if (const held_flow *held = state.held.find(key)) {
-        holdMore(context, *held, packet);
+    if (const held_flow *lookup = state.held.find(key)) {
+        holdMore(context, *lookup, packet);
         return;
     }
     const routing::target *director = directorOf(state, key);
     if (!state.buckets)
-        tellEntry(context, packet, true);
+        notifyEntry(context, packet, true);
     else if (director == nullptr || packet.service != state.identity->service)
-        tellEntry(context, packet, packet.isDoubtful);
+        notifyEntry(context, packet, packet.isDoubtful);
     else if (isSelf(state, director->node) || packet.hops > 0) {
-        note(context, flow_event_kind::searched, packet);
+        record(context, flow_event_kind::searched, packet);
         holdPacket(context, packet, hold_purpose::find, {});
     } else
         passOn(context, packet, *director, packet_stage::declined);
 }
 
-// The candidates are tried one after the other; the rest travels with the packet.
-void tryNext(flow_context &context, const forwarded_packet &packet)
+// Sends the packet to the next candidate; the remaining candidates are listed in the packet.
+void tryNextCandidate(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
-    std::vector<base::node_id> rest = packet.agents;
-    while (!rest.empty()) {
-        const base::node_id next = rest.front();
-        rest.erase(rest.begin());
+    std::vector<base::node_id> remaining = packet.agents;
+    while (!remaining.empty()) {
+        const base::node_id next = remaining.front();
+        remaining.erase(remaining.begin());
         if (isSelf(state, next)) {
-            adoptTentatively(context, packet.with(packet_stage::trial, rest, packet.isDoubtful));
+            adoptTentatively(context,
+                             packet.with(packet_stage::trial, remaining, packet.isDoubtful));
             return;
         }
         if (const std::optional<routing::target> to = targetOf(state, next)) {
             context.actions.emplace_back(send_packet {
-                to->packets, packet.with(packet_stage::trial, rest, packet.isDoubtful)});
+                to->packets, packet.with(packet_stage::trial, remaining, packet.isDoubtful)});
             return;
         }
     }
-    tellEntry(context, packet, packet.isDoubtful);
+    notifyEntry(context, packet, packet.isDoubtful);
 }
 
 void handleOpening(flow_context &context, const forwarded_packet &packet)
@@ -131,11 +133,11 @@
         passOn(context, packet, *owner, packet_stage::toOwner);
         return;
     }
-    search(context, packet);
+    lookUpOwner(context, packet);
 }
 
-// The server has given the opening packet back: it takes no new flow now.
-void offerElsewhere(flow_context &context, const forwarded_packet &packet)
+// Offers the flow to the agents other than this one and those already tried.
+void offerToOtherAgents(flow_context &context, const forwarded_packet &packet)
 {
     std::vector<base::node_id> tried = packet.agents;
     const base::node_id self = context.state.identity->node;
@@ -145,22 +147,22 @@
         placeFlow(context, packet.with(packet_stage::offer, std::move(tried), packet.isDoubtful));
 }
 
-void handleGivenBack(flow_context &context, const server_answer &answer)
+void handleReturnedPacket(flow_context &context, const server_answer &answer)
 {
     flow_state &state = context.state;
     const base::flow_key &key = answer.summary.key;
     const owned_flow *flow = state.owned.find(key);
-    const bool wasServed = flow != nullptr && flow->progress.isAnswered;
-    const bool isOver = flow != nullptr && flow->phase == flow_phase::ended;
-    const visit *visited = state.visits.find(key);
+    const bool wasAnswered = flow != nullptr && flow->progress.isAnswered;
+    const bool isEnded = flow != nullptr && flow->phase == flow_phase::ended;
+    const visit *delivery = state.visits.find(key);
     const forwarded_packet before
-        = visited != nullptr ? visited->packet : forwarded_packet {state.identity->service,
-                                                                   state.identity->life,
-                                                                   currentGeneration(state),
-                                                                   packet_stage::toOwner,
-                                                                   0,
-                                                                   answer.summary,
-                                                                   answer.bytes};
+        = delivery != nullptr ? delivery->packet : forwarded_packet {state.identity->service,
+                                                                     state.identity->life,
+                                                                     currentGeneration(state),
+                                                                     packet_stage::toOwner,
+                                                                     0,
+                                                                     answer.summary,
+                                                                     answer.bytes};
     const forwarded_packet packet {before.service, before.life,      before.at,    before.stage,
                                    before.hops,    answer.summary,   answer.bytes, before.entry,
                                    before.agents,  before.isDoubtful};
@@ -169,19 +171,19 @@
         eraseOwned(state, key);
         registerLater(context, key, false);
     }
-    note(context, flow_event_kind::givenBack, packet);
+    record(context, flow_event_kind::givenBack, packet);
     if (answer.summary.opens) {
-        state.server.refusesUntil = context.now + refusesFor;
-        offerElsewhere(context, packet);
-    } else if (isOver || answer.summary.resets)
+        state.server.refusesUntil = context.now + returnBackoff;
+        offerToOtherAgents(context, packet);
+    } else if (isEnded || answer.summary.resets)
         context.actions.emplace_back(refuse_packet {base::error_code::flowUnknown});
-    else if (wasServed)
-        // It was this server's and is no more: the server has closed it or started again.
+    else if (wasAnswered)
+        // The server has answered on this flow before, so it has closed it or restarted.
         refuseCaller(context, packet, base::error_code::flowUnknown);
     else if (packet.stage == packet_stage::trial)
-        tryNext(context, packet);
+        tryNextCandidate(context, packet);
     else
-        search(context, packet);
+        lookUpOwner(context, packet);
 }
 
 } // namespace
@@ -189,14 +191,14 @@
 void openTentatively(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
-    // One flow tries a server that was silent; others wait for its outcome.
+    // A server that was silent is probed by one flow at a time, so each flow restarts the backoff.
     if (context.state.server.isSilent)
-        context.state.server.silentUntil = context.now + silentFor;
+        context.state.server.silentUntil = context.now + silentServerBackoff;
     own(context, key, flow_phase::opening);
-    note(context, flow_event_kind::opened, packet);
+    record(context, flow_event_kind::opened, packet);
     context.state.visits.put(key, visit {packet, context.now});
     deliverToServer(context, packet);
-    sendHint(context, packet);
+    sendOwnerHint(context, packet);
 }
 
 void adoptTentatively(flow_context &context, const forwarded_packet &packet)
@@ -204,26 +206,26 @@
     const base::flow_key &key = packet.summary.key;
     if (context.state.owned.find(key) == nullptr) {
         own(context, key, flow_phase::open);
-        note(context, flow_event_kind::adopted, packet);
+        record(context, flow_event_kind::adopted, packet);
     }
     context.state.visits.put(key, visit {packet, context.now});
     handleOwned(context, owned_flow(*context.state.owned.find(key)), packet);
     if (packet.hops > 0 || packet.stage == packet_stage::trial)
-        sendHint(context, packet);
+        sendOwnerHint(context, packet);
 }
 
 void tryCandidateServers(flow_context &context, const forwarded_packet &packet,
                          const std::vector<base::node_id> &candidates, bool isDoubtful)
 {
-    const bool doubt = isDoubtful || packet.isDoubtful;
+    const bool isUncertain = isDoubtful || packet.isDoubtful;
     std::vector<base::node_id> tried = candidates;
-    // An agent that has declined the packet has had it given back.
+    // An agent that has declined the packet had it returned by its server, so it isn't tried again.
     if (context.state.server.isOlder && packet.stage != packet_stage::declined)
         tried.push_back(context.state.identity->node);
     if (isDoubtful || tried.empty() || packet.summary.resets)
-        tellEntry(context, packet, doubt);
+        notifyEntry(context, packet, isUncertain);
     else
-        tryNext(context, packet.with(packet_stage::trial, std::move(tried), doubt));
+        tryNextCandidate(context, packet.with(packet_stage::trial, std::move(tried), isUncertain));
 }
 
 void handleReturnablePacket(flow_context &context, const forwarded_packet &packet)
@@ -238,13 +240,13 @@
     if (flow != nullptr) {
         handleOwned(context, owned_flow(*flow), packet);
         if (packet.hops > 0 || packet.stage != packet_stage::toOwner)
-            sendHint(context, packet);
+            sendOwnerHint(context, packet);
         return;
     }
     if (packet.summary.opens)
         handleOpening(context, packet);
     else if (!state.buckets && state.early.put(key, packet, context.now))
-        note(context, flow_event_kind::held, packet);
+        record(context, flow_event_kind::held, packet);
     else
         handleOngoing(context, packet);
 }
@@ -263,13 +265,13 @@
     state.server.lastHeard = context.now;
     state.server.isSilent = false;
     if (answer.summary.isReturned) {
-        handleGivenBack(context, answer);
+        handleReturnedPacket(context, answer);
         return;
     }
-    const visit *visited = state.visits.find(answer.summary.key);
-    const bool isFound = visited != nullptr && visited->packet.stage == packet_stage::trial;
+    const visit *delivery = state.visits.find(answer.summary.key);
+    const bool isFound = delivery != nullptr && delivery->packet.stage == packet_stage::trial;
     if (isFound)
-        sendHint(context, forwarded_packet(visited->packet));
+        sendOwnerHint(context, forwarded_packet(delivery->packet));
     state.visits.erase(answer.summary.key);
     handleAnswer(context, answer);
 }
@@ -278,11 +280,11 @@
 {
     flow_state &state = context.state;
     const agent_identity &self = *state.identity;
-    const bool isOther = self.service != changed.service || self.life != changed.life;
+    const bool isNewServer = self.service != changed.service || self.life != changed.life;
     state.server.isAccepting = changed.isAccepting;
     state.server.slots = changed.slots;
     state.server.isOlder = changed.isOlder;
-    if (isOther || !state.placement) {
+    if (isNewServer || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(
             agent_identity {self.node, changed.service, changed.life, self.packets,
                             self.availabilityZone, self.serverReturns});
@@ -294,27 +296,27 @@
 {
     flow_state &state = context.state;
     std::vector<visit> unanswered;
-    std::vector<base::flow_key> old;
+    std::vector<base::flow_key> expired;
     for (auto it = state.visits.begin(); it != state.visits.end(); ++it) {
         const base::clock_time age = context.now - it->second.at;
         const owned_flow *flow = state.owned.find(it->first);
-        const bool waits = it->second.packet.summary.opens && flow != nullptr
+        const bool awaitsAnswer = it->second.packet.summary.opens && flow != nullptr
             && state.server.lastHeard <= it->second.at;
-        if (age >= visitKept)
-            old.push_back(it->first);
-        else if (waits && age >= answerWithin)
+        if (age >= pendingDeliveryLifetime)
+            expired.push_back(it->first);
+        else if (awaitsAnswer && age >= openingAnswerTimeout)
             unanswered.push_back(it->second);
     }
-    for (const base::flow_key &key : old)
+    for (const base::flow_key &key : expired)
         state.visits.erase(key);
-    for (const visit &late : unanswered) {
+    for (const visit &timedOut : unanswered) {
         state.server.isSilent = true;
-        state.server.silentUntil = context.now + silentFor;
-        note(context, flow_event_kind::serverSilent, late.packet);
-        state.visits.erase(late.packet.summary.key);
-        eraseOwned(state, late.packet.summary.key);
-        registerLater(context, late.packet.summary.key, false);
-        offerElsewhere(context, late.packet);
+        state.server.silentUntil = context.now + silentServerBackoff;
+        record(context, flow_event_kind::serverSilent, timedOut.packet);
+        state.visits.erase(timedOut.packet.summary.key);
+        eraseOwned(state, timedOut.packet.summary.key);
+        registerLater(context, timedOut.packet.summary.key, false);
+        offerToOtherAgents(context, timedOut.packet);
     }
     placementTick(context);
 }
--- a/lycheeshunt/flows/internal/returned_packets.h
+++ b/lycheeshunt/flows/internal/returned_packets.h
@@ -1,6 +1,6 @@
-// The path of packets where a backend server gives back what it does not hold. A packet may be
-// tried at a server without harm, so nobody needs to agree on a flow's owner before it opens, and a
-// restarted agent finds its flows by trying.
+// Packet path for backend servers that return packets of flows that they do not hold. Delivering a
+// packet to the wrong server is harmless, so agents need not agree on a flow's owner before it
+// opens, and a restarted agent finds its flows by delivering their packets.
 
 #pragma once
 
@@ -12,24 +12,26 @@
 
 void handleReturnablePacket(flow_context &context, const forwarded_packet &packet);
 
-// What the server sends: answers to callers, and packets that it gives back.
+// Handles what the server sends: answers to callers, and packets that it returns.
 void handleServerPacket(flow_context &context, const server_answer &answer);
 
 void handleServerChange(flow_context &context, const server_changed &changed);
 
-// Opens the flow here. The server gives the packet back when it can't take it.
+// Opens the flow at this agent. The server returns the packet if it cannot accept the flow.
 void openTentatively(flow_context &context, const forwarded_packet &packet);
 
-// Takes the packet for one of the own server's, which gives it back when it is not.
+// Assumes that the flow belongs to this agent's server, which returns the packet if it does not.
 void adoptTentatively(flow_context &context, const forwarded_packet &packet);
 
-// No agent knows the flow: tries the servers of these agents in turn, or tells the entry. When some
-// agent could not be asked, the flow is taken to be there and nothing is tried.
+// Called when no agent knows the flow: tries the servers of the candidates in turn, or notifies the
+// entry. With isDoubtful, an agent that may own the flow could not be queried, so nothing is tried.
 void tryCandidateServers(flow_context &context, const forwarded_packet &packet,
                          const std::vector<base::node_id> &candidates, bool isDoubtful);
 
+// Offers flows to other agents whose opening packets the server left unanswered, drops expired
+// pending deliveries, and runs placementTick.
 void deliveryTick(flow_context &context);
-// Goes on with packets that came before the first view.
+// Handles the packets that arrived before the first view.
 void handleEarlyPackets(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/returned_packets_test.cpp
+++ b/lycheeshunt/flows/returned_packets_test.cpp
@@ -1,199 +1,199 @@
-// The path of packets where a backend server gives back what it does not hold.
+// The packet path for backend servers that return packets of flows that they do not hold.
 
-#include "lycheeshunt/flows/returning_agent_test.h"
+#include "lycheeshunt/flows/agent_fixture_test.h"
 
 using namespace lycheeshunt;
 using namespace lycheeshunt::flows;
 using namespace lycheeshunt::flows::testing;
 
-TEST_GROUP_BASE(returning, returning_agent) {};
+TEST_GROUP_BASE(returned_packets, agent_fixture) {};
 
-TEST(returning, aNewFlowIsOpenedHereAndTheEntryHearsOfIt)
+TEST(returned_packets, aNewFlowIsOpenedHereAndTheEntryGetsAnOwnerHint)
 {
-    give(packetFor(directed(true), packet_stage::toDirector));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
-    const std::vector<owner_hint> hints = said<owner_hint>();
+    apply(packetFor(summaryForOwnBucket(true), packet_stage::toDirector));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
+    const std::vector<owner_hint> hints = sentMessages<owner_hint>();
     CHECK_EQUAL(1U, hints.size());
     CHECK(hints.front().owner.node == nodeOf("a1"));
 }
 
-TEST(returning, aDrainingAgentOffersNewFlowsToOthersAtOnceAndKeepsItsOwn)
+TEST(returned_packets, aDrainingAgentOffersNewFlowsToOthersAndKeepsItsOwn)
 {
-    const packets::ip_summary opening = directed(true);
-    give(packetFor(opening, packet_stage::toDirector));
-    hearOthers();
-    serve(false);
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::toDirector));
+    receivePeerReports();
+    setServer(false);
     const packets::ip_summary other {base::flow_key {base::endpoint {1, 1}, address, 6}, true};
-    give(packetFor(other, packet_stage::toDirector));
-    CHECK(all<deliver_to_server>().empty());
-    CHECK(all<send_packet>().front().packet.stage == packet_stage::offer);
-    give(packetFor(summaryOf(opening.key.caller.port, false, 10), packet_stage::toOwner));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+    apply(packetFor(other, packet_stage::toDirector));
+    CHECK(actionsOf<deliver_to_server>().empty());
+    CHECK(actionsOf<send_packet>().front().packet.stage == packet_stage::offer);
+    apply(packetFor(summaryOf(opening.key.caller.port, false, 10), packet_stage::toOwner));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
 }
 
-TEST(returning, whenNobodyTakesAFlowItsCallerHearsAtOnce)
+TEST(returned_packets, aFlowThatNoAgentAcceptsIsResetAtOnce)
 {
-    serve(false);
-    give(packetFor(directed(true), packet_stage::toDirector));
-    CHECK(all<reset_caller>().front().reason == base::error_code::noServer);
+    setServer(false);
+    apply(packetFor(summaryForOwnBucket(true), packet_stage::toDirector));
+    CHECK(actionsOf<reset_caller>().front().reason == base::error_code::noServer);
 }
 
-TEST(returning, anOpeningPacketThatTheServerGivesBackGoesToAnother)
+TEST(returned_packets, aReturnedOpeningPacketIsOfferedToAnotherAgent)
 {
-    hearOthers();
-    const packets::ip_summary opening = directed(true);
-    give(packetFor(opening, packet_stage::offer, {nodeOf("a2")}));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
-    answer(returned(opening));
-    const send_packet next = all<send_packet>().front();
+    receivePeerReports();
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::offer, {nodeOf("a2")}));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
+    receiveFromServer(returnedSummary(opening));
+    const send_packet next = actionsOf<send_packet>().front();
     CHECK(next.packet.stage == packet_stage::offer);
     CHECK(next.to == agentNamed("a3", 3).packets);
     CHECK(next.packet.entry == entry);
 }
 
-TEST(returning, aServerThatLeavesAnOpeningPacketUnansweredIsPassedOver)
+TEST(returned_packets, aServerThatLeftAnOpeningPacketUnansweredGetsNoNewFlows)
 {
-    hearOthers();
-    give(packetFor(directed(true), packet_stage::toDirector));
+    receivePeerReports();
+    apply(packetFor(summaryForOwnBucket(true), packet_stage::toDirector));
     now += 200;
-    hearOthers();
-    give(tick {});
-    CHECK_EQUAL(1U, all<send_packet>().size());
-    give(packetFor(packets::ip_summary {base::flow_key {base::endpoint {1, 2}, address, 6}, true},
-                   packet_stage::toDirector));
-    CHECK(all<deliver_to_server>().empty());
+    receivePeerReports();
+    apply(tick {});
+    CHECK_EQUAL(1U, actionsOf<send_packet>().size());
+    apply(packetFor(packets::ip_summary {base::flow_key {base::endpoint {1, 2}, address, 6}, true},
+                    packet_stage::toDirector));
+    CHECK(actionsOf<deliver_to_server>().empty());
 }
 
-// A server that starts gives everything back. Its agent must not hand it the same packet again and
-// again when no other agent takes the flow either.
-TEST(returning, anOpeningPacketThatNobodyTakesIsNotOpenedTwiceAtOneServer)
+// A server that is starting returns every packet. Its agent must not deliver the same packet to it
+// in a loop when no other agent accepts the flow either.
+TEST(returned_packets, anOpeningPacketThatNoAgentAcceptsIsDeliveredOnlyOnce)
 {
-    const packets::ip_summary opening = directed(true);
-    give(packetFor(opening, packet_stage::offer,
-                   {nodeOf("a4"), nodeOf("a5"), nodeOf("a2"), nodeOf("a3")}));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
-    answer(returned(opening));
-    CHECK(all<deliver_to_server>().empty());
-    CHECK_EQUAL(1U, all<reset_caller>().size());
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::offer,
+                    {nodeOf("a4"), nodeOf("a5"), nodeOf("a2"), nodeOf("a3")}));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
+    receiveFromServer(returnedSummary(opening));
+    CHECK(actionsOf<deliver_to_server>().empty());
+    CHECK_EQUAL(1U, actionsOf<reset_caller>().size());
 }
 
-TEST(returning, aServerThatGaveAFlowBackGetsNoOtherAtTheSameMoment)
+TEST(returned_packets, aServerThatReturnedAnOpeningPacketGetsNoNewFlowsForAWhile)
 {
-    hearOthers();
-    const packets::ip_summary opening = directed(true);
-    give(packetFor(opening, packet_stage::toDirector));
-    answer(returned(opening));
+    receivePeerReports();
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::toDirector));
+    receiveFromServer(returnedSummary(opening));
     const packets::ip_summary other {base::flow_key {base::endpoint {1, 2}, address, 6}, true};
-    give(packetFor(other, packet_stage::toDirector));
-    CHECK(all<deliver_to_server>().empty());
+    apply(packetFor(other, packet_stage::toDirector));
+    CHECK(actionsOf<deliver_to_server>().empty());
     now += 150;
-    give(packetFor(packets::ip_summary {base::flow_key {base::endpoint {1, 3}, address, 6}, true},
-                   packet_stage::toDirector));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+    apply(packetFor(packets::ip_summary {base::flow_key {base::endpoint {1, 3}, address, 6}, true},
+                    packet_stage::toDirector));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
 }
 
-// Every flow that is opened at a dead server waits in vain, so that few may find out.
-TEST(returning, aServerThatWasSilentIsTriedByOneFlowAtATime)
+// A flow that is opened at a dead server gets no answer, so only one flow at a time may probe it.
+TEST(returned_packets, aSilentServerIsProbedByOneFlowAtATime)
 {
-    hearOthers();
-    give(packetFor(directed(true), packet_stage::toDirector));
+    receivePeerReports();
+    apply(packetFor(summaryForOwnBucket(true), packet_stage::toDirector));
     now += 200;
-    give(tick {});
+    apply(tick {});
     now += 1000;
-    hearOthers();
+    receivePeerReports();
     const packets::ip_summary second {base::flow_key {base::endpoint {1, 2}, address, 6}, true};
-    give(packetFor(second, packet_stage::toDirector));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+    apply(packetFor(second, packet_stage::toDirector));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
     const packets::ip_summary third {base::flow_key {base::endpoint {1, 3}, address, 6}, true};
-    give(packetFor(third, packet_stage::toDirector));
-    CHECK(all<deliver_to_server>().empty());
+    apply(packetFor(third, packet_stage::toDirector));
+    CHECK(actionsOf<deliver_to_server>().empty());
     // The server is back.
-    answer(packets::ip_summary {second.key});
+    receiveFromServer(packets::ip_summary {second.key});
     const packets::ip_summary fourth {base::flow_key {base::endpoint {1, 4}, address, 6}, true};
-    give(packetFor(fourth, packet_stage::offer, {nodeOf("a2"), nodeOf("a3")}));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+    apply(packetFor(fourth, packet_stage::offer, {nodeOf("a2"), nodeOf("a3")}));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
 }
 
-TEST(returning, aFlowThatAllOthersDenyIsUnknownForCertain)
+TEST(returned_packets, aFlowThatNoAgentOwnsIsReportedUnknown)
 {
-    const packets::ip_summary data = directed(false, 10);
-    give(packetFor(data, packet_stage::toDirector));
-    CHECK_EQUAL(2U, said<flow_lookup>().size());
+    const packets::ip_summary data = summaryForOwnBucket(false, 10);
+    apply(packetFor(data, packet_stage::toDirector));
+    CHECK_EQUAL(2U, sentMessages<flow_lookup>().size());
     answerLookups(data.key, {"a2", "a3"}, lookup_verdict::unknown);
-    const send_packet told = all<send_packet>().front();
-    CHECK(told.to == entry);
-    CHECK(told.packet.stage == packet_stage::unknown);
-    CHECK_FALSE(told.packet.isDoubtful);
+    const send_packet refused = actionsOf<send_packet>().front();
+    CHECK(refused.to == entry);
+    CHECK(refused.packet.stage == packet_stage::unknown);
+    CHECK_FALSE(refused.packet.isDoubtful);
 }
 
-TEST(returning, aFlowOfAnAgentThatCanNotBeAskedIsNeverGivenUpForCertain)
+TEST(returned_packets, aFlowIsDoubtfulWhileAnAgentDoesNotReply)
 {
-    const packets::ip_summary data = directed(false, 10);
-    give(packetFor(data, packet_stage::toDirector));
+    const packets::ip_summary data = summaryForOwnBucket(false, 10);
+    apply(packetFor(data, packet_stage::toDirector));
     answerLookups(data.key, {"a2"}, lookup_verdict::unknown);
     now += 2500;
-    give(tick {});
-    CHECK(all<reset_caller>().empty());
-    CHECK(all<send_packet>().front().packet.isDoubtful);
+    apply(tick {});
+    CHECK(actionsOf<reset_caller>().empty());
+    CHECK(actionsOf<send_packet>().front().packet.isDoubtful);
 }
 
-TEST(returning, serversOlderThanTheirAgentsAreTriedOneAfterTheOther)
+TEST(returned_packets, serversOlderThanTheirAgentsAreTriedInTurn)
 {
-    const packets::ip_summary data = directed(false, 10);
-    give(packetFor(data, packet_stage::toDirector));
+    const packets::ip_summary data = summaryForOwnBucket(false, 10);
+    apply(packetFor(data, packet_stage::toDirector));
     answerLookups(data.key, {"a2", "a3"}, lookup_verdict::mayOwn);
-    const send_packet first = all<send_packet>().front();
+    const send_packet first = actionsOf<send_packet>().front();
     CHECK(first.packet.stage == packet_stage::trial);
     CHECK_EQUAL(1U, first.packet.agents.size());
-    // At the other end: the server gives it back, and the next one is tried.
-    give(packetFor(data, packet_stage::trial, {nodeOf("a3")}));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
-    answer(returned(data));
-    CHECK(all<send_packet>().front().to == agentNamed("a3", 3).packets);
-    // The last one on the list tells the entry.
-    give(packetFor(data, packet_stage::trial));
-    answer(returned(data));
-    CHECK(all<send_packet>().front().packet.stage == packet_stage::unknown);
+    // At a candidate: its server returns the packet, which goes to the next candidate.
+    apply(packetFor(data, packet_stage::trial, {nodeOf("a3")}));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
+    receiveFromServer(returnedSummary(data));
+    CHECK(actionsOf<send_packet>().front().to == agentNamed("a3", 3).packets);
+    // The last candidate notifies the entry.
+    apply(packetFor(data, packet_stage::trial));
+    receiveFromServer(returnedSummary(data));
+    CHECK(actionsOf<send_packet>().front().packet.stage == packet_stage::unknown);
 }
 
-TEST(returning, aRestartedAgentFindsAFlowByTryingItAtItsServer)
+TEST(returned_packets, aRestartedAgentFindsAFlowByDeliveringItsPacket)
 {
     const packets::ip_summary data = summaryOf(9, false, 10);
-    give(packetFor(data, packet_stage::trial));
-    answer(summaryOf(9, false, 200));
-    CHECK_EQUAL(1U, all<answer_caller>().size());
-    CHECK_EQUAL(1U, said<owner_hint>().size());
-    give(packetFor(data, packet_stage::toOwner));
-    CHECK_EQUAL(1U, all<deliver_to_server>().size());
+    apply(packetFor(data, packet_stage::trial));
+    receiveFromServer(summaryOf(9, false, 200));
+    CHECK_EQUAL(1U, actionsOf<answer_caller>().size());
+    CHECK_EQUAL(1U, sentMessages<owner_hint>().size());
+    apply(packetFor(data, packet_stage::toOwner));
+    CHECK_EQUAL(1U, actionsOf<deliver_to_server>().size());
 }
 
-TEST(returning, aFlowThatItsServerServedAndGivesBackIsOver)
+TEST(returned_packets, aFlowThatItsServerAnsweredAndThenReturnsIsReset)
 {
-    const packets::ip_summary opening = directed(true);
-    give(packetFor(opening, packet_stage::toDirector));
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::toDirector));
     const packets::ip_summary data = summaryOf(opening.key.caller.port, false, 10);
-    give(packetFor(data, packet_stage::toOwner));
-    answer(summaryOf(opening.key.caller.port, false, 200));
-    // The server has crashed and started again.
-    give(packetFor(data, packet_stage::toOwner));
-    answer(returned(data));
-    CHECK(all<reset_caller>().front().reason == base::error_code::flowUnknown);
+    apply(packetFor(data, packet_stage::toOwner));
+    receiveFromServer(summaryOf(opening.key.caller.port, false, 200));
+    // The server has crashed and restarted.
+    apply(packetFor(data, packet_stage::toOwner));
+    receiveFromServer(returnedSummary(data));
+    CHECK(actionsOf<reset_caller>().front().reason == base::error_code::flowUnknown);
 }
 
-// Two servers answered copies of one opening packet; the caller chose the other one.
-TEST(returning, aFlowThatWasOnlyOfferedHereIsLookedForAndNotReset)
+// Two servers have answered copies of one opening packet, and the caller uses the other server.
+TEST(returned_packets, aFlowWithoutServerPayloadIsLookedUpAndNotReset)
 {
-    const packets::ip_summary opening = directed(true);
-    give(packetFor(opening, packet_stage::toDirector));
-    answer(summaryOf(opening.key.caller.port, false));
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::toDirector));
+    receiveFromServer(summaryOf(opening.key.caller.port, false));
     const packets::ip_summary data = summaryOf(opening.key.caller.port, false, 10);
-    give(packetFor(data, packet_stage::toOwner));
-    answer(returned(data));
-    CHECK(all<reset_caller>().empty());
-    CHECK_EQUAL(2U, said<flow_lookup>().size());
+    apply(packetFor(data, packet_stage::toOwner));
+    receiveFromServer(returnedSummary(data));
+    CHECK(actionsOf<reset_caller>().empty());
+    CHECK_EQUAL(2U, sentMessages<flow_lookup>().size());
 }
 
-TEST(returning, aPacketForAnotherServiceIsTriedAndSentBackToTheEntry)
+TEST(returned_packets, aPacketForAnotherServiceIsDeliveredAndSentBackToTheEntry)
 {
     const packets::ip_summary data = summaryOf(5, false, 10);
     const forwarded_packet foreign {base::serviceIdOf("inspect"),
@@ -204,92 +204,92 @@
                                     data,
                                     base::packet_bytes("packet"),
                                     entry};
-    give(foreign);
-    answer(returned(data));
-    const send_packet back = all<send_packet>().front();
+    apply(foreign);
+    receiveFromServer(returnedSummary(data));
+    const send_packet back = actionsOf<send_packet>().front();
     CHECK(back.to == entry);
     CHECK(back.packet.stage == packet_stage::unknown);
     // An opening packet for another service never reaches the server.
-    give(forwarded_packet {base::serviceIdOf("inspect"), base::incarnation(1), base::generation(1),
-                           packet_stage::toOwner, 0, summaryOf(6, true),
-                           base::packet_bytes("packet"), entry});
-    CHECK(all<deliver_to_server>().empty());
+    apply(forwarded_packet {base::serviceIdOf("inspect"), base::incarnation(1), base::generation(1),
+                            packet_stage::toOwner, 0, summaryOf(6, true),
+                            base::packet_bytes("packet"), entry});
+    CHECK(actionsOf<deliver_to_server>().empty());
 }
 
-TEST(returning, requestsAtTheServerAreCountedUntilTheirAnswersBegin)
+TEST(returned_packets, requestsAtTheServerAreCountedUntilTheirAnswersStart)
 {
-    const packets::ip_summary opening = directed(true);
+    const packets::ip_summary opening = summaryForOwnBucket(true);
     const std::uint16_t port = opening.key.caller.port;
-    give(packetFor(opening, packet_stage::toDirector));
+    apply(packetFor(opening, packet_stage::toDirector));
     CHECK_EQUAL(0U, state->busyFlows);
-    give(packetFor(summaryOf(port, false, 100), packet_stage::toOwner));
-    give(packetFor(summaryOf(port, false, 100), packet_stage::toOwner));
+    apply(packetFor(summaryOf(port, false, 100), packet_stage::toOwner));
+    apply(packetFor(summaryOf(port, false, 100), packet_stage::toOwner));
     CHECK_EQUAL(1U, state->busyFlows);
     CHECK_EQUAL(1U, state->placement->ownLoad->slots.busy);
-    answer(summaryOf(port, false, 500));
+    receiveFromServer(summaryOf(port, false, 500));
     CHECK_EQUAL(0U, state->busyFlows);
-    // The first packet once more: its caller has not heard yet that it came.
-    give(packetFor(summaryOf(port, false, 100), packet_stage::toOwner));
+    // A retransmission of the first packet, whose acknowledgement has not reached the caller yet.
+    apply(packetFor(summaryOf(port, false, 100), packet_stage::toOwner));
     CHECK_EQUAL(0U, state->busyFlows);
     const base::flow_key key = opening.key;
-    give(packetFor(packets::ip_summary {key, false, false, false, 100, false, false, 100},
-                   packet_stage::toOwner));
+    apply(packetFor(packets::ip_summary {key, false, false, false, 100, false, false, 100},
+                    packet_stage::toOwner));
     CHECK_EQUAL(1U, state->busyFlows);
-    answer(returned(summaryOf(port, false, 100)));
+    receiveFromServer(returnedSummary(summaryOf(port, false, 100)));
     CHECK_EQUAL(0U, state->busyFlows);
 }
 
-TEST(returning, beforeTheFirstViewNothingIsRefusedForCertain)
+TEST(returned_packets, beforeTheFirstViewEveryRefusalIsDoubtful)
 {
     const membership::member self = agentNamed("a1", 1);
     state = std::make_unique<flow_state>(
         agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
-    std::size_t told = 0;
+    std::size_t refused = 0;
     const std::uint16_t flows = base::early_packets<forwarded_packet>::maxPackets + 10;
     for (std::uint16_t port = 1; port <= flows; ++port) {
-        give(packetFor(summaryOf(port, false, 10), packet_stage::toDirector));
-        CHECK(all<reset_caller>().empty());
-        // Those for which there is no room to wait.
-        for (const send_packet &send : all<send_packet>()) {
+        apply(packetFor(summaryOf(port, false, 10), packet_stage::toDirector));
+        CHECK(actionsOf<reset_caller>().empty());
+        // Packets for which the buffer has no room.
+        for (const send_packet &send : actionsOf<send_packet>()) {
             CHECK(send.packet.isDoubtful);
-            ++told;
+            ++refused;
         }
     }
-    LONGS_EQUAL(10, told);
-    give(packetFor(summaryOf(6, true), packet_stage::toDirector));
-    CHECK(all<reset_caller>().empty());
+    LONGS_EQUAL(10, refused);
+    apply(packetFor(summaryOf(6, true), packet_stage::toDirector));
+    CHECK(actionsOf<reset_caller>().empty());
 }
 
-// After a restart of every process, a packet of an open flow may come before the first view. Its
-// caller repeats it only after more than a second.
-TEST(returning, aPacketOfAnOpenFlowWaitsForTheFirstView)
+// After a restart of every process, a packet of an open flow may arrive before the first view. Its
+// caller retransmits it only after more than a second.
+TEST(returned_packets, aPacketOfAnOpenFlowIsBufferedUntilTheFirstView)
 {
     const dissemination::shared_view view = state->view;
     const membership::member self = agentNamed("a1", 1);
     state = std::make_unique<flow_state>(
         agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
-    serve(true, true);
+    setServer(true, true);
     const packets::ip_summary summary = summaryOf(77, false, 100);
-    give(packetFor(summary, packet_stage::toDirector));
-    LONGS_EQUAL(0, all<send_packet>().size());
+    apply(packetFor(summary, packet_stage::toDirector));
+    LONGS_EQUAL(0, actionsOf<send_packet>().size());
     now += 300;
-    give(view_update {view});
-    const std::vector<flow_lookup> asked = said<flow_lookup>();
-    const std::vector<send_packet> passed = all<send_packet>();
-    CHECK(asked.size() + passed.size() > 0);
+    apply(view_update {view});
+    const std::vector<flow_lookup> queries = sentMessages<flow_lookup>();
+    const std::vector<send_packet> forwarded = actionsOf<send_packet>();
+    CHECK(queries.size() + forwarded.size() > 0);
     CHECK(state->early.isEmpty());
 }
 
-TEST(returning, aPacketThatWaitedTooLongForAViewIsLeftToItsCaller)
+TEST(returned_packets, aPacketThatWaitedTooLongForAViewIsDropped)
 {
     const dissemination::shared_view view = state->view;
     const membership::member self = agentNamed("a1", 1);
     state = std::make_unique<flow_state>(
         agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
-    serve(true, true);
-    give(packetFor(summaryOf(77, false, 100), packet_stage::toDirector));
+    setServer(true, true);
+    apply(packetFor(summaryOf(77, false, 100), packet_stage::toDirector));
     now += 5000;
-    give(view_update {view});
-    LONGS_EQUAL(0, said<flow_lookup>().size());
-    LONGS_EQUAL(0, all<send_packet>().size());
+    apply(view_update {view});
+    LONGS_EQUAL(0, sentMessages<flow_lookup>().size());
+    LONGS_EQUAL(0, actionsOf<send_packet>().size());
 }
--- a/lycheeshunt/flows/waiting_request.h
+++ b/lycheeshunt/flows/waiting_request.h
@@ -7,13 +7,13 @@
 
 namespace lycheeshunt::flows {
 
-// What a caller has sent of a request that its backend server has not been given yet.
+// A request that is queued at the agent: the packets of its caller so far.
 struct waiting_request
 {
-    // In the order in which they came; a packet that was repeated stands here once.
+    // In the order of arrival, without retransmissions.
     const std::vector<forwarded_packet> packets;
     const base::clock_time since;
-    // The caller's last packet.
+    // Time of the caller's last packet.
     const base::clock_time heardAt;
 
     const base::flow_key &key() const { return packets.front().summary.key; }
--- a/lycheeshunt/flows/waiting_requests.cpp
+++ b/lycheeshunt/flows/waiting_requests.cpp
@@ -7,19 +7,19 @@
 bool waiting_requests::add(const forwarded_packet &packet, base::clock_time now)
 {
     const base::flow_key &key = packet.summary.key;
-    const waiting_request *known = m_requests.find(key);
+    const waiting_request *existing = m_requests.find(key);
     std::vector<forwarded_packet> packets
-        = known != nullptr ? known->packets : std::vector<forwarded_packet>();
-    const bool isRepeated
+        = existing != nullptr ? existing->packets : std::vector<forwarded_packet>();
+    const bool isRetransmission
         = std::any_of(packets.begin(), packets.end(),
                       [&](const forwarded_packet &each) { return each.bytes == packet.bytes; });
-    if (!isRepeated && m_packets >= maxPackets)
+    if (!isRetransmission && m_packetCount >= maxPackets)
         return false;
-    if (!isRepeated) {
+    if (!isRetransmission) {
         packets.push_back(packet);
-        ++m_packets;
+        ++m_packetCount;
     }
-    const base::clock_time since = known != nullptr ? known->since : now;
+    const base::clock_time since = existing != nullptr ? existing->since : now;
     m_requests.put(key, waiting_request {std::move(packets), since, now});
     return true;
 }
@@ -36,17 +36,17 @@
         if (it->second.since > newest->since)
             newest = &it->second;
     }
-    const waiting_request next = now - oldest->since >= burstWait ? *newest : *oldest;
+    const waiting_request next = now - oldest->since >= overloadWait ? *newest : *oldest;
     erase(next.key());
     return next;
 }
 
 void waiting_requests::erase(const base::flow_key &key)
 {
-    const waiting_request *known = m_requests.find(key);
-    if (known == nullptr)
+    const waiting_request *existing = m_requests.find(key);
+    if (existing == nullptr)
         return;
-    m_packets -= known->packets.size();
+    m_packetCount -= existing->packets.size();
     m_requests.erase(base::flow_key(key));
 }
 
@@ -54,7 +54,7 @@
 {
     std::vector<waiting_request> abandoned;
     for (auto it = m_requests.begin(); it != m_requests.end(); ++it) {
-        if (now - it->second.heardAt > repeatWithin)
+        if (now - it->second.heardAt > retransmitTimeout)
             abandoned.push_back(it->second);
     }
     for (const waiting_request &request : abandoned)
--- a/lycheeshunt/flows/waiting_requests.h
+++ b/lycheeshunt/flows/waiting_requests.h
@@ -1,7 +1,7 @@
-// Requests that wait at their agent for a slot of the backend server, each with the packets of its
-// caller so far. First come is first served until the oldest has waited long: from then on the
-// newest goes first. Under overload most callers so get an answer while it is still of use to them,
-// where a queue in order of arrival would make everybody late.
+// Queue of the requests that wait at their agent for a slot of the backend server, each with the
+// packets of its caller so far. First in, first out until the oldest request has waited
+// overloadWait; then last in, first out. Under overload, most callers then still get an answer in
+// time, whereas with first in, first out every answer would be late.
 //
 //     waiting.add(packet, now);
 //     while (const std::optional<waiting_request> next = waiting.takeNext(now)) ...
@@ -20,29 +20,31 @@
 class waiting_requests
 {
 public:
-    // With packets of 1,200 bytes, 640 KB at most.
+    // At most 640 KB with packets of 1,200 bytes.
     static constexpr std::size_t maxPackets = 512;
-    // A queue that takes longer than this to come to its end is no burst but overload. Half of the
-    // shortest time that callers' objectives leave for waiting.
-    static constexpr base::clock_time burstWait = base::clock_time::ofMillis(100);
-    // Callers repeat what is not acknowledged at least this often until they give up.
-    static constexpr base::clock_time repeatWithin = base::clock_time::ofMillis(1700);
+    // A queue in which the oldest request has waited this long means overload, not a burst. Half of
+    // the shortest queueing time that the callers' latency objectives allow.
+    static constexpr base::clock_time overloadWait = base::clock_time::ofMillis(100);
+    // Callers retransmit unacknowledged packets at least this often until they give up.
+    static constexpr base::clock_time retransmitTimeout = base::clock_time::ofMillis(1700);
 
     bool isEmpty() const { return m_requests.size() == 0; }
     std::size_t size() const { return m_requests.size(); }
-    bool holds(const base::flow_key &key) const { return m_requests.find(key) != nullptr; }
+    bool contains(const base::flow_key &key) const { return m_requests.find(key) != nullptr; }
 
-    // Begins a request, or adds to the one of the same flow. False when there is no room.
+    // Queues a new request, or adds the packet to the request of the same flow. Returns false if
+    // the queue is full.
     bool add(const forwarded_packet &packet, base::clock_time now);
-    // Empty when nothing waits any more.
+    // Removes and returns the next request, or nothing if the queue is empty.
     std::optional<waiting_request> takeNext(base::clock_time now);
     void erase(const base::flow_key &key);
-    // Takes out the requests whose callers have gone.
+    // Removes and returns the requests whose callers have been silent for longer than
+    // retransmitTimeout.
     std::vector<waiting_request> takeAbandoned(base::clock_time now);
 
 private:
     flow_map<waiting_request> m_requests;
-    std::size_t m_packets = 0;
+    std::size_t m_packetCount = 0;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/waiting_requests_test.cpp
+++ b/lycheeshunt/flows/waiting_requests_test.cpp
@@ -1,4 +1,5 @@
-// Requests that wait for a slot: a burst in the order of arrival, overload with the newest first.
+// The queue of requests that wait for a slot: first in, first out for a burst; last in, first out
+// under overload.
 
 #include "lycheeshunt/flows/waiting_requests.h"
 
@@ -35,7 +36,7 @@
 {
     waiting_requests waiting;
 
-    std::uint32_t nextFlow(std::int64_t now)
+    std::uint32_t takeNextFlow(std::int64_t now)
     {
         return waiting.takeNext(at(now))->key().caller.address - 0x64400000;
     }
@@ -45,22 +46,22 @@
 {
     for (std::uint32_t flow = 1; flow <= 3; ++flow)
         waiting.add(packetOf(flow), at(flow));
-    LONGS_EQUAL(1, nextFlow(50));
-    LONGS_EQUAL(2, nextFlow(50));
-    LONGS_EQUAL(3, nextFlow(50));
+    LONGS_EQUAL(1, takeNextFlow(50));
+    LONGS_EQUAL(2, takeNextFlow(50));
+    LONGS_EQUAL(3, takeNextFlow(50));
     CHECK_FALSE(waiting.takeNext(at(50)).has_value());
 }
 
-TEST(waiting_requests, onceTheOldestHasWaitedLongTheNewestGoesFirst)
+TEST(waiting_requests, onceTheOldestHasWaitedTooLongTheNewestIsServedFirst)
 {
     for (std::uint32_t flow = 1; flow <= 3; ++flow)
         waiting.add(packetOf(flow), at(flow));
-    LONGS_EQUAL(3, nextFlow(200));
-    LONGS_EQUAL(2, nextFlow(200));
-    LONGS_EQUAL(1, nextFlow(200));
+    LONGS_EQUAL(3, takeNextFlow(200));
+    LONGS_EQUAL(2, takeNextFlow(200));
+    LONGS_EQUAL(1, takeNextFlow(200));
 }
 
-TEST(waiting_requests, packetsOfARequestStayInOrderAndEachIsKeptOnce)
+TEST(waiting_requests, packetsOfARequestStayInOrderWithoutRetransmissions)
 {
     waiting.add(packetOf(1, "first"), at(0));
     waiting.add(packetOf(1, "second"), at(1));
@@ -74,48 +75,49 @@
 
 TEST(waiting_requests, theQueueIsBounded)
 {
-    std::size_t kept = 0;
+    std::size_t queued = 0;
     for (std::uint32_t flow = 0; flow < 2000; ++flow)
-        kept += waiting.add(packetOf(flow), at(0)) ? 1 : 0;
-    LONGS_EQUAL(waiting_requests::maxPackets, kept);
+        queued += waiting.add(packetOf(flow), at(0)) ? 1 : 0;
+    LONGS_EQUAL(waiting_requests::maxPackets, queued);
     waiting.erase(packetOf(7).summary.key);
     CHECK(waiting.add(packetOf(5000), at(1)));
 }
 
-// A caller that still waits repeats its packet.
-TEST(waiting_requests, aRequestWhoseCallerIsGoneIsDropped)
+// A caller that still waits retransmits its packet.
+TEST(waiting_requests, aRequestOfASilentCallerIsRemoved)
 {
     waiting.add(packetOf(1), at(0));
     waiting.add(packetOf(2), at(0));
     waiting.add(packetOf(2), at(1400));
     LONGS_EQUAL(1, waiting.takeAbandoned(at(1800)).size());
-    LONGS_EQUAL(2, nextFlow(1800));
+    LONGS_EQUAL(2, takeNextFlow(1800));
 }
 
-// Overload of a herd that returns after an outage: twice what the server can do, for two seconds.
-// In the order of arrival everybody but the first would be late.
-TEST(waiting_requests, underOverloadAsManyAreInTimeAsTheServerCanDo)
+// Callers that reconnect after an outage send twice as many requests as the server can handle, for
+// two seconds. First in, first out would answer at most a third of them in time.
+TEST(waiting_requests, underOverloadAlmostAllServedRequestsMeetTheObjective)
 {
     constexpr std::int64_t serviceMillis = 10;
     constexpr std::int64_t arrivalMillis = 5;
     constexpr std::int64_t lengthMillis = 2000;
     constexpr std::int64_t objectiveMillis = 250;
     std::int64_t inTime = 0;
-    std::int64_t inTimeByArrival = 0;
-    std::deque<std::int64_t> byArrival;
+    std::int64_t inTimeFirstInFirstOut = 0;
+    std::deque<std::int64_t> arrivalOrder;
     for (std::int64_t now = 0; now < lengthMillis; ++now) {
         if (now % arrivalMillis == 0) {
             waiting.add(packetOf(static_cast<std::uint32_t>(now)), at(now));
-            byArrival.push_back(now);
+            arrivalOrder.push_back(now);
         }
         if (now % serviceMillis != 0)
             continue;
         const waiting_request next = *waiting.takeNext(at(now));
         inTime += now + serviceMillis - next.since.millis() <= objectiveMillis ? 1 : 0;
-        inTimeByArrival += now + serviceMillis - byArrival.front() <= objectiveMillis ? 1 : 0;
-        byArrival.pop_front();
+        inTimeFirstInFirstOut
+            += now + serviceMillis - arrivalOrder.front() <= objectiveMillis ? 1 : 0;
+        arrivalOrder.pop_front();
     }
     const std::int64_t possible = lengthMillis / serviceMillis;
     CHECK(inTime >= possible * 9 / 10);
-    CHECK(inTimeByArrival <= possible / 3);
+    CHECK(inTimeFirstInFirstOut <= possible / 3);
 }
