Reword placement: offers, peers, reports and server evidence

Offers were 'passed', peers 'heard' and work 'given'. Comments and internal names now use forward, report, request and release, and say which limits and budgets they mean. placement_rules::zoneWeight named the caller's zone; its comment now says what is compared, the zone of the deciding agent.

'The defaults are what measurements chose' is dropped, since it says nothing about the system. SCOPE: 'report' and 'first' are also a parameter and a member of std::pair, which keep their names; in evidence_test.cpp the test group and a local variable share the name evidence.

--- a/lycheeshunt/placement/accept_flow.h
+++ b/lycheeshunt/placement/accept_flow.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::placement {
 
-// This agent becomes the owner.
+// This agent becomes the owner of the flow.
 struct accept_flow
 {
     const offer_id id;
--- a/lycheeshunt/placement/codec.cpp
+++ b/lycheeshunt/placement/codec.cpp
@@ -40,15 +40,16 @@
     const base::result<report_fields> fields = base::unpackFields<report_fields>(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[found, node, life, sequence, slots, flows, hinted, flags] = base::valueOf(fields);
-    if (found != version)
+    const auto &[foundVersion, node, life, sequence, slots, flows, hintedSlots, flags]
+        = base::valueOf(fields);
+    if (foundVersion != version)
         return base::error {base::error_code::messageVersion, "load report"};
     const auto &[allowed, busy, longBusy, queued] = slots;
     return load_report {base::node_id(node), base::incarnation(life), sequence,
                         server_load {admission::slot_counts {allowed, busy, longBusy, queued,
                                                              (flags & drainingFlag) != 0,
                                                              (flags & acceptingFlag) != 0},
-                                     flows, hinted, (flags & failingFlag) != 0}};
+                                     flows, hintedSlots, (flags & failingFlag) != 0}};
 }
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/codec.h
+++ b/lycheeshunt/placement/codec.h
@@ -1,4 +1,4 @@
-// MessagePack form of load reports between agents. Decoding takes any bytes.
+// MessagePack encoding of the load reports that agents exchange. Decoding accepts arbitrary bytes.
 
 #pragma once
 
--- a/lycheeshunt/placement/codec_test.cpp
+++ b/lycheeshunt/placement/codec_test.cpp
@@ -19,17 +19,17 @@
                               server_load {slot_counts {7, 6, 2, 14, true, false}, 2000, 1, true}};
 };
 
-TEST(placement_codec, reportComesBackWhole)
+TEST(placement_codec, reportSurvivesEncodingAndDecoding)
 {
     CHECK(valueOf(decodeReport(encodeReport(report))) == report);
 }
 
-TEST(placement_codec, reportFitsTheBytesThatPlacementCounts)
+TEST(placement_codec, reportFitsTheSizeThatTheBudgetAssumes)
 {
     CHECK(encodeReport(report).size() <= 64 - 28);
 }
 
-TEST(placement_codec, everyCutIsMalformed)
+TEST(placement_codec, truncatedReportIsMalformed)
 {
     const std::string bytes = encodeReport(report);
     for (std::size_t length = 0; length < bytes.size(); ++length) {
@@ -40,7 +40,7 @@
     }
 }
 
-TEST(placement_codec, otherVersionIsRefused)
+TEST(placement_codec, otherVersionIsRejected)
 {
     std::string bytes = encodeReport(report);
     bytes[1] = 2;
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -13,12 +13,12 @@
 using placement_step = base::step<placement_state, placement_action>;
 using action_list = std::vector<placement_action>;
 
-// A report with its IP and UDP headers.
+// Size of a load report with its IP and UDP headers.
 constexpr double reportBytes = 64;
-// Reports go out this often even if nothing changed, so that silence means trouble.
-constexpr base::clock_time heartbeat = base::clock_time::ofMillis(400);
+// Interval of reports when nothing changes, so that peers can detect a failed agent by its silence.
+constexpr base::clock_time heartbeatInterval = base::clock_time::ofMillis(400);
 
-// One agent that a flow may be offered to.
+// An agent to which the flow may be offered.
 struct candidate
 {
     base::node_id node;
@@ -34,32 +34,33 @@
     double flows = 0;
 };
 
-bool wasTried(const flow_offered &offer, base::node_id node)
+bool wasOffered(const flow_offered &offer, base::node_id node)
 {
     return std::find(offer.tried.begin(), offer.tried.end(), node) != offer.tried.end();
 }
 
-bool canTake(const server_load &load)
+bool acceptsFlows(const server_load &load)
 {
     return load.slots.accepting && !load.slots.draining && load.slots.allowed > 0;
 }
 
-// What is known of an agent fades towards the average of those that were heard of lately.
-candidate candidateOf(const placement_state &state, base::node_id node, const peer_state &known,
-                      const averages &mean, base::clock_time now)
+// A peer whose report is older than suspectAfter counts with the average load of this agent and the
+// peers with recent reports.
+candidate makeCandidate(const placement_state &state, base::node_id node,
+                        const peer_state &peerState, const averages &mean, base::clock_time now)
 {
-    const bool sameZone = known.zone == state.self->zone;
-    if (!known.report || now - known.heardAt >= state.rules->suspectAfter)
+    const bool sameZone = peerState.zone == state.self->zone;
+    if (!peerState.report || now - peerState.heardAt >= state.rules->suspectAfter)
         return candidate {node, mean.cost, mean.flows, sameZone, false};
-    const server_load &load = known.report->load;
-    return candidate {node, costOf(load, known.forwardedSinceReport),
-                      static_cast<double>(load.flows) + known.forwardedSinceReport, sameZone,
+    const server_load &load = peerState.report->load;
+    return candidate {node, costOf(load, peerState.forwardedSinceReport),
+                      static_cast<double>(load.flows) + peerState.forwardedSinceReport, sameZone,
                       load.failing};
 }
 
-bool isFresh(const placement_state &state, const peer_state &known, base::clock_time now)
+bool isFresh(const placement_state &state, const peer_state &peerState, base::clock_time now)
 {
-    return known.report && now - known.heardAt < state.rules->suspectAfter;
+    return peerState.report && now - peerState.heardAt < state.rules->suspectAfter;
 }
 
 averages averagesOf(const placement_state &state, base::clock_time now)
@@ -67,22 +68,22 @@
     double cost = costOf(*state.ownLoad, 0);
     double flows = state.ownLoad->flows;
     double count = 1;
-    for (const auto &[node, known] : state.peers) {
-        if (!isFresh(state, known, now))
+    for (const auto &[node, peerState] : state.peers) {
+        if (!isFresh(state, peerState, now))
             continue;
-        cost += costOf(known.report->load, known.forwardedSinceReport);
-        flows += known.report->load.flows;
+        cost += costOf(peerState.report->load, peerState.forwardedSinceReport);
+        flows += peerState.report->load.flows;
         count += 1;
     }
     return averages {cost / count, flows / count};
 }
 
-bool isCandidate(const placement_state &state, const peer_state &known, base::clock_time now)
+bool isCandidate(const placement_state &state, const peer_state &peerState, base::clock_time now)
 {
     const base::clock_time evictAfter = state.rules->evictAfter;
-    if (evictAfter > base::clock_time() && now - known.heardAt >= evictAfter)
+    if (evictAfter > base::clock_time() && now - peerState.heardAt >= evictAfter)
         return false;
-    return !known.report || canTake(known.report->load);
+    return !peerState.report || acceptsFlows(peerState.report->load);
 }
 
 std::vector<candidate> candidatesFor(const placement_state &state, const flow_offered &offer,
@@ -90,19 +91,20 @@
 {
     std::vector<candidate> found;
     found.reserve(state.peers.size() + 1);
-    if (canTake(*state.ownLoad) && !wasTried(offer, state.self->node)) {
+    if (acceptsFlows(*state.ownLoad) && !wasOffered(offer, state.self->node)) {
         found.push_back(candidate {state.self->node, costOf(*state.ownLoad, 0),
                                    static_cast<double>(state.ownLoad->flows), true,
                                    state.ownLoad->failing});
     }
-    for (const auto &[node, known] : state.peers) {
-        if (!wasTried(offer, node) && isCandidate(state, known, now))
-            found.push_back(candidateOf(state, node, known, mean, now));
+    for (const auto &[node, peerState] : state.peers) {
+        if (!wasOffered(offer, node) && isCandidate(state, peerState, now))
+            found.push_back(makeCandidate(state, node, peerState, mean, now));
     }
     return found;
 }
 
-// Failing servers are left out, unless most are: then the fault is likely not theirs.
+// Removes failing servers, unless more than half are failing: then the fault is probably not in the
+// servers.
 void dropFailing(std::vector<candidate> &candidates)
 {
     const auto failing = [](const candidate &each) { return each.failing; };
@@ -115,14 +117,14 @@
 double rankOf(const placement_state &state, const candidate &each, const averages &mean)
 {
     const double share = mean.flows > 0 ? each.flows / mean.flows - 1 : 0;
-    const double most = state.rules->flowSlots / std::max(1U, state.ownLoad->slots.allowed);
-    return each.cost + std::clamp(state.rules->flowWeight * share, -most, most)
+    const double maxFlowCost = state.rules->flowSlots / std::max(1U, state.ownLoad->slots.allowed);
+    return each.cost + std::clamp(state.rules->flowWeight * share, -maxFlowCost, maxFlowCost)
         - (each.sameZone ? state.rules->zoneWeight : 0);
 }
 
-// The best candidate; this agent itself if it is nearly as good, since that saves a hop. An agent
-// without a free slot tries another one even if that seems full too: a hop is shorter than a wait,
-// and what is known of the other may be old.
+// Returns the best candidate, or this agent if it is nearly as good, since that saves a hop. An
+// agent without a free slot prefers another agent even if that seems full too: a hop takes less
+// time than queueing, and the other agent's report may be stale.
 const candidate *choose(const placement_state &state, const std::vector<candidate> &candidates,
                         const averages &mean)
 {
@@ -132,17 +134,18 @@
     const auto best = std::min_element(candidates.begin(), candidates.end(), better);
     if (best == candidates.end())
         return nullptr;
-    const candidate &first = candidates.front();
-    if (first.node != state.self->node)
+    const candidate &local = candidates.front();
+    if (local.node != state.self->node)
         return &*best;
-    if (state.rules->probesWhenFull && first.cost >= 1 && candidates.size() > 1)
+    if (state.rules->probesWhenFull && local.cost >= 1 && candidates.size() > 1)
         return &*std::min_element(std::next(candidates.begin()), candidates.end(), better);
-    if (rankOf(state, first, mean) <= rankOf(state, *best, mean) + state.rules->forwardMargin)
-        return &first;
+    if (rankOf(state, local, mean) <= rankOf(state, *best, mean) + state.rules->forwardMargin)
+        return &local;
     return &*best;
 }
 
-void pass(placement_state &state, const flow_offered &offer, base::node_id to, action_list &actions)
+void forwardOffer(placement_state &state, const flow_offered &offer, base::node_id to,
+                  action_list &actions)
 {
     ++state.peers[to].forwardedSinceReport;
     std::vector<base::node_id> tried = offer.tried;
@@ -151,57 +154,61 @@
     actions.emplace_back(forward_offer {to, flow_offered {offer.id, std::move(tried), own}});
 }
 
-void learn(placement_state &state, const load_report &report, base::clock_time now)
+void applyReport(placement_state &state, const load_report &report, base::clock_time now)
 {
     const auto found = state.peers.find(report.node);
     if (found == state.peers.end() || found->second.life != report.life)
         return;
-    peer_state &known = found->second;
-    if (known.report && known.report->sequence >= report.sequence)
+    peer_state &peerState = found->second;
+    if (peerState.report && peerState.report->sequence >= report.sequence)
         return;
-    known.report = std::make_shared<const load_report>(report);
-    known.heardAt = now;
-    known.forwardedSinceReport = 0;
-    known.requestedSinceReport = 0;
+    peerState.report = std::make_shared<const load_report>(report);
+    peerState.heardAt = now;
+    peerState.forwardedSinceReport = 0;
+    peerState.requestedSinceReport = 0;
 }
 
-// An agent that passed the flow on because it was full, but would have let it wait.
-std::optional<base::node_id> waitingPlace(const placement_state &state, const flow_offered &offer)
+// Returns the agent with the lowest cost among those that forwarded the offer because they were
+// full but would queue the flow.
+std::optional<base::node_id> findQueueingAgent(const placement_state &state,
+                                               const flow_offered &offer)
 {
     std::optional<base::node_id> best;
-    double least = 0;
+    double lowestCost = 0;
     for (const base::node_id node : offer.tried) {
         const auto found = state.peers.find(node);
         if (found == state.peers.end() || !found->second.report
-            || !canTake(found->second.report->load))
+            || !acceptsFlows(found->second.report->load))
             continue;
         const double cost = costOf(found->second.report->load, found->second.forwardedSinceReport);
-        if (!best || cost < least) {
+        if (!best || cost < lowestCost) {
             best = node;
-            least = cost;
+            lowestCost = cost;
         }
     }
     return best;
 }
 
-// All agents that may be offered the flow were: it waits here, or at one that passed it on.
-void placeLast(placement_state &state, const flow_offered &offer, action_list &actions)
+// No agent is left to be offered the flow: it is queued here or at an agent that forwarded the
+// offer.
+void placeAfterLastOffer(placement_state &state, const flow_offered &offer, action_list &actions)
 {
-    const std::optional<base::node_id> back
-        = offer.tried.size() < state.rules->maxOffers ? waitingPlace(state, offer) : std::nullopt;
-    if (canTake(*state.ownLoad))
+    const std::optional<base::node_id> queueingAgent = offer.tried.size() < state.rules->maxOffers
+        ? findQueueingAgent(state, offer)
+        : std::nullopt;
+    if (acceptsFlows(*state.ownLoad))
         actions.emplace_back(accept_flow {offer.id});
-    else if (back)
-        pass(state, offer, *back, actions);
+    else if (queueingAgent)
+        forwardOffer(state, offer, *queueingAgent, actions);
     else
         actions.emplace_back(refuse_flow {offer.id, base::error_code::noServer});
 }
 
-void place(placement_state &state, const flow_offered &offer, base::clock_time now,
-           action_list &actions)
+void placeFlow(placement_state &state, const flow_offered &offer, base::clock_time now,
+               action_list &actions)
 {
     if (offer.sender)
-        learn(state, *offer.sender, now);
+        applyReport(state, *offer.sender, now);
     const averages mean = averagesOf(state, now);
     std::vector<candidate> candidates = candidatesFor(state, offer, mean, now);
     dropFailing(candidates);
@@ -209,13 +216,13 @@
     if (chosen != nullptr && chosen->node == state.self->node)
         actions.emplace_back(accept_flow {offer.id});
     else if (chosen == nullptr || offer.tried.size() + 1 >= state.rules->maxOffers)
-        placeLast(state, offer, actions);
+        placeAfterLastOffer(state, offer, actions);
     else
-        pass(state, offer, chosen->node, actions);
+        forwardOffer(state, offer, chosen->node, actions);
 }
 
-// In a large service, the agents next to this one in the order of their identifiers, on both
-// sides, so that whoever hears this agent is heard by it.
+// In a large service, an agent's peers are those next to it in the order of identifiers, on both
+// sides, so that the relation is symmetric.
 bool isNeighbour(const placement_state &state, std::size_t own, std::size_t other,
                  std::size_t count)
 {
@@ -225,7 +232,7 @@
     return std::min(distance, count - distance) <= state.rules->maxPeers / 2;
 }
 
-void changePeers(placement_state &state, const peers_changed &change)
+void updatePeers(placement_state &state, const peers_changed &change)
 {
     std::map<base::node_id, const peer *> ordered;
     for (const peer &each : change.peers)
@@ -237,16 +244,17 @@
     for (auto it = ordered.begin(); it != ordered.end(); ++it, ++position) {
         if (it == self || !isNeighbour(state, own, position, ordered.size()))
             continue;
-        const auto old = state.peers.find(it->first);
-        const bool same = old != state.peers.end() && old->second.life == it->second->life;
-        peer_state known = same ? old->second : peer_state {it->second->life};
-        known.zone = it->second->zone;
-        next.emplace(it->first, std::move(known));
+        const auto previous = state.peers.find(it->first);
+        const bool isSameIncarnation
+            = previous != state.peers.end() && previous->second.life == it->second->life;
+        peer_state peerState = isSameIncarnation ? previous->second : peer_state {it->second->life};
+        peerState.zone = it->second->zone;
+        next.emplace(it->first, std::move(peerState));
     }
     state.peers = std::move(next);
 }
 
-double roundBytes(const placement_state &state)
+double reportRoundBytes(const placement_state &state)
 {
     return reportBytes * static_cast<double>(state.peers.size());
 }
@@ -254,7 +262,7 @@
 void refillBudget(placement_state &state, base::clock_time now)
 {
     const double elapsed = static_cast<double>((now - state.budgetAt).millis()) / 1000.0;
-    state.budgetBytes = std::min(2 * roundBytes(state),
+    state.budgetBytes = std::min(2 * reportRoundBytes(state),
                                  state.budgetBytes + elapsed * state.rules->reportBytesPerSecond);
     state.budgetAt = now;
 }
@@ -264,21 +272,23 @@
     return load.slots.queued > 0;
 }
 
-// Work that begins to wait here is news to agents with free slots. For this one round is kept back.
+// Agents with free slots must learn promptly that work is queued here. The budget reserves
+// one round of reports for this.
 bool isUrgent(const placement_state &state)
 {
     return state.sentLoad && hasQueue(*state.ownLoad) && !hasQueue(*state.sentLoad);
 }
 
-// Sends a round of reports when something changed and the budget allows the whole round.
-void report(placement_state &state, base::clock_time now, action_list &actions)
+// Sends a round of reports if the load has changed or a heartbeat is due, and if the budget covers
+// the complete round.
+void sendReports(placement_state &state, base::clock_time now, action_list &actions)
 {
     refillBudget(state, now);
-    const double needed = roundBytes(state) * (isUrgent(state) ? 1 : 2);
+    const double needed = reportRoundBytes(state) * (isUrgent(state) ? 1 : 2);
     const bool changed = !state.sentLoad || *state.sentLoad != *state.ownLoad;
-    if (state.budgetBytes < needed || (!changed && now - state.sentAt < heartbeat))
+    if (state.budgetBytes < needed || (!changed && now - state.sentAt < heartbeatInterval))
         return;
-    state.budgetBytes -= roundBytes(state);
+    state.budgetBytes -= reportRoundBytes(state);
     state.sentLoad = state.ownLoad;
     state.sentAt = now;
     const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
@@ -288,17 +298,17 @@
 
 bool hasFreeSlot(const server_load &load)
 {
-    return canTake(load) && !hasQueue(load) && load.slots.busy < load.slots.allowed;
+    return acceptsFlows(load) && !hasQueue(load) && load.slots.busy < load.slots.allowed;
 }
 
-// What is left of the queue that a peer told of.
-std::uint32_t queueLeft(const peer_state &known)
+// The reported queue length of a peer, less the requests for work sent to it since.
+std::uint32_t remainingQueue(const peer_state &peerState)
 {
-    const std::uint32_t queued = known.report ? known.report->load.slots.queued : 0;
-    return queued > known.requestedSinceReport ? queued - known.requestedSinceReport : 0;
+    const std::uint32_t queued = peerState.report ? peerState.report->load.slots.queued : 0;
+    return queued > peerState.requestedSinceReport ? queued - peerState.requestedSinceReport : 0;
 }
 
-// With a free slot, asks the agent with the longest queue for work.
+// Requests work from the agent with the longest queue if this agent has a free slot.
 void requestWork(placement_state &state, base::clock_time now, action_list &actions)
 {
     refillBudget(state, now);
@@ -309,16 +319,16 @@
         = std::max_element(state.peers.begin(), state.peers.end(),
                            [](const std::pair<const base::node_id, peer_state> &left,
                               const std::pair<const base::node_id, peer_state> &right) {
-                               return queueLeft(left.second) < queueLeft(right.second);
+                               return remainingQueue(left.second) < remainingQueue(right.second);
                            });
-    if (longest == state.peers.end() || queueLeft(longest->second) == 0)
+    if (longest == state.peers.end() || remainingQueue(longest->second) == 0)
         return;
     state.budgetBytes -= reportBytes;
     ++longest->second.requestedSinceReport;
     actions.emplace_back(request_work {longest->first});
 }
 
-void giveWork(const placement_state &state, const work_requested &request, action_list &actions)
+void releaseWork(const placement_state &state, const work_requested &request, action_list &actions)
 {
     if (hasQueue(*state.ownLoad) && state.peers.contains(request.from))
         actions.emplace_back(release_work {request.from});
@@ -333,28 +343,28 @@
         = load.slots.busy + load.hintedBusy + load.slots.queued + forwardedSinceReport;
     if (busy < allowed)
         return busy / allowed;
-    // Only slots that long work does not hold will come free soon.
-    const double coming = std::max(0.5, allowed - load.slots.longBusy);
-    return 1 + (busy - allowed + 1) / coming;
+    // Slots that long work occupies are not expected to become free soon.
+    const double freeableSlots = std::max(0.5, allowed - load.slots.longBusy);
+    return 1 + (busy - allowed + 1) / freeableSlots;
 }
 
 placement_step decide(placement_state state, const placement_message &message, base::clock_time now)
 {
     action_list actions;
     std::visit(base::overloaded {
-                   [&](const load_report &heard) {
-                       learn(state, heard, now);
+                   [&](const load_report &received) {
+                       applyReport(state, received, now);
                        requestWork(state, now, actions);
                    },
-                   [&](const peers_changed &change) { changePeers(state, change); },
+                   [&](const peers_changed &change) { updatePeers(state, change); },
                    [&](const own_load_changed &change) {
                        state.ownLoad = std::make_shared<const server_load>(change.load);
-                       report(state, now, actions);
+                       sendReports(state, now, actions);
                        requestWork(state, now, actions);
                    },
-                   [&](const work_requested &request) { giveWork(state, request, actions); },
-                   [&](const flow_offered &offer) { place(state, offer, now, actions); },
-                   [&](const placement_tick &) { report(state, now, actions); },
+                   [&](const work_requested &request) { releaseWork(state, request, actions); },
+                   [&](const flow_offered &offer) { placeFlow(state, offer, now, actions); },
+                   [&](const placement_tick &) { sendReports(state, now, actions); },
                },
                message);
     return placement_step {std::move(state), std::move(actions)};
--- a/lycheeshunt/placement/decision.h
+++ b/lycheeshunt/placement/decision.h
@@ -1,6 +1,7 @@
-// Decides which agent becomes the owner of a new flow or request. The director picks the best of
-// those it knows; the one it picks checks this against what it counts itself, and takes the flow or
-// passes it on. Load reports between agents only order the offers: a wrong one costs a hop.
+// Decides which agent becomes the owner of a new flow or request. The director offers it to the
+// best agent that it knows. That agent compares this choice with its own current load, and accepts
+// the flow or forwards the offer. Load reports determine only the order of the offers, so a wrong
+// report costs a hop.
 //
 //     step<placement_state, placement_action> next = decide(std::move(state), message, now);
 
@@ -16,7 +17,8 @@
 base::step<placement_state, placement_action>
 decide(placement_state state, const placement_message &message, base::clock_time now);
 
-// Lower is better. Below 1 the server has a free slot.
+// Cost of placing a flow at a server with this load; lower is better. Below 1, the server has a
+// free slot.
 double costOf(const server_load &load, double forwardedSinceReport);
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/evidence.h
+++ b/lycheeshunt/placement/evidence.h
@@ -1,5 +1,6 @@
-// Weighs a backend server's health and load endpoints against what its agent sees. Endpoints lag
-// or mislead, so they count only where the agent has nothing better, or where they have been right.
+// Weighs the reports of a backend server's health and load endpoints against what its agent
+// observes. The endpoints may lag or be wrong, so they count only where the agent has no better
+// information, or where they have agreed with it.
 //
 //     evidence = afterReport(evidence, 0.4, true, ownLoad, now);
 //     const bool failing = isFailing(evidence, now);
@@ -13,17 +14,20 @@
 
 namespace lycheeshunt::placement {
 
-server_evidence afterWork(server_evidence known, admission::work_end how, base::clock_time now);
+server_evidence afterWork(server_evidence evidence, admission::work_end outcome,
+                          base::clock_time now);
 
-// ownLoad is the share of slots that the agent itself counts as busy.
-server_evidence afterReport(server_evidence known, double reportedLoad, bool reportedHealthy,
+// ownLoad is the share of slots that are busy by the agent's own count.
+server_evidence afterReport(server_evidence evidence, double reportedLoad, bool reportedHealthy,
                             double ownLoad, base::clock_time now);
 
-// True when the work itself fails, or, without recent work, when a fresh report says so.
-bool isFailing(const server_evidence &known, base::clock_time now);
+// Returns true if most recent work failed or, without recent work, if a fresh report says
+// unhealthy.
+bool isFailing(const server_evidence &evidence, base::clock_time now);
 
-// Busy slots to add to the agent's own count: none unless the report is fresh and has agreed.
-std::uint32_t hintedBusy(const server_evidence &known, const admission::slot_counts &own,
+// Busy slots to add to the agent's own count: 0 unless the last report is fresh and the reports
+// have agreed with that count.
+std::uint32_t hintedBusy(const server_evidence &evidence, const admission::slot_counts &own,
                          base::clock_time now);
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/evidence_test.cpp
+++ b/lycheeshunt/placement/evidence_test.cpp
@@ -18,30 +18,31 @@
     return clock_time::ofMillis(millis);
 }
 
-server_evidence withWork(server_evidence known, work_end how, int count)
+server_evidence withWork(server_evidence evidence, work_end outcome, int count)
 {
     for (int i = 1; i <= count; ++i)
-        known = afterWork(known, how, at(i * 10));
-    return known;
+        evidence = afterWork(evidence, outcome, at(i * 10));
+    return evidence;
 }
 
-// Forty reports, one each 100 ms; odd ones carry the second load.
+// Forty reports at intervals of 100 ms, with the first and the second load in turn.
 server_evidence withReports(double first, double second, double ownLoad, bool healthy = true)
 {
-    server_evidence known;
+    server_evidence evidence;
     for (int i = 1; i <= 40; ++i)
-        known = afterReport(known, i % 2 == 0 ? first : second, healthy, ownLoad, at(i * 100));
-    return known;
+        evidence
+            = afterReport(evidence, i % 2 == 0 ? first : second, healthy, ownLoad, at(i * 100));
+    return evidence;
 }
 
 struct report_case
 {
-    const char *what;
+    const char *name;
     double first;
     double second;
     double ownLoad;
-    std::int64_t askedAt;
-    std::uint32_t hinted;
+    std::int64_t queriedAt;
+    std::uint32_t expected;
 };
 
 constexpr std::array reportCases {
@@ -59,38 +60,39 @@
 TEST(evidence, loadReportCountsOnlyWhereItIsFreshAndHasAgreed)
 {
     for (const report_case &each : reportCases) {
-        const server_evidence known = withReports(each.first, each.second, each.ownLoad);
-        UNSIGNED_LONGS_EQUAL_TEXT(each.hinted, hintedBusy(known, own, at(each.askedAt)), each.what);
+        const server_evidence evidence = withReports(each.first, each.second, each.ownLoad);
+        UNSIGNED_LONGS_EQUAL_TEXT(each.expected, hintedBusy(evidence, own, at(each.queriedAt)),
+                                  each.name);
     }
 }
 
-TEST(evidence, healthSaysGoodWhileEveryRequestFails)
+TEST(evidence, failedWorkOutweighsGoodHealth)
 {
-    const server_evidence known = withWork(withReports(0, 0, 0), work_end::failed, 10);
-    CHECK(isFailing(known, at(110)));
+    const server_evidence evidence = withWork(withReports(0, 0, 0), work_end::failed, 10);
+    CHECK(isFailing(evidence, at(110)));
 }
 
-TEST(evidence, healthSaysBadWhileAllSucceed)
+TEST(evidence, successfulWorkOutweighsBadHealth)
 {
-    const server_evidence known = withWork(withReports(0, 0, 0, false), work_end::answered, 10);
-    CHECK(!isFailing(known, at(110)));
+    const server_evidence evidence = withWork(withReports(0, 0, 0, false), work_end::answered, 10);
+    CHECK(!isFailing(evidence, at(110)));
 }
 
-TEST(evidence, badHealthWithoutRecentWorkIsBelievedWhileFresh)
+TEST(evidence, badHealthCountsWithoutRecentWorkWhileFresh)
 {
-    const server_evidence known = withReports(0, 0, 0, false);
-    CHECK(isFailing(known, at(4000)));
-    CHECK(!isFailing(known, at(9100)));
+    const server_evidence evidence = withReports(0, 0, 0, false);
+    CHECK(isFailing(evidence, at(4000)));
+    CHECK(!isFailing(evidence, at(9100)));
 }
 
-TEST(evidence, failureIsForgottenWhenNoWorkComes)
+TEST(evidence, failuresExpireWithoutNewWork)
 {
-    const server_evidence known = withWork(server_evidence {}, work_end::failed, 10);
-    CHECK(isFailing(known, at(110)));
-    CHECK(!isFailing(known, at(60'000)));
+    const server_evidence evidence = withWork(server_evidence {}, work_end::failed, 10);
+    CHECK(isFailing(evidence, at(110)));
+    CHECK(!isFailing(evidence, at(60'000)));
 }
 
-TEST(evidence, sheddingIsNoFailure)
+TEST(evidence, sheddingIsNotAFailure)
 {
     CHECK(!isFailing(withWork(server_evidence {}, work_end::shed, 50), at(510)));
 }
--- a/lycheeshunt/placement/flow_offered.h
+++ b/lycheeshunt/placement/flow_offered.h
@@ -8,13 +8,14 @@
 
 namespace lycheeshunt::placement {
 
-// A new flow or request wants a server: at its director, and then at each agent it is offered to.
+// A new flow or request needs a server. Handled by its director, then by each agent to which the
+// director or another agent offers it.
 struct flow_offered
 {
     const offer_id id;
-    // Agents that passed it on, the director first.
+    // Agents that forwarded the offer, the director first.
     const std::vector<base::node_id> tried = {};
-    // Load of the agent that offers it.
+    // Load of the agent that sends the offer.
     const std::optional<load_report> sender = {};
 
     bool operator==(const flow_offered &) const = default;
--- a/lycheeshunt/placement/forward_offer.h
+++ b/lycheeshunt/placement/forward_offer.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::placement {
 
-// Offer the flow to another agent.
+// Sends the offer of the flow to another agent.
 struct forward_offer
 {
     const base::node_id to;
--- a/lycheeshunt/placement/load_report.h
+++ b/lycheeshunt/placement/load_report.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::placement {
 
-// The load of one agent, as it counts it itself. The sequence grows within a life.
+// The load of an agent by its own count. The sequence number increases within an incarnation.
 struct load_report
 {
     const base::node_id node;
--- a/lycheeshunt/placement/own_load_changed.h
+++ b/lycheeshunt/placement/own_load_changed.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::placement {
 
-// What this agent counts has changed.
+// The load of this agent's server has changed.
 struct own_load_changed
 {
     const server_load load = {};
--- a/lycheeshunt/placement/peer_state.h
+++ b/lycheeshunt/placement/peer_state.h
@@ -8,16 +8,16 @@
 
 namespace lycheeshunt::placement {
 
-// What this agent knows of another. State, not a message: it changes in place.
+// The last known load of another agent. State, not a message: it changes in place.
 struct peer_state
 {
     base::incarnation life = {};
     std::string zone = {};
     std::shared_ptr<const load_report> report = {};
     base::clock_time heardAt = {};
-    // Flows that this agent passed to it since its report.
+    // Offers that this agent has forwarded to the peer since the peer's last report.
     std::uint32_t forwardedSinceReport = 0;
-    // Times that this agent asked it for work since its report.
+    // Requests for work that this agent has sent to the peer since the peer's last report.
     std::uint32_t requestedSinceReport = 0;
 };
 
--- a/lycheeshunt/placement/placement_rules.h
+++ b/lycheeshunt/placement/placement_rules.h
@@ -5,30 +5,32 @@
 
 namespace lycheeshunt::placement {
 
-// What may be varied; the defaults are what measurements chose.
+// Parameters of placement.
 struct placement_rules
 {
-    // Agents that a flow is offered to at most, the director included.
+    // Maximum number of agents that are offered a flow, including the director.
     const std::size_t maxOffers = 5;
-    // Agents that an agent hears from; in a larger service each has neighbours of its own.
+    // Maximum number of peers of an agent; in a larger service, each agent exchanges reports only
+    // with its neighbours.
     const std::size_t maxPeers = 16;
-    // An agent that is told of a flow passes it on only to one better by more than this.
+    // An agent forwards an offer only if the other agent's rank is better by more than this.
     const double forwardMargin = 0.05;
-    // Weight of open flows against busy slots.
+    // Weight of open flows relative to busy slots.
     const double flowWeight = 0.15;
-    // Most that flows may weigh, in slots: less than one, so that they only break near ties.
+    // Upper limit of the weight of open flows, in slots: less than one, so that they only break
+    // near ties.
     const double flowSlots = 0.5;
-    // Whether a full agent offers a flow on though all others seem full.
+    // Whether a full agent forwards an offer even if all other agents seem full.
     const bool probesWhenFull = true;
-    // Whether an agent with a free slot asks others for work that waits there.
+    // Whether an agent with a free slot requests queued work from other agents.
     const bool requestsWork = true;
-    // Advantage of the caller's own availability zone.
+    // Bonus for agents in the availability zone of the agent that decides.
     const double zoneWeight = 0.001;
-    // A silent agent counts as average after this; it is dropped only when membership says so.
+    // A silent agent counts with the average load after this; only membership removes it.
     const base::clock_time suspectAfter = base::clock_time::ofMillis(1000);
-    // If not zero, a silent agent is no candidate after this.
+    // If not zero, a silent agent is no longer a candidate after this.
     const base::clock_time evictAfter = {};
-    // Control bytes a second for load reports.
+    // Budget for load reports and requests for work, in bytes per second.
     const double reportBytesPerSecond = 2000;
 
     bool operator==(const placement_rules &) const = default;
--- a/lycheeshunt/placement/placement_state.h
+++ b/lycheeshunt/placement/placement_state.h
@@ -1,4 +1,4 @@
-// What one agent knows of the load of its service. Each service has a state of its own.
+// Load of the agents of one service, as known to one of them. An agent has one state per service.
 
 #pragma once
 
@@ -11,9 +11,9 @@
 
 struct placement_state
 {
-    placement_state(const peer &agent, const placement_rules &chosen)
+    placement_state(const peer &agent, const placement_rules &placementRules)
         : self(std::make_shared<const peer>(agent)),
-          rules(std::make_shared<const placement_rules>(chosen)),
+          rules(std::make_shared<const placement_rules>(placementRules)),
           ownLoad(std::make_shared<const server_load>())
     {
     }
@@ -23,7 +23,7 @@
     std::shared_ptr<const server_load> ownLoad;
     std::map<base::node_id, peer_state> peers;
     std::uint64_t sequence = 0;
-    // Load last sent, and the control bytes that may be sent now.
+    // Load in the last reports sent, and the report budget that is left.
     std::shared_ptr<const server_load> sentLoad = {};
     base::clock_time sentAt = {};
     base::clock_time budgetAt = {};
--- a/lycheeshunt/placement/placement_tick.h
+++ b/lycheeshunt/placement/placement_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::placement {
 
-// Time has passed; carries nothing else.
+// Periodic tick; the time is a parameter of decide().
 struct placement_tick
 {
     bool operator==(const placement_tick &) const = default;
--- a/lycheeshunt/placement/refuse_flow.h
+++ b/lycheeshunt/placement/refuse_flow.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::placement {
 
-// No agent can take the flow.
+// No agent can accept the flow.
 struct refuse_flow
 {
     const offer_id id;
--- a/lycheeshunt/placement/release_work.h
+++ b/lycheeshunt/placement/release_work.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::placement {
 
-// Have admission give up work that waits, and offer it to the agent that asked.
+// Removes queued work from admission and offers it to the agent that requested work.
 struct release_work
 {
     const base::node_id to;
--- a/lycheeshunt/placement/request_work.h
+++ b/lycheeshunt/placement/request_work.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::placement {
 
-// Ask another agent for work that waits there.
+// Requests queued work from another agent.
 struct request_work
 {
     const base::node_id to;
--- a/lycheeshunt/placement/send_report.h
+++ b/lycheeshunt/placement/send_report.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::placement {
 
-// Tell another agent the load of this one.
+// Sends this agent's load to another agent.
 struct send_report
 {
     const base::node_id to;
--- a/lycheeshunt/placement/server_evidence.h
+++ b/lycheeshunt/placement/server_evidence.h
@@ -4,14 +4,15 @@
 
 namespace lycheeshunt::placement {
 
-// Moving means over the recent past of one backend server.
+// Moving averages of the recent results and load reports of one backend server.
 struct server_evidence
 {
-    // Share of recent work that failed, and how much work that is, decaying with time.
+    // Share of recent work that failed, and its number of samples, which decays with time.
     double failedShare = 0;
     double samples = 0;
     base::clock_time sampledAt = {};
-    // How well the server's load report has agreed with the agent's own count; 1 is always.
+    // Mean agreement of the server's load reports with the agent's own count; 1 is complete
+    // agreement.
     double agreement = 0;
     double reportedLoad = 0;
     bool reportedHealthy = true;
--- a/lycheeshunt/placement/server_load.h
+++ b/lycheeshunt/placement/server_load.h
@@ -5,12 +5,12 @@
 
 namespace lycheeshunt::placement {
 
-// What an agent tells the other agents of its service.
+// The load that an agent reports to the other agents of its service.
 struct server_load
 {
     const admission::slot_counts slots = {};
     const std::uint32_t flows = 0;
-    // Slots that a trusted load report of the server adds to what the agent counts.
+    // Busy slots that a trusted load report of the server adds to the agent's own count.
     const std::uint32_t hintedBusy = 0;
     // Most of the recent work failed.
     const bool failing = false;
--- a/lycheeshunt/placement/work_requested.h
+++ b/lycheeshunt/placement/work_requested.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::placement {
 
-// Another agent has a free slot and asks for work that waits here.
+// Another agent has a free slot and requests work that is queued here.
 struct work_requested
 {
     const base::node_id from;
