--- a/lycheeshunt/base/identifiers.h
+++ b/lycheeshunt/base/identifiers.h
@@ -15,7 +15,7 @@
 // A service; derived from its name.
 using service_id = strong_number<struct service_id_tag, std::uint64_t>;
 
-// One life of a process: greater for each later start of the same node.
+// One incarnation of a process: greater for each later start of the same node.
 using incarnation = strong_number<struct incarnation_tag, std::uint64_t>;
 
 // Position in the sequence of committed changes; never goes back on a node.
--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -22,22 +22,22 @@
                                    settings.availabilityZone,
                                    membership::member_role::agent,
                                    base::serviceIdOf(own.service),
-                                   internal::newLife(),
+                                   internal::newIncarnation(),
                                    own.sockets.packets,
                                    membership::member_phase::serving};
     // No message reaches the flow thread before the port is open, so the sink finds it there.
     process->m_flows = std::make_unique<flows::flow_duty>(
-        flows::agent_identity {self.id(), self.service, self.life, self.packets,
+        flows::agent_identity {self.id(), self.service, self.incarnation, self.packets,
                                self.availabilityZone, listens},
         [raw](const flows::flow_action &action) { raw->m_port->actions().tryPush(action); });
     base::result<std::unique_ptr<flows::agent_port>> port
-        = flows::agent_port::open(own.sockets, codec, self.life, process->m_flows->inbox());
+        = flows::agent_port::open(own.sockets, codec, self.incarnation, process->m_flows->inbox());
     if (const base::error *failure = base::errorOf(port))
         return *failure;
     process->m_port = base::takeValue(std::move(port));
     if (listens)
         process->m_servers = std::make_unique<servers::server_duty>(
-            self.life, [raw, self, confirm](const servers::server_action &action) {
+            self.incarnation, [raw, self, confirm](const servers::server_action &action) {
                 std::visit(base::overloaded {
                                [&](const servers::server_standing &standing) {
                                    raw->takeStanding(self, standing);
@@ -49,14 +49,14 @@
                            action);
             });
     process->m_follower = std::make_unique<dissemination::follower>(
-        settings.control, self, self.life.value(),
+        settings.control, self, self.incarnation.value(),
         [raw, self, name = own.service](const dissemination::shared_view &view) {
             raw->m_flows->inbox().push(flows::view_update {view});
             raw->recallServer(*view, self, name);
         },
-        [raw](base::incarnation life) {
+        [raw](base::incarnation incarnation) {
             if (raw->m_servers)
-                raw->m_servers->inbox().tryPush(servers::life_taken {life});
+                raw->m_servers->inbox().tryPush(servers::incarnation_changed {incarnation});
         },
         !listens);
     return process;
@@ -72,7 +72,7 @@
         && !view.isDraining(known->second);
     m_isRecalled = true;
     if (wasServing)
-        m_servers->inbox().tryPush(servers::server_recalled {service, known->second.life,
+        m_servers->inbox().tryPush(servers::server_recalled {service, known->second.incarnation,
                                                              definition->second.limits.slots});
 }
 
@@ -83,23 +83,23 @@
 {
     const base::service_id service = base::serviceIdOf(standing.service);
     m_isAccepting = standing.isAccepting;
-    m_port->setLife(standing.life);
-    m_flows->inbox().push(flows::server_changed {service, standing.life, standing.isAccepting,
-                                                 standing.slots, standing.isOlder});
+    m_port->setIncarnation(standing.incarnation);
+    m_flows->inbox().push(flows::server_changed {
+        service, standing.incarnation, standing.isAccepting, standing.slots, standing.isOlder});
     const membership::member_phase phase = standing.isAccepting
         ? membership::member_phase::serving
         : membership::member_phase::draining;
     if (m_follower)
         m_follower->changeSelf(dissemination::self_changed {
-            membership::member {self.name, self.availabilityZone, self.role, service, standing.life,
-                                self.packets, phase},
+            membership::member {self.name, self.availabilityZone, self.role, service,
+                                standing.incarnation, self.packets, phase},
             !standing.hasLeft});
     base::logInfo("servers",
                   "server of " + standing.service
                       + (standing.isAccepting   ? " serves"
                              : standing.hasLeft ? " has left"
                                                 : " drains")
-                      + ", incarnation " + std::to_string(standing.life.value()));
+                      + ", incarnation " + std::to_string(standing.incarnation.value()));
 }
 
 agent_process::agent_process() = default;
--- a/lycheeshunt/daemon/agent_process.h
+++ b/lycheeshunt/daemon/agent_process.h
@@ -59,7 +59,7 @@
                       const std::string &service);
     void takeStanding(const membership::member &self, const servers::server_standing &standing);
 
-    // Belongs to the follower's thread: only the first view tells of an earlier life.
+    // Belongs to the follower's thread: only the first view tells of an earlier incarnation.
     bool m_isRecalled = false;
     std::atomic<bool> m_isAccepting = false;
     std::unique_ptr<flows::flow_duty> m_flows;
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -156,7 +156,7 @@
                                    send.connection, streams::channel::dissemination,
                                    dissemination::encodeControlMessage(send.message)});
                            },
-                           [this](const dissemination::force_answer &answer) {
+                           [this](const dissemination::in_force_answer &answer) {
                                m_operators->inbox().tryPush(answer);
                            },
                        },
@@ -174,7 +174,7 @@
                         m_tickets->inbox().push(submit);
                     },
                     [this](const tickets::show_ticket &show) { m_tickets->inbox().push(show); },
-                    [this](const dissemination::force_query &query) {
+                    [this](const dissemination::in_force_query &query) {
                         m_publisher->inbox().push(query);
                     },
                     [this](const operators::http_reply &reply) { m_api->reply(reply); },
@@ -272,8 +272,8 @@
             [this](const replication::state_restored &restored) { m_log->restore(restored); },
             [this](const replication::leadership_changed &changed) {
                 m_isLeading = changed.leadership.isLeader;
-                tellLeadership(changed.leadership);
-                m_tickets->inbox().push(tickets::leadership_told {refusalBy(changed.leadership)});
+                publishLeadership(changed.leadership);
+                m_tickets->inbox().push(tickets::leadership_update {refusalBy(changed.leadership)});
                 m_membership->inbox().push(
                     membership::leadership_changed {changed.leadership.isLeader});
             },
@@ -330,10 +330,10 @@
             states::read_settled {base::request_id(request.value() & ~stateReadBit), failure});
 }
 
-void control_process::tellLeadership(const replication::leadership &leadership)
+void control_process::publishLeadership(const replication::leadership &leadership)
 {
     m_leadership = std::make_shared<const replication::leadership>(leadership);
-    m_states->inbox().push(states::leadership_told {leadership.isLeader, leadership.leaderApi});
+    m_states->inbox().push(states::leadership_update {leadership.isLeader, leadership.leaderApi});
     if (m_members)
         m_directory.set(*m_members, leadership);
     if (leadership.leaderName.empty())
@@ -377,7 +377,7 @@
             sendDirectory(frame.connection);
         if (base::isOk(message))
             m_publisher->inbox().push(
-                dissemination::node_said {frame.connection, base::valueOf(message)});
+                dissemination::node_message_received {frame.connection, base::valueOf(message)});
     } else if (frame.channel == streams::channel::replication) {
         const base::result<replication::peer_envelope> envelope
             = replication::decodeEnvelope(frame.bytes);
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -78,7 +78,7 @@
     control_process();
 
     bool carryOutState(const states::state_action &action);
-    void tellLeadership(const replication::leadership &leadership);
+    void publishLeadership(const replication::leadership &leadership);
     void sendDirectory(streams::connection_id connection);
     void sendAway(streams::connection_id connection);
     void startDuties();
--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -29,11 +29,11 @@
                                    settings.availabilityZone,
                                    membership::member_role::entry,
                                    base::service_id(),
-                                   internal::newLife(),
+                                   internal::newIncarnation(),
                                    own.packets,
                                    membership::member_phase::serving};
     process->m_follower = std::make_unique<dissemination::follower>(
-        settings.control, self, self.life.value(),
+        settings.control, self, self.incarnation.value(),
         [packets, watch, latest = std::make_shared<const routing::routing_table>()](
             const dissemination::shared_view &view) mutable {
             latest = std::make_shared<const routing::routing_table>(*view, *latest);
--- a/lycheeshunt/daemon/internal/control_log.cpp
+++ b/lycheeshunt/daemon/internal/control_log.cpp
@@ -42,7 +42,7 @@
                         {"name", member.name},
                         {"node", std::to_string(member.id().value())},
                         {"phase", nameOf(member.phase)},
-                        {"incarnation", std::to_string(member.life.value())},
+                        {"incarnation", std::to_string(member.incarnation.value())},
                         {"share", std::to_string(member.share)}});
     for (const base::node_id &node : batch.gone)
         base::logEvent("membership", "gone",
--- a/lycheeshunt/daemon/internal/self.h
+++ b/lycheeshunt/daemon/internal/self.h
@@ -1,4 +1,4 @@
-// The number of this life of the process.
+// The number of this incarnation of the process.
 
 #pragma once
 
@@ -9,7 +9,7 @@
 
 // Greater at each later start of the VM's process, as long as the VM's clock does not step back
 // over the time between two starts.
-inline base::incarnation newLife()
+inline base::incarnation newIncarnation()
 {
     return base::incarnation(static_cast<std::uint64_t>(base::clock_time::wall().millis()));
 }
--- a/lycheeshunt/daemon/log_compaction_test.cpp
+++ b/lycheeshunt/daemon/log_compaction_test.cpp
@@ -26,13 +26,13 @@
                    states::encodeState(states::desired_state {version, std::to_string(version)}));
 }
 
-membership::member memberOf(const std::string &name, std::uint64_t life)
+membership::member memberOf(const std::string &name, std::uint64_t incarnation)
 {
     return membership::member {name,
                                "zone-1",
                                membership::member_role::entry,
                                base::service_id(),
-                               base::incarnation(life),
+                               base::incarnation(incarnation),
                                base::endpoint {1, 2}};
 }
 
@@ -60,7 +60,7 @@
     CHECK(merged.batch.empty());
 }
 
-TEST(log_compaction, ofAMemberTheLatestLifeIsLeft)
+TEST(log_compaction, ofAMemberTheLatestIncarnationIsLeft)
 {
     const tickets::other_committed merged
         = log_compaction::merge({batchEntry(1, {{memberOf("n1", 1), memberOf("n2", 1)}, {}}),
@@ -68,7 +68,7 @@
     const membership::membership_batch batch = batchOf(merged);
     LONGS_EQUAL(2, batch.present.size());
     for (const membership::member &member : batch.present)
-        LONGS_EQUAL(member.name == "n1" ? 2 : 1, member.life.value());
+        LONGS_EQUAL(member.name == "n1" ? 2 : 1, member.incarnation.value());
 }
 
 // It may have been a member before the first of the entries.
--- a/lycheeshunt/dissemination/codec.cpp
+++ b/lycheeshunt/dissemination/codec.cpp
@@ -192,11 +192,12 @@
     const base::result<request_fields> fields = base::unpackFields<request_fields>(body);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[node, life, scope, held, atLeast, snapshotAt, rawCursor] = base::valueOf(fields);
+    const auto &[node, incarnation, scope, held, atLeast, snapshotAt, rawCursor]
+        = base::valueOf(fields);
     const base::result<snapshot_cursor> cursor = cursorFrom(rawCursor);
     if (const base::error *failure = base::errorOf(cursor))
         return *failure;
-    return node_message(view_request {base::node_id(node), base::incarnation(life),
+    return node_message(view_request {base::node_id(node), base::incarnation(incarnation),
                                       view_scope {base::service_id(scope)}, base::generation(held),
                                       base::generation(atLeast), base::generation(snapshotAt),
                                       base::valueOf(cursor)});
@@ -260,7 +261,7 @@
         base::overloaded {
             [](const view_request &request) {
                 return pack(requestKind,
-                            request_fields(request.node.value(), request.life.value(),
+                            request_fields(request.node.value(), request.incarnation.value(),
                                            request.scope.service.value(), request.held.value(),
                                            request.atLeast.value(), request.snapshotAt.value(),
                                            fieldsOf(request.cursor)));
--- a/lycheeshunt/dissemination/control_said.h
+++ b/lycheeshunt/dissemination/control_message_received.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::dissemination {
 
 // Control's message, as a node received it.
-struct control_said
+struct control_message_received
 {
     const control_message message;
 
-    bool operator==(const control_said &) const = default;
+    bool operator==(const control_message_received &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -93,8 +93,8 @@
     const subscriber known = state.subscribers.at(connection);
     view_delta delta = maker.deltaFor(known.held, known.scope);
     setSubscriber(state, connection,
-                  subscriber {known.node, known.life, known.scope, known.held, known.acknowledged,
-                              sent_delta {delta.to, delta.digest, now}});
+                  subscriber {known.node, known.incarnation, known.scope, known.held,
+                              known.acknowledged, sent_delta {delta.to, delta.digest, now}});
     actions.emplace_back(send_to_node {connection, std::move(delta)});
 }
 
@@ -130,7 +130,8 @@
 {
     const subscriber known = state.subscribers.at(connection);
     setSubscriber(state, connection,
-                  subscriber {known.node, known.life, known.scope, known.held, known.acknowledged,
+                  subscriber {known.node, known.incarnation, known.scope, known.held,
+                              known.acknowledged,
                               sent_delta {base::generation(), view_digest(), now}});
     startSnapshot(state, connection, known.held, actions);
 }
@@ -144,7 +145,7 @@
         = !mayResume && request.held != base::generation() && state.reachesBackTo(request.held);
     const bool isAhead = std::max(request.held, request.atLeast) > state.view->at;
     setSubscriber(state, connection,
-                  subscriber {request.node, request.life, request.scope,
+                  subscriber {request.node, request.incarnation, request.scope,
                               mayContinue || isAhead ? request.held : base::generation()});
     // The node is ahead, so this control VM has still to catch up; or nothing is committed yet.
     if (isAhead || state.view->at == base::generation())
@@ -171,7 +172,7 @@
     if (known.sent->to != heard.at || known.sent->digest != heard.digest)
         return;
     setSubscriber(state, connection,
-                  subscriber {known.node, known.life, known.scope, heard.at, heard.at});
+                  subscriber {known.node, known.incarnation, known.scope, heard.at, heard.at});
 }
 
 bool isDue(const publisher_state &state, const subscriber &known, base::clock_time now)
@@ -202,7 +203,7 @@
 {
     std::vector<waiting_query> still;
     for (const waiting_query &waiting : state.waiting) {
-        force_answer answer = internal::reportOn(state, waiting.query);
+        in_force_answer answer = internal::reportOn(state, waiting.query);
         if (answer.isInForce() || now >= waiting.deadline)
             actions.emplace_back(std::move(answer));
         else
@@ -229,7 +230,7 @@
             // A node speaks first; until then nothing is known of it.
             [](const subscriber_opened &) {},
             [&](const subscriber_closed &closed) { state.subscribers.erase(closed.connection); },
-            [&](const node_said &said) {
+            [&](const node_message_received &said) {
                 std::visit(base::overloaded {
                                [&](const view_request &request) {
                                    takeRequest(state, said.connection, request, now, actions);
@@ -254,7 +255,7 @@
                 publish(state, applied.at, changeOf(*state.view, *applied.state));
             },
             [&](const entries_merged &entries) { publishMerged(state, entries); },
-            [&](const force_query &query) {
+            [&](const in_force_query &query) {
                 state.waiting.push_back(waiting_query {query, now + query.wait});
                 answerWaiting(state, now, actions);
             },
--- a/lycheeshunt/dissemination/dissemination_message.h
+++ b/lycheeshunt/dissemination/dissemination_message.h
@@ -2,9 +2,9 @@
 
 #include "lycheeshunt/dissemination/batch_applied.h"
 #include "lycheeshunt/dissemination/entries_merged.h"
-#include "lycheeshunt/dissemination/force_answer.h"
-#include "lycheeshunt/dissemination/force_query.h"
-#include "lycheeshunt/dissemination/node_said.h"
+#include "lycheeshunt/dissemination/in_force_answer.h"
+#include "lycheeshunt/dissemination/in_force_query.h"
+#include "lycheeshunt/dissemination/node_message_received.h"
 #include "lycheeshunt/dissemination/publisher_tick.h"
 #include "lycheeshunt/dissemination/send_to_node.h"
 #include "lycheeshunt/dissemination/state_applied.h"
@@ -17,8 +17,8 @@
 namespace lycheeshunt::dissemination {
 
 using dissemination_message
-    = std::variant<subscriber_opened, subscriber_closed, node_said, ticket_applied, batch_applied,
-                   state_applied, entries_merged, force_query, publisher_tick>;
-using dissemination_action = std::variant<send_to_node, force_answer>;
+    = std::variant<subscriber_opened, subscriber_closed, node_message_received, ticket_applied,
+                   batch_applied, state_applied, entries_merged, in_force_query, publisher_tick>;
+using dissemination_action = std::variant<send_to_node, in_force_answer>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/dissemination_test.cpp
+++ b/lycheeshunt/dissemination/dissemination_test.cpp
@@ -168,7 +168,7 @@
     cluster.connect("entry-1");
     cluster.runFor(base::clock_time::ofSeconds(5));
     CHECK(cluster.nodes.at("entry-1").state.heldAt() == before);
-    cluster.toPublisher(force_query {base::request_id(1), base::generation(1)});
+    cluster.toPublisher(in_force_query {base::request_id(1), base::generation(1)});
     CHECK(!cluster.answers.back()->isInForce());
 }
 
@@ -226,8 +226,9 @@
     CHECK(cluster.settles());
     cluster.runFor(base::clock_time::ofSeconds(1));
     cluster.change(3);
-    cluster.toPublisher(force_query {base::request_id(7), base::generation(cluster.lastGeneration),
-                                     base::clock_time::ofSeconds(4)});
+    cluster.toPublisher(in_force_query {base::request_id(7),
+                                        base::generation(cluster.lastGeneration),
+                                        base::clock_time::ofSeconds(4)});
     CHECK(cluster.answers.empty());
     cluster.runFor(base::clock_time::ofSeconds(1));
     LONGS_EQUAL(1, cluster.answers.size());
@@ -241,17 +242,18 @@
     cluster.admit({memberOf("entry-9", "")});
     CHECK(cluster.settles());
     cluster.runFor(base::clock_time::ofSeconds(1));
-    // The present life of agent-1 has not spoken.
+    // The present incarnation of agent-1 has not spoken.
     cluster.admit({memberOf("agent-1", "logbook", 2)});
     cluster.nodes.at("agent-2").isCut = true;
     cluster.change(3);
-    cluster.toPublisher(force_query {base::request_id(7), base::generation(cluster.lastGeneration),
-                                     base::clock_time::ofSeconds(4)});
+    cluster.toPublisher(in_force_query {base::request_id(7),
+                                        base::generation(cluster.lastGeneration),
+                                        base::clock_time::ofSeconds(4)});
     cluster.runFor(base::clock_time::ofMillis(3900));
     CHECK(cluster.answers.empty());
     cluster.runFor(base::clock_time::ofMillis(200));
     LONGS_EQUAL(1, cluster.answers.size());
-    const force_answer &answer = *cluster.answers.front();
+    const in_force_answer &answer = *cluster.answers.front();
     CHECK(!answer.isInForce());
     CHECK(answer.behind == std::vector<std::string> {"agent-2"});
     LONGS_EQUAL(2, answer.unreachableCount);
@@ -261,7 +263,7 @@
 {
     fake_cluster cluster(1, {});
     cluster.admit(manyMembers(250, "logbook"));
-    cluster.toPublisher(force_query {base::request_id(7), base::generation(1)});
+    cluster.toPublisher(in_force_query {base::request_id(7), base::generation(1)});
     LONGS_EQUAL(250, cluster.answers.front()->unreachableCount);
     LONGS_EQUAL(forceAnswerNames, cluster.answers.front()->unreachable.size());
 }
@@ -273,9 +275,11 @@
     const view_request request {base::nodeIdOf("entry-1"), base::incarnation(1), view_scope {},
                                 base::generation(3), base::generation(3)};
     const streams::connection_id other(99);
-    cluster.toPublisher(node_said {other, request});
-    cluster.toPublisher(node_said {other, acknowledgement {base::generation(3), view_digest(1)}});
-    cluster.toPublisher(node_said {other, acknowledgement {base::generation(9), view_digest(1)}});
+    cluster.toPublisher(node_message_received {other, request});
+    cluster.toPublisher(
+        node_message_received {other, acknowledgement {base::generation(3), view_digest(1)}});
+    cluster.toPublisher(
+        node_message_received {other, acknowledgement {base::generation(9), view_digest(1)}});
     CHECK(cluster.publisher.subscribers.at(other).acknowledged == base::generation());
 }
 
--- a/lycheeshunt/dissemination/fake_cluster_test.h
+++ b/lycheeshunt/dissemination/fake_cluster_test.h
@@ -19,7 +19,7 @@
 constexpr base::clock_time settleLimit = base::clock_time::ofSeconds(60);
 
 inline membership::member memberOf(const std::string &name, const std::string &service,
-                                   std::uint64_t life = 1)
+                                   std::uint64_t incarnation = 1)
 {
     const bool isEntry = service.empty();
     return membership::member {name,
@@ -27,7 +27,7 @@
                                isEntry ? membership::member_role::entry
                                        : membership::member_role::agent,
                                isEntry ? base::service_id() : base::serviceIdOf(service),
-                               base::incarnation(life),
+                               base::incarnation(incarnation),
                                base::endpoint {1, 1},
                                membership::member_phase::serving};
 }
@@ -70,9 +70,10 @@
     {
     }
 
-    void join(const std::string &name, const std::string &service, std::uint64_t life = 1)
+    void join(const std::string &name, const std::string &service, std::uint64_t incarnation = 1)
     {
-        nodes[name] = fake_node {followerOf(memberOf(name, service, life)), 0, false, {}, 0, 0};
+        nodes[name]
+            = fake_node {followerOf(memberOf(name, service, incarnation)), 0, false, {}, 0, 0};
         connect(name);
     }
 
@@ -152,8 +153,8 @@
             = decide(std::move(publisher), message, now);
         publisher = std::move(next.state);
         for (const dissemination_action &action : next.actions) {
-            if (const force_answer *answer = std::get_if<force_answer>(&action))
-                answers.push_back(std::make_shared<const force_answer>(*answer));
+            if (const in_force_answer *answer = std::get_if<in_force_answer>(&action))
+                answers.push_back(std::make_shared<const in_force_answer>(*answer));
             else
                 sendDown(std::get<send_to_node>(action));
         }
@@ -162,7 +163,7 @@
     std::map<std::string, fake_node> nodes;
     publisher_state publisher;
     std::vector<std::function<void()>> log;
-    std::vector<std::shared_ptr<const force_answer>> answers;
+    std::vector<std::shared_ptr<const in_force_answer>> answers;
     std::uint64_t lastGeneration = 0;
     base::clock_time now = base::clock_time::ofSeconds(100);
 
@@ -215,7 +216,9 @@
             const std::uint64_t connection = send.connection.value();
             fly([this, name, connection, bytes]() {
                 if (nodes.at(name).connection == connection)
-                    toFollower(name, control_said {base::valueOf(decodeControlMessage(bytes))});
+                    toFollower(
+                        name,
+                        control_message_received {base::valueOf(decodeControlMessage(bytes))});
             });
         }
     }
@@ -233,7 +236,7 @@
                            [](const leave_group &) {},
                            [&](const adopt_view &adopt) { node.adopted.push_back(adopt.view); },
                            [&](const report_mismatch &) { ++node.mismatches; },
-                           [](const report_life &) {},
+                           [](const report_incarnation &) {},
                            [](const use_servers &) {},
                        },
                        action);
@@ -247,7 +250,8 @@
         const std::string bytes = encodeNodeMessage(send.message);
         const streams::connection_id connection = send.connection;
         fly([this, connection, bytes]() {
-            toPublisher(node_said {connection, base::valueOf(decodeNodeMessage(bytes))});
+            toPublisher(
+                node_message_received {connection, base::valueOf(decodeNodeMessage(bytes))});
         });
     }
 
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -18,9 +18,10 @@
 } // namespace
 
 follower::follower(std::vector<base::endpoint> control, const membership::member &self,
-                   std::uint64_t seed, view_sink sink, life_sink lives, bool isAnnounced)
+                   std::uint64_t seed, view_sink sink, incarnation_sink incarnationSink,
+                   bool isAnnounced)
     : m_state(followerOf(self)), m_seeds(control), m_sink(std::move(sink)),
-      m_lives(std::move(lives)), m_started(1),
+      m_incarnationSink(std::move(incarnationSink)), m_started(1),
       m_duty(
           inboxCapacity, tickEvery, follower_tick {},
           [this](const follower_message &message, base::clock_time now) { handle(message, now); })
@@ -45,7 +46,7 @@
     const bool isExpectedBack = m_state.self->phase == membership::member_phase::draining;
     if (!m_state.connection || !m_state.isAnnounced || isExpectedBack)
         return;
-    const membership::member_left left {m_state.self->id(), m_state.self->life};
+    const membership::member_left left {m_state.self->id(), m_state.self->incarnation};
     m_client->outgoing().tryPush(streams::stream_frame {
         *m_state.connection, streams::channel::membership, membership::encodeLeave(left)});
 }
@@ -107,12 +108,12 @@
                        m_sink(adopt.view);
                    },
                    [this](const use_servers &use) { useServers(use.servers, use.isLeaderFirst); },
-                   [this](const report_life &report) {
+                   [this](const report_incarnation &report) {
                        base::logWarning(logPart,
                                         "the clock was set back: taking incarnation "
-                                            + std::to_string(report.life.value()));
-                       if (m_lives)
-                           m_lives(report.life);
+                                            + std::to_string(report.incarnation.value()));
+                       if (m_incarnationSink)
+                           m_incarnationSink(report.incarnation);
                    },
                    [](const report_mismatch &report) {
                        const base::error failure {base::error_code::viewMismatch,
@@ -146,7 +147,7 @@
                        if (const base::error *failure = base::errorOf(message))
                            base::logWarning(logPart, "message refused: " + failure->text());
                        else
-                           m_duty.inbox().push(control_said {base::valueOf(message)});
+                           m_duty.inbox().push(control_message_received {base::valueOf(message)});
                    },
                },
                event);
--- a/lycheeshunt/dissemination/follower.h
+++ b/lycheeshunt/dissemination/follower.h
@@ -29,12 +29,13 @@
 public:
     using view_sink = std::function<void(const shared_view &)>;
 
-    using life_sink = std::function<void(base::incarnation)>;
+    using incarnation_sink = std::function<void(base::incarnation)>;
 
     // The sinks are called on the follower's thread. One that is not announced follows views
     // without being a member, until changeSelf() says that it is.
     follower(std::vector<base::endpoint> control, const membership::member &self,
-             std::uint64_t seed, view_sink sink, life_sink lives = {}, bool isAnnounced = true);
+             std::uint64_t seed, view_sink sink, incarnation_sink incarnationSink = {},
+             bool isAnnounced = true);
     // Tells control that the node has left, unless it drains, then closes the stream.
     ~follower();
 
@@ -59,7 +60,7 @@
     std::vector<base::endpoint> m_seeds;
     std::vector<base::endpoint> m_known;
     const view_sink m_sink;
-    const life_sink m_lives;
+    const incarnation_sink m_incarnationSink;
     std::atomic<bool> m_isConnected = false;
     std::unique_ptr<streams::stream_client> m_client;
     // Holds back the client's thread until m_client is set.
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -17,7 +17,7 @@
     const membership::member &self = *state.self;
     const base::generation held = state.needsRepair ? base::generation() : state.heldAt();
     return view_request {self.id(),
-                         self.life,
+                         self.incarnation,
                          state.scope(),
                          held,
                          state.heldAt(),
@@ -40,7 +40,8 @@
     if (!state.hasLeft || !state.held)
         return false;
     const auto known = state.held->members.find(state.self->id());
-    return known != state.held->members.end() && known->second.life <= state.self->life;
+    return known != state.held->members.end()
+        && known->second.incarnation <= state.self->incarnation;
 }
 
 // Says that the node is a member, or that it is none any more.
@@ -52,22 +53,24 @@
     if (state.isAnnounced)
         actions.emplace_back(announce_self {*state.connection, *state.self});
     else if (isStillMember(state))
-        actions.emplace_back(leave_group {*state.connection, {state.self->id(), state.self->life}});
+        actions.emplace_back(
+            leave_group {*state.connection, {state.self->id(), state.self->incarnation}});
 }
 
-// The clock of this VM was set back between two lives: without a later incarnation control would
-// take this life for one that is over.
+// The clock of this VM was set back between two incarnations: without a later incarnation control
+// would take this incarnation for one that is over.
 void outliveView(follower_state &state, base::clock_time now, action_list &actions)
 {
     const membership::member &self = *state.self;
     const auto known = state.held->members.find(self.id());
-    if (!state.isAnnounced || known == state.held->members.end() || known->second.life <= self.life)
+    if (!state.isAnnounced || known == state.held->members.end()
+        || known->second.incarnation <= self.incarnation)
         return;
-    const base::incarnation next(known->second.life.value() + 1);
+    const base::incarnation next(known->second.incarnation.value() + 1);
     state.self = std::make_shared<const membership::member>(
         membership::member {self.name, self.availabilityZone, self.role, self.service, next,
                             self.packets, self.phase, self.health, self.share});
-    actions.emplace_back(report_life {next});
+    actions.emplace_back(report_incarnation {next});
     announce(state, now, actions);
 }
 
@@ -236,7 +239,7 @@
                 if (state.connection == closed.connection)
                     state.connection.reset();
             },
-            [&](const control_said &said) {
+            [&](const control_message_received &said) {
                 std::visit(
                     base::overloaded {
                         [&](const view_delta &delta) { takeDelta(state, delta, now, actions); },
--- a/lycheeshunt/dissemination/follower_state.h
+++ b/lycheeshunt/dissemination/follower_state.h
@@ -29,7 +29,7 @@
     base::clock_time announcedAt;
     // Whether the node says that it is a member.
     bool isAnnounced = true;
-    // It was a member in this life and is none any more.
+    // It was a member in this incarnation and is none any more.
     bool hasLeft = false;
 
     base::generation heldAt() const { return held ? held->at : base::generation(); }
--- a/lycheeshunt/dissemination/follower_test.cpp
+++ b/lycheeshunt/dissemination/follower_test.cpp
@@ -81,7 +81,7 @@
 }
 
 // An agent that starts beside a server that serves has not been announced yet; its record is that
-// of its last life.
+// of its last incarnation.
 TEST(follower, aNodeThatHasNotBeenAnnouncedYetDoesNotLeave)
 {
     const membership::member self = entryNode();
@@ -112,6 +112,6 @@
         [](const dissemination::shared_view &) {});
     CHECK(await<membership::member_announced>(events).member == self);
     node.reset();
-    const membership::member_left left {self.id(), self.life};
+    const membership::member_left left {self.id(), self.incarnation};
     CHECK(await<membership::member_left>(events) == left);
 }
--- a/lycheeshunt/dissemination/force_answer.h
+++ b/lycheeshunt/dissemination/in_force_answer.h
@@ -12,8 +12,8 @@
 constexpr std::size_t forceAnswerNames = 100;
 
 // The members that have not acknowledged the generation: those whose stream is up, and those that
-// can't be reached, or of which only an earlier life has spoken.
-struct force_answer
+// can't be reached, or of which only an earlier incarnation has spoken.
+struct in_force_answer
 {
     const base::request_id request;
     const base::generation at;
@@ -25,7 +25,7 @@
 
     bool isInForce() const { return view->at >= at && behindCount == 0 && unreachableCount == 0; }
 
-    bool operator==(const force_answer &) const = default;
+    bool operator==(const in_force_answer &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/force_query.h
+++ b/lycheeshunt/dissemination/in_force_query.h
@@ -7,13 +7,13 @@
 namespace lycheeshunt::dissemination {
 
 // An operator asks which nodes have not reached a generation, and may wait until all have.
-struct force_query
+struct in_force_query
 {
     const base::request_id request;
     const base::generation at;
     const base::clock_time wait = {};
 
-    bool operator==(const force_query &) const = default;
+    bool operator==(const in_force_query &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/internal/force_report.cpp
+++ b/lycheeshunt/dissemination/internal/force_report.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-// The furthest acknowledgement of each node whose present life has a stream.
+// The furthest acknowledgement of each node whose present incarnation has a stream.
 std::map<base::node_id, base::generation> reachedGenerations(const publisher_state &state)
 {
     std::map<base::node_id, base::generation> reached;
     for (auto it = state.subscribers.begin(); it != state.subscribers.end(); ++it) {
         const subscriber &known = it->second;
         const auto member = state.view->members.find(known.node);
-        if (member == state.view->members.end() || member->second.life != known.life)
+        if (member == state.view->members.end() || member->second.incarnation != known.incarnation)
             continue;
         base::generation &best = reached[known.node];
         best = std::max(best, known.acknowledged);
@@ -30,7 +30,7 @@
 
 } // namespace
 
-force_answer reportOn(const publisher_state &state, const force_query &query)
+in_force_answer reportOn(const publisher_state &state, const in_force_query &query)
 {
     const std::map<base::node_id, base::generation> reached = reachedGenerations(state);
     std::vector<std::string> behind;
@@ -44,9 +44,9 @@
         else if (found->second < query.at)
             addName(behind, behindCount, it->second.name);
     }
-    return force_answer {query.request,     query.at,    state.view,
-                         std::move(behind), behindCount, std::move(unreachable),
-                         unreachableCount};
+    return in_force_answer {query.request,     query.at,    state.view,
+                            std::move(behind), behindCount, std::move(unreachable),
+                            unreachableCount};
 }
 
 } // namespace lycheeshunt::dissemination::internal
--- a/lycheeshunt/dissemination/internal/force_report.h
+++ b/lycheeshunt/dissemination/internal/force_report.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include "lycheeshunt/dissemination/force_answer.h"
-#include "lycheeshunt/dissemination/force_query.h"
+#include "lycheeshunt/dissemination/in_force_answer.h"
+#include "lycheeshunt/dissemination/in_force_query.h"
 
 namespace lycheeshunt::dissemination {
 struct publisher_state;
@@ -11,6 +11,6 @@
 
 namespace lycheeshunt::dissemination::internal {
 
-force_answer reportOn(const publisher_state &state, const force_query &query);
+in_force_answer reportOn(const publisher_state &state, const in_force_query &query);
 
 } // namespace lycheeshunt::dissemination::internal
--- a/lycheeshunt/dissemination/node_said.h
+++ b/lycheeshunt/dissemination/node_message_received.h
@@ -6,12 +6,12 @@
 namespace lycheeshunt::dissemination {
 
 // A node's message, and the stream it came by.
-struct node_said
+struct node_message_received
 {
     const streams::connection_id connection;
     const node_message message;
 
-    bool operator==(const node_said &) const = default;
+    bool operator==(const node_message_received &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/report_life.h
+++ b/lycheeshunt/dissemination/report_incarnation.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::dissemination {
 
 // The node had to take a later incarnation: the view knew one that was ahead of its clock.
-struct report_life
+struct report_incarnation
 {
-    const base::incarnation life;
+    const base::incarnation incarnation;
 
-    bool operator==(const report_life &) const = default;
+    bool operator==(const report_incarnation &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/subscriber.h
+++ b/lycheeshunt/dissemination/subscriber.h
@@ -11,7 +11,7 @@
 struct subscriber
 {
     const base::node_id node = {};
-    const base::incarnation life = {};
+    const base::incarnation incarnation = {};
     const view_scope scope = {};
     // Zero while the node has no view or is given a snapshot.
     const base::generation held = {};
--- a/lycheeshunt/dissemination/view_request.h
+++ b/lycheeshunt/dissemination/view_request.h
@@ -10,7 +10,7 @@
 struct view_request
 {
     const base::node_id node;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const view_scope scope = {};
     // Zero: the node needs a snapshot.
     const base::generation held = {};
--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -10,7 +10,7 @@
 {
     const base::node_id node;
     const base::service_id service;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     // Where other agents and entries reach it.
     const base::endpoint packets;
     const std::string availabilityZone = {};
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -22,7 +22,7 @@
 
 base::result<std::unique_ptr<agent_port>> agent_port::open(const agent_sockets &sockets,
                                                            const packets::packet_codec &codec,
-                                                           base::incarnation life,
+                                                           base::incarnation incarnation,
                                                            base::ring<flow_message> &inbox)
 {
     base::result<base::file_descriptor> peerSide = base::openDatagramSocket(sockets.packets);
@@ -32,16 +32,16 @@
     if (const base::error *failure = base::errorOf(serverSide))
         return *failure;
     return std::unique_ptr<agent_port>(
-        new agent_port(sockets, codec, life, base::takeValue(std::move(peerSide)),
+        new agent_port(sockets, codec, incarnation, base::takeValue(std::move(peerSide)),
                        base::takeValue(std::move(serverSide)), inbox));
 }
 
 agent_port::agent_port(const agent_sockets &sockets, const packets::packet_codec &codec,
-                       base::incarnation life, base::file_descriptor peerSide,
+                       base::incarnation incarnation, base::file_descriptor peerSide,
                        base::file_descriptor serverSide, base::ring<flow_message> &inbox)
-    : m_addresses(sockets), m_codec(codec), m_life(life.value()), m_peerSide(std::move(peerSide)),
-      m_serverSide(std::move(serverSide)), m_inbox(inbox), m_actions(actionCapacity),
-      m_thread([this]() { run(); })
+    : m_addresses(sockets), m_codec(codec), m_incarnation(incarnation.value()),
+      m_peerSide(std::move(peerSide)), m_serverSide(std::move(serverSide)), m_inbox(inbox),
+      m_actions(actionCapacity), m_thread([this]() { run(); })
 {
 }
 
@@ -91,7 +91,7 @@
 void agent_port::answerProbe(const packets::received_datagram &received)
 {
     const std::optional<std::string> echo
-        = routing::echoOf(received.bytes, base::incarnation(m_life));
+        = routing::echoOf(received.bytes, base::incarnation(m_incarnation));
     if (echo)
         packets::sendDatagram(m_peerSide.get(), received.from, *echo);
     else
--- a/lycheeshunt/flows/agent_port.h
+++ b/lycheeshunt/flows/agent_port.h
@@ -28,10 +28,10 @@
 class agent_port
 {
 public:
-    // The inbox must outlive the port. Probes of another life than this are not answered.
+    // The inbox must outlive the port. Probes of another incarnation than this are not answered.
     static base::result<std::unique_ptr<agent_port>> open(const agent_sockets &sockets,
                                                           const packets::packet_codec &codec,
-                                                          base::incarnation life,
+                                                          base::incarnation incarnation,
                                                           base::ring<flow_message> &inbox);
     ~agent_port();
 
@@ -39,8 +39,8 @@
     agent_port &operator=(const agent_port &) = delete;
 
     base::ring<flow_action> &actions() { return m_actions; }
-    // Probes of this life are answered from now on. Thread-safe.
-    void setLife(base::incarnation life) { m_life = life.value(); }
+    // Probes of this incarnation are answered from now on. Thread-safe.
+    void setIncarnation(base::incarnation incarnation) { m_incarnation = incarnation.value(); }
 
     std::uint64_t malformed() const { return m_malformed; }
     std::uint64_t refused() const { return m_refused; }
@@ -48,7 +48,7 @@
 
 private:
     agent_port(const agent_sockets &sockets, const packets::packet_codec &codec,
-               base::incarnation life, base::file_descriptor peerSide,
+               base::incarnation incarnation, base::file_descriptor peerSide,
                base::file_descriptor serverSide, base::ring<flow_message> &inbox);
 
     void run();
@@ -60,7 +60,7 @@
 
     const agent_sockets m_addresses;
     const packets::packet_codec m_codec;
-    std::atomic<std::uint64_t> m_life;
+    std::atomic<std::uint64_t> m_incarnation;
     base::file_descriptor m_peerSide;
     base::file_descriptor m_serverSide;
     base::ring<flow_message> &m_inbox;
--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -78,7 +78,7 @@
     packer.pack(wireVersion);
     packer.pack(static_cast<std::uint8_t>(packetKind));
     packer.pack(header.service.value());
-    packer.pack(header.life.value());
+    packer.pack(header.incarnation.value());
     packer.pack(header.at.value());
     packer.pack(static_cast<std::uint8_t>(header.stage));
     packer.pack(header.hops);
@@ -95,8 +95,9 @@
 std::string encodePacketHeader(const forwarded_packet &packet, std::size_t packetBytes)
 {
     char buffer[maxPacketHeaderBytes];
-    const packet_header header {packet.service, packet.life,  packet.at,     packet.stage,
-                                packet.hops,    packet.entry, packet.agents, packet.isDoubtful};
+    const packet_header header {packet.service, packet.incarnation, packet.at,
+                                packet.stage,   packet.hops,        packet.entry,
+                                packet.agents,  packet.isDoubtful};
     return std::string(buffer, writePacketHeader(header, packetBytes, buffer));
 }
 
--- a/lycheeshunt/flows/codec_test.cpp
+++ b/lycheeshunt/flows/codec_test.cpp
@@ -18,11 +18,11 @@
 {
     return {
         registration_batch {service, agent, base::generation(3), 4, {{key, true}, {key, false}}},
-        registration_ack {service, agent.node, base::generation(3), agent.life, 4},
+        registration_ack {service, agent.node, base::generation(3), agent.incarnation, 4},
         flow_lookup {service, key, agent, base::generation(5), true},
         lookup_answer {service, key, agent, base::generation(5), lookup_verdict::owned, agent},
         recovery_request {service, agent, key},
-        recovery_page {service, agent.node, agent.life, {key, key}, true}};
+        recovery_page {service, agent.node, agent.incarnation, {key, key}, true}};
 }
 
 base::error_code codeOf(const base::result<flow_datagram> &decoded)
--- a/lycheeshunt/flows/decision_test.cpp
+++ b/lycheeshunt/flows/decision_test.cpp
@@ -37,8 +37,8 @@
     {
         const membership::member &to = all.memberOf(agent);
         return forwarded_packet {
-            to.service, to.life, all.membership().view()->at, packet_stage::toDirector,
-            0,          summary, all.remember(summary, {})};
+            to.service, to.incarnation, all.membership().view()->at, packet_stage::toDirector,
+            0,          summary,        all.remember(summary, {})};
     }
 
     std::size_t serversOf(std::size_t caller)
@@ -115,14 +115,14 @@
     LONGS_EQUAL(20, service.all.callers().thatAre(fate::open).size());
 }
 
-TEST(flow_decision, packetsForAnotherServiceOrLifeAreRefusedByCode)
+TEST(flow_decision, packetsForAnotherServiceOrIncarnationAreRefusedByCode)
 {
     small_service service(2);
     const packets::ip_summary first {base::flow_key {base::endpoint {0x0a000009, 9}, address, 6},
                                      true};
     const forwarded_packet known = service.packetFor("a1", first);
     service.all.inject("a1",
-                       forwarded_packet {base::serviceIdOf("inspect"), known.life, known.at,
+                       forwarded_packet {base::serviceIdOf("inspect"), known.incarnation, known.at,
                                          known.stage, 0, first, known.bytes});
     service.all.inject("a1",
                        forwarded_packet {known.service, base::incarnation(99), known.at,
--- a/lycheeshunt/flows/fake_cluster_test.h
+++ b/lycheeshunt/flows/fake_cluster_test.h
@@ -117,8 +117,8 @@
         const routing::routing_outcome outcome = m_entries[index].table->routeOf(summary.key);
         if (const routing::route *way = std::get_if<routing::route>(&outcome))
             send(way->to.packets,
-                 forwarded_packet {way->service, way->to.life, way->at, packet_stage::toDirector, 0,
-                                   summary, remember(summary, {})});
+                 forwarded_packet {way->service, way->to.incarnation, way->at,
+                                   packet_stage::toDirector, 0, summary, remember(summary, {})});
     }
 
     // Hands a message to an agent at once.
@@ -209,7 +209,8 @@
     void start(agent &which, const membership::member &self)
     {
         which.self.emplace(self);
-        which.state.emplace(agent_identity {self.id(), self.service, self.life, self.packets});
+        which.state.emplace(
+            agent_identity {self.id(), self.service, self.incarnation, self.packets});
     }
 
     void send(const base::endpoint &to, const flow_message &message)
--- a/lycheeshunt/flows/fake_membership_test.h
+++ b/lycheeshunt/flows/fake_membership_test.h
@@ -16,7 +16,7 @@
 public:
     const dissemination::shared_view &view() const { return m_view; }
 
-    // The agent in a new life.
+    // The agent in a new incarnation.
     membership::member join(const std::string &name, const std::string &service,
                             const std::string &zone, const base::endpoint &packets)
     {
@@ -24,7 +24,7 @@
                                    zone,
                                    membership::member_role::agent,
                                    base::serviceIdOf(service),
-                                   base::incarnation(++m_lives),
+                                   base::incarnation(++m_incarnations),
                                    packets,
                                    membership::member_phase::serving};
         change({{joined}, {}});
@@ -85,7 +85,7 @@
 
     dissemination::shared_view m_view = std::make_shared<const dissemination::cluster_view>(
         dissemination::cluster_view {base::generation()});
-    std::uint64_t m_lives = 0;
+    std::uint64_t m_incarnations = 0;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/forwarded_packet.h
+++ b/lycheeshunt/flows/forwarded_packet.h
@@ -11,12 +11,12 @@
 
 namespace lycheeshunt::flows {
 
-// A caller's packet on its way to the agent that owns its flow. Service and life say whom it is
-// meant for; any other receiver refuses it.
+// A caller's packet on its way to the agent that owns its flow. Service and incarnation say whom it
+// is meant for; any other receiver refuses it.
 struct forwarded_packet
 {
     const base::service_id service;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const base::generation at;
     const packet_stage stage = packet_stage::toDirector;
     const std::uint8_t hops = 0;
@@ -32,8 +32,8 @@
     // The same packet at another stage of its way.
     forwarded_packet with(packet_stage next, std::vector<base::node_id> listed, bool doubt) const
     {
-        return forwarded_packet {service,           life, at, next, hops, summary, bytes, entry,
-                                 std::move(listed), doubt};
+        return forwarded_packet {service, incarnation,       at,   next, hops, summary, bytes,
+                                 entry,   std::move(listed), doubt};
     }
 
     bool operator==(const forwarded_packet &) const = default;
--- a/lycheeshunt/flows/internal/directory.cpp
+++ b/lycheeshunt/flows/internal/directory.cpp
@@ -26,8 +26,8 @@
 {
     if (known.owner.node != batch.owner.node)
         return false;
-    if (known.owner.life != batch.owner.life)
-        return known.owner.life > batch.owner.life;
+    if (known.owner.incarnation != batch.owner.incarnation)
+        return known.owner.incarnation > batch.owner.incarnation;
     return known.sequence > batch.sequence;
 }
 
@@ -42,7 +42,7 @@
     if (known == nullptr || known->owner.node == batch.owner.node || known->sequence == 0)
         return false;
     const std::optional<routing::target> owner = knownOwner(state, key);
-    return owner && owner->life == known->owner.life;
+    return owner && owner->incarnation == known->owner.incarnation;
 }
 
 bool store(flow_context &context, const registration_batch &batch, const registered_flow &flow)
@@ -105,10 +105,11 @@
         stored = store(context, batch, flow) && stored;
     if (!stored)
         return;
-    context.actions.emplace_back(send_to_peer {
-        batch.owner.packets,
-        registration_ack {batch.service, context.state.identity->node,
-                          currentGeneration(context.state), batch.owner.life, batch.sequence}});
+    context.actions.emplace_back(
+        send_to_peer {batch.owner.packets,
+                      registration_ack {batch.service, context.state.identity->node,
+                                        currentGeneration(context.state), batch.owner.incarnation,
+                                        batch.sequence}});
 }
 
 void directoryTick(flow_context &context)
--- a/lycheeshunt/flows/internal/directory.h
+++ b/lycheeshunt/flows/internal/directory.h
@@ -13,7 +13,7 @@
 bool directoryHasRoom(const flow_state &state, const base::flow_key &key);
 
 // Where the flow's owner is to be reached now; nothing when the directory does not know the flow
-// or its owner is gone. An owner that has restarted is reached in its new life.
+// or its owner is gone. An owner that has restarted is reached in its new incarnation.
 std::optional<routing::target> knownOwner(const flow_state &state, const base::flow_key &key);
 
 // Keeps the entry from expiring: a packet of its flow went by.
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -171,7 +171,7 @@
         answer(context, lookup, lookup_verdict::redirect, self);
         return;
     }
-    // Its former life may own the flow; what comes back from the others shows it soon.
+    // Its former incarnation may own the flow; what comes back from the others shows it soon.
     if (isRecovering(state))
         return;
     if (lookup.claims)
--- a/lycheeshunt/flows/internal/packet_path.cpp
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -118,7 +118,7 @@
     const base::flow_key &key = packet.summary.key;
     if (packet.service != state.identity->service)
         return refuse(context, base::error_code::wrongService);
-    if (packet.life != state.identity->life)
+    if (packet.incarnation != state.identity->incarnation)
         return refuse(context, base::error_code::wrongIncarnation);
     // It can't tell yet whose flow this is; the caller's retransmission comes after the first view.
     if (!state.buckets)
--- a/lycheeshunt/flows/internal/passing.cpp
+++ b/lycheeshunt/flows/internal/passing.cpp
@@ -18,7 +18,7 @@
     }
     context.actions.emplace_back(send_packet {
         to.packets,
-        forwarded_packet {packet.service, to.life,
+        forwarded_packet {packet.service, to.incarnation,
                           std::max(packet.at, currentGeneration(context.state)), stage,
                           static_cast<std::uint8_t>(packet.hops + 1), packet.summary, packet.bytes,
                           packet.entry, packet.agents, packet.isDoubtful}});
--- a/lycheeshunt/flows/internal/peer_codec.cpp
+++ b/lycheeshunt/flows/internal/peer_codec.cpp
@@ -13,7 +13,7 @@
 using number = std::uint64_t;
 using key_fields
     = std::tuple<std::uint32_t, std::uint16_t, std::uint32_t, std::uint16_t, std::uint8_t>;
-// Node, life, address, port.
+// Node, incarnation, address, port.
 using target_fields = std::tuple<number, number, std::uint32_t, std::uint16_t>;
 using flow_fields = std::tuple<key_fields, bool>;
 using registration_fields = std::tuple<std::uint8_t, std::uint8_t, number, target_fields, number,
@@ -46,7 +46,7 @@
 
 target_fields fieldsOf(const routing::target &target)
 {
-    return target_fields(target.node.value(), target.life.value(), target.packets.address,
+    return target_fields(target.node.value(), target.incarnation.value(), target.packets.address,
                          target.packets.port);
 }
 
@@ -70,7 +70,7 @@
 std::string encode(const registration_ack &ack)
 {
     return base::packFields(ack_fields(wireVersion, acknowledgementKind, ack.service.value(),
-                                       ack.from.value(), ack.at.value(), ack.life.value(),
+                                       ack.from.value(), ack.at.value(), ack.incarnation.value(),
                                        ack.sequence));
 }
 
@@ -102,8 +102,8 @@
     for (const base::flow_key &key : page.flows)
         flows.push_back(fieldsOf(key));
     return base::packFields(page_fields(wireVersion, recoveryPageKind, page.service.value(),
-                                        page.from.value(), page.askerLife.value(), std::move(flows),
-                                        page.more));
+                                        page.from.value(), page.askerIncarnation.value(),
+                                        std::move(flows), page.more));
 }
 
 std::string encode(const owner_hint &hint)
--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/placing.cpp
@@ -140,7 +140,8 @@
     const agent_identity &self = *state.identity;
     if (!self.serverReturns)
         return;
-    state.placement.emplace(placement::peer {self.node, self.life, self.availabilityZone}, rules());
+    state.placement.emplace(placement::peer {self.node, self.incarnation, self.availabilityZone},
+                            rules());
     placementPeers(context);
 }
 
@@ -151,14 +152,15 @@
         return;
     const agent_identity &self = *state.identity;
     std::vector<placement::peer> peers {
-        placement::peer {self.node, self.life, self.availabilityZone}};
+        placement::peer {self.node, self.incarnation, self.availabilityZone}};
     for (auto it = state.view->members.begin(); it != state.view->members.end(); ++it) {
         const membership::member &member = it->second;
         const bool isPeer = targetOf(state, it->first) && !isSelf(state, it->first)
             && !state.view->isDraining(member)
             && member.phase != membership::member_phase::suspected;
         if (isPeer)
-            peers.push_back(placement::peer {it->first, member.life, member.availabilityZone});
+            peers.push_back(
+                placement::peer {it->first, member.incarnation, member.availabilityZone});
     }
     run(context, placement::peers_changed {std::move(peers)});
 }
--- a/lycheeshunt/flows/internal/recovery.cpp
+++ b/lycheeshunt/flows/internal/recovery.cpp
@@ -67,17 +67,18 @@
     std::vector<base::flow_key> page;
     for (std::size_t i = 0; i < count; ++i)
         page.push_back(*keys[i]);
-    context.actions.emplace_back(
-        send_to_peer {request.asker.packets,
-                      recovery_page {request.service, state.identity->node, request.asker.life,
-                                     std::move(page), keys.size() > count}});
+    context.actions.emplace_back(send_to_peer {
+        request.asker.packets,
+        recovery_page {request.service, state.identity->node, request.asker.incarnation,
+                       std::move(page), keys.size() > count}});
 }
 
 void handleRecoveryPage(flow_context &context, const recovery_page &page)
 {
     flow_state &state = context.state;
     const auto asked = state.recovery.asking.find(page.from);
-    if (page.service != state.identity->service || page.askerLife != state.identity->life
+    if (page.service != state.identity->service
+        || page.askerIncarnation != state.identity->incarnation
         || asked == state.recovery.asking.end())
         return;
     for (const base::flow_key &key : page.flows) {
--- a/lycheeshunt/flows/internal/recovery.h
+++ b/lycheeshunt/flows/internal/recovery.h
@@ -1,5 +1,5 @@
-// Getting back what a former life of this agent owned: the other agents of its service are asked
-// for the flows that are registered with them.
+// Getting back what a former incarnation of this agent owned: the other agents of its service are
+// asked for the flows that are registered with them.
 
 #pragma once
 
@@ -15,7 +15,7 @@
 // Whether some agent still has flows to tell.
 bool isRecovering(const flow_state &state);
 
-// Whether a former life may have owned flows that only the backend server remembers.
+// Whether a former incarnation may have owned flows that only the backend server remembers.
 bool hasStartedLately(const flow_state &state, base::clock_time now);
 
 void handleRecoveryRequest(flow_context &context, const recovery_request &request);
--- a/lycheeshunt/flows/internal/registrar.cpp
+++ b/lycheeshunt/flows/internal/registrar.cpp
@@ -115,7 +115,7 @@
             flows.push_back(flow);
     }
     context.state.registrar.pending.erase(late.batch.sequence);
-    if (!to || to->life != late.to.life || flows.empty())
+    if (!to || to->incarnation != late.to.incarnation || flows.empty())
         return;
     sendBatch(context, *to,
               registration_batch {late.batch.service, late.batch.owner,
@@ -165,7 +165,7 @@
 
 void handleRegistrationAck(flow_context &context, const registration_ack &ack)
 {
-    if (ack.life != context.state.identity->life)
+    if (ack.incarnation != context.state.identity->incarnation)
         return;
     const auto found = context.state.registrar.pending.find(ack.sequence);
     if (found != context.state.registrar.pending.end() && found->second.to.node == ack.from)
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returning.cpp
@@ -153,16 +153,17 @@
     const bool wasServed = flow != nullptr && flow->progress.isAnswered;
     const bool isOver = flow != nullptr && flow->phase == flow_phase::ended;
     const visit *visited = state.visits.find(key);
-    const forwarded_packet before
-        = visited != nullptr ? visited->packet : forwarded_packet {state.identity->service,
-                                                                   state.identity->life,
-                                                                   currentGeneration(state),
-                                                                   packet_stage::toOwner,
-                                                                   0,
-                                                                   answer.summary,
-                                                                   answer.bytes};
-    const forwarded_packet packet {before.service, before.life,      before.at,    before.stage,
-                                   before.hops,    answer.summary,   answer.bytes, before.entry,
+    const forwarded_packet before = visited != nullptr
+        ? visited->packet
+        : forwarded_packet {state.identity->service,
+                            state.identity->incarnation,
+                            currentGeneration(state),
+                            packet_stage::toOwner,
+                            0,
+                            answer.summary,
+                            answer.bytes};
+    const forwarded_packet packet {before.service, before.incarnation, before.at,    before.stage,
+                                   before.hops,    answer.summary,     answer.bytes, before.entry,
                                    before.agents,  before.isDoubtful};
     state.visits.erase(key);
     if (flow != nullptr) {
@@ -278,13 +279,13 @@
 {
     flow_state &state = context.state;
     const agent_identity &self = *state.identity;
-    const bool isOther = self.service != changed.service || self.life != changed.life;
+    const bool isOther = self.service != changed.service || self.incarnation != changed.incarnation;
     state.server.isAccepting = changed.isAccepting;
     state.server.slots = changed.slots;
     state.server.isOlder = changed.isOlder;
     if (isOther || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(
-            agent_identity {self.node, changed.service, changed.life, self.packets,
+            agent_identity {self.node, changed.service, changed.incarnation, self.packets,
                             self.availabilityZone, self.serverReturns});
         startPlacement(context);
     }
--- a/lycheeshunt/flows/internal/service_view.cpp
+++ b/lycheeshunt/flows/internal/service_view.cpp
@@ -6,7 +6,8 @@
 
 routing::target selfTarget(const flow_state &state)
 {
-    return routing::target {state.identity->node, state.identity->life, state.identity->packets};
+    return routing::target {state.identity->node, state.identity->incarnation,
+                            state.identity->packets};
 }
 
 base::generation currentGeneration(const flow_state &state)
@@ -39,7 +40,7 @@
     const membership::member &member = found->second;
     if (member.role != membership::member_role::agent || member.service != state.identity->service)
         return std::nullopt;
-    return routing::target {node, member.life, member.packets};
+    return routing::target {node, member.incarnation, member.packets};
 }
 
 const routing::target *directorOf(const flow_state &state, const base::flow_key &key)
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -52,14 +52,14 @@
 }
 
 // Registers the flow with the agents that are its director or backup now and were neither before,
-// or are in a new life.
+// or are in a new incarnation.
 void registerMoved(flow_context &context, const routing::bucket_table *before,
                    const base::flow_key &key)
 {
     const routing::bucket_table &after = *context.state.buckets;
     const base::bucket bucket = after.bucketOf(base::hashOf(key));
     const auto isSame = [](const routing::target &left, const routing::target &right) {
-        return left.node == right.node && left.life == right.life;
+        return left.node == right.node && left.incarnation == right.incarnation;
     };
     for (const routing::target *to : {&after.directorOf(bucket), &after.backupOf(bucket)}) {
         const bool known = before != nullptr
--- a/lycheeshunt/flows/packet_header.h
+++ b/lycheeshunt/flows/packet_header.h
@@ -12,7 +12,7 @@
 struct packet_header
 {
     const base::service_id service;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const base::generation at;
     const packet_stage stage = packet_stage::toDirector;
     const std::uint8_t hops = 0;
--- a/lycheeshunt/flows/recovery_page.h
+++ b/lycheeshunt/flows/recovery_page.h
@@ -12,7 +12,7 @@
 {
     const base::service_id service;
     const base::node_id from;
-    const base::incarnation askerLife;
+    const base::incarnation askerIncarnation;
     const std::vector<base::flow_key> flows = {};
     const bool more = false;
 
--- a/lycheeshunt/flows/registration_ack.h
+++ b/lycheeshunt/flows/registration_ack.h
@@ -10,8 +10,8 @@
     const base::service_id service;
     const base::node_id from;
     const base::generation at;
-    // Life of the owner that sent the batch.
-    const base::incarnation life;
+    // Incarnation of the owner that sent the batch.
+    const base::incarnation incarnation;
     const std::uint32_t sequence = 0;
 
     bool operator==(const registration_ack &) const = default;
--- a/lycheeshunt/flows/registration_batch.h
+++ b/lycheeshunt/flows/registration_batch.h
@@ -8,8 +8,8 @@
 namespace lycheeshunt::flows {
 
 // An owner tells a director (or its backup) which flows are its own. Sent again until a
-// registration_ack with the same sequence comes back; a later sequence of the same life counts
-// more than an earlier one.
+// registration_ack with the same sequence comes back; a later sequence of the same incarnation
+// counts more than an earlier one.
 struct registration_batch
 {
     const base::service_id service;
--- a/lycheeshunt/flows/returning_agent_test.h
+++ b/lycheeshunt/flows/returning_agent_test.h
@@ -60,7 +60,7 @@
     {
         const membership::member self = agentNamed("a1", 1);
         state = std::make_unique<flow_state>(
-            agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
+            agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true});
         std::map<base::node_id, membership::member> members;
         for (const membership::member &member : {self, agentNamed("a2", 2), agentNamed("a3", 3)})
             members.emplace(member.id(), member);
@@ -150,7 +150,7 @@
         for (const std::string &name : names) {
             const membership::member member = agentNamed(name, name == "a2" ? 2 : 3);
             give(peer_message(lookup_answer {
-                logbook, key, routing::target {member.id(), member.life, member.packets},
+                logbook, key, routing::target {member.id(), member.incarnation, member.packets},
                 base::generation(1), verdict, routing::target {}}));
         }
     }
--- a/lycheeshunt/flows/server_changed.h
+++ b/lycheeshunt/flows/server_changed.h
@@ -10,7 +10,7 @@
 struct server_changed
 {
     const base::service_id service;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const bool isAccepting = false;
     const std::uint32_t slots = 0;
     // The server was there before the agent.
--- a/lycheeshunt/membership/codec.cpp
+++ b/lycheeshunt/membership/codec.cpp
@@ -26,14 +26,15 @@
 {
     return member_fields(member.name, member.availabilityZone,
                          static_cast<std::uint8_t>(member.role), member.service.value(),
-                         member.life.value(), member.packets.address, member.packets.port,
+                         member.incarnation.value(), member.packets.address, member.packets.port,
                          static_cast<std::uint8_t>(member.phase),
                          static_cast<std::uint8_t>(member.health), member.share);
 }
 
 base::result<member> memberOf(const member_fields &fields)
 {
-    const auto &[name, zone, role, service, life, address, port, phase, health, share] = fields;
+    const auto &[name, zone, role, service, incarnation, address, port, phase, health, share]
+        = fields;
     const bool roleKnown = role == static_cast<std::uint8_t>(member_role::entry)
         || role == static_cast<std::uint8_t>(member_role::agent);
     const bool phaseKnown = phase >= static_cast<std::uint8_t>(member_phase::serving)
@@ -48,7 +49,7 @@
                    zone,
                    static_cast<member_role>(role),
                    base::service_id(service),
-                   base::incarnation(life),
+                   base::incarnation(incarnation),
                    base::endpoint {address, port},
                    static_cast<member_phase>(phase),
                    static_cast<member_health>(health),
@@ -72,7 +73,7 @@
 
 std::string encodeLeave(const member_left &left)
 {
-    return base::packFields(leave_fields(left.node.value(), left.life.value()));
+    return base::packFields(leave_fields(left.node.value(), left.incarnation.value()));
 }
 
 base::result<member_frame> decodeFrame(std::string_view bytes)
--- a/lycheeshunt/membership/decision.cpp
+++ b/lycheeshunt/membership/decision.cpp
@@ -36,7 +36,7 @@
 void forget(membership_state &state, base::clock_time now)
 {
     std::erase_if(state.leases, [&](const std::pair<const base::node_id, lease> &row) {
-        return now - row.second.heardAt > state.policy->massEvictAfter
+        return now - row.second.lastHeard > state.policy->massEvictAfter
             && state.committed.count(row.first) == 0;
     });
     std::erase_if(state.holders, [&](const std::pair<const base::endpoint, base::node_id> &row) {
--- a/lycheeshunt/membership/decision_test.cpp
+++ b/lycheeshunt/membership/decision_test.cpp
@@ -17,7 +17,8 @@
 constexpr base::clock_time tickSpan = base::clock_time::ofMillis(100);
 constexpr std::int64_t announceMillis = 1000;
 
-member agent(const std::string &name, std::uint64_t life = 1, const char *service = "logbook")
+member agent(const std::string &name, std::uint64_t incarnation = 1,
+             const char *service = "logbook")
 {
     const std::uint16_t port
         = static_cast<std::uint16_t>(1000 + std::hash<std::string> {}(name) % 60000);
@@ -25,7 +26,7 @@
                    name.substr(0, 2),
                    member_role::agent,
                    base::serviceIdOf(service),
-                   base::incarnation(life),
+                   base::incarnation(incarnation),
                    base::endpoint {0x7f000001, port}};
 }
 
@@ -205,11 +206,11 @@
 
 TEST(membership, incarnationsAreToldApart)
 {
-    struct life_case
+    struct incarnation_case
     {
         const char *what;
         std::vector<member> said;
-        std::uint64_t life;
+        std::uint64_t incarnation;
         const char *service;
     };
     const member otherPlace {"z1a",
@@ -218,24 +219,24 @@
                              base::serviceIdOf("logbook"),
                              base::incarnation(5),
                              base::endpoint {0x7f000001, 9}};
-    const life_case cases[] = {
-        {"a later life replaces", {agent("z1a", 5), agent("z1a", 6)}, 6, "logbook"},
-        {"an earlier life is ignored", {agent("z1a", 6), agent("z1a", 5)}, 6, "logbook"},
+    const incarnation_case cases[] = {
+        {"a later incarnation replaces", {agent("z1a", 5), agent("z1a", 6)}, 6, "logbook"},
+        {"an earlier incarnation is ignored", {agent("z1a", 6), agent("z1a", 5)}, 6, "logbook"},
         {"back as the other service",
          {agent("z1a", 5), agent("z1a", 6, "inspect"), agent("z1a", 5)},
          6,
          "inspect"},
-        {"one life never changes service",
+        {"one incarnation never changes service",
          {agent("z1a", 5), agent("z1a", 5, "inspect")},
          5,
          "logbook"},
-        {"one life never changes address", {agent("z1a", 5), otherPlace}, 5, "logbook"},
+        {"one incarnation never changes address", {agent("z1a", 5), otherPlace}, 5, "logbook"},
         {"twice over",
          {agent("z1a", 6), agent("z1a", 6), agent("z1a", 5), agent("z1a", 5)},
          6,
          "logbook"},
     };
-    for (const life_case &row : cases) {
+    for (const incarnation_case &row : cases) {
         control leader;
         leader.run(3, {agent("z1a", 5), agent("z2a")});
         for (const member &each : row.said) {
@@ -244,7 +245,7 @@
         }
         const member *known = leader.find("z1a");
         CHECK_TEXT(known != nullptr, row.what);
-        LONGS_EQUAL_TEXT(row.life, known->life.value(), row.what);
+        LONGS_EQUAL_TEXT(row.incarnation, known->incarnation.value(), row.what);
         CHECK_TEXT(known->service == base::serviceIdOf(row.service), row.what);
         CHECK_TEXT(known->packets == agent("z1a").packets, row.what);
     }
@@ -266,13 +267,13 @@
         LONGS_EQUAL(1, leader.warnings().size());
         STRCMP_EQUAL("z1x>z1a", leader.warnings()[0].c_str());
         // The winner stops for good: the address is free again.
-        leader.take(member_left {newer.id(), newer.life});
+        leader.take(member_left {newer.id(), newer.incarnation});
         leader.run(2, {older, agent("z2a")});
         STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
     }
 }
 
-TEST(membership, leavingIsHeardAtOnceAndLateWordsOfThatLifeAreIgnored)
+TEST(membership, leavingIsHeardAtOnceAndLateWordsOfThatIncarnationAreIgnored)
 {
     control leader;
     const std::vector<member> all = fourZones();
--- a/lycheeshunt/membership/departed.h
+++ b/lycheeshunt/membership/departed.h
@@ -5,10 +5,10 @@
 
 namespace lycheeshunt::membership {
 
-// A member that is gone: an announcement of a life before `minLife` is a late one.
+// A member that is gone: an announcement of an incarnation before `minIncarnation` is a late one.
 struct departed
 {
-    const base::incarnation minLife;
+    const base::incarnation minIncarnation;
     const base::clock_time at;
 
     bool operator==(const departed &) const = default;
--- a/lycheeshunt/membership/internal/change_gatherer.cpp
+++ b/lycheeshunt/membership/internal/change_gatherer.cpp
@@ -28,7 +28,7 @@
         const auto held = m_state.leases.find(node);
         if (held == m_state.leases.end())
             compare(node, nullptr);
-        else if (m_now - held->second.heardAt <= m_state.policy->quietAfter)
+        else if (m_now - held->second.lastHeard <= m_state.policy->quietAfter)
             compare(node, &held->second);
         // A quiet member is judged by the full check, which knows how many others are quiet.
     }
--- a/lycheeshunt/membership/internal/lease_book.cpp
+++ b/lycheeshunt/membership/internal/lease_book.cpp
@@ -20,14 +20,14 @@
     state.leases.erase(held);
 }
 
-void endLease(membership_state &state, base::node_id node, base::incarnation minLife,
+void endLease(membership_state &state, base::node_id node, base::incarnation minIncarnation,
               base::clock_time now)
 {
     const auto held = state.leases.find(node);
     if (held != state.leases.end())
         dropLease(state, held);
     state.gone.erase(node);
-    state.gone.emplace(node, departed {minLife, now});
+    state.gone.emplace(node, departed {minIncarnation, now});
     state.pending.insert(node);
 }
 
@@ -42,10 +42,10 @@
 {
     const base::node_id id = announced.id();
     const auto held = state.leases.find(id);
-    if (held != state.leases.end() && announced.life < held->second.member.life)
+    if (held != state.leases.end() && announced.incarnation < held->second.member.incarnation)
         return true;
     const auto gone = state.gone.find(id);
-    return gone != state.gone.end() && announced.life < gone->second.minLife;
+    return gone != state.gone.end() && announced.incarnation < gone->second.minIncarnation;
 }
 
 // Two names at one packet address: the newer incarnation has it. Returns whether that is the one
@@ -58,14 +58,14 @@
         return true;
     const base::node_id other = holder->second;
     const member rival = state.leases.at(other).member;
-    const bool loses
-        = announced.life < rival.life || (announced.life == rival.life && announced.id() < other);
+    const bool loses = announced.incarnation < rival.incarnation
+        || (announced.incarnation == rival.incarnation && announced.id() < other);
     if (loses) {
         report(state, rival, announced, actions);
         return false;
     }
     report(state, announced, rival, actions);
-    endLease(state, other, rival.life, now);
+    endLease(state, other, rival.incarnation, now);
     return true;
 }
 
@@ -98,10 +98,10 @@
 lease renewed(const membership_state &state, const lease &held, const member &announced,
               base::clock_time now)
 {
-    // A life that has begun to drain never serves again.
+    // An incarnation that has begun to drain never serves again.
     const bool draining = held.member.phase == member_phase::draining;
     const member current = draining ? announced.withPhase(member_phase::draining) : announced;
-    if (now - held.heardAt > state.policy->suspectAfter)
+    if (now - held.lastHeard > state.policy->suspectAfter)
         return lease {current, now, now, held.lapses + 1, held.rampSince};
     const bool forgiven = now - held.steadySince > state.policy->lapseForgiven;
     return lease {current, now, held.steadySince, forgiven ? 0 : held.lapses, held.rampSince};
@@ -117,8 +117,8 @@
     const base::node_id id = announced.id();
     const auto held = state.leases.find(id);
     const bool known = held != state.leases.end();
-    if (known && announced.life == held->second.member.life
-        && !announced.isSameLifeAs(held->second.member)) {
+    if (known && announced.incarnation == held->second.member.incarnation
+        && !announced.isSameIncarnationAs(held->second.member)) {
         report(state, held->second.member, announced, actions);
         return;
     }
@@ -131,34 +131,34 @@
         return;
     }
     const lease before = held->second;
-    if (before.member.life == announced.life) {
+    if (before.member.incarnation == announced.incarnation) {
         replaceLease(state, renewed(state, before, announced, now));
     } else {
         dropLease(state, held);
         replaceLease(state, newLease(state, announced, before.lapses + 1, now));
     }
-    if (before.member != announced || now - before.heardAt > state.policy->suspectAfter)
+    if (before.member != announced || now - before.lastHeard > state.policy->suspectAfter)
         state.pending.insert(id);
 }
 
 void takeLeave(membership_state &state, const member_left &left, base::clock_time now)
 {
     const auto held = state.leases.find(left.node);
-    if (held != state.leases.end() && held->second.member.life > left.life)
+    if (held != state.leases.end() && held->second.member.incarnation > left.incarnation)
         return;
-    endLease(state, left.node, base::incarnation(left.life.value() + 1), now);
+    endLease(state, left.node, base::incarnation(left.incarnation.value() + 1), now);
 }
 
 void startLease(membership_state &state, const member &committed, base::clock_time now)
 {
     const auto held = state.leases.find(committed.id());
-    base::clock_time heardAt = now;
+    base::clock_time lastHeard = now;
     if (held != state.leases.end()) {
-        if (held->second.announced && held->second.member.life >= committed.life)
+        if (held->second.announced && held->second.member.incarnation >= committed.incarnation)
             return;
         // A change that control made to a silent member is no sign of life.
-        if (held->second.member.isSameLifeAs(committed))
-            heardAt = held->second.heardAt;
+        if (held->second.member.isSameIncarnationAs(committed))
+            lastHeard = held->second.lastHeard;
         dropLease(state, held);
     }
     if (state.holders.count(committed.packets) > 0)
@@ -166,7 +166,7 @@
     const member_phase phase = committed.phase == member_phase::draining ? member_phase::draining
                                                                          : member_phase::serving;
     replaceLease(state,
-                 lease {committed.withPhase(phase), heardAt, heardAt, 0,
+                 lease {committed.withPhase(phase), lastHeard, lastHeard, 0,
                         rampStart(state, committed.share, now), false});
 }
 
@@ -176,11 +176,11 @@
     if (held == state.leases.end())
         return;
     const bool spoken
-        = held->second.announced && now - held->second.heardAt <= state.policy->suspectAfter;
+        = held->second.announced && now - held->second.lastHeard <= state.policy->suspectAfter;
     if (spoken)
         state.pending.insert(node);
     else
-        endLease(state, node, held->second.member.life, now);
+        endLease(state, node, held->second.member.incarnation, now);
 }
 
 void restartLeases(membership_state &state, base::clock_time now)
--- a/lycheeshunt/membership/internal/lease_book.h
+++ b/lycheeshunt/membership/internal/lease_book.h
@@ -16,7 +16,8 @@
 void takeLeave(membership_state &state, const member_left &left, base::clock_time now);
 
 // After a restart or a change of leader the log is the first that is known of a member: its lease
-// starts now. A lease that the member itself has announced stays, unless it is of an earlier life.
+// starts now. A lease that the member itself has announced stays, unless it is of an earlier
+// incarnation.
 void startLease(membership_state &state, const member &committed, base::clock_time now);
 
 // The log says that the member is gone: its lease ends unless the member has spoken since.
--- a/lycheeshunt/membership/internal/lease_judgement.cpp
+++ b/lycheeshunt/membership/internal/lease_judgement.cpp
@@ -9,7 +9,7 @@
 bool isSuspect(const lease &held, const member *committed, const silence_census &census,
                const lease_policy &policy, base::clock_time now)
 {
-    const base::clock_time silence = now - held.heardAt;
+    const base::clock_time silence = now - held.lastHeard;
     if (silence > policy.suspectAfter) {
         const bool already = committed != nullptr && committed->phase == member_phase::suspected;
         return already || !census.isMostlyQuiet() || silence > policy.massSuspectAfter;
@@ -33,7 +33,7 @@
     const base::clock_time span = census.isMassSilence(held.member.availabilityZone)
         ? policy.massEvictAfter
         : policy.evictAfter;
-    if (now - held.heardAt > span)
+    if (now - held.lastHeard > span)
         return std::nullopt;
     const member grown = held.member.withShare(shareAt(held, policy, now));
     if (held.member.phase == member_phase::draining)
--- a/lycheeshunt/membership/internal/silence_census.cpp
+++ b/lycheeshunt/membership/internal/silence_census.cpp
@@ -12,7 +12,7 @@
 silence_census::silence_census(const membership_state &state, base::clock_time now)
 {
     for (auto it = state.leases.begin(); it != state.leases.end(); ++it) {
-        const bool quiet = now - it->second.heardAt > state.policy->quietAfter;
+        const bool quiet = now - it->second.lastHeard > state.policy->quietAfter;
         counts &zone = m_zones[it->second.member.availabilityZone];
         ++zone.total;
         ++m_all.total;
--- a/lycheeshunt/membership/lease.h
+++ b/lycheeshunt/membership/lease.h
@@ -9,7 +9,7 @@
 struct lease
 {
     const membership::member member;
-    const base::clock_time heardAt;
+    const base::clock_time lastHeard;
     // Start of the present spell of announcements without a lapse.
     const base::clock_time steadySince;
     // Lapses and restarts that are not yet forgiven.
--- a/lycheeshunt/membership/member.h
+++ b/lycheeshunt/membership/member.h
@@ -22,7 +22,7 @@
     const std::string availabilityZone;
     const member_role role = member_role::agent;
     const base::service_id service;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const base::endpoint packets;
     // Announced as serving or draining; control adds suspicion.
     const member_phase phase = member_phase::serving;
@@ -34,17 +34,19 @@
     base::node_id id() const { return base::nodeIdOf(name); }
     member withPhase(member_phase next) const
     {
-        return member {name, availabilityZone, role, service, life, packets, next, health, share};
+        return member {name, availabilityZone, role, service, incarnation, packets,
+                       next, health,           share};
     }
     member withShare(std::uint8_t next) const
     {
-        return member {name, availabilityZone, role, service, life, packets, phase, health, next};
+        return member {name,  availabilityZone, role, service, incarnation, packets,
+                       phase, health,           next};
     }
-    // What can't change within one life.
-    bool isSameLifeAs(const member &other) const
+    // What can't change within one incarnation.
+    bool isSameIncarnationAs(const member &other) const
     {
         return name == other.name && role == other.role && service == other.service
-            && life == other.life && packets == other.packets;
+            && incarnation == other.incarnation && packets == other.packets;
     }
 
     bool operator==(const member &) const = default;
--- a/lycheeshunt/membership/member_left.h
+++ b/lycheeshunt/membership/member_left.h
@@ -4,11 +4,11 @@
 
 namespace lycheeshunt::membership {
 
-// The last word of one life of a process: it has stopped serving and needs no suspicion.
+// The last word of one incarnation of a process: it has stopped serving and needs no suspicion.
 struct member_left
 {
     const base::node_id node;
-    const base::incarnation life;
+    const base::incarnation incarnation;
 
     bool operator==(const member_left &) const = default;
 };
--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -105,7 +105,7 @@
 operator_action askForView(operator_state &state, const http_arrived &arrived, request_kind kind)
 {
     state.waiting.emplace(arrived.request, pending_request {kind});
-    return dissemination::force_query {arrived.request, base::generation()};
+    return dissemination::in_force_query {arrived.request, base::generation()};
 }
 
 operator_action arrive(operator_state &state, const http_arrived &arrived)
@@ -137,17 +137,17 @@
                            refusalJson(*refusal)};
     const tickets::ticket_record &record = std::get<tickets::ticket_record>(answer.outcome);
     state.waiting.emplace(answer.request, pending_request {request_kind::ticket, wait, record});
-    return dissemination::force_query {answer.request, record.at, wait};
+    return dissemination::in_force_query {answer.request, record.at, wait};
 }
 
-std::string bodyFor(const pending_request &pending, const dissemination::force_answer &force)
+std::string bodyFor(const pending_request &pending, const dissemination::in_force_answer &force)
 {
     if (pending.record)
         return recordJson(*pending.record, force);
     return pending.kind == request_kind::servers ? serversJson(*force.view) : statusJson(force);
 }
 
-operator_action takeForce(operator_state &state, const dissemination::force_answer &force)
+operator_action takeForce(operator_state &state, const dissemination::in_force_answer &force)
 {
     const auto found = state.waiting.find(force.request);
     const std::string body
@@ -164,7 +164,7 @@
         base::overloaded {
             [&](const http_arrived &arrived) { return arrive(state, arrived); },
             [&](const tickets::ticket_answer &answer) { return takeOutcome(state, answer); },
-            [&](const dissemination::force_answer &force) { return takeForce(state, force); },
+            [&](const dissemination::in_force_answer &force) { return takeForce(state, force); },
         },
         message);
     return operator_step {std::move(state), {std::move(action)}};
--- a/lycheeshunt/operators/decision_test.cpp
+++ b/lycheeshunt/operators/decision_test.cpp
@@ -90,12 +90,12 @@
     const tickets::ticket ticket = std::get<tickets::submit_ticket>(submitted).ticket;
     const tickets::ticket_record record {ticket, base::generation(7), base::clock_time()};
     const operator_action asked = run(tickets::ticket_answer {base::request_id(1), record});
-    const operator_action expected = dissemination::force_query {
+    const operator_action expected = dissemination::in_force_query {
         base::request_id(1), base::generation(7), base::clock_time::ofMillis(2500)};
     CHECK(asked == expected);
     const dissemination::shared_view view = std::make_shared<const dissemination::cluster_view>(
         dissemination::cluster_view {base::generation(7)});
-    const operator_action answered = run(dissemination::force_answer {
+    const operator_action answered = run(dissemination::in_force_answer {
         base::request_id(1), base::generation(7), view, {"entry-1"}, 1});
     const http_reply &reply = std::get<http_reply>(answered);
     LONGS_EQUAL(200, reply.status);
--- a/lycheeshunt/operators/json.cpp
+++ b/lycheeshunt/operators/json.cpp
@@ -1,7 +1,7 @@
 #include "lycheeshunt/operators/json.h"
 
 #include "lycheeshunt/base/overloaded.h"
-#include "lycheeshunt/dissemination/force_answer.h"
+#include "lycheeshunt/dissemination/in_force_answer.h"
 #include "lycheeshunt/tickets/ticket_record.h"
 
 #include <cpprest/json.h>
@@ -123,7 +123,7 @@
 }
 
 // The lists are bounded; the counts are whole.
-void addLaggards(value &json, const dissemination::force_answer &force)
+void addLaggards(value &json, const dissemination::in_force_answer &force)
 {
     json["behind"] = namesJson(force.behind);
     json["behind_count"] = value::number(static_cast<std::uint64_t>(force.behindCount));
@@ -186,7 +186,7 @@
 }
 
 std::string recordJson(const tickets::ticket_record &record,
-                       const dissemination::force_answer &force)
+                       const dissemination::in_force_answer &force)
 {
     value json = value::object();
     json["number"] = value::number(record.ticket.number.value());
@@ -211,7 +211,7 @@
     return json.serialize();
 }
 
-std::string statusJson(const dissemination::force_answer &force)
+std::string statusJson(const dissemination::in_force_answer &force)
 {
     const dissemination::cluster_view &view = *force.view;
     std::vector<value> members;
--- a/lycheeshunt/operators/json.h
+++ b/lycheeshunt/operators/json.h
@@ -9,7 +9,7 @@
 
 namespace lycheeshunt::dissemination {
 struct cluster_view;
-struct force_answer;
+struct in_force_answer;
 } // namespace lycheeshunt::dissemination
 
 namespace lycheeshunt::tickets {
@@ -24,8 +24,8 @@
 
 std::string refusalJson(const tickets::ticket_refusal &refusal);
 std::string recordJson(const tickets::ticket_record &record,
-                       const dissemination::force_answer &force);
+                       const dissemination::in_force_answer &force);
 std::string serversJson(const dissemination::cluster_view &view);
-std::string statusJson(const dissemination::force_answer &force);
+std::string statusJson(const dissemination::in_force_answer &force);
 
 } // namespace lycheeshunt::operators
--- a/lycheeshunt/operators/operator_message.h
+++ b/lycheeshunt/operators/operator_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lycheeshunt/dissemination/force_answer.h"
-#include "lycheeshunt/dissemination/force_query.h"
+#include "lycheeshunt/dissemination/in_force_answer.h"
+#include "lycheeshunt/dissemination/in_force_query.h"
 #include "lycheeshunt/operators/http_arrived.h"
 #include "lycheeshunt/operators/http_reply.h"
 #include "lycheeshunt/tickets/show_ticket.h"
@@ -13,8 +13,8 @@
 namespace lycheeshunt::operators {
 
 using operator_message
-    = std::variant<http_arrived, tickets::ticket_answer, dissemination::force_answer>;
+    = std::variant<http_arrived, tickets::ticket_answer, dissemination::in_force_answer>;
 using operator_action = std::variant<tickets::submit_ticket, tickets::show_ticket,
-                                     dissemination::force_query, http_reply>;
+                                     dissemination::in_force_query, http_reply>;
 
 } // namespace lycheeshunt::operators
--- a/lycheeshunt/placement/codec.cpp
+++ b/lycheeshunt/placement/codec.cpp
@@ -30,7 +30,7 @@
 {
     const admission::slot_counts &slots = report.load.slots;
     return base::packFields(
-        report_fields(version, report.node.value(), report.life.value(), report.sequence,
+        report_fields(version, report.node.value(), report.incarnation.value(), report.sequence,
                       slot_fields(slots.allowed, slots.busy, slots.longBusy, slots.queued),
                       report.load.flows, report.load.hintedBusy, flagsOf(report.load)));
 }
@@ -40,11 +40,12 @@
     const base::result<report_fields> fields = base::unpackFields<report_fields>(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[found, node, life, sequence, slots, flows, hinted, flags] = base::valueOf(fields);
+    const auto &[found, node, incarnation, sequence, slots, flows, hinted, flags]
+        = base::valueOf(fields);
     if (found != version)
         return base::error {base::error_code::messageVersion, "load report"};
     const auto &[allowed, busy, longBusy, queued] = slots;
-    return load_report {base::node_id(node), base::incarnation(life), sequence,
+    return load_report {base::node_id(node), base::incarnation(incarnation), sequence,
                         server_load {admission::slot_counts {allowed, busy, longBusy, queued,
                                                              (flags & drainingFlag) != 0,
                                                              (flags & acceptingFlag) != 0},
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -49,7 +49,7 @@
                       const averages &mean, base::clock_time now)
 {
     const bool sameZone = known.zone == state.self->zone;
-    if (!known.report || now - known.heardAt >= state.rules->suspectAfter)
+    if (!known.report || now - known.lastHeard >= state.rules->suspectAfter)
         return candidate {node, mean.cost, mean.flows, sameZone, false};
     const server_load &load = known.report->load;
     return candidate {node, costOf(load, known.passedSince),
@@ -58,7 +58,7 @@
 
 bool isFresh(const placement_state &state, const known_peer &known, base::clock_time now)
 {
-    return known.report && now - known.heardAt < state.rules->suspectAfter;
+    return known.report && now - known.lastHeard < state.rules->suspectAfter;
 }
 
 averages averagesOf(const placement_state &state, base::clock_time now)
@@ -79,7 +79,7 @@
 bool isCandidate(const placement_state &state, const known_peer &known, base::clock_time now)
 {
     const base::clock_time evictAfter = state.rules->evictAfter;
-    if (evictAfter > base::clock_time() && now - known.heardAt >= evictAfter)
+    if (evictAfter > base::clock_time() && now - known.lastHeard >= evictAfter)
         return false;
     return !known.report || canTake(known.report->load);
 }
@@ -146,20 +146,21 @@
     ++state.peers[to].passedSince;
     std::vector<base::node_id> tried = offer.tried;
     tried.push_back(state.self->node);
-    const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
+    const load_report own {state.self->node, state.self->incarnation, ++state.sequence,
+                           *state.ownLoad};
     actions.emplace_back(pass_flow {to, flow_offered {offer.id, std::move(tried), own}});
 }
 
 void learn(placement_state &state, const load_report &report, base::clock_time now)
 {
     const auto found = state.peers.find(report.node);
-    if (found == state.peers.end() || found->second.life != report.life)
+    if (found == state.peers.end() || found->second.incarnation != report.incarnation)
         return;
     known_peer &known = found->second;
     if (known.report && known.report->sequence >= report.sequence)
         return;
     known.report = std::make_shared<const load_report>(report);
-    known.heardAt = now;
+    known.lastHeard = now;
     known.passedSince = 0;
     known.askedSince = 0;
 }
@@ -237,8 +238,9 @@
         if (it == self || !isNeighbour(state, own, position, ordered.size()))
             continue;
         const auto old = state.peers.find(it->first);
-        const bool same = old != state.peers.end() && old->second.life == it->second->life;
-        known_peer known = same ? old->second : known_peer {it->second->life};
+        const bool same
+            = old != state.peers.end() && old->second.incarnation == it->second->incarnation;
+        known_peer known = same ? old->second : known_peer {it->second->incarnation};
         known.zone = it->second->zone;
         next.emplace(it->first, std::move(known));
     }
@@ -280,7 +282,8 @@
     state.budgetBytes -= roundBytes(state);
     state.sentLoad = state.ownLoad;
     state.sentAt = now;
-    const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
+    const load_report own {state.self->node, state.self->incarnation, ++state.sequence,
+                           *state.ownLoad};
     for (auto it = state.peers.begin(); it != state.peers.end(); ++it)
         actions.emplace_back(send_report {it->first, own});
 }
--- a/lycheeshunt/placement/decision_test.cpp
+++ b/lycheeshunt/placement/decision_test.cpp
@@ -226,7 +226,7 @@
     LONGS_EQUAL(2, placed(3));
 }
 
-TEST(placement, reportOfAnotherLifeOrOutOfOrderIsIgnored)
+TEST(placement, reportOfAnotherIncarnationOrOutOfOrderIsIgnored)
 {
     apply(own_load_changed {loadOf(4)}, 0);
     hear(2, loadOf(5), 0);
--- a/lycheeshunt/placement/load_report.h
+++ b/lycheeshunt/placement/load_report.h
@@ -5,11 +5,11 @@
 
 namespace lycheeshunt::placement {
 
-// The load of one agent, as it counts it itself. The sequence grows within a life.
+// The load of one agent, as it counts it itself. The sequence grows within an incarnation.
 struct load_report
 {
     const base::node_id node;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const std::uint64_t sequence = 0;
     const server_load load = {};
 
--- a/lycheeshunt/placement/peer.h
+++ b/lycheeshunt/placement/peer.h
@@ -9,7 +9,7 @@
 struct peer
 {
     const base::node_id node;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const std::string zone = {};
 
     bool operator==(const peer &) const = default;
--- a/lycheeshunt/replication/group_test.h
+++ b/lycheeshunt/replication/group_test.h
@@ -25,7 +25,7 @@
         std::unique_ptr<replica_storage> storage;
         replica_state state;
         bool isUp = false;
-        // What its duties were handed, by index, in this life.
+        // What its duties were handed, by index, in this incarnation.
         std::map<std::uint64_t, log_entry> applied;
         std::vector<replica_action> notices;
         std::uint64_t greatestTerm = 0;
--- a/lycheeshunt/replication/internal/election.cpp
+++ b/lycheeshunt/replication/internal/election.cpp
@@ -44,7 +44,7 @@
     for (const configuration_member &member : state.members().members) {
         const auto found = state.presences.find(member.id().node);
         const bool isHeard = found != state.presences.end()
-            && state.now - found->second.heardAt < state.settings->timing.presenceValid;
+            && state.now - found->second.lastHeard < state.settings->timing.presenceValid;
         heard += member.isVoter && member.id() != state.id() && isHeard ? 1 : 0;
     }
     return state.members().isQuorum(heard);
--- a/lycheeshunt/replication/peer_presence.h
+++ b/lycheeshunt/replication/peer_presence.h
@@ -14,7 +14,7 @@
     const storage_id storage;
     const bool isFormed = false;
     const base::endpoint api = {};
-    const base::clock_time heardAt;
+    const base::clock_time lastHeard;
     const std::string name = {};
     const base::endpoint streams = {};
 
--- a/lycheeshunt/routing/codec.cpp
+++ b/lycheeshunt/routing/codec.cpp
@@ -20,7 +20,7 @@
 std::string encodeProbe(const probe_datagram &datagram)
 {
     return base::packFields(probe_fields(wireVersion, static_cast<std::uint8_t>(datagram.kind),
-                                         datagram.life.value(), datagram.number));
+                                         datagram.incarnation.value(), datagram.number));
 }
 
 base::result<probe_datagram> decodeProbe(std::string_view bytes)
@@ -30,13 +30,13 @@
     const base::result<probe_fields> fields = base::unpackFields<probe_fields>(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[version, kind, life, number] = base::valueOf(fields);
+    const auto &[version, kind, incarnation, number] = base::valueOf(fields);
     if (version != wireVersion)
         return base::error {base::error_code::messageVersion, "probe"};
     if (kind != static_cast<std::uint8_t>(probe_kind::probe)
         && kind != static_cast<std::uint8_t>(probe_kind::echo))
         return base::error {base::error_code::messageMalformed, "kind of probe"};
-    return probe_datagram {static_cast<probe_kind>(kind), base::incarnation(life), number};
+    return probe_datagram {static_cast<probe_kind>(kind), base::incarnation(incarnation), number};
 }
 
 bool looksLikeProbe(std::string_view bytes)
@@ -44,13 +44,13 @@
     return bytes.size() <= maxProbeBytes && !bytes.empty() && bytes.front() == arrayOfFour;
 }
 
-std::optional<std::string> echoOf(std::string_view bytes, base::incarnation life)
+std::optional<std::string> echoOf(std::string_view bytes, base::incarnation incarnation)
 {
     const base::result<probe_datagram> decoded = decodeProbe(bytes);
     const probe_datagram *asked = std::get_if<probe_datagram>(&decoded);
-    if (asked == nullptr || asked->kind != probe_kind::probe || asked->life != life)
+    if (asked == nullptr || asked->kind != probe_kind::probe || asked->incarnation != incarnation)
         return std::nullopt;
-    return encodeProbe(probe_datagram {probe_kind::echo, life, asked->number});
+    return encodeProbe(probe_datagram {probe_kind::echo, incarnation, asked->number});
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/codec.h
+++ b/lycheeshunt/routing/codec.h
@@ -17,8 +17,8 @@
 // Whether the bytes begin as a probe or an echo does; costs two comparisons.
 bool looksLikeProbe(std::string_view bytes);
 
-// What an agent of this life answers: nothing to a probe of another life, or to other bytes. The
-// answer is as long as the probe, so that it amplifies nothing.
-std::optional<std::string> echoOf(std::string_view bytes, base::incarnation life);
+// What an agent of this incarnation answers: nothing to a probe of another incarnation, or to other
+// bytes. The answer is as long as the probe, so that it amplifies nothing.
+std::optional<std::string> echoOf(std::string_view bytes, base::incarnation incarnation);
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -117,7 +117,8 @@
                    [&](const steer_to &to) {
                        m_hinted += to.stage == flows::packet_stage::toOwner ? 1 : 0;
                        const flows::packet_header header {
-                           to.way.service, to.way.to.life, to.way.at, to.stage, 0, m_hintsAt};
+                           to.way.service, to.way.to.incarnation, to.way.at, to.stage, 0,
+                           m_hintsAt};
                        packets.forward(index, header, to.way.to.packets);
                    },
                    [&](const refuse_caller &) {
@@ -233,7 +234,7 @@
                 packets::sendDatagram(
                     m_socket.get(), to.way.to.packets,
                     flows::encodePacket(flows::forwarded_packet {to.way.service,
-                                                                 to.way.to.life,
+                                                                 to.way.to.incarnation,
                                                                  to.way.at,
                                                                  to.stage,
                                                                  0,
--- a/lycheeshunt/routing/liveness_decision.cpp
+++ b/lycheeshunt/routing/liveness_decision.cpp
@@ -33,13 +33,14 @@
                            row.suspected || misses >= missesToSuspect};
 }
 
-// A new life starts without suspicion; a known one keeps what was seen of it.
+// A new incarnation starts without suspicion; a known one keeps what was seen of it.
 void takeAgents(liveness_state &state, const agents_changed &changed)
 {
     std::map<base::node_id, agent_liveness> next;
     for (const target &agent : changed.agents) {
         const auto known = state.agents.find(agent.node);
-        const bool same = known != state.agents.end() && known->second.agent.life == agent.life
+        const bool same = known != state.agents.end()
+            && known->second.agent.incarnation == agent.incarnation
             && known->second.agent.packets == agent.packets;
         next.emplace(agent.node, same ? known->second : agent_liveness {agent, {}});
     }
@@ -50,7 +51,8 @@
 {
     for (agent_row it = state.agents.begin(); it != state.agents.end(); ++it) {
         const agent_liveness row = it->second;
-        if (!row.waiting || row.number != answer.number || row.agent.life != answer.life)
+        if (!row.waiting || row.number != answer.number
+            || row.agent.incarnation != answer.incarnation)
             continue;
         const std::uint32_t answers = row.answers + 1;
         replace(state,
--- a/lycheeshunt/routing/liveness_port.cpp
+++ b/lycheeshunt/routing/liveness_port.cpp
@@ -71,7 +71,7 @@
         const base::result<probe_datagram> decoded = decodeProbe(*bytes);
         const probe_datagram *datagram = std::get_if<probe_datagram>(&decoded);
         if (datagram != nullptr && datagram->kind == probe_kind::echo)
-            handle(probe_answered {datagram->life, datagram->number});
+            handle(probe_answered {datagram->incarnation, datagram->number});
     }
 }
 
@@ -102,17 +102,17 @@
 
 void liveness_port::carryOut(const liveness_action &action)
 {
-    std::visit(base::overloaded {
-                   [this](const send_probe &send) {
-                       const probe_datagram datagram {probe_kind::probe, send.to.life, send.number};
-                       packets::sendDatagram(m_socket.get(), send.to.packets,
-                                             encodeProbe(datagram));
-                   },
-                   [this](const set_bypass &set) {
-                       m_sink(std::make_shared<const bypassed_agents>(set.agents));
-                   },
-               },
-               action);
+    std::visit(
+        base::overloaded {
+            [this](const send_probe &send) {
+                const probe_datagram datagram {probe_kind::probe, send.to.incarnation, send.number};
+                packets::sendDatagram(m_socket.get(), send.to.packets, encodeProbe(datagram));
+            },
+            [this](const set_bypass &set) {
+                m_sink(std::make_shared<const bypassed_agents>(set.agents));
+            },
+        },
+        action);
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/liveness_test.cpp
+++ b/lycheeshunt/routing/liveness_test.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-target agent(char name, std::uint64_t life = 1)
+target agent(char name, std::uint64_t incarnation = 1)
 {
-    return target {base::nodeIdOf(std::string(1, name)), base::incarnation(life),
+    return target {base::nodeIdOf(std::string(1, name)), base::incarnation(incarnation),
                    base::endpoint {0x7f000001, static_cast<std::uint16_t>(name)}};
 }
 
@@ -24,11 +24,11 @@
 public:
     explicit entry(const std::string &names) { show(names); }
 
-    void show(const std::string &names, std::uint64_t life = 1)
+    void show(const std::string &names, std::uint64_t incarnation = 1)
     {
         std::vector<target> agents;
         for (const char name : names)
-            agents.push_back(agent(name, life));
+            agents.push_back(agent(name, incarnation));
         take(agents_changed {agents});
     }
 
@@ -45,7 +45,7 @@
         m_probes += probes.size();
         for (const send_probe &sent : probes) {
             if (m_silent.count(sent.to.node) == 0)
-                take(probe_answered {sent.to.life, sent.number});
+                take(probe_answered {sent.to.incarnation, sent.number});
         }
     }
 
@@ -112,7 +112,7 @@
     }
 }
 
-TEST(liveness, anUnreachableAgentIsBypassedAtOnceAndItsNextLifeIsNot)
+TEST(liveness, anUnreachableAgentIsBypassedAtOnceAndItsNextIncarnationIsNot)
 {
     entry one("abcd");
     one.take(agent_unreachable {agent('b').packets});
@@ -145,17 +145,17 @@
     LONGS_EQUAL(100 * probesPerTick, one.probes());
 }
 
-TEST(liveness, onlyTheLifeThatWasAskedAnswers)
+TEST(liveness, onlyTheIncarnationThatWasAskedAnswers)
 {
-    const base::incarnation life(1'700'000'000'000);
-    const std::string probe = encodeProbe(probe_datagram {probe_kind::probe, life, 7});
+    const base::incarnation incarnation(1'700'000'000'000);
+    const std::string probe = encodeProbe(probe_datagram {probe_kind::probe, incarnation, 7});
     CHECK(looksLikeProbe(probe));
-    const std::optional<std::string> echo = echoOf(probe, life);
+    const std::optional<std::string> echo = echoOf(probe, incarnation);
     CHECK(echo.has_value());
     LONGS_EQUAL(probe.size(), echo->size());
     const base::result<probe_datagram> decoded = decodeProbe(*echo);
-    CHECK(base::valueOf(decoded) == (probe_datagram {probe_kind::echo, life, 7}));
+    CHECK(base::valueOf(decoded) == (probe_datagram {probe_kind::echo, incarnation, 7}));
     CHECK_FALSE(echoOf(probe, base::incarnation(2)).has_value());
-    CHECK_FALSE(echoOf(*echo, life).has_value());
-    CHECK_FALSE(echoOf("", life).has_value());
+    CHECK_FALSE(echoOf(*echo, incarnation).has_value());
+    CHECK_FALSE(echoOf("", incarnation).has_value());
 }
--- a/lycheeshunt/routing/ports_test.cpp
+++ b/lycheeshunt/routing/ports_test.cpp
@@ -86,7 +86,7 @@
         const flows::forwarded_packet &packet
             = std::get<flows::forwarded_packet>(base::valueOf(decoded));
         CHECK(packet.service == base::serviceIdOf("logbook"));
-        CHECK(packet.life == base::incarnation(7));
+        CHECK(packet.incarnation == base::incarnation(7));
         CHECK(packet.at == base::generation(2));
         CHECK(packet.bytes.view() == good);
         // Packets of one sender keep their order, so the bad ones are counted by now.
@@ -129,7 +129,7 @@
     LONGS_EQUAL(1, (*bypass)->count(dead.node));
 }
 
-TEST(ports, anAgentAnswersProbesOfItsOwnLife)
+TEST(ports, anAgentAnswersProbesOfItsOwnIncarnation)
 {
     const flows::agent_sockets sockets {closedAddress(), closedAddress(), closedAddress(),
                                         closedAddress()};
@@ -137,8 +137,9 @@
     const std::unique_ptr<flows::agent_port> port = base::takeValue(
         flows::agent_port::open(sockets, packets::ipPackets(), base::incarnation(7), inbox));
     const base::file_descriptor entry = openSocket();
-    for (const std::uint64_t life : {6U, 8U, 7U}) {
-        const probe_datagram probe {probe_kind::probe, base::incarnation(life), life + 100};
+    for (const std::uint64_t incarnation : {6U, 8U, 7U}) {
+        const probe_datagram probe {probe_kind::probe, base::incarnation(incarnation),
+                                    incarnation + 100};
         packets::sendDatagram(entry.get(), sockets.packets, encodeProbe(probe));
     }
     const base::result<probe_datagram> echo = decodeProbe(receive(entry));
--- a/lycheeshunt/routing/probe_answered.h
+++ b/lycheeshunt/routing/probe_answered.h
@@ -7,7 +7,7 @@
 // An echo has come.
 struct probe_answered
 {
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const std::uint64_t number = 0;
 
     bool operator==(const probe_answered &) const = default;
--- a/lycheeshunt/routing/probe_datagram.h
+++ b/lycheeshunt/routing/probe_datagram.h
@@ -6,11 +6,11 @@
 
 enum class probe_kind : std::uint8_t { probe = 64, echo = 65 };
 
-// An entry asks one life of an agent for a sign of life, or the agent gives it.
+// An entry asks one incarnation of an agent for a sign of life, or the agent gives it.
 struct probe_datagram
 {
     const probe_kind kind = probe_kind::probe;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const std::uint64_t number = 0;
 
     bool operator==(const probe_datagram &) const = default;
--- a/lycheeshunt/routing/routing_faults_test.cpp
+++ b/lycheeshunt/routing/routing_faults_test.cpp
@@ -19,13 +19,13 @@
 
 member agent(const std::string &name, member_phase phase = member_phase::serving,
              member_health health = member_health::good, const char *service = "logbook",
-             std::uint64_t life = 1)
+             std::uint64_t incarnation = 1)
 {
     return member {name,
                    "z1",
                    membership::member_role::agent,
                    base::serviceIdOf(service),
-                   base::incarnation(life),
+                   base::incarnation(incarnation),
                    base::endpoint {0x7f000001, static_cast<std::uint16_t>(name.back())},
                    phase,
                    health};
@@ -135,7 +135,7 @@
               == base::nodeIdOf("b"));
         const target inspect = std::get<route>(after.routeOf(flow(i, inspectAddress))).to;
         CHECK(inspect.node != base::nodeIdOf("b"));
-        CHECK(inspect.node != base::nodeIdOf("a") || inspect.life == base::incarnation(2));
+        CHECK(inspect.node != base::nodeIdOf("a") || inspect.incarnation == base::incarnation(2));
     }
 }
 
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -17,13 +17,14 @@
 // A server that starts together with its agent is not further than this in its announcements.
 constexpr std::uint64_t earlySequence = 3;
 
-// A late announcement of an earlier life must not undo what a later one said. The clocks of two
-// lives may disagree, so one that goes on while the other is silent is believed in the end.
+// A late announcement of an earlier incarnation must not undo what a later one said. The clocks of
+// two incarnations may disagree, so one that goes on while the other is silent is believed in the
+// end.
 bool isLate(const servers_state &state, const server_announcement &said, base::clock_time now)
 {
-    if (!state.current || now - state.heardAt >= silentAfter)
+    if (!state.current || now - state.lastHeard >= silentAfter)
         return false;
-    if (said.isSameLifeAs(*state.current))
+    if (said.isSameIncarnationAs(*state.current))
         return said.sequence < state.current->sequence;
     return said.born < state.current->born;
 }
@@ -33,8 +34,8 @@
     if (!state.current)
         return;
     const server_standing standing {
-        state.current->service, state.life,    !state.isOver && !state.isStopping,
-        state.current->slots,   state.isOlder, state.hasLeft};
+        state.current->service, state.incarnation, !state.isOver && !state.isStopping,
+        state.current->slots,   state.isOlder,     state.hasLeft};
     if (state.told && *state.told == standing)
         return;
     state.told = std::make_shared<const server_standing>(standing);
@@ -48,29 +49,31 @@
     state.isRecalled = false;
     state.isOver = false;
     if (!isFirst)
-        state.life = base::incarnation(state.life.value() + 1);
+        state.incarnation = base::incarnation(state.incarnation.value() + 1);
 }
 
 void announce(servers_state &state, const server_announced &message, base::clock_time now,
               action_list &actions)
 {
     const server_announcement &said = message.announcement;
-    const bool contradicts = state.current && said.isSameLifeAs(*state.current)
+    const bool contradicts = state.current && said.isSameIncarnationAs(*state.current)
         && said.service != state.current->service;
     if (!contradicts && !isLate(state, said, now)) {
-        const bool isOtherLife = !state.current || !said.isSameLifeAs(*state.current);
-        // One that was only silent is another life too: a life that has drained never serves again.
+        const bool isOtherLife = !state.current || !said.isSameIncarnationAs(*state.current);
+        // One that was only silent is another incarnation too: an incarnation that has drained
+        // never serves again.
         const bool isBack
             = !isOtherLife && state.isOver && !said.isDraining && !state.current->isDraining;
         if (isOtherLife || isBack)
             startLife(state, said);
         const bool drains = said.isDraining
-            || (state.current && state.current->isSameLifeAs(said) && state.current->isDraining);
+            || (state.current && state.current->isSameIncarnationAs(said)
+                && state.current->isDraining);
         state.current = std::make_shared<const server_announcement>(server_announcement {
             said.identity, said.born, said.sequence, said.service, drains, said.slots});
         state.isOver = state.isOver || drains;
         state.hasLeft = false;
-        state.heardAt = now;
+        state.lastHeard = now;
         tell(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
@@ -93,11 +96,12 @@
 {
     if (state.current || state.told || state.isStopping)
         return;
-    state.life = std::max(state.life, base::incarnation(message.life.value() + 1));
+    state.incarnation
+        = std::max(state.incarnation, base::incarnation(message.incarnation.value() + 1));
     state.recalledAt = now;
     state.isRecalled = true;
     state.told = std::make_shared<const server_standing>(
-        server_standing {message.service, state.life, true, message.slots, true});
+        server_standing {message.service, state.incarnation, true, message.slots, true});
     actions.emplace_back(*state.told);
 }
 
@@ -105,8 +109,8 @@
 void forgetRecalled(servers_state &state, action_list &actions)
 {
     state.isRecalled = false;
-    state.told = std::make_shared<const server_standing>(
-        server_standing {state.told->service, state.told->life, false, state.told->slots, true});
+    state.told = std::make_shared<const server_standing>(server_standing {
+        state.told->service, state.told->incarnation, false, state.told->slots, true});
     actions.emplace_back(*state.told);
 }
 
@@ -114,7 +118,7 @@
 {
     if (state.isRecalled && now - state.recalledAt >= recalledFor)
         forgetRecalled(state, actions);
-    if (!state.current || now - state.heardAt < silentAfter)
+    if (!state.current || now - state.lastHeard < silentAfter)
         return;
     state.isOver = true;
     tell(state, actions);
@@ -130,8 +134,8 @@
                    [&](const server_announced &m) { announce(state, m, now, actions); },
                    [&](const server_left &m) { leave(state, m, actions); },
                    [&](const server_recalled &m) { recall(state, m, now, actions); },
-                   [&](const life_taken &taken) {
-                       state.life = std::max(state.life, taken.life);
+                   [&](const incarnation_changed &taken) {
+                       state.incarnation = std::max(state.incarnation, taken.incarnation);
                        tell(state, actions);
                    },
                    [&](const agent_stopping &) {
--- a/lycheeshunt/servers/decision_test.cpp
+++ b/lycheeshunt/servers/decision_test.cpp
@@ -1,4 +1,4 @@
-// A backend server's announcements: late, repeated, contradictory, from an earlier life.
+// A backend server's announcements: late, repeated, contradictory, from an earlier incarnation.
 
 #include "lycheeshunt/servers/decision.h"
 
@@ -31,7 +31,7 @@
 
     void setup() override
     {
-        state.life = base::incarnation(100);
+        state.incarnation = base::incarnation(100);
     }
 
     void give(const server_message &message, std::int64_t now)
@@ -60,7 +60,7 @@
     CHECK(actions.empty());
     announce(said("i-1", 5, 1), 10'100);
     CHECK(isAccepting());
-    CHECK_EQUAL(100U, state.told->life.value());
+    CHECK_EQUAL(100U, state.told->incarnation.value());
     CHECK_EQUAL(slots, state.told->slots);
 }
 
@@ -76,14 +76,14 @@
     CHECK_FALSE(isAccepting());
 }
 
-TEST(servers, aLateAnnouncementOfAnEarlierLifeIsNoServerToUse)
+TEST(servers, aLateAnnouncementOfAnEarlierIncarnationIsNoServerToUse)
 {
     announce(said("i-1", 5, 9), 0);
     announce(said("i-2", 50, 1, false, "inspect"), 1000);
-    CHECK_EQUAL(101U, state.told->life.value());
+    CHECK_EQUAL(101U, state.told->incarnation.value());
     announce(said("i-1", 5, 10), 1100);
     STRCMP_EQUAL("inspect", state.told->service.c_str());
-    CHECK_EQUAL(101U, state.told->life.value());
+    CHECK_EQUAL(101U, state.told->incarnation.value());
 }
 
 TEST(servers, aServerBornAgainUnderItsIdentityStartsItsCountsAnew)
@@ -91,16 +91,16 @@
     announce(said("i-1", 5, 40, true), 0);
     announce(said("i-1", 60, 1), 1000);
     CHECK(isAccepting());
-    CHECK_EQUAL(101U, state.told->life.value());
+    CHECK_EQUAL(101U, state.told->incarnation.value());
 }
 
-TEST(servers, aLifeWhoseClockWasSetBackIsBelievedOnceTheOtherIsSilent)
+TEST(servers, aIncarnationWhoseClockWasSetBackIsBelievedOnceTheOtherIsSilent)
 {
     announce(said("i-1", 5000, 3), 0);
     announce(said("i-2", 2600, 1), 1000);
-    CHECK_EQUAL(100U, state.told->life.value());
+    CHECK_EQUAL(100U, state.told->incarnation.value());
     announce(said("i-2", 2600, 4), 4600);
-    CHECK_EQUAL(101U, state.told->life.value());
+    CHECK_EQUAL(101U, state.told->incarnation.value());
 }
 
 TEST(servers, aSilentServerGetsNoNewFlowsUntilItSpeaksAgain)
@@ -112,18 +112,18 @@
     CHECK_FALSE(isAccepting());
     announce(said("i-1", 5, 5), 6000);
     CHECK(isAccepting());
-    // The life that drained in the eyes of the others never serves again.
-    CHECK_EQUAL(101U, state.told->life.value());
+    // The incarnation that drained in the eyes of the others never serves again.
+    CHECK_EQUAL(101U, state.told->incarnation.value());
 }
 
-TEST(servers, oneLifeHasOneService)
+TEST(servers, oneIncarnationHasOneService)
 {
     announce(said("i-1", 5, 1), 0);
     announce(said("i-1", 5, 2, false, "nobody"), 100);
     STRCMP_EQUAL("logbook", state.told->service.c_str());
 }
 
-TEST(servers, aFarewellEndsTheLifeThatItNames)
+TEST(servers, aFarewellEndsTheIncarnationThatItNames)
 {
     announce(said("i-1", 5, 1), 0);
     give(server_left {base::request_id(2), "i-other"}, 10);
@@ -152,18 +152,18 @@
 TEST(servers, aLaterIncarnationThatTheViewKnewIsTaken)
 {
     announce(said("i-1", 5, 1), 0);
-    give(life_taken {base::incarnation(500)}, 10);
-    CHECK_EQUAL(500U, state.told->life.value());
+    give(incarnation_changed {base::incarnation(500)}, 10);
+    CHECK_EQUAL(500U, state.told->incarnation.value());
 }
 
 TEST(servers, whatTheViewSaidOfTheServerHoldsUntilItSpeaks)
 {
     give(server_recalled {"logbook", base::incarnation(300), slots}, 0);
     CHECK(isAccepting());
-    CHECK_EQUAL(301U, state.told->life.value());
+    CHECK_EQUAL(301U, state.told->incarnation.value());
     announce(said("i-1", 5, 90), 1000);
     CHECK(isAccepting());
-    CHECK_EQUAL(301U, state.told->life.value());
+    CHECK_EQUAL(301U, state.told->incarnation.value());
     CHECK(state.told->isOlder);
 }
 
@@ -181,10 +181,10 @@
     CHECK(isAccepting());
     give(servers_tick {}, 2600);
     CHECK_FALSE(isAccepting());
-    // What comes then is another life.
+    // What comes then is another incarnation.
     announce(said("i-2", 9000, 1), 4000);
     CHECK(isAccepting());
-    CHECK_EQUAL(302U, state.told->life.value());
+    CHECK_EQUAL(302U, state.told->incarnation.value());
 }
 
 TEST(servers, aServerThatHasSpokenIsNotRecalled)
@@ -195,7 +195,7 @@
 }
 
 // The agent of a server that has said that it ends has nothing to come back to.
-TEST(servers, aServerThatLeavesIsToldAsGoneUntilAnotherLifeBegins)
+TEST(servers, aServerThatLeavesIsToldAsGoneUntilAnotherIncarnationBegins)
 {
     announce(said("i1", 1000, 1), 1000);
     give(server_left {base::request_id(2), "i1"}, 2000);
--- a/lycheeshunt/servers/life_taken.h
+++ b/lycheeshunt/servers/incarnation_changed.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::servers {
 
 // The view knew a later incarnation of this agent than its clock gave.
-struct life_taken
+struct incarnation_changed
 {
-    const base::incarnation life;
+    const base::incarnation incarnation;
 
-    bool operator==(const life_taken &) const = default;
+    bool operator==(const incarnation_changed &) const = default;
 };
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/server_announcement.h
+++ b/lycheeshunt/servers/server_announcement.h
@@ -7,20 +7,20 @@
 
 namespace lycheeshunt::servers {
 
-// What a backend server says of itself. Each start of a server is a life of its own, told apart by
-// the identity and the instant of its start.
+// What a backend server says of itself. Each start of a server is an incarnation of its own, told
+// apart by the identity and the instant of its start.
 struct server_announcement
 {
     const std::string identity;
     const base::clock_time born;
-    // Grows within a life.
+    // Grows within an incarnation.
     const std::uint64_t sequence = 0;
     const std::string service;
     const bool isDraining = false;
     // Requests that it works on at once.
     const std::uint32_t slots = 0;
 
-    bool isSameLifeAs(const server_announcement &other) const
+    bool isSameIncarnationAs(const server_announcement &other) const
     {
         return identity == other.identity && born == other.born;
     }
--- a/lycheeshunt/servers/server_duty.cpp
+++ b/lycheeshunt/servers/server_duty.cpp
@@ -9,17 +9,17 @@
 constexpr std::size_t inboxCapacity = 256;
 constexpr base::clock_time tickEvery = base::clock_time::ofMillis(500);
 
-servers_state startingWith(base::incarnation life)
+servers_state startingWith(base::incarnation incarnation)
 {
     servers_state state;
-    state.life = life;
+    state.incarnation = incarnation;
     return state;
 }
 
 } // namespace
 
-server_duty::server_duty(base::incarnation life, action_sink sink)
-    : m_state(startingWith(life)), m_sink(std::move(sink)),
+server_duty::server_duty(base::incarnation incarnation, action_sink sink)
+    : m_state(startingWith(incarnation)), m_sink(std::move(sink)),
       m_duty(inboxCapacity, tickEvery, servers_tick {},
              [this](const server_message &message, base::clock_time now) { handle(message, now); })
 {
--- a/lycheeshunt/servers/server_recalled.h
+++ b/lycheeshunt/servers/server_recalled.h
@@ -7,12 +7,12 @@
 
 namespace lycheeshunt::servers {
 
-// The view says that an earlier life of this agent had a serving server beside it.
+// The view says that an earlier incarnation of this agent had a serving server beside it.
 struct server_recalled
 {
     const std::string service;
-    // Of that life.
-    const base::incarnation life;
+    // Of that incarnation.
+    const base::incarnation incarnation;
     const std::uint32_t slots = 0;
 
     bool operator==(const server_recalled &) const = default;
--- a/lycheeshunt/servers/server_standing.h
+++ b/lycheeshunt/servers/server_standing.h
@@ -11,8 +11,8 @@
 struct server_standing
 {
     const std::string service;
-    // Of the agent; greater for each life of the server.
-    const base::incarnation life;
+    // Of the agent; greater for each incarnation of the server.
+    const base::incarnation incarnation;
     const bool isAccepting = false;
     const std::uint32_t slots = 0;
     // The server was there before this process.
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -12,7 +12,7 @@
 {
     // Null before the first announcement.
     std::shared_ptr<const server_announcement> current;
-    base::clock_time heardAt;
+    base::clock_time lastHeard;
     // Draining, left, or silent for too long.
     bool isOver = false;
     bool isStopping = false;
@@ -22,7 +22,7 @@
     // What is told comes from the view; the server has not spoken yet.
     bool isRecalled = false;
     base::clock_time recalledAt;
-    base::incarnation life;
+    base::incarnation incarnation;
     // What was last told, to tell changes only.
     std::shared_ptr<const server_standing> told;
 };
--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -104,10 +104,10 @@
         answer(actions, message.request, state_accepted {});
 }
 
-void changeLeadership(states_state &state, const leadership_told &message, action_list &actions)
+void changeLeadership(states_state &state, const leadership_update &message, action_list &actions)
 {
     const bool ends = state.leadership->isLeader && !message.isLeader;
-    state.leadership = std::make_shared<const leadership_told>(message);
+    state.leadership = std::make_shared<const leadership_update>(message);
     if (!ends)
         return;
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
@@ -164,7 +164,7 @@
                    [&](const state_committed &m) { commit(state, m, actions); },
                    [&](const state_withdrawn &m) { withdraw(state, m, actions); },
                    [&](const read_settled &m) { settleRead(state, m, actions); },
-                   [&](const leadership_told &m) { changeLeadership(state, m, actions); },
+                   [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
     return {std::move(state), std::move(actions)};
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -40,7 +40,7 @@
 
     void setup() override
     {
-        give(leadership_told {true, leaderApi});
+        give(leadership_update {true, leaderApi});
     }
 
     void give(const state_message &message)
@@ -134,14 +134,14 @@
 
 TEST(states, aVmThatDoesNotLeadSendsOperatorsToTheOneThatDoes)
 {
-    give(leadership_told {false, leaderApi});
+    give(leadership_update {false, leaderApi});
     for (const state_message &message : {state_message(show_state {requestOf(1)}),
                                          state_message(submit_state {requestOf(1), stateOf(1)})}) {
         give(message);
         const state_outcome outcome = all<state_answer>().front().outcome;
         CHECK(std::get<ask_leader>(outcome).api == leaderApi);
     }
-    give(leadership_told {false, {}});
+    give(leadership_update {false, {}});
     give(show_state {requestOf(2)});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
 }
@@ -163,7 +163,7 @@
 {
     give(submit_state {requestOf(1), stateOf(5)});
     const propose_state proposed = all<propose_state>().front();
-    give(leadership_told {false, leaderApi});
+    give(leadership_update {false, leaderApi});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
     // It may be committed all the same; nobody waits for it any more.
     give(state_committed {proposed.state});
--- a/lycheeshunt/states/leadership_told.h
+++ b/lycheeshunt/states/leadership_update.h
@@ -5,13 +5,13 @@
 namespace lycheeshunt::states {
 
 // Who leads. A VM that does not lead sends operators to the one that does.
-struct leadership_told
+struct leadership_update
 {
     const bool isLeader = false;
     // Operators' address of the leader; port 0 while none is known.
     const base::endpoint leaderApi = {};
 
-    bool operator==(const leadership_told &) const = default;
+    bool operator==(const leadership_update &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_message.h
+++ b/lycheeshunt/states/state_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lycheeshunt/states/confirm_read.h"
-#include "lycheeshunt/states/leadership_told.h"
+#include "lycheeshunt/states/leadership_update.h"
 #include "lycheeshunt/states/propose_state.h"
 #include "lycheeshunt/states/read_settled.h"
 #include "lycheeshunt/states/show_state.h"
@@ -15,7 +15,7 @@
 namespace lycheeshunt::states {
 
 using state_message = std::variant<submit_state, show_state, state_committed, state_withdrawn,
-                                   read_settled, leadership_told>;
+                                   read_settled, leadership_update>;
 using state_action = std::variant<propose_state, state_answer, confirm_read>;
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/states_state.h
+++ b/lycheeshunt/states/states_state.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lycheeshunt/states/leadership_told.h"
+#include "lycheeshunt/states/leadership_update.h"
 #include "lycheeshunt/states/pending_state.h"
 #include "lycheeshunt/states/show_state.h"
 
@@ -20,7 +20,8 @@
     std::map<std::uint64_t, pending_state> pending;
     std::map<base::request_id, awaited_read> reads;
     std::uint64_t lastToken = 0;
-    std::shared_ptr<const leadership_told> leadership = std::make_shared<const leadership_told>();
+    std::shared_ptr<const leadership_update> leadership
+        = std::make_shared<const leadership_update>();
 
     std::uint64_t currentVersion() const { return current ? current->version : 0; }
 };
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -209,7 +209,7 @@
     }
 }
 
-void changeLeadership(ticket_state &state, const leadership_told &message, action_list &actions)
+void changeLeadership(ticket_state &state, const leadership_update &message, action_list &actions)
 {
     state.refusal.clear();
     if (message.refusal)
@@ -235,7 +235,7 @@
                    [&](const other_committed &m) { actions.emplace_back(m); },
                    [&](const proposal_withdrawn &m) { withdraw(state, m, actions); },
                    [&](const read_settled &m) { settleRead(state, m, actions); },
-                   [&](const leadership_told &m) { changeLeadership(state, m, actions); },
+                   [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
     return ticket_step {std::move(state), std::move(actions)};
--- a/lycheeshunt/tickets/decision_test.cpp
+++ b/lycheeshunt/tickets/decision_test.cpp
@@ -32,7 +32,7 @@
     // This VM leads.
     void setup() override
     {
-        run(leadership_told {});
+        run(leadership_update {});
     }
 
     const ticket_refusal *refusalIn(const std::vector<ticket_action> &actions)
@@ -139,7 +139,7 @@
     const ticket wanted = ticketOf(1, "logbook");
     run(submit_ticket {base::request_id(1), wanted});
     run(submit_ticket {base::request_id(2), wanted});
-    const std::vector<ticket_action> answers = run(leadership_told {reason});
+    const std::vector<ticket_action> answers = run(leadership_update {reason});
     LONGS_EQUAL(2, answers.size());
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketOutcomeUnknown);
     CHECK(state.pending.empty());
@@ -156,8 +156,8 @@
     const base::error reason {base::error_code::notLeader, "the leader is control-2"};
     const ticket wanted = ticketOf(1, "logbook");
     run(submit_ticket {base::request_id(1), wanted});
-    run(leadership_told {reason});
-    run(leadership_told {});
+    run(leadership_update {reason});
+    run(leadership_update {});
     run(submit_ticket {base::request_id(2), wanted});
     CHECK(run(proposal_withdrawn {1, reason}).empty());
     LONGS_EQUAL(1, run(proposal_withdrawn {2, reason}).size());
--- a/lycheeshunt/tickets/leadership_told.h
+++ b/lycheeshunt/tickets/leadership_update.h
@@ -8,11 +8,11 @@
 
 // Whether this VM may propose tickets, and if not, what to tell operators. Proposals made before
 // an end of leadership may still be committed by the next leader, or be lost.
-struct leadership_told
+struct leadership_update
 {
     const std::optional<base::error> refusal = {};
 
-    bool operator==(const leadership_told &) const = default;
+    bool operator==(const leadership_update &) const = default;
 };
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/ticket_message.h
+++ b/lycheeshunt/tickets/ticket_message.h
@@ -2,7 +2,7 @@
 
 #include "lycheeshunt/tickets/apply_ticket.h"
 #include "lycheeshunt/tickets/confirm_read.h"
-#include "lycheeshunt/tickets/leadership_told.h"
+#include "lycheeshunt/tickets/leadership_update.h"
 #include "lycheeshunt/tickets/other_committed.h"
 #include "lycheeshunt/tickets/proposal_withdrawn.h"
 #include "lycheeshunt/tickets/propose_ticket.h"
@@ -17,7 +17,7 @@
 namespace lycheeshunt::tickets {
 
 using ticket_message = std::variant<submit_ticket, show_ticket, ticket_committed, other_committed,
-                                    proposal_withdrawn, read_settled, leadership_told>;
+                                    proposal_withdrawn, read_settled, leadership_update>;
 using ticket_action
     = std::variant<propose_ticket, ticket_answer, apply_ticket, other_committed, confirm_read>;
 
--- a/tools/measurements/crest/real_cluster.cpp
+++ b/tools/measurements/crest/real_cluster.cpp
@@ -139,10 +139,10 @@
                    },
                    [&](const requests::permit_start &permit) {
                        const std::size_t owner = indexOf(permit.owner);
-                       const std::uint32_t life = m_agents[owner].life;
+                       const std::uint32_t incarnation = m_agents[owner].incarnation;
                        const std::size_t work = workOf(permit.identity);
-                       m_events.after(hopMillis, [this, owner, life, work]() {
-                           if (m_agents[owner].life == life)
+                       m_events.after(hopMillis, [this, owner, incarnation, work]() {
+                           if (m_agents[owner].incarnation == incarnation)
                                take(owner, work);
                        });
                    },
@@ -279,9 +279,9 @@
     known.startedAt = m_events.now();
     if (known.lastToldNotRun && known.replies >= known.arrivals)
         known.falselyNotRun = true;
-    const std::uint32_t life = m_agents[index].life;
-    m_events.after(m_result.arrivals[work].service, [this, index, work, life]() {
-        if (m_agents[index].life == life)
+    const std::uint32_t incarnation = m_agents[index].incarnation;
+    m_events.after(m_result.arrivals[work].service, [this, index, work, incarnation]() {
+        if (m_agents[index].incarnation == incarnation)
             finish(index, work);
     });
 }
@@ -321,9 +321,9 @@
 
 void real_cluster::closeLater(std::size_t index, std::size_t work)
 {
-    const std::uint32_t life = m_agents[index].life;
-    m_events.after(m_result.arrivals[work].lingers, [this, index, life]() {
-        if (m_agents[index].life != life)
+    const std::uint32_t incarnation = m_agents[index].incarnation;
+    m_events.after(m_result.arrivals[work].lingers, [this, index, incarnation]() {
+        if (m_agents[index].incarnation != incarnation)
             return;
         --m_agents[index].flows;
         countLoad(index);
@@ -375,7 +375,7 @@
 void real_cluster::loseAgent(std::size_t index)
 {
     agent &each = m_agents[index];
-    ++each.life;
+    ++each.incarnation;
     each.flows = 0;
     each.slots = admission::admission_state(m_given.limits);
     admit(index, admission::server_restarted {});
--- a/tools/measurements/crest/real_cluster.h
+++ b/tools/measurements/crest/real_cluster.h
@@ -35,7 +35,7 @@
         // Who asked for the work that admission gives up.
         std::size_t wanting = 0;
         // Grows when the agent is lost, so that what it had under way ends for nobody.
-        std::uint32_t life = 0;
+        std::uint32_t incarnation = 0;
     };
 
     void schedule(std::size_t work);
--- a/tools/measurements/flows.cpp
+++ b/tools/measurements/flows.cpp
@@ -56,8 +56,8 @@
         tell(view_update {m_membership.view()});
         // Its peers have nothing to give back.
         for (std::uint16_t i = 1; i < 7; ++i)
-            tell(peer_message(
-                recovery_page {service(), peer(i).node, m_state->identity->life, {}, false}));
+            tell(peer_message(recovery_page {
+                service(), peer(i).node, m_state->identity->incarnation, {}, false}));
     }
 
     static base::service_id service() { return base::serviceIdOf("service"); }
@@ -65,7 +65,7 @@
     {
         const base::node_id node = base::nodeIdOf("agent-" + std::to_string(index));
         const membership::member &known = m_membership.view()->members.at(node);
-        return routing::target {node, known.life, known.packets};
+        return routing::target {node, known.incarnation, known.packets};
     }
 
     std::vector<flow_action> tell(const flow_message &message)
@@ -80,7 +80,7 @@
     void open(const base::flow_key &key)
     {
         const std::vector<flow_action> actions = tell(forwarded_packet {
-            service(), m_state->identity->life, base::generation(1), packet_stage::offer, 0,
+            service(), m_state->identity->incarnation, base::generation(1), packet_stage::offer, 0,
             packets::ip_summary {key, true}, base::packet_bytes()});
         for (const flow_action &action : actions)
             acknowledge(action);
@@ -96,7 +96,7 @@
 private:
     static flow_state identityOf(const membership::member &self)
     {
-        return flow_state(agent_identity {self.id(), self.service, self.life, self.packets});
+        return flow_state(agent_identity {self.id(), self.service, self.incarnation, self.packets});
     }
 
     void acknowledge(const flow_action &action)
@@ -109,7 +109,7 @@
         for (std::uint16_t i = 1; i < 7; ++i) {
             if (peer(i).packets == sent->to)
                 tell(peer_message(registration_ack {service(), peer(i).node, base::generation(1),
-                                                    batch->owner.life, batch->sequence}));
+                                                    batch->owner.incarnation, batch->sequence}));
         }
     }
 
