--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -59,7 +59,7 @@
     {
         const membership::member self = agentNamed("a1", 1);
         state = std::make_unique<flow_state>(
-            agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
+            agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true});
         std::map<base::node_id, membership::member> members;
         for (const membership::member &member : {self, agentNamed("a2", 2), agentNamed("a3", 3)})
             members.emplace(member.id(), member);
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -158,14 +158,15 @@
         return;
     const agent_identity &self = *state.identity;
     std::vector<placement::peer> peers {
-        placement::peer {self.node, self.life, self.availabilityZone}};
+        placement::peer {self.node, self.incarnation, self.availabilityZone}};
     for (auto it = state.view->members.begin(); it != state.view->members.end(); ++it) {
         const membership::member &member = it->second;
         const bool isPeer = targetOf(state, it->first) && !isSelf(state, it->first)
             && !state.view->isDraining(member)
             && member.phase != membership::member_phase::suspected;
         if (isPeer)
-            peers.push_back(placement::peer {it->first, member.life, member.availabilityZone});
+            peers.push_back(
+                placement::peer {it->first, member.incarnation, member.availabilityZone});
     }
     runPlacement(context, placement::peers_changed {std::move(peers)});
 }
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -286,7 +286,7 @@
     state.server.isOlder = changed.isOlder;
     if (isNewServer || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(
-            agent_identity {self.node, changed.service, changed.life, self.packets,
+            agent_identity {self.node, changed.service, changed.incarnation, self.packets,
                             self.availabilityZone, self.serverReturns});
         startPlacement(context);
     }
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -157,7 +157,7 @@
 void applyReport(placement_state &state, const load_report &report, base::clock_time now)
 {
     const auto found = state.peers.find(report.node);
-    if (found == state.peers.end() || found->second.life != report.life)
+    if (found == state.peers.end() || found->second.incarnation != report.incarnation)
         return;
     peer_state &peerState = found->second;
     if (peerState.report && peerState.report->sequence >= report.sequence)
@@ -291,7 +291,8 @@
     state.budgetBytes -= reportRoundBytes(state);
     state.sentLoad = state.ownLoad;
     state.sentAt = now;
-    const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
+    const load_report own {state.self->node, state.self->incarnation, ++state.sequence,
+                           *state.ownLoad};
     for (auto it = state.peers.begin(); it != state.peers.end(); ++it)
         actions.emplace_back(send_report {it->first, own});
 }
--- a/lycheeshunt/placement/load_report.h
+++ b/lycheeshunt/placement/load_report.h
@@ -9,7 +9,7 @@
 struct load_report
 {
     const base::node_id node;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const std::uint64_t sequence = 0;
     const server_load load = {};
 
--- a/lycheeshunt/placement/peer_state.h
+++ b/lycheeshunt/placement/peer_state.h
@@ -11,7 +11,7 @@
 // The last known load of another agent. State, not a message: it changes in place.
 struct peer_state
 {
-    base::incarnation life = {};
+    base::incarnation incarnation = {};
     std::string zone = {};
     std::shared_ptr<const load_report> report = {};
     base::clock_time heardAt = {};
