--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -149,7 +149,7 @@
         for (const std::string &name : names) {
             const membership::member member = agentNamed(name, name == "a2" ? 2 : 3);
             apply(peer_message(lookup_answer {
-                logbook, key, routing::target {member.id(), member.life, member.packets},
+                logbook, key, routing::target {member.id(), member.incarnation, member.packets},
                 base::generation(1), verdict, routing::target {}}));
         }
     }
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -146,7 +146,7 @@
     const agent_identity &self = *state.identity;
     if (!self.serverReturns)
         return;
-    state.placement.emplace(placement::peer {self.node, self.life, self.availabilityZone},
+    state.placement.emplace(placement::peer {self.node, self.incarnation, self.availabilityZone},
                             placementRules());
     updatePlacementPeers(context);
 }
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -155,16 +155,17 @@
     const bool wasAnswered = flow != nullptr && flow->progress.isAnswered;
     const bool isEnded = flow != nullptr && flow->phase == flow_phase::ended;
     const visit *delivery = state.visits.find(key);
-    const forwarded_packet before
-        = delivery != nullptr ? delivery->packet : forwarded_packet {state.identity->service,
-                                                                     state.identity->life,
-                                                                     currentGeneration(state),
-                                                                     packet_stage::toOwner,
-                                                                     0,
-                                                                     answer.summary,
-                                                                     answer.bytes};
-    const forwarded_packet packet {before.service, before.life,      before.at,    before.stage,
-                                   before.hops,    answer.summary,   answer.bytes, before.entry,
+    const forwarded_packet before = delivery != nullptr
+        ? delivery->packet
+        : forwarded_packet {state.identity->service,
+                            state.identity->incarnation,
+                            currentGeneration(state),
+                            packet_stage::toOwner,
+                            0,
+                            answer.summary,
+                            answer.bytes};
+    const forwarded_packet packet {before.service, before.incarnation, before.at,    before.stage,
+                                   before.hops,    answer.summary,     answer.bytes, before.entry,
                                    before.agents,  before.isDoubtful};
     state.visits.erase(key);
     if (flow != nullptr) {
@@ -280,7 +281,8 @@
 {
     flow_state &state = context.state;
     const agent_identity &self = *state.identity;
-    const bool isNewServer = self.service != changed.service || self.life != changed.life;
+    const bool isNewServer
+        = self.service != changed.service || self.incarnation != changed.incarnation;
     state.server.isAccepting = changed.isAccepting;
     state.server.slots = changed.slots;
     state.server.isOlder = changed.isOlder;
--- a/lycheeshunt/flows/returned_packets_test.cpp
+++ b/lycheeshunt/flows/returned_packets_test.cpp
@@ -243,7 +243,7 @@
 {
     const membership::member self = agentNamed("a1", 1);
     state = std::make_unique<flow_state>(
-        agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
+        agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true});
     std::size_t refused = 0;
     const std::uint16_t flows = base::early_packets<forwarded_packet>::maxPackets + 10;
     for (std::uint16_t port = 1; port <= flows; ++port) {
@@ -267,7 +267,7 @@
     const dissemination::shared_view view = state->view;
     const membership::member self = agentNamed("a1", 1);
     state = std::make_unique<flow_state>(
-        agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
+        agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true});
     setServer(true, true);
     const packets::ip_summary summary = summaryOf(77, false, 100);
     apply(packetFor(summary, packet_stage::toDirector));
@@ -285,7 +285,7 @@
     const dissemination::shared_view view = state->view;
     const membership::member self = agentNamed("a1", 1);
     state = std::make_unique<flow_state>(
-        agent_identity {self.id(), logbook, self.life, self.packets, "zone-1", true});
+        agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true});
     setServer(true, true);
     apply(packetFor(summaryOf(77, false, 100), packet_stage::toDirector));
     now += 5000;
--- a/lycheeshunt/flows/waiting_request.h
+++ b/lycheeshunt/flows/waiting_request.h
@@ -14,7 +14,7 @@
     const std::vector<forwarded_packet> packets;
     const base::clock_time since;
     // Time of the caller's last packet.
-    const base::clock_time heardAt;
+    const base::clock_time lastHeard;
 
     const base::flow_key &key() const { return packets.front().summary.key; }
 
--- a/lycheeshunt/flows/waiting_requests.cpp
+++ b/lycheeshunt/flows/waiting_requests.cpp
@@ -54,7 +54,7 @@
 {
     std::vector<waiting_request> abandoned;
     for (auto it = m_requests.begin(); it != m_requests.end(); ++it) {
-        if (now - it->second.heardAt > retransmitTimeout)
+        if (now - it->second.lastHeard > retransmitTimeout)
             abandoned.push_back(it->second);
     }
     for (const waiting_request &request : abandoned)
--- a/lycheeshunt/placement/codec.cpp
+++ b/lycheeshunt/placement/codec.cpp
@@ -40,7 +40,7 @@
     const base::result<report_fields> fields = base::unpackFields<report_fields>(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[foundVersion, node, life, sequence, slots, flows, hintedSlots, flags]
+    const auto &[foundVersion, node, incarnation, sequence, slots, flows, hintedSlots, flags]
         = base::valueOf(fields);
     if (foundVersion != version)
         return base::error {base::error_code::messageVersion, "load report"};
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -50,7 +50,7 @@
                         const peer_state &peerState, const averages &mean, base::clock_time now)
 {
     const bool sameZone = peerState.zone == state.self->zone;
-    if (!peerState.report || now - peerState.heardAt >= state.rules->suspectAfter)
+    if (!peerState.report || now - peerState.lastHeard >= state.rules->suspectAfter)
         return candidate {node, mean.cost, mean.flows, sameZone, false};
     const server_load &load = peerState.report->load;
     return candidate {node, costOf(load, peerState.forwardedSinceReport),
@@ -60,7 +60,7 @@
 
 bool isFresh(const placement_state &state, const peer_state &peerState, base::clock_time now)
 {
-    return peerState.report && now - peerState.heardAt < state.rules->suspectAfter;
+    return peerState.report && now - peerState.lastHeard < state.rules->suspectAfter;
 }
 
 averages averagesOf(const placement_state &state, base::clock_time now)
@@ -81,7 +81,7 @@
 bool isCandidate(const placement_state &state, const peer_state &peerState, base::clock_time now)
 {
     const base::clock_time evictAfter = state.rules->evictAfter;
-    if (evictAfter > base::clock_time() && now - peerState.heardAt >= evictAfter)
+    if (evictAfter > base::clock_time() && now - peerState.lastHeard >= evictAfter)
         return false;
     return !peerState.report || acceptsFlows(peerState.report->load);
 }
@@ -150,7 +150,8 @@
     ++state.peers[to].forwardedSinceReport;
     std::vector<base::node_id> tried = offer.tried;
     tried.push_back(state.self->node);
-    const load_report own {state.self->node, state.self->life, ++state.sequence, *state.ownLoad};
+    const load_report own {state.self->node, state.self->incarnation, ++state.sequence,
+                           *state.ownLoad};
     actions.emplace_back(forward_offer {to, flow_offered {offer.id, std::move(tried), own}});
 }
 
@@ -163,7 +164,7 @@
     if (peerState.report && peerState.report->sequence >= report.sequence)
         return;
     peerState.report = std::make_shared<const load_report>(report);
-    peerState.heardAt = now;
+    peerState.lastHeard = now;
     peerState.forwardedSinceReport = 0;
     peerState.requestedSinceReport = 0;
 }
@@ -245,9 +246,10 @@
         if (it == self || !isNeighbour(state, own, position, ordered.size()))
             continue;
         const auto previous = state.peers.find(it->first);
-        const bool isSameIncarnation
-            = previous != state.peers.end() && previous->second.life == it->second->life;
-        peer_state peerState = isSameIncarnation ? previous->second : peer_state {it->second->life};
+        const bool isSameIncarnation = previous != state.peers.end()
+            && previous->second.incarnation == it->second->incarnation;
+        peer_state peerState
+            = isSameIncarnation ? previous->second : peer_state {it->second->incarnation};
         peerState.zone = it->second->zone;
         next.emplace(it->first, std::move(peerState));
     }
--- a/lycheeshunt/placement/peer_state.h
+++ b/lycheeshunt/placement/peer_state.h
@@ -14,7 +14,7 @@
     base::incarnation incarnation = {};
     std::string zone = {};
     std::shared_ptr<const load_report> report = {};
-    base::clock_time heardAt = {};
+    base::clock_time lastHeard = {};
     // Offers that this agent has forwarded to the peer since the peer's last report.
     std::uint32_t forwardedSinceReport = 0;
     // Requests for work that this agent has sent to the peer since the peer's last report.
