Rename routing and server types to the terms of the field

The routing outcome without a route, the status of a backend server and the messages about a stopping or restored one had figurative names. Members and constants that share a word with another meaning were renamed use by use.

rename: unroutable no_route (the type only; entry_port::unroutable() stays) rename: server_standing server_status rename: server_left server_stopping rename: server_recalled server_restored rename: looksLikeProbe hasProbePrefix rename: memoryOf memoryBytesOf rename: standing.isOlder standing.startedBeforeAgent (server_status) rename: standing.hasLeft standing.isServerStopping (server_status) rename: said.born said.startedAt (server_announcement; the JSON key stays)

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -39,7 +39,7 @@
         process->m_servers = std::make_unique<servers::server_duty>(
             self.life, [raw, self, confirm](const servers::server_action &action) {
                 std::visit(base::overloaded {
-                               [&](const servers::server_standing &standing) {
+                               [&](const servers::server_status &standing) {
                                    raw->takeStanding(self, standing);
                                },
                                [&](const servers::confirm_announcement &announcement) {
@@ -72,20 +72,20 @@
         && !view.isDraining(known->second);
     m_isRecalled = true;
     if (wasServing)
-        m_servers->inbox().tryPush(servers::server_recalled {service, known->second.life,
+        m_servers->inbox().tryPush(servers::server_restored {service, known->second.life,
                                                              definition->second.limits.slots});
 }
 
 // What takes effect here at once is told to the others afterwards; until they know, this agent
 // refuses or passes on what they send.
 void agent_process::takeStanding(const membership::member &self,
-                                 const servers::server_standing &standing)
+                                 const servers::server_status &standing)
 {
     const base::service_id service = base::serviceIdOf(standing.service);
     m_isAccepting = standing.isAccepting;
     m_port->setLife(standing.life);
     m_flows->inbox().push(flows::server_changed {service, standing.life, standing.isAccepting,
-                                                 standing.slots, standing.isOlder});
+                                                 standing.slots, standing.startedBeforeAgent});
     const membership::member_phase phase = standing.isAccepting
         ? membership::member_phase::serving
         : membership::member_phase::draining;
@@ -93,12 +93,12 @@
         m_follower->changeSelf(dissemination::self_changed {
             membership::member {self.name, self.availabilityZone, self.role, service, standing.life,
                                 self.packets, phase},
-            !standing.hasLeft});
+            !standing.isServerStopping});
     base::logInfo("servers",
                   "server of " + standing.service
-                      + (standing.isAccepting   ? " serves"
-                             : standing.hasLeft ? " has left"
-                                                : " drains")
+                      + (standing.isAccepting            ? " serves"
+                             : standing.isServerStopping ? " has left"
+                                                         : " drains")
                       + ", incarnation " + std::to_string(standing.life.value()));
 }
 
--- a/lycheeshunt/daemon/agent_process.h
+++ b/lycheeshunt/daemon/agent_process.h
@@ -57,7 +57,7 @@
 
     void recallServer(const dissemination::cluster_view &view, const membership::member &self,
                       const std::string &service);
-    void takeStanding(const membership::member &self, const servers::server_standing &standing);
+    void takeStanding(const membership::member &self, const servers::server_status &standing);
 
     // Belongs to the follower's thread: only the first view tells of an earlier life.
     bool m_isRecalled = false;
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -74,7 +74,7 @@
             = packets::receiveDatagramFrom(m_peerSide.get());
         if (!received)
             return;
-        if (routing::looksLikeProbe(received->bytes)) {
+        if (routing::hasProbePrefix(received->bytes)) {
             answerProbe(*received);
             continue;
         }
--- a/lycheeshunt/routing/codec.cpp
+++ b/lycheeshunt/routing/codec.cpp
@@ -39,7 +39,7 @@
     return probe_datagram {static_cast<probe_kind>(kind), base::incarnation(life), number};
 }
 
-bool looksLikeProbe(std::string_view bytes)
+bool hasProbePrefix(std::string_view bytes)
 {
     return bytes.size() <= maxProbeBytes && !bytes.empty() && bytes.front() == arrayOfFour;
 }
--- a/lycheeshunt/routing/codec.h
+++ b/lycheeshunt/routing/codec.h
@@ -15,7 +15,7 @@
 base::result<probe_datagram> decodeProbe(std::string_view bytes);
 
 // Whether the bytes begin as a probe or an echo does; costs two comparisons.
-bool looksLikeProbe(std::string_view bytes);
+bool hasProbePrefix(std::string_view bytes);
 
 // What an agent of this life answers: nothing to a probe of another life, or to other bytes. The
 // answer is as long as the probe, so that it amplifies nothing.
--- a/lycheeshunt/routing/liveness_test.cpp
+++ b/lycheeshunt/routing/liveness_test.cpp
@@ -149,7 +149,7 @@
 {
     const base::incarnation life(1'700'000'000'000);
     const std::string probe = encodeProbe(probe_datagram {probe_kind::probe, life, 7});
-    CHECK(looksLikeProbe(probe));
+    CHECK(hasProbePrefix(probe));
     const std::optional<std::string> echo = echoOf(probe, life);
     CHECK(echo.has_value());
     LONGS_EQUAL(probe.size(), echo->size());
--- a/lycheeshunt/routing/unroutable.h
+++ b/lycheeshunt/routing/no_route.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::routing {
 
 // Nobody can take the packet, for this reason.
-struct unroutable
+struct no_route
 {
     const base::error_code reason;
 
-    bool operator==(const unroutable &) const = default;
+    bool operator==(const no_route &) const = default;
 };
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/routing_faults_test.cpp
+++ b/lycheeshunt/routing/routing_faults_test.cpp
@@ -178,8 +178,8 @@
 {
     const routing_table empty;
     CHECK(empty.routeOf(flow(1, logbookAddress))
-          == routing_outcome(unroutable {base::error_code::noSuchAddress}));
+          == routing_outcome(no_route {base::error_code::noSuchAddress}));
     const routing_table table(twoServices());
     CHECK(table.routeOf(flow(1, logbookAddress))
-          == routing_outcome(unroutable {base::error_code::noServer}));
+          == routing_outcome(no_route {base::error_code::noServer}));
 }
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -108,7 +108,7 @@
 {
     const std::vector<base::service_id> services = servicesFor(key);
     if (services.empty())
-        return unroutable {base::error_code::noSuchAddress};
+        return no_route {base::error_code::noSuchAddress};
     return routeWithin(services.front(), key, bypassed, false);
 }
 
@@ -118,7 +118,7 @@
 {
     const auto found = m_services.find(service);
     if (found == m_services.end() || !found->second->buckets.hasTargets())
-        return unroutable {base::error_code::noServer};
+        return no_route {base::error_code::noServer};
     const bucket_table &buckets = found->second->buckets;
     const base::bucket bucket = buckets.bucketOf(base::hashOf(key));
     const target &director = buckets.directorOf(bucket);
@@ -140,7 +140,7 @@
     return all;
 }
 
-std::size_t routing_table::memoryOf(base::service_id service) const
+std::size_t routing_table::memoryBytesOf(base::service_id service) const
 {
     const auto found = m_services.find(service);
     return found == m_services.end() ? 0 : found->second->buckets.memory();
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -11,8 +11,8 @@
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/routing/bucket_table.h"
 #include "lycheeshunt/routing/bypassed_agents.h"
+#include "lycheeshunt/routing/no_route.h"
 #include "lycheeshunt/routing/route.h"
-#include "lycheeshunt/routing/unroutable.h"
 
 #include <memory>
 #include <unordered_map>
@@ -20,7 +20,7 @@
 
 namespace lycheeshunt::routing {
 
-using routing_outcome = std::variant<route, unroutable>;
+using routing_outcome = std::variant<route, no_route>;
 
 class routing_table
 {
@@ -45,7 +45,7 @@
     // Every agent that packets may go to.
     std::vector<target> targets() const;
     // Held for one service, in bytes; 0 when there is no such service.
-    std::size_t memoryOf(base::service_id service) const;
+    std::size_t memoryBytesOf(base::service_id service) const;
 
 private:
     struct service_entry;
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -25,25 +25,28 @@
         return false;
     if (said.isSameLifeAs(*state.current))
         return said.sequence < state.current->sequence;
-    return said.born < state.current->born;
+    return said.startedAt < state.current->startedAt;
 }
 
 void tell(servers_state &state, action_list &actions)
 {
     if (!state.current)
         return;
-    const server_standing standing {
-        state.current->service, state.life,    !state.isOver && !state.isStopping,
-        state.current->slots,   state.isOlder, state.hasLeft};
+    const server_status standing {state.current->service,
+                                  state.life,
+                                  !state.isOver && !state.isAgentStopping,
+                                  state.current->slots,
+                                  state.startedBeforeAgent,
+                                  state.isServerStopping};
     if (state.told && *state.told == standing)
         return;
-    state.told = std::make_shared<const server_standing>(standing);
+    state.told = std::make_shared<const server_status>(standing);
     actions.emplace_back(standing);
 }
 
 void startLife(servers_state &state, const server_announcement &said)
 {
-    state.isOlder = !state.current && said.sequence > earlySequence;
+    state.startedBeforeAgent = !state.current && said.sequence > earlySequence;
     const bool isFirst = !state.current && (!state.told || state.told->isAccepting);
     state.isRecalled = false;
     state.isOver = false;
@@ -67,20 +70,20 @@
         const bool drains = said.isDraining
             || (state.current && state.current->isSameLifeAs(said) && state.current->isDraining);
         state.current = std::make_shared<const server_announcement>(server_announcement {
-            said.identity, said.born, said.sequence, said.service, drains, said.slots});
+            said.identity, said.startedAt, said.sequence, said.service, drains, said.slots});
         state.isOver = state.isOver || drains;
-        state.hasLeft = false;
+        state.isServerStopping = false;
         state.heardAt = now;
         tell(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
 }
 
-void leave(servers_state &state, const server_left &message, action_list &actions)
+void leave(servers_state &state, const server_stopping &message, action_list &actions)
 {
     if (state.current && state.current->identity == message.identity) {
         state.isOver = true;
-        state.hasLeft = true;
+        state.isServerStopping = true;
         tell(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
@@ -88,16 +91,16 @@
 
 // Until the server speaks itself, what was last known of it holds: an agent that was restarted
 // beside a serving server need not wait for its next announcement.
-void recall(servers_state &state, const server_recalled &message, base::clock_time now,
+void recall(servers_state &state, const server_restored &message, base::clock_time now,
             action_list &actions)
 {
-    if (state.current || state.told || state.isStopping)
+    if (state.current || state.told || state.isAgentStopping)
         return;
     state.life = std::max(state.life, base::incarnation(message.life.value() + 1));
     state.recalledAt = now;
     state.isRecalled = true;
-    state.told = std::make_shared<const server_standing>(
-        server_standing {message.service, state.life, true, message.slots, true});
+    state.told = std::make_shared<const server_status>(
+        server_status {message.service, state.life, true, message.slots, true});
     actions.emplace_back(*state.told);
 }
 
@@ -105,8 +108,8 @@
 void forgetRecalled(servers_state &state, action_list &actions)
 {
     state.isRecalled = false;
-    state.told = std::make_shared<const server_standing>(
-        server_standing {state.told->service, state.told->life, false, state.told->slots, true});
+    state.told = std::make_shared<const server_status>(
+        server_status {state.told->service, state.told->life, false, state.told->slots, true});
     actions.emplace_back(*state.told);
 }
 
@@ -128,14 +131,14 @@
     action_list actions;
     std::visit(base::overloaded {
                    [&](const server_announced &m) { announce(state, m, now, actions); },
-                   [&](const server_left &m) { leave(state, m, actions); },
-                   [&](const server_recalled &m) { recall(state, m, now, actions); },
+                   [&](const server_stopping &m) { leave(state, m, actions); },
+                   [&](const server_restored &m) { recall(state, m, now, actions); },
                    [&](const life_taken &taken) {
                        state.life = std::max(state.life, taken.life);
                        tell(state, actions);
                    },
                    [&](const agent_stopping &) {
-                       state.isStopping = true;
+                       state.isAgentStopping = true;
                        if (state.isRecalled)
                            forgetRecalled(state, actions);
                        tell(state, actions);
--- a/lycheeshunt/servers/decision_test.cpp
+++ b/lycheeshunt/servers/decision_test.cpp
@@ -16,10 +16,11 @@
     return base::clock_time::ofMillis(millis);
 }
 
-server_announcement said(const std::string &identity, std::int64_t born, std::uint64_t sequence,
-                         bool isDraining = false, const std::string &service = "logbook")
+server_announcement said(const std::string &identity, std::int64_t startedAt,
+                         std::uint64_t sequence, bool isDraining = false,
+                         const std::string &service = "logbook")
 {
-    return server_announcement {identity, at(born), sequence, service, isDraining, slots};
+    return server_announcement {identity, at(startedAt), sequence, service, isDraining, slots};
 }
 
 } // namespace
@@ -69,7 +70,7 @@
     announce(said("i-1", 5, 1), 0);
     announce(said("i-1", 5, 2, true), 1000);
     CHECK_EQUAL(2U, actions.size());
-    CHECK_FALSE(std::get<server_standing>(actions.front()).isAccepting);
+    CHECK_FALSE(std::get<server_status>(actions.front()).isAccepting);
     // A late one of before, and even a later one, do not undo it.
     announce(said("i-1", 5, 1), 1100);
     announce(said("i-1", 5, 3), 1200);
@@ -126,18 +127,18 @@
 TEST(servers, aFarewellEndsTheLifeThatItNames)
 {
     announce(said("i-1", 5, 1), 0);
-    give(server_left {base::request_id(2), "i-other"}, 10);
+    give(server_stopping {base::request_id(2), "i-other"}, 10);
     CHECK(isAccepting());
-    give(server_left {base::request_id(3), "i-1"}, 20);
+    give(server_stopping {base::request_id(3), "i-1"}, 20);
     CHECK_FALSE(isAccepting());
 }
 
 TEST(servers, aServerOlderThanItsAgentMayHoldFlowsThatTheAgentNeverSaw)
 {
     announce(said("i-1", 5, 200), 0);
-    CHECK(state.told->isOlder);
+    CHECK(state.told->startedBeforeAgent);
     announce(said("i-2", 50, 1), 1000);
-    CHECK_FALSE(state.told->isOlder);
+    CHECK_FALSE(state.told->startedBeforeAgent);
 }
 
 TEST(servers, anAgentThatStopsAcceptsNothingMore)
@@ -158,25 +159,25 @@
 
 TEST(servers, whatTheViewSaidOfTheServerHoldsUntilItSpeaks)
 {
-    give(server_recalled {"logbook", base::incarnation(300), slots}, 0);
+    give(server_restored {"logbook", base::incarnation(300), slots}, 0);
     CHECK(isAccepting());
     CHECK_EQUAL(301U, state.told->life.value());
     announce(said("i-1", 5, 90), 1000);
     CHECK(isAccepting());
     CHECK_EQUAL(301U, state.told->life.value());
-    CHECK(state.told->isOlder);
+    CHECK(state.told->startedBeforeAgent);
 }
 
 TEST(servers, aRecalledServerThatDrainsGetsNothingMore)
 {
-    give(server_recalled {"logbook", base::incarnation(300), slots}, 0);
+    give(server_restored {"logbook", base::incarnation(300), slots}, 0);
     announce(said("i-1", 5, 90, true), 1000);
     CHECK_FALSE(isAccepting());
 }
 
 TEST(servers, aRecalledServerThatNeverSpeaksIsForgotten)
 {
-    give(server_recalled {"logbook", base::incarnation(300), slots}, 0);
+    give(server_restored {"logbook", base::incarnation(300), slots}, 0);
     give(servers_tick {}, 2500);
     CHECK(isAccepting());
     give(servers_tick {}, 2600);
@@ -190,7 +191,7 @@
 TEST(servers, aServerThatHasSpokenIsNotRecalled)
 {
     announce(said("i-1", 5, 2, true), 0);
-    give(server_recalled {"logbook", base::incarnation(300), slots}, 10);
+    give(server_restored {"logbook", base::incarnation(300), slots}, 10);
     CHECK_FALSE(isAccepting());
 }
 
@@ -198,13 +199,13 @@
 TEST(servers, aServerThatLeavesIsToldAsGoneUntilAnotherLifeBegins)
 {
     announce(said("i1", 1000, 1), 1000);
-    give(server_left {base::request_id(2), "i1"}, 2000);
-    CHECK(state.told->hasLeft);
+    give(server_stopping {base::request_id(2), "i1"}, 2000);
+    CHECK(state.told->isServerStopping);
     CHECK_FALSE(isAccepting());
     give(agent_stopping {}, 2100);
-    CHECK(state.told->hasLeft);
+    CHECK(state.told->isServerStopping);
     announce(said("i2", 3000, 1), 3000);
-    CHECK_FALSE(state.told->hasLeft);
+    CHECK_FALSE(state.told->isServerStopping);
 }
 
 TEST(servers, aDrainingServerHasNotLeft)
@@ -212,5 +213,5 @@
     announce(said("i1", 1000, 1), 1000);
     announce(said("i1", 1000, 2, true), 2000);
     give(agent_stopping {}, 2100);
-    CHECK_FALSE(state.told->hasLeft);
+    CHECK_FALSE(state.told->isServerStopping);
 }
--- a/lycheeshunt/servers/server_announcement.h
+++ b/lycheeshunt/servers/server_announcement.h
@@ -12,7 +12,7 @@
 struct server_announcement
 {
     const std::string identity;
-    const base::clock_time born;
+    const base::clock_time startedAt;
     // Grows within a life.
     const std::uint64_t sequence = 0;
     const std::string service;
@@ -22,7 +22,7 @@
 
     bool isSameLifeAs(const server_announcement &other) const
     {
-        return identity == other.identity && born == other.born;
+        return identity == other.identity && startedAt == other.startedAt;
     }
 
     bool operator==(const server_announcement &) const = default;
--- a/lycheeshunt/servers/server_message.h
+++ b/lycheeshunt/servers/server_message.h
@@ -4,17 +4,17 @@
 #include "lycheeshunt/servers/confirm_announcement.h"
 #include "lycheeshunt/servers/life_taken.h"
 #include "lycheeshunt/servers/server_announced.h"
-#include "lycheeshunt/servers/server_left.h"
-#include "lycheeshunt/servers/server_recalled.h"
-#include "lycheeshunt/servers/server_standing.h"
+#include "lycheeshunt/servers/server_restored.h"
+#include "lycheeshunt/servers/server_status.h"
+#include "lycheeshunt/servers/server_stopping.h"
 #include "lycheeshunt/servers/servers_tick.h"
 
 #include <variant>
 
 namespace lycheeshunt::servers {
 
-using server_message = std::variant<server_announced, server_left, server_recalled, life_taken,
+using server_message = std::variant<server_announced, server_stopping, server_restored, life_taken,
                                     agent_stopping, servers_tick>;
-using server_action = std::variant<confirm_announcement, server_standing>;
+using server_action = std::variant<confirm_announcement, server_status>;
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/server_recalled.h
+++ b/lycheeshunt/servers/server_restored.h
@@ -8,14 +8,14 @@
 namespace lycheeshunt::servers {
 
 // The view says that an earlier life of this agent had a serving server beside it.
-struct server_recalled
+struct server_restored
 {
     const std::string service;
     // Of that life.
     const base::incarnation life;
     const std::uint32_t slots = 0;
 
-    bool operator==(const server_recalled &) const = default;
+    bool operator==(const server_restored &) const = default;
 };
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/server_standing.h
+++ b/lycheeshunt/servers/server_status.h
@@ -8,7 +8,7 @@
 namespace lycheeshunt::servers {
 
 // What this agent's backend server is now.
-struct server_standing
+struct server_status
 {
     const std::string service;
     // Of the agent; greater for each life of the server.
@@ -16,11 +16,11 @@
     const bool isAccepting = false;
     const std::uint32_t slots = 0;
     // The server was there before this process.
-    const bool isOlder = false;
+    const bool startedBeforeAgent = false;
     // The server has said that it ends: there is nothing left that this agent would have to serve.
-    const bool hasLeft = false;
+    const bool isServerStopping = false;
 
-    bool operator==(const server_standing &) const = default;
+    bool operator==(const server_status &) const = default;
 };
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/server_left.h
+++ b/lycheeshunt/servers/server_stopping.h
@@ -7,12 +7,12 @@
 namespace lycheeshunt::servers {
 
 // A backend server says that it is about to end.
-struct server_left
+struct server_stopping
 {
     const base::request_id request;
     const std::string identity;
 
-    bool operator==(const server_left &) const = default;
+    bool operator==(const server_stopping &) const = default;
 };
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lycheeshunt/servers/server_announcement.h"
-#include "lycheeshunt/servers/server_standing.h"
+#include "lycheeshunt/servers/server_status.h"
 
 #include <memory>
 
@@ -15,16 +15,16 @@
     base::clock_time heardAt;
     // Draining, left, or silent for too long.
     bool isOver = false;
-    bool isStopping = false;
+    bool isAgentStopping = false;
     // It has said that it ends.
-    bool hasLeft = false;
-    bool isOlder = false;
+    bool isServerStopping = false;
+    bool startedBeforeAgent = false;
     // What is told comes from the view; the server has not spoken yet.
     bool isRecalled = false;
     base::clock_time recalledAt;
     base::incarnation life;
     // What was last told, to tell changes only.
-    std::shared_ptr<const server_standing> told;
+    std::shared_ptr<const server_status> told;
 };
 
 } // namespace lycheeshunt::servers
--- a/tools/measurements/packets.cpp
+++ b/tools/measurements/packets.cpp
@@ -214,7 +214,7 @@
         const std::string suffix = "." + std::to_string(servers) + "_servers";
         measurements::report("entry.table_build" + suffix, built * 1e3, "ms");
         measurements::report("entry.service_memory" + suffix,
-                             static_cast<double>(table.memoryOf(base::serviceIdOf("logbook"))),
+                             static_cast<double>(table.memoryBytesOf(base::serviceIdOf("logbook"))),
                              "byte");
     }
 }
