Servers: name states, timeouts and handlers by the terms of the field

Comments spoke of lives, of what a server says and of what is told; they now speak of incarnations, announcements and the published status. The handlers of messages are named handle*, and the timeouts say what they bound. No name that is used outside the folder changes.

--- a/lycheeshunt/servers/agent_stopping.h
+++ b/lycheeshunt/servers/agent_stopping.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::servers {
 
-// This process is about to end, and the backend server is not.
+// The agent's process is about to exit; its backend server keeps running.
 struct agent_stopping
 {
     bool operator==(const agent_stopping &) const = default;
--- a/lycheeshunt/servers/confirm_announcement.h
+++ b/lycheeshunt/servers/confirm_announcement.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::servers {
 
-// Tell the backend server that what it said has taken effect.
+// Replies to the backend server that its announcement has taken effect.
 struct confirm_announcement
 {
     const base::request_id request;
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -10,117 +10,123 @@
 
 using action_list = std::vector<server_action>;
 
-// Servers announce themselves about every 1.2 s; three in a row are missing.
-constexpr base::clock_time silentAfter = base::clock_time::ofMillis(4000);
-// Two announcements and a little.
-constexpr base::clock_time recalledFor = base::clock_time::ofMillis(2600);
-// A server that starts together with its agent is not further than this in its announcements.
-constexpr std::uint64_t earlySequence = 3;
-
-// A late announcement of an earlier life must not undo what a later one said. The clocks of two
-// lives may disagree, so one that goes on while the other is silent is believed in the end.
-bool isLate(const servers_state &state, const server_announcement &said, base::clock_time now)
+// Servers announce themselves about every 1.2 s, so three announcements in a row are missing.
+constexpr base::clock_time announcementTimeout = base::clock_time::ofMillis(4000);
+// Two announcement periods and a margin.
+constexpr base::clock_time restoredTimeout = base::clock_time::ofMillis(2600);
+// A server that starts together with its agent has sent no more announcements than this.
+constexpr std::uint64_t maxStartupSequence = 3;
+
+// A delayed announcement of an earlier incarnation must not override that of a later one. The
+// clocks of two incarnations may disagree, so an incarnation that keeps announcing itself replaces
+// the current one once that one has been silent for the timeout.
+bool isStale(const servers_state &state, const server_announcement &announcement,
+             base::clock_time now)
 {
-    if (!state.current || now - state.heardAt >= silentAfter)
+    if (!state.current || now - state.heardAt >= announcementTimeout)
         return false;
-    if (said.isSameLifeAs(*state.current))
-        return said.sequence < state.current->sequence;
-    return said.startedAt < state.current->startedAt;
+    if (announcement.isSameLifeAs(*state.current))
+        return announcement.sequence < state.current->sequence;
+    return announcement.startedAt < state.current->startedAt;
 }
 
-void tell(servers_state &state, action_list &actions)
+void publishStatus(servers_state &state, action_list &actions)
 {
     if (!state.current)
         return;
-    const server_status standing {state.current->service,
-                                  state.life,
-                                  !state.isOver && !state.isAgentStopping,
-                                  state.current->slots,
-                                  state.startedBeforeAgent,
-                                  state.isServerStopping};
-    if (state.told && *state.told == standing)
+    const server_status status {state.current->service,
+                                state.life,
+                                !state.isUnavailable && !state.isAgentStopping,
+                                state.current->slots,
+                                state.startedBeforeAgent,
+                                state.isServerStopping};
+    if (state.published && *state.published == status)
         return;
-    state.told = std::make_shared<const server_status>(standing);
-    actions.emplace_back(standing);
+    state.published = std::make_shared<const server_status>(status);
+    actions.emplace_back(status);
 }
 
-void startLife(servers_state &state, const server_announcement &said)
+void startIncarnation(servers_state &state, const server_announcement &announcement)
 {
-    state.startedBeforeAgent = !state.current && said.sequence > earlySequence;
-    const bool isFirst = !state.current && (!state.told || state.told->isAccepting);
-    state.isRecalled = false;
-    state.isOver = false;
+    state.startedBeforeAgent = !state.current && announcement.sequence > maxStartupSequence;
+    const bool isFirst = !state.current && (!state.published || state.published->isAccepting);
+    state.isRestored = false;
+    state.isUnavailable = false;
     if (!isFirst)
         state.life = base::incarnation(state.life.value() + 1);
 }
 
-void announce(servers_state &state, const server_announced &message, base::clock_time now,
-              action_list &actions)
+void handleAnnouncement(servers_state &state, const server_announced &message, base::clock_time now,
+                        action_list &actions)
 {
-    const server_announcement &said = message.announcement;
-    const bool contradicts = state.current && said.isSameLifeAs(*state.current)
-        && said.service != state.current->service;
-    if (!contradicts && !isLate(state, said, now)) {
-        const bool isOtherLife = !state.current || !said.isSameLifeAs(*state.current);
-        // One that was only silent is another life too: a life that has drained never serves again.
-        const bool isBack
-            = !isOtherLife && state.isOver && !said.isDraining && !state.current->isDraining;
-        if (isOtherLife || isBack)
-            startLife(state, said);
-        const bool drains = said.isDraining
-            || (state.current && state.current->isSameLifeAs(said) && state.current->isDraining);
+    const server_announcement &announcement = message.announcement;
+    const bool changesService = state.current && announcement.isSameLifeAs(*state.current)
+        && announcement.service != state.current->service;
+    if (!changesService && !isStale(state, announcement, now)) {
+        const bool isNewIncarnation = !state.current || !announcement.isSameLifeAs(*state.current);
+        // A server that was only silent counts as a new incarnation too, because other nodes have
+        // seen the current one drain, and a drained incarnation never serves again.
+        const bool hasResumed = !isNewIncarnation && state.isUnavailable && !announcement.isDraining
+            && !state.current->isDraining;
+        if (isNewIncarnation || hasResumed)
+            startIncarnation(state, announcement);
+        const bool isDraining = announcement.isDraining
+            || (state.current && state.current->isSameLifeAs(announcement)
+                && state.current->isDraining);
         state.current = std::make_shared<const server_announcement>(server_announcement {
-            said.identity, said.startedAt, said.sequence, said.service, drains, said.slots});
-        state.isOver = state.isOver || drains;
+            announcement.identity, announcement.startedAt, announcement.sequence,
+            announcement.service, isDraining, announcement.slots});
+        state.isUnavailable = state.isUnavailable || isDraining;
         state.isServerStopping = false;
         state.heardAt = now;
-        tell(state, actions);
+        publishStatus(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
 }
 
-void leave(servers_state &state, const server_stopping &message, action_list &actions)
+void handleStopping(servers_state &state, const server_stopping &message, action_list &actions)
 {
     if (state.current && state.current->identity == message.identity) {
-        state.isOver = true;
+        state.isUnavailable = true;
         state.isServerStopping = true;
-        tell(state, actions);
+        publishStatus(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
 }
 
-// Until the server speaks itself, what was last known of it holds: an agent that was restarted
-// beside a serving server need not wait for its next announcement.
-void recall(servers_state &state, const server_restored &message, base::clock_time now,
-            action_list &actions)
+// The status in the view applies until the server announces itself, so that an agent that is
+// restarted beside a serving server accepts flows without waiting for the next announcement.
+void handleRestored(servers_state &state, const server_restored &message, base::clock_time now,
+                    action_list &actions)
 {
-    if (state.current || state.told || state.isAgentStopping)
+    if (state.current || state.published || state.isAgentStopping)
         return;
     state.life = std::max(state.life, base::incarnation(message.life.value() + 1));
-    state.recalledAt = now;
-    state.isRecalled = true;
-    state.told = std::make_shared<const server_status>(
+    state.restoredAt = now;
+    state.isRestored = true;
+    state.published = std::make_shared<const server_status>(
         server_status {message.service, state.life, true, message.slots, true});
-    actions.emplace_back(*state.told);
+    actions.emplace_back(*state.published);
 }
 
-// A recalled server that says nothing is not there any more.
-void forgetRecalled(servers_state &state, action_list &actions)
+// A server whose status came from the view and that has not announced itself in time no longer
+// exists.
+void expireRestored(servers_state &state, action_list &actions)
 {
-    state.isRecalled = false;
-    state.told = std::make_shared<const server_status>(
-        server_status {state.told->service, state.told->life, false, state.told->slots, true});
-    actions.emplace_back(*state.told);
+    state.isRestored = false;
+    state.published = std::make_shared<const server_status>(server_status {
+        state.published->service, state.published->life, false, state.published->slots, true});
+    actions.emplace_back(*state.published);
 }
 
-void check(servers_state &state, base::clock_time now, action_list &actions)
+void handleTick(servers_state &state, base::clock_time now, action_list &actions)
 {
-    if (state.isRecalled && now - state.recalledAt >= recalledFor)
-        forgetRecalled(state, actions);
-    if (!state.current || now - state.heardAt < silentAfter)
+    if (state.isRestored && now - state.restoredAt >= restoredTimeout)
+        expireRestored(state, actions);
+    if (!state.current || now - state.heardAt < announcementTimeout)
         return;
-    state.isOver = true;
-    tell(state, actions);
+    state.isUnavailable = true;
+    publishStatus(state, actions);
 }
 
 } // namespace
@@ -130,20 +136,20 @@
 {
     action_list actions;
     std::visit(base::overloaded {
-                   [&](const server_announced &m) { announce(state, m, now, actions); },
-                   [&](const server_stopping &m) { leave(state, m, actions); },
-                   [&](const server_restored &m) { recall(state, m, now, actions); },
+                   [&](const server_announced &m) { handleAnnouncement(state, m, now, actions); },
+                   [&](const server_stopping &m) { handleStopping(state, m, actions); },
+                   [&](const server_restored &m) { handleRestored(state, m, now, actions); },
                    [&](const life_taken &taken) {
                        state.life = std::max(state.life, taken.life);
-                       tell(state, actions);
+                       publishStatus(state, actions);
                    },
                    [&](const agent_stopping &) {
                        state.isAgentStopping = true;
-                       if (state.isRecalled)
-                           forgetRecalled(state, actions);
-                       tell(state, actions);
+                       if (state.isRestored)
+                           expireRestored(state, actions);
+                       publishStatus(state, actions);
                    },
-                   [&](const servers_tick &) { check(state, now, actions); },
+                   [&](const servers_tick &) { handleTick(state, now, actions); },
                },
                message);
     return {std::move(state), std::move(actions)};
--- a/lycheeshunt/servers/decision.h
+++ b/lycheeshunt/servers/decision.h
@@ -1,4 +1,5 @@
-// Decides which life of the backend server an agent has beside it, and whether it takes new flows.
+// Decides which incarnation of its backend server an agent serves, and whether that server accepts
+// new flows.
 //
 //     step<servers_state, server_action> next = decide(std::move(state), message, now);
 
--- a/lycheeshunt/servers/life_taken.h
+++ b/lycheeshunt/servers/life_taken.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::servers {
 
-// The view knew a later incarnation of this agent than its clock gave.
+// The agent has taken a later incarnation than its clock gave, because the view already contains
+// that one.
 struct life_taken
 {
     const base::incarnation life;
--- a/lycheeshunt/servers/server_announced.h
+++ b/lycheeshunt/servers/server_announced.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::servers {
 
-// A backend server has announced itself and waits for the confirmation.
+// A backend server has announced itself and waits for the reply.
 struct server_announced
 {
     const base::request_id request;
--- a/lycheeshunt/servers/server_announcement.h
+++ b/lycheeshunt/servers/server_announcement.h
@@ -7,17 +7,17 @@
 
 namespace lycheeshunt::servers {
 
-// What a backend server says of itself. Each start of a server is a life of its own, told apart by
-// the identity and the instant of its start.
+// The state that a backend server reports of itself. Each start of a server is an incarnation of
+// its own, identified by the server's identity and start time.
 struct server_announcement
 {
     const std::string identity;
     const base::clock_time startedAt;
-    // Grows within a life.
+    // Increases within an incarnation.
     const std::uint64_t sequence = 0;
     const std::string service;
     const bool isDraining = false;
-    // Requests that it works on at once.
+    // Number of requests that the server processes concurrently.
     const std::uint32_t slots = 0;
 
     bool isSameLifeAs(const server_announcement &other) const
--- a/lycheeshunt/servers/server_duty.cpp
+++ b/lycheeshunt/servers/server_duty.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr std::size_t inboxCapacity = 256;
-constexpr base::clock_time tickEvery = base::clock_time::ofMillis(500);
+constexpr base::clock_time tickInterval = base::clock_time::ofMillis(500);
 
-servers_state startingWith(base::incarnation life)
+servers_state initialState(base::incarnation life)
 {
     servers_state state;
     state.life = life;
@@ -19,8 +19,8 @@
 } // namespace
 
 server_duty::server_duty(base::incarnation life, action_sink sink)
-    : m_state(startingWith(life)), m_sink(std::move(sink)),
-      m_duty(inboxCapacity, tickEvery, servers_tick {},
+    : m_state(initialState(life)), m_sink(std::move(sink)),
+      m_duty(inboxCapacity, tickInterval, servers_tick {},
              [this](const server_message &message, base::clock_time now) { handle(message, now); })
 {
 }
--- a/lycheeshunt/servers/server_duty.h
+++ b/lycheeshunt/servers/server_duty.h
@@ -1,4 +1,4 @@
-// The thread of an agent that listens to its backend server's announcements.
+// The thread of an agent that processes its backend server's announcements.
 
 #pragma once
 
--- a/lycheeshunt/servers/server_restored.h
+++ b/lycheeshunt/servers/server_restored.h
@@ -7,11 +7,11 @@
 
 namespace lycheeshunt::servers {
 
-// The view says that an earlier life of this agent had a serving server beside it.
+// The view contains an earlier incarnation of this agent whose backend server was serving.
 struct server_restored
 {
     const std::string service;
-    // Of that life.
+    // The agent's earlier incarnation.
     const base::incarnation life;
     const std::uint32_t slots = 0;
 
--- a/lycheeshunt/servers/server_status.h
+++ b/lycheeshunt/servers/server_status.h
@@ -7,17 +7,17 @@
 
 namespace lycheeshunt::servers {
 
-// What this agent's backend server is now.
+// The current status of an agent's backend server.
 struct server_status
 {
     const std::string service;
-    // Of the agent; greater for each life of the server.
+    // Of the agent; greater for each incarnation of the server.
     const base::incarnation life;
     const bool isAccepting = false;
     const std::uint32_t slots = 0;
-    // The server was there before this process.
+    // The server started before the agent's process.
     const bool startedBeforeAgent = false;
-    // The server has said that it ends: there is nothing left that this agent would have to serve.
+    // The server has announced its exit: the agent has nothing left to serve.
     const bool isServerStopping = false;
 
     bool operator==(const server_status &) const = default;
--- a/lycheeshunt/servers/server_stopping.h
+++ b/lycheeshunt/servers/server_stopping.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::servers {
 
-// A backend server says that it is about to end.
+// A backend server announces that it is about to exit.
 struct server_stopping
 {
     const base::request_id request;
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -7,24 +7,24 @@
 
 namespace lycheeshunt::servers {
 
-// What one agent knows of its backend server.
+// The state of one agent's backend server.
 struct servers_state
 {
     // Null before the first announcement.
     std::shared_ptr<const server_announcement> current;
     base::clock_time heardAt;
-    // Draining, left, or silent for too long.
-    bool isOver = false;
+    // Draining, stopping, or silent for longer than the timeout.
+    bool isUnavailable = false;
     bool isAgentStopping = false;
-    // It has said that it ends.
+    // The server has announced that it is about to exit.
     bool isServerStopping = false;
     bool startedBeforeAgent = false;
-    // What is told comes from the view; the server has not spoken yet.
-    bool isRecalled = false;
-    base::clock_time recalledAt;
+    // The published status comes from the view; the server has not announced itself yet.
+    bool isRestored = false;
+    base::clock_time restoredAt;
     base::incarnation life;
-    // What was last told, to tell changes only.
-    std::shared_ptr<const server_status> told;
+    // The status published last; only changes are published.
+    std::shared_ptr<const server_status> published;
 };
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/servers_tick.h
+++ b/lycheeshunt/servers/servers_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::servers {
 
-// Time has passed; carries nothing else.
+// Sent at a fixed interval, so that timeouts are checked.
 struct servers_tick
 {
     bool operator==(const servers_tick &) const = default;
