Packets: describe parsing, resets and the codec in plain terms

The parameter `way` is the packet's direction, and `known` the parsed summary. The test of malformed options says why resetFor() parses headers itself. No name that is used outside the folder changes.

--- a/lycheeshunt/packets/datagram_io.h
+++ b/lycheeshunt/packets/datagram_io.h
@@ -1,4 +1,4 @@
-// Receives and sends single datagrams. Neither call ever waits.
+// Receives and sends single datagrams without blocking.
 
 #pragma once
 
@@ -10,11 +10,11 @@
 
 namespace lycheeshunt::packets {
 
-// Nothing when no datagram is there.
+// Returns nothing when no datagram is queued.
 std::optional<std::string> receiveDatagram(int descriptor);
 std::optional<received_datagram> receiveDatagramFrom(int descriptor);
 
-// A datagram that can't be sent now is lost, as on any network; returns false then.
+// Returns false if the datagram can't be sent now; it is dropped then, as any network may drop it.
 bool sendDatagram(int descriptor, const base::endpoint &to, std::string_view bytes);
 
 } // namespace lycheeshunt::packets
--- a/lycheeshunt/packets/hostile_input_test.cpp
+++ b/lycheeshunt/packets/hostile_input_test.cpp
@@ -1,5 +1,5 @@
-// Every decoder of what comes in a datagram, under seeded random and mutated bytes: each input
-// gives a value or a numbered error, and nothing is read outside it.
+// Every decoder of datagrams, under seeded random and mutated bytes: each input gives a value or a
+// numbered error, and no byte outside the input is read.
 
 #include "lycheeshunt/flows/codec.h"
 #include "lycheeshunt/flows/forwarded_packet.h"
@@ -39,7 +39,7 @@
     return bytes;
 }
 
-std::string forwarded()
+std::string forwardedPacket()
 {
     const std::string bytes = tcpPacket();
     const base::result<packets::ip_summary> summary
@@ -49,7 +49,7 @@
         flows::packet_stage::toDirector, 0, base::valueOf(summary), base::packet_bytes(bytes)});
 }
 
-std::string announced()
+std::string announcedMember()
 {
     return membership::encodeMember(membership::member {
         "agent-1", "leith-1", membership::member_role::agent, base::serviceIdOf("logbook"),
@@ -94,15 +94,17 @@
     return failure == nullptr || base::describe(failure->code) != "unknown code";
 }
 
-// The bytes lie alone in a heap block, so that the address sanitizer sees any read beyond them.
+// The bytes are copied to a heap block of their own, so that the address sanitizer detects any read
+// beyond them.
 void decodeAll(const std::string &input)
 {
     const std::unique_ptr<char[]> copy(new char[input.size()]);
     std::copy(input.begin(), input.end(), copy.get());
     const std::string_view bytes(copy.get(), input.size());
-    for (const packets::direction way :
+    for (const packets::direction packetDirection :
          {packets::direction::fromCaller, packets::direction::toCaller}) {
-        const base::result<packets::ip_summary> summary = packets::summarize(bytes, way);
+        const base::result<packets::ip_summary> summary
+            = packets::summarize(bytes, packetDirection);
         CHECK(isNumbered(summary));
         if (base::isOk(summary))
             CHECK(base::valueOf(summary).payloadBytes < bytes.size());
@@ -135,8 +137,8 @@
     const std::string samples[]
         = {tcpPacket(),
            udpPacket(),
-           forwarded(),
-           announced(),
+           forwardedPacket(),
+           announcedMember(),
            membership::encodeLeave({base::nodeIdOf("a"), base::incarnation(3)}),
            routing::encodeProbe({routing::probe_kind::probe, base::incarnation(7), 5})};
     for (const std::string &sample : samples)
@@ -147,7 +149,7 @@
 
 TEST(hostile_input, everyTruncationAndLongerForms)
 {
-    for (const std::string &sample : {tcpPacket(), forwarded(), announced()}) {
+    for (const std::string &sample : {tcpPacket(), forwardedPacket(), announcedMember()}) {
         for (std::size_t length = 0; length <= sample.size(); ++length)
             decodeAll(sample.substr(0, length));
         decodeAll(sample + "x");
@@ -157,8 +159,9 @@
     CHECK(base::isOk(packets::summarize(tcpPacket(), packets::direction::fromCaller)));
 }
 
-// Options of a length that runs beyond the header once threw out of the packet library.
-TEST(hostile_input, badOptionsStillGetAReset)
+// The packet library throws on options whose length exceeds the header, so resetFor() must not
+// parse them with it.
+TEST(hostile_input, aPacketWithMalformedOptionsStillGetsAReset)
 {
     std::string packet = tcpPacket();
     packet[32] = 0x60;
--- a/lycheeshunt/packets/ip_packet.cpp
+++ b/lycheeshunt/packets/ip_packet.cpp
@@ -24,15 +24,16 @@
 }
 
 base::flow_key keyOf(const iphdr &ip, std::uint16_t sourcePort, std::uint16_t targetPort,
-                     direction way)
+                     direction packetDirection)
 {
     const base::endpoint source {ntohl(ip.saddr), ntohs(sourcePort)};
     const base::endpoint target {ntohl(ip.daddr), ntohs(targetPort)};
-    return way == direction::fromCaller ? base::flow_key {source, target, ip.protocol}
-                                        : base::flow_key {target, source, ip.protocol};
+    return packetDirection == direction::fromCaller ? base::flow_key {source, target, ip.protocol}
+                                                    : base::flow_key {target, source, ip.protocol};
 }
 
-base::result<ip_summary> summarizeTcp(const iphdr &ip, std::string_view segment, direction way)
+base::result<ip_summary> summarizeTcp(const iphdr &ip, std::string_view segment,
+                                      direction packetDirection)
 {
     tcphdr tcp {};
     if (segment.size() < sizeof tcp)
@@ -41,7 +42,7 @@
     const std::size_t headerBytes = tcp.doff * wordBytes;
     if (headerBytes < sizeof tcp || headerBytes > segment.size())
         return truncated("TCP options");
-    return ip_summary {keyOf(ip, tcp.source, tcp.dest, way),
+    return ip_summary {keyOf(ip, tcp.source, tcp.dest, packetDirection),
                        tcp.syn != 0 && tcp.ack == 0,
                        tcp.fin != 0,
                        tcp.rst != 0,
@@ -51,20 +52,21 @@
                        ntohl(tcp.seq) + (tcp.syn != 0 ? 1U : 0U)};
 }
 
-base::result<ip_summary> summarizeUdp(const iphdr &ip, std::string_view datagram, direction way)
+base::result<ip_summary> summarizeUdp(const iphdr &ip, std::string_view datagram,
+                                      direction packetDirection)
 {
     udphdr udp {};
     if (datagram.size() < sizeof udp)
         return truncated("UDP header");
     std::memcpy(&udp, datagram.data(), sizeof udp);
-    // Each datagram may be the first of its flow.
-    return ip_summary {keyOf(ip, udp.source, udp.dest, way), true, false, false,
+    // UDP has no opening packet, so any datagram may be the first of its flow.
+    return ip_summary {keyOf(ip, udp.source, udp.dest, packetDirection), true, false, false,
                        static_cast<std::uint16_t>(datagram.size() - sizeof udp)};
 }
 
 } // namespace
 
-base::result<ip_summary> summarize(std::string_view bytes, direction way)
+base::result<ip_summary> summarize(std::string_view bytes, direction packetDirection)
 {
     iphdr ip {};
     if (bytes.size() < sizeof ip)
@@ -78,32 +80,32 @@
         return truncated("IP length");
     if ((ntohs(ip.frag_off) & fragmentMask) != 0)
         return base::error {base::error_code::packetUnsupported, "fragment"};
-    const std::string_view rest = bytes.substr(headerBytes);
+    const std::string_view payload = bytes.substr(headerBytes);
     if (ip.protocol == IPPROTO_TCP)
-        return summarizeTcp(ip, rest, way);
+        return summarizeTcp(ip, payload, packetDirection);
     if (ip.protocol == IPPROTO_UDP)
-        return summarizeUdp(ip, rest, way);
+        return summarizeUdp(ip, payload, packetDirection);
     return base::error {base::error_code::packetUnsupported, "IP protocol"};
 }
 
-// The headers are read here and not by the packet library, which throws on bad options.
+// Parses the headers without the packet library, which throws on malformed options.
 std::string resetFor(std::string_view callerPacket)
 {
     const base::result<ip_summary> summary = summarize(callerPacket, direction::fromCaller);
-    const ip_summary *known = std::get_if<ip_summary>(&summary);
-    if (known == nullptr || known->resets || known->key.protocol != IPPROTO_TCP)
+    const ip_summary *parsed = std::get_if<ip_summary>(&summary);
+    if (parsed == nullptr || parsed->resets || parsed->key.protocol != IPPROTO_TCP)
         return {};
     iphdr ip {};
     tcphdr received {};
     std::memcpy(&ip, callerPacket.data(), sizeof ip);
     std::memcpy(&received, callerPacket.data() + ip.ihl * wordBytes, sizeof received);
-    Tins::TCP reset(known->key.caller.port, known->key.service.port);
+    Tins::TCP reset(parsed->key.caller.port, parsed->key.service.port);
     if (received.ack != 0) {
         reset.seq(ntohl(received.ack_seq));
         reset.flags(Tins::TCP::RST);
     } else {
         const std::uint32_t consumed
-            = known->payloadBytes + (received.syn != 0 ? 1U : 0U) + (received.fin != 0 ? 1U : 0U);
+            = parsed->payloadBytes + (received.syn != 0 ? 1U : 0U) + (received.fin != 0 ? 1U : 0U);
         reset.ack_seq(ntohl(received.seq) + consumed);
         reset.flags(Tins::TCP::RST | Tins::TCP::ACK);
     }
--- a/lycheeshunt/packets/ip_packet.h
+++ b/lycheeshunt/packets/ip_packet.h
@@ -1,5 +1,5 @@
-// Reads IPv4 packets that carry TCP or UDP (RFC 791, RFC 9293, RFC 768), and makes the resets
-// that tell a caller its flow is over. Pure functions; thread-safe.
+// Parses IPv4 packets that carry TCP or UDP (RFC 791, RFC 9293, RFC 768), and builds the resets
+// that end a caller's flow. Pure functions; thread-safe.
 
 #pragma once
 
@@ -13,12 +13,12 @@
 
 enum class direction { fromCaller, toCaller };
 
-// packetTruncated or packetUnsupported when the bytes are no such packet. A fragment is
-// unsupported: its later pieces carry no ports.
-base::result<ip_summary> summarize(std::string_view bytes, direction way);
+// Fails with packetTruncated or packetUnsupported if the bytes are no such packet. Fragments are
+// unsupported, because only the first fragment of a packet carries the ports.
+base::result<ip_summary> summarize(std::string_view bytes, direction packetDirection);
 
-// A TCP reset that answers the caller's packet; empty for a packet that must not be answered with
-// one (a reset itself, or not TCP).
+// Returns a TCP reset in reply to the caller's packet. Empty if the packet must not be answered
+// with a reset: it is a reset itself, or not TCP.
 std::string resetFor(std::string_view callerPacket);
 
 } // namespace lycheeshunt::packets
--- a/lycheeshunt/packets/ip_summary.h
+++ b/lycheeshunt/packets/ip_summary.h
@@ -4,8 +4,8 @@
 
 namespace lycheeshunt::packets {
 
-// What the decisions need to know of one IP packet. The key always names the caller's end first,
-// whichever way the packet goes.
+// The properties of an IP packet that decisions use. The key always contains the caller's endpoint
+// first, whatever the packet's direction.
 struct ip_summary
 {
     const base::flow_key key;
@@ -13,12 +13,12 @@
     const bool finishes = false;
     const bool resets = false;
     const std::uint16_t payloadBytes = 0;
-    // The caller's opening packet once more, since nobody answered it yet.
+    // A retransmission of the caller's opening packet, which has not been answered yet.
     const bool isRepeated = false;
-    // A caller's packet that the backend server gave back: it holds no such flow, or takes no new
-    // one.
+    // A caller's packet that the backend server returned, because it does not hold the flow or does
+    // not accept a new one.
     const bool isReturned = false;
-    // Where the payload begins in the sender's sequence, which wraps around.
+    // Sequence number of the payload's first byte in the sender's stream; wraps around.
     const std::uint32_t sequence = 0;
 
     bool operator==(const ip_summary &) const = default;
--- a/lycheeshunt/packets/packet_codec.h
+++ b/lycheeshunt/packets/packet_codec.h
@@ -12,21 +12,21 @@
 
 enum class direction;
 
-// What a front end knows of the form of its packets. Decisions see the summary and opaque bytes.
+// The encoding of a front end's packets. Decisions use only the summary and opaque bytes.
 struct packet_codec
 {
-    base::result<ip_summary> (*const summarize)(std::string_view bytes, direction way);
-    // A reset in answer to a caller's packet; empty when none can be made.
+    base::result<ip_summary> (*const summarize)(std::string_view bytes, direction packetDirection);
+    // Builds a reset in reply to a caller's packet; empty if the packet can't be answered with one.
     std::string (*const resetFor)(std::string_view callerPacket);
-    // A returned packet, as its sender wrote it.
+    // Converts a returned packet back to the bytes that its sender sent.
     std::string (*const asSent)(std::string bytes);
-    // Where packets to a caller are sent, given the fabric's address in the settings.
+    // The address that packets to a caller are sent to, given the fabric's address in the settings.
     base::endpoint (*const towardsCaller)(const base::flow_key &key, const base::endpoint &fabric);
 
     bool operator==(const packet_codec &) const = default;
 };
 
-// Plain IP packets in datagrams; the fabric passes those to callers on.
+// The codec for plain IP packets in datagrams; the fabric forwards those to callers.
 packet_codec ipPackets();
 
 } // namespace lycheeshunt::packets
--- a/lycheeshunt/packets/received_datagram.h
+++ b/lycheeshunt/packets/received_datagram.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::packets {
 
-// A datagram and who sent it.
+// A datagram and the address of its sender.
 struct received_datagram
 {
     const base::endpoint from;
