--- a/lycheeshunt/routing/agent_liveness.h
+++ b/lycheeshunt/routing/agent_liveness.h
@@ -5,15 +5,15 @@
 
 namespace lycheeshunt::routing {
 
-// What one entry has seen of one agent.
+// The probe history of one agent at one entry.
 struct agent_liveness
 {
     const target agent;
-    // The last probe, and whether its answer is still out.
+    // The last probe, and whether its echo is still pending.
     const base::clock_time probedAt;
     const std::uint64_t number = 0;
-    const bool waiting = false;
-    // In a row.
+    const bool isAnswerPending = false;
+    // Consecutive.
     const std::uint32_t misses = 0;
     const std::uint32_t answers = 0;
     const bool suspected = false;
--- a/lycheeshunt/routing/agent_unreachable.h
+++ b/lycheeshunt/routing/agent_unreachable.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::routing {
 
-// The network reports (by ICMP) that nothing takes datagrams at this address.
+// The network reports by ICMP that this address does not receive datagrams.
 struct agent_unreachable
 {
     const base::endpoint packets;
--- a/lycheeshunt/routing/agents_changed.h
+++ b/lycheeshunt/routing/agents_changed.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::routing {
 
-// The agents that the entry's newest table may send to.
+// The agents that the entry's newest routing table may send packets to.
 struct agents_changed
 {
     const std::vector<target> agents;
--- a/lycheeshunt/routing/bucket_owners.h
+++ b/lycheeshunt/routing/bucket_owners.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::routing {
 
-// Positions in bucket_table::targets() of a bucket's director and of its backup. They are the
-// same when the service has one agent.
+// Indexes in bucket_table::targets() of a bucket's director and its backup. They are equal when
+// the service has only one agent.
 struct bucket_owners
 {
     const std::uint16_t director = 0;
--- a/lycheeshunt/routing/bucket_table.cpp
+++ b/lycheeshunt/routing/bucket_table.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-bucket_owners leastTwo(base::bucket bucket, const std::vector<target> &targets)
+bucket_owners twoCheapest(base::bucket bucket, const std::vector<target> &targets)
 {
     constexpr std::uint64_t none = std::numeric_limits<std::uint64_t>::max();
     std::size_t first = 0;
@@ -39,7 +39,7 @@
 {
     m_owners.reserve(buckets);
     for (std::uint32_t i = 0; i < buckets; ++i)
-        m_owners.push_back(leastTwo(base::bucket(i), m_targets));
+        m_owners.push_back(twoCheapest(base::bucket(i), m_targets));
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/bucket_table.h
+++ b/lycheeshunt/routing/bucket_table.h
@@ -1,6 +1,6 @@
-// Which agent is director, and which is backup, for each bucket of one service. Built by weighted
-// rendezvous hashing: every node builds the same table from the same members, and a member that
-// comes, goes or changes its weight moves only the buckets that it gains or loses. Immutable.
+// Maps each bucket of one service to its director and its backup. Built by weighted rendezvous
+// hashing: every node builds the same table from the same members, and a member that joins, leaves
+// or changes its weight moves only the buckets that it gains or loses. Immutable.
 //
 //     const bucket_table table(buckets, targets);
 //     const target &director = table.directorOf(table.bucketOf(hashOf(key)));
@@ -18,7 +18,8 @@
 class bucket_table
 {
 public:
-    // Precondition: buckets > 0; at most 65,536 targets. Cost: buckets times targets hash steps.
+    // Preconditions: buckets > 0; at most 65,536 targets. Computes a hash for each pair of a bucket
+    // and a target.
     bucket_table(std::uint32_t buckets, std::vector<target> targets);
 
     std::uint32_t size() const { return static_cast<std::uint32_t>(m_owners.size()); }
@@ -41,8 +42,8 @@
         return m_targets[m_owners[bucket.value()].backup];
     }
 
-    // Held by the table, in bytes.
-    std::size_t memory() const
+    // Memory used by the table.
+    std::size_t memoryBytes() const
     {
         return sizeof *this + m_targets.capacity() * sizeof(target)
             + m_owners.capacity() * sizeof(bucket_owners);
@@ -52,7 +53,7 @@
 
 private:
     std::vector<target> m_targets;
-    // One less than the number of buckets when that is a power of two, else 0.
+    // Number of buckets minus one when that number is a power of two, otherwise 0.
     std::uint32_t m_mask;
     std::vector<bucket_owners> m_owners;
 };
--- a/lycheeshunt/routing/bucket_table_test.cpp
+++ b/lycheeshunt/routing/bucket_table_test.cpp
@@ -59,11 +59,12 @@
 {
     const bucket_table before(buckets, targetsFor({"a", "b", "c", "d"}));
     const bucket_table after(buckets, targetsFor({"a", "b", "d"}));
-    const base::node_id gone = base::nodeIdOf("c");
+    const base::node_id removed = base::nodeIdOf("c");
     for (std::uint32_t i = 0; i < buckets; ++i) {
         const base::bucket bucket(i);
-        const target &expected = before.directorOf(bucket).node == gone ? before.backupOf(bucket)
-                                                                        : before.directorOf(bucket);
+        const target &expected = before.directorOf(bucket).node == removed
+            ? before.backupOf(bucket)
+            : before.directorOf(bucket);
         CHECK(after.directorOf(bucket) == expected);
     }
 }
@@ -81,12 +82,12 @@
             const base::node_id now = table.directorOf(base::bucket(i)).node;
             CHECK(now == base::nodeIdOf("new") || now == without.directorOf(base::bucket(i)).node);
         }
-        const std::size_t held = bucketsOf(table, "new");
+        const std::size_t owned = bucketsOf(table, "new");
         const std::size_t fair = 4096 * weight / (12 + weight);
-        CHECK(held > before);
-        CHECK(held > fair * 8 / 10);
-        CHECK(held < fair * 12 / 10);
-        before = held;
+        CHECK(owned > before);
+        CHECK(owned > fair * 8 / 10);
+        CHECK(owned < fair * 12 / 10);
+        before = owned;
     }
 }
 
@@ -107,7 +108,8 @@
     }
 }
 
-// Entries of different builds must agree: a change of this value moves flows while versions mix.
+// Entries of different builds must build the same table: a change of this value would move flows
+// while entries of both versions run.
 TEST(bucket_table, isTheSameOnEveryNode)
 {
     const bucket_table table(
--- a/lycheeshunt/routing/bypassed_agents.h
+++ b/lycheeshunt/routing/bypassed_agents.h
@@ -1,5 +1,5 @@
-// The agents that one entry sends nothing to for now, by its own observation. Immutable; shared by
-// the threads of the entry.
+// The agents that an entry currently suspects by its own observation and routes around. Immutable;
+// shared by the entry's threads.
 
 #pragma once
 
--- a/lycheeshunt/routing/codec.cpp
+++ b/lycheeshunt/routing/codec.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::uint8_t wireVersion = 1;
 constexpr std::size_t maxProbeBytes = 32;
-// A MessagePack array of four.
+// The MessagePack header of an array of four elements.
 constexpr char arrayOfFour = static_cast<char>(0x94);
 
 using probe_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t>;
@@ -47,10 +47,10 @@
 std::optional<std::string> echoOf(std::string_view bytes, base::incarnation life)
 {
     const base::result<probe_datagram> decoded = decodeProbe(bytes);
-    const probe_datagram *asked = std::get_if<probe_datagram>(&decoded);
-    if (asked == nullptr || asked->kind != probe_kind::probe || asked->life != life)
+    const probe_datagram *probe = std::get_if<probe_datagram>(&decoded);
+    if (probe == nullptr || probe->kind != probe_kind::probe || probe->life != life)
         return std::nullopt;
-    return encodeProbe(probe_datagram {probe_kind::echo, life, asked->number});
+    return encodeProbe(probe_datagram {probe_kind::echo, life, probe->number});
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/codec.h
+++ b/lycheeshunt/routing/codec.h
@@ -1,4 +1,4 @@
-// MessagePack form of probes and their echoes, one to a datagram.
+// MessagePack encoding of liveness probes and their echoes, one per datagram.
 
 #pragma once
 
@@ -14,11 +14,12 @@
 std::string encodeProbe(const probe_datagram &datagram);
 base::result<probe_datagram> decodeProbe(std::string_view bytes);
 
-// Whether the bytes begin as a probe or an echo does; costs two comparisons.
+// Whether the bytes have the length and the first byte of a probe or an echo. Costs two
+// comparisons, so it can run on every datagram.
 bool hasProbePrefix(std::string_view bytes);
 
-// What an agent of this life answers: nothing to a probe of another life, or to other bytes. The
-// answer is as long as the probe, so that it amplifies nothing.
+// The echo that an agent of this incarnation sends for the bytes; nothing if they are not a probe
+// of this incarnation. An echo is as long as its probe, so that it can't be used for amplification.
 std::optional<std::string> echoOf(std::string_view bytes, base::incarnation life);
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/directors.cpp
+++ b/lycheeshunt/routing/directors.cpp
@@ -10,35 +10,35 @@
 
 using members = std::vector<const membership::member *>;
 
-// Those that pass, or all when none does.
+// The members that pass, or all members if none does.
 template <typename predicate>
-members keepUnlessNone(const members &all, predicate passes)
+members filterUnlessEmpty(const members &all, predicate passes)
 {
     members kept;
     std::copy_if(all.begin(), all.end(), std::back_inserter(kept), passes);
     return kept.empty() ? all : kept;
 }
 
-// Verdicts are not believed when they condemn more than half.
-members withoutBadOnes(const members &all)
+// Ignores health when more than half of the members are in bad health.
+members withoutUnhealthy(const members &all)
 {
-    const members good = keepUnlessNone(all, [](const membership::member *each) {
+    const members healthy = filterUnlessEmpty(all, [](const membership::member *each) {
         return each->health == membership::member_health::good;
     });
-    return good.size() * 2 < all.size() ? all : good;
+    return healthy.size() * 2 < all.size() ? all : healthy;
 }
 
 } // namespace
 
 std::vector<target> chooseDirectors(const dissemination::cluster_view &view, const members &agents)
 {
-    const members staying = keepUnlessNone(
+    const members notDraining = filterUnlessEmpty(
         agents, [&](const membership::member *each) { return !view.isDraining(*each); });
-    const members reachable = keepUnlessNone(staying, [](const membership::member *each) {
+    const members reachable = filterUnlessEmpty(notDraining, [](const membership::member *each) {
         return each->phase != membership::member_phase::suspected;
     });
     std::vector<target> directors;
-    for (const membership::member *each : withoutBadOnes(reachable))
+    for (const membership::member *each : withoutUnhealthy(reachable))
         directors.push_back(target {each->id(), each->life, each->packets, each->share});
     return directors;
 }
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t updateCapacity = 8;
-constexpr int waitWithoutLimit = -1;
+constexpr int pollWithoutTimeout = -1;
 
 } // namespace
 
@@ -40,7 +40,7 @@
 entry_port::entry_port(const entry_sockets &sockets, const packets::packet_codec &codec,
                        base::file_descriptor socket, base::file_descriptor hintSocket)
     : m_sockets(sockets), m_codec(codec),
-      m_hintsAt(hintSocket.isOpen() ? base::localEndpoint(hintSocket) : base::endpoint {}),
+      m_hintEndpoint(hintSocket.isOpen() ? base::localEndpoint(hintSocket) : base::endpoint {}),
       m_socket(std::move(socket)), m_hintSocket(std::move(hintSocket)), m_updates(updateCapacity),
       m_table(std::make_shared<const routing_table>()),
       m_bypass(std::make_shared<const bypassed_agents>()), m_thread([this]() { run(); })
@@ -63,13 +63,13 @@
     const std::unique_ptr<internal::packet_batch> packets
         = std::make_unique<internal::packet_batch>();
     while (!m_updates.isClosed()) {
-        // A descriptor below 0 is left out by poll.
+        // poll() ignores descriptors below 0, such as that of a hint socket that is not open.
         pollfd watched[] = {{m_socket.get(), POLLIN, 0},
                             {m_updates.descriptor(), POLLIN, 0},
                             {m_hintSocket.get(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), waitWithoutLimit);
+        ::poll(watched, std::size(watched), pollWithoutTimeout);
         while (const std::optional<entry_update> update = m_updates.tryPop())
-            takeUpdate(*update);
+            handleUpdate(*update);
         if (watched[2].revents != 0)
             receiveHints();
         if (watched[0].revents != 0)
@@ -77,14 +77,14 @@
     }
 }
 
-void entry_port::takeUpdate(const entry_update &update)
+void entry_port::handleUpdate(const entry_update &update)
 {
     std::visit(base::overloaded {
                    [this](const shared_table &table) {
                        if (table->at() >= m_table->at())
                            m_table = table;
                        m_isReady = true;
-                       routeEarly();
+                       routeEarlyPackets();
                    },
                    [this](const shared_bypass &bypass) { m_bypass = bypass; },
                },
@@ -101,59 +101,63 @@
 
 void entry_port::routePacket(internal::packet_batch &packets, std::size_t index)
 {
-    const base::result<packets::ip_summary> read
+    const base::result<packets::ip_summary> parsed
         = m_codec.summarize(packets.packet(index), packets::direction::fromCaller);
-    if (!base::isOk(read)) {
+    if (!base::isOk(parsed)) {
         ++m_malformed;
         return;
     }
-    const packets::ip_summary &summary = base::valueOf(read);
+    const packets::ip_summary &summary = base::valueOf(parsed);
     if (!m_isReady) {
-        holdEarly(packets.packet(index), summary);
+        bufferEarlyPacket(packets.packet(index), summary);
         return;
     }
-    const steering way = steer(*m_table, *m_bypass, m_hints, summary, base::clock_time::steady());
-    std::visit(base::overloaded {
-                   [&](const steer_to &to) {
-                       m_hinted += to.stage == flows::packet_stage::toOwner ? 1 : 0;
-                       const flows::packet_header header {
-                           to.way.service, to.way.to.life, to.way.at, to.stage, 0, m_hintsAt};
-                       packets.forward(index, header, to.way.to.packets);
-                   },
-                   [&](const refuse_caller &) {
-                       ++m_unroutable;
-                       refuseCaller(packets.packet(index), summary.key);
-                   },
-                   [&](const drop_packet &) { ++m_unroutable; },
-               },
-               way);
-    if (summary.opens || !std::holds_alternative<steer_to>(way))
-        logSteering(summary, way);
+    const steering decision
+        = steer(*m_table, *m_bypass, m_hints, summary, base::clock_time::steady());
+    std::visit(
+        base::overloaded {
+            [&](const steer_to &to) {
+                m_hinted += to.stage == flows::packet_stage::toOwner ? 1 : 0;
+                const flows::packet_header header {
+                    to.destination.service, to.destination.to.life, to.destination.at, to.stage, 0,
+                    m_hintEndpoint};
+                packets.forward(index, header, to.destination.to.packets);
+            },
+            [&](const refuse_caller &) {
+                ++m_unroutable;
+                refuseCaller(packets.packet(index), summary.key);
+            },
+            [&](const drop_packet &) { ++m_unroutable; },
+        },
+        decision);
+    if (summary.opens || !std::holds_alternative<steer_to>(decision))
+        logSteering(summary, decision);
 }
 
-void entry_port::holdEarly(std::string_view bytes, const packets::ip_summary &summary)
+void entry_port::bufferEarlyPacket(std::string_view bytes, const packets::ip_summary &summary)
 {
-    // Copies of an opening packet would be sent to different agents at the same moment.
-    const bool isCopy = summary.isRepeated && m_early.holds(summary.key);
-    if (!isCopy && !m_early.put(summary.key, std::string(bytes), base::clock_time::steady()))
+    // A retransmitted opening packet is not buffered beside the first one: when the table arrives,
+    // the two would be sent to different agents at the same moment.
+    const bool isCopy = summary.isRepeated && m_earlyPackets.holds(summary.key);
+    if (!isCopy && !m_earlyPackets.put(summary.key, std::string(bytes), base::clock_time::steady()))
         ++m_unroutable;
 }
 
-void entry_port::routeEarly()
+void entry_port::routeEarlyPackets()
 {
-    if (m_early.isEmpty())
+    if (m_earlyPackets.isEmpty())
         return;
     const base::clock_time now = base::clock_time::steady();
-    const std::vector<std::string> early = m_early.take(now);
+    const std::vector<std::string> early = m_earlyPackets.take(now);
     base::logEvent("routing", "early_packets",
                    {{"generation", std::to_string(m_table->at().value())},
                     {"packets", std::to_string(early.size())}});
     for (const std::string &bytes : early) {
-        const base::result<packets::ip_summary> read
+        const base::result<packets::ip_summary> parsed
             = m_codec.summarize(bytes, packets::direction::fromCaller);
-        if (!base::isOk(read))
+        if (!base::isOk(parsed))
             continue;
-        const packets::ip_summary &summary = base::valueOf(read);
+        const packets::ip_summary &summary = base::valueOf(parsed);
         carryOut(steer(*m_table, *m_bypass, m_hints, summary, now),
                  flows::forwarded_packet {base::service_id(), base::incarnation(),
                                           base::generation(), flows::packet_stage::toDirector, 0,
@@ -161,7 +165,7 @@
     }
 }
 
-void entry_port::logSteering(const packets::ip_summary &packet, const steering &way) const
+void entry_port::logSteering(const packets::ip_summary &packet, const steering &decision) const
 {
     const std::string generation = std::to_string(m_table->at().value());
     std::visit(base::overloaded {
@@ -170,7 +174,7 @@
                            "routing", "steered",
                            {{"flow", packet.key.text()},
                             {"generation", generation},
-                            {"to", to.way.to.packets.text()},
+                            {"to", to.destination.to.packets.text()},
                             {"by", to.stage == flows::packet_stage::toOwner ? "hint" : "director"},
                             {"copy", packet.isRepeated ? "yes" : "no"}});
                    },
@@ -187,7 +191,7 @@
                                        {"code", std::to_string(static_cast<int>(dropped.reason))}});
                    },
                },
-               way);
+               decision);
 }
 
 void entry_port::refuseCaller(std::string_view packet, const base::flow_key &key)
@@ -204,50 +208,50 @@
     while (const std::optional<std::string> bytes = packets::receiveDatagram(m_hintSocket.get())) {
         const base::result<flows::flow_datagram> decoded = flows::decodeDatagram(*bytes, m_codec);
         const flows::flow_datagram *datagram = std::get_if<flows::flow_datagram>(&decoded);
-        const flows::peer_message *said
+        const flows::peer_message *message
             = datagram == nullptr ? nullptr : std::get_if<flows::peer_message>(datagram);
         const flows::owner_hint *hint
-            = said == nullptr ? nullptr : std::get_if<flows::owner_hint>(said);
+            = message == nullptr ? nullptr : std::get_if<flows::owner_hint>(message);
         if (hint != nullptr)
             m_hints.put(hint->key,
                         flow_hint {hint->service, hint->owner, base::clock_time::steady()});
         else if (datagram != nullptr && std::holds_alternative<flows::forwarded_packet>(*datagram))
-            takeUnknown(std::get<flows::forwarded_packet>(*datagram));
+            handleUnknownFlow(std::get<flows::forwarded_packet>(*datagram));
         else
             ++m_malformed;
     }
 }
 
-void entry_port::takeUnknown(const flows::forwarded_packet &packet)
+void entry_port::handleUnknownFlow(const flows::forwarded_packet &packet)
 {
-    const steering way = steerAfterUnknown(*m_table, *m_bypass, m_hints, packet.summary,
-                                           packet.service, packet.isDoubtful);
-    carryOut(way, packet);
+    const steering decision = steerToNextService(*m_table, *m_bypass, m_hints, packet.summary,
+                                                 packet.service, packet.isDoubtful);
+    carryOut(decision, packet);
 }
 
-void entry_port::carryOut(const steering &way, const flows::forwarded_packet &packet)
+void entry_port::carryOut(const steering &decision, const flows::forwarded_packet &packet)
 {
     std::visit(
         base::overloaded {
             [&](const steer_to &to) {
                 packets::sendDatagram(
-                    m_socket.get(), to.way.to.packets,
-                    flows::encodePacket(flows::forwarded_packet {to.way.service,
-                                                                 to.way.to.life,
-                                                                 to.way.at,
+                    m_socket.get(), to.destination.to.packets,
+                    flows::encodePacket(flows::forwarded_packet {to.destination.service,
+                                                                 to.destination.to.life,
+                                                                 to.destination.at,
                                                                  to.stage,
                                                                  0,
                                                                  packet.summary,
                                                                  packet.bytes,
-                                                                 m_hintsAt,
+                                                                 m_hintEndpoint,
                                                                  {},
                                                                  packet.isDoubtful}));
             },
             [&](const refuse_caller &) { refuseCaller(packet.bytes.view(), packet.summary.key); },
             [&](const drop_packet &) { ++m_unroutable; },
         },
-        way);
-    logSteering(packet.summary, way);
+        decision);
+    logSteering(packet.summary, decision);
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -1,6 +1,6 @@
-// The packet thread of an entry: receives callers' packets from the fabric in batches, routes
-// each by the current table and sends it on. What it remembers of flows are hints, which agents
-// give on a socket of their own; without that socket it keeps nothing.
+// The packet thread of an entry: receives callers' packets from the fabric in batches, routes each
+// by the current table and forwards it. Its only state for flows is a cache of owner hints, which
+// agents send to a separate socket; without that socket it keeps no state for flows.
 //
 //     base::result<std::unique_ptr<entry_port>> port = entry_port::open({local}, ipPackets());
 //     valueOf(port)->updates().push(table);
@@ -32,7 +32,7 @@
 class packet_batch;
 }
 
-// What the packet thread is told: a newer table, or whom to bypass.
+// An update for the packet thread: a newer routing table, or the agents to bypass.
 using entry_update = std::variant<shared_table, shared_bypass>;
 
 class entry_port
@@ -45,19 +45,19 @@
     entry_port(const entry_port &) = delete;
     entry_port &operator=(const entry_port &) = delete;
 
-    // The newest table and the last bypass count.
+    // The table of the latest generation and the bypass pushed last are used.
     base::ring<entry_update> &updates() { return m_updates; }
-    // Where packets are received; tells the port that the system chose for port 0.
+    // The local address for packets; contains the port that the system chose for port 0.
     base::endpoint local() const;
 
-    // Counts of packets: not IP packets that can be routed, no agent for them, not sent on.
+    // Numbers of packets that were malformed or unsupported, had no agent, or could not be sent.
     std::uint64_t malformed() const { return m_malformed; }
     std::uint64_t unroutable() const { return m_unroutable; }
     std::uint64_t unsent() const { return m_unsent; }
-    // Packets that were sent to the owner by a hint, and resets to callers.
+    // Number of packets that a hint sent to the flow's owner, and of resets sent to callers.
     std::uint64_t hinted() const { return m_hinted; }
     std::uint64_t resets() const { return m_resets; }
-    // Whether it has a table.
+    // Whether a routing table has arrived.
     bool isReady() const { return m_isReady; }
 
 private:
@@ -65,28 +65,28 @@
                base::file_descriptor socket, base::file_descriptor hintSocket);
 
     void run();
-    void takeUpdate(const entry_update &update);
+    void handleUpdate(const entry_update &update);
     void routeBatch(internal::packet_batch &packets);
     void routePacket(internal::packet_batch &packets, std::size_t index);
-    void holdEarly(std::string_view bytes, const packets::ip_summary &summary);
-    void routeEarly();
-    // Sends one packet that is in no batch.
-    void carryOut(const steering &way, const flows::forwarded_packet &packet);
+    void bufferEarlyPacket(std::string_view bytes, const packets::ip_summary &summary);
+    void routeEarlyPackets();
+    // Carries out the decision for a single packet that is not in a batch.
+    void carryOut(const steering &decision, const flows::forwarded_packet &packet);
 
     void receiveHints();
-    void takeUnknown(const flows::forwarded_packet &packet);
-    void logSteering(const packets::ip_summary &packet, const steering &way) const;
+    void handleUnknownFlow(const flows::forwarded_packet &packet);
+    void logSteering(const packets::ip_summary &packet, const steering &decision) const;
     void refuseCaller(std::string_view packet, const base::flow_key &key);
 
     const entry_sockets m_sockets;
     const packets::packet_codec m_codec;
-    // What agents are told to send hints to; port 0 without hints.
-    base::endpoint m_hintsAt;
+    // The address that agents are to send hints to; port 0 if the entry receives no hints.
+    base::endpoint m_hintEndpoint;
     base::file_descriptor m_socket;
     base::file_descriptor m_hintSocket;
     flow_hints m_hints;
-    // Until there is a table.
-    base::early_packets<std::string> m_early;
+    // Packets that are buffered until the first routing table arrives.
+    base::early_packets<std::string> m_earlyPackets;
     base::ring<entry_update> m_updates;
     shared_table m_table;
     shared_bypass m_bypass;
--- a/lycheeshunt/routing/entry_sockets.h
+++ b/lycheeshunt/routing/entry_sockets.h
@@ -6,14 +6,14 @@
 
 namespace lycheeshunt::routing {
 
-// Where an entry's packets come from and go to.
+// The addresses that an entry receives on and sends to.
 struct entry_sockets
 {
-    // Bound here: callers' packets from the fabric.
+    // Local address for callers' packets from the fabric.
     const base::endpoint packets;
-    // Bound here, when given: what agents say about flows.
+    // Local address for agents' messages about flows; without it the entry receives none.
     const std::optional<base::endpoint> hints = {};
-    // The fabric takes packets to callers here; without it callers are never answered.
+    // Address of the fabric for packets to callers; without it no resets are sent to callers.
     const std::optional<base::endpoint> fabric = {};
 
     bool operator==(const entry_sockets &) const = default;
--- a/lycheeshunt/routing/flow_hint.h
+++ b/lycheeshunt/routing/flow_hint.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::routing {
 
-// Which agent answered for a flow, and when the entry learned it.
+// The agent that owns a flow, and when the entry received the hint.
 struct flow_hint
 {
     const base::service_id service;
--- a/lycheeshunt/routing/flow_hints.h
+++ b/lycheeshunt/routing/flow_hints.h
@@ -1,6 +1,6 @@
-// What an entry remembers of flows, so that their packets need not pass by their directors.
-// Bounded: of two halves the older one is forgotten when the newer one is full, and a hint that is
-// used moves to the newer. Losing a hint loses nothing but a hop.
+// An entry's cache of flow owners, which spares packets the hop through their directors. Bounded:
+// the cache has two halves, the older half is evicted when the newer one is full, and a hint that
+// is looked up moves to the newer half. An evicted hint costs only an extra hop.
 //
 //     hints.put(key, flow_hint {service, owner, now});
 //     if (const flow_hint *hint = hints.find(key)) ...
@@ -19,12 +19,13 @@
 class flow_hints
 {
 public:
-    // Some 60 bytes each; an entry of the size to design for has 9,000 open flows.
+    // A hint takes about 60 bytes; an entry is designed for 9,000 open flows.
     static constexpr std::size_t halfCapacity = 16'384;
 
-    explicit flow_hints(std::size_t capacityOfHalf = halfCapacity) : m_capacity(capacityOfHalf) { }
+    explicit flow_hints(std::size_t maxHalfSize = halfCapacity) : m_capacity(maxHalfSize) { }
 
-    // Null when nothing is known. Valid until the next call that changes the table.
+    // Null when there is no hint. The pointer is valid until the next call of a member function
+    // that is not const.
     const flow_hint *find(const base::flow_key &key);
     void put(const base::flow_key &key, const flow_hint &hint);
     void erase(const base::flow_key &key);
--- a/lycheeshunt/routing/internal/directors.h
+++ b/lycheeshunt/routing/internal/directors.h
@@ -1,4 +1,4 @@
-// Which agents of a service may direct flows; shared by the table of one service and of all.
+// Chooses the agents of a service that may direct flows.
 
 #pragma once
 
@@ -10,7 +10,7 @@
 
 namespace lycheeshunt::routing::internal {
 
-// Ordered as in the view. The pointers are valid as long as the view.
+// Agents of each service, ordered as in the view. The pointers are valid as long as the view.
 std::unordered_map<base::service_id, std::vector<const membership::member *>>
 agentsByService(const dissemination::cluster_view &view);
 
--- a/lycheeshunt/routing/internal/packet_batch.cpp
+++ b/lycheeshunt/routing/internal/packet_batch.cpp
@@ -56,7 +56,7 @@
 
 std::size_t packet_batch::send(int socket)
 {
-    std::size_t lost = 0;
+    std::size_t dropped = 0;
     std::size_t next = 0;
     while (next < m_queued) {
         const int sent = ::sendmmsg(socket, m_outgoing.data() + next,
@@ -64,17 +64,17 @@
         if (sent > 0) {
             next += static_cast<std::size_t>(sent);
         } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-            // The socket's buffer is full, for this packet and for those behind it.
-            lost += m_queued - next;
+            // The socket's send buffer is full, for this packet and for those after it.
+            dropped += m_queued - next;
             break;
         } else if (errno != EINTR) {
-            // One packet that can't be sent must not keep back the others.
-            ++lost;
+            // A packet that can't be sent must not block the others.
+            ++dropped;
             ++next;
         }
     }
     m_queued = 0;
-    return lost;
+    return dropped;
 }
 
 } // namespace lycheeshunt::routing::internal
--- a/lycheeshunt/routing/internal/packet_batch.h
+++ b/lycheeshunt/routing/internal/packet_batch.h
@@ -1,5 +1,5 @@
-// The buffers of one batch of packets at an entry, kept from batch to batch: takes what has come
-// to a socket and sends on what was routed, with one system call each and no allocation.
+// The reusable buffers of one batch of packets at an entry: receives packets from a socket and
+// forwards those that were routed, with one system call each and without allocation.
 //
 //     const std::size_t count = batch.receive(socket);
 //     for (std::size_t i = 0; i < count; ++i)
@@ -33,15 +33,16 @@
     packet_batch(const packet_batch &) = delete;
     packet_batch &operator=(const packet_batch &) = delete;
 
-    // Never waits. Returns how many packets have come.
+    // Never blocks. Returns the number of packets received.
     std::size_t receive(int socket);
     // The bytes of a received packet; empty when it was longer than maxPacketBytes.
     std::string_view packet(std::size_t index) const;
-    // Queues a received packet, behind this header.
+    // Queues a received packet with this header in front of it.
     void forward(std::size_t index, const flows::packet_header &header, const base::endpoint &to);
-    // Queues a received packet as it is.
+    // Queues a received packet without a header.
     void forwardBare(std::size_t index, const base::endpoint &to);
-    // Sends what is queued. Returns how many packets could not be sent; they are lost.
+    // Sends the queued packets. Returns the number of packets that could not be sent; those are
+    // dropped.
     std::size_t send(int socket);
 
 private:
--- a/lycheeshunt/routing/internal/rendezvous.cpp
+++ b/lycheeshunt/routing/internal/rendezvous.cpp
@@ -14,7 +14,7 @@
 // Logarithms are in units of 2^-40.
 constexpr int fractionBits = 40;
 constexpr int indexBits = 8;
-constexpr int restBits = 24;
+constexpr int remainderBits = 24;
 constexpr int hashBits = 64;
 constexpr std::size_t tableSize = (std::size_t(1) << indexBits) + 1;
 constexpr std::uint64_t weightScale = 1 << 16;
@@ -55,9 +55,9 @@
     const int leading = std::countl_zero(hash);
     const std::uint64_t mantissa = leading == hashBits - 1 ? 0 : hash << (leading + 1);
     const std::size_t index = mantissa >> (hashBits - indexBits);
-    const std::uint64_t rest = (mantissa << indexBits) >> (hashBits - restBits);
+    const std::uint64_t remainder = (mantissa << indexBits) >> (hashBits - remainderBits);
     const std::uint64_t slope = logTable[index + 1] - logTable[index];
-    const std::uint64_t fraction = logTable[index] + ((slope * rest) >> restBits);
+    const std::uint64_t fraction = logTable[index] + ((slope * remainder) >> remainderBits);
     return (std::uint64_t(leading + 1) << fractionBits) - fraction;
 }
 
--- a/lycheeshunt/routing/internal/rendezvous.h
+++ b/lycheeshunt/routing/internal/rendezvous.h
@@ -1,4 +1,4 @@
-// Weighted rendezvous hashing in integers, so that every node computes the same to the last bit.
+// Weighted rendezvous hashing in integer arithmetic, so that every node computes identical results.
 
 #pragma once
 
@@ -8,7 +8,7 @@
 
 namespace lycheeshunt::routing::internal {
 
-// The target with the least cost has the bucket. A cost depends on one target alone, so a change
+// The target with the lowest cost owns the bucket. A cost depends on one target only, so a change
 // of one target moves only buckets that it gains or loses. Precondition: weight > 0.
 std::uint64_t rendezvousCost(base::bucket bucket, base::node_id node, std::uint32_t weight);
 
--- a/lycheeshunt/routing/liveness_decision.cpp
+++ b/lycheeshunt/routing/liveness_decision.cpp
@@ -8,21 +8,21 @@
 
 using liveness_step = base::step<liveness_state, liveness_action>;
 
-constexpr base::clock_time answerWithin = base::clock_time::ofMillis(300);
-constexpr base::clock_time probeEvery = base::clock_time::ofMillis(400);
+constexpr base::clock_time probeTimeout = base::clock_time::ofMillis(300);
+constexpr base::clock_time probeInterval = base::clock_time::ofMillis(400);
 constexpr std::uint32_t missesToSuspect = 3;
 constexpr std::uint32_t answersToTrust = 2;
 
 using agent_row = std::map<base::node_id, agent_liveness>::iterator;
 
-void replace(liveness_state &state, const agent_liveness &next)
+void replaceRow(liveness_state &state, const agent_liveness &next)
 {
     const base::node_id node = next.agent.node;
     state.agents.erase(node);
     state.agents.emplace(node, next);
 }
 
-agent_liveness missed(const agent_liveness &row, std::uint32_t misses)
+agent_liveness withMisses(const agent_liveness &row, std::uint32_t misses)
 {
     return agent_liveness {row.agent,
                            row.probedAt,
@@ -33,79 +33,82 @@
                            row.suspected || misses >= missesToSuspect};
 }
 
-// A new life starts without suspicion; a known one keeps what was seen of it.
-void takeAgents(liveness_state &state, const agents_changed &changed)
+// Keeps the rows of agents whose incarnation and address are unchanged; any other agent starts
+// without suspicion.
+void handleAgents(liveness_state &state, const agents_changed &changed)
 {
     std::map<base::node_id, agent_liveness> next;
     for (const target &agent : changed.agents) {
-        const auto known = state.agents.find(agent.node);
-        const bool same = known != state.agents.end() && known->second.agent.life == agent.life
-            && known->second.agent.packets == agent.packets;
-        next.emplace(agent.node, same ? known->second : agent_liveness {agent, {}});
+        const auto existing = state.agents.find(agent.node);
+        const bool isSame = existing != state.agents.end()
+            && existing->second.agent.life == agent.life
+            && existing->second.agent.packets == agent.packets;
+        next.emplace(agent.node, isSame ? existing->second : agent_liveness {agent, {}});
     }
     state.agents = std::move(next);
 }
 
-void takeAnswer(liveness_state &state, const probe_answered &answer)
+void handleAnswer(liveness_state &state, const probe_answered &answer)
 {
     for (agent_row it = state.agents.begin(); it != state.agents.end(); ++it) {
         const agent_liveness row = it->second;
-        if (!row.waiting || row.number != answer.number || row.agent.life != answer.life)
+        if (!row.isAnswerPending || row.number != answer.number || row.agent.life != answer.life)
             continue;
         const std::uint32_t answers = row.answers + 1;
-        replace(state,
-                agent_liveness {row.agent, row.probedAt, row.number, false, 0, answers,
-                                row.suspected && answers < answersToTrust});
+        replaceRow(state,
+                   agent_liveness {row.agent, row.probedAt, row.number, false, 0, answers,
+                                   row.suspected && answers < answersToTrust});
         return;
     }
 }
 
-void takeUnreachable(liveness_state &state, const agent_unreachable &report)
+void handleUnreachable(liveness_state &state, const agent_unreachable &report)
 {
     for (agent_row it = state.agents.begin(); it != state.agents.end(); ++it) {
         if (it->second.agent.packets == report.packets) {
-            replace(state, missed(it->second, missesToSuspect));
+            replaceRow(state, withMisses(it->second, missesToSuspect));
             return;
         }
     }
 }
 
-void countMisses(liveness_state &state, base::clock_time now)
+void expireProbes(liveness_state &state, base::clock_time now)
 {
     std::vector<agent_liveness> overdue;
     for (agent_row it = state.agents.begin(); it != state.agents.end(); ++it) {
-        if (it->second.waiting && now - it->second.probedAt >= answerWithin)
+        if (it->second.isAnswerPending && now - it->second.probedAt >= probeTimeout)
             overdue.push_back(it->second);
     }
     for (const agent_liveness &row : overdue)
-        replace(state, missed(row, row.misses + 1));
+        replaceRow(state, withMisses(row, row.misses + 1));
 }
 
-void probe(liveness_state &state, const agent_liveness &row, base::clock_time now,
-           std::vector<liveness_action> &actions)
+void sendProbe(liveness_state &state, const agent_liveness &row, base::clock_time now,
+               std::vector<liveness_action> &actions)
 {
     ++state.lastNumber;
-    replace(state,
-            agent_liveness {row.agent, now, state.lastNumber, true, row.misses, row.answers,
-                            row.suspected});
+    replaceRow(state,
+               agent_liveness {row.agent, now, state.lastNumber, true, row.misses, row.answers,
+                               row.suspected});
     actions.emplace_back(send_probe {row.agent, state.lastNumber});
 }
 
-void probeNext(liveness_state &state, base::clock_time now, std::vector<liveness_action> &actions)
+void sendDueProbes(liveness_state &state, base::clock_time now,
+                   std::vector<liveness_action> &actions)
 {
-    std::size_t looked = 0;
+    std::size_t examined = 0;
     std::size_t sent = 0;
-    while (looked < state.agents.size() && sent < probesPerTick) {
+    while (examined < state.agents.size() && sent < probesPerTick) {
         agent_row next = state.agents.upper_bound(state.cursor);
         if (next == state.agents.end())
             next = state.agents.begin();
         const agent_liveness row = next->second;
         state.cursor = row.agent.node;
-        ++looked;
-        const bool due = row.number == 0 || now - row.probedAt >= probeEvery;
-        if (row.waiting || !due)
+        ++examined;
+        const bool due = row.number == 0 || now - row.probedAt >= probeInterval;
+        if (row.isAnswerPending || !due)
             continue;
-        probe(state, row, now, actions);
+        sendProbe(state, row, now, actions);
         ++sent;
     }
 }
@@ -131,12 +134,12 @@
 {
     std::vector<liveness_action> actions;
     std::visit(base::overloaded {
-                   [&](const agents_changed &changed) { takeAgents(state, changed); },
-                   [&](const probe_answered &answer) { takeAnswer(state, answer); },
-                   [&](const agent_unreachable &report) { takeUnreachable(state, report); },
+                   [&](const agents_changed &changed) { handleAgents(state, changed); },
+                   [&](const probe_answered &answer) { handleAnswer(state, answer); },
+                   [&](const agent_unreachable &report) { handleUnreachable(state, report); },
                    [&](const liveness_tick &) {
-                       countMisses(state, now);
-                       probeNext(state, now, actions);
+                       expireProbes(state, now);
+                       sendDueProbes(state, now, actions);
                    },
                },
                message);
--- a/lycheeshunt/routing/liveness_decision.h
+++ b/lycheeshunt/routing/liveness_decision.h
@@ -1,7 +1,7 @@
-// Decides which agents an entry bypasses by its own observation, ahead of control: agents are
-// probed in turn at a bounded rate, and one that misses several probes in a row, or that the
-// network reports unreachable, is suspected. When most look dead the entry itself is probably cut
-// off, and nobody is bypassed.
+// Decides which agents an entry bypasses by its own observation, before control detects a failure:
+// agents are probed in turn at a bounded rate, and one that misses several probes in a row, or that
+// the network reports unreachable, is suspected. When most agents are suspected, the entry itself
+// is probably cut off, and no agent is bypassed.
 //
 //     step<liveness_state, liveness_action> next = decide(std::move(state), message, now);
 
@@ -14,10 +14,10 @@
 
 namespace lycheeshunt::routing {
 
-// Ticks come this often.
-constexpr base::clock_time livenessTickEvery = base::clock_time::ofMillis(100);
-// Each costs about 46 bytes with its IP and UDP headers, and as much for the answer: 30 a second
-// are under 1.4 KB/s each way.
+// Interval at which liveness_tick is to be sent.
+constexpr base::clock_time livenessTickInterval = base::clock_time::ofMillis(100);
+// A probe takes about 46 bytes with its IP and UDP headers, and so does its echo: 30 per second
+// are under 1.4 KB/s in each direction.
 constexpr std::size_t probesPerTick = 3;
 
 base::step<liveness_state, liveness_action>
--- a/lycheeshunt/routing/liveness_port.cpp
+++ b/lycheeshunt/routing/liveness_port.cpp
@@ -15,7 +15,7 @@
 namespace lycheeshunt::routing {
 
 namespace {
-constexpr std::size_t agentsCapacity = 8;
+constexpr std::size_t inboxCapacity = 8;
 } // namespace
 
 base::result<std::unique_ptr<liveness_port>> liveness_port::open(const base::endpoint &local,
@@ -24,7 +24,7 @@
     base::result<base::file_descriptor> socket = base::openDatagramSocket(local);
     if (const base::error *failure = base::errorOf(socket))
         return *failure;
-    // ICMP errors are queued with the address that they are about.
+    // Queues ICMP errors together with the destination address of the datagram that caused them.
     const int on = 1;
     ::setsockopt(base::valueOf(socket).get(), IPPROTO_IP, IP_RECVERR, &on, sizeof on);
     return std::unique_ptr<liveness_port>(
@@ -32,7 +32,7 @@
 }
 
 liveness_port::liveness_port(base::file_descriptor socket, bypass_sink sink)
-    : m_socket(std::move(socket)), m_sink(std::move(sink)), m_agents(agentsCapacity),
+    : m_socket(std::move(socket)), m_sink(std::move(sink)), m_agents(inboxCapacity),
       m_thread([this]() { run(); })
 {
 }
@@ -45,12 +45,12 @@
 
 void liveness_port::run()
 {
-    base::clock_time nextTick = base::clock_time::steady() + livenessTickEvery;
+    base::clock_time nextTick = base::clock_time::steady() + livenessTickInterval;
     while (!m_agents.isClosed()) {
-        const base::clock_time wait
+        const base::clock_time timeout
             = std::max(nextTick - base::clock_time::steady(), base::clock_time());
         pollfd watched[] = {{m_socket.get(), POLLIN, 0}, {m_agents.descriptor(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), static_cast<int>(wait.millis()));
+        ::poll(watched, std::size(watched), static_cast<int>(timeout.millis()));
         if ((watched[0].revents & POLLERR) != 0)
             receiveErrors();
         if ((watched[0].revents & POLLIN) != 0)
@@ -59,7 +59,7 @@
             handle(*changed);
         const base::clock_time now = base::clock_time::steady();
         if (now >= nextTick) {
-            nextTick = now + livenessTickEvery;
+            nextTick = now + livenessTickInterval;
             handle(liveness_tick {});
         }
     }
@@ -77,17 +77,17 @@
 
 void liveness_port::receiveErrors()
 {
-    sockaddr_in about {};
-    char ignored[1] = {};
-    iovec part {ignored, sizeof ignored};
+    sockaddr_in destination {};
+    char unusedPayload[1] = {};
+    iovec part {unusedPayload, sizeof unusedPayload};
     msghdr message {};
     message.msg_iov = &part;
     message.msg_iovlen = 1;
-    message.msg_name = &about;
-    message.msg_namelen = sizeof about;
+    message.msg_name = &destination;
+    message.msg_namelen = sizeof destination;
     while (::recvmsg(m_socket.get(), &message, MSG_ERRQUEUE | MSG_DONTWAIT) >= 0) {
-        handle(agent_unreachable {base::fromSocketAddress(about)});
-        message.msg_namelen = sizeof about;
+        handle(agent_unreachable {base::fromSocketAddress(destination)});
+        message.msg_namelen = sizeof destination;
     }
 }
 
--- a/lycheeshunt/routing/liveness_port.h
+++ b/lycheeshunt/routing/liveness_port.h
@@ -1,5 +1,5 @@
-// The thread of an entry that watches agents: sends probes and takes echoes and the network's
-// error reports through a socket of its own, and tells the packet thread whom to bypass.
+// The thread of an entry that monitors agents: sends probes and receives echoes and ICMP errors
+// through a socket of its own, and publishes which agents the packet thread is to bypass.
 //
 //     base::result<std::unique_ptr<liveness_port>> port = liveness_port::open(local, sink);
 //     valueOf(port)->agents().push(agents_changed {table->targets()});
--- a/lycheeshunt/routing/liveness_state.h
+++ b/lycheeshunt/routing/liveness_state.h
@@ -7,11 +7,11 @@
 
 namespace lycheeshunt::routing {
 
-// One row an agent, none for a flow.
+// The probe state of one entry: one row for each agent, and nothing for flows.
 struct liveness_state
 {
     std::map<base::node_id, agent_liveness> agents;
-    // The agent probed last; the next one in order is probed next.
+    // The agent probed last; probing continues with the one after it.
     base::node_id cursor;
     std::uint64_t lastNumber = 0;
     bypassed_agents bypassed;
--- a/lycheeshunt/routing/liveness_test.cpp
+++ b/lycheeshunt/routing/liveness_test.cpp
@@ -1,4 +1,4 @@
-// An entry's own view of agents, under virtual time, and the probe's encoding.
+// An entry's detection of unreachable agents, under virtual time, and the encoding of probes.
 
 #include "lycheeshunt/routing/codec.h"
 #include "lycheeshunt/routing/liveness_decision.h"
@@ -18,21 +18,21 @@
                    base::endpoint {0x7f000001, static_cast<std::uint16_t>(name)}};
 }
 
-// One entry; agents answer at once unless they are named silent.
+// One entry; agents answer at once unless they are listed as silent.
 class entry
 {
 public:
-    explicit entry(const std::string &names) { show(names); }
+    explicit entry(const std::string &names) { setAgents(names); }
 
-    void show(const std::string &names, std::uint64_t life = 1)
+    void setAgents(const std::string &names, std::uint64_t life = 1)
     {
         std::vector<target> agents;
         for (const char name : names)
             agents.push_back(agent(name, life));
-        take(agents_changed {agents});
+        deliver(agents_changed {agents});
     }
 
-    void take(const liveness_message &message)
+    void deliver(const liveness_message &message)
     {
         base::step<liveness_state, liveness_action> next
             = decide(std::move(m_state), message, m_now);
@@ -45,7 +45,7 @@
         m_probes += probes.size();
         for (const send_probe &sent : probes) {
             if (m_silent.count(sent.to.node) == 0)
-                take(probe_answered {sent.to.life, sent.number});
+                deliver(probe_answered {sent.to.life, sent.number});
         }
     }
 
@@ -54,9 +54,9 @@
         m_silent.clear();
         for (const char name : silent)
             m_silent.insert(agent(name).node);
-        for (std::int64_t spent = 0; spent < millis; spent += livenessTickEvery.millis()) {
-            m_now = m_now + livenessTickEvery;
-            take(liveness_tick {});
+        for (std::int64_t elapsed = 0; elapsed < millis; elapsed += livenessTickInterval.millis()) {
+            m_now = m_now + livenessTickInterval;
+            deliver(liveness_tick {});
         }
     }
 
@@ -112,40 +112,40 @@
     }
 }
 
-TEST(liveness, anUnreachableAgentIsBypassedAtOnceAndItsNextLifeIsNot)
+TEST(liveness, anUnreachableAgentIsBypassedAtOnceAndItsNextIncarnationIsNot)
 {
     entry one("abcd");
-    one.take(agent_unreachable {agent('b').packets});
+    one.deliver(agent_unreachable {agent('b').packets});
     STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
-    one.show("abcd");
+    one.setAgents("abcd");
     STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
-    one.show("abcd", 2);
+    one.setAgents("abcd", 2);
     STRCMP_EQUAL("", one.bypassed("abcd").c_str());
 }
 
-TEST(liveness, aLateOrForeignAnswerClearsNothing)
+TEST(liveness, anUnexpectedAnswerDoesNotEndASuspicion)
 {
     entry one("abcd");
     one.run(3000, "b");
     STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
     for (std::uint64_t number = 0; number < 100; ++number)
-        one.take(probe_answered {base::incarnation(9), number});
+        one.deliver(probe_answered {base::incarnation(9), number});
     STRCMP_EQUAL("b", one.bypassed("abcd").c_str());
 }
 
-TEST(liveness, probesKeepToTheirRateWhateverTheNumberOfAgents)
+TEST(liveness, theProbeRateDoesNotDependOnTheNumberOfAgents)
 {
     std::vector<target> many;
     for (std::uint16_t i = 0; i < 1000; ++i)
         many.push_back(
             target {base::node_id(i + 1), base::incarnation(1), base::endpoint {0x7f000001, i}});
     entry one("");
-    one.take(agents_changed {many});
+    one.deliver(agents_changed {many});
     one.run(10'000, "");
     LONGS_EQUAL(100 * probesPerTick, one.probes());
 }
 
-TEST(liveness, onlyTheLifeThatWasAskedAnswers)
+TEST(liveness, onlyTheProbedIncarnationAnswers)
 {
     const base::incarnation life(1'700'000'000'000);
     const std::string probe = encodeProbe(probe_datagram {probe_kind::probe, life, 7});
--- a/lycheeshunt/routing/liveness_tick.h
+++ b/lycheeshunt/routing/liveness_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::routing {
 
-// Time has passed; probes may be due or overdue.
+// Sent at a fixed interval, so that due probes are sent and overdue ones expire.
 struct liveness_tick
 {
     bool operator==(const liveness_tick &) const = default;
--- a/lycheeshunt/routing/no_route.h
+++ b/lycheeshunt/routing/no_route.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::routing {
 
-// Nobody can take the packet, for this reason.
+// No agent can take the packet, for this reason.
 struct no_route
 {
     const base::error_code reason;
--- a/lycheeshunt/routing/ports_test.cpp
+++ b/lycheeshunt/routing/ports_test.cpp
@@ -1,4 +1,5 @@
-// The entry's two threads and an agent's answer to a probe, over loopback sockets.
+// The packet thread and the liveness thread of an entry, and an agent's answer to a probe, over
+// loopback sockets.
 
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/flows/agent_port.h"
@@ -24,7 +25,7 @@
     return base::takeValue(base::openDatagramSocket(anyPort));
 }
 
-// An address where nothing listens any more.
+// An address where no socket is bound any more.
 base::endpoint closedAddress()
 {
     const base::file_descriptor socket = openSocket();
@@ -67,20 +68,20 @@
 
 TEST_GROUP(ports) {};
 
-TEST(ports, anEntryForwardsWhatItCanRouteAndCountsTheRest)
+TEST(ports, anEntryForwardsRoutablePacketsAndCountsTheOthers)
 {
     const base::file_descriptor agent = openSocket();
     const base::file_descriptor fabric = openSocket();
     const std::unique_ptr<entry_port> port
         = base::takeValue(entry_port::open({anyPort}, packets::ipPackets()));
     port->updates().push(std::make_shared<const routing_table>(viewOf(base::localEndpoint(agent))));
-    const std::string good = callerPacket(1);
+    const std::string validPacket = callerPacket(1);
     for (int round = 0; round < 2; ++round) {
         packets::sendDatagram(fabric.get(), port->local(), "");
         packets::sendDatagram(fabric.get(), port->local(), std::string(5000, 'x'));
-        packets::sendDatagram(fabric.get(), port->local(), good.substr(0, 30));
+        packets::sendDatagram(fabric.get(), port->local(), validPacket.substr(0, 30));
         packets::sendDatagram(fabric.get(), port->local(), callerPacket(9));
-        packets::sendDatagram(fabric.get(), port->local(), good);
+        packets::sendDatagram(fabric.get(), port->local(), validPacket);
         const base::result<flows::flow_datagram> decoded = flows::decodeDatagram(receive(agent));
         CHECK(base::isOk(decoded));
         const flows::forwarded_packet &packet
@@ -88,48 +89,49 @@
         CHECK(packet.service == base::serviceIdOf("logbook"));
         CHECK(packet.life == base::incarnation(7));
         CHECK(packet.at == base::generation(2));
-        CHECK(packet.bytes.view() == good);
-        // Packets of one sender keep their order, so the bad ones are counted by now.
+        CHECK(packet.bytes.view() == validPacket);
+        // Packets of one sender stay in order, so the invalid ones have been counted by now.
         LONGS_EQUAL(3 * (round + 1), port->malformed());
         LONGS_EQUAL(round + 1, port->unroutable());
         LONGS_EQUAL(0, port->unsent());
     }
 }
 
-// After a restart of every process, packets come in before control has said where they go.
-TEST(ports, aPacketThatCameBeforeTheFirstTableIsSentOnWithIt)
+// After a restart of all processes, packets arrive before control has sent the first routing table.
+TEST(ports, aPacketThatArrivesBeforeTheFirstTableIsForwardedOnceThereIsOne)
 {
     const base::file_descriptor agent = openSocket();
     const base::file_descriptor fabric = openSocket();
     const std::unique_ptr<entry_port> port
         = base::takeValue(entry_port::open({anyPort}, packets::ipPackets()));
-    const std::string good = callerPacket(1);
-    packets::sendDatagram(fabric.get(), port->local(), good);
+    const std::string validPacket = callerPacket(1);
+    packets::sendDatagram(fabric.get(), port->local(), validPacket);
     port->updates().push(std::make_shared<const routing_table>(viewOf(base::localEndpoint(agent))));
     const base::result<flows::flow_datagram> decoded = flows::decodeDatagram(receive(agent));
     CHECK(base::isOk(decoded));
     const flows::forwarded_packet &packet
         = std::get<flows::forwarded_packet>(base::valueOf(decoded));
-    CHECK(packet.bytes.view() == good);
+    CHECK(packet.bytes.view() == validPacket);
     CHECK(packet.at == base::generation(2));
 }
 
-TEST(ports, anAgentThatIsNotThereIsBypassed)
+TEST(ports, anUnreachableAgentIsBypassed)
 {
-    const base::file_descriptor alive = openSocket();
-    base::ring<shared_bypass> heard(8);
-    const std::unique_ptr<liveness_port> port = base::takeValue(
-        liveness_port::open(anyPort, [&](const shared_bypass &bypass) { heard.tryPush(bypass); }));
+    const base::file_descriptor reachableSocket = openSocket();
+    base::ring<shared_bypass> published(8);
+    const std::unique_ptr<liveness_port> port = base::takeValue(liveness_port::open(
+        anyPort, [&](const shared_bypass &bypass) { published.tryPush(bypass); }));
     const target dead {base::nodeIdOf("dead"), base::incarnation(1), closedAddress()};
-    const target other {base::nodeIdOf("other"), base::incarnation(1), base::localEndpoint(alive)};
-    port->agents().push(agents_changed {{dead, other}});
-    const std::optional<shared_bypass> bypass = heard.pop();
+    const target reachable {base::nodeIdOf("other"), base::incarnation(1),
+                            base::localEndpoint(reachableSocket)};
+    port->agents().push(agents_changed {{dead, reachable}});
+    const std::optional<shared_bypass> bypass = published.pop();
     CHECK(bypass.has_value());
     LONGS_EQUAL(1, (*bypass)->size());
     LONGS_EQUAL(1, (*bypass)->count(dead.node));
 }
 
-TEST(ports, anAgentAnswersProbesOfItsOwnLife)
+TEST(ports, anAgentAnswersProbesOfItsOwnIncarnation)
 {
     const flows::agent_sockets sockets {closedAddress(), closedAddress(), closedAddress(),
                                         closedAddress()};
--- a/lycheeshunt/routing/probe_answered.h
+++ b/lycheeshunt/routing/probe_answered.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::routing {
 
-// An echo has come.
+// An agent has sent an echo of a probe.
 struct probe_answered
 {
     const base::incarnation life;
--- a/lycheeshunt/routing/probe_datagram.h
+++ b/lycheeshunt/routing/probe_datagram.h
@@ -6,7 +6,7 @@
 
 enum class probe_kind : std::uint8_t { probe = 64, echo = 65 };
 
-// An entry asks one life of an agent for a sign of life, or the agent gives it.
+// A liveness probe from an entry to one incarnation of an agent, or the agent's echo of it.
 struct probe_datagram
 {
     const probe_kind kind = probe_kind::probe;
--- a/lycheeshunt/routing/route.h
+++ b/lycheeshunt/routing/route.h
@@ -5,7 +5,8 @@
 
 namespace lycheeshunt::routing {
 
-// Send the packet to this agent, for this service.
+// The agent to send a packet to, and the service that the packet is for. `at` is the generation of
+// the table that chose the agent.
 struct route
 {
     const base::service_id service;
--- a/lycheeshunt/routing/routing_faults_test.cpp
+++ b/lycheeshunt/routing/routing_faults_test.cpp
@@ -1,4 +1,4 @@
-// Which agent each entry picks, over faults and generations.
+// The agent that each entry chooses for a flow, under failures and across generations.
 
 #include "lycheeshunt/routing/routing_table.h"
 
@@ -67,7 +67,7 @@
 
 TEST_GROUP(routing_faults) {};
 
-TEST(routing_faults, directorsAreThoseThatCanTakeWork)
+TEST(routing_faults, directorsAreAgentsThatCanAcceptFlows)
 {
     const member_phase serving = member_phase::serving;
     const member_phase suspected = member_phase::suspected;
@@ -99,7 +99,7 @@
     }
 }
 
-TEST(routing_faults, aBypassedDirectorsFlowsGoToItsBackupAlone)
+TEST(routing_faults, flowsOfABypassedDirectorGoToTheirBackupsOnly)
 {
     const dissemination::cluster_view view
         = twoServices().withBatch(base::generation(2), {{agent("a"), agent("b"), agent("c")}, {}});
@@ -119,7 +119,7 @@
     CHECK(moved > 0);
 }
 
-TEST(routing_faults, aVmThatReturnsAsTheOtherServiceGetsNothingOfTheFirst)
+TEST(routing_faults, aVmThatReturnsForAnotherServiceGetsNoFlowsOfTheFormerOne)
 {
     dissemination::cluster_view view = twoServices().withBatch(
         base::generation(2),
@@ -139,9 +139,9 @@
     }
 }
 
-// An entry that took every generation, one that took every seventh, and one that was 300 behind
-// and then took the last.
-TEST(routing_faults, isTheSameWhicheverGenerationsAnEntrySaw)
+// Compares an entry that received every generation, one that received every seventh, and one that
+// was 300 generations behind and then received the last.
+TEST(routing_faults, routesDoNotDependOnWhichGenerationsAnEntryReceived)
 {
     std::mt19937_64 random(7);
     std::vector<dissemination::cluster_view> views {twoServices()};
@@ -174,7 +174,7 @@
     }
 }
 
-TEST(routing_faults, saysWhyAPacketCannotBeRouted)
+TEST(routing_faults, anUnroutedPacketHasAReason)
 {
     const routing_table empty;
     CHECK(empty.routeOf(flow(1, logbookAddress))
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -22,7 +22,7 @@
     const bucket_table buckets;
 };
 
-// Of an address: a service's weight among the new flows.
+// A service's weight among the new flows of an address.
 struct weighted_service
 {
     const base::service_id service;
@@ -36,7 +36,7 @@
     const std::vector<base::service_id> former = {};
 };
 
-routing_table::routing_table(const dissemination::cluster_view &view, const routing_table &before)
+routing_table::routing_table(const dissemination::cluster_view &view, const routing_table &previous)
     : m_at(view.at)
 {
     std::unordered_map<base::service_id, std::vector<const membership::member *>> agents
@@ -44,12 +44,12 @@
     for (auto it = view.services.begin(); it != view.services.end(); ++it) {
         const tickets::service_definition &service = it->second;
         std::vector<target> directors = internal::chooseDirectors(view, agents[it->first]);
-        const auto known = before.m_services.find(it->first);
-        const bool unchanged = known != before.m_services.end()
-            && known->second->buckets.size() == service.buckets
-            && known->second->buckets.targets() == directors;
-        const shared_entry entry = unchanged
-            ? known->second
+        const auto existing = previous.m_services.find(it->first);
+        const bool isUnchanged = existing != previous.m_services.end()
+            && existing->second->buckets.size() == service.buckets
+            && existing->second->buckets.targets() == directors;
+        const shared_entry entry = isUnchanged
+            ? existing->second
             : std::make_shared<const service_entry>(
                 service_entry {it->first, bucket_table(service.buckets, std::move(directors))});
         m_services.emplace(it->first, entry);
@@ -57,10 +57,10 @@
             m_addresses[addressKey(address.where, address.protocol)]
                 = std::make_shared<const address_entry>(address_entry {{{it->first, 1}}});
     }
-    takeRoutes(view);
+    applyRoutes(view);
 }
 
-void routing_table::takeRoutes(const dissemination::cluster_view &view)
+void routing_table::applyRoutes(const dissemination::cluster_view &view)
 {
     for (auto it = view.routes.begin(); it != view.routes.end(); ++it) {
         std::vector<weighted_service> shares;
@@ -87,7 +87,7 @@
     if (found == m_addresses.end())
         return {};
     const address_entry &entry = *found->second;
-    // Other bits of the hash than those that choose the bucket.
+    // Uses other bits of the hash than those that choose the bucket.
     constexpr int bucketBits = 32;
     std::uint64_t position = (base::hashOf(key) >> bucketBits) % entry.totalWeight;
     std::vector<base::service_id> services;
@@ -143,7 +143,7 @@
 std::size_t routing_table::memoryBytesOf(base::service_id service) const
 {
     const auto found = m_services.find(service);
-    return found == m_services.end() ? 0 : found->second->buckets.memory();
+    return found == m_services.end() ? 0 : found->second->buckets.memoryBytes();
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -1,6 +1,6 @@
-// From a packet's flow to the agent that directs it, in constant time and without any state for
-// the flow. Immutable; built once for each view. Services that a view has not changed share their
-// buckets with the table before; the result is the same as that of a table built from nothing.
+// Maps a packet's flow to the agent that directs it, in constant time and without per-flow state.
+// Immutable; built once for each view. Services that are unchanged since the previous table share
+// their buckets with it; the result equals that of a table built from scratch.
 //
 //     const routing_table next(view, current);
 //     const routing_outcome outcome = next.routeOf(key);
@@ -27,24 +27,25 @@
 public:
     routing_table() = default;
     explicit routing_table(const dissemination::cluster_view &view,
-                           const routing_table &before = routing_table());
+                           const routing_table &previous = routing_table());
 
     base::generation at() const { return m_at; }
-    // The bucket's director, or its backup while only the director is bypassed.
+    // Routes to the bucket's director, or to its backup if only the director is bypassed.
     routing_outcome routeOf(const base::flow_key &key, const bypassed_agents &bypassed = {}) const;
 
-    // Whether callers reach any service at the address.
+    // Whether the flow's service address is routed to any service.
     bool serves(const base::flow_key &key) const;
-    // The services that may have a flow to this address: the one that a new flow goes to, others
-    // with a share, then those that had one before. Empty when the address is not served.
+    // The services that may have a flow to this address: the one that a new flow goes to, the
+    // others with a share, then those that had a share formerly. Empty when the address is not
+    // served.
     std::vector<base::service_id> servicesFor(const base::flow_key &key) const;
-    // As routeOf, within one service; with `avoidsDirector`, to the bucket's backup.
+    // Like routeOf, within one service; with `avoidsDirector`, routes to the bucket's backup.
     routing_outcome routeWithin(base::service_id service, const base::flow_key &key,
                                 const bypassed_agents &bypassed, bool avoidsDirector) const;
 
-    // Every agent that packets may go to.
+    // Every agent that packets may be sent to.
     std::vector<target> targets() const;
-    // Held for one service, in bytes; 0 when there is no such service.
+    // Memory used for the buckets of one service; 0 when there is no such service.
     std::size_t memoryBytesOf(base::service_id service) const;
 
 private:
@@ -53,7 +54,7 @@
     using shared_entry = std::shared_ptr<const service_entry>;
     using shared_address = std::shared_ptr<const address_entry>;
 
-    void takeRoutes(const dissemination::cluster_view &view);
+    void applyRoutes(const dissemination::cluster_view &view);
 
     base::generation m_at;
     std::unordered_map<base::service_id, shared_entry> m_services;
@@ -62,9 +63,10 @@
 
 using shared_table = std::shared_ptr<const routing_table>;
 
-// The agents that may direct flows of a service, in a fixed order. Draining and suspected agents
-// are left out, and those whose backend server looks bad, but when most of the rest look bad
-// their verdicts are not believed. Where nobody is left, all are returned.
+// The agents that may direct flows of a service, in a fixed order. Leaves out draining agents,
+// suspected ones and those whose backend server is in bad health. A criterion that would leave out
+// all agents is not applied, nor is health when more than half of the remaining agents are in bad
+// health.
 std::vector<target> directorsOf(const dissemination::cluster_view &view, base::service_id service);
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/routing_table_test.cpp
+++ b/lycheeshunt/routing/routing_table_test.cpp
@@ -37,7 +37,7 @@
                     {}});
 }
 
-bool routesAlike(const routing_table &one, const routing_table &other)
+bool haveEqualRoutes(const routing_table &one, const routing_table &other)
 {
     for (const base::endpoint &service : {logbookAddress, inspectAddress}) {
         for (std::uint16_t port = 1; port <= flows; ++port) {
@@ -53,10 +53,10 @@
 
 TEST_GROUP(routing_table) {};
 
-TEST(routing_table, aTableBuiltFromTheOneBeforeEqualsOneBuiltAfresh)
+TEST(routing_table, aTableBuiltFromThePreviousOneEqualsOneBuiltFromScratch)
 {
     const dissemination::cluster_view first = firstView();
-    const dissemination::cluster_view left
+    const dissemination::cluster_view withoutOneAgent
         = first.withBatch(base::generation(3), {{}, {agentOf("logbook", 2).id()}});
     const tickets::ticket moved {
         base::ticket_number(2),
@@ -64,13 +64,14 @@
         {tickets::service_definition {"logbook", {}, {}, 64},
          tickets::service_definition {
              "inspect", {{inspectAddress, 6}, {logbookAddress, 6}}, {}, 128}}};
-    const dissemination::cluster_view after = left.withTicket(base::generation(4), moved);
+    const dissemination::cluster_view after
+        = withoutOneAgent.withTicket(base::generation(4), moved);
     const routing_table one(first);
-    const routing_table two(left, one);
+    const routing_table two(withoutOneAgent, one);
     const routing_table three(after, two);
-    CHECK(routesAlike(two, routing_table(left)));
-    CHECK(routesAlike(three, routing_table(after)));
-    CHECK_FALSE(routesAlike(one, two));
+    CHECK(haveEqualRoutes(two, routing_table(withoutOneAgent)));
+    CHECK(haveEqualRoutes(three, routing_table(after)));
+    CHECK_FALSE(haveEqualRoutes(one, two));
 }
 
 TEST(routing_table, anAddressBelongsToOneServiceOnly)
@@ -79,8 +80,8 @@
     for (std::uint16_t port = 1; port <= flows; ++port) {
         const routing::routing_outcome outcome
             = table.routeOf({{0x0a000001, port}, inspectAddress, 6});
-        const routing::route way = std::get<routing::route>(outcome);
-        CHECK(way.service == base::serviceIdOf("inspect"));
-        CHECK(way.to.packets.port >= 3);
+        const routing::route chosen = std::get<routing::route>(outcome);
+        CHECK(chosen.service == base::serviceIdOf("inspect"));
+        CHECK(chosen.to.packets.port >= 3);
     }
 }
--- a/lycheeshunt/routing/send_probe.h
+++ b/lycheeshunt/routing/send_probe.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::routing {
 
-// Ask this agent for a sign of life.
+// Send a liveness probe to this agent.
 struct send_probe
 {
     const target to;
--- a/lycheeshunt/routing/set_bypass.h
+++ b/lycheeshunt/routing/set_bypass.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::routing {
 
-// From now on bypass these agents and no others.
+// Bypass exactly these agents from now on.
 struct set_bypass
 {
     const bypassed_agents agents = {};
--- a/lycheeshunt/routing/steering.h
+++ b/lycheeshunt/routing/steering.h
@@ -12,16 +12,17 @@
 
 namespace lycheeshunt::routing {
 
-// Send the packet on, as one for this stage of its way.
+// Forward the packet to the route's agent, marked with this stage.
 struct steer_to
 {
-    const route way;
+    const route destination;
     const flows::packet_stage stage = flows::packet_stage::toDirector;
 
     bool operator==(const steer_to &) const = default;
 };
 
-// Tell the caller at once that its flow can't be: nothing has run.
+// Reset the caller's flow at once: it can't be served, and no backend server has processed any of
+// it.
 struct refuse_caller
 {
     const base::error_code reason;
@@ -29,7 +30,7 @@
     bool operator==(const refuse_caller &) const = default;
 };
 
-// Do nothing: a reset could end a flow that somebody owns.
+// Drop the packet without a reset, since a reset could end a flow that some agent owns.
 struct drop_packet
 {
     const base::error_code reason;
@@ -42,10 +43,11 @@
 steering steer(const routing_table &table, const bypassed_agents &bypassed, flow_hints &hints,
                const packets::ip_summary &packet, base::clock_time now);
 
-// No agent of the service has the flow. Goes on with the next service that may have it; when none
-// is left, the caller hears so, unless some agent could not be asked.
-steering steerAfterUnknown(const routing_table &table, const bypassed_agents &bypassed,
-                           flow_hints &hints, const packets::ip_summary &packet,
-                           base::service_id unknownTo, bool isDoubtful);
+// No agent of `queriedService` has the flow. Steers the packet to the next service that may have
+// it; when none is left, refuses the caller, or drops the packet if `isDoubtful`: some agent could
+// not be queried.
+steering steerToNextService(const routing_table &table, const bypassed_agents &bypassed,
+                            flow_hints &hints, const packets::ip_summary &packet,
+                            base::service_id queriedService, bool isDoubtful);
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/steering_test.cpp
+++ b/lycheeshunt/routing/steering_test.cpp
@@ -1,5 +1,5 @@
-// Where an entry sends a packet: hints, shares of an address, services that had one before, and
-// what a caller is told when nobody has its flow.
+// Where an entry sends a packet: owner hints, shares of an address, former services of an address,
+// and the response to a caller whose flow no agent has.
 
 #include "lycheeshunt/routing/steering.h"
 
@@ -59,42 +59,43 @@
 TEST_GROUP(steering)
 {
     flow_hints hints;
-    const routing_table whole = tableOf({{logbook, 1}});
+    const routing_table table = tableOf({{logbook, 1}});
 
-    flow_hint hintTo(std::uint16_t port, std::int64_t learned)
+    flow_hint hintTo(std::uint16_t port, std::int64_t receivedAt)
     {
         const membership::member owner = agentOf("logbook", port);
-        return flow_hint {logbook, target {owner.id(), owner.life, owner.packets}, at(learned)};
+        return flow_hint {logbook, target {owner.id(), owner.life, owner.packets}, at(receivedAt)};
     }
 };
 
-TEST(steering, aHintedFlowGoesToItsOwnerAtOnce)
+TEST(steering, aHintedFlowGoesDirectlyToItsOwner)
 {
     const packets::ip_summary data = packetOf(1, false);
     hints.put(data.key, hintTo(2, 0));
-    const steer_to way = std::get<steer_to>(steer(whole, {}, hints, data, at(60'000)));
-    CHECK(way.stage == flows::packet_stage::toOwner);
-    CHECK_EQUAL(2, way.way.to.packets.port);
+    const steer_to decision = std::get<steer_to>(steer(table, {}, hints, data, at(60'000)));
+    CHECK(decision.stage == flows::packet_stage::toOwner);
+    CHECK_EQUAL(2, decision.destination.to.packets.port);
 }
 
-TEST(steering, copiesOfAnOpeningPacketFollowTheFirstAndLaterOnesOpenANewFlow)
+TEST(steering, retransmittedOpeningPacketsFollowTheFirstAndLaterOnesOpenANewFlow)
 {
     const packets::ip_summary opening = packetOf(1, true);
     hints.put(opening.key, hintTo(2, 0));
-    const steering copy = steer(whole, {}, hints, opening, at(600));
+    const steering copy = steer(table, {}, hints, opening, at(600));
     CHECK(std::get<steer_to>(copy).stage == flows::packet_stage::toOwner);
-    const steering later = steer(whole, {}, hints, opening, at(5000));
+    const steering later = steer(table, {}, hints, opening, at(5000));
     CHECK(std::get<steer_to>(later).stage == flows::packet_stage::toDirector);
 }
 
-TEST(steering, aCopyThatNobodyAnsweredForGoesToTheBackup)
+TEST(steering, aRetransmittedOpeningPacketWithoutAHintGoesToTheBackup)
 {
-    const steering first = steer(whole, {}, hints, packetOf(1, true), at(0));
-    const steering copy = steer(whole, {}, hints, packetOf(1, true, true), at(200));
-    CHECK(std::get<steer_to>(first).way.to.node != std::get<steer_to>(copy).way.to.node);
+    const steering first = steer(table, {}, hints, packetOf(1, true), at(0));
+    const steering copy = steer(table, {}, hints, packetOf(1, true, true), at(200));
+    CHECK(std::get<steer_to>(first).destination.to.node
+          != std::get<steer_to>(copy).destination.to.node);
 }
 
-TEST(steering, anAddressThatIsNotServedRefusesNewFlowsAndResetsNoOthers)
+TEST(steering, anUnservedAddressRefusesNewFlowsAndResetsNoOthers)
 {
     const routing_table none;
     CHECK(std::holds_alternative<refuse_caller>(steer(none, {}, hints, packetOf(1, true), at(0))));
@@ -103,10 +104,11 @@
 
 TEST(steering, aServiceWithoutAgentsRefusesNewFlowsAtOnce)
 {
-    const routing_table lonely = tableOf({{base::serviceIdOf("nobody"), 1}});
-    CHECK(
-        std::holds_alternative<refuse_caller>(steer(lonely, {}, hints, packetOf(1, true), at(0))));
-    CHECK(std::holds_alternative<drop_packet>(steer(lonely, {}, hints, packetOf(1, false), at(0))));
+    const routing_table withoutAgents = tableOf({{base::serviceIdOf("nobody"), 1}});
+    CHECK(std::holds_alternative<refuse_caller>(
+        steer(withoutAgents, {}, hints, packetOf(1, true), at(0))));
+    CHECK(std::holds_alternative<drop_packet>(
+        steer(withoutAgents, {}, hints, packetOf(1, false), at(0))));
 }
 
 TEST(steering, newFlowsAreSplitByWeight)
@@ -115,8 +117,8 @@
     constexpr std::uint16_t flows = 10'000;
     std::size_t toInspect = 0;
     for (std::uint16_t port = 1; port <= flows; ++port) {
-        const steering way = steer(split, {}, hints, packetOf(port, true), at(0));
-        toInspect += std::get<steer_to>(way).way.service == inspect ? 1 : 0;
+        const steering decision = steer(split, {}, hints, packetOf(port, true), at(0));
+        toInspect += std::get<steer_to>(decision).destination.service == inspect ? 1 : 0;
     }
     CHECK(toInspect > 800 && toInspect < 1200);
 }
@@ -125,48 +127,48 @@
 {
     const routing_table split = tableOf({{logbook, 0}, {inspect, 3}});
     for (std::uint16_t port = 1; port <= 500; ++port) {
-        const steering way = steer(split, {}, hints, packetOf(port, true), at(0));
-        CHECK(std::get<steer_to>(way).way.service == inspect);
+        const steering decision = steer(split, {}, hints, packetOf(port, true), at(0));
+        CHECK(std::get<steer_to>(decision).destination.service == inspect);
     }
 }
 
-TEST(steering, anUnknownFlowIsLookedForWhereItsAddressLedBefore)
+TEST(steering, anUnknownFlowIsSoughtAtFormerServicesOfItsAddress)
 {
     const routing_table moved = tableOf({{inspect, 1}}, {logbook});
     const packets::ip_summary data = packetOf(1, false);
     const steering first = steer(moved, {}, hints, data, at(0));
-    CHECK(std::get<steer_to>(first).way.service == inspect);
-    const steering next = steerAfterUnknown(moved, {}, hints, data, inspect, false);
-    CHECK(std::get<steer_to>(next).way.service == logbook);
+    CHECK(std::get<steer_to>(first).destination.service == inspect);
+    const steering next = steerToNextService(moved, {}, hints, data, inspect, false);
+    CHECK(std::get<steer_to>(next).destination.service == logbook);
     CHECK(std::holds_alternative<refuse_caller>(
-        steerAfterUnknown(moved, {}, hints, data, logbook, false)));
-    // New flows never go there.
+        steerToNextService(moved, {}, hints, data, logbook, false)));
+    // New flows never go to a former service.
     const steering opening = steer(moved, {}, hints, packetOf(1, true), at(0));
-    CHECK(std::get<steer_to>(opening).way.service == inspect);
+    CHECK(std::get<steer_to>(opening).destination.service == inspect);
 }
 
-TEST(steering, aFlowThatMayBeSomewhereIsNeverReset)
+TEST(steering, aFlowThatAnUnqueriedAgentMayHaveIsNeverReset)
 {
     const packets::ip_summary data = packetOf(1, false);
     CHECK(std::holds_alternative<drop_packet>(
-        steerAfterUnknown(whole, {}, hints, data, logbook, true)));
+        steerToNextService(table, {}, hints, data, logbook, true)));
 }
 
-TEST(steering, aWrongHintStartsTheSearchAnew)
+TEST(steering, aWrongHintRestartsTheSearchAtTheFirstService)
 {
     const packets::ip_summary data = packetOf(1, false);
     hints.put(data.key, hintTo(2, 0));
-    const steering next = steerAfterUnknown(whole, {}, hints, data, logbook, false);
+    const steering next = steerToNextService(table, {}, hints, data, logbook, false);
     CHECK(std::get<steer_to>(next).stage == flows::packet_stage::toDirector);
     CHECK(hints.find(data.key) == nullptr);
 }
 
-TEST(steering, hintsAreBoundedAndThoseInUseStay)
+TEST(steering, hintsAreBoundedAndThoseInUseAreNotEvicted)
 {
-    flow_hints few(10);
+    flow_hints smallCache(10);
     for (std::uint16_t port = 1; port <= 100; ++port) {
-        few.put(packetOf(port, false).key, hintTo(1, 0));
-        CHECK(few.find(packetOf(1, false).key) != nullptr);
-        CHECK(few.size() <= 21);
+        smallCache.put(packetOf(port, false).key, hintTo(1, 0));
+        CHECK(smallCache.find(packetOf(1, false).key) != nullptr);
+        CHECK(smallCache.size() <= 21);
     }
 }
--- a/lycheeshunt/routing/target.h
+++ b/lycheeshunt/routing/target.h
@@ -5,13 +5,13 @@
 
 namespace lycheeshunt::routing {
 
-// An agent that packets may be sent to, and the life of it that they are meant for.
+// An agent that packets may be sent to, and the incarnation of it that they are meant for.
 struct target
 {
     const base::node_id node;
     const base::incarnation life;
     const base::endpoint packets;
-    // Share of the buckets, relative to the other targets of the service; at least 1.
+    // Relative share of the buckets among the targets of the service; at least 1.
     const std::uint32_t weight = 1;
 
     bool operator==(const target &) const = default;
