--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -39,7 +39,7 @@
         process->m_servers = std::make_unique<servers::server_duty>(
             self.incarnation, [raw, self, confirm](const servers::server_action &action) {
                 std::visit(base::overloaded {
-                               [&](const servers::server_standing &standing) {
+                               [&](const servers::server_status &standing) {
                                    raw->takeStanding(self, standing);
                                },
                                [&](const servers::confirm_announcement &announcement) {
@@ -79,7 +79,7 @@
 // What takes effect here at once is told to the others afterwards; until they know, this agent
 // refuses or passes on what they send.
 void agent_process::takeStanding(const membership::member &self,
-                                 const servers::server_standing &standing)
+                                 const servers::server_status &standing)
 {
     const base::service_id service = base::serviceIdOf(standing.service);
     m_isAccepting = standing.isAccepting;
--- a/lycheeshunt/routing/codec.cpp
+++ b/lycheeshunt/routing/codec.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::uint8_t wireVersion = 1;
 constexpr std::size_t maxProbeBytes = 32;
-// A MessagePack array of four.
+// The MessagePack header of an array of four elements.
 constexpr char arrayOfFour = static_cast<char>(0x94);
 
 using probe_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t>;
@@ -39,7 +39,7 @@
     return probe_datagram {static_cast<probe_kind>(kind), base::incarnation(incarnation), number};
 }
 
-bool looksLikeProbe(std::string_view bytes)
+bool hasProbePrefix(std::string_view bytes)
 {
     return bytes.size() <= maxProbeBytes && !bytes.empty() && bytes.front() == arrayOfFour;
 }
@@ -47,10 +47,10 @@
 std::optional<std::string> echoOf(std::string_view bytes, base::incarnation incarnation)
 {
     const base::result<probe_datagram> decoded = decodeProbe(bytes);
-    const probe_datagram *asked = std::get_if<probe_datagram>(&decoded);
-    if (asked == nullptr || asked->kind != probe_kind::probe || asked->incarnation != incarnation)
+    const probe_datagram *probe = std::get_if<probe_datagram>(&decoded);
+    if (probe == nullptr || probe->kind != probe_kind::probe || probe->life != life)
         return std::nullopt;
-    return encodeProbe(probe_datagram {probe_kind::echo, incarnation, asked->number});
+    return encodeProbe(probe_datagram {probe_kind::echo, life, probe->number});
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/target.h
+++ b/lycheeshunt/routing/target.h
@@ -11,7 +11,7 @@
     const base::node_id node;
     const base::incarnation incarnation;
     const base::endpoint packets;
-    // Share of the buckets, relative to the other targets of the service; at least 1.
+    // Relative share of the buckets among the targets of the service; at least 1.
     const std::uint32_t weight = 1;
 
     bool operator==(const target &) const = default;
--- a/lycheeshunt/servers/incarnation_changed.h
+++ b/lycheeshunt/servers/incarnation_changed.h
@@ -4,8 +4,9 @@
 
 namespace lycheeshunt::servers {
 
-// The view knew a later incarnation of this agent than its clock gave.
-struct incarnation_changed
+// The agent has taken a later incarnation than its clock gave, because the view already contains
+// that one.
+struct life_taken
 {
     const base::incarnation incarnation;
 
--- a/lycheeshunt/servers/server_announcement.h
+++ b/lycheeshunt/servers/server_announcement.h
@@ -7,22 +7,22 @@
 
 namespace lycheeshunt::servers {
 
-// What a backend server says of itself. Each start of a server is an incarnation of its own, told
-// apart by the identity and the instant of its start.
+// The state that a backend server reports of itself. Each start of a server is an incarnation of
+// its own, identified by the server's identity and start time.
 struct server_announcement
 {
     const std::string identity;
-    const base::clock_time born;
-    // Grows within an incarnation.
+    const base::clock_time startedAt;
+    // Increases within an incarnation.
     const std::uint64_t sequence = 0;
     const std::string service;
     const bool isDraining = false;
-    // Requests that it works on at once.
+    // Number of requests that the server processes concurrently.
     const std::uint32_t slots = 0;
 
     bool isSameIncarnationAs(const server_announcement &other) const
     {
-        return identity == other.identity && born == other.born;
+        return identity == other.identity && startedAt == other.startedAt;
     }
 
     bool operator==(const server_announcement &) const = default;
--- /dev/null
+++ b/lycheeshunt/servers/server_status.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "lycheeshunt/base/identifiers.h"
+
+#include <cstdint>
+#include <string>
+
+namespace lycheeshunt::servers {
+
+// The current status of an agent's backend server.
+struct server_status
+{
+    const std::string service;
+    // Of the agent; greater for each incarnation of the server.
+    const base::incarnation life;
+    const bool isAccepting = false;
+    const std::uint32_t slots = 0;
+    // The server started before the agent's process.
+    const bool startedBeforeAgent = false;
+    // The server has announced its exit: the agent has nothing left to serve.
+    const bool isServerStopping = false;
+
+    bool operator==(const server_status &) const = default;
+};
+
+} // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -1,30 +1,30 @@
 #pragma once
 
 #include "lycheeshunt/servers/server_announcement.h"
-#include "lycheeshunt/servers/server_standing.h"
+#include "lycheeshunt/servers/server_status.h"
 
 #include <memory>
 
 namespace lycheeshunt::servers {
 
-// What one agent knows of its backend server.
+// The state of one agent's backend server.
 struct servers_state
 {
     // Null before the first announcement.
     std::shared_ptr<const server_announcement> current;
-    base::clock_time lastHeard;
-    // Draining, left, or silent for too long.
-    bool isOver = false;
-    bool isStopping = false;
-    // It has said that it ends.
-    bool hasLeft = false;
-    bool isOlder = false;
-    // What is told comes from the view; the server has not spoken yet.
-    bool isRecalled = false;
-    base::clock_time recalledAt;
-    base::incarnation incarnation;
-    // What was last told, to tell changes only.
-    std::shared_ptr<const server_standing> told;
+    base::clock_time heardAt;
+    // Draining, stopping, or silent for longer than the timeout.
+    bool isUnavailable = false;
+    bool isAgentStopping = false;
+    // The server has announced that it is about to exit.
+    bool isServerStopping = false;
+    bool startedBeforeAgent = false;
+    // The published status comes from the view; the server has not announced itself yet.
+    bool isRestored = false;
+    base::clock_time restoredAt;
+    base::incarnation life;
+    // The status published last; only changes are published.
+    std::shared_ptr<const server_status> published;
 };
 
 } // namespace lycheeshunt::servers
