--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -72,7 +72,7 @@
         && !view.isDraining(known->second);
     m_isRecalled = true;
     if (wasServing)
-        m_servers->inbox().tryPush(servers::server_recalled {service, known->second.incarnation,
+        m_servers->inbox().tryPush(servers::server_restored {service, known->second.incarnation,
                                                              definition->second.limits.slots});
 }
 
@@ -84,8 +84,9 @@
     const base::service_id service = base::serviceIdOf(standing.service);
     m_isAccepting = standing.isAccepting;
     m_port->setIncarnation(standing.incarnation);
-    m_flows->inbox().push(flows::server_changed {
-        service, standing.incarnation, standing.isAccepting, standing.slots, standing.isOlder});
+    m_flows->inbox().push(flows::server_changed {service, standing.incarnation,
+                                                 standing.isAccepting, standing.slots,
+                                                 standing.startedBeforeAgent});
     const membership::member_phase phase = standing.isAccepting
         ? membership::member_phase::serving
         : membership::member_phase::draining;
@@ -93,12 +94,12 @@
         m_follower->changeSelf(dissemination::self_changed {
             membership::member {self.name, self.availabilityZone, self.role, service,
                                 standing.incarnation, self.packets, phase},
-            !standing.hasLeft});
+            !standing.isServerStopping});
     base::logInfo("servers",
                   "server of " + standing.service
-                      + (standing.isAccepting   ? " serves"
-                             : standing.hasLeft ? " has left"
-                                                : " drains")
+                      + (standing.isAccepting            ? " serves"
+                             : standing.isServerStopping ? " has left"
+                                                         : " drains")
                       + ", incarnation " + std::to_string(standing.incarnation.value()));
 }
 
--- a/lycheeshunt/routing/codec.cpp
+++ b/lycheeshunt/routing/codec.cpp
@@ -48,9 +48,9 @@
 {
     const base::result<probe_datagram> decoded = decodeProbe(bytes);
     const probe_datagram *probe = std::get_if<probe_datagram>(&decoded);
-    if (probe == nullptr || probe->kind != probe_kind::probe || probe->life != life)
+    if (probe == nullptr || probe->kind != probe_kind::probe || probe->incarnation != incarnation)
         return std::nullopt;
-    return encodeProbe(probe_datagram {probe_kind::echo, life, probe->number});
+    return encodeProbe(probe_datagram {probe_kind::echo, incarnation, probe->number});
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/codec.h
+++ b/lycheeshunt/routing/codec.h
@@ -20,6 +20,6 @@
 
 // The echo that an agent of this incarnation sends for the bytes; nothing if they are not a probe
 // of this incarnation. An echo is as long as its probe, so that it can't be used for amplification.
-std::optional<std::string> echoOf(std::string_view bytes, base::incarnation life);
+std::optional<std::string> echoOf(std::string_view bytes, base::incarnation incarnation);
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/directors.cpp
+++ b/lycheeshunt/routing/directors.cpp
@@ -39,7 +39,7 @@
     });
     std::vector<target> directors;
     for (const membership::member *each : withoutUnhealthy(reachable))
-        directors.push_back(target {each->id(), each->life, each->packets, each->share});
+        directors.push_back(target {each->id(), each->incarnation, each->packets, each->share});
     return directors;
 }
 
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -114,22 +114,24 @@
     }
     const steering decision
         = steer(*m_table, *m_bypass, m_hints, summary, base::clock_time::steady());
-    std::visit(
-        base::overloaded {
-            [&](const steer_to &to) {
-                m_hinted += to.stage == flows::packet_stage::toOwner ? 1 : 0;
-                const flows::packet_header header {
-                    to.destination.service, to.destination.to.life, to.destination.at, to.stage, 0,
-                    m_hintEndpoint};
-                packets.forward(index, header, to.destination.to.packets);
-            },
-            [&](const refuse_caller &) {
-                ++m_unroutable;
-                refuseCaller(packets.packet(index), summary.key);
-            },
-            [&](const drop_packet &) { ++m_unroutable; },
-        },
-        decision);
+    std::visit(base::overloaded {
+                   [&](const steer_to &to) {
+                       m_hinted += to.stage == flows::packet_stage::toOwner ? 1 : 0;
+                       const flows::packet_header header {to.destination.service,
+                                                          to.destination.to.incarnation,
+                                                          to.destination.at,
+                                                          to.stage,
+                                                          0,
+                                                          m_hintEndpoint};
+                       packets.forward(index, header, to.destination.to.packets);
+                   },
+                   [&](const refuse_caller &) {
+                       ++m_unroutable;
+                       refuseCaller(packets.packet(index), summary.key);
+                   },
+                   [&](const drop_packet &) { ++m_unroutable; },
+               },
+               decision);
     if (summary.opens || !std::holds_alternative<steer_to>(decision))
         logSteering(summary, decision);
 }
@@ -237,7 +239,7 @@
                 packets::sendDatagram(
                     m_socket.get(), to.destination.to.packets,
                     flows::encodePacket(flows::forwarded_packet {to.destination.service,
-                                                                 to.destination.to.life,
+                                                                 to.destination.to.incarnation,
                                                                  to.destination.at,
                                                                  to.stage,
                                                                  0,
--- a/lycheeshunt/routing/liveness_decision.cpp
+++ b/lycheeshunt/routing/liveness_decision.cpp
@@ -41,7 +41,7 @@
     for (const target &agent : changed.agents) {
         const auto existing = state.agents.find(agent.node);
         const bool isSame = existing != state.agents.end()
-            && existing->second.agent.life == agent.life
+            && existing->second.agent.incarnation == agent.incarnation
             && existing->second.agent.packets == agent.packets;
         next.emplace(agent.node, isSame ? existing->second : agent_liveness {agent, {}});
     }
@@ -52,7 +52,8 @@
 {
     for (agent_row it = state.agents.begin(); it != state.agents.end(); ++it) {
         const agent_liveness row = it->second;
-        if (!row.isAnswerPending || row.number != answer.number || row.agent.life != answer.life)
+        if (!row.isAnswerPending || row.number != answer.number
+            || row.agent.incarnation != answer.incarnation)
             continue;
         const std::uint32_t answers = row.answers + 1;
         replaceRow(state,
--- a/lycheeshunt/routing/liveness_test.cpp
+++ b/lycheeshunt/routing/liveness_test.cpp
@@ -24,11 +24,11 @@
 public:
     explicit entry(const std::string &names) { setAgents(names); }
 
-    void setAgents(const std::string &names, std::uint64_t life = 1)
+    void setAgents(const std::string &names, std::uint64_t incarnation = 1)
     {
         std::vector<target> agents;
         for (const char name : names)
-            agents.push_back(agent(name, life));
+            agents.push_back(agent(name, incarnation));
         deliver(agents_changed {agents});
     }
 
@@ -45,7 +45,7 @@
         m_probes += probes.size();
         for (const send_probe &sent : probes) {
             if (m_silent.count(sent.to.node) == 0)
-                deliver(probe_answered {sent.to.life, sent.number});
+                deliver(probe_answered {sent.to.incarnation, sent.number});
         }
     }
 
@@ -147,10 +147,10 @@
 
 TEST(liveness, onlyTheProbedIncarnationAnswers)
 {
-    const base::incarnation life(1'700'000'000'000);
-    const std::string probe = encodeProbe(probe_datagram {probe_kind::probe, life, 7});
+    const base::incarnation incarnation(1'700'000'000'000);
+    const std::string probe = encodeProbe(probe_datagram {probe_kind::probe, incarnation, 7});
     CHECK(hasProbePrefix(probe));
-    const std::optional<std::string> echo = echoOf(probe, life);
+    const std::optional<std::string> echo = echoOf(probe, incarnation);
     CHECK(echo.has_value());
     LONGS_EQUAL(probe.size(), echo->size());
     const base::result<probe_datagram> decoded = decodeProbe(*echo);
--- a/lycheeshunt/routing/steering_test.cpp
+++ b/lycheeshunt/routing/steering_test.cpp
@@ -64,7 +64,8 @@
     flow_hint hintTo(std::uint16_t port, std::int64_t receivedAt)
     {
         const membership::member owner = agentOf("logbook", port);
-        return flow_hint {logbook, target {owner.id(), owner.life, owner.packets}, at(receivedAt)};
+        return flow_hint {logbook, target {owner.id(), owner.incarnation, owner.packets},
+                          at(receivedAt)};
     }
 };
 
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -23,9 +23,9 @@
 bool isStale(const servers_state &state, const server_announcement &announcement,
              base::clock_time now)
 {
-    if (!state.current || now - state.heardAt >= announcementTimeout)
+    if (!state.current || now - state.lastHeard >= announcementTimeout)
         return false;
-    if (announcement.isSameLifeAs(*state.current))
+    if (announcement.isSameIncarnationAs(*state.current))
         return announcement.sequence < state.current->sequence;
     return announcement.startedAt < state.current->startedAt;
 }
@@ -35,7 +35,7 @@
     if (!state.current)
         return;
     const server_status status {state.current->service,
-                                state.life,
+                                state.incarnation,
                                 !state.isUnavailable && !state.isAgentStopping,
                                 state.current->slots,
                                 state.startedBeforeAgent,
@@ -60,10 +60,11 @@
                         action_list &actions)
 {
     const server_announcement &announcement = message.announcement;
-    const bool changesService = state.current && announcement.isSameLifeAs(*state.current)
+    const bool changesService = state.current && announcement.isSameIncarnationAs(*state.current)
         && announcement.service != state.current->service;
     if (!changesService && !isStale(state, announcement, now)) {
-        const bool isNewIncarnation = !state.current || !announcement.isSameLifeAs(*state.current);
+        const bool isNewIncarnation
+            = !state.current || !announcement.isSameIncarnationAs(*state.current);
         // A server that was only silent counts as a new incarnation too, because other nodes have
         // seen the current one drain, and a drained incarnation never serves again.
         const bool hasResumed = !isNewIncarnation && state.isUnavailable && !announcement.isDraining
@@ -71,14 +72,14 @@
         if (isNewIncarnation || hasResumed)
             startIncarnation(state, announcement);
         const bool isDraining = announcement.isDraining
-            || (state.current && state.current->isSameLifeAs(announcement)
+            || (state.current && state.current->isSameIncarnationAs(announcement)
                 && state.current->isDraining);
         state.current = std::make_shared<const server_announcement>(server_announcement {
             announcement.identity, announcement.startedAt, announcement.sequence,
             announcement.service, isDraining, announcement.slots});
         state.isUnavailable = state.isUnavailable || isDraining;
         state.isServerStopping = false;
-        state.heardAt = now;
+        state.lastHeard = now;
         publishStatus(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
@@ -101,11 +102,12 @@
 {
     if (state.current || state.published || state.isAgentStopping)
         return;
-    state.life = std::max(state.life, base::incarnation(message.life.value() + 1));
+    state.incarnation
+        = std::max(state.incarnation, base::incarnation(message.incarnation.value() + 1));
     state.restoredAt = now;
     state.isRestored = true;
     state.published = std::make_shared<const server_status>(
-        server_status {message.service, state.life, true, message.slots, true});
+        server_status {message.service, state.incarnation, true, message.slots, true});
     actions.emplace_back(*state.published);
 }
 
@@ -114,8 +116,9 @@
 void expireRestored(servers_state &state, action_list &actions)
 {
     state.isRestored = false;
-    state.published = std::make_shared<const server_status>(server_status {
-        state.published->service, state.published->life, false, state.published->slots, true});
+    state.published = std::make_shared<const server_status>(
+        server_status {state.published->service, state.published->incarnation, false,
+                       state.published->slots, true});
     actions.emplace_back(*state.published);
 }
 
@@ -123,7 +126,7 @@
 {
     if (state.isRestored && now - state.restoredAt >= restoredTimeout)
         expireRestored(state, actions);
-    if (!state.current || now - state.heardAt < announcementTimeout)
+    if (!state.current || now - state.lastHeard < announcementTimeout)
         return;
     state.isUnavailable = true;
     publishStatus(state, actions);
@@ -139,8 +142,8 @@
                    [&](const server_announced &m) { handleAnnouncement(state, m, now, actions); },
                    [&](const server_stopping &m) { handleStopping(state, m, actions); },
                    [&](const server_restored &m) { handleRestored(state, m, now, actions); },
-                   [&](const life_taken &taken) {
-                       state.life = std::max(state.life, taken.life);
+                   [&](const incarnation_changed &taken) {
+                       state.incarnation = std::max(state.incarnation, taken.incarnation);
                        publishStatus(state, actions);
                    },
                    [&](const agent_stopping &) {
--- a/lycheeshunt/servers/decision_test.cpp
+++ b/lycheeshunt/servers/decision_test.cpp
@@ -62,7 +62,7 @@
     CHECK(actions.empty());
     announce(announcementOf("i-1", 5, 1), 10'100);
     CHECK(isAccepting());
-    CHECK_EQUAL(100U, state.published->life.value());
+    CHECK_EQUAL(100U, state.published->incarnation.value());
     CHECK_EQUAL(slots, state.published->slots);
 }
 
@@ -82,10 +82,10 @@
 {
     announce(announcementOf("i-1", 5, 9), 0);
     announce(announcementOf("i-2", 50, 1, false, "inspect"), 1000);
-    CHECK_EQUAL(101U, state.published->life.value());
+    CHECK_EQUAL(101U, state.published->incarnation.value());
     announce(announcementOf("i-1", 5, 10), 1100);
     STRCMP_EQUAL("inspect", state.published->service.c_str());
-    CHECK_EQUAL(101U, state.published->life.value());
+    CHECK_EQUAL(101U, state.published->incarnation.value());
 }
 
 TEST(servers, aServerRestartedUnderItsIdentityStartsItsSequenceAnew)
@@ -93,16 +93,16 @@
     announce(announcementOf("i-1", 5, 40, true), 0);
     announce(announcementOf("i-1", 60, 1), 1000);
     CHECK(isAccepting());
-    CHECK_EQUAL(101U, state.published->life.value());
+    CHECK_EQUAL(101U, state.published->incarnation.value());
 }
 
 TEST(servers, anIncarnationWhoseClockWasSetBackReplacesASilentOne)
 {
     announce(announcementOf("i-1", 5000, 3), 0);
     announce(announcementOf("i-2", 2600, 1), 1000);
-    CHECK_EQUAL(100U, state.published->life.value());
+    CHECK_EQUAL(100U, state.published->incarnation.value());
     announce(announcementOf("i-2", 2600, 4), 4600);
-    CHECK_EQUAL(101U, state.published->life.value());
+    CHECK_EQUAL(101U, state.published->incarnation.value());
 }
 
 TEST(servers, aSilentServerGetsNoNewFlowsUntilItsNextAnnouncement)
@@ -115,7 +115,7 @@
     announce(announcementOf("i-1", 5, 5), 6000);
     CHECK(isAccepting());
     // The incarnation that other nodes have seen drain never serves again.
-    CHECK_EQUAL(101U, state.published->life.value());
+    CHECK_EQUAL(101U, state.published->incarnation.value());
 }
 
 TEST(servers, anIncarnationKeepsItsService)
@@ -154,18 +154,18 @@
 TEST(servers, aLaterIncarnationFromTheViewIsTaken)
 {
     announce(announcementOf("i-1", 5, 1), 0);
-    deliver(life_taken {base::incarnation(500)}, 10);
-    CHECK_EQUAL(500U, state.published->life.value());
+    deliver(incarnation_changed {base::incarnation(500)}, 10);
+    CHECK_EQUAL(500U, state.published->incarnation.value());
 }
 
 TEST(servers, aStatusRestoredFromTheViewAppliesUntilTheFirstAnnouncement)
 {
     deliver(server_restored {"logbook", base::incarnation(300), slots}, 0);
     CHECK(isAccepting());
-    CHECK_EQUAL(301U, state.published->life.value());
+    CHECK_EQUAL(301U, state.published->incarnation.value());
     announce(announcementOf("i-1", 5, 90), 1000);
     CHECK(isAccepting());
-    CHECK_EQUAL(301U, state.published->life.value());
+    CHECK_EQUAL(301U, state.published->incarnation.value());
     CHECK(state.published->startedBeforeAgent);
 }
 
@@ -186,7 +186,7 @@
     // A later announcement starts another incarnation.
     announce(announcementOf("i-2", 9000, 1), 4000);
     CHECK(isAccepting());
-    CHECK_EQUAL(302U, state.published->life.value());
+    CHECK_EQUAL(302U, state.published->incarnation.value());
 }
 
 TEST(servers, anAnnouncedServerIsNotRestoredFromTheView)
--- a/lycheeshunt/servers/incarnation_changed.h
+++ b/lycheeshunt/servers/incarnation_changed.h
@@ -6,7 +6,7 @@
 
 // The agent has taken a later incarnation than its clock gave, because the view already contains
 // that one.
-struct life_taken
+struct incarnation_changed
 {
     const base::incarnation incarnation;
 
--- a/lycheeshunt/servers/server_duty.cpp
+++ b/lycheeshunt/servers/server_duty.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t inboxCapacity = 256;
 constexpr base::clock_time tickInterval = base::clock_time::ofMillis(500);
 
-servers_state initialState(base::incarnation life)
+servers_state initialState(base::incarnation incarnation)
 {
     servers_state state;
     state.incarnation = incarnation;
@@ -18,8 +18,8 @@
 
 } // namespace
 
-server_duty::server_duty(base::incarnation life, action_sink sink)
-    : m_state(initialState(life)), m_sink(std::move(sink)),
+server_duty::server_duty(base::incarnation incarnation, action_sink sink)
+    : m_state(initialState(incarnation)), m_sink(std::move(sink)),
       m_duty(inboxCapacity, tickInterval, servers_tick {},
              [this](const server_message &message, base::clock_time now) { handle(message, now); })
 {
--- a/lycheeshunt/servers/server_message.h
+++ b/lycheeshunt/servers/server_message.h
@@ -13,8 +13,8 @@
 
 namespace lycheeshunt::servers {
 
-using server_message = std::variant<server_announced, server_stopping, server_restored, life_taken,
-                                    agent_stopping, servers_tick>;
+using server_message = std::variant<server_announced, server_stopping, server_restored,
+                                    incarnation_changed, agent_stopping, servers_tick>;
 using server_action = std::variant<confirm_announcement, server_status>;
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/server_restored.h
+++ b/lycheeshunt/servers/server_restored.h
@@ -12,7 +12,7 @@
 {
     const std::string service;
     // The agent's earlier incarnation.
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const std::uint32_t slots = 0;
 
     bool operator==(const server_restored &) const = default;
--- a/lycheeshunt/servers/server_status.h
+++ b/lycheeshunt/servers/server_status.h
@@ -12,7 +12,7 @@
 {
     const std::string service;
     // Of the agent; greater for each incarnation of the server.
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const bool isAccepting = false;
     const std::uint32_t slots = 0;
     // The server started before the agent's process.
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -12,7 +12,7 @@
 {
     // Null before the first announcement.
     std::shared_ptr<const server_announcement> current;
-    base::clock_time heardAt;
+    base::clock_time lastHeard;
     // Draining, stopping, or silent for longer than the timeout.
     bool isUnavailable = false;
     bool isAgentStopping = false;
@@ -22,7 +22,7 @@
     // The published status comes from the view; the server has not announced itself yet.
     bool isRestored = false;
     base::clock_time restoredAt;
-    base::incarnation life;
+    base::incarnation incarnation;
     // The status published last; only changes are published.
     std::shared_ptr<const server_status> published;
 };
