Name the bootstrap of a control group and changed contacts in the usual terms

'Founding' a cluster and contacts that are 'told' were words of this project; they are bootstrapping and a change of the contact addresses.

rename: contacts_told contacts_changed rename: mayFound mayBootstrap rename: foundCluster bootstrapCluster

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -233,7 +233,7 @@
                                                                        {},
                                                                        own.streams,
                                                                        seeds,
-                                                                       own.mayFound,
+                                                                       own.mayBootstrap,
                                                                        own.toleratedLosses}),
                                     storage.recovered(), static_cast<std::uint32_t>(randomNumber()),
                                     base::clock_time::steady());
@@ -390,7 +390,7 @@
 
 void control_process::useControl(const std::vector<base::endpoint> &seeds)
 {
-    m_replication->inbox().tryPush(replication::contacts_told {seeds});
+    m_replication->inbox().tryPush(replication::contacts_changed {seeds});
 }
 
 metrics::report control_process::metrics() const
--- a/lycheeshunt/replication/contacts_told.h
+++ b/lycheeshunt/replication/contacts_changed.h
@@ -7,11 +7,11 @@
 namespace lycheeshunt::replication {
 
 // Control VMs that the settings name now.
-struct contacts_told
+struct contacts_changed
 {
     const std::vector<base::endpoint> contacts = {};
 
-    bool operator==(const contacts_told &) const = default;
+    bool operator==(const contacts_changed &) const = default;
 };
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/decision.cpp
+++ b/lycheeshunt/replication/decision.cpp
@@ -18,7 +18,7 @@
 void takeTick(replica_work work)
 {
     internal::sendPresence(work);
-    internal::foundCluster(work);
+    internal::bootstrapCluster(work);
     if (work.roleAs<leader_role>() != nullptr)
         internal::leaderTick(work);
     else if (work.state.now >= work.state.electionDeadline)
@@ -87,7 +87,7 @@
                    [&](const read_request &m) { internal::takeRead(work, m); },
                    [&](const snapshot_taken &m) { internal::takeSnapshotTaken(work, m); },
                    [&](const storage_failure &m) { takeFailure(work, m); },
-                   [&](const contacts_told &m) { internal::takeContacts(work, m.contacts); },
+                   [&](const contacts_changed &m) { internal::takeContacts(work, m.contacts); },
                },
                message);
 }
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -31,7 +31,7 @@
 
 bool isFirstSeed(const replica_settings &settings)
 {
-    return settings.mayFound
+    return settings.mayBootstrap
         && std::all_of(settings.seeds.begin(), settings.seeds.end(),
                        [&](const base::endpoint &seed) { return settings.streams <= seed; })
         && std::find(settings.seeds.begin(), settings.seeds.end(), settings.streams)
@@ -241,7 +241,7 @@
     }
 }
 
-void foundCluster(replica_work work)
+void bootstrapCluster(replica_work work)
 {
     replica_state &state = work.state;
     const bool isOpen = state.settings->isOpen();
--- a/lycheeshunt/replication/internal/membership_change.h
+++ b/lycheeshunt/replication/internal/membership_change.h
@@ -39,7 +39,7 @@
 void sendPresence(replica_work work);
 
 // Writes the first configuration if it is this VM's turn.
-void foundCluster(replica_work work);
+void bootstrapCluster(replica_work work);
 
 // A leader's next change, if one is due and none is under way.
 void changeMembers(replica_work work);
--- a/lycheeshunt/replication/open_group_test.cpp
+++ b/lycheeshunt/replication/open_group_test.cpp
@@ -46,7 +46,8 @@
     std::uint64_t lastStorage = 0;
     std::int64_t now = 0;
 
-    void start(std::size_t number, bool mayFound, const std::vector<std::size_t> &seeds = {1, 2, 3})
+    void start(std::size_t number, bool mayBootstrap,
+               const std::vector<std::size_t> &seeds = {1, 2, 3})
     {
         std::vector<base::endpoint> addresses;
         addresses.reserve(seeds.size());
@@ -59,7 +60,7 @@
                                          {},
                                          endpointOf(number),
                                          addresses,
-                                         mayFound,
+                                         mayBootstrap,
                                          1};
         vms.erase(number);
         vms.emplace(number,
--- a/lycheeshunt/replication/replica_message.h
+++ b/lycheeshunt/replication/replica_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lycheeshunt/replication/contacts_told.h"
+#include "lycheeshunt/replication/contacts_changed.h"
 #include "lycheeshunt/replication/peer_envelope.h"
 #include "lycheeshunt/replication/propose_entries.h"
 #include "lycheeshunt/replication/read_request.h"
@@ -13,6 +13,6 @@
 namespace lycheeshunt::replication {
 
 using replica_message = std::variant<replica_tick, peer_envelope, propose_entries, read_request,
-                                     snapshot_taken, storage_failure, contacts_told>;
+                                     snapshot_taken, storage_failure, contacts_changed>;
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replica_settings.h
+++ b/lycheeshunt/replication/replica_settings.h
@@ -25,7 +25,7 @@
     // any control VM that announces itself joins, and one that falls silent for good is let go.
     const std::vector<base::endpoint> seeds = {};
     // Whether a group may be founded; false on a VM that replaces another.
-    const bool mayFound = true;
+    const bool mayBootstrap = true;
     // Disks that may be lost at once; the group never shrinks to so few voters that one change
     // could be lost with them.
     const std::size_t toleratedLosses = 1;
--- a/lycheeshunt/settings/control_settings.h
+++ b/lycheeshunt/settings/control_settings.h
@@ -27,7 +27,7 @@
     // The control addresses of the settings are seeds: they found the group, others join it.
     const bool isOpenGroup = false;
     // Whether this VM may take part in founding a group; false on one that replaces another.
-    const bool mayFound = true;
+    const bool mayBootstrap = true;
     // Disks of control VMs that may be lost at once.
     const std::size_t toleratedLosses = 1;
 
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -78,10 +78,10 @@
     const std::string folder = reader.text("data_folder");
     const std::optional<base::endpoint> states = reader.optionalEndpoint("states");
     const bool isOpenGroup = reader.flag("open_group", false);
-    const bool mayFound = reader.flag("found", true);
+    const bool mayBootstrap = reader.flag("found", true);
     return control_settings {
-        streams, api,         folder,   readPeers(reader, self, streams), tokenFile,
-        states,  isOpenGroup, mayFound, static_cast<std::size_t>(losses)};
+        streams, api,         folder,       readPeers(reader, self, streams), tokenFile,
+        states,  isOpenGroup, mayBootstrap, static_cast<std::size_t>(losses)};
 }
 
 // With `control_port`, only the IP addresses of the list count.
