Name the actions that address control VMs after what they do

Greeting and locating a peer were figurative: the first sends an envelope to an address whose owner may be unknown, the second sets the address of a known peer. The recovered log entries are released after the start, not forgotten.

rename: greet_contact send_to_address rename: locate_peer set_peer_address rename: greet sendToAddress rename: locate setAddress rename: forgetRecovered releaseRecovered

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -222,7 +222,8 @@
     m_links = std::make_unique<replication::peer_links>(streams::stream_timing {}, randomNumber());
     for (const replication::control_peer &peer : own.peers) {
         if (peer.name != name && !own.isOpenGroup)
-            m_links->locate(replication::locate_peer {base::nodeIdOf(peer.name), peer.streams});
+            m_links->setAddress(
+                replication::set_peer_address {base::nodeIdOf(peer.name), peer.streams});
     }
     replication::replica_state state
         = replication::startReplica(std::make_shared<const replication::replica_settings>(
@@ -239,15 +240,17 @@
                                     base::clock_time::steady());
     if (const std::uint64_t torn = storage.recovered().tornBytes)
         base::logWarning("replication", "cut " + std::to_string(torn) + " bytes of torn tail");
-    storage.forgetRecovered();
+    storage.releaseRecovered();
     if (state.isFormed())
         m_members = std::make_shared<const replication::configuration>(state.members());
     m_replication = std::make_unique<replication::replication_duty>(
         std::move(state), std::move(storage),
         replication::replication_hooks {
             [this](const replication::peer_envelope &envelope) { m_links->send(envelope); },
-            [this](const replication::greet_contact &greeting) { m_links->greet(greeting); },
-            [this](const replication::locate_peer &located) { m_links->locate(located); },
+            [this](const replication::send_to_address &greeting) {
+                m_links->sendToAddress(greeting);
+            },
+            [this](const replication::set_peer_address &located) { m_links->setAddress(located); },
             [this](const replication::replication_notice &notice) { takeNotice(notice); },
             [this](const std::vector<replication::log_entry> &entries) {
                 return m_log->compact(entries);
--- a/lycheeshunt/replication/duty_recovery_test.cpp
+++ b/lycheeshunt/replication/duty_recovery_test.cpp
@@ -31,11 +31,11 @@
             = startReplica(std::make_shared<const replica_settings>(replica_settings {
                                "control-1", {"control-1"}, base::endpoint {1, 1}}),
                            storage.recovered(), 1, base::clock_time::steady());
-        storage.forgetRecovered();
+        storage.releaseRecovered();
         duty = std::make_unique<replication_duty>(
             std::move(state), std::move(storage),
-            replication_hooks {[](const peer_envelope &) {}, [](const greet_contact &) {},
-                               [](const locate_peer &) {},
+            replication_hooks {[](const peer_envelope &) {}, [](const send_to_address &) {},
+                               [](const set_peer_address &) {},
                                [this](const replication_notice &notice) { notices.push(notice); },
                                [](const std::vector<log_entry> &entries) { return entries; },
                                [this]() -> base::result<replica_storage> {
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -70,7 +70,7 @@
     greeted.erase(state.settings->streams);
     if (state.isFormed()) {
         for (const configuration_member &member : state.members().members)
-            work.actions.emplace_back(locate_peer {member.id().node, member.streams});
+            work.actions.emplace_back(set_peer_address {member.id().node, member.streams});
     }
     const presence own {state.isFormed(),
                         state.settings->api,
@@ -78,7 +78,7 @@
                         state.settings->streams,
                         {known.begin(), known.end()}};
     for (const base::endpoint &to : greeted)
-        work.actions.emplace_back(greet_contact {to, peer_envelope {state.id(), {}, own}});
+        work.actions.emplace_back(send_to_address {to, peer_envelope {state.id(), {}, own}});
 }
 
 // The seeds as founders, once each has said that its disk is empty; nothing before.
@@ -211,7 +211,7 @@
     hurryFirstElection(state);
     if (!state.settings->isOpen())
         return;
-    work.actions.emplace_back(locate_peer {from.node, message.streams});
+    work.actions.emplace_back(set_peer_address {from.node, message.streams});
     takeContacts(work, message.contacts);
 }
 
--- a/lycheeshunt/replication/open_group_test.cpp
+++ b/lycheeshunt/replication/open_group_test.cpp
@@ -95,9 +95,9 @@
 
     void carryOut(std::size_t number, vm & self, const replica_action &action)
     {
-        if (const greet_contact *greeting = std::get_if<greet_contact>(&action)) {
+        if (const send_to_address *greeting = std::get_if<send_to_address>(&action)) {
             mail.push_back(posted {number, greeting->to, greeting->envelope});
-        } else if (const locate_peer *located = std::get_if<locate_peer>(&action)) {
+        } else if (const set_peer_address *located = std::get_if<set_peer_address>(&action)) {
             self.addresses.erase(located->node);
             self.addresses.emplace(located->node, located->streams);
         } else if (const peer_envelope *envelope = std::get_if<peer_envelope>(&action)) {
--- a/lycheeshunt/replication/peer_links.cpp
+++ b/lycheeshunt/replication/peer_links.cpp
@@ -1,9 +1,9 @@
 #include "lycheeshunt/replication/peer_links.h"
 
 #include "lycheeshunt/base/overloaded.h"
-#include "lycheeshunt/replication/greet_contact.h"
-#include "lycheeshunt/replication/locate_peer.h"
 #include "lycheeshunt/replication/peer_codec.h"
+#include "lycheeshunt/replication/send_to_address.h"
+#include "lycheeshunt/replication/set_peer_address.h"
 
 namespace lycheeshunt::replication {
 
@@ -19,7 +19,7 @@
 {
 }
 
-void peer_links::locate(const locate_peer &located)
+void peer_links::setAddress(const set_peer_address &located)
 {
     m_addresses.erase(located.node);
     if (located.streams.port != 0)
@@ -33,7 +33,7 @@
         sendTo(found->second, envelope);
 }
 
-void peer_links::greet(const greet_contact &greeting)
+void peer_links::sendToAddress(const send_to_address &greeting)
 {
     sendTo(greeting.to, greeting.envelope);
     dropUnused(base::clock_time::steady());
--- a/lycheeshunt/replication/peer_links.h
+++ b/lycheeshunt/replication/peer_links.h
@@ -2,7 +2,7 @@
 // can't be reached now is dropped; the replication decision sends it again.
 //
 //     peer_links links(timing, seed);
-//     links.locate(locate_peer {node, endpoint});
+//     links.setAddress(set_peer_address {node, endpoint});
 //     links.send(envelope);
 //
 // Not thread-safe: the replication thread alone uses it.
@@ -20,8 +20,8 @@
 
 namespace lycheeshunt::replication {
 
-struct greet_contact;
-struct locate_peer;
+struct send_to_address;
+struct set_peer_address;
 struct peer_envelope;
 
 class peer_links
@@ -32,11 +32,11 @@
     peer_links(const peer_links &) = delete;
     peer_links &operator=(const peer_links &) = delete;
 
-    void locate(const locate_peer &located);
+    void setAddress(const set_peer_address &located);
 
     // Neither waits.
     void send(const peer_envelope &envelope);
-    void greet(const greet_contact &greeting);
+    void sendToAddress(const send_to_address &greeting);
 
 private:
     struct link
--- a/lycheeshunt/replication/replica_action.h
+++ b/lycheeshunt/replication/replica_action.h
@@ -1,10 +1,8 @@
 #pragma once
 
 #include "lycheeshunt/replication/commit_entries.h"
-#include "lycheeshunt/replication/greet_contact.h"
 #include "lycheeshunt/replication/hard_state.h"
 #include "lycheeshunt/replication/leadership_changed.h"
-#include "lycheeshunt/replication/locate_peer.h"
 #include "lycheeshunt/replication/members_changed.h"
 #include "lycheeshunt/replication/peer_envelope.h"
 #include "lycheeshunt/replication/persist_entries.h"
@@ -12,6 +10,8 @@
 #include "lycheeshunt/replication/proposal_refused.h"
 #include "lycheeshunt/replication/read_confirmed.h"
 #include "lycheeshunt/replication/read_refused.h"
+#include "lycheeshunt/replication/send_to_address.h"
+#include "lycheeshunt/replication/set_peer_address.h"
 #include "lycheeshunt/replication/truncate_log.h"
 
 #include <variant>
@@ -21,7 +21,7 @@
 // Carried out in order. When one that writes fails, the rest of its step must not be carried out:
 // an answer that follows a write stands for its sync.
 using replica_action
-    = std::variant<peer_envelope, greet_contact, locate_peer, hard_state, truncate_log,
+    = std::variant<peer_envelope, send_to_address, set_peer_address, hard_state, truncate_log,
                    persist_entries, persist_snapshot, commit_entries, leadership_changed,
                    members_changed, proposal_refused, read_confirmed, read_refused>;
 
--- a/lycheeshunt/replication/replica_storage.h
+++ b/lycheeshunt/replication/replica_storage.h
@@ -28,7 +28,7 @@
 
     const recovered_storage &recovered() const { return *m_recovered; }
     // The recovered entries are not kept for ever.
-    void forgetRecovered() { m_recovered.reset(); }
+    void releaseRecovered() { m_recovered.reset(); }
 
     std::optional<base::error> persist(const hard_state &state);
     std::optional<base::error> persist(const persist_entries &action);
--- a/lycheeshunt/replication/replication_duty.cpp
+++ b/lycheeshunt/replication/replication_duty.cpp
@@ -117,12 +117,12 @@
                 m_hooks.send(envelope);
                 return outcome();
             },
-            [this](const greet_contact &greeting) {
-                m_hooks.greet(greeting);
+            [this](const send_to_address &greeting) {
+                m_hooks.sendToAddress(greeting);
                 return outcome();
             },
-            [this](const locate_peer &located) {
-                m_hooks.locate(located);
+            [this](const set_peer_address &located) {
+                m_hooks.setAddress(located);
                 return outcome();
             },
             [this](const hard_state &hard) { return m_storage.persist(hard); },
@@ -196,7 +196,7 @@
     }
     m_storage = base::takeValue(std::move(reopened));
     m_state = startReplica(m_state.settings, m_storage.recovered(), ++m_recoveries, now);
-    m_storage.forgetRecovered();
+    m_storage.releaseRecovered();
     base::logInfo("replication", "storage takes writes again, taking part as after a start");
 }
 
--- a/lycheeshunt/replication/replication_duty.h
+++ b/lycheeshunt/replication/replication_duty.h
@@ -24,8 +24,8 @@
 struct replication_hooks
 {
     const std::function<void(const peer_envelope &)> send;
-    const std::function<void(const greet_contact &)> greet;
-    const std::function<void(const locate_peer &)> locate;
+    const std::function<void(const send_to_address &)> sendToAddress;
+    const std::function<void(const set_peer_address &)> setAddress;
     const std::function<void(const replication_notice &)> notify;
     // Entries that amount to the same as the given ones, which start with the last snapshot's.
     const std::function<std::vector<log_entry>(const std::vector<log_entry> &)> compact;
--- a/lycheeshunt/replication/greet_contact.h
+++ b/lycheeshunt/replication/send_to_address.h
@@ -6,12 +6,12 @@
 namespace lycheeshunt::replication {
 
 // Send this to whichever control VM takes streams at the address; its identity may be unknown.
-struct greet_contact
+struct send_to_address
 {
     const base::endpoint to;
     const peer_envelope envelope;
 
-    bool operator==(const greet_contact &) const = default;
+    bool operator==(const send_to_address &) const = default;
 };
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/locate_peer.h
+++ b/lycheeshunt/replication/set_peer_address.h
@@ -6,12 +6,12 @@
 namespace lycheeshunt::replication {
 
 // Messages for this control VM go to this address from now on.
-struct locate_peer
+struct set_peer_address
 {
     const base::node_id node;
     const base::endpoint streams;
 
-    bool operator==(const locate_peer &) const = default;
+    bool operator==(const set_peer_address &) const = default;
 };
 
 } // namespace lycheeshunt::replication
