--- a/lycheeshunt/replication/append_answer.h
+++ b/lycheeshunt/replication/append_answer.h
@@ -4,13 +4,15 @@
 
 namespace lycheeshunt::replication {
 
-// Answers append_request after the entries are synced.
+// Answers append_request, once the entries have been synced to disk.
 struct append_answer
 {
     const std::uint64_t term = 0;
-    const std::uint64_t round = 0;
+    // Copied from the request.
+    const std::uint64_t heartbeatRound = 0;
     const bool isMatch = false;
-    // With a match: the last index known to equal the leader's. Without: where to try next.
+    // On a match, the last index at which this log is known to equal the leader's; otherwise the
+    // index from which the leader should try next.
     const base::generation index;
 
     bool operator==(const append_answer &) const = default;
--- a/lycheeshunt/replication/append_request.h
+++ b/lycheeshunt/replication/append_request.h
@@ -6,13 +6,14 @@
 
 namespace lycheeshunt::replication {
 
-// The leader sends entries, or none as a heartbeat.
+// Log entries from the leader; without entries it is a heartbeat.
 struct append_request
 {
     const std::uint64_t term = 0;
-    // Greater for each later message of the same leader; comes back in the answer.
-    const std::uint64_t round = 0;
-    // The entry before the first one sent; index 0 is before every log.
+    // Heartbeat round of the leader in which this was sent; returned in the answer. Never decreases
+    // during one leader's term.
+    const std::uint64_t heartbeatRound = 0;
+    // Entry that immediately precedes `entries`; 0 stands for the position before the first entry.
     const base::generation previousIndex;
     const std::uint64_t previousTerm = 0;
     const base::generation commit;
--- a/lycheeshunt/replication/candidate_role.h
+++ b/lycheeshunt/replication/candidate_role.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// Collects votes, or pre-votes before it raises its term.
+// Campaigning: collects pre-votes, then increments the term and collects votes.
 struct candidate_role
 {
     bool isPreVote = true;
--- a/lycheeshunt/replication/codec.cpp
+++ b/lycheeshunt/replication/codec.cpp
@@ -69,7 +69,7 @@
     std::vector<log_entry> entries;
     while (!bytes.empty()) {
         if (bytes.size() < lengthBytes || bytes.size() - lengthBytes < readLength(bytes))
-            return base::error {base::error_code::messageMalformed, "entry is cut short"};
+            return base::error {base::error_code::messageMalformed, "log entry is cut short"};
         const std::size_t length = readLength(bytes);
         const base::result<log_entry> entry = decodeEntry(bytes.substr(lengthBytes, length));
         if (const base::error *failure = base::errorOf(entry))
--- a/lycheeshunt/replication/codec.h
+++ b/lycheeshunt/replication/codec.h
@@ -1,4 +1,4 @@
-// MessagePack form of log entries and configurations.
+// MessagePack encoding of log entries and configurations.
 
 #pragma once
 
@@ -16,7 +16,7 @@
 std::string encodeEntry(const log_entry &entry);
 base::result<log_entry> decodeEntry(std::string_view bytes);
 
-// One entry after another, each with a length of four bytes, least significant first.
+// Concatenated entries, each prefixed with its length as a 4-byte little-endian integer.
 std::string encodeEntries(const std::vector<log_entry> &entries);
 base::result<std::vector<log_entry>> decodeEntries(std::string_view bytes);
 
--- a/lycheeshunt/replication/commit_entries.h
+++ b/lycheeshunt/replication/commit_entries.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// Hand these to the duties, in this order; they will never change.
+// Action: pass these committed entries to the duties, in log order.
 struct commit_entries
 {
     const std::vector<log_entry> entries = {};
--- a/lycheeshunt/replication/configuration.h
+++ b/lycheeshunt/replication/configuration.h
@@ -6,13 +6,13 @@
 
 namespace lycheeshunt::replication {
 
-// Which control VMs hold the log and which of them vote; an entry of the log itself. Two
-// configurations that follow each other differ in one voter, so that their quorums overlap.
+// Members of the control group and which of them vote. It is replicated as a log entry. Consecutive
+// configurations differ by at most one voter, so that any two of their quorums overlap.
 struct configuration
 {
     const std::vector<configuration_member> members = {};
 
-    // Null when there is no member of this name.
+    // Null when the node is not a member.
     const configuration_member *find(base::node_id node) const
     {
         for (const configuration_member &member : members) {
@@ -38,7 +38,7 @@
 
     bool isQuorum(std::size_t votes) const { return votes > voterCount() / 2; }
 
-    // The same configuration with one member put in or put in place of its namesake.
+    // Copy in which `wanted` is added or replaces the member of the same name.
     configuration with(const configuration_member &wanted) const
     {
         std::vector<configuration_member> next;
--- a/lycheeshunt/replication/configuration_member.h
+++ b/lycheeshunt/replication/configuration_member.h
@@ -12,9 +12,9 @@
 {
     const std::string name;
     const storage_id storage;
-    // A non-voter receives the log and counts for no quorum.
+    // A non-voter receives the log but does not count toward a quorum.
     const bool isVoter = true;
-    // Where it takes streams; port 0 where the settings of each VM list the others.
+    // Address at which it accepts streams; port 0 where peers are listed in the settings instead.
     const base::endpoint streams = {};
 
     replica_id id() const { return replica_id {base::nodeIdOf(name), storage}; }
--- a/lycheeshunt/replication/contacts_changed.h
+++ b/lycheeshunt/replication/contacts_changed.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// Control VMs that the settings name now.
+// The settings now list these addresses of control VMs.
 struct contacts_changed
 {
     const std::vector<base::endpoint> contacts = {};
--- a/lycheeshunt/replication/control_peer.h
+++ b/lycheeshunt/replication/control_peer.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// A control VM as the settings name it.
+// A control VM listed in the settings.
 struct control_peer
 {
     const std::string name;
--- a/lycheeshunt/replication/decision.cpp
+++ b/lycheeshunt/replication/decision.cpp
@@ -3,8 +3,8 @@
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/replication/internal/commit.h"
 #include "lycheeshunt/replication/internal/election.h"
-#include "lycheeshunt/replication/internal/following.h"
-#include "lycheeshunt/replication/internal/leading.h"
+#include "lycheeshunt/replication/internal/follower.h"
+#include "lycheeshunt/replication/internal/leader.h"
 #include "lycheeshunt/replication/internal/membership_change.h"
 #include "lycheeshunt/replication/internal/reads.h"
 #include "lycheeshunt/replication/recovered_storage.h"
@@ -13,81 +13,83 @@
 
 namespace {
 
-using internal::replica_work;
+using internal::replica_context;
 
-void takeTick(replica_work work)
+void handleTick(replica_context context)
 {
-    internal::sendPresence(work);
-    internal::bootstrapCluster(work);
-    if (work.roleAs<leader_role>() != nullptr)
-        internal::leaderTick(work);
-    else if (work.state.now >= work.state.electionDeadline)
-        internal::campaign(work);
+    internal::announcePresence(context);
+    internal::bootstrapCluster(context);
+    if (context.roleAs<leader_role>() != nullptr)
+        internal::leaderTick(context);
+    else if (context.state.now >= context.state.electionDeadline)
+        internal::campaign(context);
 }
 
-// An empty disk follows only the disk that its sender last named as its own: what is left of an
-// earlier cluster of the same names must not be taken for this one.
+// A replica with an empty disk accepts messages only from the disk that the sender announced in its
+// last presence message. This excludes messages of an earlier group with the same names.
 bool isFromKnownDisk(const replica_state &state, const replica_id &from)
 {
-    const auto known = state.presences.find(from.node);
+    const auto lastAnnounced = state.presences.find(from.node);
     return state.isFormed()
-        || (known != state.presences.end() && known->second.storage == from.storage);
+        || (lastAnnounced != state.presences.end()
+            && lastAnnounced->second.storage == from.storage);
 }
 
-void takeEnvelope(replica_work work, const peer_envelope &envelope)
+void handleEnvelope(replica_context context, const peer_envelope &envelope)
 {
     const replica_id &from = envelope.from;
     const bool isGreeting
         = envelope.to.node == base::node_id() && std::holds_alternative<presence>(envelope.message);
-    if ((envelope.to.node != work.state.self && !isGreeting) || from.node == work.state.self)
+    if ((envelope.to.node != context.state.self && !isGreeting) || from.node == context.state.self)
         return;
-    if (const presence *there = std::get_if<presence>(&envelope.message)) {
-        internal::takePresence(work, from, *there);
+    if (const presence *announcement = std::get_if<presence>(&envelope.message)) {
+        internal::handlePresence(context, from, *announcement);
         return;
     }
-    if (envelope.to.storage != work.state.storage || !isFromKnownDisk(work.state, from))
+    if (envelope.to.storage != context.state.storage || !isFromKnownDisk(context.state, from))
         return;
-    std::visit(base::overloaded {
-                   [&](const vote_request &m) { internal::takeVoteRequest(work, from, m); },
-                   [&](const vote_answer &m) { internal::takeVoteAnswer(work, from, m); },
-                   [&](const append_request &m) { internal::takeAppendRequest(work, from, m); },
-                   [&](const append_answer &m) { internal::takeAppendAnswer(work, from, m); },
-                   [&](const snapshot_piece &m) { internal::takeSnapshotPiece(work, from, m); },
-                   [&](const snapshot_answer &m) { internal::takeSnapshotAnswer(work, from, m); },
-                   [&](const forwarded_proposal &m) { internal::takeForwarded(work, m); },
-                   [](const presence &) {},
-               },
-               envelope.message);
+    std::visit(
+        base::overloaded {
+            [&](const vote_request &m) { internal::handleVoteRequest(context, from, m); },
+            [&](const vote_answer &m) { internal::handleVoteAnswer(context, from, m); },
+            [&](const append_request &m) { internal::handleAppendRequest(context, from, m); },
+            [&](const append_answer &m) { internal::handleAppendAnswer(context, from, m); },
+            [&](const snapshot_piece &m) { internal::handleSnapshotPiece(context, from, m); },
+            [&](const snapshot_answer &m) { internal::handleSnapshotAnswer(context, from, m); },
+            [&](const forwarded_proposal &m) { internal::handleForwardedProposal(context, m); },
+            [](const presence &) {},
+        },
+        envelope.message);
 }
 
-void takeFailure(replica_work work, const storage_failure &message)
+void handleStorageFailure(replica_context context, const storage_failure &message)
 {
-    internal::refuseReads(work);
-    work.state.role = failed_role {message.failure.code, message.failure.detail};
+    internal::refusePendingReads(context);
+    context.state.role = failed_role {message.failure.code, message.failure.detail};
 }
 
-// What a replica whose storage failed still does: refuse by code.
-void refuseAll(replica_work work, const replica_message &message)
+// A replica whose storage has failed only refuses proposals and reads, with the storage error.
+void refuseAll(replica_context context, const replica_message &message)
 {
-    const base::error reason = internal::notLeading(work.state);
+    const base::error reason = internal::notLeaderError(context.state);
     if (const propose_entries *proposed = std::get_if<propose_entries>(&message)) {
         for (const proposal &refused : proposed->proposals)
-            work.actions.emplace_back(proposal_refused {refused.kind, refused.token, reason});
+            context.actions.emplace_back(proposal_refused {refused.kind, refused.token, reason});
     } else if (const read_request *read = std::get_if<read_request>(&message)) {
-        work.actions.emplace_back(read_refused {read->request, reason});
+        context.actions.emplace_back(read_refused {read->request, reason});
     }
 }
 
-void dispatch(replica_work work, const replica_message &message)
+void dispatch(replica_context context, const replica_message &message)
 {
     std::visit(base::overloaded {
-                   [&](const replica_tick &) { takeTick(work); },
-                   [&](const peer_envelope &m) { takeEnvelope(work, m); },
-                   [&](const propose_entries &m) { internal::takeProposals(work, m); },
-                   [&](const read_request &m) { internal::takeRead(work, m); },
-                   [&](const snapshot_taken &m) { internal::takeSnapshotTaken(work, m); },
-                   [&](const storage_failure &m) { takeFailure(work, m); },
-                   [&](const contacts_changed &m) { internal::takeContacts(work, m.contacts); },
+                   [&](const replica_tick &) { handleTick(context); },
+                   [&](const peer_envelope &m) { handleEnvelope(context, m); },
+                   [&](const propose_entries &m) { internal::handleProposals(context, m); },
+                   [&](const read_request &m) { internal::handleReadRequest(context, m); },
+                   [&](const snapshot_taken &m) { internal::handleSnapshotTaken(context, m); },
+                   [&](const storage_failure &m) { handleStorageFailure(context, m); },
+                   [&](const contacts_changed &m) { internal::addContacts(context, m.contacts); },
                },
                message);
 }
@@ -104,9 +106,10 @@
         : nullptr;
     if (leader == nullptr)
         return leadership {state.term};
-    const auto seen = state.presences.find(*follower->leader);
+    const auto announced = state.presences.find(*follower->leader);
     return leadership {state.term, false, leader->name,
-                       seen == state.presences.end() ? base::endpoint {} : seen->second.api};
+                       announced == state.presences.end() ? base::endpoint {}
+                                                          : announced->second.api};
 }
 
 base::step<replica_state, replica_action>
@@ -114,16 +117,16 @@
 {
     std::vector<replica_action> actions;
     state.now = std::max(state.now, now);
-    const leadership earlier = leadershipOf(state);
+    const leadership leadershipBefore = leadershipOf(state);
     const configuration membersBefore = state.isFormed() ? state.members() : configuration {};
-    const replica_work work {state, actions};
+    const replica_context context {state, actions};
     if (std::holds_alternative<failed_role>(state.role))
-        refuseAll(work, message);
+        refuseAll(context, message);
     else
-        dispatch(work, message);
-    const leadership present = leadershipOf(state);
-    if (present != earlier)
-        actions.emplace_back(leadership_changed {present});
+        dispatch(context, message);
+    const leadership leadershipAfter = leadershipOf(state);
+    if (leadershipAfter != leadershipBefore)
+        actions.emplace_back(leadership_changed {leadershipAfter});
     if (state.isFormed() && state.members() != membersBefore)
         actions.emplace_back(members_changed {state.members()});
     return {std::move(state), std::move(actions)};
@@ -151,7 +154,7 @@
     }
     for (const log_entry &entry : recovered.entries) {
         state.log.append(entry);
-        internal::trackConfiguration(state, entry);
+        internal::addConfiguration(state, entry);
     }
     internal::restartElectionTimer(state);
     if (state.isFormed() && state.members().isQuorum(1))
--- a/lycheeshunt/replication/decision_test.cpp
+++ b/lycheeshunt/replication/decision_test.cpp
@@ -19,7 +19,7 @@
 }
 
 // Every replica that is up holds all that was accepted.
-bool allHoldAll(replica_group &group)
+bool haveAllAppliedAccepted(replica_group &group)
 {
     for (std::size_t i = 0; i < group.size(); ++i) {
         for (auto it = group.accepted().begin(); it != group.accepted().end(); ++it) {
@@ -31,13 +31,14 @@
     return true;
 }
 
-void checkPromises(replica_group &group)
+void checkInvariants(replica_group &group)
 {
     group.setNoise(0);
     group.heal();
     const std::size_t leader = group.awaitLeader();
     group.propose(leader, "last");
-    CHECK(group.runUntil([&]() { return group.hasApplied(leader, "last") && allHoldAll(group); }));
+    CHECK(group.runUntil(
+        [&]() { return group.hasApplied(leader, "last") && haveAllAppliedAccepted(group); }));
     STRCMP_EQUAL("", group.firstFault().c_str());
 }
 
@@ -52,7 +53,7 @@
         const std::size_t leader = group.awaitLeader();
         group.propose(leader, "first");
         CHECK(group.runUntil([&]() { return group.hasApplied(leader, "first"); }));
-        checkPromises(group);
+        checkInvariants(group);
     }
 }
 
@@ -67,7 +68,7 @@
                 group.propose(*leader, "ticket " + std::to_string(i));
             group.run(100);
         }
-        checkPromises(group);
+        checkInvariants(group);
     }
 }
 
@@ -83,7 +84,7 @@
             group.run(200);
             group.restart(leader);
         }
-        checkPromises(group);
+        checkInvariants(group);
     }
 }
 
@@ -107,7 +108,7 @@
     LONGS_EQUAL(0, countOf<read_confirmed>(group.at(old).notices));
     LONGS_EQUAL(1, countOf<proposal_refused>(group.at(old).notices));
     CHECK_FALSE(group.hasApplied(old, "lost"));
-    checkPromises(group);
+    checkInvariants(group);
     CHECK_FALSE(group.hasApplied(present, "lost"));
 }
 
@@ -119,7 +120,7 @@
         group.cut(i, old);
     CHECK(group.runUntil(
         [&]() { return !std::holds_alternative<leader_role>(group.at(old).state.role); }));
-    checkPromises(group);
+    checkInvariants(group);
 }
 
 TEST(replication_decision, aReplicaThatHearsNothingUnseatsNobody)
@@ -222,7 +223,7 @@
         group.crash(leader, crash_loss::allUnsynced);
         group.run(500);
         group.restart(leader);
-        checkPromises(group);
+        checkInvariants(group);
         CHECK(group.hasApplied(behind, "ticket 49"));
     }
 }
@@ -276,7 +277,7 @@
             }
             group.crash(failing, loss);
             group.restart(failing);
-            checkPromises(group);
+            checkInvariants(group);
         }
     }
 }
--- a/lycheeshunt/replication/disk_files.cpp
+++ b/lycheeshunt/replication/disk_files.cpp
@@ -29,7 +29,7 @@
     return storageError(what);
 }
 
-bool writeWhole(int descriptor, std::string_view bytes)
+bool writeFully(int descriptor, std::string_view bytes)
 {
     while (!bytes.empty()) {
         const ssize_t written = ::write(descriptor, bytes.data(), bytes.size());
@@ -78,7 +78,8 @@
     std::ostringstream text;
     if (!file)
         return storageError(pathOf(name));
-    // An empty file sets the target's fail bit; a read error sets the source's bad bit.
+    // An empty file sets the fail bit of `text`, which is no error; a read error sets the bad bit
+    // of `file`.
     text << file.rdbuf();
     if (file.bad())
         return storageError(pathOf(name));
@@ -102,7 +103,7 @@
 std::optional<base::error> disk_files::append(const std::string &name, std::string_view bytes)
 {
     const int descriptor = descriptorOf(name);
-    return errorUnless(descriptor >= 0 && writeWhole(descriptor, bytes), "write " + name);
+    return errorUnless(descriptor >= 0 && writeFully(descriptor, bytes), "write " + name);
 }
 
 std::optional<base::error> disk_files::sync(const std::string &name)
--- a/lycheeshunt/replication/disk_files.h
+++ b/lycheeshunt/replication/disk_files.h
@@ -1,11 +1,11 @@
-// The files of one data folder, on the disk. Nothing counts as written before sync(), and no name
-// as made, renamed or removed before syncFolder().
+// The files of one data folder on disk. Written bytes are durable only after sync(); the creation,
+// renaming or removal of a file only after syncFolder().
 //
 //     result<disk_files> files = disk_files::open("/var/lib/lycheeshunt");
 //     files.append("vote", bytes);
 //     files.sync("vote");
 //
-// Each call returns the error that it met: diskFull or storageFailed. Not thread-safe.
+// Calls fail with diskFull or storageFailed. Not thread-safe.
 
 #pragma once
 
@@ -24,18 +24,18 @@
 class disk_files
 {
 public:
-    // Makes the folder if it is missing.
+    // Creates the folder if it does not exist.
     static base::result<disk_files> open(const std::string &folder);
 
     base::result<std::vector<std::string>> list() const;
     // Precondition: the file exists.
     base::result<std::string> read(const std::string &name) const;
 
-    // Makes the file if it is missing.
+    // Creates the file if it does not exist.
     std::optional<base::error> append(const std::string &name, std::string_view bytes);
     std::optional<base::error> sync(const std::string &name);
     std::optional<base::error> truncate(const std::string &name, std::uint64_t size);
-    // Takes the place of a file that has the new name.
+    // Replaces an existing file that has the new name.
     std::optional<base::error> rename(const std::string &from, const std::string &to);
     std::optional<base::error> remove(const std::string &name);
     std::optional<base::error> syncFolder();
--- a/lycheeshunt/replication/entry_kind.h
+++ b/lycheeshunt/replication/entry_kind.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::replication {
 
-// Which slice a log entry's payload belongs to.
+// Identifies the slice that the payload of a log entry belongs to.
 enum class entry_kind : std::uint8_t {
     none = 0,
     ticket = 1,
--- a/lycheeshunt/replication/failed_role.h
+++ b/lycheeshunt/replication/failed_role.h
@@ -6,7 +6,8 @@
 
 namespace lycheeshunt::replication {
 
-// Storage failed: neither votes, acknowledges nor accepts until the process starts again.
+// A write to storage has failed. The replica neither votes nor acknowledges entries and refuses all
+// proposals and reads until its storage has been reopened.
 struct failed_role
 {
     base::error_code code = base::error_code::storageFailed;
--- a/lycheeshunt/replication/file_set.h
+++ b/lycheeshunt/replication/file_set.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::replication {
 
-// Where a replica keeps its files.
+// Storage back end of a replica: files on disk, or in memory for tests.
 using file_set = std::variant<disk_files, memory_files>;
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/follower_role.h
+++ b/lycheeshunt/replication/follower_role.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// Takes entries from a leader, or waits for one.
+// Replicates the log of a leader, or waits until one is elected.
 struct follower_role
 {
     std::optional<base::node_id> leader;
--- a/lycheeshunt/replication/forwarded_proposal.h
+++ b/lycheeshunt/replication/forwarded_proposal.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::replication {
 
-// A follower passes a proposal that its proposer repeats by itself to the leader.
+// A proposal that a follower forwards to the leader. Only for proposals that their proposer
+// retries, since no outcome is returned.
 struct forwarded_proposal
 {
     const replication::proposal proposal;
--- a/lycheeshunt/replication/group_test.h
+++ b/lycheeshunt/replication/group_test.h
@@ -145,7 +145,7 @@
             const std::optional<std::size_t> found = leader();
             return found
                 && m_nodes[*found].state.commit
-                >= std::get<leader_role>(m_nodes[*found].state.role).firstOwn;
+                >= std::get<leader_role>(m_nodes[*found].state.role).firstIndexOfTerm;
         });
         if (!isLed)
             m_faults.push_back("no leader");
@@ -206,7 +206,7 @@
     }
 
 private:
-    struct flying_message
+    struct in_flight_message
     {
         base::clock_time arrival;
         std::size_t to;
@@ -231,20 +231,20 @@
         for (std::size_t i = 0; i < copies; ++i) {
             const std::int64_t delay
                 = 1 + static_cast<std::int64_t>(m_random() % (10 + 4 * m_noise));
-            m_flying.push_back({m_now + base::clock_time::ofMillis(delay), to, envelope});
+            m_inFlight.push_back({m_now + base::clock_time::ofMillis(delay), to, envelope});
         }
     }
 
     void deliver()
     {
-        std::list<flying_message> due;
-        for (auto it = m_flying.begin(); it != m_flying.end();) {
+        std::list<in_flight_message> due;
+        for (auto it = m_inFlight.begin(); it != m_inFlight.end();) {
             const auto next = std::next(it);
             if (it->arrival <= m_now)
-                due.splice(due.end(), m_flying, it);
+                due.splice(due.end(), m_inFlight, it);
             it = next;
         }
-        for (const flying_message &message : due)
+        for (const in_flight_message &message : due)
             give(message.to, message.envelope);
     }
 
@@ -315,7 +315,7 @@
     std::deque<node> m_nodes;
     std::map<std::size_t, memory_files> m_crashed;
     std::set<std::pair<std::size_t, std::size_t>> m_cut;
-    std::list<flying_message> m_flying;
+    std::list<in_flight_message> m_inFlight;
     std::map<std::uint64_t, log_entry> m_accepted;
     std::vector<std::string> m_faults;
     std::uint32_t m_noise = 0;
--- a/lycheeshunt/replication/incoming_snapshot.h
+++ b/lycheeshunt/replication/incoming_snapshot.h
@@ -6,7 +6,8 @@
 
 namespace lycheeshunt::replication {
 
-// The pieces of a snapshot that have come so far. Another leader's pieces start afresh.
+// Snapshot under reception. It is discarded when pieces of another leader's term or of another
+// snapshot arrive.
 struct incoming_snapshot
 {
     std::uint64_t leaderTerm = 0;
--- a/lycheeshunt/replication/indexed_configuration.h
+++ b/lycheeshunt/replication/indexed_configuration.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::replication {
 
-// A configuration and the log index that set it.
+// A configuration and the index of the log entry that holds it.
 struct indexed_configuration
 {
     const base::generation index;
--- a/lycheeshunt/replication/internal/commit.cpp
+++ b/lycheeshunt/replication/internal/commit.cpp
@@ -7,28 +7,28 @@
 const configuration &configurationAt(const replica_state &state, base::generation index)
 {
     const indexed_configuration *found = &state.configurations.front();
-    for (const indexed_configuration &known : state.configurations) {
-        if (known.index <= index)
-            found = &known;
+    for (const indexed_configuration &candidate : state.configurations) {
+        if (candidate.index <= index)
+            found = &candidate;
     }
     return found->configuration;
 }
 
 } // namespace
 
-void commitUpTo(replica_work work, base::generation index)
+void commitUpTo(replica_context context, base::generation index)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     const base::generation last = std::min(index, state.log.lastIndex());
     if (last <= state.commit)
         return;
-    work.actions.emplace_back(commit_entries {state.log.between(state.commit, last)});
+    context.actions.emplace_back(commit_entries {state.log.between(state.commit, last)});
     state.commit = last;
 }
 
-void takeSnapshotTaken(replica_work work, const snapshot_taken &taken)
+void handleSnapshotTaken(replica_context context, const snapshot_taken &taken)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     const std::optional<std::uint64_t> term = state.log.termAt(taken.index);
     if (taken.index > state.commit || taken.index <= state.log.baseIndex() || !term)
         return;
@@ -38,7 +38,7 @@
     state.log.dropUpTo(taken.index);
     while (state.configurations.size() > 1 && state.configurations[1].index <= taken.index)
         state.configurations.pop_front();
-    work.actions.emplace_back(persist_snapshot {state.latestSnapshot, false});
+    context.actions.emplace_back(persist_snapshot {state.latestSnapshot, false});
 }
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/commit.h
+++ b/lycheeshunt/replication/internal/commit.h
@@ -1,15 +1,16 @@
-// Committing entries and folding them into snapshots.
+// Committing log entries and replacing them by snapshots.
 
 #pragma once
 
-#include "lycheeshunt/replication/internal/replica_work.h"
+#include "lycheeshunt/replication/internal/replica_context.h"
 
 namespace lycheeshunt::replication::internal {
 
-// Hands over what is newly committed; never goes back.
-void commitUpTo(replica_work work, base::generation index);
+// Passes newly committed entries to the duties. Does nothing if `index` is already committed.
+void commitUpTo(replica_context context, base::generation index);
 
-// Replaces the log up to the snapshot's index. A snapshot of something uncommitted is ignored.
-void takeSnapshotTaken(replica_work work, const snapshot_taken &taken);
+// Discards the log up to the snapshot's index. A snapshot that covers uncommitted entries is
+// ignored.
+void handleSnapshotTaken(replica_context context, const snapshot_taken &taken);
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/election.cpp
+++ b/lycheeshunt/replication/internal/election.cpp
@@ -1,6 +1,6 @@
 #include "lycheeshunt/replication/internal/election.h"
 
-#include "lycheeshunt/replication/internal/leading.h"
+#include "lycheeshunt/replication/internal/leader.h"
 #include "lycheeshunt/replication/internal/reads.h"
 
 namespace lycheeshunt::replication::internal {
@@ -14,75 +14,76 @@
     return request.lastIndex >= state.log.lastIndex();
 }
 
-// A replica that hears from its leader lets nobody unseat it.
-bool hasLiveLeader(const replica_work &work)
+// Votes are refused while the leader is alive, so that a partitioned replica cannot depose it on
+// return.
+bool hasLiveLeader(const replica_context &context)
 {
-    if (work.roleAs<leader_role>() != nullptr)
+    if (context.roleAs<leader_role>() != nullptr)
         return true;
-    const follower_role *follower = work.roleAs<follower_role>();
+    const follower_role *follower = context.roleAs<follower_role>();
     return follower != nullptr && follower->leader
-        && work.state.now - work.state.lastLeaderContact < work.timing().electionMin;
+        && context.state.now - context.state.lastLeaderContact < context.timing().electionMin;
 }
 
-void drawDeadline(replica_state &state, base::clock_time least, base::clock_time most)
+void setRandomDeadline(replica_state &state, base::clock_time shortest, base::clock_time longest)
 {
-    std::uniform_int_distribution<std::int64_t> span(least.millis(), most.millis());
-    state.electionDeadline = state.now + base::clock_time::ofMillis(span(state.random));
+    std::uniform_int_distribution<std::int64_t> distribution(shortest.millis(), longest.millis());
+    state.electionDeadline = state.now + base::clock_time::ofMillis(distribution(state.random));
 }
 
-// Nobody has led since this VM started, as far as it knows.
+// True for a while after the start if this VM has not heard from a leader since.
 bool isInFirstElection(const replica_state &state)
 {
     return state.lastLeaderContact == base::clock_time()
         && !std::holds_alternative<leader_role>(state.role)
-        && state.now - state.startedAt < state.settings->timing.firstElectionsFor;
+        && state.now - state.startedAt < state.settings->timing.firstElectionPeriod;
 }
 
-bool hearsQuorum(const replica_state &state)
+bool isQuorumReachable(const replica_state &state)
 {
     std::size_t heard = 1;
     for (const configuration_member &member : state.members().members) {
         const auto found = state.presences.find(member.id().node);
         const bool isHeard = found != state.presences.end()
-            && state.now - found->second.heardAt < state.settings->timing.presenceValid;
+            && state.now - found->second.heardAt < state.settings->timing.presenceTimeout;
         heard += member.isVoter && member.id() != state.id() && isHeard ? 1 : 0;
     }
     return state.members().isQuorum(heard);
 }
 
-void askForVotes(replica_work work, std::uint64_t term, bool isPreVote)
+void requestVotes(replica_context context, std::uint64_t term, bool isPreVote)
 {
-    const vote_request request {term, isPreVote, work.state.log.lastIndex(),
-                                work.state.log.lastTerm()};
-    for (const configuration_member &member : work.state.members().members) {
-        if (member.isVoter && member.id() != work.state.id())
-            work.send(member, request);
+    const vote_request request {term, isPreVote, context.state.log.lastIndex(),
+                                context.state.log.lastTerm()};
+    for (const configuration_member &member : context.state.members().members) {
+        if (member.isVoter && member.id() != context.state.id())
+            context.send(member, request);
     }
 }
 
-void startElection(replica_work work)
+void startElection(replica_context context)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     ++state.term;
     state.votedNode = state.self;
     state.votedStorage = state.storage;
-    work.persistHardState();
+    context.persistHardState();
     state.role = candidate_role {false, {state.self}};
     if (state.members().isQuorum(1)) {
-        becomeLeader(work);
+        becomeLeader(context);
         return;
     }
-    askForVotes(work, state.term, false);
+    requestVotes(context, state.term, false);
 }
 
-void grantVote(replica_work work, const replica_id &from)
+void grantVote(replica_context context, const replica_id &from)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     if (state.vote() == from)
         return;
     state.votedNode = from.node;
     state.votedStorage = from.storage;
-    work.persistHardState();
+    context.persistHardState();
     restartElectionTimer(state);
 }
 
@@ -92,84 +93,86 @@
 {
     const replica_timing &timing = state.settings->timing;
     if (isInFirstElection(state))
-        drawDeadline(state, timing.firstElectionMin, timing.firstElectionMax);
+        setRandomDeadline(state, timing.firstElectionMin, timing.firstElectionMax);
     else
-        drawDeadline(state, timing.electionMin, timing.electionMax);
+        setRandomDeadline(state, timing.electionMin, timing.electionMax);
 }
 
-// Early starters have asked for votes in vain: they need not wait for their timers.
-void hurryFirstElection(replica_state &state)
+// VMs that started before a quorum was up may have backed off after a failed pre-vote; they need
+// not wait for the rest of that timeout.
+void shortenFirstElectionTimeout(replica_state &state)
 {
-    const bool mayLead = state.isFormed() && state.members().isVoter(state.id());
-    if (!mayLead || !isInFirstElection(state) || !hearsQuorum(state))
+    const bool isEligible = state.isFormed() && state.members().isVoter(state.id());
+    if (!isEligible || !isInFirstElection(state) || !isQuorumReachable(state))
         return;
     const base::clock_time before = state.electionDeadline;
     const replica_timing &timing = state.settings->timing;
-    drawDeadline(state, timing.quorumSeenMin, timing.quorumSeenMax);
+    setRandomDeadline(state, timing.quorumReachableMin, timing.quorumReachableMax);
     state.electionDeadline = std::min(before, state.electionDeadline);
 }
 
-void becomeFollower(replica_work work, std::uint64_t term, std::optional<base::node_id> leader)
+void becomeFollower(replica_context context, std::uint64_t term,
+                    std::optional<base::node_id> leader)
 {
-    replica_state &state = work.state;
-    refuseReads(work);
+    replica_state &state = context.state;
+    refusePendingReads(context);
     if (term > state.term) {
         state.term = term;
         state.votedNode = base::node_id();
         state.votedStorage = storage_id();
-        work.persistHardState();
+        context.persistHardState();
     }
     state.role = follower_role {leader};
     restartElectionTimer(state);
 }
 
-void campaign(replica_work work)
+void campaign(replica_context context)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     restartElectionTimer(state);
     if (!state.isFormed() || !state.members().isVoter(state.id()))
         return;
     state.role = candidate_role {true, {state.self}};
     if (state.members().isQuorum(1))
-        startElection(work);
+        startElection(context);
     else
-        askForVotes(work, state.term + 1, true);
+        requestVotes(context, state.term + 1, true);
 }
 
-void takeVoteRequest(replica_work work, const replica_id &from, const vote_request &request)
+void handleVoteRequest(replica_context context, const replica_id &from, const vote_request &request)
 {
-    replica_state &state = work.state;
-    const bool isRefused = request.term < state.term || hasLiveLeader(work);
+    replica_state &state = context.state;
+    const bool isRefused = request.term < state.term || hasLiveLeader(context);
     if (!isRefused && !request.isPreVote && request.term > state.term)
-        becomeFollower(work, request.term, std::nullopt);
-    const bool isFree
+        becomeFollower(context, request.term, std::nullopt);
+    const bool isVoteAvailable
         = request.isPreVote || state.votedNode == base::node_id() || state.vote() == from;
     const bool isNewTerm = !request.isPreVote || request.term > state.term;
-    const bool isGranted = !isRefused && isFree && isNewTerm && isUpToDate(state, request);
+    const bool isGranted = !isRefused && isVoteAvailable && isNewTerm && isUpToDate(state, request);
     if (isGranted && !request.isPreVote)
-        grantVote(work, from);
-    work.answer(from, vote_answer {state.term, request.term, request.isPreVote, isGranted});
+        grantVote(context, from);
+    context.sendTo(from, vote_answer {state.term, request.term, request.isPreVote, isGranted});
 }
 
-void takeVoteAnswer(replica_work work, const replica_id &from, const vote_answer &answer)
+void handleVoteAnswer(replica_context context, const replica_id &from, const vote_answer &answer)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     if (answer.term > state.term && !answer.isGranted) {
-        becomeFollower(work, answer.term, std::nullopt);
+        becomeFollower(context, answer.term, std::nullopt);
         return;
     }
-    candidate_role *candidate = work.roleAs<candidate_role>();
-    const std::uint64_t asked = state.term + (answer.isPreVote ? 1 : 0);
+    candidate_role *candidate = context.roleAs<candidate_role>();
+    const std::uint64_t expectedTerm = state.term + (answer.isPreVote ? 1 : 0);
     if (candidate == nullptr || candidate->isPreVote != answer.isPreVote || !answer.isGranted
-        || answer.requestTerm != asked || !state.members().isVoter(from))
+        || answer.requestTerm != expectedTerm || !state.members().isVoter(from))
         return;
     candidate->granted.insert(from.node);
     if (!state.members().isQuorum(candidate->granted.size()))
         return;
     if (answer.isPreVote)
-        startElection(work);
+        startElection(context);
     else
-        becomeLeader(work);
+        becomeLeader(context);
 }
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/election.h
+++ b/lycheeshunt/replication/internal/election.h
@@ -1,23 +1,25 @@
-// Terms, pre-votes and votes.
+// Leader election: terms, pre-votes and votes.
 
 #pragma once
 
-#include "lycheeshunt/replication/internal/replica_work.h"
+#include "lycheeshunt/replication/internal/replica_context.h"
 
 namespace lycheeshunt::replication::internal {
 
 void restartElectionTimer(replica_state &state);
-// Called when another VM was heard: where a quorum is up and nobody has led yet, there is no reason
-// to wait any longer.
-void hurryFirstElection(replica_state &state);
+// Brings the election forward when this replica has just started, no leader has been heard of and a
+// quorum is reachable. Called when a presence message arrives.
+void shortenFirstElectionTimeout(replica_state &state);
 
-// Leaves any other role. A greater term is persisted first, and the vote forgotten.
-void becomeFollower(replica_work work, std::uint64_t term, std::optional<base::node_id> leader);
+// Leaves any other role. A greater term clears the vote and is persisted first.
+void becomeFollower(replica_context context, std::uint64_t term,
+                    std::optional<base::node_id> leader);
 
-// Starts with pre-votes; does nothing on a replica that does not vote.
-void campaign(replica_work work);
+// Starts an election with a pre-vote round. Only restarts the timer on a replica that is no voter.
+void campaign(replica_context context);
 
-void takeVoteRequest(replica_work work, const replica_id &from, const vote_request &request);
-void takeVoteAnswer(replica_work work, const replica_id &from, const vote_answer &answer);
+void handleVoteRequest(replica_context context, const replica_id &from,
+                       const vote_request &request);
+void handleVoteAnswer(replica_context context, const replica_id &from, const vote_answer &answer);
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/log_segments.cpp
+++ b/lycheeshunt/replication/internal/log_segments.cpp
@@ -50,11 +50,11 @@
     }
     std::vector<log_entry> entries;
     for (auto it = ordered.begin(); it != ordered.end(); ++it) {
-        const base::result<std::vector<log_entry>> found
+        const base::result<std::vector<log_entry>> segmentEntries
             = openSegment(files, it->second, std::next(it) == ordered.end());
-        if (const base::error *failure = base::errorOf(found))
+        if (const base::error *failure = base::errorOf(segmentEntries))
             return *failure;
-        for (const log_entry &entry : base::valueOf(found)) {
+        for (const log_entry &entry : base::valueOf(segmentEntries)) {
             if (!entries.empty() && entry.index.value() != entries.back().index.value() + 1)
                 return corrupt(it->second + " does not follow the segment before it");
             entries.push_back(entry);
@@ -72,7 +72,7 @@
     const base::result<record_scan> scan = scanRecords(base::valueOf(bytes), name);
     if (const base::error *failure = base::errorOf(scan))
         return *failure;
-    segment known {name, {}, base::valueOf(scan).validBytes};
+    segment opened {name, {}, base::valueOf(scan).validBytes};
     std::vector<log_entry> entries;
     std::uint64_t offset = 0;
     for (const std::string_view body : base::valueOf(scan).bodies) {
@@ -81,22 +81,22 @@
             || base::valueOf(entry).index.value() != firstOf(name) + entries.size())
             return corrupt(name + " at byte " + std::to_string(offset));
         entries.push_back(base::valueOf(entry));
-        known.offsets.push_back(offset);
+        opened.offsets.push_back(offset);
         offset += recordHeaderBytes + body.size();
     }
     const std::size_t length = base::valueOf(bytes).size();
-    if (known.size < length && !isLast)
+    if (opened.size < length && !isLast)
         return corrupt(name + " ends in the middle of a record");
-    if (known.size < length) {
-        if (const std::optional<base::error> failure = cutTail(files, known, length))
+    if (opened.size < length) {
+        if (const std::optional<base::error> failure = truncateTail(files, opened, length))
             return *failure;
     }
-    m_segments[firstOf(name)] = std::move(known);
+    m_segments[firstOf(name)] = std::move(opened);
     return entries;
 }
 
-std::optional<base::error> log_segments::cutTail(file_set &files, const segment &torn,
-                                                 std::uint64_t length)
+std::optional<base::error> log_segments::truncateTail(file_set &files, const segment &torn,
+                                                      std::uint64_t length)
 {
     m_tornBytes = length - torn.size;
     if (std::optional<base::error> failure = truncateFile(files, torn.name, torn.size))
@@ -104,7 +104,7 @@
     return syncFile(files, torn.name);
 }
 
-bool log_segments::startsSegment() const
+bool log_segments::needsNewSegment() const
 {
     return m_segments.empty() || std::prev(m_segments.end())->second.size >= segmentBytes;
 }
@@ -112,7 +112,7 @@
 std::optional<base::error> log_segments::append(file_set &files,
                                                 const std::vector<log_entry> &entries)
 {
-    const bool isNew = startsSegment();
+    const bool isNew = needsNewSegment();
     if (isNew) {
         const std::uint64_t first = entries.front().index.value();
         m_segments[first] = segment {nameOf(first), {}, 0};
@@ -133,7 +133,8 @@
 
 std::optional<base::error> log_segments::truncateFrom(file_set &files, base::generation index)
 {
-    // From the end backwards: a crash in between leaves a shorter log without a gap.
+    // Segments are removed from the end backwards, so that a crash in between leaves no gap in the
+    // log.
     while (!m_segments.empty() && std::prev(m_segments.end())->first >= index.value()) {
         const auto last = std::prev(m_segments.end());
         if (std::optional<base::error> failure = removeFile(files, last->second.name))
@@ -158,7 +159,7 @@
 
 std::optional<base::error> log_segments::dropUpTo(file_set &files, base::generation index)
 {
-    // From the front on: a crash in between leaves a log without a gap.
+    // Segments are removed from the front, so that a crash in between leaves no gap in the log.
     while (!m_segments.empty()) {
         const auto first = m_segments.begin();
         if (first->first + first->second.offsets.size() > index.value() + 1)
--- a/lycheeshunt/replication/internal/log_segments.h
+++ b/lycheeshunt/replication/internal/log_segments.h
@@ -1,5 +1,5 @@
-// The log on the disk: files of records, each named after the index of its first entry. Only the
-// last one is written to.
+// The log on disk: a series of record files, each named after the index of its first entry. Only
+// the last one is appended to.
 
 #pragma once
 
@@ -13,17 +13,17 @@
 class log_segments
 {
 public:
-    // Reads every segment, in order, and cuts a torn tail off the last one.
+    // Reads all segments in order. A torn tail of the last one is truncated.
     base::result<std::vector<log_entry>> open(file_set &files,
                                               const std::vector<std::string> &names);
 
     std::optional<base::error> append(file_set &files, const std::vector<log_entry> &entries);
-    // Removes the entry at the index and all after it.
+    // Removes the entry at the index and all later ones.
     std::optional<base::error> truncateFrom(file_set &files, base::generation index);
-    // Removes the segments that hold nothing after the index.
+    // Removes the segments whose entries are all at or before the index.
     std::optional<base::error> dropUpTo(file_set &files, base::generation index);
 
-    // How much was cut off on opening.
+    // Number of bytes that open() truncated.
     std::uint64_t tornBytes() const { return m_tornBytes; }
 
     static bool isSegmentName(const std::string &name);
@@ -32,17 +32,18 @@
     struct segment
     {
         std::string name;
-        // Where each of its records starts.
+        // Start of each of its records, in bytes.
         std::vector<std::uint64_t> offsets;
         std::uint64_t size = 0;
     };
 
     base::result<std::vector<log_entry>> openSegment(file_set &files, const std::string &name,
                                                      bool isLast);
-    std::optional<base::error> cutTail(file_set &files, const segment &torn, std::uint64_t length);
-    bool startsSegment() const;
+    std::optional<base::error> truncateTail(file_set &files, const segment &torn,
+                                            std::uint64_t length);
+    bool needsNewSegment() const;
 
-    // By the index of the first entry.
+    // Keyed by the index of the first entry.
     std::map<std::uint64_t, segment> m_segments;
     std::uint64_t m_tornBytes = 0;
 };
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -2,7 +2,7 @@
 
 #include "lycheeshunt/replication/codec.h"
 #include "lycheeshunt/replication/internal/election.h"
-#include "lycheeshunt/replication/internal/leading.h"
+#include "lycheeshunt/replication/internal/leader.h"
 
 #include <algorithm>
 #include <set>
@@ -15,7 +15,7 @@
 {
     const auto found = state.presences.find(node);
     const bool isFresh = found != state.presences.end()
-        && state.now - found->second.heardAt <= state.settings->timing.presenceValid;
+        && state.now - found->second.heardAt <= state.settings->timing.presenceTimeout;
     return isFresh ? &found->second : nullptr;
 }
 
@@ -26,8 +26,8 @@
 }
 
 constexpr std::size_t maxContacts = 32;
-// How long a control VM that others told of is greeted without a word from it.
-constexpr base::clock_time contactValid = base::clock_time::ofSeconds(30);
+// Contacts that have not been mentioned for this long are dropped.
+constexpr base::clock_time contactTimeout = base::clock_time::ofSeconds(30);
 
 bool isFirstSeed(const replica_settings &settings)
 {
@@ -38,7 +38,7 @@
         != settings.seeds.end();
 }
 
-// Members, and VMs that were heard lately: what is told to others as contacts.
+// Addresses of members and of VMs heard from recently, announced to others as contacts.
 std::set<base::endpoint> knownContacts(const replica_state &state)
 {
     std::set<base::endpoint> known;
@@ -47,7 +47,7 @@
             known.insert(member.streams);
     }
     for (auto it = state.presences.begin(); it != state.presences.end(); ++it) {
-        if (state.now - it->second.heardAt <= state.settings->timing.presenceValid)
+        if (state.now - it->second.heardAt <= state.settings->timing.presenceTimeout)
             known.insert(it->second.streams);
     }
     known.erase(base::endpoint {});
@@ -55,34 +55,34 @@
     return known;
 }
 
-void greetAll(replica_work work)
+void announceToContacts(replica_context context)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     std::erase_if(state.contacts,
                   [&](const std::pair<const base::endpoint, base::clock_time> &row) {
-                      return state.now - row.second > contactValid;
+                      return state.now - row.second > contactTimeout;
                   });
     const std::set<base::endpoint> known = knownContacts(state);
-    std::set<base::endpoint> greeted = known;
-    greeted.insert(state.settings->seeds.begin(), state.settings->seeds.end());
+    std::set<base::endpoint> targets = known;
+    targets.insert(state.settings->seeds.begin(), state.settings->seeds.end());
     for (auto it = state.contacts.begin(); it != state.contacts.end(); ++it)
-        greeted.insert(it->first);
-    greeted.erase(state.settings->streams);
+        targets.insert(it->first);
+    targets.erase(state.settings->streams);
     if (state.isFormed()) {
         for (const configuration_member &member : state.members().members)
-            work.actions.emplace_back(set_peer_address {member.id().node, member.streams});
+            context.actions.emplace_back(set_peer_address {member.id().node, member.streams});
     }
     const presence own {state.isFormed(),
                         state.settings->api,
                         state.settings->name,
                         state.settings->streams,
                         {known.begin(), known.end()}};
-    for (const base::endpoint &to : greeted)
-        work.actions.emplace_back(send_to_address {to, peer_envelope {state.id(), {}, own}});
+    for (const base::endpoint &to : targets)
+        context.actions.emplace_back(send_to_address {to, peer_envelope {state.id(), {}, own}});
 }
 
-// The seeds as founders, once each has said that its disk is empty; nothing before.
-std::optional<configuration> foundingSeeds(const replica_state &state)
+// All seeds as voters, once each of the others has announced an empty disk; empty until then.
+std::optional<configuration> bootstrapMembersFromSeeds(const replica_state &state)
 {
     std::vector<configuration_member> members;
     for (const base::endpoint &seed : state.settings->seeds) {
@@ -95,7 +95,7 @@
             state.presences.begin(), state.presences.end(),
             [&](const std::pair<const base::node_id, peer_presence> &row) {
                 return row.second.streams == seed && !row.second.isFormed
-                    && state.now - row.second.heardAt <= state.settings->timing.presenceValid;
+                    && state.now - row.second.heardAt <= state.settings->timing.presenceTimeout;
             });
         if (found == state.presences.end())
             return std::nullopt;
@@ -105,7 +105,7 @@
     return configuration {std::move(members)};
 }
 
-std::optional<configuration> foundingPeers(const replica_state &state)
+std::optional<configuration> bootstrapMembersFromPeers(const replica_state &state)
 {
     std::vector<configuration_member> members;
     for (const std::string &name : state.settings->peers) {
@@ -120,8 +120,8 @@
     return configuration {std::move(members)};
 }
 
-// Any control VM that was heard lately and whose disk the configuration does not know.
-std::optional<configuration_member> nextStranger(const replica_state &state)
+// A control VM that was heard from recently and whose disk is not in the configuration.
+std::optional<configuration_member> nextUnknownMember(const replica_state &state)
 {
     for (auto it = state.presences.begin(); it != state.presences.end(); ++it) {
         const peer_presence *peer = freshPresence(state, it->first);
@@ -134,33 +134,35 @@
     return std::nullopt;
 }
 
-// A silent member that the others can do without: those that answer must be a quorum of the rest,
-// and so many that no change is lost with the disks that may be.
-std::optional<configuration> withoutSilent(const replica_state &state, const leader_role &leader)
+// The configuration without one unresponsive member. To remove a voter, the responding voters must
+// be a quorum of the rest and number at least 2 * toleratedLosses + 1, so that no committed entry
+// is lost with that many disks.
+std::optional<configuration> withoutUnresponsiveMember(const replica_state &state,
+                                                       const leader_role &leader)
 {
     const replica_timing &timing = state.settings->timing;
-    std::size_t answering = 1;
+    std::size_t responding = 1;
     const configuration_member *silent = nullptr;
     for (const configuration_member &member : state.members().members) {
         const auto progress = leader.progress.find(member.id().node);
         if (member.id() == state.id() || progress == leader.progress.end())
             continue;
         const base::clock_time silence = state.now - progress->second.lastHeard;
-        answering += member.isVoter && silence < timing.electionMin ? 1 : 0;
-        if (silence >= timing.removeAfter && freshPresence(state, member.id().node) == nullptr)
+        responding += member.isVoter && silence < timing.electionMin ? 1 : 0;
+        if (silence >= timing.removalTimeout && freshPresence(state, member.id().node) == nullptr)
             silent = &member;
     }
     if (silent == nullptr)
         return std::nullopt;
     const configuration rest = state.members().without(silent->name);
-    const std::size_t least = 2 * state.settings->toleratedLosses + 1;
-    if (silent->isVoter && (answering < least || !rest.isQuorum(answering)))
+    const std::size_t minResponding = 2 * state.settings->toleratedLosses + 1;
+    if (silent->isVoter && (responding < minResponding || !rest.isQuorum(responding)))
         return std::nullopt;
     return rest;
 }
 
-// A member that the settings list and whose disk the configuration does not know.
-std::optional<configuration_member> nextJoiner(const replica_state &state)
+// A VM listed in the settings whose disk is not in the configuration.
+std::optional<configuration_member> nextListedMember(const replica_state &state)
 {
     for (const std::string &name : state.settings->peers) {
         const peer_presence *peer = freshPresence(state, base::nodeIdOf(name));
@@ -173,7 +175,9 @@
     return std::nullopt;
 }
 
-std::optional<configuration_member> nextVoter(const replica_state &state, const leader_role &leader)
+// A non-voter that has synced all committed entries.
+std::optional<configuration_member> nextPromotableMember(const replica_state &state,
+                                                         const leader_role &leader)
 {
     for (const configuration_member &member : state.members().members) {
         const auto progress = leader.progress.find(member.id().node);
@@ -186,7 +190,7 @@
 
 } // namespace
 
-void trackConfiguration(replica_state &state, const log_entry &entry)
+void addConfiguration(replica_state &state, const log_entry &entry)
 {
     if (entry.kind != entry_kind::configuration)
         return;
@@ -195,94 +199,96 @@
         state.configurations.push_back(indexed_configuration {entry.index, *known});
 }
 
-void forgetConfigurations(replica_state &state, base::generation from)
+void removeConfigurationsFrom(replica_state &state, base::generation from)
 {
     while (!state.configurations.empty() && state.configurations.back().index >= from)
         state.configurations.pop_back();
 }
 
-void takePresence(replica_work work, const replica_id &from, const presence &message)
+void handlePresence(replica_context context, const replica_id &from, const presence &message)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     state.presences.erase(from.node);
     state.presences.emplace(from.node,
                             peer_presence {from.storage, message.isFormed, message.api, state.now,
                                            message.name, message.streams});
-    hurryFirstElection(state);
+    shortenFirstElectionTimeout(state);
     if (!state.settings->isOpen())
         return;
-    work.actions.emplace_back(set_peer_address {from.node, message.streams});
-    takeContacts(work, message.contacts);
+    context.actions.emplace_back(set_peer_address {from.node, message.streams});
+    addContacts(context, message.contacts);
 }
 
-void takeContacts(replica_work work, const std::vector<base::endpoint> &contacts)
+void addContacts(replica_context context, const std::vector<base::endpoint> &contacts)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     for (const base::endpoint &contact : contacts) {
         if (state.contacts.size() < maxContacts || state.contacts.count(contact) > 0)
             state.contacts[contact] = state.now;
     }
 }
 
-void sendPresence(replica_work work)
+void announcePresence(replica_context context)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     if (state.now < state.nextPresence)
         return;
-    state.nextPresence = state.now + work.timing().presenceEvery;
+    state.nextPresence = state.now + context.timing().presenceInterval;
     if (state.settings->isOpen()) {
-        greetAll(work);
+        announceToContacts(context);
         return;
     }
     for (const std::string &name : state.settings->peers) {
         if (name != state.settings->name)
-            work.answer(replica_id {base::nodeIdOf(name), storage_id()},
-                        presence {state.isFormed(), state.settings->api});
+            context.sendTo(replica_id {base::nodeIdOf(name), storage_id()},
+                           presence {state.isFormed(), state.settings->api});
     }
 }
 
-void bootstrapCluster(replica_work work)
+void bootstrapCluster(replica_context context)
 {
-    replica_state &state = work.state;
+    replica_state &state = context.state;
     const bool isOpen = state.settings->isOpen();
-    const bool isFounder = isOpen ? isFirstSeed(*state.settings) : isFirstByName(*state.settings);
-    if (state.isFormed() || state.log.lastIndex() != base::generation() || !isFounder)
+    const bool isBootstrapVm
+        = isOpen ? isFirstSeed(*state.settings) : isFirstByName(*state.settings);
+    if (state.isFormed() || state.log.lastIndex() != base::generation() || !isBootstrapVm)
         return;
-    const std::optional<configuration> founders
-        = isOpen ? foundingSeeds(state) : foundingPeers(state);
-    if (!founders)
+    const std::optional<configuration> initialMembers
+        = isOpen ? bootstrapMembersFromSeeds(state) : bootstrapMembersFromPeers(state);
+    if (!initialMembers)
         return;
     const log_entry entry {base::generation(1), 0, entry_kind::configuration, base::clock_time(),
-                           encodeConfiguration(*founders)};
+                           encodeConfiguration(*initialMembers)};
     state.log.append(entry);
-    trackConfiguration(state, entry);
-    work.actions.emplace_back(persist_entries {{entry}});
+    addConfiguration(state, entry);
+    context.actions.emplace_back(persist_entries {{entry}});
     state.electionDeadline = state.now;
 }
 
-void changeMembers(replica_work work)
+void proposeMembershipChange(replica_context context)
 {
-    const leader_role *leader = work.roleAs<leader_role>();
-    replica_state &state = work.state;
-    // One change at a time, and none before an entry of the own term is committed: else two
-    // leaders could hold configurations whose quorums do not overlap.
-    if (leader == nullptr || state.commit < leader->firstOwn
+    const leader_role *leader = context.roleAs<leader_role>();
+    replica_state &state = context.state;
+    // One change at a time, and none before an entry of the leader's own term is committed.
+    // Otherwise two leaders could use configurations whose quorums do not overlap.
+    if (leader == nullptr || state.commit < leader->firstIndexOfTerm
         || state.configurations.back().index > state.commit)
         return;
     std::optional<configuration_member> change
-        = state.settings->isOpen() ? nextStranger(state) : nextJoiner(state);
+        = state.settings->isOpen() ? nextUnknownMember(state) : nextListedMember(state);
     if (!change)
-        change.emplace(nextVoter(state, *leader).value_or(configuration_member {}));
+        change.emplace(nextPromotableMember(state, *leader).value_or(configuration_member {}));
     if (!change->name.empty()) {
-        leadEntries(work,
-                    {proposal {entry_kind::configuration,
-                               encodeConfiguration(state.members().with(*change))}});
+        appendAndReplicate(context,
+                           {proposal {entry_kind::configuration,
+                                      encodeConfiguration(state.members().with(*change))}});
         return;
     }
     const std::optional<configuration> rest
-        = state.settings->isOpen() ? withoutSilent(state, *leader) : std::nullopt;
+        = state.settings->isOpen() ? withoutUnresponsiveMember(state, *leader) : std::nullopt;
     if (rest)
-        leadEntries(work, {proposal {entry_kind::configuration, encodeConfiguration(*rest)}});
+        appendAndReplicate(context,
+                           {proposal {entry_kind::configuration, encodeConfiguration(*rest)}});
 }
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/membership_change.h
+++ b/lycheeshunt/replication/internal/membership_change.h
@@ -1,22 +1,24 @@
-// Founding a cluster, and changes of the replicated configuration.
+// Bootstrap of a control group, and changes of the replicated configuration.
 //
-// Founding: the first by name of the VMs that the settings list writes the first configuration,
-// once each of the others has said that its disk is empty. So two empty disks beside one that is
-// not can never found a second cluster.
+// Bootstrap: the first by name of the VMs listed in the settings, or the seed with the lowest
+// address in an open group, writes the first configuration once each of the others has announced
+// that its disk is empty. Two VMs with empty disks therefore cannot form a second group beside a
+// third whose disk holds the log.
 //
-// Repair: a disk that the configuration does not know takes the place of its namesake as a
-// non-voter; it becomes a voter when it has synced all that is committed.
+// Repair: a disk that is not in the configuration replaces the member of the same name as a
+// non-voter. It becomes a voter once it has synced all committed entries.
 
 #pragma once
 
-#include "lycheeshunt/replication/internal/replica_work.h"
+#include "lycheeshunt/replication/internal/replica_context.h"
 
 #include <algorithm>
 #include <functional>
 
 namespace lycheeshunt::replication::internal {
 
-// The greatest number that a quorum of voters has reached, by what `reached` says of each.
+// The greatest value that a quorum of voters has reached; reached(member) returns that of one
+// voter.
 template <typename callable>
 std::uint64_t quorumValue(const replica_state &state, callable reached)
 {
@@ -31,20 +33,20 @@
     return values[values.size() / 2];
 }
 
-// Remembers the configuration that an entry of that kind holds.
-void trackConfiguration(replica_state &state, const log_entry &entry);
-void forgetConfigurations(replica_state &state, base::generation from);
+// Adds the configuration of the entry, if it holds one.
+void addConfiguration(replica_state &state, const log_entry &entry);
+void removeConfigurationsFrom(replica_state &state, base::generation from);
 
-void takePresence(replica_work work, const replica_id &from, const presence &message);
-void sendPresence(replica_work work);
+void handlePresence(replica_context context, const replica_id &from, const presence &message);
+void announcePresence(replica_context context);
 
-// Writes the first configuration if it is this VM's turn.
-void bootstrapCluster(replica_work work);
+// Writes the first configuration if this VM has to and the others are ready.
+void bootstrapCluster(replica_context context);
 
-// A leader's next change, if one is due and none is under way.
-void changeMembers(replica_work work);
+// On a leader, proposes the next change if one is due and no other is uncommitted.
+void proposeMembershipChange(replica_context context);
 
-// Greets these control VMs for a while.
-void takeContacts(replica_work work, const std::vector<base::endpoint> &contacts);
+// Announces this VM to these addresses too, until they have not been mentioned for a while.
+void addContacts(replica_context context, const std::vector<base::endpoint> &contacts);
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/reads.cpp
+++ b/lycheeshunt/replication/internal/reads.cpp
@@ -1,7 +1,7 @@
 #include "lycheeshunt/replication/internal/reads.h"
 
 #include "lycheeshunt/replication/decision.h"
-#include "lycheeshunt/replication/internal/leading.h"
+#include "lycheeshunt/replication/internal/leader.h"
 #include "lycheeshunt/replication/internal/membership_change.h"
 
 #include <algorithm>
@@ -10,19 +10,19 @@
 
 namespace {
 
-std::uint64_t quorumRound(const replica_state &state, const leader_role &leader)
+std::uint64_t quorumAnsweredRound(const replica_state &state, const leader_role &leader)
 {
     return quorumValue(state, [&](const configuration_member &member) {
         if (member.id() == state.id())
-            return leader.round;
+            return leader.heartbeatRound;
         const auto found = leader.progress.find(member.id().node);
-        return found == leader.progress.end() ? 0 : found->second.roundAnswered;
+        return found == leader.progress.end() ? 0 : found->second.lastAnsweredRound;
     });
 }
 
 } // namespace
 
-base::error notLeading(const replica_state &state)
+base::error notLeaderError(const replica_state &state)
 {
     if (const failed_role *failed = std::get_if<failed_role>(&state.role))
         return base::error {failed->code, failed->detail};
@@ -32,47 +32,47 @@
     return base::error {base::error_code::notLeader, known.leaderText()};
 }
 
-void takeRead(replica_work work, const read_request &read)
+void handleReadRequest(replica_context context, const read_request &read)
 {
-    leader_role *leader = work.roleAs<leader_role>();
+    leader_role *leader = context.roleAs<leader_role>();
     if (leader == nullptr) {
-        work.actions.emplace_back(read_refused {read.request, notLeading(work.state)});
+        context.actions.emplace_back(read_refused {read.request, notLeaderError(context.state)});
         return;
     }
-    if (leader->reads.size() >= work.bounds().pendingReads) {
-        work.actions.emplace_back(
-            read_refused {read.request, {base::error_code::tooBusy, "reads under way"}});
+    if (leader->reads.size() >= context.bounds().pendingReads) {
+        context.actions.emplace_back(
+            read_refused {read.request, {base::error_code::tooBusy, "too many pending reads"}});
         return;
     }
-    ++leader->round;
-    leader->reads.push_back(pending_read {read.request, leader->round});
-    sendHeartbeats(work);
-    settleReads(work);
+    ++leader->heartbeatRound;
+    leader->reads.push_back(pending_read {read.request, leader->heartbeatRound});
+    sendHeartbeats(context);
+    confirmReads(context);
 }
 
-void settleReads(replica_work work)
+void confirmReads(replica_context context)
 {
-    leader_role *leader = work.roleAs<leader_role>();
-    if (leader == nullptr || work.state.commit < leader->firstOwn)
+    leader_role *leader = context.roleAs<leader_role>();
+    if (leader == nullptr || context.state.commit < leader->firstIndexOfTerm)
         return;
-    const std::uint64_t answered = quorumRound(work.state, *leader);
-    std::vector<pending_read> waiting;
+    const std::uint64_t answered = quorumAnsweredRound(context.state, *leader);
+    std::vector<pending_read> unconfirmed;
     for (const pending_read &read : leader->reads) {
-        if (read.round <= answered)
-            work.actions.emplace_back(read_confirmed {read.request});
+        if (read.heartbeatRound <= answered)
+            context.actions.emplace_back(read_confirmed {read.request});
         else
-            waiting.push_back(read);
+            unconfirmed.push_back(read);
     }
-    leader->reads = std::move(waiting);
+    leader->reads = std::move(unconfirmed);
 }
 
-void refuseReads(replica_work work)
+void refusePendingReads(replica_context context)
 {
-    leader_role *leader = work.roleAs<leader_role>();
+    leader_role *leader = context.roleAs<leader_role>();
     if (leader == nullptr)
         return;
     for (const pending_read &read : leader->reads)
-        work.actions.emplace_back(
+        context.actions.emplace_back(
             read_refused {read.request, {base::error_code::quorumLost, "leadership ended"}});
     leader->reads.clear();
 }
--- a/lycheeshunt/replication/internal/reads.h
+++ b/lycheeshunt/replication/internal/reads.h
@@ -1,21 +1,22 @@
-// Reads that are answered as current: a leader confirms them once a quorum has answered it after
-// they came.
+// Linearizable reads: the leader confirms a read once a quorum has answered a heartbeat that was
+// sent after the read arrived.
 
 #pragma once
 
-#include "lycheeshunt/replication/internal/replica_work.h"
+#include "lycheeshunt/replication/internal/replica_context.h"
 
 namespace lycheeshunt::replication::internal {
 
-void takeRead(replica_work work, const read_request &read);
+void handleReadRequest(replica_context context, const read_request &read);
 
-// Confirms the reads whose round a quorum has answered.
-void settleReads(replica_work work);
+// Confirms the reads whose heartbeat round a quorum has answered.
+void confirmReads(replica_context context);
 
-// On leaving leadership; does nothing on other replicas.
-void refuseReads(replica_work work);
+// Called when leadership ends; does nothing on a replica that is not the leader.
+void refusePendingReads(replica_context context);
 
-// notLeader with the leader's name, or quorumLost while no leader is known.
-base::error notLeading(const replica_state &state);
+// notLeader with the leader's name, quorumLost while no leader is known, or the storage error of a
+// failed replica.
+base::error notLeaderError(const replica_state &state);
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/record.cpp
+++ b/lycheeshunt/replication/internal/record.cpp
@@ -19,41 +19,42 @@
     std::uint64_t checksum = 0;
 };
 
-// Nothing when the bytes are no whole header or one that fails its checksum.
+// Empty when the bytes do not hold a complete header with a valid checksum.
 std::optional<record_header> headerAt(std::string_view bytes, std::size_t offset)
 {
     if (bytes.size() - offset < recordHeaderBytes)
         return std::nullopt;
     const char *start = bytes.data() + offset;
-    std::uint32_t mark = 0;
-    std::uint64_t own = 0;
+    std::uint32_t storedMagic = 0;
+    std::uint64_t storedChecksum = 0;
     record_header header;
-    std::memcpy(&mark, start, sizeof mark);
+    std::memcpy(&storedMagic, start, sizeof storedMagic);
     std::memcpy(&header.length, start + 4, sizeof header.length);
     std::memcpy(&header.checksum, start + 8, sizeof header.checksum);
-    std::memcpy(&own, start + headerChecksumOffset, sizeof own);
-    if (mark != magic || XXH3_64bits(start, headerChecksumOffset) != own)
+    std::memcpy(&storedChecksum, start + headerChecksumOffset, sizeof storedChecksum);
+    if (storedMagic != magic || XXH3_64bits(start, headerChecksumOffset) != storedChecksum)
         return std::nullopt;
     return header;
 }
 
-bool isGoodBody(std::string_view bytes, std::size_t offset, const record_header &header)
+bool hasValidBody(std::string_view bytes, std::size_t offset, const record_header &header)
 {
     const std::string_view body = bytes.substr(offset + recordHeaderBytes, header.length);
     return body.size() == header.length && XXH3_64bits(body.data(), body.size()) == header.checksum;
 }
 
-bool hasGoodRecordAfter(std::string_view bytes, std::size_t offset)
+bool hasValidRecordAfter(std::string_view bytes, std::size_t offset)
 {
     for (std::size_t next = offset + 1; next + recordHeaderBytes <= bytes.size(); ++next) {
         const std::optional<record_header> header = headerAt(bytes, next);
-        if (header && isGoodBody(bytes, next, *header))
+        if (header && hasValidBody(bytes, next, *header))
             return true;
     }
     return false;
 }
 
-// The file system may have lengthened the file before a crash kept it from writing the sectors.
+// A crash may come after the file system has extended the file but before it has written all
+// sectors. The unwritten ones read as zeros up to the end of the file.
 bool endsInUnwrittenSectors(std::string_view bytes, std::size_t offset)
 {
     const std::size_t lastUsed = bytes.find_last_not_of('\0');
@@ -64,12 +65,12 @@
 
 bool isTorn(std::string_view bytes, std::size_t offset)
 {
-    if (hasGoodRecordAfter(bytes, offset))
+    if (hasValidRecordAfter(bytes, offset))
         return false;
-    const std::size_t left = bytes.size() - offset;
+    const std::size_t remaining = bytes.size() - offset;
     const std::optional<record_header> header = headerAt(bytes, offset);
-    const bool isCutShort
-        = left < recordHeaderBytes || (header && left - recordHeaderBytes < header->length);
+    const bool isCutShort = remaining < recordHeaderBytes
+        || (header && remaining - recordHeaderBytes < header->length);
     return isCutShort || endsInUnwrittenSectors(bytes, offset);
 }
 
@@ -83,8 +84,8 @@
     std::memcpy(record.data(), &magic, sizeof magic);
     std::memcpy(record.data() + 4, &length, sizeof length);
     std::memcpy(record.data() + 8, &checksum, sizeof checksum);
-    const std::uint64_t own = XXH3_64bits(record.data(), headerChecksumOffset);
-    std::memcpy(record.data() + headerChecksumOffset, &own, sizeof own);
+    const std::uint64_t headerChecksum = XXH3_64bits(record.data(), headerChecksumOffset);
+    std::memcpy(record.data() + headerChecksumOffset, &headerChecksum, sizeof headerChecksum);
     record += body;
     return record;
 }
@@ -95,7 +96,7 @@
     std::size_t offset = 0;
     while (offset < bytes.size()) {
         const std::optional<record_header> header = headerAt(bytes, offset);
-        if (!header || !isGoodBody(bytes, offset, *header)) {
+        if (!header || !hasValidBody(bytes, offset, *header)) {
             if (isTorn(bytes, offset))
                 break;
             return base::error {base::error_code::logCorrupt,
@@ -107,11 +108,11 @@
     return record_scan {std::move(bodies), offset};
 }
 
-base::result<std::string> soleRecord(std::string_view bytes, const std::string &name)
+base::result<std::string> decodeSingleRecord(std::string_view bytes, const std::string &name)
 {
     const std::optional<record_header> header = headerAt(bytes, 0);
     if (!header || bytes.size() != recordHeaderBytes + header->length
-        || !isGoodBody(bytes, 0, *header))
+        || !hasValidBody(bytes, 0, *header))
         return base::error {base::error_code::logCorrupt, name};
     return std::string(bytes.substr(recordHeaderBytes));
 }
--- a/lycheeshunt/replication/internal/record.h
+++ b/lycheeshunt/replication/internal/record.h
@@ -1,5 +1,5 @@
-// Records in files: a header with a checksum of its own, then the body. Because the header proves
-// itself, a length that was changed on the disk can't pass for a record cut short.
+// Record format of the files: a header with a checksum of its own, then the body. Because the
+// header is verified separately, a corrupted length is not mistaken for a truncated record.
 //
 //     offset  0  magic, 4 bytes
 //     offset  4  length of the body, 4 bytes, least significant first
@@ -21,19 +21,19 @@
 
 std::string frameRecord(std::string_view body);
 
-// What a run of records holds. Whatever follows validBytes is a torn tail: a write that was never
-// synced, hence never acknowledged.
+// Records found in a file. Bytes after validBytes are a torn tail: a write that was not synced and
+// therefore not acknowledged.
 struct record_scan
 {
     const std::vector<std::string_view> bodies = {};
     const std::size_t validBytes = 0;
 };
 
-// logCorrupt when a record is damaged rather than torn: its bytes are all there but fail their
-// checksum, or a good record comes after it. `name` is for the error.
+// Fails with logCorrupt when a record is damaged rather than torn: it is complete but fails its
+// checksum, or a valid record follows it. `name` is used in the error detail.
 base::result<record_scan> scanRecords(std::string_view bytes, const std::string &name);
 
-// The one record of a file that is replaced whole; anything else is logCorrupt.
-base::result<std::string> soleRecord(std::string_view bytes, const std::string &name);
+// Body of a file that consists of exactly one record; anything else fails with logCorrupt.
+base::result<std::string> decodeSingleRecord(std::string_view bytes, const std::string &name);
 
 } // namespace lycheeshunt::replication::internal
--- a/lycheeshunt/replication/internal/replica_work.h
+++ b/lycheeshunt/replication/internal/replica_context.h
@@ -1,5 +1,5 @@
-// What the parts of the replication decision hand each other: the state under change and the
-// actions so far.
+// Context of one step of the replication decision: the state being changed and the actions
+// collected so far.
 
 #pragma once
 
@@ -11,18 +11,18 @@
 
 namespace lycheeshunt::replication::internal {
 
-struct replica_work
+struct replica_context
 {
     replica_state &state;
     std::vector<replica_action> &actions;
 
-    // Addresses the message to the disk that the configuration names.
+    // Sends to the member's disk as named in the configuration.
     void send(const configuration_member &to, const peer_message &message) const
     {
         actions.emplace_back(peer_envelope {state.id(), to.id(), message});
     }
 
-    void answer(const replica_id &to, const peer_message &message) const
+    void sendTo(const replica_id &to, const peer_message &message) const
     {
         actions.emplace_back(peer_envelope {state.id(), to, message});
     }
--- a/lycheeshunt/replication/leader_role.h
+++ b/lycheeshunt/replication/leader_role.h
@@ -8,12 +8,14 @@
 
 namespace lycheeshunt::replication {
 
-// Takes proposals and replicates them.
+// Accepts proposals and replicates them to the members.
 struct leader_role
 {
-    // First entry of its own term; nothing before it is committed by count alone.
-    base::generation firstOwn;
-    std::uint64_t round = 0;
+    // Index of the first entry of the leader's own term. Entries of earlier terms are not committed
+    // by counting replicas; they are committed together with an entry of the own term.
+    base::generation firstIndexOfTerm;
+    // Incremented by each periodic heartbeat and by each read, which sends heartbeats at once.
+    std::uint64_t heartbeatRound = 0;
     base::clock_time nextHeartbeat;
     std::map<base::node_id, peer_progress> progress;
     std::vector<pending_read> reads;
--- a/lycheeshunt/replication/leadership.h
+++ b/lycheeshunt/replication/leadership.h
@@ -7,14 +7,14 @@
 
 namespace lycheeshunt::replication {
 
-// Who leads, as far as this control VM knows.
+// The current leader as known to this control VM.
 struct leadership
 {
     const std::uint64_t term = 0;
     const bool isLeader = false;
     // Empty while no leader is known.
     const std::string leaderName = {};
-    // Operators' API of the leader; port 0 while unknown.
+    // Address of the leader's operators' API; port 0 while unknown.
     const base::endpoint leaderApi = {};
 
     // "the leader is control-2, API 192.0.2.9:7480"
--- a/lycheeshunt/replication/leadership_changed.h
+++ b/lycheeshunt/replication/leadership_changed.h
@@ -4,8 +4,8 @@
 
 namespace lycheeshunt::replication {
 
-// What this VM knows of the leader has changed. Proposals of a leader that ends are unsettled:
-// they may be committed by the next one or be lost.
+// Notice: the term or the known leader has changed. When leadership ends, the outcome of pending
+// proposals is unknown: a later leader may commit them, or they may be lost.
 struct leadership_changed
 {
     const replication::leadership leadership;
--- a/lycheeshunt/replication/log_entry.h
+++ b/lycheeshunt/replication/log_entry.h
@@ -8,13 +8,13 @@
 
 namespace lycheeshunt::replication {
 
-// One entry of the replicated log. Its index is the generation that applying it leads to.
+// One entry of the replicated log. Its index is the generation of the state after it is applied.
 struct log_entry
 {
     const base::generation index;
     const std::uint64_t term = 0;
     const entry_kind kind = entry_kind::none;
-    // Wall clock of the leader that took it; for people only.
+    // Wall-clock time of the proposal; informational, no decision depends on it.
     const base::clock_time acceptedAt;
     const std::string payload = {};
 
--- a/lycheeshunt/replication/members_changed.h
+++ b/lycheeshunt/replication/members_changed.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::replication {
 
-// The control group has other members now, as this VM knows it.
+// Notice: the newest configuration in this VM's log has changed.
 struct members_changed
 {
     const replication::configuration configuration;
--- a/lycheeshunt/replication/memory_files.cpp
+++ b/lycheeshunt/replication/memory_files.cpp
@@ -2,14 +2,14 @@
 
 namespace lycheeshunt::replication {
 
-bool memory_files::isFailing()
+bool memory_files::countStep()
 {
     return ++m_steps == m_failAt;
 }
 
-std::optional<base::error> memory_files::outcome()
+std::optional<base::error> memory_files::stepResult()
 {
-    if (isFailing())
+    if (countStep())
         return base::error {m_failure, "step " + std::to_string(m_steps)};
     return std::nullopt;
 }
@@ -41,14 +41,14 @@
     std::shared_ptr<content> &file = m_files[name];
     if (!file)
         file = std::make_shared<content>();
-    std::optional<base::error> failure = outcome();
+    std::optional<base::error> failure = stepResult();
     file->bytes += failure ? bytes.substr(0, bytes.size() / 2) : bytes;
     return failure;
 }
 
 std::optional<base::error> memory_files::sync(const std::string &name)
 {
-    std::optional<base::error> failure = outcome();
+    std::optional<base::error> failure = stepResult();
     const auto found = m_files.find(name);
     if (!failure && found != m_files.end())
         found->second->synced = found->second->bytes;
@@ -57,7 +57,7 @@
 
 std::optional<base::error> memory_files::truncate(const std::string &name, std::uint64_t size)
 {
-    std::optional<base::error> failure = outcome();
+    std::optional<base::error> failure = stepResult();
     const auto found = m_files.find(name);
     if (!failure && found != m_files.end())
         found->second->bytes.resize(size);
@@ -66,7 +66,7 @@
 
 std::optional<base::error> memory_files::rename(const std::string &from, const std::string &to)
 {
-    std::optional<base::error> failure = outcome();
+    std::optional<base::error> failure = stepResult();
     if (!failure) {
         m_files[to] = m_files[from];
         m_files.erase(from);
@@ -76,7 +76,7 @@
 
 std::optional<base::error> memory_files::remove(const std::string &name)
 {
-    std::optional<base::error> failure = outcome();
+    std::optional<base::error> failure = stepResult();
     if (!failure)
         m_files.erase(name);
     return failure;
@@ -84,7 +84,7 @@
 
 std::optional<base::error> memory_files::syncFolder()
 {
-    std::optional<base::error> failure = outcome();
+    std::optional<base::error> failure = stepResult();
     if (!failure)
         m_syncedFolder = m_files;
     return failure;
@@ -95,12 +95,12 @@
     memory_files survivor;
     const folder &names = loss == crash_loss::allUnsynced ? m_syncedFolder : m_files;
     for (auto it = names.begin(); it != names.end(); ++it) {
-        const content &held = *it->second;
-        std::string kept = held.synced;
+        const content &file = *it->second;
+        std::string kept = file.synced;
         if (loss == crash_loss::nothing)
-            kept = held.bytes;
-        else if (loss == crash_loss::unsyncedHalf && held.bytes.size() > kept.size())
-            kept = held.bytes.substr(0, (kept.size() + held.bytes.size()) / 2);
+            kept = file.bytes;
+        else if (loss == crash_loss::unsyncedHalf && file.bytes.size() > kept.size())
+            kept = file.bytes.substr(0, (kept.size() + file.bytes.size()) / 2);
         survivor.m_files.emplace(it->first, std::make_shared<content>(content {kept, kept}));
     }
     survivor.m_syncedFolder = survivor.m_files;
--- a/lycheeshunt/replication/memory_files.h
+++ b/lycheeshunt/replication/memory_files.h
@@ -1,12 +1,12 @@
-// The files of one data folder, in memory, with the losses that a crash may bring: what was not
-// synced is gone or cut anywhere, and one chosen step can be made to fail. For tests and
-// measurements without a disk.
+// The files of one data folder, in memory, for tests and measurements without a disk. A crash can
+// be simulated, which loses unsynced data in whole or in part, and a chosen operation can be made
+// to fail.
 //
 //     memory_files files;
 //     files.failAtStep(7, base::error_code::diskFull);
 //     const memory_files survivor = files.afterCrash(crash_loss::unsyncedHalf);
 //
-// The same contract as disk_files. Not thread-safe.
+// Same contract as disk_files. Not thread-safe.
 
 #pragma once
 
@@ -22,7 +22,7 @@
 
 namespace lycheeshunt::replication {
 
-// What of the unsynced bytes a crash takes.
+// How much of the unsynced data a simulated crash loses.
 enum class crash_loss { nothing, unsyncedHalf, allUnsynced };
 
 class memory_files
@@ -37,27 +37,29 @@
     std::optional<base::error> remove(const std::string &name);
     std::optional<base::error> syncFolder();
 
-    // The step with this number, counted from 1, fails: an append after half of its bytes.
+    // Makes the operation with this number, counted from 1, fail. A failing append writes half of
+    // its bytes.
     void failAtStep(std::uint64_t step, base::error_code code);
     std::uint64_t steps() const { return m_steps; }
 
     memory_files afterCrash(crash_loss loss) const;
 
-    // Changes one stored byte, as a failing disk would.
+    // Corrupts one stored byte, as a failing disk may.
     void flipByte(const std::string &name, std::size_t offset);
 
 private:
     struct content
     {
         std::string bytes;
-        // What is on the disk for certain.
+        // Contents at the last sync, which survive every crash.
         std::string synced;
     };
 
     using folder = std::map<std::string, std::shared_ptr<content>>;
 
-    bool isFailing();
-    std::optional<base::error> outcome();
+    // Counts one operation; true if it is the one that is to fail.
+    bool countStep();
+    std::optional<base::error> stepResult();
 
     folder m_files;
     folder m_syncedFolder;
--- a/lycheeshunt/replication/peer_codec.cpp
+++ b/lycheeshunt/replication/peer_codec.cpp
@@ -44,22 +44,22 @@
                     vote_answer_fields(m.term, m.requestTerm, m.isPreVote, m.isGranted));
             },
             [](const append_request &m) {
-                return base::packFields(
-                    append_request_fields(m.term, m.round, m.previousIndex.value(), m.previousTerm,
-                                          m.commit.value(), encodeEntries(m.entries)));
+                return base::packFields(append_request_fields(
+                    m.term, m.heartbeatRound, m.previousIndex.value(), m.previousTerm,
+                    m.commit.value(), encodeEntries(m.entries)));
             },
             [](const append_answer &m) {
                 return base::packFields(
-                    append_answer_fields(m.term, m.round, m.isMatch, m.index.value()));
+                    append_answer_fields(m.term, m.heartbeatRound, m.isMatch, m.index.value()));
             },
             [](const snapshot_piece &m) {
                 return base::packFields(snapshot_piece_fields(
-                    m.term, m.round, m.index.value(), m.snapshotTerm,
+                    m.term, m.heartbeatRound, m.index.value(), m.snapshotTerm,
                     encodeConfiguration(m.configuration), m.totalBytes, m.offset, m.bytes));
             },
             [](const snapshot_answer &m) {
-                return base::packFields(
-                    snapshot_answer_fields(m.term, m.round, m.index.value(), m.nextOffset));
+                return base::packFields(snapshot_answer_fields(m.term, m.heartbeatRound,
+                                                               m.index.value(), m.nextOffset));
             },
             [](const presence &m) {
                 std::vector<address_fields> contacts;
@@ -87,7 +87,7 @@
     return std::apply(build, base::valueOf(fields));
 }
 
-base::result<peer_message> buildAppend(number term, number round, number previous,
+base::result<peer_message> buildAppend(number term, number heartbeatRound, number previous,
                                        number previousTerm, number commit, const std::string &bytes)
 {
     const base::result<std::vector<log_entry>> entries = decodeEntries(bytes);
@@ -96,41 +96,45 @@
     number expected = previous;
     for (const log_entry &entry : base::valueOf(entries)) {
         if (entry.index.value() != ++expected)
-            return base::error {base::error_code::messageMalformed, "entries out of order"};
+            return base::error {base::error_code::messageMalformed,
+                                "entry indexes are not consecutive"};
     }
-    return peer_message(append_request {term, round, base::generation(previous), previousTerm,
-                                        base::generation(commit), base::valueOf(entries)});
+    return peer_message(append_request {term, heartbeatRound, base::generation(previous),
+                                        previousTerm, base::generation(commit),
+                                        base::valueOf(entries)});
 }
 
-base::result<peer_message> buildPiece(number term, number round, number index, number snapshotTerm,
-                                      const std::string &members, number total, number offset,
-                                      const std::string &bytes)
+base::result<peer_message> buildPiece(number term, number heartbeatRound, number index,
+                                      number snapshotTerm, const std::string &members, number total,
+                                      number offset, const std::string &bytes)
 {
-    const base::result<configuration> known = decodeConfiguration(members);
-    if (const base::error *failure = base::errorOf(known))
+    const base::result<configuration> decodedMembers = decodeConfiguration(members);
+    if (const base::error *failure = base::errorOf(decodedMembers))
         return *failure;
-    return peer_message(snapshot_piece {term, round, base::generation(index), snapshotTerm,
-                                        base::valueOf(known), total, offset, bytes});
+    return peer_message(snapshot_piece {term, heartbeatRound, base::generation(index), snapshotTerm,
+                                        base::valueOf(decodedMembers), total, offset, bytes});
 }
 
 base::result<peer_message> buildForwarded(std::uint8_t kind, const std::string &payload,
                                           std::int64_t proposedAt)
 {
     if (kind != static_cast<std::uint8_t>(entry_kind::membership))
-        return base::error {base::error_code::messageMalformed, "kind can't be forwarded"};
+        return base::error {base::error_code::messageMalformed,
+                            "this kind of entry cannot be forwarded"};
     return peer_message(forwarded_proposal {
         proposal {entry_kind::membership, payload, 0, base::clock_time::ofMillis(proposedAt)}});
 }
 
 base::result<peer_message> buildPresence(bool isFormed, const address_fields &api,
                                          const std::string &name, const address_fields &streams,
-                                         const std::vector<address_fields> &raw)
+                                         const std::vector<address_fields> &contactFields)
 {
-    if (raw.size() > maxContacts)
-        return base::error {base::error_code::messageTooLarge, "contacts of a control VM"};
+    if (contactFields.size() > maxContacts)
+        return base::error {base::error_code::messageTooLarge,
+                            "presence of a control VM names too many contacts"};
     std::vector<base::endpoint> contacts;
-    contacts.reserve(raw.size());
-    for (const address_fields &contact : raw)
+    contacts.reserve(contactFields.size());
+    for (const address_fields &contact : contactFields)
         contacts.push_back(base::endpointOf(contact));
     return peer_message(presence {isFormed, base::endpointOf(api), name, base::endpointOf(streams),
                                   std::move(contacts)});
@@ -138,7 +142,7 @@
 
 using body_decoder = base::result<peer_message> (*)(std::string_view);
 
-// In the order of peer_message's alternatives.
+// Indexed by the alternatives of peer_message.
 constexpr body_decoder decoders[] = {
     [](std::string_view body) {
         return decodeAs<vote_request_fields>(
@@ -157,17 +161,17 @@
     [](std::string_view body) { return decodeAs<append_request_fields>(body, buildAppend); },
     [](std::string_view body) {
         return decodeAs<append_answer_fields>(
-            body, [](number term, number round, bool isMatch, number index) {
+            body, [](number term, number heartbeatRound, bool isMatch, number index) {
                 return base::result<peer_message>(
-                    append_answer {term, round, isMatch, base::generation(index)});
+                    append_answer {term, heartbeatRound, isMatch, base::generation(index)});
             });
     },
     [](std::string_view body) { return decodeAs<snapshot_piece_fields>(body, buildPiece); },
     [](std::string_view body) {
         return decodeAs<snapshot_answer_fields>(
-            body, [](number term, number round, number index, number nextOffset) {
+            body, [](number term, number heartbeatRound, number index, number nextOffset) {
                 return base::result<peer_message>(
-                    snapshot_answer {term, round, base::generation(index), nextOffset});
+                    snapshot_answer {term, heartbeatRound, base::generation(index), nextOffset});
             });
     },
     [](std::string_view body) { return decodeAs<presence_fields>(body, buildPresence); },
--- a/lycheeshunt/replication/peer_codec.h
+++ b/lycheeshunt/replication/peer_codec.h
@@ -1,4 +1,4 @@
-// MessagePack form of what control VMs say to each other. docs/PROTOCOL.md lists the fields.
+// MessagePack encoding of the messages between control VMs. docs/PROTOCOL.md lists the fields.
 
 #pragma once
 
@@ -13,8 +13,8 @@
 
 std::string encodeEnvelope(const peer_envelope &envelope);
 
-// messageTooLarge before anything is decoded; messageVersion for a version this build does not
-// know; messageMalformed for the rest.
+// Fails with messageTooLarge before anything is decoded, with messageVersion for an unsupported
+// version, and with messageMalformed otherwise.
 base::result<peer_envelope> decodeEnvelope(std::string_view bytes);
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/peer_envelope.h
+++ b/lycheeshunt/replication/peer_envelope.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::replication {
 
-// A message with its two ends. A replica takes only what names its own disk; presence alone may
-// leave the receiver's storage at 0.
+// A message with its sender and receiver. A replica ignores messages for another disk than its own;
+// only presence messages may leave the receiver's storage at 0.
 struct peer_envelope
 {
     const replica_id from;
--- a/lycheeshunt/replication/peer_links.cpp
+++ b/lycheeshunt/replication/peer_links.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Contacts are greeted every half second; one that no longer is has left the group.
-constexpr base::clock_time unusedKept = base::clock_time::ofSeconds(10);
+// Every contact is sent a presence message each 500 ms, so a link that has not been used for this
+// long belongs to a VM that has left the group.
+constexpr base::clock_time idleLinkTimeout = base::clock_time::ofSeconds(10);
 
 } // namespace
 
@@ -19,11 +20,11 @@
 {
 }
 
-void peer_links::setAddress(const set_peer_address &located)
+void peer_links::setAddress(const set_peer_address &update)
 {
-    m_addresses.erase(located.node);
-    if (located.streams.port != 0)
-        m_addresses.emplace(located.node, located.streams);
+    m_addresses.erase(update.node);
+    if (update.streams.port != 0)
+        m_addresses.emplace(update.node, update.streams);
 }
 
 void peer_links::send(const peer_envelope &envelope)
@@ -33,10 +34,10 @@
         sendTo(found->second, envelope);
 }
 
-void peer_links::sendToAddress(const send_to_address &greeting)
+void peer_links::sendToAddress(const send_to_address &message)
 {
-    sendTo(greeting.to, greeting.envelope);
-    dropUnused(base::clock_time::steady());
+    sendTo(message.to, message.envelope);
+    removeIdleLinks(base::clock_time::steady());
 }
 
 peer_links::link &peer_links::linkTo(const base::endpoint &to)
@@ -52,7 +53,7 @@
                            raw->connection = opened.connection.value();
                        },
                        [raw](const streams::stream_closed &) { raw->connection = 0; },
-                       // Answers come on the peer's own stream to this process.
+                       // Ignored: the peer answers on its own stream to this process.
                        [](const streams::stream_frame &) {},
                    },
                    event);
@@ -64,20 +65,20 @@
 
 void peer_links::sendTo(const base::endpoint &to, const peer_envelope &envelope)
 {
-    link &used = linkTo(to);
-    used.usedAt = base::clock_time::steady();
-    const std::uint64_t connection = used.connection;
+    link &target = linkTo(to);
+    target.lastUsed = base::clock_time::steady();
+    const std::uint64_t connection = target.connection;
     if (connection != 0)
-        used.client->outgoing().tryPush(streams::stream_frame {streams::connection_id(connection),
-                                                               streams::channel::replication,
-                                                               encodeEnvelope(envelope)});
+        target.client->outgoing().tryPush(streams::stream_frame {streams::connection_id(connection),
+                                                                 streams::channel::replication,
+                                                                 encodeEnvelope(envelope)});
 }
 
-void peer_links::dropUnused(base::clock_time now)
+void peer_links::removeIdleLinks(base::clock_time now)
 {
     std::erase_if(m_links,
                   [now](const std::pair<const base::endpoint, std::unique_ptr<link>> &row) {
-                      return now - row.second->usedAt > unusedKept;
+                      return now - row.second->lastUsed > idleLinkTimeout;
                   });
 }
 
--- a/lycheeshunt/replication/peer_links.h
+++ b/lycheeshunt/replication/peer_links.h
@@ -1,11 +1,11 @@
-// The streams of one control process to all the others, a thread each. A message for a peer that
-// can't be reached now is dropped; the replication decision sends it again.
+// The streams from one control process to the others, with one thread each. A message to a peer
+// that is not connected is dropped; the replication decision retransmits it.
 //
 //     peer_links links(timing, seed);
 //     links.setAddress(set_peer_address {node, endpoint});
 //     links.send(envelope);
 //
-// Not thread-safe: the replication thread alone uses it.
+// Not thread-safe; used by the replication thread only.
 
 #pragma once
 
@@ -32,24 +32,24 @@
     peer_links(const peer_links &) = delete;
     peer_links &operator=(const peer_links &) = delete;
 
-    void setAddress(const set_peer_address &located);
+    void setAddress(const set_peer_address &update);
 
-    // Neither waits.
+    // Non-blocking.
     void send(const peer_envelope &envelope);
-    void sendToAddress(const send_to_address &greeting);
+    void sendToAddress(const send_to_address &message);
 
 private:
     struct link
     {
-        // 0 while there is no connection.
+        // 0 while not connected.
         std::atomic<std::uint64_t> connection = 0;
-        base::clock_time usedAt;
+        base::clock_time lastUsed;
         std::unique_ptr<streams::stream_client> client;
     };
 
     link &linkTo(const base::endpoint &to);
     void sendTo(const base::endpoint &to, const peer_envelope &envelope);
-    void dropUnused(base::clock_time now);
+    void removeIdleLinks(base::clock_time now);
 
     const streams::stream_timing m_timing;
     std::uint64_t m_seed;
--- a/lycheeshunt/replication/peer_message.h
+++ b/lycheeshunt/replication/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace lycheeshunt::replication {
 
-// What control VMs say to each other. The codec numbers the alternatives by their order.
+// Messages between control VMs. The index of an alternative is its type number on the wire.
 using peer_message = std::variant<vote_request, vote_answer, append_request, append_answer,
                                   snapshot_piece, snapshot_answer, presence, forwarded_proposal>;
 
--- a/lycheeshunt/replication/peer_presence.h
+++ b/lycheeshunt/replication/peer_presence.h
@@ -8,7 +8,7 @@
 
 namespace lycheeshunt::replication {
 
-// What another control VM last said of itself.
+// Contents of the last presence message from another control VM.
 struct peer_presence
 {
     const storage_id storage;
--- a/lycheeshunt/replication/peer_progress.h
+++ b/lycheeshunt/replication/peer_progress.h
@@ -5,15 +5,17 @@
 
 namespace lycheeshunt::replication {
 
-// How far the leader has come with one other member.
+// Replication progress of one other member, as tracked by the leader.
 struct peer_progress
 {
-    // Synced there and equal to the leader's log.
+    // Last index known to be synced by the member and equal to the leader's log.
     base::generation match;
+    // First index to send next.
     base::generation next;
-    std::uint64_t roundAnswered = 0;
+    std::uint64_t lastAnsweredRound = 0;
     base::clock_time lastHeard;
-    // Entries from sentFrom on, or a snapshot piece, are under way since sentAt.
+    // Whether entries from sentFrom on, or a snapshot piece, were sent at sentAt and not yet
+    // answered.
     bool isInFlight = false;
     base::generation sentFrom;
     base::clock_time sentAt;
--- a/lycheeshunt/replication/pending_read.h
+++ b/lycheeshunt/replication/pending_read.h
@@ -4,11 +4,11 @@
 
 namespace lycheeshunt::replication {
 
-// Waits until a quorum has answered this round.
+// A read that waits until a quorum has answered this heartbeat round.
 struct pending_read
 {
     base::request_id request;
-    std::uint64_t round = 0;
+    std::uint64_t heartbeatRound = 0;
 
     bool operator==(const pending_read &) const = default;
 };
--- a/lycheeshunt/replication/persist_entries.h
+++ b/lycheeshunt/replication/persist_entries.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// Append to the log and sync.
+// Action: append the entries to the log on disk and sync it.
 struct persist_entries
 {
     const std::vector<log_entry> entries = {};
--- a/lycheeshunt/replication/persist_snapshot.h
+++ b/lycheeshunt/replication/persist_snapshot.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::replication {
 
-// Sync the snapshot, then drop the log that it covers.
+// Action: write and sync the snapshot, then remove the log entries that it covers.
 struct persist_snapshot
 {
     const shared_snapshot snapshot;
-    // True when the snapshot came from the leader: the log holds nothing that goes with it, and
-    // the duties have not seen what it says.
+    // True for a snapshot received from the leader: it replaces the whole log, and the duties must
+    // restore their state from it.
     const bool isInstalled = false;
 
     bool operator==(const persist_snapshot &) const = default;
--- a/lycheeshunt/replication/presence.h
+++ b/lycheeshunt/replication/presence.h
@@ -7,8 +7,9 @@
 
 namespace lycheeshunt::replication {
 
-// A control VM says that it is there. While none of them is formed, this lets the first
-// configuration be founded; later it tells the leader of an empty disk under a known name.
+// Periodic announcement of a control VM to the others. Before a group exists, it lets the bootstrap
+// VM see that all others are up and have empty disks; later it lets the leader detect new control
+// VMs and members that returned with an empty disk.
 struct presence
 {
     // Whether the sender's disk holds a configuration.
@@ -16,7 +17,7 @@
     const base::endpoint api = {};
     const std::string name = {};
     const base::endpoint streams = {};
-    // Other control VMs that the sender knows to be members or has heard itself.
+    // Other control VMs that are members or that the sender has heard from recently.
     const std::vector<base::endpoint> contacts = {};
 
     bool operator==(const presence &) const = default;
--- a/lycheeshunt/replication/proposal.h
+++ b/lycheeshunt/replication/proposal.h
@@ -7,14 +7,14 @@
 
 namespace lycheeshunt::replication {
 
-// A duty asks for its payload to become a log entry.
+// Request of a duty to append its payload to the log.
 struct proposal
 {
     const entry_kind kind = entry_kind::none;
     const std::string payload;
-    // Given back with a refusal; its meaning is the proposer's.
+    // Opaque to replication; returned to the proposer with a refusal.
     const std::uint64_t token = 0;
-    // Wall clock, for people only.
+    // Wall-clock time; informational, no decision depends on it.
     const base::clock_time proposedAt = {};
 
     bool operator==(const proposal &) const = default;
--- a/lycheeshunt/replication/proposal_refused.h
+++ b/lycheeshunt/replication/proposal_refused.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::replication {
 
-// A proposal did not get into the log: notLeader names the leader if one is known.
+// Notice: a proposal was not appended to the log. The detail of notLeader names the current leader.
 struct proposal_refused
 {
     const entry_kind kind = entry_kind::none;
--- a/lycheeshunt/replication/propose_entries.h
+++ b/lycheeshunt/replication/propose_entries.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// Proposals that came together; they are synced together.
+// A batch of proposals that is written to disk with one sync.
 struct propose_entries
 {
     const std::vector<proposal> proposals = {};
--- a/lycheeshunt/replication/read_confirmed.h
+++ b/lycheeshunt/replication/read_confirmed.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::replication {
 
-// All that was committed when the read was asked for has been handed to the duties.
+// Notice: everything that was committed when the read was requested has been passed to the duties,
+// so that the read may be served from their state.
 struct read_confirmed
 {
     const base::request_id request;
--- a/lycheeshunt/replication/read_refused.h
+++ b/lycheeshunt/replication/read_refused.h
@@ -5,7 +5,8 @@
 
 namespace lycheeshunt::replication {
 
-// This VM can't tell what is current: notLeader or quorumLost.
+// Notice: this VM cannot confirm that its state is current: notLeader, quorumLost, tooBusy or a
+// storage error.
 struct read_refused
 {
     const base::request_id request;
--- a/lycheeshunt/replication/read_request.h
+++ b/lycheeshunt/replication/read_request.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::replication {
 
-// Someone wants to read what is current.
+// Asks for confirmation that this VM's state is current (a linearizable read).
 struct read_request
 {
     const base::request_id request;
--- a/lycheeshunt/replication/recovered_storage.h
+++ b/lycheeshunt/replication/recovered_storage.h
@@ -8,16 +8,16 @@
 
 namespace lycheeshunt::replication {
 
-// What a data folder held when it was opened.
+// Contents of a data folder when it was opened.
 struct recovered_storage
 {
     const storage_id storage;
     const hard_state hard = {};
-    // Null when none was taken.
+    // Null when there is no snapshot.
     const shared_snapshot snapshot;
     // The entries after the snapshot.
     const std::vector<log_entry> entries = {};
-    // Bytes of a write that was never acknowledged, cut off the end of the log.
+    // Number of bytes of an incomplete, never acknowledged write that were truncated from the log.
     const std::uint64_t tornBytes = 0;
 
     bool operator==(const recovered_storage &) const = default;
--- a/lycheeshunt/replication/replica_action.h
+++ b/lycheeshunt/replication/replica_action.h
@@ -18,8 +18,8 @@
 
 namespace lycheeshunt::replication {
 
-// Carried out in order. When one that writes fails, the rest of its step must not be carried out:
-// an answer that follows a write stands for its sync.
+// Actions must be carried out in order. When a write fails, the remaining actions of the step must
+// be skipped, because a message that follows a write asserts that the write has been synced.
 using replica_action
     = std::variant<peer_envelope, send_to_address, set_peer_address, hard_state, truncate_log,
                    persist_entries, persist_snapshot, commit_entries, leadership_changed,
--- a/lycheeshunt/replication/replica_bounds.h
+++ b/lycheeshunt/replication/replica_bounds.h
@@ -4,18 +4,18 @@
 
 namespace lycheeshunt::replication {
 
-// Sizes that keep memory and messages bounded.
+// Limits on memory use and message sizes.
 struct replica_bounds
 {
     const std::size_t uncommittedEntries = 4096;
     const std::size_t appendBytes = 512 * 1024;
     const std::size_t appendEntries = 1024;
     const std::size_t payloadBytes = 1024 * 1024;
-    const std::size_t pieceBytes = 256 * 1024;
+    const std::size_t snapshotPieceBytes = 256 * 1024;
     const std::size_t pendingReads = 256;
-    // Applied entries beyond this many are folded into a snapshot.
-    const std::size_t compactAfter = 10'000;
-    // So are entries whose payloads amount to this many bytes.
+    // A snapshot is taken when this many entries have been committed since the last one,
+    const std::size_t compactAfterEntries = 10'000;
+    // or when their payloads have reached this size.
     const std::size_t compactAfterBytes = 256 * 1024;
 
     bool operator==(const replica_bounds &) const = default;
--- a/lycheeshunt/replication/replica_id.h
+++ b/lycheeshunt/replication/replica_id.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::replication {
 
-// A control VM together with the disk that holds its log. Votes and acknowledgements count for
-// this pair, never for the name alone.
+// A control VM together with the disk that holds its log. Votes and acknowledgements are counted by
+// this pair and never by the name alone, since a VM with a new disk has lost its log.
 struct replica_id
 {
     const base::node_id node;
--- a/lycheeshunt/replication/replica_log.h
+++ b/lycheeshunt/replication/replica_log.h
@@ -1,4 +1,4 @@
-// The part of the log after the last snapshot, in memory: a value type without I/O.
+// The log entries after the last snapshot, in memory. A value type without I/O.
 //
 //     log.append(entry);
 //     const std::optional<std::uint64_t> term = log.termAt(index);
@@ -27,7 +27,7 @@
 {
 public:
     replica_log() = default;
-    // A log that starts after what a snapshot covers.
+    // An empty log that continues after a snapshot.
     replica_log(base::generation baseIndex, std::uint64_t baseTerm)
         : m_baseIndex(baseIndex), m_baseTerm(baseTerm)
     {
@@ -44,7 +44,7 @@
     }
     std::size_t size() const { return m_entries.size(); }
 
-    // Nothing for an index that the log does not reach or no longer holds.
+    // Empty for an index after the end of the log or before its base.
     std::optional<std::uint64_t> termAt(base::generation index) const
     {
         if (index == m_baseIndex)
@@ -60,7 +60,7 @@
         return &m_entries[index.value() - m_baseIndex.value() - 1];
     }
 
-    // Entries from the index on, up to both bounds but at least one if there is any.
+    // Entries from the index on, within both limits, but always at least one if there is any.
     std::vector<log_entry> from(base::generation index, std::size_t maxEntries,
                                 std::size_t maxBytes) const;
     // Entries in (first, last].
--- a/lycheeshunt/replication/replica_settings.h
+++ b/lycheeshunt/replication/replica_settings.h
@@ -9,25 +9,26 @@
 
 namespace lycheeshunt::replication {
 
-// What a replica knows before it has read its log.
+// Settings of a replica that do not change while it runs.
 struct replica_settings
 {
     const std::string name;
-    // Names of all control VMs, this one included.
+    // Names of all control VMs, including this one.
     const std::vector<std::string> peers = {};
-    // Where this VM's operators' API is, to be told to the others.
+    // Address of this VM's operators' API, announced to the others.
     const base::endpoint api = {};
     const replica_timing timing = {};
     const replica_bounds bounds = {};
-    // Where this VM takes streams of the others.
+    // Address at which this VM accepts streams from the others.
     const base::endpoint streams = {};
-    // Some control VMs to begin with. When given, `peers` is not used: the seeds found the group,
-    // any control VM that announces itself joins, and one that falls silent for good is let go.
+    // Initial contact addresses. When they are set, the group is open and `peers` is not used: the
+    // seeds bootstrap the group, any control VM that announces itself joins it, and one that stops
+    // responding is removed.
     const std::vector<base::endpoint> seeds = {};
-    // Whether a group may be founded; false on a VM that replaces another.
+    // Whether this VM may bootstrap a group; false on a VM that replaces another.
     const bool mayBootstrap = true;
-    // Disks that may be lost at once; the group never shrinks to so few voters that one change
-    // could be lost with them.
+    // Number of disks that may be lost at once. Members are not removed when the remaining voters
+    // would be too few to keep every committed entry through such a loss.
     const std::size_t toleratedLosses = 1;
 
     bool isOpen() const { return !seeds.empty(); }
--- a/lycheeshunt/replication/replica_state.h
+++ b/lycheeshunt/replication/replica_state.h
@@ -1,4 +1,4 @@
-// All that a replica's decisions depend on.
+// The complete state of a replica's decisions.
 
 #pragma once
 
@@ -29,8 +29,8 @@
     storage_id votedStorage;
     replica_log log;
     base::generation commit;
-    // The newest configuration in the log rules, committed or not; older ones are kept for a
-    // truncation. Empty while the VM belongs to no cluster.
+    // The last one, the newest in the log, is in effect whether or not it is committed. Earlier
+    // ones are kept for when the log is truncated. Empty while the VM does not belong to a group.
     std::deque<indexed_configuration> configurations;
     shared_snapshot latestSnapshot;
 
@@ -42,7 +42,8 @@
     base::clock_time lastLeaderContact;
     base::clock_time nextPresence;
     std::map<base::node_id, peer_presence> presences;
-    // Control VMs that others told of, and when; only in a group that finds its members itself.
+    // Contacts received from others or from the settings, with the time of the last mention; used
+    // in open groups only.
     std::map<base::endpoint, base::clock_time> contacts;
     incoming_snapshot incoming;
 
--- a/lycheeshunt/replication/replica_storage.cpp
+++ b/lycheeshunt/replication/replica_storage.cpp
@@ -15,7 +15,7 @@
 const std::string identityName = "identity";
 const std::string voteName = "vote";
 const std::string snapshotName = "snapshot";
-const std::string unfinished = ".new";
+const std::string temporarySuffix = ".new";
 
 using identity_fields = std::tuple<std::uint64_t>;
 using vote_fields = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t>;
@@ -26,7 +26,8 @@
     return base::error {base::error_code::logCorrupt, what};
 }
 
-// The head is packed and measured; the entries, which may be large, follow as they are.
+// A record with the packed fields, then a record with the entries, which may be large and are
+// already encoded.
 std::string encodeSnapshot(const snapshot &taken)
 {
     const std::string head = base::packFields(
@@ -54,8 +55,9 @@
                      std::string(records.bodies.back())};
 }
 
-// The entries that go on from the snapshot. A log that disagrees with it is what was left when
-// the snapshot came from a leader, and goes.
+// The entries that follow the snapshot. A log whose entry at the snapshot's index has another term
+// conflicts with the snapshot: the replica crashed after it had stored a snapshot from a leader and
+// before it had removed its own log. Such a log is discarded.
 base::result<std::vector<log_entry>> entriesAfter(const snapshot *taken,
                                                   const std::vector<log_entry> &entries)
 {
@@ -68,11 +70,11 @@
             kept.push_back(entry);
     }
     if (!kept.empty() && kept.front().index.value() != start + 1)
-        return corrupt("the log starts after a gap");
+        return corrupt("the log does not start right after the snapshot");
     return kept;
 }
 
-bool holds(const std::vector<std::string> &names, const std::string &name)
+bool contains(const std::vector<std::string> &names, const std::string &name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -88,12 +90,12 @@
 }
 
 template <typename fields_type>
-base::result<fields_type> replica_storage::readSole(const std::string &name) const
+base::result<fields_type> replica_storage::readSingleRecord(const std::string &name) const
 {
     const base::result<std::string> bytes = internal::readFile(m_files, name);
     if (const base::error *failure = base::errorOf(bytes))
         return *failure;
-    const base::result<std::string> body = internal::soleRecord(base::valueOf(bytes), name);
+    const base::result<std::string> body = internal::decodeSingleRecord(base::valueOf(bytes), name);
     if (const base::error *failure = base::errorOf(body))
         return *failure;
     const base::result<fields_type> fields = base::unpackFields<fields_type>(base::valueOf(body));
@@ -103,8 +105,8 @@
 std::optional<base::error> replica_storage::replaceFile(const std::string &name,
                                                         const std::string &bytes)
 {
-    const std::string temporary = name + unfinished;
-    // What an interrupted replacement left is written over.
+    const std::string temporary = name + temporarySuffix;
+    // Truncates the file that an interrupted replacement may have left.
     if (std::optional<base::error> failure = internal::appendFile(m_files, temporary, {}))
         return failure;
     if (std::optional<base::error> failure = internal::truncateFile(m_files, temporary, 0))
@@ -121,9 +123,9 @@
 base::result<storage_id> replica_storage::readIdentity(const std::vector<std::string> &names,
                                                        storage_id fresh)
 {
-    const bool isUsed = holds(names, voteName) || holds(names, snapshotName)
+    const bool isUsed = contains(names, voteName) || contains(names, snapshotName)
         || std::any_of(names.begin(), names.end(), internal::log_segments::isSegmentName);
-    if (!holds(names, identityName)) {
+    if (!contains(names, identityName)) {
         if (isUsed)
             return corrupt("the identity file is missing");
         const std::string body = base::packFields(identity_fields(fresh.value()));
@@ -132,7 +134,7 @@
             return *failure;
         return fresh;
     }
-    const base::result<identity_fields> fields = readSole<identity_fields>(identityName);
+    const base::result<identity_fields> fields = readSingleRecord<identity_fields>(identityName);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     return storage_id(std::get<0>(base::valueOf(fields)));
@@ -140,9 +142,9 @@
 
 base::result<hard_state> replica_storage::readVote(const std::vector<std::string> &names) const
 {
-    if (!holds(names, voteName))
+    if (!contains(names, voteName))
         return hard_state {};
-    const base::result<vote_fields> fields = readSole<vote_fields>(voteName);
+    const base::result<vote_fields> fields = readSingleRecord<vote_fields>(voteName);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     const auto &[term, node, storage] = base::valueOf(fields);
@@ -152,7 +154,7 @@
 base::result<shared_snapshot>
 replica_storage::readSnapshot(const std::vector<std::string> &names) const
 {
-    if (!holds(names, snapshotName))
+    if (!contains(names, snapshotName))
         return shared_snapshot();
     const base::result<std::string> bytes = internal::readFile(m_files, snapshotName);
     if (const base::error *failure = base::errorOf(bytes))
@@ -198,14 +200,14 @@
         return *failure;
     const std::vector<log_entry> &kept = base::valueOf(entries);
     if (!kept.empty() && kept.back().term > base::valueOf(hard).term)
-        return corrupt("the term on the disk is older than the log");
+        return corrupt("the term on the disk is earlier than that of the last log entry");
     m_recovered = std::make_shared<const recovered_storage>(
         recovered_storage {base::valueOf(self), base::valueOf(hard), base::valueOf(taken), kept,
                            m_segments.tornBytes()});
     return std::nullopt;
 }
 
-std::optional<base::error> replica_storage::remember(std::optional<base::error> failure)
+std::optional<base::error> replica_storage::recordFailure(std::optional<base::error> failure)
 {
     if (failure)
         m_failure = std::make_shared<const base::error>(*failure);
@@ -218,14 +220,14 @@
         return *m_failure;
     const std::string body = base::packFields(
         vote_fields(state.term, state.vote.node.value(), state.vote.storage.value()));
-    return remember(replaceFile(voteName, internal::frameRecord(body)));
+    return recordFailure(replaceFile(voteName, internal::frameRecord(body)));
 }
 
 std::optional<base::error> replica_storage::persist(const persist_entries &action)
 {
     if (m_failure)
         return *m_failure;
-    return remember(m_segments.append(m_files, action.entries));
+    return recordFailure(m_segments.append(m_files, action.entries));
 }
 
 std::optional<base::error> replica_storage::persist(const persist_snapshot &action)
@@ -233,18 +235,18 @@
     if (m_failure)
         return *m_failure;
     if (std::optional<base::error> failure
-        = remember(replaceFile(snapshotName, encodeSnapshot(*action.snapshot))))
+        = recordFailure(replaceFile(snapshotName, encodeSnapshot(*action.snapshot))))
         return failure;
     if (action.isInstalled)
-        return remember(m_segments.truncateFrom(m_files, base::generation(0)));
-    return remember(m_segments.dropUpTo(m_files, action.snapshot->index));
+        return recordFailure(m_segments.truncateFrom(m_files, base::generation(0)));
+    return recordFailure(m_segments.dropUpTo(m_files, action.snapshot->index));
 }
 
 std::optional<base::error> replica_storage::persist(const truncate_log &action)
 {
     if (m_failure)
         return *m_failure;
-    return remember(m_segments.truncateFrom(m_files, action.from));
+    return recordFailure(m_segments.truncateFrom(m_files, action.from));
 }
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replica_storage.h
+++ b/lycheeshunt/replication/replica_storage.h
@@ -1,12 +1,12 @@
-// What a replica keeps on its disk: its identity, its term and vote, the last snapshot, and the
-// log in segments of bounded size.
+// Durable state of a replica: its identity, its term and vote, the last snapshot, and the log in
+// segments of bounded size.
 //
 //     result<replica_storage> storage = replica_storage::open(file_set(...), freshIdentity);
 //     startReplica(settings, valueOf(storage).recovered(), seed, now);
 //     storage.persist(persist_entries {...});
 //
-// Every call returns only after the sync. After a failed one the disk's content is unknown, so
-// each later call returns the same error. Not thread-safe.
+// Every call returns only after its data has been synced. After a failure the contents of the disk
+// are unknown, so every later call returns the same error. Not thread-safe.
 
 #pragma once
 
@@ -22,12 +22,12 @@
 class replica_storage
 {
 public:
-    // An empty folder gets the fresh identity. A torn tail is cut off and counted; damage is
-    // logCorrupt, and nothing is skipped.
+    // An empty folder is given the identity `fresh`. A torn tail of the log is truncated and its
+    // size reported; any other damage fails with logCorrupt, and no record is skipped.
     static base::result<replica_storage> open(file_set files, storage_id fresh);
 
     const recovered_storage &recovered() const { return *m_recovered; }
-    // The recovered entries are not kept for ever.
+    // Frees the recovered entries; recovered() must not be called after it.
     void releaseRecovered() { m_recovered.reset(); }
 
     std::optional<base::error> persist(const hard_state &state);
@@ -41,7 +41,7 @@
     explicit replica_storage(file_set files) : m_files(std::move(files)) { }
 
     template <typename fields_type>
-    base::result<fields_type> readSole(const std::string &name) const;
+    base::result<fields_type> readSingleRecord(const std::string &name) const;
     base::result<storage_id> readIdentity(const std::vector<std::string> &names, storage_id fresh);
     base::result<hard_state> readVote(const std::vector<std::string> &names) const;
     base::result<shared_snapshot> readSnapshot(const std::vector<std::string> &names) const;
@@ -49,7 +49,7 @@
                                                      const snapshot *taken);
     std::optional<base::error> readAll(storage_id fresh);
     std::optional<base::error> replaceFile(const std::string &name, const std::string &bytes);
-    std::optional<base::error> remember(std::optional<base::error> failure);
+    std::optional<base::error> recordFailure(std::optional<base::error> failure);
 
     file_set m_files;
     internal::log_segments m_segments;
--- a/lycheeshunt/replication/replica_tick.h
+++ b/lycheeshunt/replication/replica_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::replication {
 
-// Time has passed.
+// Periodic timer event.
 struct replica_tick
 {
     bool operator==(const replica_tick &) const = default;
--- a/lycheeshunt/replication/replication_duty.cpp
+++ b/lycheeshunt/replication/replication_duty.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 constexpr std::size_t inboxCapacity = 1024;
-constexpr base::clock_time tickEvery = base::clock_time::ofMillis(25);
-// Proposals that waited while the disk synced go into one write.
-constexpr std::size_t maxGathered = 256;
-// Short against an election, so that a VM whose disk is well again is missed for no longer.
-constexpr base::clock_time recoverEvery = base::clock_time::ofMillis(500);
+constexpr base::clock_time tickInterval = base::clock_time::ofMillis(25);
+// Limit on the proposals that are merged into one write. They queue up while the disk syncs.
+constexpr std::size_t maxBatchedProposals = 256;
+// Shorter than an election timeout, so that a recovered disk does not extend the outage noticeably.
+constexpr base::clock_time recoveryInterval = base::clock_time::ofMillis(500);
 
 void logLeadership(const leadership &leadership)
 {
@@ -56,10 +56,10 @@
         const base::clock_time wait = nextTick - base::clock_time::steady();
         if (const std::optional<replica_message> message
             = m_inbox.popFor(std::max(wait, base::clock_time())))
-            take(*message);
+            handle(*message);
         const base::clock_time now = base::clock_time::steady();
         if (now >= nextTick) {
-            nextTick = now + tickEvery;
+            nextTick = now + tickInterval;
             step(replica_tick {});
             compactIfDue();
             recoverIfDue(now);
@@ -67,27 +67,27 @@
     }
 }
 
-void replication_duty::take(const replica_message &message)
+void replication_duty::handle(const replica_message &message)
 {
     const propose_entries *first = std::get_if<propose_entries>(&message);
     if (first == nullptr) {
         step(message);
         return;
     }
-    std::vector<proposal> gathered = first->proposals;
-    while (gathered.size() < maxGathered) {
+    std::vector<proposal> batch = first->proposals;
+    while (batch.size() < maxBatchedProposals) {
         const std::optional<replica_message> next = m_inbox.tryPop();
-        const propose_entries *more = next ? std::get_if<propose_entries>(&*next) : nullptr;
-        if (more == nullptr) {
-            step(propose_entries {std::move(gathered)});
+        const propose_entries *further = next ? std::get_if<propose_entries>(&*next) : nullptr;
+        if (further == nullptr) {
+            step(propose_entries {std::move(batch)});
             if (next)
                 step(*next);
             return;
         }
-        for (const proposal &wanted : more->proposals)
-            gathered.push_back(wanted);
+        for (const proposal &wanted : further->proposals)
+            batch.push_back(wanted);
     }
-    step(propose_entries {std::move(gathered)});
+    step(propose_entries {std::move(batch)});
 }
 
 void replication_duty::step(const replica_message &message)
@@ -107,8 +107,8 @@
 std::optional<base::error> replication_duty::perform(const replica_action &action)
 {
     using outcome = std::optional<base::error>;
-    const auto tell = [this](const auto &notice) {
-        announce(notice);
+    const auto forward = [this](const auto &notice) {
+        publish(notice);
         return outcome();
     };
     return std::visit(
@@ -117,12 +117,12 @@
                 m_hooks.send(envelope);
                 return outcome();
             },
-            [this](const send_to_address &greeting) {
-                m_hooks.sendToAddress(greeting);
+            [this](const send_to_address &message) {
+                m_hooks.sendToAddress(message);
                 return outcome();
             },
-            [this](const set_peer_address &located) {
-                m_hooks.setAddress(located);
+            [this](const set_peer_address &update) {
+                m_hooks.setAddress(update);
                 return outcome();
             },
             [this](const hard_state &hard) { return m_storage.persist(hard); },
@@ -130,17 +130,17 @@
             [this](const persist_entries &entries) {
                 for (const log_entry &entry : entries.entries)
                     m_bytesSinceSnapshot += entry.payload.size();
-                const base::clock_time begun = base::clock_time::steady();
+                const base::clock_time started = base::clock_time::steady();
                 std::optional<base::error> failure = m_storage.persist(entries);
-                m_writes.record(base::clock_time::steady() - begun);
+                m_writes.record(base::clock_time::steady() - started);
                 return failure;
             },
             [this](const persist_snapshot &taken) { return install(taken); },
             [&](const leadership_changed &changed) {
                 logLeadership(changed.leadership);
-                return tell(changed);
+                return forward(changed);
             },
-            tell,
+            forward,
         },
         action);
 }
@@ -157,9 +157,9 @@
 {
     const base::result<std::vector<log_entry>> entries = decodeEntries(taken.entries);
     if (const base::error *failure = base::errorOf(entries))
-        base::logError("replication", "snapshot can't be read: " + failure->text());
+        base::logError("replication", "snapshot cannot be decoded: " + failure->text());
     else
-        announce(state_restored {taken.index, base::valueOf(entries)});
+        publish(state_restored {taken.index, base::valueOf(entries)});
 }
 
 void replication_duty::compactIfDue()
@@ -168,13 +168,13 @@
     const std::uint64_t applied = m_state.commit.value() - start.value();
     const replica_bounds &bounds = m_state.settings->bounds;
     const bool isLarge = applied > 0 && m_bytesSinceSnapshot >= bounds.compactAfterBytes;
-    if ((applied < bounds.compactAfter && !isLarge) || m_state.commit < m_nextSnapshot)
+    if ((applied < bounds.compactAfterEntries && !isLarge) || m_state.commit < m_nextSnapshot)
         return;
     m_bytesSinceSnapshot = 0;
     const shared_snapshot earlier = m_state.latestSnapshot;
     base::result<std::vector<log_entry>> known = decodeEntries(earlier ? earlier->entries : "");
     if (const base::error *failure = base::errorOf(known)) {
-        base::logError("replication", "snapshot can't be read: " + failure->text());
+        base::logError("replication", "snapshot cannot be decoded: " + failure->text());
         m_nextSnapshot = base::generation(m_state.commit.value() + applied);
         return;
     }
@@ -188,16 +188,18 @@
 {
     if (!std::holds_alternative<failed_role>(m_state.role) || now < m_nextRecovery)
         return;
-    m_nextRecovery = now + recoverEvery;
+    m_nextRecovery = now + recoveryInterval;
     base::result<replica_storage> reopened = m_hooks.reopen();
     if (const base::error *failure = base::errorOf(reopened)) {
-        base::logWarning("replication", "storage still fails: " + failure->text());
+        base::logWarning("replication", "cannot reopen the storage: " + failure->text());
         return;
     }
     m_storage = base::takeValue(std::move(reopened));
     m_state = startReplica(m_state.settings, m_storage.recovered(), ++m_recoveries, now);
     m_storage.releaseRecovered();
-    base::logInfo("replication", "storage takes writes again, taking part as after a start");
+    base::logInfo(
+        "replication",
+        "storage takes writes again; this VM takes part again from the contents of its disk");
 }
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replication_duty.h
+++ b/lycheeshunt/replication/replication_duty.h
@@ -1,11 +1,11 @@
-// The replication thread of a control process: runs the decision, carries out its writes and
-// sends, and tells the other duties what became of their proposals.
+// The replication thread of a control process: runs the decision, carries out its writes and sends,
+// and notifies the other duties of the outcome of their proposals.
 //
-//     replication_duty duty(std::move(state), std::move(storage), {send, notify, compact});
+//     replication_duty duty(std::move(state), std::move(storage), hooks);
 //     duty.inbox().tryPush(propose_entries {{proposal {...}}});
 //
-// Proposals are offered with tryPush: the thread itself pushes notices to the duties that propose,
-// so neither side may wait for the other at once. What peers send is waited for (push).
+// Duties must submit proposals with tryPush. This thread blocks while it pushes notices to those
+// duties, so a blocking push in the other direction could deadlock. Peer messages use push.
 
 #pragma once
 
@@ -20,23 +20,24 @@
 
 namespace lycheeshunt::replication {
 
-// All are called on the replication thread.
+// Callbacks, all called on the replication thread.
 struct replication_hooks
 {
     const std::function<void(const peer_envelope &)> send;
     const std::function<void(const send_to_address &)> sendToAddress;
     const std::function<void(const set_peer_address &)> setAddress;
     const std::function<void(const replication_notice &)> notify;
-    // Entries that amount to the same as the given ones, which start with the last snapshot's.
+    // Returns a compacted list of entries that restores the same state as the given ones, which
+    // start with the entries of the last snapshot.
     const std::function<std::vector<log_entry>(const std::vector<log_entry> &)> compact;
-    // Opens the data folder afresh after a write has failed.
+    // Opens the data folder again after a write has failed.
     const std::function<base::result<replica_storage>()> reopen;
 };
 
 class replication_duty
 {
 public:
-    // The first notice is the snapshot that the storage held, if there is one.
+    // If the storage holds a snapshot, the first notice is the state_restored of it.
     replication_duty(replica_state state, replica_storage storage, replication_hooks hooks);
     ~replication_duty();
 
@@ -50,14 +51,16 @@
 
 private:
     void run();
-    void take(const replica_message &message);
+    // Merges consecutive proposals in the inbox into one step, hence into one sync.
+    void handle(const replica_message &message);
     void step(const replica_message &message);
     std::optional<base::error> perform(const replica_action &action);
     std::optional<base::error> install(const persist_snapshot &action);
-    void announce(const replication_notice &notice) const { m_hooks.notify(notice); }
+    void publish(const replication_notice &notice) const { m_hooks.notify(notice); }
     void restoreFrom(const snapshot &taken);
     void compactIfDue();
-    // After a failed write this VM is as one that has just started, once its disk takes writes.
+    // After a failed write, reopens the storage periodically. Once this succeeds, the replica
+    // restarts from the contents of the disk.
     void recoverIfDue(base::clock_time now);
 
     replica_state m_state;
@@ -68,7 +71,7 @@
     std::uint64_t m_bytesSinceSnapshot = 0;
     std::uint32_t m_recoveries = 0;
     base::clock_time m_nextRecovery;
-    // A snapshot is not tried again before this index when it could not be made.
+    // After a failed compaction, the commit index at which it is attempted again.
     base::generation m_nextSnapshot;
     base::ring<replica_message> m_inbox;
     std::thread m_thread;
--- a/lycheeshunt/replication/replication_notice.h
+++ b/lycheeshunt/replication/replication_notice.h
@@ -12,7 +12,7 @@
 
 namespace lycheeshunt::replication {
 
-// What the replication thread tells the other duties, in the order in which it became true.
+// Notices from the replication thread to the other duties, sent in the order of the events.
 using replication_notice
     = std::variant<commit_entries, state_restored, leadership_changed, members_changed,
                    proposal_refused, read_confirmed, read_refused>;
--- a/lycheeshunt/replication/send_to_address.h
+++ b/lycheeshunt/replication/send_to_address.h
@@ -5,7 +5,8 @@
 
 namespace lycheeshunt::replication {
 
-// Send this to whichever control VM takes streams at the address; its identity may be unknown.
+// Action: send the envelope to the control VM at this stream address, whose identity may be
+// unknown.
 struct send_to_address
 {
     const base::endpoint to;
--- a/lycheeshunt/replication/set_peer_address.h
+++ b/lycheeshunt/replication/set_peer_address.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::replication {
 
-// Messages for this control VM go to this address from now on.
+// Action: use this address for further messages to the control VM.
 struct set_peer_address
 {
     const base::node_id node;
--- a/lycheeshunt/replication/snapshot.h
+++ b/lycheeshunt/replication/snapshot.h
@@ -7,13 +7,13 @@
 
 namespace lycheeshunt::replication {
 
-// Everything that the log up to and including `index` amounts to.
+// Compacted form of the log up to and including `index`.
 struct snapshot
 {
     const base::generation index;
     const std::uint64_t term = 0;
     const replication::configuration configuration;
-    // The entries that still matter, as encodeEntries makes them.
+    // The entries that remain after compaction, encoded by encodeEntries().
     const std::string entries;
 
     bool operator==(const snapshot &) const = default;
--- a/lycheeshunt/replication/snapshot_answer.h
+++ b/lycheeshunt/replication/snapshot_answer.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::replication {
 
-// Answers snapshot_piece: which byte is wanted next. A whole snapshot is answered, once it is
-// synced, by append_answer instead.
+// Answers snapshot_piece with the next offset to send. The last piece is answered by append_answer
+// instead, once the complete snapshot has been synced.
 struct snapshot_answer
 {
     const std::uint64_t term = 0;
-    const std::uint64_t round = 0;
+    const std::uint64_t heartbeatRound = 0;
     const base::generation index;
     const std::uint64_t nextOffset = 0;
 
--- a/lycheeshunt/replication/snapshot_piece.h
+++ b/lycheeshunt/replication/snapshot_piece.h
@@ -6,11 +6,12 @@
 
 namespace lycheeshunt::replication {
 
-// The leader sends a snapshot to a replica that is behind the start of its log.
+// Part of a snapshot. The leader sends one to a replica that needs entries which the leader's log
+// no longer holds.
 struct snapshot_piece
 {
     const std::uint64_t term = 0;
-    const std::uint64_t round = 0;
+    const std::uint64_t heartbeatRound = 0;
     const base::generation index;
     const std::uint64_t snapshotTerm = 0;
     const replication::configuration configuration;
--- a/lycheeshunt/replication/snapshot_taken.h
+++ b/lycheeshunt/replication/snapshot_taken.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::replication {
 
-// The committed entries up to the index have been folded into a snapshot.
+// The committed entries up to the index have been compacted into a snapshot.
 struct snapshot_taken
 {
     const base::generation index;
--- a/lycheeshunt/replication/state_restored.h
+++ b/lycheeshunt/replication/state_restored.h
@@ -6,8 +6,8 @@
 
 namespace lycheeshunt::replication {
 
-// The duties must take this in place of all that they know: what a snapshot amounts to, after a
-// start or from the leader. `at` is the last entry that it covers.
+// Notice: the duties must replace their state with that of a snapshot, which was read at the start
+// or received from the leader. `at` is the index of the last entry that it covers.
 struct state_restored
 {
     const base::generation at;
--- a/lycheeshunt/replication/storage_failure.h
+++ b/lycheeshunt/replication/storage_failure.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::replication {
 
-// A write or sync failed; what the disk holds is unknown until the process starts again.
+// A write or sync has failed. The contents of the disk are unknown until it is opened again.
 struct storage_failure
 {
     const base::error failure;
--- a/lycheeshunt/replication/storage_id.h
+++ b/lycheeshunt/replication/storage_id.h
@@ -6,8 +6,8 @@
 
 namespace lycheeshunt::replication {
 
-// Drawn at random when a data folder is made, so that an empty disk under a known name is told
-// from the disk that was there before. 0 names no storage.
+// Random identity of a data folder, chosen when it is created. It distinguishes a new, empty disk
+// of a VM from the disk that the VM had before. 0 means none.
 using storage_id = base::strong_number<struct storage_id_tag, std::uint64_t>;
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/truncate_log.h
+++ b/lycheeshunt/replication/truncate_log.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::replication {
 
-// Remove the entry at this index and all after it; none of them was committed.
+// Action: remove the entry at this index and all later ones from the log on disk. None of them is
+// committed.
 struct truncate_log
 {
     const base::generation from;
--- a/lycheeshunt/replication/vote_request.h
+++ b/lycheeshunt/replication/vote_request.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::replication {
 
-// A candidate asks for a vote, or whether it would get one (pre-vote, which changes no term).
+// A candidate requests a vote, or a pre-vote: whether the vote would be granted. A pre-vote changes
+// no term.
 struct vote_request
 {
     const std::uint64_t term = 0;
