Name the tests of the replicated log after the failure that they guard against

The simulated groups had noise, cuts, mail and letters, promises and faults. They now have a fault percentage, blocked links, messages in flight, and invariants with violations. Heads of tests say which failure is provoked and what must not follow from it. Checks and numbers are unchanged.

The test gives the new VM the address of VM 4 alone, which is a member and no seed; the comment says that now.

--- a/lycheeshunt/replication/decision_test.cpp
+++ b/lycheeshunt/replication/decision_test.cpp
@@ -18,11 +18,11 @@
     return count;
 }
 
-// Every replica that is up holds all that was accepted.
-bool haveAllAppliedAccepted(replica_group &group)
+// Whether every running replica has applied every ticket that any replica ever applied.
+bool isAppliedByAll(replica_group &group)
 {
     for (std::size_t i = 0; i < group.size(); ++i) {
-        for (auto it = group.accepted().begin(); it != group.accepted().end(); ++it) {
+        for (auto it = group.everApplied().begin(); it != group.everApplied().end(); ++it) {
             const bool isTicket = it->second.kind == entry_kind::ticket;
             if (group.at(i).isUp && isTicket && group.at(i).applied.count(it->first) == 0)
                 return false;
@@ -33,20 +33,20 @@
 
 void checkInvariants(replica_group &group)
 {
-    group.setNoise(0);
-    group.heal();
+    group.setFaultPercent(0);
+    group.unblockLinks();
     const std::size_t leader = group.awaitLeader();
     group.propose(leader, "last");
     CHECK(group.runUntil(
-        [&]() { return group.hasApplied(leader, "last") && haveAllAppliedAccepted(group); }));
-    STRCMP_EQUAL("", group.firstFault().c_str());
+        [&]() { return group.hasApplied(leader, "last") && isAppliedByAll(group); }));
+    STRCMP_EQUAL("", group.firstViolation().c_str());
 }
 
 } // namespace
 
 TEST_GROUP(replication_decision) {};
 
-TEST(replication_decision, groupsOfEachSizeElectAndCommit)
+TEST(replication_decision, groupsOfOneThreeAndFiveElectAndCommit)
 {
     for (const std::size_t size : {1, 3, 5}) {
         replica_group group(size, 11);
@@ -57,12 +57,12 @@
     }
 }
 
-TEST(replication_decision, lossDelayDuplicatesAndOrderChangeNothing)
+TEST(replication_decision, toleratesLossDelayDuplicationAndReordering)
 {
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         replica_group group(seed % 2 == 0 ? 3 : 5, seed);
         group.awaitLeader();
-        group.setNoise(seed);
+        group.setFaultPercent(seed);
         for (int i = 0; i < 40; ++i) {
             if (const std::optional<std::size_t> leader = group.leader())
                 group.propose(*leader, "ticket " + std::to_string(i));
@@ -72,7 +72,7 @@
     }
 }
 
-TEST(replication_decision, leadersKilledAtAnyMomentLoseNothing)
+TEST(replication_decision, leaderCrashesAtAnyMomentLoseNoCommittedEntry)
 {
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         replica_group group(3, seed);
@@ -88,73 +88,73 @@
     }
 }
 
-TEST(replication_decision, anIsolatedLeaderAcceptsNothingAndAnswersNoRead)
+TEST(replication_decision, isolatedLeaderCommitsNothingAndConfirmsNoRead)
 {
     replica_group group(3, 5);
-    const std::size_t old = group.awaitLeader();
-    group.isolate(old);
-    group.propose(old, "lost");
-    group.give(old, read_request {base::request_id(1)});
+    const std::size_t oldLeader = group.awaitLeader();
+    group.isolate(oldLeader);
+    group.propose(oldLeader, "lost");
+    group.dispatch(oldLeader, read_request {base::request_id(1)});
     constexpr std::int64_t hour = 3'600'000;
     group.run(hour / 60);
-    const std::size_t present = group.awaitLeader();
-    CHECK(present != old);
-    group.propose(present, "kept");
-    group.propose(old, "refused");
-    group.give(old, read_request {base::request_id(2)});
+    const std::size_t newLeader = group.awaitLeader();
+    CHECK(newLeader != oldLeader);
+    group.propose(newLeader, "kept");
+    group.propose(oldLeader, "refused");
+    group.dispatch(oldLeader, read_request {base::request_id(2)});
     group.run(1000);
-    CHECK(group.hasApplied(present, "kept"));
-    LONGS_EQUAL(2, countOf<read_refused>(group.at(old).notices));
-    LONGS_EQUAL(0, countOf<read_confirmed>(group.at(old).notices));
-    LONGS_EQUAL(1, countOf<proposal_refused>(group.at(old).notices));
-    CHECK_FALSE(group.hasApplied(old, "lost"));
+    CHECK(group.hasApplied(newLeader, "kept"));
+    LONGS_EQUAL(2, countOf<read_refused>(group.at(oldLeader).notices));
+    LONGS_EQUAL(0, countOf<read_confirmed>(group.at(oldLeader).notices));
+    LONGS_EQUAL(1, countOf<proposal_refused>(group.at(oldLeader).notices));
+    CHECK_FALSE(group.hasApplied(oldLeader, "lost"));
     checkInvariants(group);
-    CHECK_FALSE(group.hasApplied(present, "lost"));
+    CHECK_FALSE(group.hasApplied(newLeader, "lost"));
 }
 
-TEST(replication_decision, aLeaderThatCanSendButNotHearStepsDown)
+TEST(replication_decision, leaderWithoutInboundMessagesStepsDown)
 {
     replica_group group(3, 6);
-    const std::size_t old = group.awaitLeader();
+    const std::size_t oldLeader = group.awaitLeader();
     for (std::size_t i = 0; i < group.size(); ++i)
-        group.cut(i, old);
+        group.blockLink(i, oldLeader);
     CHECK(group.runUntil(
-        [&]() { return !std::holds_alternative<leader_role>(group.at(old).state.role); }));
+        [&]() { return !std::holds_alternative<leader_role>(group.at(oldLeader).state.role); }));
     checkInvariants(group);
 }
 
-TEST(replication_decision, aReplicaThatHearsNothingUnseatsNobody)
+TEST(replication_decision, replicaWithoutInboundMessagesDoesNotDisruptTheLeader)
 {
     replica_group group(3, 7);
     const std::size_t leader = group.awaitLeader();
     const std::uint64_t term = group.at(leader).state.term;
-    const std::size_t deaf = (leader + 1) % 3;
+    const std::size_t unreachable = (leader + 1) % 3;
     for (std::size_t i = 0; i < group.size(); ++i)
-        group.cut(i, deaf);
+        group.blockLink(i, unreachable);
     group.run(20'000);
-    group.heal();
+    group.unblockLinks();
     group.run(3000);
     CHECK(group.leader() == leader);
     UNSIGNED_LONGS_EQUAL(term, group.at(leader).state.term);
 }
 
-TEST(replication_decision, aReadIsConfirmedByAQuorumAndRefusedByAFollower)
+TEST(replication_decision, readIsConfirmedByAQuorumAndRefusedByAFollower)
 {
     replica_group group(3, 8);
     const std::size_t leader = group.awaitLeader();
     const std::size_t follower = (leader + 1) % 3;
     group.run(500);
-    group.give(leader, read_request {base::request_id(1)});
+    group.dispatch(leader, read_request {base::request_id(1)});
     LONGS_EQUAL(0, countOf<read_confirmed>(group.at(leader).notices));
     group.run(200);
     LONGS_EQUAL(1, countOf<read_confirmed>(group.at(leader).notices));
-    group.give(follower, read_request {base::request_id(2)});
+    group.dispatch(follower, read_request {base::request_id(2)});
     const read_refused *refused = std::get_if<read_refused>(&group.at(follower).notices.back());
     CHECK(refused != nullptr && refused->reason.code == base::error_code::notLeader);
     STRCMP_CONTAINS(group.at(leader).name.c_str(), refused->reason.detail.c_str());
 }
 
-TEST(replication_decision, anEmptyDiskVotesOnlyAfterItHasCaughtUp)
+TEST(replication_decision, replicaWithEmptyDiskVotesOnlyAfterCatchingUp)
 {
     replica_group group(3, 9);
     std::size_t leader = group.awaitLeader();
@@ -165,7 +165,7 @@
     const std::size_t second = (leader + 2) % 3;
     group.stop(replaced);
     group.run(1000);
-    group.startEmpty(replaced);
+    group.startWithEmptyDisk(replaced);
     const auto isVoter = [&]() {
         const configuration &members = group.at(leader).state.members();
         return members.isVoter(group.at(replaced).state.id())
@@ -174,36 +174,36 @@
     CHECK_FALSE(isVoter());
     CHECK(group.runUntil(isVoter));
     group.run(500);
-    // The second VM is lost right after the repair.
+    // Another VM fails right after the repair, so the repaired one is needed for the quorum.
     group.stop(second);
     leader = group.awaitLeader();
     group.propose(leader, "after");
     CHECK(group.runUntil([&]() { return group.hasApplied(leader, "after"); }));
     CHECK(group.hasApplied(replaced, "ticket 0"));
-    STRCMP_EQUAL("", group.firstFault().c_str());
+    STRCMP_EQUAL("", group.firstViolation().c_str());
 }
 
-TEST(replication_decision, emptyDisksNeverOutvoteTheOneThatIsLeft)
+TEST(replication_decision, emptyDisksNeverOutvoteTheRemainingReplica)
 {
     replica_group group(3, 10);
     const std::size_t leader = group.awaitLeader();
     group.propose(leader, "kept");
     group.run(1000);
-    const std::size_t left = leader;
+    const std::size_t survivor = leader;
     for (std::size_t i = 0; i < 3; ++i) {
-        if (i != left) {
+        if (i != survivor) {
             group.stop(i);
-            group.startEmpty(i);
+            group.startWithEmptyDisk(i);
         }
     }
     group.run(20'000);
     CHECK_FALSE(group.leader().has_value());
-    group.isolate(left);
+    group.isolate(survivor);
     group.run(20'000);
     CHECK_FALSE(group.leader().has_value());
 }
 
-TEST(replication_decision, aReplicaFarBehindGetsASnapshotInPieces)
+TEST(replication_decision, laggingReplicaReceivesSnapshotInPieces)
 {
     for (std::uint32_t seed = 1; seed <= 6; ++seed) {
         replica_bounds small {4096, 2000, 8, 1000, 64, 16, 100};
@@ -216,10 +216,10 @@
             group.propose(leader, "ticket " + std::to_string(i));
         group.run(500);
         group.compact(leader);
-        group.setNoise(seed);
+        group.setFaultPercent(seed);
         group.restart(behind);
         group.run(150 * seed);
-        // Interrupted, and begun again by whoever leads then.
+        // The transfer is interrupted and restarted by the next leader.
         group.crash(leader, crash_loss::allUnsynced);
         group.run(500);
         group.restart(leader);
@@ -228,7 +228,7 @@
     }
 }
 
-TEST(replication_decision, theClockMayStepBack)
+TEST(replication_decision, toleratesClockGoingBackwards)
 {
     replica_group group(1, 12);
     const std::size_t leader = group.awaitLeader();
@@ -240,7 +240,7 @@
     CHECK(next.state.now > earlier);
 }
 
-TEST(replication_decision, aFullDiskIsRefusedByCodeAndLosesNothing)
+TEST(replication_decision, fullDiskIsReportedByCodeAndLosesNothing)
 {
     replica_group group(1, 13);
     const std::size_t leader = group.awaitLeader();
@@ -257,10 +257,10 @@
     group.restart(leader);
     group.awaitLeader();
     CHECK(group.hasApplied(leader, "kept"));
-    STRCMP_EQUAL("", group.firstFault().c_str());
+    STRCMP_EQUAL("", group.firstViolation().c_str());
 }
 
-TEST(replication_decision, aStorageFailureAtAnyStepLosesNothing)
+TEST(replication_decision, storageFailureAtAnyStepLosesNothing)
 {
     for (std::uint64_t step = 1; step <= 60; ++step) {
         const crash_loss losses[]
--- a/lycheeshunt/replication/duty_recovery_test.cpp
+++ b/lycheeshunt/replication/duty_recovery_test.cpp
@@ -1,5 +1,5 @@
-// The replication thread after a failed write: it takes part again in place, as after a start, once
-// the disk takes writes.
+// Recovery of the replication thread after a failed write: once the disk accepts writes again, the
+// replica restarts without a restart of the process.
 
 #include "lycheeshunt/replication/decision.h"
 #include "lycheeshunt/replication/replication_duty.h"
@@ -20,7 +20,7 @@
 TEST_GROUP(duty_recovery)
 {
     base::ring<replication_notice> notices {noticeCapacity};
-    std::atomic<bool> takesWrites = false;
+    std::atomic<bool> isDiskWritable = false;
     std::unique_ptr<replication_duty> duty;
 
     void start(memory_files files)
@@ -39,7 +39,7 @@
                                [this](const replication_notice &notice) { notices.push(notice); },
                                [](const std::vector<log_entry> &entries) { return entries; },
                                [this]() -> base::result<replica_storage> {
-                                   if (!takesWrites)
+                                   if (!isDiskWritable)
                                        return base::error {base::error_code::diskFull, "still"};
                                    return replica_storage::open(memory_files(), storage_id(8));
                                }});
@@ -55,22 +55,22 @@
         }
     }
 
-    void awaitLeading(bool isLeader)
+    void awaitLeadership(bool isLeader)
     {
         while (await<leadership_changed>().leadership.isLeader != isLeader) { }
     }
 
-    // Of the last proposal: committed, refused, or unknown since this VM does not lead any more.
+    // Outcome of the last proposal: committed, refused, or unknown because leadership has ended.
     replication_notice awaitOutcome()
     {
         while (true) {
             const std::optional<replication_notice> notice = notices.pop();
-            const commit_entries *done = std::get_if<commit_entries>(&*notice);
-            const bool isProposal
-                = done != nullptr && done->entries.back().kind == entry_kind::state;
+            const commit_entries *committedEntries = std::get_if<commit_entries>(&*notice);
+            const bool isProposal = committedEntries != nullptr
+                && committedEntries->entries.back().kind == entry_kind::state;
             const leadership_changed *changed = std::get_if<leadership_changed>(&*notice);
-            const bool ends = changed != nullptr && !changed->leadership.isLeader;
-            if (isProposal || ends || std::holds_alternative<proposal_refused>(*notice))
+            const bool hasEnded = changed != nullptr && !changed->leadership.isLeader;
+            if (isProposal || hasEnded || std::holds_alternative<proposal_refused>(*notice))
                 return *notice;
         }
     }
@@ -87,14 +87,14 @@
     }
 };
 
-TEST(duty_recovery, afterAFullDiskTheVmTakesPartAgain)
+TEST(duty_recovery, vmRecoversInPlaceAfterAFullDisk)
 {
     memory_files files;
-    // Some writes after the group was founded.
+    // Late enough for the group to be bootstrapped and some proposals to be committed.
     const std::uint64_t lateStep = 30;
     files.failAtStep(lateStep, base::error_code::diskFull);
     start(files);
-    awaitLeading(true);
+    awaitLeadership(true);
     std::size_t committed = 0;
     bool isLeading = true;
     while (isLeading) {
@@ -108,9 +108,9 @@
     const replication_notice outcome = awaitOutcome();
     const proposal_refused *refused = std::get_if<proposal_refused>(&outcome);
     CHECK(refused != nullptr && refused->reason.code == base::error_code::diskFull);
-    takesWrites = true;
-    // The folder is empty when it is opened again, as that of a VM whose disk was replaced.
-    awaitLeading(true);
+    isDiskWritable = true;
+    // The reopened folder is empty, like that of a VM whose disk was replaced.
+    awaitLeadership(true);
     propose("after");
     CHECK(std::holds_alternative<commit_entries>(awaitOutcome()));
 }
--- a/lycheeshunt/replication/group_test.h
+++ b/lycheeshunt/replication/group_test.h
@@ -1,6 +1,6 @@
-// Replicas driven by function calls in virtual time, for the tests of this slice: messages are
-// delivered late, twice, out of order or not at all, as a seed says, and every replica keeps its
-// files in memory, where each write can be made to fail.
+// A group of replicas simulated in virtual time, for the tests of this slice. Depending on a random
+// seed, messages are lost, delayed, duplicated and reordered. Every replica keeps its files in
+// memory, where each write can be made to fail.
 
 #pragma once
 
@@ -25,7 +25,7 @@
         std::unique_ptr<replica_storage> storage;
         replica_state state;
         bool isUp = false;
-        // What its duties were handed, by index, in this life.
+        // Entries passed to its duties since it was started, keyed by index.
         std::map<std::uint64_t, log_entry> applied;
         std::vector<replica_action> notices;
         std::uint64_t greatestTerm = 0;
@@ -41,14 +41,14 @@
             m_nodes.back().name = name;
         }
         for (std::size_t i = 0; i < size; ++i)
-            startEmpty(i);
+            startWithEmptyDisk(i);
     }
 
     std::size_t size() const { return m_nodes.size(); }
     node &at(std::size_t i) { return m_nodes.at(i); }
     base::clock_time now() const { return m_now; }
 
-    void startEmpty(std::size_t i)
+    void startWithEmptyDisk(std::size_t i)
     {
         m_nodes.at(i).greatestTerm = 0;
         start(i, memory_files());
@@ -61,7 +61,7 @@
             = replica_storage::open(std::move(files), storage_id(++m_lastStorage));
         started.isUp = base::isOk(storage);
         if (!started.isUp) {
-            m_faults.push_back(started.name + ": " + base::errorOf(storage)->text());
+            m_violations.push_back(started.name + ": " + base::errorOf(storage)->text());
             return;
         }
         started.storage = std::make_unique<replica_storage>(base::takeValue(std::move(storage)));
@@ -80,7 +80,7 @@
 
     memory_files &files(std::size_t i)
     {
-        // The storage hands its files out for reading; the tests reach in to make them fail.
+        // replica_storage gives read access only; the tests inject failures into its files.
         return const_cast<memory_files &>(std::get<memory_files>(m_nodes.at(i).storage->files()));
     }
 
@@ -94,20 +94,21 @@
 
     void restart(std::size_t i) { start(i, m_crashed.at(i)); }
 
-    // Messages from one to the other are lost; the other way is another link.
-    void cut(std::size_t from, std::size_t to) { m_cut.insert({from, to}); }
+    // Drops messages in this direction only.
+    void blockLink(std::size_t from, std::size_t to) { m_blockedLinks.insert({from, to}); }
     void isolate(std::size_t i)
     {
         for (std::size_t other = 0; other < size(); ++other) {
-            cut(i, other);
-            cut(other, i);
+            blockLink(i, other);
+            blockLink(other, i);
         }
     }
-    void heal() { m_cut.clear(); }
-    // Share of messages lost, doubled and delayed, in percent.
-    void setNoise(std::uint32_t percent) { m_noise = percent; }
+    void unblockLinks() { m_blockedLinks.clear(); }
+    // Percentage of messages that are lost and of those that are duplicated; it also increases the
+    // delays.
+    void setFaultPercent(std::uint32_t percent) { m_faultPercent = percent; }
 
-    // Lets time pass in steps of 10 ms.
+    // Advances virtual time in steps of 10 ms.
     void run(std::int64_t millis)
     {
         constexpr std::int64_t stepMillis = 10;
@@ -115,7 +116,7 @@
             m_now = m_now + base::clock_time::ofMillis(stepMillis);
             deliver();
             for (std::size_t i = 0; i < size(); ++i)
-                give(i, replica_tick {});
+                dispatch(i, replica_tick {});
         }
     }
 
@@ -148,16 +149,16 @@
                 >= std::get<leader_role>(m_nodes[*found].state.role).firstIndexOfTerm;
         });
         if (!isLed)
-            m_faults.push_back("no leader");
+            m_violations.push_back("no leader");
         return leader().value_or(0);
     }
 
     void propose(std::size_t i, const std::string &payload)
     {
-        give(i, propose_entries {{proposal {entry_kind::ticket, payload}}});
+        dispatch(i, propose_entries {{proposal {entry_kind::ticket, payload}}});
     }
 
-    void give(std::size_t i, const replica_message &message)
+    void dispatch(std::size_t i, const replica_message &message)
     {
         node &receiver = m_nodes.at(i);
         if (!receiver.isUp)
@@ -169,11 +170,11 @@
             if (!perform(i, action))
                 return;
         }
-        // A term whose sync failed was told to nobody.
+        // A term whose sync failed was not sent to anyone, so it may be lost.
         if (std::holds_alternative<failed_role>(receiver.state.role))
             return;
         if (receiver.state.term < receiver.greatestTerm)
-            m_faults.push_back(receiver.name + ": term went back");
+            m_violations.push_back(receiver.name + ": term decreased");
         receiver.greatestTerm = receiver.state.term;
     }
 
@@ -186,23 +187,23 @@
         return false;
     }
 
-    // Payloads that any replica ever applied, by index: what was accepted.
-    const std::map<std::uint64_t, log_entry> &accepted() const { return m_accepted; }
-    // Everything that broke a promise so far; empty when all is well.
-    const std::vector<std::string> &faults() const { return m_faults; }
+    // Entries that any replica has ever applied, keyed by index.
+    const std::map<std::uint64_t, log_entry> &everApplied() const { return m_everApplied; }
+    // Violated invariants so far.
+    const std::vector<std::string> &violations() const { return m_violations; }
 
-    std::string firstFault() const { return m_faults.empty() ? "" : m_faults.front(); }
+    std::string firstViolation() const { return m_violations.empty() ? "" : m_violations.front(); }
 
-    // Folds everything applied into a snapshot.
+    // Takes a snapshot of all applied entries.
     void compact(std::size_t i)
     {
-        node &folded = m_nodes.at(i);
+        node &compacted = m_nodes.at(i);
         std::vector<log_entry> entries;
-        for (auto it = folded.applied.begin(); it != folded.applied.end(); ++it) {
+        for (auto it = compacted.applied.begin(); it != compacted.applied.end(); ++it) {
             if (it->second.kind == entry_kind::ticket)
                 entries.push_back(it->second);
         }
-        give(i, snapshot_taken {folded.state.commit, encodeEntries(entries)});
+        dispatch(i, snapshot_taken {compacted.state.commit, encodeEntries(entries)});
     }
 
 private:
@@ -222,15 +223,15 @@
         return m_names.size();
     }
 
-    void post(std::size_t from, const peer_envelope &envelope)
+    void send(std::size_t from, const peer_envelope &envelope)
     {
         const std::size_t to = indexOf(envelope.to.node);
-        if (m_cut.count({from, to}) != 0 || m_random() % 100 < m_noise)
+        if (m_blockedLinks.count({from, to}) != 0 || m_random() % 100 < m_faultPercent)
             return;
-        const std::size_t copies = m_random() % 100 < m_noise ? 2 : 1;
+        const std::size_t copies = m_random() % 100 < m_faultPercent ? 2 : 1;
         for (std::size_t i = 0; i < copies; ++i) {
             const std::int64_t delay
-                = 1 + static_cast<std::int64_t>(m_random() % (10 + 4 * m_noise));
+                = 1 + static_cast<std::int64_t>(m_random() % (10 + 4 * m_faultPercent));
             m_inFlight.push_back({m_now + base::clock_time::ofMillis(delay), to, envelope});
         }
     }
@@ -245,18 +246,18 @@
             it = next;
         }
         for (const in_flight_message &message : due)
-            give(message.to, message.envelope);
+            dispatch(message.to, message.envelope);
     }
 
     bool perform(std::size_t i, const replica_action &action)
     {
         node &self = m_nodes.at(i);
         if (const peer_envelope *envelope = std::get_if<peer_envelope>(&action))
-            post(i, *envelope);
+            send(i, *envelope);
         else if (const commit_entries *committed = std::get_if<commit_entries>(&action))
             apply(self, committed->entries);
         else if (const std::optional<base::error> failure = persist(self, action)) {
-            give(i, storage_failure {*failure});
+            dispatch(i, storage_failure {*failure});
             return false;
         }
         if (const persist_snapshot *taken = std::get_if<persist_snapshot>(&action)) {
@@ -266,16 +267,16 @@
         return true;
     }
 
-    // Writes what is to be written; anything else is kept as a notice.
+    // Persists the action if it is a write; otherwise records it as a notice.
     static std::optional<base::error> persist(node &self, const replica_action &action)
     {
         using outcome = std::optional<base::error>;
         return std::visit(
             base::overloaded {
-                [&](const hard_state &wanted) { return self.storage->persist(wanted); },
-                [&](const truncate_log &wanted) { return self.storage->persist(wanted); },
-                [&](const persist_entries &wanted) { return self.storage->persist(wanted); },
-                [&](const persist_snapshot &wanted) { return self.storage->persist(wanted); },
+                [&](const hard_state &write) { return self.storage->persist(write); },
+                [&](const truncate_log &write) { return self.storage->persist(write); },
+                [&](const persist_entries &write) { return self.storage->persist(write); },
+                [&](const persist_snapshot &write) { return self.storage->persist(write); },
                 [&](const auto &notice) {
                     self.notices.emplace_back(notice);
                     return outcome();
@@ -290,21 +291,22 @@
         const base::result<std::vector<log_entry>> entries = decodeEntries(taken.entries);
         for (const log_entry &entry : base::valueOf(entries))
             self.applied.emplace(entry.index.value(), entry);
-        for (auto it = m_accepted.begin(); it != m_accepted.end(); ++it) {
+        for (auto it = m_everApplied.begin(); it != m_everApplied.end(); ++it) {
             const bool isCovered
                 = it->first <= taken.index.value() && it->second.kind == entry_kind::ticket;
             if (isCovered && self.applied.count(it->first) == 0)
-                m_faults.push_back(self.name + ": snapshot lacks " + std::to_string(it->first));
+                m_violations.push_back(self.name + ": snapshot is missing entry "
+                                       + std::to_string(it->first));
         }
     }
 
     void apply(node &self, const std::vector<log_entry> &entries)
     {
         for (const log_entry &entry : entries) {
-            const auto [known, isNew] = m_accepted.emplace(entry.index.value(), entry);
+            const auto [known, isNew] = m_everApplied.emplace(entry.index.value(), entry);
             if (!isNew && known->second != entry)
-                m_faults.push_back(self.name + ": other content at "
-                                   + std::to_string(entry.index.value()));
+                m_violations.push_back(self.name + ": conflicting entry at "
+                                       + std::to_string(entry.index.value()));
             self.applied.emplace(entry.index.value(), entry);
         }
     }
@@ -314,11 +316,11 @@
     std::vector<std::string> m_names;
     std::deque<node> m_nodes;
     std::map<std::size_t, memory_files> m_crashed;
-    std::set<std::pair<std::size_t, std::size_t>> m_cut;
+    std::set<std::pair<std::size_t, std::size_t>> m_blockedLinks;
     std::list<in_flight_message> m_inFlight;
-    std::map<std::uint64_t, log_entry> m_accepted;
-    std::vector<std::string> m_faults;
-    std::uint32_t m_noise = 0;
+    std::map<std::uint64_t, log_entry> m_everApplied;
+    std::vector<std::string> m_violations;
+    std::uint32_t m_faultPercent = 0;
     std::uint64_t m_lastStorage = 0;
     base::clock_time m_now = base::clock_time::ofSeconds(1000);
 };
--- a/lycheeshunt/replication/open_group_test.cpp
+++ b/lycheeshunt/replication/open_group_test.cpp
@@ -1,5 +1,5 @@
-// Control groups that find their members from seeds: a table of cases, driven without sockets and
-// disks. A VM that loses its disk comes back with another identity.
+// Open control groups, which discover their members through seeds, simulated without sockets and
+// disks. A VM that loses its disk restarts with a new storage identity.
 
 #include "lycheeshunt/replication/decision.h"
 
@@ -33,7 +33,7 @@
         std::vector<log_entry> committed = {};
     };
 
-    struct posted
+    struct in_flight_message
     {
         std::size_t from;
         base::endpoint to;
@@ -41,8 +41,8 @@
     };
 
     std::map<std::size_t, vm> vms;
-    std::deque<posted> mail;
-    std::set<std::pair<std::size_t, std::size_t>> cut;
+    std::deque<in_flight_message> inFlight;
+    std::set<std::pair<std::size_t, std::size_t>> blockedLinks;
     std::uint64_t lastStorage = 0;
     std::int64_t now = 0;
 
@@ -70,8 +70,8 @@
                         static_cast<std::uint32_t>(number), base::clock_time::ofMillis(now)))});
     }
 
-    // With its disk as it was.
-    void startAgain(std::size_t number)
+    // Restarts the VM with the contents of its disk.
+    void restart(std::size_t number)
     {
         const replica_state &before = *vms.at(number).state;
         const recovered_storage disk {
@@ -83,7 +83,7 @@
         vms.at(number).isUp = true;
     }
 
-    void give(std::size_t number, const replica_message &message)
+    void dispatch(std::size_t number, const replica_message &message)
     {
         vm &self = vms.at(number);
         base::step<replica_state, replica_action> next
@@ -95,30 +95,31 @@
 
     void carryOut(std::size_t number, vm & self, const replica_action &action)
     {
-        if (const send_to_address *greeting = std::get_if<send_to_address>(&action)) {
-            mail.push_back(posted {number, greeting->to, greeting->envelope});
-        } else if (const set_peer_address *located = std::get_if<set_peer_address>(&action)) {
-            self.addresses.erase(located->node);
-            self.addresses.emplace(located->node, located->streams);
+        if (const send_to_address *addressed = std::get_if<send_to_address>(&action)) {
+            inFlight.push_back(in_flight_message {number, addressed->to, addressed->envelope});
+        } else if (const set_peer_address *update = std::get_if<set_peer_address>(&action)) {
+            self.addresses.erase(update->node);
+            self.addresses.emplace(update->node, update->streams);
         } else if (const peer_envelope *envelope = std::get_if<peer_envelope>(&action)) {
             const auto known = self.addresses.find(envelope->to.node);
             if (known != self.addresses.end())
-                mail.push_back(posted {number, known->second, *envelope});
-        } else if (const commit_entries *done = std::get_if<commit_entries>(&action)) {
-            for (const log_entry &entry : done->entries)
+                inFlight.push_back(in_flight_message {number, known->second, *envelope});
+        } else if (const commit_entries *committed = std::get_if<commit_entries>(&action)) {
+            for (const log_entry &entry : committed->entries)
                 self.committed.push_back(entry);
         }
     }
 
     void deliver()
     {
-        std::deque<posted> round;
-        round.swap(mail);
-        for (const posted &letter : round) {
-            const std::size_t to = letter.to.address - 0x0a000000;
+        std::deque<in_flight_message> due;
+        due.swap(inFlight);
+        for (const in_flight_message &message : due) {
+            const std::size_t to = message.to.address - 0x0a000000;
             const auto receiver = vms.find(to);
-            if (receiver != vms.end() && receiver->second.isUp && cut.count({letter.from, to}) == 0)
-                give(to, letter.envelope);
+            if (receiver != vms.end() && receiver->second.isUp
+                && blockedLinks.count({message.from, to}) == 0)
+                dispatch(to, message.envelope);
         }
     }
 
@@ -127,7 +128,7 @@
         for (const std::int64_t until = now + millis; now < until; now += tickMillis) {
             for (auto it = vms.begin(); it != vms.end(); ++it) {
                 if (it->second.isUp)
-                    give(it->first, replica_tick {});
+                    dispatch(it->first, replica_tick {});
             }
             for (int hop = 0; hop < 4; ++hop)
                 deliver();
@@ -144,45 +145,45 @@
         return found;
     }
 
-    std::size_t voters(std::size_t number) const
+    std::size_t voterCountOf(std::size_t number) const
     {
         const replica_state &state = *vms.at(number).state;
         return state.isFormed() ? state.members().voterCount() : 0;
     }
 
-    void cutOff(const std::vector<std::size_t> &some)
+    void isolate(const std::vector<std::size_t> &isolated)
     {
-        for (const std::size_t one : some) {
+        for (const std::size_t member : isolated) {
             for (auto it = vms.begin(); it != vms.end(); ++it) {
-                if (std::find(some.begin(), some.end(), it->first) == some.end()) {
-                    cut.insert({one, it->first});
-                    cut.insert({it->first, one});
+                if (std::find(isolated.begin(), isolated.end(), it->first) == isolated.end()) {
+                    blockedLinks.insert({member, it->first});
+                    blockedLinks.insert({it->first, member});
                 }
             }
         }
     }
 
-    void formFive()
+    void formGroupOfFive()
     {
         for (std::size_t number = 1; number <= 5; ++number)
             start(number, true);
         run(6000);
         CHECK_EQUAL(1U, leaders().size());
-        CHECK_EQUAL(5U, voters(leaders().front()));
+        CHECK_EQUAL(5U, voterCountOf(leaders().front()));
     }
 
-    // Has a payload committed; false when the leader can't.
+    // Commits a payload; false if there is not exactly one leader or it cannot commit.
     bool commit(const std::string &payload)
     {
         if (leaders().size() != 1)
             return false;
         const std::size_t leader = leaders().front();
-        give(leader, propose_entries {{proposal {entry_kind::ticket, payload}}});
+        dispatch(leader, propose_entries {{proposal {entry_kind::ticket, payload}}});
         run(300);
-        return holds(leader, payload);
+        return hasCommitted(leader, payload);
     }
 
-    bool holds(std::size_t number, const std::string &payload) const
+    bool hasCommitted(std::size_t number, const std::string &payload) const
     {
         for (const log_entry &entry : vms.at(number).committed) {
             if (entry.payload == payload)
@@ -192,7 +193,7 @@
     }
 };
 
-TEST(open_group, seedsFoundOneGroupInWhateverOrderTheyStartAndTheOthersJoin)
+TEST(open_group, seedsBootstrapOneGroupInAnyStartOrderAndOthersJoin)
 {
     start(4, true);
     run(700);
@@ -205,34 +206,35 @@
     start(1, true);
     run(6000);
     CHECK_EQUAL(1U, leaders().size());
-    CHECK_EQUAL(5U, voters(leaders().front()));
+    CHECK_EQUAL(5U, voterCountOf(leaders().front()));
 }
 
-// After a power loss of all VMs the group serves as soon as a quorum is up; those that were up
-// before have asked for votes in vain by then.
-TEST(open_group, whereAllHaveRestartedAQuorumElectsAtOnce)
+// After a power loss of all VMs, a leader must be elected within 300 ms of the start of the VM that
+// completes the quorum. The VMs that started earlier have failed pre-votes behind them and must not
+// wait for a long election timeout.
+TEST(open_group, quorumElectsAtOnceAfterAllHaveRestarted)
 {
-    formFive();
+    formGroupOfFive();
     for (int round = 0; round < 10; ++round) {
         for (auto it = vms.begin(); it != vms.end(); ++it)
             it->second.isUp = false;
         run(500);
-        startAgain(1);
-        startAgain(2);
+        restart(1);
+        restart(2);
         run(1000);
         CHECK(leaders().empty());
-        startAgain(3 + static_cast<std::size_t>(round) % 3);
+        restart(3 + static_cast<std::size_t>(round) % 3);
         run(300);
         CHECK_EQUAL(1U, leaders().size());
         for (std::size_t number = 1; number <= 5; ++number) {
             if (!vms.at(number).isUp)
-                startAgain(number);
+                restart(number);
         }
         run(1000);
     }
 }
 
-TEST(open_group, anEmptyVmThatReplacesAnotherNeverFoundsAGroup)
+TEST(open_group, replacementVmsWithEmptyDisksNeverBootstrapAGroup)
 {
     for (std::size_t number = 1; number <= 3; ++number)
         start(number, false);
@@ -242,55 +244,55 @@
         CHECK_FALSE(vms.at(number).state->isFormed());
 }
 
-TEST(open_group, theGroupGrowsToNine)
+TEST(open_group, groupGrowsToNine)
 {
-    formFive();
+    formGroupOfFive();
     for (std::size_t number = 6; number <= 9; ++number)
         start(number, false);
     run(8000);
-    CHECK_EQUAL(9U, voters(leaders().front()));
+    CHECK_EQUAL(9U, voterCountOf(leaders().front()));
 }
 
-TEST(open_group, aVmWhoseSeedsAreAllGoneIsStillFoundByTheOthers)
+TEST(open_group, vmJoinsThroughAMemberThatIsNotASeed)
 {
-    formFive();
-    // The seeds that the newcomer knows are not members; member 5 was told of the newcomer.
+    formGroupOfFive();
+    // The new VM knows only VM 4, a member that is not a seed; the others learn of it as a contact.
     start(6, false, {4});
     run(4000);
-    CHECK_EQUAL(6U, voters(leaders().front()));
+    CHECK_EQUAL(6U, voterCountOf(leaders().front()));
 }
 
-TEST(open_group, aVmThatIsReplacedAtAnotherAddressLeavesTheQuorum)
+TEST(open_group, vmReplacedAtAnotherAddressLeavesTheQuorum)
 {
-    formFive();
+    formGroupOfFive();
     for (std::size_t round = 0; round < 4; ++round) {
         vms.at(round + 1).isUp = false;
         run(500);
         start(6 + round, false, {2, 3, 5});
         run(9000);
         CHECK_EQUAL(1U, leaders().size());
-        CHECK_EQUAL(5U, voters(leaders().front()));
+        CHECK_EQUAL(5U, voterCountOf(leaders().front()));
         CHECK(commit("after replacement " + std::to_string(round)));
     }
 }
 
-TEST(open_group, aSilentVmIsTakenBackWhenItReturns)
+TEST(open_group, unresponsiveVmIsRemovedAndJoinsAgainOnReturn)
 {
-    formFive();
-    const std::size_t silent = leaders().front() == 5 ? 4 : 5;
-    cutOff({silent});
+    formGroupOfFive();
+    const std::size_t unresponsive = leaders().front() == 5 ? 4 : 5;
+    isolate({unresponsive});
     run(8000);
-    CHECK_EQUAL(4U, voters(leaders().front()));
+    CHECK_EQUAL(4U, voterCountOf(leaders().front()));
     CHECK(commit("while it was away"));
-    cut.clear();
+    blockedLinks.clear();
     run(4000);
-    CHECK_EQUAL(5U, voters(leaders().front()));
-    CHECK(holds(silent, "while it was away"));
+    CHECK_EQUAL(5U, voterCountOf(leaders().front()));
+    CHECK(hasCommitted(unresponsive, "while it was away"));
 }
 
-TEST(open_group, theGroupNeverShrinksBelowWhatADiskLossMayTake)
+TEST(open_group, groupNeverShrinksBelowTheToleratedDiskLosses)
 {
-    formFive();
+    formGroupOfFive();
     const std::size_t leader = leaders().front();
     std::size_t down = 0;
     for (std::size_t number = 1; number <= 5 && down < 2; ++number) {
@@ -300,7 +302,7 @@
         }
     }
     run(12'000);
-    CHECK_EQUAL(3U, voters(leader));
+    CHECK_EQUAL(3U, voterCountOf(leader));
     for (std::size_t number = 1; number <= 5; ++number) {
         if (number != leader && vms.at(number).isUp && down < 3) {
             vms.at(number).isUp = false;
@@ -308,76 +310,77 @@
         }
     }
     run(12'000);
-    CHECK_EQUAL(3U, voters(leader));
+    CHECK_EQUAL(3U, voterCountOf(leader));
 }
 
-TEST(open_group, aWipedDiskComesBackAsANewVoterAndNothingIsLost)
+TEST(open_group, vmWithErasedDiskBecomesAVoterAgainAndNothingIsLost)
 {
-    formFive();
+    formGroupOfFive();
     CHECK(commit("before"));
     const std::size_t leader = leaders().front();
     start(leader, false);
     run(8000);
     CHECK_EQUAL(1U, leaders().size());
-    CHECK_EQUAL(5U, voters(leaders().front()));
-    CHECK(holds(leaders().front(), "before"));
+    CHECK_EQUAL(5U, voterCountOf(leaders().front()));
+    CHECK(hasCommitted(leaders().front(), "before"));
     run(2000);
-    CHECK(holds(leader, "before"));
+    CHECK(hasCommitted(leader, "before"));
 }
 
-// Two were cut off and missed a change; of the three that have it one loses its disk and the others
-// lose power, and then the cut heals.
-TEST(open_group, thoseThatAreBehindElectNobodyWithAnEmptyDisk)
+// Two VMs are partitioned off and miss an entry. Of the three that have it, one loses its disk and
+// the other two lose power; then the partition heals. The two VMs that lag behind and the empty
+// disk must not elect a leader, which would lose the entry.
+TEST(open_group, laggingVmsAndAnEmptyDiskElectNoLeader)
 {
-    formFive();
+    formGroupOfFive();
     const std::size_t leader = leaders().front();
-    std::vector<std::size_t> behind;
+    std::vector<std::size_t> lagging;
     std::vector<std::size_t> ahead;
     for (std::size_t number = 1; number <= 5; ++number)
-        (number != leader && behind.size() < 2 ? behind : ahead).push_back(number);
-    cutOff(behind);
+        (number != leader && lagging.size() < 2 ? lagging : ahead).push_back(number);
+    isolate(lagging);
     run(200);
     CHECK(commit("missed by two"));
     start(ahead.front(), false);
     vms.at(ahead[1]).isUp = false;
     vms.at(ahead[2]).isUp = false;
-    cut.clear();
+    blockedLinks.clear();
     run(10'000);
     CHECK(leaders().empty());
     vms.at(ahead[1]).isUp = true;
     vms.at(ahead[2]).isUp = true;
     run(8000);
     CHECK_EQUAL(1U, leaders().size());
-    CHECK(holds(leaders().front(), "missed by two"));
-    for (const std::size_t number : behind)
-        CHECK(holds(number, "missed by two"));
+    CHECK(hasCommitted(leaders().front(), "missed by two"));
+    for (const std::size_t number : lagging)
+        CHECK(hasCommitted(number, "missed by two"));
 }
 
-TEST(open_group, halvesHaveOneLeaderAtMostAndTheLargerGoesOn)
+TEST(open_group, onlyTheLargerSideOfAPartitionHasALeader)
 {
-    formFive();
+    formGroupOfFive();
     const std::size_t leader = leaders().front();
     const std::size_t other = leader == 1 ? 2 : 1;
-    cutOff({leader, other});
+    isolate({leader, other});
     run(6000);
     CHECK_EQUAL(1U, leaders().size());
     CHECK(leaders().front() != leader);
     CHECK(commit("on the larger side"));
-    cut.clear();
+    blockedLinks.clear();
     run(6000);
     CHECK_EQUAL(1U, leaders().size());
-    CHECK(holds(leader, "on the larger side"));
+    CHECK(hasCommitted(leader, "on the larger side"));
 }
 
-TEST(open_group, aLeaderThatHearsNobodyGivesUpAndIsReplaced)
+TEST(open_group, leaderWithoutInboundMessagesIsReplaced)
 {
-    formFive();
-    const std::size_t deaf = leaders().front();
+    formGroupOfFive();
+    const std::size_t unreachable = leaders().front();
     for (std::size_t number = 1; number <= 5; ++number) {
-        if (number != deaf)
-            cut.insert({number, deaf});
+        if (number != unreachable)
+            blockedLinks.insert({number, unreachable});
     }
     run(6000);
     CHECK_EQUAL(1U, leaders().size());
-    CHECK(leaders().front() != deaf);
+    CHECK(leaders().front() != unreachable);
 }
--- a/lycheeshunt/replication/peer_codec_test.cpp
+++ b/lycheeshunt/replication/peer_codec_test.cpp
@@ -16,7 +16,7 @@
 
 TEST_GROUP(peer_codec) {};
 
-TEST(peer_codec, everyMessageComesBackAsItWas)
+TEST(peer_codec, everyMessageSurvivesEncodingAndDecoding)
 {
     const log_entry entry {base::generation(8), 2, entry_kind::ticket,
                            base::clock_time::ofMillis(5), "payload"};
@@ -41,23 +41,23 @@
     }
 }
 
-TEST(peer_codec, bytesCutShortAreRefusedAtEveryLength)
+TEST(peer_codec, truncatedBytesAreRefusedAtEveryLength)
 {
-    const std::string whole
+    const std::string encoded
         = encodeEnvelope(peer_envelope {sender, receiver, vote_answer {3, 4, true, true}});
-    for (std::size_t length = 0; length < whole.size(); ++length)
-        CHECK(!base::isOk(decodeEnvelope(std::string_view(whole).substr(0, length))));
+    for (std::size_t length = 0; length < encoded.size(); ++length)
+        CHECK(!base::isOk(decodeEnvelope(std::string_view(encoded).substr(0, length))));
 }
 
 TEST(peer_codec, sizeAndVersionAreCheckedFirst)
 {
     const base::result<peer_envelope> large = decodeEnvelope(std::string(3 * 1024 * 1024, 'x'));
     CHECK(base::errorOf(large)->code == base::error_code::messageTooLarge);
-    std::string later
+    std::string laterVersion
         = encodeEnvelope(peer_envelope {sender, receiver, vote_answer {3, 4, true, true}});
-    // After the byte that opens an array of seven comes the version.
-    later.at(1) = 2;
-    const base::result<peer_envelope> refused = decodeEnvelope(later);
+    // Byte 0 is the header of an array of seven elements; the first element is the version.
+    laterVersion.at(1) = 2;
+    const base::result<peer_envelope> refused = decodeEnvelope(laterVersion);
     CHECK(base::errorOf(refused)->code == base::error_code::messageVersion);
 }
 
--- a/lycheeshunt/replication/replica_storage_test.cpp
+++ b/lycheeshunt/replication/replica_storage_test.cpp
@@ -25,9 +25,10 @@
     return std::get<memory_files>(storage.files());
 }
 
-constexpr std::uint64_t snapshotAt = 4;
+constexpr std::uint64_t snapshotIndex = 4;
 
-// Writes a fixed series up to the first failure and tells what was acknowledged.
+// Writes a fixed series up to the first failure. Sets the last entry and term that were
+// acknowledged.
 void writeSeries(replica_storage &storage, std::uint64_t &lastEntry, std::uint64_t &lastTerm)
 {
     const replica_id self {base::node_id(1), storage_id(77)};
@@ -38,22 +39,22 @@
         if (storage.persist(persist_entries {{entryOf(index, index)}}))
             return;
         lastEntry = index;
-        const bool isDue = index == snapshotAt;
+        const bool isDue = index == snapshotIndex;
         const persist_snapshot taken {std::make_shared<const snapshot>(snapshot {
-            base::generation(snapshotAt), snapshotAt, {}, encodeEntries({entryOf(1, 1)})})};
+            base::generation(snapshotIndex), snapshotIndex, {}, encodeEntries({entryOf(1, 1)})})};
         if (isDue && storage.persist(taken))
             return;
     }
 }
 
-std::uint64_t lastHeld(const recovered_storage &recovered)
+std::uint64_t lastIndexOf(const recovered_storage &recovered)
 {
     if (!recovered.entries.empty())
         return recovered.entries.back().index.value();
     return recovered.snapshot ? recovered.snapshot->index.value() : 0;
 }
 
-memory_files writtenFiles()
+memory_files filesWithThreeEntries()
 {
     base::result<replica_storage> opened = openFiles(memory_files());
     replica_storage storage = base::takeValue(std::move(opened));
@@ -74,10 +75,10 @@
 
 TEST_GROUP(replica_storage) {};
 
-TEST(replica_storage, whatWasSyncedSurvivesACrashAtEveryStep)
+TEST(replica_storage, syncedDataSurvivesACrashAtEveryStep)
 {
-    base::result<replica_storage> whole = openFiles(memory_files());
-    replica_storage complete = base::takeValue(std::move(whole));
+    base::result<replica_storage> unlimited = openFiles(memory_files());
+    replica_storage complete = base::takeValue(std::move(unlimited));
     std::uint64_t ignored = 0;
     writeSeries(complete, ignored, ignored);
     const std::uint64_t steps = filesOf(complete).steps();
@@ -100,15 +101,15 @@
             const recovered_storage &recovered = base::valueOf(again).recovered();
             CHECK(recovered.storage == storage_id(77));
             CHECK(recovered.hard.term >= lastTerm);
-            CHECK(lastHeld(recovered) >= lastEntry);
-            CHECK(lastHeld(recovered) <= lastEntry + 1);
+            CHECK(lastIndexOf(recovered) >= lastEntry);
+            CHECK(lastIndexOf(recovered) <= lastEntry + 1);
         }
     }
 }
 
-TEST(replica_storage, aTornTailIsCutOffAtEveryLength)
+TEST(replica_storage, tornTailIsTruncatedAtEveryLength)
 {
-    const memory_files files = writtenFiles();
+    const memory_files files = filesWithThreeEntries();
     const std::size_t length = base::valueOf(files.read(segmentName)).size();
     LONGS_EQUAL(3 * recordSize(), length);
     for (std::size_t kept = 0; kept <= length; ++kept) {
@@ -116,14 +117,14 @@
         torn.truncate(segmentName, kept);
         const base::result<replica_storage> opened = openFiles(torn);
         CHECK(base::isOk(opened));
-        LONGS_EQUAL(kept / recordSize(), lastHeld(base::valueOf(opened).recovered()));
+        LONGS_EQUAL(kept / recordSize(), lastIndexOf(base::valueOf(opened).recovered()));
         LONGS_EQUAL(kept % recordSize(), base::valueOf(opened).recovered().tornBytes);
     }
 }
 
-TEST(replica_storage, anyChangedByteIsRefusedAndNothingIsSkipped)
+TEST(replica_storage, anyCorruptedByteIsRefusedAndNoRecordIsSkipped)
 {
-    const memory_files files = writtenFiles();
+    const memory_files files = filesWithThreeEntries();
     const std::size_t length = base::valueOf(files.read(segmentName)).size();
     for (std::size_t offset = 0; offset < length; ++offset) {
         memory_files damaged = files.afterCrash(crash_loss::nothing);
@@ -134,30 +135,30 @@
     }
 }
 
-TEST(replica_storage, aChangedByteInIdentityOrVoteIsRefused)
+TEST(replica_storage, corruptedIdentityOrVoteIsRefused)
 {
     for (const char *name : {"identity", "vote"}) {
-        memory_files damaged = writtenFiles();
+        memory_files damaged = filesWithThreeEntries();
         damaged.flipByte(name, base::valueOf(damaged.read(name)).size() - 1);
         CHECK(!base::isOk(openFiles(damaged)));
     }
-    memory_files lost = writtenFiles();
-    lost.remove("identity");
-    CHECK(!base::isOk(openFiles(lost)));
+    memory_files withoutIdentity = filesWithThreeEntries();
+    withoutIdentity.remove("identity");
+    CHECK(!base::isOk(openFiles(withoutIdentity)));
 }
 
-TEST(replica_storage, sectorsThatWereNeverWrittenAreATornTail)
+TEST(replica_storage, unwrittenSectorsAreTreatedAsATornTail)
 {
-    memory_files files = writtenFiles();
+    memory_files files = filesWithThreeEntries();
     files.append(segmentName, std::string(4096, '\0'));
     const base::result<replica_storage> opened = openFiles(files);
     CHECK(base::isOk(opened));
-    LONGS_EQUAL(3, lastHeld(base::valueOf(opened).recovered()));
+    LONGS_EQUAL(3, lastIndexOf(base::valueOf(opened).recovered()));
 }
 
-TEST(replica_storage, truncationAndNewEntriesAreKept)
+TEST(replica_storage, truncationAndLaterEntriesArePersistent)
 {
-    base::result<replica_storage> opened = openFiles(writtenFiles());
+    base::result<replica_storage> opened = openFiles(filesWithThreeEntries());
     replica_storage storage = base::takeValue(std::move(opened));
     storage.persist(hard_state {2, {}});
     storage.persist(truncate_log {base::generation(2)});
@@ -168,7 +169,7 @@
     CHECK(base::valueOf(again).recovered().entries == expected);
 }
 
-TEST(replica_storage, aFailureIsFinal)
+TEST(replica_storage, failureIsReturnedByAllLaterCalls)
 {
     base::result<replica_storage> opened = openFiles(memory_files());
     replica_storage storage = base::takeValue(std::move(opened));
