--- a/lycheeshunt/replication/configuration.h
+++ b/lycheeshunt/replication/configuration.h
@@ -38,15 +38,15 @@
 
     bool isQuorum(std::size_t votes) const { return votes > voterCount() / 2; }
 
-    // Copy in which `wanted` is added or replaces the member of the same name.
-    configuration with(const configuration_member &wanted) const
+    // Copy in which `changed` is added or replaces the member of the same name.
+    configuration with(const configuration_member &changed) const
     {
         std::vector<configuration_member> next;
         for (const configuration_member &member : members) {
-            if (member.name != wanted.name)
+            if (member.name != changed.name)
                 next.push_back(member);
         }
-        next.push_back(wanted);
+        next.push_back(changed);
         return configuration {std::move(next)};
     }
 
--- a/lycheeshunt/replication/disk_files.cpp
+++ b/lycheeshunt/replication/disk_files.cpp
@@ -89,9 +89,9 @@
 int disk_files::descriptorOf(const std::string &name)
 {
     constexpr mode_t fileMode = 0600;
-    const auto known = m_open.find(name);
-    if (known != m_open.end())
-        return known->second.get();
+    const auto openFile = m_open.find(name);
+    if (openFile != m_open.end())
+        return openFile->second.get();
     base::file_descriptor opened(
         ::open(pathOf(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, fileMode));
     const int descriptor = opened.get();
--- a/lycheeshunt/replication/duty_recovery_test.cpp
+++ b/lycheeshunt/replication/duty_recovery_test.cpp
@@ -45,12 +45,12 @@
                                }});
     }
 
-    template <typename wanted>
-    wanted await()
+    template <typename notice_type>
+    notice_type await()
     {
         while (true) {
             const std::optional<replication_notice> notice = notices.pop();
-            if (const wanted *found = std::get_if<wanted>(&*notice))
+            if (const notice_type *found = std::get_if<notice_type>(&*notice))
                 return *found;
         }
     }
--- a/lycheeshunt/replication/group_test.h
+++ b/lycheeshunt/replication/group_test.h
@@ -303,8 +303,8 @@
     void apply(node &self, const std::vector<log_entry> &entries)
     {
         for (const log_entry &entry : entries) {
-            const auto [known, isNew] = m_everApplied.emplace(entry.index.value(), entry);
-            if (!isNew && known->second != entry)
+            const auto [entryAtIndex, isNew] = m_everApplied.emplace(entry.index.value(), entry);
+            if (!isNew && entryAtIndex->second != entry)
                 m_violations.push_back(self.name + ": conflicting entry at "
                                        + std::to_string(entry.index.value()));
             self.applied.emplace(entry.index.value(), entry);
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -41,18 +41,18 @@
 // Addresses of members and of VMs heard from recently, announced to others as contacts.
 std::set<base::endpoint> knownContacts(const replica_state &state)
 {
-    std::set<base::endpoint> known;
+    std::set<base::endpoint> contacts;
     if (state.isFormed()) {
         for (const configuration_member &member : state.members().members)
-            known.insert(member.streams);
+            contacts.insert(member.streams);
     }
     for (auto it = state.presences.begin(); it != state.presences.end(); ++it) {
         if (state.now - it->second.heardAt <= state.settings->timing.presenceTimeout)
-            known.insert(it->second.streams);
+            contacts.insert(it->second.streams);
     }
-    known.erase(base::endpoint {});
-    known.erase(state.settings->streams);
-    return known;
+    contacts.erase(base::endpoint {});
+    contacts.erase(state.settings->streams);
+    return contacts;
 }
 
 void announceToContacts(replica_context context)
@@ -62,8 +62,8 @@
                   [&](const std::pair<const base::endpoint, base::clock_time> &row) {
                       return state.now - row.second > contactTimeout;
                   });
-    const std::set<base::endpoint> known = knownContacts(state);
-    std::set<base::endpoint> targets = known;
+    const std::set<base::endpoint> contacts = knownContacts(state);
+    std::set<base::endpoint> targets = contacts;
     targets.insert(state.settings->seeds.begin(), state.settings->seeds.end());
     for (auto it = state.contacts.begin(); it != state.contacts.end(); ++it)
         targets.insert(it->first);
@@ -76,7 +76,7 @@
                         state.settings->api,
                         state.settings->name,
                         state.settings->streams,
-                        {known.begin(), known.end()}};
+                        {contacts.begin(), contacts.end()}};
     for (const base::endpoint &to : targets)
         context.actions.emplace_back(send_to_address {to, peer_envelope {state.id(), {}, own}});
 }
@@ -127,8 +127,8 @@
         const peer_presence *peer = freshPresence(state, it->first);
         if (peer == nullptr || peer->name.empty())
             continue;
-        const configuration_member *known = state.members().find(it->first);
-        if (known == nullptr || known->storage != peer->storage)
+        const configuration_member *current = state.members().find(it->first);
+        if (current == nullptr || current->storage != peer->storage)
             return configuration_member {peer->name, peer->storage, false, peer->streams};
     }
     return std::nullopt;
@@ -168,8 +168,8 @@
         const peer_presence *peer = freshPresence(state, base::nodeIdOf(name));
         if (peer == nullptr)
             continue;
-        const configuration_member *known = state.members().find(base::nodeIdOf(name));
-        if (known == nullptr || known->storage != peer->storage)
+        const configuration_member *current = state.members().find(base::nodeIdOf(name));
+        if (current == nullptr || current->storage != peer->storage)
             return configuration_member {name, peer->storage, false};
     }
     return std::nullopt;
@@ -195,8 +195,8 @@
     if (entry.kind != entry_kind::configuration)
         return;
     const base::result<configuration> members = decodeConfiguration(entry.payload);
-    if (const configuration *known = std::get_if<configuration>(&members))
-        state.configurations.push_back(indexed_configuration {entry.index, *known});
+    if (const configuration *decoded = std::get_if<configuration>(&members))
+        state.configurations.push_back(indexed_configuration {entry.index, *decoded});
 }
 
 void removeConfigurationsFrom(replica_state &state, base::generation from)
--- a/lycheeshunt/replication/internal/reads.cpp
+++ b/lycheeshunt/replication/internal/reads.cpp
@@ -26,10 +26,10 @@
 {
     if (const failed_role *failed = std::get_if<failed_role>(&state.role))
         return base::error {failed->code, failed->detail};
-    const leadership known = leadershipOf(state);
-    if (known.leaderName.empty())
+    const leadership current = leadershipOf(state);
+    if (current.leaderName.empty())
         return base::error {base::error_code::quorumLost, "no leader is known"};
-    return base::error {base::error_code::notLeader, known.leaderText()};
+    return base::error {base::error_code::notLeader, current.leaderText()};
 }
 
 void handleReadRequest(replica_context context, const read_request &read)
--- a/lycheeshunt/replication/memory_files.h
+++ b/lycheeshunt/replication/memory_files.h
@@ -51,7 +51,7 @@
     struct content
     {
         std::string bytes;
-        // Contents at the last sync, which survive every crash.
+        // Contents at the last sync, which a crash does not lose.
         std::string synced;
     };
 
--- a/lycheeshunt/replication/peer_links.cpp
+++ b/lycheeshunt/replication/peer_links.cpp
@@ -42,25 +42,25 @@
 
 peer_links::link &peer_links::linkTo(const base::endpoint &to)
 {
-    std::unique_ptr<link> &known = m_links[to];
-    if (known)
-        return *known;
-    known = std::make_unique<link>();
-    link *raw = known.get();
-    const streams::stream_sink sink = [raw](const streams::stream_event &event) {
+    std::unique_ptr<link> &slot = m_links[to];
+    if (slot)
+        return *slot;
+    slot = std::make_unique<link>();
+    link *created = slot.get();
+    const streams::stream_sink sink = [created](const streams::stream_event &event) {
         std::visit(base::overloaded {
-                       [raw](const streams::stream_opened &opened) {
-                           raw->connection = opened.connection.value();
+                       [created](const streams::stream_opened &opened) {
+                           created->connection = opened.connection.value();
                        },
-                       [raw](const streams::stream_closed &) { raw->connection = 0; },
+                       [created](const streams::stream_closed &) { created->connection = 0; },
                        // Ignored: the peer answers on its own stream to this process.
                        [](const streams::stream_frame &) {},
                    },
                    event);
     };
-    known->client = std::make_unique<streams::stream_client>(std::vector<base::endpoint> {to},
-                                                             m_timing, m_seed++, sink);
-    return *known;
+    slot->client = std::make_unique<streams::stream_client>(std::vector<base::endpoint> {to},
+                                                            m_timing, m_seed++, sink);
+    return *slot;
 }
 
 void peer_links::sendTo(const base::endpoint &to, const peer_envelope &envelope)
--- a/lycheeshunt/replication/replica_storage.cpp
+++ b/lycheeshunt/replication/replica_storage.cpp
@@ -48,10 +48,10 @@
     if (!base::isOk(head))
         return corrupt(snapshotName);
     const auto &[index, term, members] = base::valueOf(head);
-    const base::result<configuration> known = decodeConfiguration(members);
-    if (!base::isOk(known))
+    const base::result<configuration> decoded = decodeConfiguration(members);
+    if (!base::isOk(decoded))
         return corrupt(snapshotName);
-    return snapshot {base::generation(index), term, base::valueOf(known),
+    return snapshot {base::generation(index), term, base::valueOf(decoded),
                      std::string(records.bodies.back())};
 }
 
@@ -159,23 +159,23 @@
     const base::result<std::string> bytes = internal::readFile(m_files, snapshotName);
     if (const base::error *failure = base::errorOf(bytes))
         return *failure;
-    const base::result<snapshot> known = decodeSnapshot(base::valueOf(bytes));
-    if (const base::error *failure = base::errorOf(known))
+    const base::result<snapshot> decoded = decodeSnapshot(base::valueOf(bytes));
+    if (const base::error *failure = base::errorOf(decoded))
         return *failure;
-    return std::make_shared<const snapshot>(base::valueOf(known));
+    return std::make_shared<const snapshot>(base::valueOf(decoded));
 }
 
 base::result<std::vector<log_entry>>
 replica_storage::readEntries(const std::vector<std::string> &names, const snapshot *taken)
 {
-    const base::result<std::vector<log_entry>> held = m_segments.open(m_files, names);
-    if (const base::error *failure = base::errorOf(held))
+    const base::result<std::vector<log_entry>> stored = m_segments.open(m_files, names);
+    if (const base::error *failure = base::errorOf(stored))
         return *failure;
-    base::result<std::vector<log_entry>> kept = entriesAfter(taken, base::valueOf(held));
-    if (!base::isOk(kept) || !base::valueOf(kept).empty() || base::valueOf(held).empty())
+    base::result<std::vector<log_entry>> kept = entriesAfter(taken, base::valueOf(stored));
+    if (!base::isOk(kept) || !base::valueOf(kept).empty() || base::valueOf(stored).empty())
         return kept;
     if (const std::optional<base::error> failure
-        = m_segments.dropUpTo(m_files, base::valueOf(held).back().index))
+        = m_segments.dropUpTo(m_files, base::valueOf(stored).back().index))
         return *failure;
     return kept;
 }
--- a/lycheeshunt/replication/replication_duty.cpp
+++ b/lycheeshunt/replication/replication_duty.cpp
@@ -84,8 +84,8 @@
                 step(*next);
             return;
         }
-        for (const proposal &wanted : further->proposals)
-            batch.push_back(wanted);
+        for (const proposal &added : further->proposals)
+            batch.push_back(added);
     }
     step(propose_entries {std::move(batch)});
 }
@@ -172,13 +172,14 @@
         return;
     m_bytesSinceSnapshot = 0;
     const shared_snapshot earlier = m_state.latestSnapshot;
-    base::result<std::vector<log_entry>> known = decodeEntries(earlier ? earlier->entries : "");
-    if (const base::error *failure = base::errorOf(known)) {
+    base::result<std::vector<log_entry>> snapshotEntries
+        = decodeEntries(earlier ? earlier->entries : "");
+    if (const base::error *failure = base::errorOf(snapshotEntries)) {
         base::logError("replication", "snapshot cannot be decoded: " + failure->text());
         m_nextSnapshot = base::generation(m_state.commit.value() + applied);
         return;
     }
-    std::vector<log_entry> entries = base::takeValue(std::move(known));
+    std::vector<log_entry> entries = base::takeValue(std::move(snapshotEntries));
     for (const log_entry &entry : m_state.log.between(start, m_state.commit))
         entries.push_back(entry);
     step(snapshot_taken {m_state.commit, encodeEntries(m_hooks.compact(entries))});
