--- a/lycheeshunt/replication/greet_contact.h
+++ b/lycheeshunt/replication/send_to_address.h
@@ -5,13 +5,14 @@
 
 namespace lycheeshunt::replication {
 
-// Send this to whichever control VM takes streams at the address; its identity may be unknown.
-struct greet_contact
+// Action: send the envelope to the control VM at this stream address, whose identity may be
+// unknown.
+struct send_to_address
 {
     const base::endpoint to;
     const peer_envelope envelope;
 
-    bool operator==(const greet_contact &) const = default;
+    bool operator==(const send_to_address &) const = default;
 };
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/locate_peer.h
+++ b/lycheeshunt/replication/set_peer_address.h
@@ -5,13 +5,13 @@
 
 namespace lycheeshunt::replication {
 
-// Messages for this control VM go to this address from now on.
-struct locate_peer
+// Action: use this address for further messages to the control VM.
+struct set_peer_address
 {
     const base::node_id node;
     const base::endpoint streams;
 
-    bool operator==(const locate_peer &) const = default;
+    bool operator==(const set_peer_address &) const = default;
 };
 
 } // namespace lycheeshunt::replication
