Flows: name lookups, forwarding and pending deliveries in the terms of the field

"held", "visit", "pass on" and "own" did not say what is stored or done. A flow whose owner is being looked up is a pending_lookup, a packet that the backend server may still return is a pending_delivery, and packets are forwarded to other agents.

rename: held_flow pending_lookup (held_flow.h is pending_lookup.h) rename: hold_purpose lookup_purpose (hold_purpose.h is lookup_purpose.h) rename: visit pending_delivery (flows::visit only; visit.h is pending_delivery.h) rename: passOn forwardTo (internal/passing.* is internal/forwarding.*) rename: serverReturns serverReturnsPackets

The rest stays within lycheeshunt/flows: rename: holdPacket startLookup rename: holdMore addToLookup rename: touchEntry refreshEntry rename: isNews hasNewPayload rename: notePeer recordPeerGeneration rename: visits pendingDeliveries rename: heldBytes lookupBytes rename: own takeOwnership (the function own(context, key, phase)) rename: held lookups (flow_state::held) rename: early earlyPackets (flow_state::early)

--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -16,7 +16,7 @@
     const std::string availabilityZone = {};
     // The backend server gives back packets of flows that it does not hold, so a packet may be
     // tried at any server without harm.
-    const bool serverReturns = false;
+    const bool serverReturnsPackets = false;
 
     bool operator==(const agent_identity &) const = default;
 };
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -23,19 +23,19 @@
     flow_state &state = context.state;
     std::visit(base::overloaded {
                    [&](const registration_batch &batch) {
-                       internal::notePeer(state, batch.owner.node, batch.at);
+                       internal::recordPeerGeneration(state, batch.owner.node, batch.at);
                        internal::handleRegistration(context, batch);
                    },
                    [&](const registration_ack &ack) {
-                       internal::notePeer(state, ack.from, ack.at);
+                       internal::recordPeerGeneration(state, ack.from, ack.at);
                        internal::handleRegistrationAck(context, ack);
                    },
                    [&](const flow_lookup &lookup) {
-                       internal::notePeer(state, lookup.asker.node, lookup.at);
+                       internal::recordPeerGeneration(state, lookup.asker.node, lookup.at);
                        internal::handleLookup(context, lookup);
                    },
                    [&](const lookup_answer &answer) {
-                       internal::notePeer(state, answer.from.node, answer.at);
+                       internal::recordPeerGeneration(state, answer.from.node, answer.at);
                        internal::handleLookupAnswer(context, answer);
                    },
                    [&](const recovery_request &request) {
@@ -58,7 +58,7 @@
     internal::ownershipTick(context);
     internal::directoryTick(context);
     internal::registrarTick(context);
-    if (context.state.identity->serverReturns) {
+    if (context.state.identity->serverReturnsPackets) {
         internal::returningTick(context);
         internal::pacingTick(context);
     }
@@ -71,7 +71,7 @@
 {
     std::vector<flow_action> actions;
     flow_context context {state, now, actions};
-    const bool returns = state.identity->serverReturns;
+    const bool returns = state.identity->serverReturnsPackets;
     std::visit(
         base::overloaded {
             [&](const forwarded_packet &packet) {
--- a/lycheeshunt/flows/decision_test.cpp
+++ b/lycheeshunt/flows/decision_test.cpp
@@ -188,9 +188,9 @@
             base::flow_key {base::endpoint {0x0a000009, port}, address, 6}, false};
         service.all.inject("a1", service.packetFor("a1", stray));
     }
-    CHECK(service.all.stateOf("a1").held.size() <= 512);
+    CHECK(service.all.stateOf("a1").lookups.size() <= 512);
     CHECK(service.all.refusals(base::error_code::tooManyLookups) > 0);
     service.all.run(settling);
-    LONGS_EQUAL(0, service.all.stateOf("a1").held.size());
-    LONGS_EQUAL(0, service.all.stateOf("a1").heldBytes);
+    LONGS_EQUAL(0, service.all.stateOf("a1").lookups.size());
+    LONGS_EQUAL(0, service.all.stateOf("a1").lookupBytes);
 }
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -9,12 +9,12 @@
 #include "lycheeshunt/flows/ended_flow.h"
 #include "lycheeshunt/flows/flow_map.h"
 #include "lycheeshunt/flows/former_director.h"
-#include "lycheeshunt/flows/held_flow.h"
 #include "lycheeshunt/flows/owned_flow.h"
+#include "lycheeshunt/flows/pending_delivery.h"
+#include "lycheeshunt/flows/pending_lookup.h"
 #include "lycheeshunt/flows/recovery_state.h"
 #include "lycheeshunt/flows/registrar_state.h"
 #include "lycheeshunt/flows/server_view.h"
-#include "lycheeshunt/flows/visit.h"
 #include "lycheeshunt/flows/waiting_requests.h"
 #include "lycheeshunt/placement/placement_state.h"
 #include "lycheeshunt/routing/bucket_table.h"
@@ -50,17 +50,17 @@
     // In the order in which they leave.
     std::deque<ended_flow> ended;
     flow_map<directory_entry> directory;
-    flow_map<held_flow> held;
-    std::size_t heldBytes = 0;
+    flow_map<pending_lookup> lookups;
+    std::size_t lookupBytes = 0;
     // Of flows that may be anybody's, until there is a view. Only where backend servers return
     // packets.
-    base::early_packets<forwarded_packet> early;
+    base::early_packets<forwarded_packet> earlyPackets;
     registrar_state registrar;
     recovery_state recovery;
     server_view server;
     // Only where backend servers return packets: flows that were handed to the server, or passed
     // on as new, until the server answers.
-    flow_map<visit> visits;
+    flow_map<pending_delivery> pendingDeliveries;
     // Owned flows with a request at the server.
     std::size_t busyFlows = 0;
     // Requests of owned flows for which the server has no slot. Only where backend servers return
--- a/lycheeshunt/flows/internal/directory.cpp
+++ b/lycheeshunt/flows/internal/directory.cpp
@@ -88,7 +88,7 @@
     return targetOf(state, entry->owner.node);
 }
 
-void touchEntry(flow_context &context, const base::flow_key &key)
+void refreshEntry(flow_context &context, const base::flow_key &key)
 {
     const directory_entry *entry = context.state.directory.find(key);
     if (entry != nullptr)
--- a/lycheeshunt/flows/internal/directory.h
+++ b/lycheeshunt/flows/internal/directory.h
@@ -17,7 +17,7 @@
 std::optional<routing::target> knownOwner(const flow_state &state, const base::flow_key &key);
 
 // Keeps the entry from expiring: a packet of its flow went by.
-void touchEntry(flow_context &context, const base::flow_key &key);
+void refreshEntry(flow_context &context, const base::flow_key &key);
 
 void handleRegistration(flow_context &context, const registration_batch &batch);
 
--- a/lycheeshunt/flows/internal/passing.cpp
+++ b/lycheeshunt/flows/internal/forwarding.cpp
@@ -1,4 +1,4 @@
-#include "lycheeshunt/flows/internal/passing.h"
+#include "lycheeshunt/flows/internal/forwarding.h"
 
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/service_view.h"
@@ -9,8 +9,8 @@
 constexpr std::uint8_t maxHops = 4;
 }
 
-void passOn(flow_context &context, const forwarded_packet &packet, const routing::target &to,
-            packet_stage stage)
+void forwardTo(flow_context &context, const forwarded_packet &packet, const routing::target &to,
+               packet_stage stage)
 {
     if (packet.hops >= maxHops) {
         context.actions.emplace_back(refuse_packet {base::error_code::tooManyHops});
--- a/lycheeshunt/flows/internal/passing.h
+++ b/lycheeshunt/flows/internal/forwarding.h
@@ -9,8 +9,8 @@
 
 // Sends the packet on; one that has passed through too many agents is refused, and its caller's
 // retransmission goes by views that are newer by then.
-void passOn(flow_context &context, const forwarded_packet &packet, const routing::target &to,
-            packet_stage stage);
+void forwardTo(flow_context &context, const forwarded_packet &packet, const routing::target &to,
+               packet_stage stage);
 
 // Stores who owns the flow, as a lookup or an offer has shown; at is the generation of the agent
 // that told. A registration replaces it; a full directory stores nothing, and the next packet
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -1,9 +1,9 @@
 #include "lycheeshunt/flows/internal/lookup.h"
 
 #include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
-#include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/returning.h"
 #include "lycheeshunt/flows/internal/service_view.h"
@@ -30,7 +30,7 @@
     return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
 
-std::size_t bytesOf(const held_flow &held)
+std::size_t bytesOf(const pending_lookup &held)
 {
     std::size_t bytes = 0;
     for (const forwarded_packet &packet : held.packets)
@@ -38,7 +38,7 @@
     return bytes;
 }
 
-void ask(flow_context &context, const base::flow_key &key, const held_flow &held)
+void ask(flow_context &context, const base::flow_key &key, const pending_lookup &held)
 {
     const flow_state &state = context.state;
     for (const base::node_id node : held.waitingFor) {
@@ -47,7 +47,7 @@
             context.actions.emplace_back(send_to_peer {
                 to->packets,
                 flow_lookup {state.identity->service, key, selfTarget(state),
-                             currentGeneration(state), held.purpose == hold_purpose::open}});
+                             currentGeneration(state), held.purpose == lookup_purpose::open}});
     }
 }
 
@@ -61,7 +61,7 @@
             next.push_back(node);
     }
     // Servers that return packets make a wrong guess cheap and a second round dear.
-    if (!next.empty() && !state.identity->serverReturns)
+    if (!next.empty() && !state.identity->serverReturnsPackets)
         return next;
     for (const routing::target &agent : otherAgents(state)) {
         if (next.size() < askedInRound && asked.size() + next.size() < maxAsked
@@ -72,36 +72,36 @@
 }
 
 // The held flow, with these agents asked too.
-held_flow asking(const held_flow &held, const std::vector<base::node_id> &more,
-                 base::clock_time now)
+pending_lookup asking(const pending_lookup &held, const std::vector<base::node_id> &more,
+                      base::clock_time now)
 {
     std::vector<base::node_id> asked = held.asked;
     std::vector<base::node_id> waitingFor = held.waitingFor;
     asked.insert(asked.end(), more.begin(), more.end());
     waitingFor.insert(waitingFor.end(), more.begin(), more.end());
-    return held_flow {held.purpose,     held.packets,          held.deadline, now + askEvery,
-                      std::move(asked), std::move(waitingFor), held.mayOwn};
+    return pending_lookup {held.purpose,     held.packets,          held.deadline, now + askEvery,
+                           std::move(asked), std::move(waitingFor), held.mayOwn};
 }
 
-held_flow release(flow_context &context, const base::flow_key &key)
+pending_lookup release(flow_context &context, const base::flow_key &key)
 {
-    held_flow held = *context.state.held.find(key);
-    context.state.heldBytes -= bytesOf(held);
-    context.state.held.erase(key);
+    pending_lookup held = *context.state.lookups.find(key);
+    context.state.lookupBytes -= bytesOf(held);
+    context.state.lookups.erase(key);
     return held;
 }
 
 // Nobody could tell who owns the flow.
 void giveUp(flow_context &context, const base::flow_key &key)
 {
-    const held_flow held = release(context, key);
+    const pending_lookup held = release(context, key);
     const forwarded_packet &first = held.packets.front();
-    if (context.state.identity->serverReturns) {
+    if (context.state.identity->serverReturnsPackets) {
         for (const forwarded_packet &packet : held.packets)
             tryCandidates(context, packet, held.mayOwn, !held.waitingFor.empty());
         return;
     }
-    if (held.purpose == hold_purpose::open)
+    if (held.purpose == lookup_purpose::open)
         openFlow(context, first);
     else if (hasStartedLately(context.state, context.now))
         adoptFlow(context, first);
@@ -117,24 +117,24 @@
 // All asked agents have answered: goes on with the next ones, or gives up.
 void proceed(flow_context &context, const base::flow_key &key)
 {
-    const held_flow &held = *context.state.held.find(key);
+    const pending_lookup &held = *context.state.lookups.find(key);
     std::vector<base::node_id> next;
-    if (held.purpose == hold_purpose::find)
+    if (held.purpose == lookup_purpose::find)
         next = nextToAsk(context.state, key, held.asked);
     if (next.empty()) {
         giveUp(context, key);
         return;
     }
-    context.state.held.put(key, asking(held, next, context.now));
-    ask(context, key, *context.state.held.find(key));
+    context.state.lookups.put(key, asking(held, next, context.now));
+    ask(context, key, *context.state.lookups.find(key));
 }
 
 void sendAllTo(flow_context &context, const base::flow_key &key, const routing::target &to,
                packet_stage stage)
 {
-    const held_flow held = release(context, key);
+    const pending_lookup held = release(context, key);
     for (const forwarded_packet &packet : held.packets)
-        passOn(context, packet, to, stage);
+        forwardTo(context, packet, to, stage);
 }
 
 void answer(flow_context &context, const flow_lookup &lookup, lookup_verdict verdict,
@@ -153,9 +153,9 @@
     const routing::target *director = directorOf(state, lookup.key);
     if (director != nullptr && director->node == lookup.asker.node)
         return false;
-    const std::pair<base::generation, base::node_id> own(currentGeneration(state),
-                                                         state.identity->node);
-    return own > std::make_pair(lookup.at, lookup.asker.node);
+    const std::pair<base::generation, base::node_id> ownRank(currentGeneration(state),
+                                                             state.identity->node);
+    return ownRank > std::make_pair(lookup.at, lookup.asker.node);
 }
 
 void answerUnknown(flow_context &context, const flow_lookup &lookup)
@@ -165,8 +165,8 @@
     const routing::target *director = directorOf(state, lookup.key);
     const bool directs = director != nullptr && isSelf(state, director->node)
         && currentGeneration(state) >= lookup.at;
-    const held_flow *held = state.held.find(lookup.key);
-    const bool opening = held != nullptr && held->purpose == hold_purpose::open;
+    const pending_lookup *held = state.lookups.find(lookup.key);
+    const bool opening = held != nullptr && held->purpose == lookup_purpose::open;
     if (directs || (lookup.claims && opening && winsAgainst(state, lookup))) {
         answer(context, lookup, lookup_verdict::redirect, self);
         return;
@@ -181,44 +181,44 @@
 
 } // namespace
 
-void holdPacket(flow_context &context, const forwarded_packet &packet, hold_purpose purpose,
-                const std::vector<base::node_id> &firstAsked)
+void startLookup(flow_context &context, const forwarded_packet &packet, lookup_purpose purpose,
+                 const std::vector<base::node_id> &firstAsked)
 {
     flow_state &state = context.state;
     const std::size_t bytes = packet.bytes.view().size();
-    if (state.held.size() >= maxHeldFlows || state.heldBytes + bytes > maxHeldBytes) {
+    if (state.lookups.size() >= maxHeldFlows || state.lookupBytes + bytes > maxHeldBytes) {
         // A reset would end a flow that somebody may well own.
-        if (state.identity->serverReturns)
+        if (state.identity->serverReturnsPackets)
             context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
         else
             context.actions.emplace_back(
                 reset_caller {packet.bytes, base::error_code::tooManyLookups});
         return;
     }
-    const base::clock_time span = purpose == hold_purpose::open ? openHold : findHold;
-    const held_flow held {purpose, {packet}, context.now + span, context.now, {}, {}};
-    state.heldBytes += bytes;
-    state.held.put(packet.summary.key, asking(held, firstAsked, context.now));
+    const base::clock_time span = purpose == lookup_purpose::open ? openHold : findHold;
+    const pending_lookup held {purpose, {packet}, context.now + span, context.now, {}, {}};
+    state.lookupBytes += bytes;
+    state.lookups.put(packet.summary.key, asking(held, firstAsked, context.now));
     if (firstAsked.empty())
         proceed(context, packet.summary.key);
     else
-        ask(context, packet.summary.key, *state.held.find(packet.summary.key));
+        ask(context, packet.summary.key, *state.lookups.find(packet.summary.key));
 }
 
-void holdMore(flow_context &context, const held_flow &held, const forwarded_packet &packet)
+void addToLookup(flow_context &context, const pending_lookup &held, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
     const std::size_t bytes = packet.bytes.view().size();
-    if (held.packets.size() >= maxPacketsOfFlow || state.heldBytes + bytes > maxHeldBytes) {
+    if (held.packets.size() >= maxPacketsOfFlow || state.lookupBytes + bytes > maxHeldBytes) {
         context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
         return;
     }
     std::vector<forwarded_packet> packets = held.packets;
     packets.push_back(packet);
-    state.heldBytes += bytes;
-    state.held.put(packet.summary.key,
-                   held_flow {held.purpose, std::move(packets), held.deadline, held.askAgainAt,
-                              held.asked, held.waitingFor, held.mayOwn});
+    state.lookupBytes += bytes;
+    state.lookups.put(packet.summary.key,
+                      pending_lookup {held.purpose, std::move(packets), held.deadline,
+                                      held.askAgainAt, held.asked, held.waitingFor, held.mayOwn});
 }
 
 void handleLookup(flow_context &context, const flow_lookup &lookup)
@@ -234,7 +234,7 @@
     const std::optional<routing::target> owner = knownOwner(state, lookup.key);
     if (owner)
         answer(context, lookup, lookup_verdict::owned, *owner);
-    else if (state.identity->serverReturns)
+    else if (state.identity->serverReturnsPackets)
         answer(context, lookup,
                state.server.isOlder ? lookup_verdict::mayOwn : lookup_verdict::unknown,
                selfTarget(state));
@@ -245,7 +245,7 @@
 void handleLookupAnswer(flow_context &context, const lookup_answer &answer)
 {
     flow_state &state = context.state;
-    const held_flow *held = state.held.find(answer.key);
+    const pending_lookup *held = state.lookups.find(answer.key);
     if (answer.service != state.identity->service || held == nullptr
         || !contains(held->waitingFor, answer.from.node))
         return;
@@ -259,9 +259,9 @@
         return;
     }
     if (answer.verdict == lookup_verdict::owned) {
-        const held_flow released = release(context, answer.key);
+        const pending_lookup released = release(context, answer.key);
         for (const forwarded_packet &packet : released.packets) {
-            if (state.identity->serverReturns)
+            if (state.identity->serverReturnsPackets)
                 adoptReturning(context, packet);
             else
                 handlePacketAsOwner(context, packet);
@@ -274,9 +274,10 @@
     std::vector<base::node_id> mayOwn = held->mayOwn;
     if (answer.verdict == lookup_verdict::mayOwn)
         mayOwn.push_back(answer.from.node);
-    state.held.put(answer.key,
-                   held_flow {held->purpose, held->packets, held->deadline, held->askAgainAt,
-                              held->asked, std::move(waitingFor), std::move(mayOwn)});
+    state.lookups.put(answer.key,
+                      pending_lookup {held->purpose, held->packets, held->deadline,
+                                      held->askAgainAt, held->asked, std::move(waitingFor),
+                                      std::move(mayOwn)});
     if (allAnswered)
         proceed(context, answer.key);
 }
@@ -284,22 +285,22 @@
 void lookupTick(flow_context &context)
 {
     std::vector<base::flow_key> keys;
-    for (auto it = context.state.held.begin(); it != context.state.held.end(); ++it) {
+    for (auto it = context.state.lookups.begin(); it != context.state.lookups.end(); ++it) {
         if (it->second.askAgainAt <= context.now || it->second.deadline <= context.now)
             keys.push_back(it->first);
     }
     for (const base::flow_key &key : keys) {
-        const held_flow held = *context.state.held.find(key);
+        const pending_lookup held = *context.state.lookups.find(key);
         if (held.deadline <= context.now) {
             giveUp(context, key);
             continue;
         }
         // The silent ones are asked again, and the next ones too.
         std::vector<base::node_id> next;
-        if (held.purpose == hold_purpose::find)
+        if (held.purpose == lookup_purpose::find)
             next = nextToAsk(context.state, key, held.asked);
-        context.state.held.put(key, asking(held, next, context.now));
-        ask(context, key, *context.state.held.find(key));
+        context.state.lookups.put(key, asking(held, next, context.now));
+        ask(context, key, *context.state.lookups.find(key));
     }
 }
 
--- a/lycheeshunt/flows/internal/lookup.h
+++ b/lycheeshunt/flows/internal/lookup.h
@@ -10,11 +10,11 @@
 namespace lycheeshunt::flows::internal {
 
 // Holds the packet while these agents are asked. An empty list asks the next ones that may know.
-void holdPacket(flow_context &context, const forwarded_packet &packet, hold_purpose purpose,
-                const std::vector<base::node_id> &firstAsked);
+void startLookup(flow_context &context, const forwarded_packet &packet, lookup_purpose purpose,
+                 const std::vector<base::node_id> &firstAsked);
 
 // Adds a packet to those of its flow that are held already; drops it, counted, beyond the bounds.
-void holdMore(flow_context &context, const held_flow &held, const forwarded_packet &packet);
+void addToLookup(flow_context &context, const pending_lookup &held, const forwarded_packet &packet);
 
 void handleLookup(flow_context &context, const flow_lookup &lookup);
 void handleLookupAnswer(flow_context &context, const lookup_answer &answer);
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -1,7 +1,7 @@
 #include "lycheeshunt/flows/internal/ownership.h"
 
+#include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/pacing.h"
-#include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
@@ -63,7 +63,7 @@
 
 base::clock_time idleLimit(const flow_state &state, const base::flow_key &key, flow_phase phase)
 {
-    if (state.identity->serverReturns && phase == flow_phase::opening)
+    if (state.identity->serverReturnsPackets && phase == flow_phase::opening)
         return unansweredIdle;
     if (phase == flow_phase::opening)
         return openingIdle;
@@ -123,7 +123,7 @@
     context.actions.emplace_back(deliver_to_server {packet.bytes});
 }
 
-void own(flow_context &context, const base::flow_key &key, flow_phase phase)
+void takeOwnership(flow_context &context, const base::flow_key &key, flow_phase phase)
 {
     context.state.directory.erase(key);
     putOwned(context.state, key, owned_flow {context.now, context.now + refreshEvery, phase});
@@ -156,7 +156,7 @@
         return;
     }
     if (hasRoom(state)) {
-        own(context, key, flow_phase::opening);
+        takeOwnership(context, key, flow_phase::opening);
         deliverToServer(context, packet);
         return;
     }
@@ -166,7 +166,7 @@
     if (mayOffer) {
         // A second copy of this packet must go the same way, also if there is room by then.
         rememberOwner(context, key, *second, currentGeneration(state));
-        passOn(context, packet, *second, packet_stage::offer);
+        forwardTo(context, packet, *second, packet_stage::offer);
         return;
     }
     const base::error_code reason
@@ -180,7 +180,7 @@
     if (hasRoom(context.state) || director == nullptr || isSelf(context.state, director->node))
         openFlow(context, packet);
     else
-        passOn(context, packet, *director, packet_stage::declined);
+        forwardTo(context, packet, *director, packet_stage::declined);
 }
 
 void adoptFlow(flow_context &context, const forwarded_packet &packet)
@@ -194,7 +194,7 @@
         context.actions.emplace_back(reset_caller {packet.bytes, base::error_code::flowTableFull});
         return;
     }
-    own(context, key, flow_phase::opening);
+    takeOwnership(context, key, flow_phase::opening);
     deliverToServer(context, packet);
 }
 
@@ -205,13 +205,13 @@
     if (flow == nullptr && !answer.summary.resets && context.state.buckets) {
         // Its agent has restarted: the backend server's own connections tell it of its flows.
         const bool isForeign
-            = !context.state.identity->serverReturns && !servesAddress(context.state, key);
+            = !context.state.identity->serverReturnsPackets && !servesAddress(context.state, key);
         if (isForeign) {
             context.actions.emplace_back(refuse_packet {base::error_code::wrongService});
             return;
         }
         if (hasSpace(context.state))
-            own(context, key, flow_phase::open);
+            takeOwnership(context, key, flow_phase::open);
     }
     context.actions.emplace_back(answer_caller {answer.bytes});
     if (flow == nullptr || flow->phase == flow_phase::ended)
--- a/lycheeshunt/flows/internal/ownership.h
+++ b/lycheeshunt/flows/internal/ownership.h
@@ -32,7 +32,7 @@
 void eraseOwned(flow_state &state, const base::flow_key &key);
 
 // Owns the flow from now on and registers it.
-void own(flow_context &context, const base::flow_key &key, flow_phase phase);
+void takeOwnership(flow_context &context, const base::flow_key &key, flow_phase phase);
 
 // Ends flows that were idle too long, lets ended ones go, and repeats registrations.
 void ownershipTick(flow_context &context);
--- a/lycheeshunt/flows/internal/pacing.cpp
+++ b/lycheeshunt/flows/internal/pacing.cpp
@@ -25,20 +25,20 @@
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
-    if (!state.identity->serverReturns)
+    if (!state.identity->serverReturnsPackets)
         return false;
     if (packet.summary.finishes || packet.summary.resets) {
         state.waiting.erase(key);
         return false;
     }
     // A packet that tries whether the server knows its flow is no request yet.
-    const visit *visited = state.visits.find(key);
+    const pending_delivery *visited = state.pendingDeliveries.find(key);
     const bool isTrial = visited != nullptr && !visited->packet.summary.opens;
     if (packet.summary.payloadBytes == 0 || isTrial)
         return false;
     if (state.waiting.holds(key))
         return state.waiting.add(packet, context.now);
-    const bool begins = !flow.progress.isBusy && flow.progress.isNews(packet.summary)
+    const bool begins = !flow.progress.isBusy && flow.progress.hasNewPayload(packet.summary)
         && flow.phase != flow_phase::ended;
     if (!begins || (hasFreeSlot(state) && state.waiting.isEmpty()))
         return false;
--- a/lycheeshunt/flows/internal/packet_path.cpp
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -1,9 +1,9 @@
 #include "lycheeshunt/flows/internal/packet_path.h"
 
 #include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
-#include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
@@ -21,7 +21,7 @@
 {
     const base::flow_key &key = packet.summary.key;
     if (!packet.summary.opens) {
-        holdPacket(context, packet, hold_purpose::find, {});
+        startLookup(context, packet, lookup_purpose::find, {});
         return;
     }
     // An agent that has not heard that it is no longer director may open the same flow now.
@@ -29,7 +29,7 @@
     if (unsettled.empty())
         openFlow(context, packet);
     else
-        holdPacket(context, packet, hold_purpose::open, unsettled);
+        startLookup(context, packet, lookup_purpose::open, unsettled);
 }
 
 // By this agent's view another is director. The sender may know better: an entry that bypasses a
@@ -42,11 +42,12 @@
     const bool stands = packet.stage == packet_stage::toDirector
         && (isSelf(state, backup->node) || packet.at > currentGeneration(state));
     if (!stands) {
-        passOn(context, packet, director, packet_stage::toDirector);
+        forwardTo(context, packet, director, packet_stage::toDirector);
         return;
     }
-    const hold_purpose purpose = packet.summary.opens ? hold_purpose::open : hold_purpose::find;
-    holdPacket(context, packet, purpose, {director.node});
+    const lookup_purpose purpose
+        = packet.summary.opens ? lookup_purpose::open : lookup_purpose::find;
+    startLookup(context, packet, purpose, {director.node});
 }
 
 void handleUnknown(flow_context &context, const forwarded_packet &packet)
@@ -93,9 +94,9 @@
 {
     const routing::target *director = directorOf(context.state, packet.summary.key);
     if (director == nullptr || isSelf(context.state, director->node))
-        holdPacket(context, packet, hold_purpose::find, {});
+        startLookup(context, packet, lookup_purpose::find, {});
     else
-        passOn(context, packet, *director, packet_stage::declined);
+        forwardTo(context, packet, *director, packet_stage::declined);
 }
 
 } // namespace
@@ -127,13 +128,13 @@
         return;
     if (isEntryOverruled(state, packet))
         state.directory.erase(key);
-    if (const held_flow *held = state.held.find(key)) {
-        holdMore(context, *held, packet);
+    if (const pending_lookup *held = state.lookups.find(key)) {
+        addToLookup(context, *held, packet);
         return;
     }
     if (const std::optional<routing::target> owner = knownOwner(state, key)) {
-        touchEntry(context, key);
-        passOn(context, packet, *owner, packet_stage::toOwner);
+        refreshEntry(context, key);
+        forwardTo(context, packet, *owner, packet_stage::toOwner);
         return;
     }
     if (packet.stage == packet_stage::toOwner)
--- a/lycheeshunt/flows/internal/placing.cpp
+++ b/lycheeshunt/flows/internal/placing.cpp
@@ -2,7 +2,7 @@
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
-#include "lycheeshunt/flows/internal/passing.h"
+#include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/returning.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 #include "lycheeshunt/placement/decision.h"
@@ -48,13 +48,14 @@
         return refuse(context, packet, base::error_code::noServer);
     noteEvent(context, flow_event_kind::offered, packet, pass.to);
     std::vector<base::node_id> offered = pass.offer.tried;
-    passOn(context, packet.with(packet.stage, offered, packet.isDoubtful), *to,
-           packet_stage::offer);
+    forwardTo(context, packet.with(packet.stage, offered, packet.isDoubtful), *to,
+              packet_stage::offer);
     // A copy of the packet goes to yet another agent: this one may be dead.
     offered.push_back(pass.to);
-    context.state.visits.put(
+    context.state.pendingDeliveries.put(
         packet.summary.key,
-        visit {packet.with(packet.stage, std::move(offered), packet.isDoubtful), context.now});
+        pending_delivery {packet.with(packet.stage, std::move(offered), packet.isDoubtful),
+                          context.now});
 }
 
 void carryOut(flow_context &context, const placement::placement_action &action)
@@ -138,7 +139,7 @@
 {
     flow_state &state = context.state;
     const agent_identity &self = *state.identity;
-    if (!self.serverReturns)
+    if (!self.serverReturnsPackets)
         return;
     state.placement.emplace(placement::peer {self.node, self.life, self.availabilityZone}, rules());
     placementPeers(context);
--- a/lycheeshunt/flows/internal/recovery.cpp
+++ b/lycheeshunt/flows/internal/recovery.cpp
@@ -82,7 +82,7 @@
         return;
     for (const base::flow_key &key : page.flows) {
         if (state.owned.find(key) == nullptr && state.owned.size() < state.maxOwned)
-            own(context, key, flow_phase::open);
+            takeOwnership(context, key, flow_phase::open);
     }
     state.recovery.asking.erase(asked);
     if (!page.more || page.flows.empty())
--- a/lycheeshunt/flows/internal/returning.cpp
+++ b/lycheeshunt/flows/internal/returning.cpp
@@ -1,9 +1,9 @@
 #include "lycheeshunt/flows/internal/returning.h"
 
 #include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
-#include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/placing.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/service_view.h"
@@ -58,8 +58,8 @@
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
-    if (const held_flow *held = state.held.find(key)) {
-        holdMore(context, *held, packet);
+    if (const pending_lookup *held = state.lookups.find(key)) {
+        addToLookup(context, *held, packet);
         return;
     }
     const routing::target *director = directorOf(state, key);
@@ -69,9 +69,9 @@
         tellEntry(context, packet, packet.isDoubtful);
     else if (isSelf(state, director->node) || packet.hops > 0) {
         note(context, flow_event_kind::searched, packet);
-        holdPacket(context, packet, hold_purpose::find, {});
+        startLookup(context, packet, lookup_purpose::find, {});
     } else
-        passOn(context, packet, *director, packet_stage::declined);
+        forwardTo(context, packet, *director, packet_stage::declined);
 }
 
 // The candidates are tried one after the other; the rest travels with the packet.
@@ -107,7 +107,7 @@
         context.actions.emplace_back(refuse_packet {base::error_code::agentNotReady});
         return;
     }
-    const visit *earlier = state.visits.find(key);
+    const pending_delivery *earlier = state.pendingDeliveries.find(key);
     if (earlier == nullptr || packet.stage == packet_stage::offer) {
         placeFlow(context, packet);
         return;
@@ -127,8 +127,8 @@
         state.directory.erase(key);
     const std::optional<routing::target> owner = knownOwner(state, key);
     if (owner && !isSelf(state, owner->node)) {
-        touchEntry(context, key);
-        passOn(context, packet, *owner, packet_stage::toOwner);
+        refreshEntry(context, key);
+        forwardTo(context, packet, *owner, packet_stage::toOwner);
         return;
     }
     search(context, packet);
@@ -152,7 +152,7 @@
     const owned_flow *flow = state.owned.find(key);
     const bool wasServed = flow != nullptr && flow->progress.isAnswered;
     const bool isOver = flow != nullptr && flow->phase == flow_phase::ended;
-    const visit *visited = state.visits.find(key);
+    const pending_delivery *visited = state.pendingDeliveries.find(key);
     const forwarded_packet before
         = visited != nullptr ? visited->packet : forwarded_packet {state.identity->service,
                                                                    state.identity->life,
@@ -164,7 +164,7 @@
     const forwarded_packet packet {before.service, before.life,      before.at,    before.stage,
                                    before.hops,    answer.summary,   answer.bytes, before.entry,
                                    before.agents,  before.isDoubtful};
-    state.visits.erase(key);
+    state.pendingDeliveries.erase(key);
     if (flow != nullptr) {
         eraseOwned(state, key);
         registerLater(context, key, false);
@@ -192,9 +192,9 @@
     // One flow tries a server that was silent; others wait for its outcome.
     if (context.state.server.isSilent)
         context.state.server.silentUntil = context.now + silentFor;
-    own(context, key, flow_phase::opening);
+    takeOwnership(context, key, flow_phase::opening);
     note(context, flow_event_kind::opened, packet);
-    context.state.visits.put(key, visit {packet, context.now});
+    context.state.pendingDeliveries.put(key, pending_delivery {packet, context.now});
     deliverToServer(context, packet);
     sendHint(context, packet);
 }
@@ -203,10 +203,10 @@
 {
     const base::flow_key &key = packet.summary.key;
     if (context.state.owned.find(key) == nullptr) {
-        own(context, key, flow_phase::open);
+        takeOwnership(context, key, flow_phase::open);
         note(context, flow_event_kind::adopted, packet);
     }
-    context.state.visits.put(key, visit {packet, context.now});
+    context.state.pendingDeliveries.put(key, pending_delivery {packet, context.now});
     handleOwned(context, owned_flow(*context.state.owned.find(key)), packet);
     if (packet.hops > 0 || packet.stage == packet_stage::trial)
         sendHint(context, packet);
@@ -243,7 +243,7 @@
     }
     if (packet.summary.opens)
         handleOpening(context, packet);
-    else if (!state.buckets && state.early.put(key, packet, context.now))
+    else if (!state.buckets && state.earlyPackets.put(key, packet, context.now))
         note(context, flow_event_kind::held, packet);
     else
         handleOngoing(context, packet);
@@ -251,9 +251,9 @@
 
 void returningView(flow_context &context)
 {
-    if (!context.state.buckets || context.state.early.isEmpty())
+    if (!context.state.buckets || context.state.earlyPackets.isEmpty())
         return;
-    for (const forwarded_packet &packet : context.state.early.take(context.now))
+    for (const forwarded_packet &packet : context.state.earlyPackets.take(context.now))
         handleReturningPacket(context, packet);
 }
 
@@ -266,11 +266,11 @@
         handleGivenBack(context, answer);
         return;
     }
-    const visit *visited = state.visits.find(answer.summary.key);
+    const pending_delivery *visited = state.pendingDeliveries.find(answer.summary.key);
     const bool isFound = visited != nullptr && visited->packet.stage == packet_stage::trial;
     if (isFound)
         sendHint(context, forwarded_packet(visited->packet));
-    state.visits.erase(answer.summary.key);
+    state.pendingDeliveries.erase(answer.summary.key);
     handleAnswer(context, answer);
 }
 
@@ -285,7 +285,7 @@
     if (isOther || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(
             agent_identity {self.node, changed.service, changed.life, self.packets,
-                            self.availabilityZone, self.serverReturns});
+                            self.availabilityZone, self.serverReturnsPackets});
         startPlacement(context);
     }
 }
@@ -293,9 +293,9 @@
 void returningTick(flow_context &context)
 {
     flow_state &state = context.state;
-    std::vector<visit> unanswered;
+    std::vector<pending_delivery> unanswered;
     std::vector<base::flow_key> old;
-    for (auto it = state.visits.begin(); it != state.visits.end(); ++it) {
+    for (auto it = state.pendingDeliveries.begin(); it != state.pendingDeliveries.end(); ++it) {
         const base::clock_time age = context.now - it->second.at;
         const owned_flow *flow = state.owned.find(it->first);
         const bool waits = it->second.packet.summary.opens && flow != nullptr
@@ -306,12 +306,12 @@
             unanswered.push_back(it->second);
     }
     for (const base::flow_key &key : old)
-        state.visits.erase(key);
-    for (const visit &late : unanswered) {
+        state.pendingDeliveries.erase(key);
+    for (const pending_delivery &late : unanswered) {
         state.server.isSilent = true;
         state.server.silentUntil = context.now + silentFor;
         note(context, flow_event_kind::serverSilent, late.packet);
-        state.visits.erase(late.packet.summary.key);
+        state.pendingDeliveries.erase(late.packet.summary.key);
         eraseOwned(state, late.packet.summary.key);
         registerLater(context, late.packet.summary.key, false);
         offerElsewhere(context, late.packet);
--- a/lycheeshunt/flows/internal/service_view.cpp
+++ b/lycheeshunt/flows/internal/service_view.cpp
@@ -23,7 +23,7 @@
         return false;
     // The addresses of a service without its own are split over services; entries know how.
     const std::vector<tickets::service_address> &addresses = service->second.addresses;
-    if (addresses.empty() && state.identity->serverReturns)
+    if (addresses.empty() && state.identity->serverReturnsPackets)
         return true;
     const tickets::service_address wanted {key.service, key.protocol};
     return std::find(addresses.begin(), addresses.end(), wanted) != addresses.end();
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -104,11 +104,11 @@
             registerMoved(context, known, it->first);
     }
     startRecovery(context);
-    if (state.identity->serverReturns)
+    if (state.identity->serverReturnsPackets)
         returningView(context);
 }
 
-void notePeer(flow_state &state, base::node_id node, base::generation at)
+void recordPeerGeneration(flow_state &state, base::node_id node, base::generation at)
 {
     const auto known = state.peerGenerations.find(node);
     if (known == state.peerGenerations.end())
--- a/lycheeshunt/flows/internal/view_change.h
+++ b/lycheeshunt/flows/internal/view_change.h
@@ -11,6 +11,6 @@
 void handleView(flow_context &context, const view_update &update);
 
 // The agent has been heard to have reached this generation.
-void notePeer(flow_state &state, base::node_id node, base::generation at);
+void recordPeerGeneration(flow_state &state, base::node_id node, base::generation at);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/visit.h
+++ b/lycheeshunt/flows/pending_delivery.h
@@ -7,12 +7,12 @@
 
 // A packet that the backend server may give back, or whose flow was offered to another agent: what
 // is needed to go on from there.
-struct visit
+struct pending_delivery
 {
     const forwarded_packet packet;
     const base::clock_time at;
 
-    bool operator==(const visit &) const = default;
+    bool operator==(const pending_delivery &) const = default;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/held_flow.h
+++ b/lycheeshunt/flows/pending_lookup.h
@@ -2,16 +2,16 @@
 
 #include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/flows/forwarded_packet.h"
-#include "lycheeshunt/flows/hold_purpose.h"
+#include "lycheeshunt/flows/lookup_purpose.h"
 
 #include <vector>
 
 namespace lycheeshunt::flows {
 
 // Packets of a flow whose owner is being looked up.
-struct held_flow
+struct pending_lookup
 {
-    const hold_purpose purpose = hold_purpose::find;
+    const lookup_purpose purpose = lookup_purpose::find;
     const std::vector<forwarded_packet> packets = {};
     const base::clock_time deadline;
     const base::clock_time askAgainAt;
@@ -21,7 +21,7 @@
     // Agents whose servers may have the flow although the agents do not know it.
     const std::vector<base::node_id> mayOwn = {};
 
-    bool operator==(const held_flow &) const = default;
+    bool operator==(const pending_lookup &) const = default;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/request_progress.h
+++ b/lycheeshunt/flows/request_progress.h
@@ -24,7 +24,7 @@
 
     // Whether the packet carries payload that did not come before: a caller repeats a packet that
     // is not acknowledged in time, also when it is answered already.
-    bool isNews(const packets::ip_summary &packet) const
+    bool hasNewPayload(const packets::ip_summary &packet) const
     {
         const bool isNumbered = packet.key.protocol == IPPROTO_TCP;
         return packet.payloadBytes > 0
@@ -34,7 +34,7 @@
 
     request_progress afterCaller(const packets::ip_summary &packet, base::clock_time now) const
     {
-        if (!isNews(packet))
+        if (!hasNewPayload(packet))
             return *this;
         return request_progress {true, isAnswered, true, packet.sequence + packet.payloadBytes,
                                  isBusy ? since : now};
--- a/lycheeshunt/flows/returning_test.cpp
+++ b/lycheeshunt/flows/returning_test.cpp
@@ -277,7 +277,7 @@
     const std::vector<flow_lookup> asked = said<flow_lookup>();
     const std::vector<send_packet> passed = all<send_packet>();
     CHECK(asked.size() + passed.size() > 0);
-    CHECK(state->early.isEmpty());
+    CHECK(state->earlyPackets.isEmpty());
 }
 
 TEST(returning, aPacketThatWaitedTooLongForAViewIsLeftToItsCaller)
