--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -5,17 +5,17 @@
 
 namespace lycheeshunt::flows {
 
-// Who this agent is, from its settings and its start.
+// This agent's identity, taken from its settings when it starts.
 struct agent_identity
 {
     const base::node_id node;
     const base::service_id service;
     const base::incarnation life;
-    // Where other agents and entries reach it.
+    // The address at which it receives packets from entries and other agents.
     const base::endpoint packets;
     const std::string availabilityZone = {};
-    // The backend server gives back packets of flows that it does not hold, so a packet may be
-    // tried at any server without harm.
+    // Whether the backend server returns packets of flows that it does not have. If so, a packet
+    // can be delivered to any server of the service without harm.
     const bool serverReturnsPackets = false;
 
     bool operator==(const agent_identity &) const = default;
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-constexpr std::size_t actionCapacity = 8192;
-// Takes this many datagrams from one socket before the other gets its turn.
+constexpr std::size_t actionRingCapacity = 8192;
+// Datagrams read from one socket before the other is served.
 constexpr int receiveBurst = 64;
-constexpr int waitWithoutLimit = -1;
+constexpr int noTimeout = -1;
 
 } // namespace
 
@@ -40,7 +40,7 @@
                        base::incarnation life, base::file_descriptor peerSide,
                        base::file_descriptor serverSide, base::ring<flow_message> &inbox)
     : m_addresses(sockets), m_codec(codec), m_life(life.value()), m_peerSide(std::move(peerSide)),
-      m_serverSide(std::move(serverSide)), m_inbox(inbox), m_actions(actionCapacity),
+      m_serverSide(std::move(serverSide)), m_inbox(inbox), m_actions(actionRingCapacity),
       m_thread([this]() { run(); })
 {
 }
@@ -57,7 +57,7 @@
         pollfd watched[] = {{m_peerSide.get(), POLLIN, 0},
                             {m_serverSide.get(), POLLIN, 0},
                             {m_actions.descriptor(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), waitWithoutLimit);
+        ::poll(watched, std::size(watched), noTimeout);
         if (watched[0].revents != 0)
             receiveFromPeers();
         if (watched[1].revents != 0)
@@ -145,7 +145,7 @@
                            sendToCaller(bytes);
                    },
                    [this](const refuse_packet &) { ++m_refused; },
-                   // The flow thread has logged and counted them.
+                   // Logged and counted on the flow thread already.
                    [](const flow_event &) {},
                    [](const request_timing &) {},
                },
--- a/lycheeshunt/flows/agent_port.h
+++ b/lycheeshunt/flows/agent_port.h
@@ -1,6 +1,6 @@
-// The sockets of an agent, on a thread of their own: caller packets and registrations come in
-// from entries and other agents, answers come in from the backend server, and the flow thread's
-// actions go out. Malformed datagrams cost one counter each.
+// The sockets of an agent, served by a thread of their own: receives packets and messages from
+// entries and other agents and answers from the backend server, and carries out the actions of the
+// flow thread. Malformed datagrams are counted and dropped.
 //
 //     base::result<std::unique_ptr<agent_port>> port = agent_port::open(sockets, inbox);
 //     valueOf(port)->actions().push(action);
@@ -28,7 +28,7 @@
 class agent_port
 {
 public:
-    // The inbox must outlive the port. Probes of another life than this are not answered.
+    // The inbox must outlive the port. Probes for another incarnation are not answered.
     static base::result<std::unique_ptr<agent_port>> open(const agent_sockets &sockets,
                                                           const packets::packet_codec &codec,
                                                           base::incarnation life,
@@ -39,7 +39,7 @@
     agent_port &operator=(const agent_port &) = delete;
 
     base::ring<flow_action> &actions() { return m_actions; }
-    // Probes of this life are answered from now on. Thread-safe.
+    // From now on, probes for this incarnation are answered. Thread-safe.
     void setLife(base::incarnation life) { m_life = life.value(); }
 
     std::uint64_t malformed() const { return m_malformed; }
--- a/lycheeshunt/flows/agent_sockets.h
+++ b/lycheeshunt/flows/agent_sockets.h
@@ -4,16 +4,16 @@
 
 namespace lycheeshunt::flows {
 
-// Where an agent's packets come from and go to.
+// The addresses between which an agent sends and receives packets.
 struct agent_sockets
 {
-    // Bound here: from entries and other agents.
+    // Bound by the agent: receives from entries and other agents.
     const base::endpoint packets;
-    // Bound here: from the backend server.
+    // Bound by the agent: receives from the backend server.
     const base::endpoint serverSide;
-    // The backend server takes caller packets here.
+    // The backend server receives callers' packets here.
     const base::endpoint server;
-    // The fabric takes packets to callers here.
+    // The fabric receives packets to callers here.
     const base::endpoint fabric;
 
     bool operator==(const agent_sockets &) const = default;
--- a/lycheeshunt/flows/answer_caller.h
+++ b/lycheeshunt/flows/answer_caller.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::flows {
 
-// Send a backend server's packet straight to the caller.
+// Send a backend server's packet directly to the caller.
 struct answer_caller
 {
     const base::packet_bytes bytes;
--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -53,8 +53,8 @@
 base::result<flow_datagram> datagramFrom(const msgpack::object &object,
                                          const packets::packet_codec &codec)
 {
-    constexpr std::uint32_t leastFields = 2;
-    if (object.type != msgpack::type::ARRAY || object.via.array.size < leastFields)
+    constexpr std::uint32_t minFields = 2;
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < minFields)
         return malformed("wrong number of fields");
     if (object.via.array.ptr[0].as<std::uint8_t>() != wireVersion)
         return base::error {base::error_code::messageVersion, "flow datagram"};
--- a/lycheeshunt/flows/codec.h
+++ b/lycheeshunt/flows/codec.h
@@ -1,5 +1,5 @@
-// MessagePack form of what agents and entries send each other about flows, one message to a
-// datagram. Decoding takes any bytes and returns a numbered error for bad ones.
+// Encodes the messages of agents and entries about flows in MessagePack, one message to a datagram.
+// Decoding accepts arbitrary bytes and returns an error code for malformed ones.
 
 #pragma once
 
@@ -19,7 +19,7 @@
 
 using flow_datagram = std::variant<forwarded_packet, peer_message>;
 
-// Everything of a forwarded packet but the IP packet itself, whose bytes follow directly.
+// Encodes everything before the IP packet, whose bytes follow directly.
 std::string encodePacketHeader(const forwarded_packet &packet, std::size_t packetBytes);
 
 std::string encodePacket(const forwarded_packet &packet);
@@ -28,9 +28,9 @@
 base::result<flow_datagram>
 decodeDatagram(std::string_view bytes, const packets::packet_codec &codec = packets::ipPackets());
 
-// Agents that a packet lists at most; an agent that is left out is only asked once more.
+// Limit on the agents that a packet lists. Omitting an agent only means that it is queried again.
 constexpr std::size_t maxListedAgents = 16;
-// No header is longer: three 64-bit numbers, the agents and twelve short fields.
+// Upper bound: three 64-bit numbers, the agents and twelve short fields.
 constexpr std::size_t maxPacketHeaderBytes = 96 + 9 * maxListedAgents;
 
 // As encodePacketHeader, into a buffer of at least maxPacketHeaderBytes. Returns the bytes used.
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -42,7 +42,7 @@
                        internal::handleRecoveryRequest(context, request);
                    },
                    [&](const recovery_page &page) { internal::handleRecoveryPage(context, page); },
-                   // For entries.
+                   // Meant for entries only.
                    [](const owner_hint &) {},
                    [&](const placement::load_report &report) {
                        internal::handleLoadReport(context, report);
@@ -71,17 +71,17 @@
 {
     std::vector<flow_action> actions;
     flow_context context {state, now, actions};
-    const bool returns = state.identity->serverReturnsPackets;
+    const bool serverReturns = state.identity->serverReturnsPackets;
     std::visit(
         base::overloaded {
             [&](const forwarded_packet &packet) {
-                if (returns)
+                if (serverReturns)
                     internal::handleReturningPacket(context, packet);
                 else
                     internal::handlePacket(context, packet);
             },
             [&](const server_answer &answer) {
-                if (returns)
+                if (serverReturns)
                     internal::handleReturningAnswer(context, answer);
                 else
                     internal::handleAnswer(context, answer);
--- a/lycheeshunt/flows/decision.h
+++ b/lycheeshunt/flows/decision.h
@@ -1,5 +1,5 @@
-// Decides what becomes of each packet at an agent: which agent owns its flow, and where the
-// packet goes next. No I/O, no threads and no clock: the same messages give the same actions.
+// Decides for each packet at an agent which agent owns its flow and where the packet goes next.
+// Deterministic: no I/O, no threads and no clock.
 //
 //     step<flow_state, flow_action> next = decide(std::move(state), message, now);
 
--- a/lycheeshunt/flows/deliver_to_server.h
+++ b/lycheeshunt/flows/deliver_to_server.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::flows {
 
-// Hand a caller's packet to this agent's own backend server.
+// Deliver a caller's packet to this agent's backend server.
 struct deliver_to_server
 {
     const base::packet_bytes bytes;
--- a/lycheeshunt/flows/ended_flow.h
+++ b/lycheeshunt/flows/ended_flow.h
@@ -5,11 +5,11 @@
 
 namespace lycheeshunt::flows {
 
-// A flow that leaves the owner's table at this time.
+// A flow that has ended, and the time at which its owner removes it from its table.
 struct ended_flow
 {
     const base::flow_key key;
-    const base::clock_time leavesAt;
+    const base::clock_time removeAt;
 
     bool operator==(const ended_flow &) const = default;
 };
--- a/lycheeshunt/flows/event_log.h
+++ b/lycheeshunt/flows/event_log.h
@@ -1,4 +1,4 @@
-// Log lines of an agent's decisions about flows.
+// Logs an agent's decisions about flows.
 
 #pragma once
 
--- a/lycheeshunt/flows/flow_duty.cpp
+++ b/lycheeshunt/flows/flow_duty.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 constexpr std::size_t inboxCapacity = 8192;
-constexpr base::clock_time tickEvery = base::clock_time::ofMillis(100);
+constexpr base::clock_time tickInterval = base::clock_time::ofMillis(100);
 } // namespace
 
 flow_duty::flow_duty(const agent_identity &identity, action_sink sink)
     : m_state(identity), m_sink(std::move(sink)),
-      m_duty(inboxCapacity, tickEvery, tick {},
+      m_duty(inboxCapacity, tickInterval, tick {},
              [this](const flow_message &message, base::clock_time now) { handle(message, now); })
 {
 }
--- a/lycheeshunt/flows/flow_duty.h
+++ b/lycheeshunt/flows/flow_duty.h
@@ -1,4 +1,5 @@
-// The flow thread of an agent: takes messages from its ring, decides, and passes the actions on.
+// The flow thread of an agent: reads messages from its ring, decides on them, logs and counts
+// events, and hands the other actions to a callback.
 
 #pragma once
 
--- a/lycheeshunt/flows/flow_event.h
+++ b/lycheeshunt/flows/flow_event.h
@@ -10,23 +10,23 @@
 namespace lycheeshunt::flows {
 
 enum class flow_event_kind : std::uint8_t {
-    opened = 1, // at this agent's server
-    offered, // as new, to another agent
-    adopted, // taken for one of the server's, which may give it back
-    givenBack, // by the server
-    searched, // the other agents are asked
-    unknown, // told to the entry
-    serverSilent, // left an opening packet unanswered
+    opened = 1, // at this agent's backend server
+    offered, // as a new flow, to another agent
+    adopted, // delivered as a flow of the backend server, which may return the packet
+    givenBack, // returned by the backend server
+    searched, // the other agents are queried for its owner
+    unknown, // no agent has the flow; the entry is notified
+    serverSilent, // the backend server did not answer an opening packet
     refused, // its caller is reset
-    held, // until the first view
-    waits, // a request, for a slot of the server
-    abandoned, // a request that waited, its caller being silent
+    held, // buffered until the first view
+    waits, // a request waits for a slot of the backend server
+    abandoned, // a waiting request was dropped because its caller is silent
 };
 
-// The last of the kinds.
+// Kinds are numbered from 1, so the last one is also their number.
 constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::abandoned);
 
-// What was decided about a flow and what decided it, for the log.
+// A decision about a flow and its reasons, for the log.
 struct flow_event
 {
     const flow_event_kind kind;
@@ -37,7 +37,7 @@
     const base::node_id other = {};
     const std::uint32_t busy = 0;
     const std::uint32_t owned = 0;
-    // An agent that might have the flow could not be asked.
+    // An agent that may have the flow did not answer.
     const bool isDoubtful = false;
     const std::optional<base::error_code> reason = {};
 
--- a/lycheeshunt/flows/flow_lookup.h
+++ b/lycheeshunt/flows/flow_lookup.h
@@ -5,15 +5,15 @@
 
 namespace lycheeshunt::flows {
 
-// Asks another agent of the service who owns a flow. One that claims is about to open the flow:
-// an agent that knows no owner remembers the asker as the owner.
+// Asks another agent of the service who owns a flow. With isOpening set, the asking agent is about
+// to open the flow, and an agent that knows no owner stores the asking agent as the owner.
 struct flow_lookup
 {
     const base::service_id service;
     const base::flow_key key;
     const routing::target asker;
     const base::generation at;
-    const bool claims = false;
+    const bool isOpening = false;
 
     bool operator==(const flow_lookup &) const = default;
 };
--- a/lycheeshunt/flows/flow_map.h
+++ b/lycheeshunt/flows/flow_map.h
@@ -1,5 +1,5 @@
-// A table from flows to values. Values are immutable; put() replaces one in place, without an
-// allocation. A round of the table in small steps finds what has expired.
+// A hash table from flow keys to immutable values. put() replaces a value in place, without
+// allocation. nextKeys() iterates over the table in small steps, to find expired values.
 //
 //     flow_map<owned_flow> owned;
 //     owned.put(key, owned_flow {now, refreshAt, flow_phase::open});
@@ -28,7 +28,7 @@
     typename container::const_iterator begin() const { return m_values.begin(); }
     typename container::const_iterator end() const { return m_values.end(); }
 
-    // Null when the flow is not there. Valid until the flow is put or erased.
+    // Null when the table has no such flow. Valid until the flow is put or erased.
     const value_type *find(const base::flow_key &key) const
     {
         const auto found = m_values.find(key);
@@ -48,7 +48,7 @@
 
     void erase(const base::flow_key &key) { m_values.erase(key); }
 
-    // The keys in the next 1/steps of the table; goes round.
+    // The keys in the next 1/steps of the table; continues at the beginning after the end.
     std::vector<base::flow_key> nextKeys(std::size_t steps)
     {
         std::vector<base::flow_key> keys;
--- a/lycheeshunt/flows/flow_meter.h
+++ b/lycheeshunt/flows/flow_meter.h
@@ -1,5 +1,5 @@
-// Counts what an agent decided about flows, and how long requests took. Thread-safe: the flow
-// thread records, the metrics thread asks.
+// Counts an agent's decisions about flows and measures the duration of requests. Thread-safe: the
+// flow thread records, the metrics thread reads.
 
 #pragma once
 
--- a/lycheeshunt/flows/flow_phase.h
+++ b/lycheeshunt/flows/flow_phase.h
@@ -4,13 +4,13 @@
 
 namespace lycheeshunt::flows {
 
-// How far a flow has come, as its owner sees it.
+// The phase of the connection, as its owner observes it.
 enum class flow_phase : std::uint8_t {
-    opening, // first packet seen, or taken over unseen
+    opening, // the first packet was seen, or the flow was adopted without it
     open,
     callerFinished,
     serverFinished,
-    ended, // kept for a moment, so that its last packets still reach the backend server
+    ended, // kept for a short time, so that the last packets still reach the backend server
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -1,4 +1,5 @@
-// What one agent knows of flows: those it owns and, as director or backup, who owns the others.
+// The state of the flow decisions of one agent: the flows that it owns and, as director or backup,
+// the owners of others.
 
 #pragma once
 
@@ -35,36 +36,36 @@
 
     std::shared_ptr<const agent_identity> identity;
     dissemination::shared_view view;
-    // Directors of this agent's service.
+    // The director and the backup of each bucket of this agent's service.
     std::shared_ptr<const routing::bucket_table> buckets;
-    // By bucket, the latest last.
+    // For each bucket, the most recent one last.
     std::map<base::bucket, std::vector<former_director>> formerDirectors;
-    // The newest generation that each agent is known to have reached.
+    // The latest generation that each agent is known to have reached.
     std::map<base::node_id, base::generation> peerGenerations;
     bool draining = false;
     std::size_t maxOwned = 0;
     // From the limits of the service.
-    base::clock_time openIdle = tickets::service_limits {}.idleTimeout;
+    base::clock_time openIdleTimeout = tickets::service_limits {}.idleTimeout;
 
     flow_map<owned_flow> owned;
-    // In the order in which they leave.
+    // In the order of removal.
     std::deque<ended_flow> ended;
     flow_map<directory_entry> directory;
     flow_map<pending_lookup> lookups;
     std::size_t lookupBytes = 0;
-    // Of flows that may be anybody's, until there is a view. Only where backend servers return
-    // packets.
+    // Packets of flows that this agent does not own, buffered until the first view arrives. Only
+    // where backend servers return packets.
     base::early_packets<forwarded_packet> earlyPackets;
     registrar_state registrar;
     recovery_state recovery;
     server_view server;
-    // Only where backend servers return packets: flows that were handed to the server, or passed
-    // on as new, until the server answers.
+    // Packets that were delivered to the backend server, or offered to another agent as the first
+    // of a flow, and are not answered yet. Only where backend servers return packets.
     flow_map<pending_delivery> pendingDeliveries;
-    // Owned flows with a request at the server.
+    // Owned flows with a request in flight at the backend server.
     std::size_t busyFlows = 0;
-    // Requests of owned flows for which the server has no slot. Only where backend servers return
-    // packets.
+    // Requests of owned flows that wait for a free slot of the backend server. Only where backend
+    // servers return packets.
     waiting_requests waiting;
     // Only where backend servers return packets.
     std::optional<placement::placement_state> placement;
--- a/lycheeshunt/flows/former_director.h
+++ b/lycheeshunt/flows/former_director.h
@@ -4,8 +4,7 @@
 
 namespace lycheeshunt::flows {
 
-// An agent that may still take itself for the director of a bucket until it reaches this
-// generation.
+// An agent that may regard itself as the director of a bucket until it reaches this generation.
 struct former_director
 {
     const base::node_id node;
--- a/lycheeshunt/flows/forwarded_packet.h
+++ b/lycheeshunt/flows/forwarded_packet.h
@@ -11,8 +11,8 @@
 
 namespace lycheeshunt::flows {
 
-// A caller's packet on its way to the agent that owns its flow. Service and life say whom it is
-// meant for; any other receiver refuses it.
+// A caller's packet on its way to the agent that owns its flow. Service and incarnation identify
+// the receiver; any other agent refuses the packet.
 struct forwarded_packet
 {
     const base::service_id service;
@@ -22,14 +22,15 @@
     const std::uint8_t hops = 0;
     const packets::ip_summary summary;
     const base::packet_bytes bytes;
-    // Where the entry hears who owns the flow; port 0 when it does not want to.
+    // The address at which the entry receives owner hints; port 0 when it wants none.
     const base::endpoint entry = {};
-    // For an offer, the agents that did not take the flow; for a trial, those still to be tried.
+    // With an offer, the agents that did not accept the flow; with a trial, those still to be
+    // tried.
     const std::vector<base::node_id> agents = {};
-    // An agent that might have the flow could not be asked.
+    // An agent that may have the flow did not answer.
     const bool isDoubtful = false;
 
-    // The same packet at another stage of its way.
+    // The same packet at another stage.
     forwarded_packet with(packet_stage next, std::vector<base::node_id> listed, bool doubt) const
     {
         return forwarded_packet {service,           life, at, next, hops, summary, bytes, entry,
--- a/lycheeshunt/flows/internal/directory.cpp
+++ b/lycheeshunt/flows/internal/directory.cpp
@@ -7,63 +7,66 @@
 
 namespace {
 
-// An agent is director or backup for about as many flows as it owns, twice; the rest is for
-// buckets that came from an agent that is gone.
+// An agent is director for about as many flows as it owns and backup for as many again. The rest
+// is room for buckets that it takes over from a removed agent.
 constexpr std::size_t entriesPerOwned = 4;
-constexpr base::clock_time entryLife = refreshEvery * 5 / 2;
-// An entry for a bucket that others direct now only shortens their lookups.
-constexpr base::clock_time formerEntryLife = base::clock_time::ofSeconds(30);
+constexpr base::clock_time entryTtl = refreshInterval * 5 / 2;
+// An entry of a bucket that has another director by now only shortens the lookups of others.
+constexpr base::clock_time formerEntryTtl = base::clock_time::ofSeconds(30);
 constexpr std::size_t sweepSteps = 100;
 
-// The owner registered before this agent learned of it.
+// The owner registered the flow in a generation that this agent has not reached, so that the view
+// may not contain the owner yet.
 bool isAheadOfView(const flow_state &state, const directory_entry &entry)
 {
     return entry.at > currentGeneration(state);
 }
 
-// A repetition that arrives late must not undo what came after it.
-bool isOutdated(const directory_entry &known, const registration_batch &batch)
+// A retransmission that arrives late must not overwrite a later registration.
+bool isOutdated(const directory_entry &existing, const registration_batch &batch)
 {
-    if (known.owner.node != batch.owner.node)
+    if (existing.owner.node != batch.owner.node)
         return false;
-    if (known.owner.life != batch.owner.life)
-        return known.owner.life > batch.owner.life;
-    return known.sequence > batch.sequence;
+    if (existing.owner.life != batch.owner.life)
+        return existing.owner.life > batch.owner.life;
+    return existing.sequence > batch.sequence;
 }
 
-// Another agent has registered the flow and may still have it. The first one is kept: if it has not
-// got the flow, it declines the next packet, and the other's next attempt is stored.
-bool isTaken(const flow_state &state, const registration_batch &batch, const base::flow_key &key)
+// Whether another agent has registered the flow and may still own it. The first registration is
+// kept: if that agent does not own the flow, it declines the next packet, the entry is erased, and
+// the next retransmission of the other registration is stored.
+bool isRegisteredElsewhere(const flow_state &state, const registration_batch &batch,
+                           const base::flow_key &key)
 {
-    const owned_flow *own = state.owned.find(key);
-    if (own != nullptr && own->phase != flow_phase::ended)
+    const owned_flow *ownFlow = state.owned.find(key);
+    if (ownFlow != nullptr && ownFlow->phase != flow_phase::ended)
         return true;
-    const directory_entry *known = state.directory.find(key);
-    if (known == nullptr || known->owner.node == batch.owner.node || known->sequence == 0)
+    const directory_entry *existing = state.directory.find(key);
+    if (existing == nullptr || existing->owner.node == batch.owner.node || existing->sequence == 0)
         return false;
     const std::optional<routing::target> owner = knownOwner(state, key);
-    return owner && owner->life == known->owner.life;
+    return owner && owner->life == existing->owner.life;
 }
 
 bool store(flow_context &context, const registration_batch &batch, const registered_flow &flow)
 {
     flow_state &state = context.state;
-    const directory_entry *known = state.directory.find(flow.key);
-    if (known != nullptr && isOutdated(*known, batch))
+    const directory_entry *existing = state.directory.find(flow.key);
+    if (existing != nullptr && isOutdated(*existing, batch))
         return true;
     if (!flow.alive) {
-        if (known != nullptr && known->owner.node == batch.owner.node)
+        if (existing != nullptr && existing->owner.node == batch.owner.node)
             state.directory.erase(flow.key);
         return true;
     }
-    if (isTaken(state, batch, flow.key) || !directoryHasRoom(state, flow.key))
+    if (isRegisteredElsewhere(state, batch, flow.key) || !directoryHasRoom(state, flow.key))
         return false;
     state.directory.put(flow.key,
                         directory_entry {batch.owner, batch.at, context.now, batch.sequence});
     return true;
 }
 
-bool isFor(const flow_state &state, const base::flow_key &key)
+bool servesAsDirectorOrBackup(const flow_state &state, const base::flow_key &key)
 {
     const routing::target *director = directorOf(state, key);
     return director != nullptr
@@ -118,8 +121,9 @@
         const directory_entry *entry = state.directory.find(key);
         if (entry == nullptr)
             continue;
-        const base::clock_time life = isFor(state, key) ? entryLife : formerEntryLife;
-        const bool expired = context.now - entry->lastHeard >= life;
+        const base::clock_time ttl
+            = servesAsDirectorOrBackup(state, key) ? entryTtl : formerEntryTtl;
+        const bool expired = context.now - entry->lastHeard >= ttl;
         if (expired || !knownOwner(state, key))
             state.directory.erase(key);
     }
--- a/lycheeshunt/flows/internal/directory.h
+++ b/lycheeshunt/flows/internal/directory.h
@@ -1,4 +1,4 @@
-// The director's duty: a bounded table of which agent owns each flow of this agent's buckets.
+// The director's part: a bounded table of the owners of the flows in this agent's buckets.
 
 #pragma once
 
@@ -9,19 +9,19 @@
 
 namespace lycheeshunt::flows::internal {
 
-// Room for the flow, or an entry of it already there.
+// Whether the directory has an entry of the flow or room for one.
 bool directoryHasRoom(const flow_state &state, const base::flow_key &key);
 
-// Where the flow's owner is to be reached now; nothing when the directory does not know the flow
-// or its owner is gone. An owner that has restarted is reached in its new life.
+// The current address and incarnation of the flow's owner, which may have restarted since it
+// registered the flow. Empty when the directory has no entry or the owner was removed.
 std::optional<routing::target> knownOwner(const flow_state &state, const base::flow_key &key);
 
-// Keeps the entry from expiring: a packet of its flow went by.
+// Postpones the expiry of the entry, since a packet of its flow has passed.
 void refreshEntry(flow_context &context, const base::flow_key &key);
 
 void handleRegistration(flow_context &context, const registration_batch &batch);
 
-// Drops entries that nobody has repeated or used, and those whose owner is gone.
+// Expires entries that were neither registered again nor used, and those whose owner was removed.
 void directoryTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/flow_context.h
+++ b/lycheeshunt/flows/internal/flow_context.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::flows::internal {
 
-// What each part of one decision works on.
+// State, time and resulting actions of one decision, shared by the functions that make it.
 struct flow_context
 {
     flow_state &state;
--- a/lycheeshunt/flows/internal/forwarding.h
+++ b/lycheeshunt/flows/internal/forwarding.h
@@ -1,4 +1,4 @@
-// Passing packets from agent to agent.
+// Forwards packets from agent to agent.
 
 #pragma once
 
@@ -7,14 +7,14 @@
 
 namespace lycheeshunt::flows::internal {
 
-// Sends the packet on; one that has passed through too many agents is refused, and its caller's
-// retransmission goes by views that are newer by then.
+// Refuses a packet that was forwarded too often; by the time its caller retransmits it, the agents
+// on the way have newer views.
 void forwardTo(flow_context &context, const forwarded_packet &packet, const routing::target &to,
                packet_stage stage);
 
-// Stores who owns the flow, as a lookup or an offer has shown; at is the generation of the agent
-// that told. A registration replaces it; a full directory stores nothing, and the next packet
-// leads to another lookup.
+// Stores the owner that a lookup or an offer has shown; `at` is the generation of the agent that
+// named the owner. A registration replaces the entry. A full directory stores nothing, and the next
+// packet of the flow starts another lookup.
 void rememberOwner(flow_context &context, const base::flow_key &key, const routing::target &owner,
                    base::generation at);
 
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -14,126 +14,129 @@
 
 namespace {
 
-constexpr std::size_t maxHeldFlows = 512;
-constexpr std::size_t maxPacketsOfFlow = 4;
-constexpr std::size_t maxHeldBytes = 512 * 1024;
-// Agents that are silent this long are taken for dead when a flow is to be opened.
-constexpr base::clock_time openHold = base::clock_time::ofMillis(400);
-// Longer than owners take to register their flows after a change.
-constexpr base::clock_time findHold = base::clock_time::ofSeconds(2);
-constexpr base::clock_time askEvery = base::clock_time::ofMillis(150);
-constexpr std::size_t askedInRound = 16;
-constexpr std::size_t maxAsked = 64;
+constexpr std::size_t maxLookups = 512;
+constexpr std::size_t maxPacketsPerLookup = 4;
+constexpr std::size_t maxBufferedBytes = 512 * 1024;
+// An agent that does not answer within this time is presumed dead, and the flow is opened.
+constexpr base::clock_time openTimeout = base::clock_time::ofMillis(400);
+// Longer than owners take to register their flows again after a membership change.
+constexpr base::clock_time findTimeout = base::clock_time::ofSeconds(2);
+constexpr base::clock_time queryInterval = base::clock_time::ofMillis(150);
+constexpr std::size_t maxQueriesPerRound = 16;
+constexpr std::size_t maxQueries = 64;
 
 bool contains(const std::vector<base::node_id> &nodes, base::node_id node)
 {
     return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
 
-std::size_t bytesOf(const pending_lookup &held)
+std::size_t bufferedBytesOf(const pending_lookup &pending)
 {
     std::size_t bytes = 0;
-    for (const forwarded_packet &packet : held.packets)
+    for (const forwarded_packet &packet : pending.packets)
         bytes += packet.bytes.view().size();
     return bytes;
 }
 
-void ask(flow_context &context, const base::flow_key &key, const pending_lookup &held)
+void sendQueries(flow_context &context, const base::flow_key &key, const pending_lookup &pending)
 {
     const flow_state &state = context.state;
-    for (const base::node_id node : held.waitingFor) {
+    for (const base::node_id node : pending.unanswered) {
         const std::optional<routing::target> to = targetOf(state, node);
         if (to)
             context.actions.emplace_back(send_to_peer {
                 to->packets,
                 flow_lookup {state.identity->service, key, selfTarget(state),
-                             currentGeneration(state), held.purpose == lookup_purpose::open}});
+                             currentGeneration(state), pending.purpose == lookup_purpose::open}});
     }
 }
 
-// Agents not asked so far: first those that directed the bucket, then the others.
-std::vector<base::node_id> nextToAsk(const flow_state &state, const base::flow_key &key,
-                                     const std::vector<base::node_id> &asked)
+// Agents that have not been sent a query yet: former directors of the bucket first, then the
+// others.
+std::vector<base::node_id> nextToQuery(const flow_state &state, const base::flow_key &key,
+                                       const std::vector<base::node_id> &queried)
 {
     std::vector<base::node_id> next;
     for (const base::node_id node : formerDirectorsOf(state, key)) {
-        if (!contains(asked, node))
+        if (!contains(queried, node))
             next.push_back(node);
     }
-    // Servers that return packets make a wrong guess cheap and a second round dear.
+    // Former directors alone form the first round, except where backend servers return packets:
+    // there a packet sent to the wrong server does no harm, while a second round costs time.
     if (!next.empty() && !state.identity->serverReturnsPackets)
         return next;
     for (const routing::target &agent : otherAgents(state)) {
-        if (next.size() < askedInRound && asked.size() + next.size() < maxAsked
-            && !contains(asked, agent.node) && !contains(next, agent.node))
+        if (next.size() < maxQueriesPerRound && queried.size() + next.size() < maxQueries
+            && !contains(queried, agent.node) && !contains(next, agent.node))
             next.push_back(agent.node);
     }
     return next;
 }
 
-// The held flow, with these agents asked too.
-pending_lookup asking(const pending_lookup &held, const std::vector<base::node_id> &more,
-                      base::clock_time now)
+// Adds these agents to those that are sent a query.
+pending_lookup withQueries(const pending_lookup &pending, const std::vector<base::node_id> &more,
+                           base::clock_time now)
 {
-    std::vector<base::node_id> asked = held.asked;
-    std::vector<base::node_id> waitingFor = held.waitingFor;
-    asked.insert(asked.end(), more.begin(), more.end());
-    waitingFor.insert(waitingFor.end(), more.begin(), more.end());
-    return pending_lookup {held.purpose,     held.packets,          held.deadline, now + askEvery,
-                           std::move(asked), std::move(waitingFor), held.mayOwn};
+    std::vector<base::node_id> queried = pending.queried;
+    std::vector<base::node_id> unanswered = pending.unanswered;
+    queried.insert(queried.end(), more.begin(), more.end());
+    unanswered.insert(unanswered.end(), more.begin(), more.end());
+    return pending_lookup {pending.purpose,     pending.packets,    pending.deadline,
+                           now + queryInterval, std::move(queried), std::move(unanswered),
+                           pending.mayOwn};
 }
 
-pending_lookup release(flow_context &context, const base::flow_key &key)
+pending_lookup removeLookup(flow_context &context, const base::flow_key &key)
 {
-    pending_lookup held = *context.state.lookups.find(key);
-    context.state.lookupBytes -= bytesOf(held);
+    pending_lookup pending = *context.state.lookups.find(key);
+    context.state.lookupBytes -= bufferedBytesOf(pending);
     context.state.lookups.erase(key);
-    return held;
+    return pending;
 }
 
-// Nobody could tell who owns the flow.
-void giveUp(flow_context &context, const base::flow_key &key)
+// No agent has named the owner of the flow, or not in time.
+void finishWithoutOwner(flow_context &context, const base::flow_key &key)
 {
-    const pending_lookup held = release(context, key);
-    const forwarded_packet &first = held.packets.front();
+    const pending_lookup pending = removeLookup(context, key);
+    const forwarded_packet &first = pending.packets.front();
     if (context.state.identity->serverReturnsPackets) {
-        for (const forwarded_packet &packet : held.packets)
-            tryCandidates(context, packet, held.mayOwn, !held.waitingFor.empty());
+        for (const forwarded_packet &packet : pending.packets)
+            tryCandidates(context, packet, pending.mayOwn, !pending.unanswered.empty());
         return;
     }
-    if (held.purpose == lookup_purpose::open)
+    if (pending.purpose == lookup_purpose::open)
         openFlow(context, first);
-    else if (hasStartedLately(context.state, context.now))
+    else if (hasStartedRecently(context.state, context.now))
         adoptFlow(context, first);
     else
         context.actions.emplace_back(reset_caller {first.bytes, base::error_code::flowUnknown});
     const bool owned = context.state.owned.find(key) != nullptr;
-    for (std::size_t i = 1; i < held.packets.size(); ++i) {
+    for (std::size_t i = 1; i < pending.packets.size(); ++i) {
         if (owned)
-            handleOwned(context, *context.state.owned.find(key), held.packets[i]);
+            handleOwned(context, *context.state.owned.find(key), pending.packets[i]);
     }
 }
 
-// All asked agents have answered: goes on with the next ones, or gives up.
-void proceed(flow_context &context, const base::flow_key &key)
+// All agents that were sent a query have answered: queries further agents, or ends the lookup.
+void continueLookup(flow_context &context, const base::flow_key &key)
 {
-    const pending_lookup &held = *context.state.lookups.find(key);
+    const pending_lookup &pending = *context.state.lookups.find(key);
     std::vector<base::node_id> next;
-    if (held.purpose == lookup_purpose::find)
-        next = nextToAsk(context.state, key, held.asked);
+    if (pending.purpose == lookup_purpose::find)
+        next = nextToQuery(context.state, key, pending.queried);
     if (next.empty()) {
-        giveUp(context, key);
+        finishWithoutOwner(context, key);
         return;
     }
-    context.state.lookups.put(key, asking(held, next, context.now));
-    ask(context, key, *context.state.lookups.find(key));
+    context.state.lookups.put(key, withQueries(pending, next, context.now));
+    sendQueries(context, key, *context.state.lookups.find(key));
 }
 
-void sendAllTo(flow_context &context, const base::flow_key &key, const routing::target &to,
-               packet_stage stage)
+void forwardAllTo(flow_context &context, const base::flow_key &key, const routing::target &to,
+                  packet_stage stage)
 {
-    const pending_lookup held = release(context, key);
-    for (const forwarded_packet &packet : held.packets)
+    const pending_lookup pending = removeLookup(context, key);
+    for (const forwarded_packet &packet : pending.packets)
         forwardTo(context, packet, to, stage);
 }
 
@@ -147,8 +150,8 @@
                                      currentGeneration(state), verdict, owner}});
 }
 
-// Two agents that are both about to open the flow have asked each other: one of them goes on.
-bool winsAgainst(const flow_state &state, const flow_lookup &lookup)
+// Breaks the tie between two agents that are about to open the same flow and query each other.
+bool hasPriorityOver(const flow_state &state, const flow_lookup &lookup)
 {
     const routing::target *director = directorOf(state, lookup.key);
     if (director != nullptr && director->node == lookup.asker.node)
@@ -158,23 +161,24 @@
     return ownRank > std::make_pair(lookup.at, lookup.asker.node);
 }
 
-void answerUnknown(flow_context &context, const flow_lookup &lookup)
+void answerWithoutOwner(flow_context &context, const flow_lookup &lookup)
 {
     const flow_state &state = context.state;
     const routing::target self = selfTarget(state);
     const routing::target *director = directorOf(state, lookup.key);
-    const bool directs = director != nullptr && isSelf(state, director->node)
+    const bool isDirector = director != nullptr && isSelf(state, director->node)
         && currentGeneration(state) >= lookup.at;
-    const pending_lookup *held = state.lookups.find(lookup.key);
-    const bool opening = held != nullptr && held->purpose == lookup_purpose::open;
-    if (directs || (lookup.claims && opening && winsAgainst(state, lookup))) {
+    const pending_lookup *pending = state.lookups.find(lookup.key);
+    const bool opening = pending != nullptr && pending->purpose == lookup_purpose::open;
+    if (isDirector || (lookup.isOpening && opening && hasPriorityOver(state, lookup))) {
         answer(context, lookup, lookup_verdict::redirect, self);
         return;
     }
-    // Its former life may own the flow; what comes back from the others shows it soon.
+    // An earlier incarnation of this agent may own the flow. No answer is sent until the recovery
+    // from the other agents has shown whether it does; the lookup is retried.
     if (isRecovering(state))
         return;
-    if (lookup.claims)
+    if (lookup.isOpening)
         rememberOwner(context, lookup.key, lookup.asker, lookup.at);
     answer(context, lookup, lookup_verdict::unknown, self);
 }
@@ -182,12 +186,12 @@
 } // namespace
 
 void startLookup(flow_context &context, const forwarded_packet &packet, lookup_purpose purpose,
-                 const std::vector<base::node_id> &firstAsked)
+                 const std::vector<base::node_id> &firstQueried)
 {
     flow_state &state = context.state;
     const std::size_t bytes = packet.bytes.view().size();
-    if (state.lookups.size() >= maxHeldFlows || state.lookupBytes + bytes > maxHeldBytes) {
-        // A reset would end a flow that somebody may well own.
+    if (state.lookups.size() >= maxLookups || state.lookupBytes + bytes > maxBufferedBytes) {
+        // A reset would end a flow that another agent may own.
         if (state.identity->serverReturnsPackets)
             context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
         else
@@ -195,30 +199,33 @@
                 reset_caller {packet.bytes, base::error_code::tooManyLookups});
         return;
     }
-    const base::clock_time span = purpose == lookup_purpose::open ? openHold : findHold;
-    const pending_lookup held {purpose, {packet}, context.now + span, context.now, {}, {}};
+    const base::clock_time timeout = purpose == lookup_purpose::open ? openTimeout : findTimeout;
+    const pending_lookup pending {purpose, {packet}, context.now + timeout, context.now, {}, {}};
     state.lookupBytes += bytes;
-    state.lookups.put(packet.summary.key, asking(held, firstAsked, context.now));
-    if (firstAsked.empty())
-        proceed(context, packet.summary.key);
+    state.lookups.put(packet.summary.key, withQueries(pending, firstQueried, context.now));
+    if (firstQueried.empty())
+        continueLookup(context, packet.summary.key);
     else
-        ask(context, packet.summary.key, *state.lookups.find(packet.summary.key));
+        sendQueries(context, packet.summary.key, *state.lookups.find(packet.summary.key));
 }
 
-void addToLookup(flow_context &context, const pending_lookup &held, const forwarded_packet &packet)
+void addToLookup(flow_context &context, const pending_lookup &pending,
+                 const forwarded_packet &packet)
 {
     flow_state &state = context.state;
     const std::size_t bytes = packet.bytes.view().size();
-    if (held.packets.size() >= maxPacketsOfFlow || state.lookupBytes + bytes > maxHeldBytes) {
+    if (pending.packets.size() >= maxPacketsPerLookup
+        || state.lookupBytes + bytes > maxBufferedBytes) {
         context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
         return;
     }
-    std::vector<forwarded_packet> packets = held.packets;
+    std::vector<forwarded_packet> packets = pending.packets;
     packets.push_back(packet);
     state.lookupBytes += bytes;
     state.lookups.put(packet.summary.key,
-                      pending_lookup {held.purpose, std::move(packets), held.deadline,
-                                      held.askAgainAt, held.asked, held.waitingFor, held.mayOwn});
+                      pending_lookup {pending.purpose, std::move(packets), pending.deadline,
+                                      pending.nextQueryAt, pending.queried, pending.unanswered,
+                                      pending.mayOwn});
 }
 
 void handleLookup(flow_context &context, const flow_lookup &lookup)
@@ -239,28 +246,28 @@
                state.server.isOlder ? lookup_verdict::mayOwn : lookup_verdict::unknown,
                selfTarget(state));
     else
-        answerUnknown(context, lookup);
+        answerWithoutOwner(context, lookup);
 }
 
 void handleLookupAnswer(flow_context &context, const lookup_answer &answer)
 {
     flow_state &state = context.state;
-    const pending_lookup *held = state.lookups.find(answer.key);
-    if (answer.service != state.identity->service || held == nullptr
-        || !contains(held->waitingFor, answer.from.node))
+    const pending_lookup *pending = state.lookups.find(answer.key);
+    if (answer.service != state.identity->service || pending == nullptr
+        || !contains(pending->unanswered, answer.from.node))
         return;
     if (answer.verdict == lookup_verdict::redirect) {
-        sendAllTo(context, answer.key, answer.from, packet_stage::toDirector);
+        forwardAllTo(context, answer.key, answer.from, packet_stage::toDirector);
         return;
     }
     if (answer.verdict == lookup_verdict::owned && !isSelf(state, answer.owner.node)) {
         rememberOwner(context, answer.key, answer.owner, answer.at);
-        sendAllTo(context, answer.key, answer.owner, packet_stage::toOwner);
+        forwardAllTo(context, answer.key, answer.owner, packet_stage::toOwner);
         return;
     }
     if (answer.verdict == lookup_verdict::owned) {
-        const pending_lookup released = release(context, answer.key);
-        for (const forwarded_packet &packet : released.packets) {
+        const pending_lookup finished = removeLookup(context, answer.key);
+        for (const forwarded_packet &packet : finished.packets) {
             if (state.identity->serverReturnsPackets)
                 adoptReturning(context, packet);
             else
@@ -268,39 +275,39 @@
         }
         return;
     }
-    std::vector<base::node_id> waitingFor = held->waitingFor;
-    waitingFor.erase(std::find(waitingFor.begin(), waitingFor.end(), answer.from.node));
-    const bool allAnswered = waitingFor.empty();
-    std::vector<base::node_id> mayOwn = held->mayOwn;
+    std::vector<base::node_id> unanswered = pending->unanswered;
+    unanswered.erase(std::find(unanswered.begin(), unanswered.end(), answer.from.node));
+    const bool allAnswered = unanswered.empty();
+    std::vector<base::node_id> mayOwn = pending->mayOwn;
     if (answer.verdict == lookup_verdict::mayOwn)
         mayOwn.push_back(answer.from.node);
     state.lookups.put(answer.key,
-                      pending_lookup {held->purpose, held->packets, held->deadline,
-                                      held->askAgainAt, held->asked, std::move(waitingFor),
+                      pending_lookup {pending->purpose, pending->packets, pending->deadline,
+                                      pending->nextQueryAt, pending->queried, std::move(unanswered),
                                       std::move(mayOwn)});
     if (allAnswered)
-        proceed(context, answer.key);
+        continueLookup(context, answer.key);
 }
 
 void lookupTick(flow_context &context)
 {
     std::vector<base::flow_key> keys;
     for (auto it = context.state.lookups.begin(); it != context.state.lookups.end(); ++it) {
-        if (it->second.askAgainAt <= context.now || it->second.deadline <= context.now)
+        if (it->second.nextQueryAt <= context.now || it->second.deadline <= context.now)
             keys.push_back(it->first);
     }
     for (const base::flow_key &key : keys) {
-        const pending_lookup held = *context.state.lookups.find(key);
-        if (held.deadline <= context.now) {
-            giveUp(context, key);
+        const pending_lookup pending = *context.state.lookups.find(key);
+        if (pending.deadline <= context.now) {
+            finishWithoutOwner(context, key);
             continue;
         }
-        // The silent ones are asked again, and the next ones too.
+        // Retries the agents that have not answered, and queries further agents.
         std::vector<base::node_id> next;
-        if (held.purpose == lookup_purpose::find)
-            next = nextToAsk(context.state, key, held.asked);
-        context.state.lookups.put(key, asking(held, next, context.now));
-        ask(context, key, *context.state.lookups.find(key));
+        if (pending.purpose == lookup_purpose::find)
+            next = nextToQuery(context.state, key, pending.queried);
+        context.state.lookups.put(key, withQueries(pending, next, context.now));
+        sendQueries(context, key, *context.state.lookups.find(key));
     }
 }
 
--- a/lycheeshunt/flows/internal/lookup.h
+++ b/lycheeshunt/flows/internal/lookup.h
@@ -1,5 +1,6 @@
-// Finding the owner of a flow that this agent does not know: its packets are held, within bounds,
-// while other agents are asked; then they go to the owner, or their caller is reset.
+// Finds the owner of a flow that this agent does not know. The packets of the flow are buffered,
+// within bounds, while other agents are queried; then they are forwarded to the owner, or their
+// caller is reset.
 
 #pragma once
 
@@ -9,17 +10,20 @@
 
 namespace lycheeshunt::flows::internal {
 
-// Holds the packet while these agents are asked. An empty list asks the next ones that may know.
+// Buffers the packet while these agents are queried. With an empty list, queries the agents that
+// are the likeliest to know the owner.
 void startLookup(flow_context &context, const forwarded_packet &packet, lookup_purpose purpose,
-                 const std::vector<base::node_id> &firstAsked);
+                 const std::vector<base::node_id> &firstQueried);
 
-// Adds a packet to those of its flow that are held already; drops it, counted, beyond the bounds.
-void addToLookup(flow_context &context, const pending_lookup &held, const forwarded_packet &packet);
+// Buffers a further packet of a flow that is being looked up. Beyond the bounds the packet is
+// refused.
+void addToLookup(flow_context &context, const pending_lookup &pending,
+                 const forwarded_packet &packet);
 
 void handleLookup(flow_context &context, const flow_lookup &lookup);
 void handleLookupAnswer(flow_context &context, const lookup_answer &answer);
 
-// Asks again, and ends holds whose time is up.
+// Retries queries that were not answered, and ends lookups whose deadline has passed.
 void lookupTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -13,28 +13,28 @@
 
 // RFC 5382 asks for 4 min at least for a connection that is closing; RFC 4787 recommends 5 min for
 // UDP.
-constexpr base::clock_time closingIdle = base::clock_time::ofSeconds(240);
-constexpr base::clock_time datagramIdle = base::clock_time::ofSeconds(300);
-constexpr base::clock_time openingIdle = base::clock_time::ofSeconds(30);
-// Callers that open flows at such servers give up sooner.
-constexpr base::clock_time unansweredIdle = base::clock_time::ofSeconds(5);
-constexpr base::clock_time endedLinger = base::clock_time::ofSeconds(2);
+constexpr base::clock_time closingIdleTimeout = base::clock_time::ofSeconds(240);
+constexpr base::clock_time datagramIdleTimeout = base::clock_time::ofSeconds(300);
+constexpr base::clock_time openingIdleTimeout = base::clock_time::ofSeconds(30);
+// Where backend servers return packets, callers abandon an unanswered opening packet sooner.
+constexpr base::clock_time unansweredIdleTimeout = base::clock_time::ofSeconds(5);
+constexpr base::clock_time endedRetention = base::clock_time::ofSeconds(2);
 constexpr std::size_t sweepSteps = 100;
 
-bool hasSpace(const flow_state &state)
+bool isBelowFlowLimit(const flow_state &state)
 {
     return state.owned.size() < state.maxOwned;
 }
 
-bool hasRoom(const flow_state &state)
+bool canOpenFlow(const flow_state &state)
 {
-    return !state.draining && hasSpace(state);
+    return !state.draining && isBelowFlowLimit(state);
 }
 
 void endFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow)
 {
     putOwned(context.state, key, owned_flow {context.now, flow.refreshAt, flow_phase::ended});
-    context.state.ended.push_back(ended_flow {key, context.now + endedLinger});
+    context.state.ended.push_back(ended_flow {key, context.now + endedRetention});
     registerLater(context, key, false);
 }
 
@@ -52,8 +52,8 @@
     return phase;
 }
 
-void moveOn(flow_context &context, const base::flow_key &key, const owned_flow &flow,
-            flow_phase phase, const request_progress &progress)
+void updateFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow,
+                flow_phase phase, const request_progress &progress)
 {
     if (phase == flow_phase::ended)
         endFlow(context, key, flow);
@@ -61,24 +61,25 @@
         putOwned(context.state, key, owned_flow {context.now, flow.refreshAt, phase, progress});
 }
 
-base::clock_time idleLimit(const flow_state &state, const base::flow_key &key, flow_phase phase)
+base::clock_time idleTimeoutOf(const flow_state &state, const base::flow_key &key, flow_phase phase)
 {
     if (state.identity->serverReturnsPackets && phase == flow_phase::opening)
-        return unansweredIdle;
+        return unansweredIdleTimeout;
     if (phase == flow_phase::opening)
-        return openingIdle;
+        return openingIdleTimeout;
     if (key.protocol != IPPROTO_TCP)
-        return datagramIdle;
-    return phase == flow_phase::open ? state.openIdle : std::min(state.openIdle, closingIdle);
+        return datagramIdleTimeout;
+    return phase == flow_phase::open ? state.openIdleTimeout
+                                     : std::min(state.openIdleTimeout, closingIdleTimeout);
 }
 
-void letEndedGo(flow_context &context)
+void removeEndedFlows(flow_context &context)
 {
     flow_state &state = context.state;
-    while (!state.ended.empty() && state.ended.front().leavesAt <= context.now) {
+    while (!state.ended.empty() && state.ended.front().removeAt <= context.now) {
         const base::flow_key &key = state.ended.front().key;
         const owned_flow *flow = state.owned.find(key);
-        // The key may have been opened again in the meantime.
+        // A new flow with the same key may have been opened in the meantime.
         if (flow != nullptr && flow->phase == flow_phase::ended)
             eraseOwned(state, key);
         state.ended.pop_front();
@@ -89,15 +90,16 @@
 {
     if (flow.phase == flow_phase::ended)
         return;
-    if (context.now - flow.lastPacket >= idleLimit(context.state, key, flow.phase)) {
+    if (context.now - flow.lastPacket >= idleTimeoutOf(context.state, key, flow.phase)) {
         endFlow(context, key, flow);
         return;
     }
     if (flow.refreshAt > context.now)
         return;
     registerLater(context, key, true);
-    putOwned(context.state, key,
-             owned_flow {flow.lastPacket, context.now + refreshEvery, flow.phase, flow.progress});
+    putOwned(
+        context.state, key,
+        owned_flow {flow.lastPacket, context.now + refreshInterval, flow.phase, flow.progress});
 }
 
 } // namespace
@@ -126,7 +128,7 @@
 void takeOwnership(flow_context &context, const base::flow_key &key, flow_phase phase)
 {
     context.state.directory.erase(key);
-    putOwned(context.state, key, owned_flow {context.now, context.now + refreshEvery, phase});
+    putOwned(context.state, key, owned_flow {context.now, context.now + refreshInterval, phase});
     registerNow(context, key);
 }
 
@@ -134,9 +136,11 @@
 {
     const base::flow_key &key = packet.summary.key;
     if (holdsForSlot(context, flow, packet)) {
-        // The caller is there, and has taken the server's answer to its opening packet.
+        // The packet shows that the caller is alive and has received the answer to its opening
+        // packet.
         if (flow.phase != flow_phase::ended)
-            moveOn(context, key, flow, phaseAfterCaller(flow.phase, packet.summary), flow.progress);
+            updateFlow(context, key, flow, phaseAfterCaller(flow.phase, packet.summary),
+                       flow.progress);
         return;
     }
     deliverToServer(context, packet);
@@ -144,7 +148,7 @@
         return;
     const flow_phase next
         = packet.summary.resets ? flow_phase::ended : phaseAfterCaller(flow.phase, packet.summary);
-    moveOn(context, key, flow, next, flow.progress.afterCaller(packet.summary, context.now));
+    updateFlow(context, key, flow, next, flow.progress.afterCaller(packet.summary, context.now));
 }
 
 void openFlow(flow_context &context, const forwarded_packet &packet)
@@ -155,7 +159,7 @@
         context.actions.emplace_back(refuse_packet {base::error_code::wrongService});
         return;
     }
-    if (hasRoom(state)) {
+    if (canOpenFlow(state)) {
         takeOwnership(context, key, flow_phase::opening);
         deliverToServer(context, packet);
         return;
@@ -164,7 +168,8 @@
     const bool mayOffer = packet.stage == packet_stage::toDirector && second != nullptr
         && !isSelf(state, second->node);
     if (mayOffer) {
-        // A second copy of this packet must go the same way, also if there is room by then.
+        // A retransmission of this packet must go to the same agent, even if this one can open the
+        // flow by then.
         rememberOwner(context, key, *second, currentGeneration(state));
         forwardTo(context, packet, *second, packet_stage::offer);
         return;
@@ -177,7 +182,7 @@
 void openOrDecline(flow_context &context, const forwarded_packet &packet)
 {
     const routing::target *director = directorOf(context.state, packet.summary.key);
-    if (hasRoom(context.state) || director == nullptr || isSelf(context.state, director->node))
+    if (canOpenFlow(context.state) || director == nullptr || isSelf(context.state, director->node))
         openFlow(context, packet);
     else
         forwardTo(context, packet, *director, packet_stage::declined);
@@ -190,7 +195,7 @@
         context.actions.emplace_back(reset_caller {packet.bytes, base::error_code::wrongService});
         return;
     }
-    if (!hasSpace(context.state)) {
+    if (!isBelowFlowLimit(context.state)) {
         context.actions.emplace_back(reset_caller {packet.bytes, base::error_code::flowTableFull});
         return;
     }
@@ -203,14 +208,14 @@
     const base::flow_key &key = answer.summary.key;
     const owned_flow *flow = context.state.owned.find(key);
     if (flow == nullptr && !answer.summary.resets && context.state.buckets) {
-        // Its agent has restarted: the backend server's own connections tell it of its flows.
+        // This agent has restarted: packets that the backend server sends show which flows it has.
         const bool isForeign
             = !context.state.identity->serverReturnsPackets && !servesAddress(context.state, key);
         if (isForeign) {
             context.actions.emplace_back(refuse_packet {base::error_code::wrongService});
             return;
         }
-        if (hasSpace(context.state))
+        if (isBelowFlowLimit(context.state))
             takeOwnership(context, key, flow_phase::open);
     }
     context.actions.emplace_back(answer_caller {answer.bytes});
@@ -221,12 +226,12 @@
     if (flow->progress.isBusy && answer.summary.payloadBytes > 0)
         context.actions.emplace_back(
             request_timing {request_step::answered, context.now - flow->progress.since});
-    moveOn(context, key, owned_flow(*flow), next, flow->progress.afterServer(answer.summary));
+    updateFlow(context, key, owned_flow(*flow), next, flow->progress.afterServer(answer.summary));
 }
 
 void ownershipTick(flow_context &context)
 {
-    letEndedGo(context);
+    removeEndedFlows(context);
     for (const base::flow_key &key : context.state.owned.nextKeys(sweepSteps)) {
         const owned_flow *flow = context.state.owned.find(key);
         if (flow != nullptr)
--- a/lycheeshunt/flows/internal/ownership.h
+++ b/lycheeshunt/flows/internal/ownership.h
@@ -1,5 +1,4 @@
-// The owner's duty: opening flows, handing callers' packets to the backend server, and seeing
-// flows end.
+// The owner's part: opens flows, delivers callers' packets to the backend server, and ends flows.
 
 #pragma once
 
@@ -9,20 +8,21 @@
 
 namespace lycheeshunt::flows::internal {
 
-// The one place where a caller's packet goes to the backend server.
+// All packets for the backend server go through this function.
 void deliverToServer(flow_context &context, const forwarded_packet &packet);
 
-// A packet of a flow that this agent owns.
+// Handles a packet of a flow that this agent owns.
 void handleOwned(flow_context &context, const owned_flow &flow, const forwarded_packet &packet);
 
-// Opens a new flow: here when there is room, else at the second candidate, else the caller is told.
+// Opens a new flow: here when the limits allow it, otherwise at the backup of its bucket. When
+// neither can take it, resets the caller.
 void openFlow(flow_context &context, const forwarded_packet &packet);
 
-// Opens a new flow here, or sends its packet back to the director.
+// Opens a new flow here when the limits allow it, otherwise sends its packet back to the director.
 void openOrDecline(flow_context &context, const forwarded_packet &packet);
 
-// Takes over a flow that this agent is said to own but does not know, as after a restart. The
-// backend server settles it: it goes on, or resets the caller.
+// Takes over a flow of which this agent may be the owner without knowing it, as after a restart.
+// The backend server then continues the connection or resets the caller.
 void adoptFlow(flow_context &context, const forwarded_packet &packet);
 
 void handleAnswer(flow_context &context, const server_answer &answer);
@@ -31,10 +31,10 @@
 void putOwned(flow_state &state, const base::flow_key &key, const owned_flow &flow);
 void eraseOwned(flow_state &state, const base::flow_key &key);
 
-// Owns the flow from now on and registers it.
+// Makes this agent the owner of the flow and registers it with the director.
 void takeOwnership(flow_context &context, const base::flow_key &key, flow_phase phase);
 
-// Ends flows that were idle too long, lets ended ones go, and repeats registrations.
+// Ends idle flows, removes ended ones after their retention time, and refreshes registrations.
 void ownershipTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/packet_path.cpp
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -16,7 +16,7 @@
     context.actions.emplace_back(refuse_packet {reason});
 }
 
-// This agent is the flow's director, and nobody has registered the flow.
+// This agent is the flow's director, and no agent has registered the flow.
 void handleUnknownAsDirector(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
@@ -24,7 +24,7 @@
         startLookup(context, packet, lookup_purpose::find, {});
         return;
     }
-    // An agent that has not heard that it is no longer director may open the same flow now.
+    // A former director that has not received the current view may open the same flow now.
     const std::vector<base::node_id> unsettled = unsettledDirectorsOf(context.state, key);
     if (unsettled.empty())
         openFlow(context, packet);
@@ -32,16 +32,16 @@
         startLookup(context, packet, lookup_purpose::open, unsettled);
 }
 
-// By this agent's view another is director. The sender may know better: an entry that bypasses a
-// suspected director sends to the backup, and its view may be newer.
+// In this agent's view another agent is director. The sender may still be right: an entry that
+// bypasses a suspected director sends to the backup, and the sender's view may be newer.
 void handleUnknownAsOther(flow_context &context, const forwarded_packet &packet,
                           const routing::target &director)
 {
     const flow_state &state = context.state;
     const routing::target *backup = backupOf(state, packet.summary.key);
-    const bool stands = packet.stage == packet_stage::toDirector
+    const bool isPlausible = packet.stage == packet_stage::toDirector
         && (isSelf(state, backup->node) || packet.at > currentGeneration(state));
-    if (!stands) {
+    if (!isPlausible) {
         forwardTo(context, packet, director, packet_stage::toDirector);
         return;
     }
@@ -63,8 +63,8 @@
         handleUnknownAsOther(context, packet, *director);
 }
 
-// Returns whether the packet was of a flow that this agent owns. A first packet on an ended flow
-// opens a new one.
+// Returns whether the packet belongs to a flow that this agent owns. The first packet of a new
+// connection with the key of an ended flow does not belong to that flow.
 bool handledAsOwned(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
@@ -79,9 +79,10 @@
     return true;
 }
 
-// The sender knows better than the directory: it is not the owner, or it offers the flow although
-// this agent has noted that it was about to open it.
-bool isEntryOverruled(const flow_state &state, const forwarded_packet &packet)
+// Whether the packet shows that the directory entry is wrong: the agent in the entry has declined
+// the packet, or the sender offers the flow although the entry, which came from a lookup, says that
+// the sender is opening it.
+bool isEntryObsolete(const flow_state &state, const forwarded_packet &packet)
 {
     const directory_entry *entry = state.directory.find(packet.summary.key);
     const bool registered = entry != nullptr && entry->sequence != 0;
@@ -89,7 +90,7 @@
         || (packet.stage == packet_stage::offer && packet.summary.opens && !registered);
 }
 
-// The director's entry is wrong: this agent has lost no flow since it started.
+// The director's entry is wrong: this agent has been running long enough to know all its flows.
 void decline(flow_context &context, const forwarded_packet &packet)
 {
     const routing::target *director = directorOf(context.state, packet.summary.key);
@@ -107,7 +108,7 @@
         return;
     if (packet.summary.opens)
         openOrDecline(context, packet);
-    else if (hasStartedLately(context.state, context.now))
+    else if (hasStartedRecently(context.state, context.now))
         adoptFlow(context, packet);
     else
         decline(context, packet);
@@ -121,15 +122,15 @@
         return refuse(context, base::error_code::wrongService);
     if (packet.life != state.identity->life)
         return refuse(context, base::error_code::wrongIncarnation);
-    // It can't tell yet whose flow this is; the caller's retransmission comes after the first view.
+    // The owner can't be determined before the first view; the caller will retransmit.
     if (!state.buckets)
         return refuse(context, base::error_code::agentNotReady);
     if (handledAsOwned(context, packet))
         return;
-    if (isEntryOverruled(state, packet))
+    if (isEntryObsolete(state, packet))
         state.directory.erase(key);
-    if (const pending_lookup *held = state.lookups.find(key)) {
-        addToLookup(context, *held, packet);
+    if (const pending_lookup *pending = state.lookups.find(key)) {
+        addToLookup(context, *pending, packet);
         return;
     }
     if (const std::optional<routing::target> owner = knownOwner(state, key)) {
--- a/lycheeshunt/flows/internal/packet_path.h
+++ b/lycheeshunt/flows/internal/packet_path.h
@@ -1,4 +1,4 @@
-// What becomes of a caller's packet.
+// Decides where a caller's packet goes next, where backend servers do not return packets.
 
 #pragma once
 
@@ -9,7 +9,7 @@
 
 void handlePacket(flow_context &context, const forwarded_packet &packet);
 
-// Another agent takes this one for the owner of the packet's flow.
+// Handles a packet whose sender regards this agent as the owner of the flow.
 void handlePacketAsOwner(flow_context &context, const forwarded_packet &packet);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/peer_codec.cpp
+++ b/lycheeshunt/flows/internal/peer_codec.cpp
@@ -13,7 +13,7 @@
 using number = std::uint64_t;
 using key_fields
     = std::tuple<std::uint32_t, std::uint16_t, std::uint32_t, std::uint16_t, std::uint8_t>;
-// Node, life, address, port.
+// Node, incarnation, address, port.
 using target_fields = std::tuple<number, number, std::uint32_t, std::uint16_t>;
 using flow_fields = std::tuple<key_fields, bool>;
 using registration_fields = std::tuple<std::uint8_t, std::uint8_t, number, target_fields, number,
@@ -78,7 +78,7 @@
 {
     return base::packFields(lookup_fields(wireVersion, lookupKind, lookup.service.value(),
                                           fieldsOf(lookup.key), fieldsOf(lookup.asker),
-                                          lookup.at.value(), lookup.claims));
+                                          lookup.at.value(), lookup.isOpening));
 }
 
 std::string encode(const lookup_answer &answer)
@@ -118,7 +118,7 @@
         report_fields(wireVersion, loadReportKind, placement::encodeReport(report)));
 }
 
-// The fields after version and kind, when their number is right.
+// Whether the message has as many fields as its kind requires.
 template <typename fields_type>
 bool hasFields(const msgpack::object &object)
 {
--- a/lycheeshunt/flows/internal/peer_codec.h
+++ b/lycheeshunt/flows/internal/peer_codec.h
@@ -1,5 +1,5 @@
-// The fields of the messages between agents, in MessagePack arrays. The first field of each is
-// the version, the second its kind.
+// Encodes the messages between agents as MessagePack arrays. The first field is the version, the
+// second the kind of the message.
 
 #pragma once
 
@@ -26,15 +26,15 @@
     loadReportKind = 9,
 };
 
-// Flows that a batch or a page may carry.
+// Limit on the flows of a registration batch or a recovery page.
 constexpr std::size_t maxFlowsInMessage = 64;
 
 base::error malformed(const char *what);
 
 std::string encodePeerFields(const peer_message &message);
 
-// Precondition: object is an array whose version has been checked. Throws msgpack's exceptions
-// for fields of other types.
+// Precondition: object is an array whose version has been checked. Throws the exceptions of msgpack
+// when a field has the wrong type.
 base::result<peer_message> decodePeerFields(std::uint8_t kind, const msgpack::object &object);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/recovery.cpp
+++ b/lycheeshunt/flows/internal/recovery.cpp
@@ -10,13 +10,13 @@
 namespace {
 
 constexpr std::size_t maxFlowsInPage = 50;
-constexpr base::clock_time askEvery = base::clock_time::ofMillis(200);
-// Shorter than packets are held, so that what came back counts for them.
-constexpr base::clock_time askFor = base::clock_time::ofMillis(1500);
-// As long as a caller's TCP goes on with its retransmissions.
-constexpr base::clock_time lately = base::clock_time::ofSeconds(900);
+constexpr base::clock_time retryInterval = base::clock_time::ofMillis(200);
+// Shorter than the timeout of a lookup, so that recovered flows are known when the lookup ends.
+constexpr base::clock_time recoveryTimeout = base::clock_time::ofMillis(1500);
+// As long as a caller's TCP retransmits.
+constexpr base::clock_time recentStartPeriod = base::clock_time::ofSeconds(900);
 
-void request(flow_context &context, base::node_id node, const base::flow_key &after)
+void sendRequest(flow_context &context, base::node_id node, const base::flow_key &after)
 {
     const std::optional<routing::target> to = targetOf(context.state, node);
     if (to)
@@ -33,21 +33,21 @@
     if (recovery.startedAt)
         return;
     recovery.startedAt = context.now;
-    recovery.askAgainAt = context.now + askEvery;
+    recovery.nextRetryAt = context.now + retryInterval;
     for (const routing::target &agent : otherAgents(context.state)) {
-        recovery.asking.emplace(agent.node, base::flow_key {});
-        request(context, agent.node, base::flow_key {});
+        recovery.pendingRequests.emplace(agent.node, base::flow_key {});
+        sendRequest(context, agent.node, base::flow_key {});
     }
 }
 
 bool isRecovering(const flow_state &state)
 {
-    return !state.recovery.asking.empty();
+    return !state.recovery.pendingRequests.empty();
 }
 
-bool hasStartedLately(const flow_state &state, base::clock_time now)
+bool hasStartedRecently(const flow_state &state, base::clock_time now)
 {
-    return state.recovery.startedAt && now - *state.recovery.startedAt < lately;
+    return state.recovery.startedAt && now - *state.recovery.startedAt < recentStartPeriod;
 }
 
 void handleRecoveryRequest(flow_context &context, const recovery_request &request)
@@ -76,33 +76,33 @@
 void handleRecoveryPage(flow_context &context, const recovery_page &page)
 {
     flow_state &state = context.state;
-    const auto asked = state.recovery.asking.find(page.from);
+    const auto pending = state.recovery.pendingRequests.find(page.from);
     if (page.service != state.identity->service || page.askerLife != state.identity->life
-        || asked == state.recovery.asking.end())
+        || pending == state.recovery.pendingRequests.end())
         return;
     for (const base::flow_key &key : page.flows) {
         if (state.owned.find(key) == nullptr && state.owned.size() < state.maxOwned)
             takeOwnership(context, key, flow_phase::open);
     }
-    state.recovery.asking.erase(asked);
+    state.recovery.pendingRequests.erase(pending);
     if (!page.more || page.flows.empty())
         return;
-    state.recovery.asking.emplace(page.from, page.flows.back());
-    request(context, page.from, page.flows.back());
+    state.recovery.pendingRequests.emplace(page.from, page.flows.back());
+    sendRequest(context, page.from, page.flows.back());
 }
 
 void recoveryTick(flow_context &context)
 {
     recovery_state &recovery = context.state.recovery;
-    if (recovery.asking.empty() || context.now < recovery.askAgainAt)
+    if (recovery.pendingRequests.empty() || context.now < recovery.nextRetryAt)
         return;
-    if (context.now - *recovery.startedAt >= askFor) {
-        recovery.asking.clear();
+    if (context.now - *recovery.startedAt >= recoveryTimeout) {
+        recovery.pendingRequests.clear();
         return;
     }
-    recovery.askAgainAt = context.now + askEvery;
-    for (auto it = recovery.asking.begin(); it != recovery.asking.end(); ++it)
-        request(context, it->first, it->second);
+    recovery.nextRetryAt = context.now + retryInterval;
+    for (auto it = recovery.pendingRequests.begin(); it != recovery.pendingRequests.end(); ++it)
+        sendRequest(context, it->first, it->second);
 }
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/recovery.h
+++ b/lycheeshunt/flows/internal/recovery.h
@@ -1,5 +1,5 @@
-// Getting back what a former life of this agent owned: the other agents of its service are asked
-// for the flows that are registered with them.
+// Recovers the flows that an earlier incarnation of this agent owned: requests from the other
+// agents of its service the flows that it registered with them.
 
 #pragma once
 
@@ -9,19 +9,20 @@
 
 namespace lycheeshunt::flows::internal {
 
-// Begins with the first view that names this agent's service; later calls do nothing.
+// Starts the recovery with the first view that contains this agent's service. Later calls have no
+// effect.
 void startRecovery(flow_context &context);
 
-// Whether some agent still has flows to tell.
+// Whether a request to some agent is still pending.
 bool isRecovering(const flow_state &state);
 
-// Whether a former life may have owned flows that only the backend server remembers.
-bool hasStartedLately(const flow_state &state, base::clock_time now);
+// Whether an earlier incarnation may have owned flows that only the backend server still knows.
+bool hasStartedRecently(const flow_state &state, base::clock_time now);
 
 void handleRecoveryRequest(flow_context &context, const recovery_request &request);
 void handleRecoveryPage(flow_context &context, const recovery_page &page);
 
-// Asks again those that have not answered; gives up on the silent ones after a while.
+// Retries requests that were not answered, and ends the recovery after a timeout.
 void recoveryTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/registrar.cpp
+++ b/lycheeshunt/flows/internal/registrar.cpp
@@ -10,11 +10,11 @@
 
 // Keeps a datagram below the usual MTU.
 constexpr std::size_t maxFlowsInBatch = 50;
-// 64 KB a second at ten ticks a second, with about 20 bytes for a flow.
-constexpr std::size_t pacedFlowsInTick = 300;
+// Limits registrations to 64 KB/s, at ten ticks a second and about 20 bytes a flow.
+constexpr std::size_t maxFlowsPerTick = 300;
 constexpr std::size_t maxPendingBatches = 4096;
-// The end of a flow waits this long for a datagram that goes the same way.
-constexpr base::clock_time endWaits = base::clock_time::ofSeconds(2);
+// The end of a flow is not urgent: it waits this long to share a datagram with other registrations.
+constexpr base::clock_time endDelay = base::clock_time::ofSeconds(2);
 constexpr base::clock_time firstRetry = base::clock_time::ofMillis(500);
 constexpr std::uint32_t maxRetryDoublings = 4;
 
@@ -23,19 +23,19 @@
     return firstRetry * (std::int64_t(1) << std::min(attempts - 1, maxRetryDoublings));
 }
 
-// A flow that has ended since it was queued must not be registered any more.
-bool isTrue(const flow_state &state, const registered_flow &flow)
+// Whether the queued registration is still valid: the flow may have ended since it was queued.
+bool isCurrent(const flow_state &state, const registered_flow &flow)
 {
     const owned_flow *known = state.owned.find(flow.key);
     const bool alive = known != nullptr && known->phase != flow_phase::ended;
     return alive == flow.alive;
 }
 
-std::vector<registered_flow> takeQueued(flow_state &state, registration_queue &queue)
+std::vector<registered_flow> popQueued(flow_state &state, registration_queue &queue)
 {
     std::vector<registered_flow> flows;
     while (!queue.flows.empty() && flows.size() < maxFlowsInBatch) {
-        if (isTrue(state, queue.flows.front()))
+        if (isCurrent(state, queue.flows.front()))
             flows.push_back(queue.flows.front());
         queue.flows.pop_front();
     }
@@ -56,14 +56,14 @@
         pending_batch {to, std::move(batch), context.now + retryAfter(attempts), attempts});
 }
 
-// Sends one batch of what is queued for the agent. Returns how many flows it carried.
-std::size_t flush(flow_context &context, const routing::target &to)
+// Sends one batch of the flows queued for the agent. Returns the number of flows in it.
+std::size_t sendQueuedBatch(flow_context &context, const routing::target &to)
 {
     flow_state &state = context.state;
     const auto found = state.registrar.queued.find(to.node);
     if (found == state.registrar.queued.end())
         return 0;
-    const std::vector<registered_flow> flows = takeQueued(state, found->second);
+    const std::vector<registered_flow> flows = popQueued(state, found->second);
     if (found->second.flows.empty())
         state.registrar.queued.erase(found);
     if (flows.empty())
@@ -76,8 +76,8 @@
     return flows.size();
 }
 
-// Two agents at most: the flow's director and its backup.
-std::vector<routing::target> registrantsOf(const flow_state &state, const base::flow_key &key)
+// Empty when the service has no agent; a single agent when it is both.
+std::vector<routing::target> directorAndBackupOf(const flow_state &state, const base::flow_key &key)
 {
     const routing::target *director = directorOf(state, key);
     const routing::target *backup = backupOf(state, key);
@@ -88,7 +88,7 @@
     return {*director, *backup};
 }
 
-void sendDue(flow_context &context)
+void sendDueBatches(flow_context &context)
 {
     std::vector<base::node_id> due;
     const std::map<base::node_id, registration_queue> &queued = context.state.registrar.queued;
@@ -101,38 +101,38 @@
         const std::optional<routing::target> to = targetOf(context.state, node);
         if (!to)
             context.state.registrar.queued.erase(node);
-        while (to && sent < pacedFlowsInTick && context.state.registrar.queued.count(node) > 0)
-            sent += std::max<std::size_t>(flush(context, *to), 1);
+        while (to && sent < maxFlowsPerTick && context.state.registrar.queued.count(node) > 0)
+            sent += std::max<std::size_t>(sendQueuedBatch(context, *to), 1);
     }
 }
 
-void repeat(flow_context &context, const pending_batch &late)
+void retransmit(flow_context &context, const pending_batch &overdue)
 {
-    const std::optional<routing::target> to = targetOf(context.state, late.to.node);
+    const std::optional<routing::target> to = targetOf(context.state, overdue.to.node);
     std::vector<registered_flow> flows;
-    for (const registered_flow &flow : late.batch.flows) {
-        if (isTrue(context.state, flow))
+    for (const registered_flow &flow : overdue.batch.flows) {
+        if (isCurrent(context.state, flow))
             flows.push_back(flow);
     }
-    context.state.registrar.pending.erase(late.batch.sequence);
-    if (!to || to->life != late.to.life || flows.empty())
+    context.state.registrar.pending.erase(overdue.batch.sequence);
+    if (!to || to->life != overdue.to.life || flows.empty())
         return;
     sendBatch(context, *to,
-              registration_batch {late.batch.service, late.batch.owner,
-                                  currentGeneration(context.state), late.batch.sequence, flows},
-              late.attempts + 1);
+              registration_batch {overdue.batch.service, overdue.batch.owner,
+                                  currentGeneration(context.state), overdue.batch.sequence, flows},
+              overdue.attempts + 1);
 }
 
-void sendLate(flow_context &context)
+void retransmitOverdue(flow_context &context)
 {
-    std::vector<pending_batch> late;
+    std::vector<pending_batch> overdue;
     const std::map<std::uint32_t, pending_batch> &pending = context.state.registrar.pending;
     for (auto it = pending.begin(); it != pending.end(); ++it) {
         if (it->second.retryAt <= context.now)
-            late.push_back(it->second);
+            overdue.push_back(it->second);
     }
-    for (const pending_batch &batch : late)
-        repeat(context, batch);
+    for (const pending_batch &batch : overdue)
+        retransmit(context, batch);
 }
 
 } // namespace
@@ -150,16 +150,16 @@
 
 void registerNow(flow_context &context, const base::flow_key &key)
 {
-    for (const routing::target &to : registrantsOf(context.state, key)) {
+    for (const routing::target &to : directorAndBackupOf(context.state, key)) {
         registerWith(context, to, key, true, context.now);
-        flush(context, to);
+        sendQueuedBatch(context, to);
     }
 }
 
 void registerLater(flow_context &context, const base::flow_key &key, bool alive)
 {
-    const base::clock_time dueAt = alive ? context.now : context.now + endWaits;
-    for (const routing::target &to : registrantsOf(context.state, key))
+    const base::clock_time dueAt = alive ? context.now : context.now + endDelay;
+    for (const routing::target &to : directorAndBackupOf(context.state, key))
         registerWith(context, to, key, alive, dueAt);
 }
 
@@ -174,8 +174,8 @@
 
 void registrarTick(flow_context &context)
 {
-    sendDue(context);
-    sendLate(context);
+    sendDueBatches(context);
+    retransmitOverdue(context);
 }
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/registrar.h
+++ b/lycheeshunt/flows/internal/registrar.h
@@ -1,6 +1,7 @@
-// The owner's registrations: sent at once when a flow opens, together with what else waits for
-// the same agent; sent again until acknowledged; repeated when a director changes, at a bounded
-// pace, and after the refresh interval.
+// Registers owned flows with their directors and backups. A registration is sent at once when a
+// flow opens, in one batch with others queued for the same agent, and is retransmitted until it is
+// acknowledged. It is repeated when a director changes, at a bounded rate, and after the refresh
+// interval.
 
 #pragma once
 
@@ -9,23 +10,23 @@
 
 namespace lycheeshunt::flows::internal {
 
-// How often an owner repeats the registrations of a flow. A directory entry outlives two lost
-// repetitions.
-constexpr base::clock_time refreshEvery = base::clock_time::ofSeconds(600);
+// Interval at which an owner repeats the registration of a flow. A directory entry does not expire
+// when two repetitions in a row are lost.
+constexpr base::clock_time refreshInterval = base::clock_time::ofSeconds(600);
 
 // Registers an owned flow with its director and backup at once.
 void registerNow(flow_context &context, const base::flow_key &key);
 
-// Queues a registration, or the end of one, for director and backup.
+// Queues the registration of a flow, or of its end, for director and backup.
 void registerLater(flow_context &context, const base::flow_key &key, bool alive);
 
-// Queues a registration for one agent; does nothing when that is this agent.
+// Queues a registration for one agent. Has no effect when that is this agent.
 void registerWith(flow_context &context, const routing::target &to, const base::flow_key &key,
                   bool alive, base::clock_time dueAt);
 
 void handleRegistrationAck(flow_context &context, const registration_ack &ack);
 
-// Sends what is due, as far as the pace allows, and repeats what was not acknowledged.
+// Sends due registrations, within the limit on their rate, and retransmits unacknowledged ones.
 void registrarTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/service_view.cpp
+++ b/lycheeshunt/flows/internal/service_view.cpp
@@ -21,7 +21,8 @@
     const auto service = state.view->services.find(state.identity->service);
     if (service == state.view->services.end())
         return false;
-    // The addresses of a service without its own are split over services; entries know how.
+    // A service without addresses of its own shares addresses with other services; the entries
+    // split the flows between them.
     const std::vector<tickets::service_address> &addresses = service->second.addresses;
     if (addresses.empty() && state.identity->serverReturnsPackets)
         return true;
--- a/lycheeshunt/flows/internal/service_view.h
+++ b/lycheeshunt/flows/internal/service_view.h
@@ -1,4 +1,4 @@
-// What the current view says about this agent's service.
+// Queries on the current view that concern this agent's service.
 
 #pragma once
 
@@ -16,26 +16,27 @@
 
 routing::target selfTarget(const flow_state &state);
 
-// Generation of the current view; 0 before the first.
+// The generation of the current view; 0 before the first view.
 base::generation currentGeneration(const flow_state &state);
 
 // Whether callers reach this agent's service at the flow's address.
 bool servesAddress(const flow_state &state, const base::flow_key &key);
 
-// An agent of this service, also one that drains; nothing for any other node.
+// Address and incarnation of an agent of this service, draining or not; empty for any other node.
 std::optional<routing::target> targetOf(const flow_state &state, base::node_id node);
 
-// Null while the view has no agent of this service.
+// Null while the view contains no agent of this service.
 const routing::target *directorOf(const flow_state &state, const base::flow_key &key);
 const routing::target *backupOf(const flow_state &state, const base::flow_key &key);
 
 // The other agents of this service.
 std::vector<routing::target> otherAgents(const flow_state &state);
 
-// Other agents that may have opened flows of the bucket, the latest director first.
+// Other agents that may have opened flows of the bucket, the most recent director first.
 std::vector<base::node_id> formerDirectorsOf(const flow_state &state, const base::flow_key &key);
 
-// Those of them that are not known to have learned that this agent is director.
+// Those of them that are not known to have reached the generation in which their role as director
+// ended.
 std::vector<base::node_id> unsettledDirectorsOf(const flow_state &state, const base::flow_key &key);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/span_writer.h
+++ b/lycheeshunt/flows/internal/span_writer.h
@@ -1,5 +1,5 @@
-// A stream for the MessagePack packer that writes to a caller's buffer and allocates nothing. Bytes
-// that do not fit are left out.
+// A stream for the MessagePack packer that writes to a given buffer without allocation. A write
+// that does not fit is omitted.
 
 #pragma once
 
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -18,7 +18,7 @@
     return table && table->hasTargets();
 }
 
-void appendFormer(std::vector<former_director> &former, const former_director &added)
+void appendFormerDirector(std::vector<former_director> &former, const former_director &added)
 {
     std::vector<former_director> kept;
     const std::size_t first = former.size() >= maxFormerDirectors ? 1 : 0;
@@ -30,11 +30,11 @@
     former.swap(kept);
 }
 
-// Notes for each bucket who may still take itself for its director. The backup is one of them:
-// with rendezvous hashing it was director before the present one came, also when this agent has
-// missed the views in between.
-void noteFormerDirectors(flow_state &state, const routing::bucket_table *before,
-                         std::uint32_t buckets)
+// Records for each bucket the agents that may still regard themselves as its director. The backup
+// is one of them: with rendezvous hashing it was the director before the current one joined, even
+// when this agent has missed the views in between.
+void recordFormerDirectors(flow_state &state, const routing::bucket_table *before,
+                           std::uint32_t buckets)
 {
     for (std::uint32_t i = 0; i < buckets; ++i) {
         const base::bucket bucket(i);
@@ -45,14 +45,14 @@
         std::vector<former_director> &former = state.formerDirectors[bucket];
         const routing::target &backup = state.buckets->backupOf(bucket);
         if (backup.node != director.node)
-            appendFormer(former, former_director {backup.node, currentGeneration(state)});
+            appendFormerDirector(former, former_director {backup.node, currentGeneration(state)});
         if (old != nullptr)
-            appendFormer(former, former_director {old->node, currentGeneration(state)});
+            appendFormerDirector(former, former_director {old->node, currentGeneration(state)});
     }
 }
 
-// Registers the flow with the agents that are its director or backup now and were neither before,
-// or are in a new life.
+// Registers the flow with its director and backup, except with an agent that was one of the two
+// before and has not restarted.
 void registerMoved(flow_context &context, const routing::bucket_table *before,
                    const base::flow_key &key)
 {
@@ -69,7 +69,7 @@
     }
 }
 
-void forgetPeersThatLeft(flow_state &state)
+void removeDepartedPeers(flow_state &state)
 {
     std::erase_if(state.peerGenerations, [&state](const auto &peer) {
         return state.view->members.count(peer.first) == 0;
@@ -86,20 +86,20 @@
         return;
     const auto service = view.services.find(state.identity->service);
     state.view = update.view;
-    forgetPeersThatLeft(state);
+    removeDepartedPeers(state);
     if (service == view.services.end())
         return;
     const auto self = view.members.find(state.identity->node);
     state.draining = self != view.members.end() && view.isDraining(self->second);
     state.maxOwned = service->second.limits.connections;
-    state.openIdle = service->second.limits.idleTimeout;
+    state.openIdleTimeout = service->second.limits.idleTimeout;
     placementPeers(context);
     const std::shared_ptr<const routing::bucket_table> before = state.buckets;
     state.buckets = std::make_shared<const routing::bucket_table>(
         service->second.buckets, routing::directorsOf(view, state.identity->service));
     if (hasTargets(state.buckets)) {
         const routing::bucket_table *known = hasTargets(before) ? before.get() : nullptr;
-        noteFormerDirectors(state, known, service->second.buckets);
+        recordFormerDirectors(state, known, service->second.buckets);
         for (auto it = state.owned.begin(); it != state.owned.end(); ++it)
             registerMoved(context, known, it->first);
     }
--- a/lycheeshunt/flows/internal/view_change.h
+++ b/lycheeshunt/flows/internal/view_change.h
@@ -1,4 +1,4 @@
-// Taking up a newer view.
+// Applies a newer view.
 
 #pragma once
 
@@ -7,10 +7,10 @@
 
 namespace lycheeshunt::flows::internal {
 
-// An older view than the current one changes nothing.
+// Ignores a view that is not newer than the current one.
 void handleView(flow_context &context, const view_update &update);
 
-// The agent has been heard to have reached this generation.
+// Records that a message of the agent shows that it has reached this generation.
 void recordPeerGeneration(flow_state &state, base::node_id node, base::generation at);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/lookup_answer.h
+++ b/lycheeshunt/flows/lookup_answer.h
@@ -14,7 +14,7 @@
     const routing::target from;
     const base::generation at;
     const lookup_verdict verdict = lookup_verdict::unknown;
-    // Means something for lookup_verdict::owned alone.
+    // Valid only with lookup_verdict::owned.
     const routing::target owner;
 
     bool operator==(const lookup_answer &) const = default;
--- a/lycheeshunt/flows/lookup_purpose.h
+++ b/lycheeshunt/flows/lookup_purpose.h
@@ -4,10 +4,10 @@
 
 namespace lycheeshunt::flows {
 
-// Why packets of a flow are held.
+// Why the owner of a flow is looked up.
 enum class lookup_purpose : std::uint8_t {
-    open, // before the flow is opened, agents that may have opened it are asked
-    find, // the flow is open somewhere; agents that may know its owner are asked
+    open, // the flow is new; agents that may have opened it are queried first
+    find, // the flow is open; agents that may know its owner are queried
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/lookup_verdict.h
+++ b/lycheeshunt/flows/lookup_verdict.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::flows {
 
-// What the asked agent knows of the flow.
+// What the queried agent knows of the flow.
 enum class lookup_verdict : std::uint8_t {
-    unknown = 1, // nothing
-    owned = 2, // the owner named in the answer has it
-    redirect = 3, // nothing, but the asked agent is director: it takes the flow's packets
-    mayOwn = 4, // nothing, but its server is older than the agent and may have the flow
+    unknown = 1, // it does not know the flow
+    owned = 2, // the agent named in the answer owns the flow
+    redirect = 3, // it does not know the flow but is its director: send the packets there
+    mayOwn = 4, // it does not know the flow, but its older backend server may have it
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/owned_flow.h
+++ b/lycheeshunt/flows/owned_flow.h
@@ -10,7 +10,7 @@
 struct owned_flow
 {
     const base::clock_time lastPacket;
-    // When its registrations are next repeated.
+    // The time of the next refresh of its registrations.
     const base::clock_time refreshAt;
     const flow_phase phase = flow_phase::opening;
     const request_progress progress = {};
--- a/lycheeshunt/flows/owner_hint.h
+++ b/lycheeshunt/flows/owner_hint.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::flows {
 
-// Tells an entry who owns a flow, so that its next packets go there at once. An entry that loses
-// the hint asks the flow's director again.
+// Notifies an entry of the owner of a flow, so that it sends further packets directly there. An
+// entry that has lost the hint sends them to the flow's director again.
 struct owner_hint
 {
     const base::service_id service;
--- a/lycheeshunt/flows/packet_header.h
+++ b/lycheeshunt/flows/packet_header.h
@@ -8,7 +8,7 @@
 
 namespace lycheeshunt::flows {
 
-// What goes before the IP packet in a forwarded packet's datagram.
+// The fields before the IP packet in the datagram of a forwarded packet.
 struct packet_header
 {
     const base::service_id service;
--- a/lycheeshunt/flows/peer_message.h
+++ b/lycheeshunt/flows/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace lycheeshunt::flows {
 
-// What agents of one service tell each other about flows, apart from the packets themselves.
+// Messages between the agents of a service, apart from forwarded packets.
 using peer_message
     = std::variant<registration_batch, registration_ack, flow_lookup, lookup_answer,
                    recovery_request, recovery_page, owner_hint, placement::load_report>;
--- a/lycheeshunt/flows/pending_batch.h
+++ b/lycheeshunt/flows/pending_batch.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::flows {
 
-// A registration that waits for its acknowledgement.
+// A registration batch that is not acknowledged yet.
 struct pending_batch
 {
     const routing::target to;
--- a/lycheeshunt/flows/pending_delivery.h
+++ b/lycheeshunt/flows/pending_delivery.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::flows {
 
-// A packet that the backend server may give back, or whose flow was offered to another agent: what
-// is needed to go on from there.
+// A packet that the backend server may return, or whose flow was offered to another agent; kept so
+// that its handling can continue when it is returned or retransmitted.
 struct pending_delivery
 {
     const forwarded_packet packet;
--- a/lycheeshunt/flows/recovery_page.h
+++ b/lycheeshunt/flows/recovery_page.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::flows {
 
-// Answers a recovery_request; when more is set, the next request goes on after the last key.
+// Answers a recovery_request. When more is set, the next request continues after the last key.
 struct recovery_page
 {
     const base::service_id service;
--- a/lycheeshunt/flows/recovery_request.h
+++ b/lycheeshunt/flows/recovery_request.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::flows {
 
-// A restarted agent asks another for the flows that its earlier life registered there, in order
-// of their keys, from the first key after this one.
+// A restarted agent requests from another the flows that its earlier incarnation registered there,
+// in the order of their keys, beginning after the given key.
 struct recovery_request
 {
     const base::service_id service;
--- a/lycheeshunt/flows/recovery_state.h
+++ b/lycheeshunt/flows/recovery_state.h
@@ -9,13 +9,13 @@
 
 namespace lycheeshunt::flows {
 
-// Where a starting agent is in getting its flows back from the other agents of its service.
+// The progress of a starting agent in recovering its flows from the other agents of its service.
 struct recovery_state
 {
     std::optional<base::clock_time> startedAt;
-    base::clock_time askAgainAt;
-    // For each agent that still has flows to tell: the last key it told.
-    std::map<base::node_id, base::flow_key> asking;
+    base::clock_time nextRetryAt;
+    // For each agent whose pages are not complete yet: the last key received from it.
+    std::map<base::node_id, base::flow_key> pendingRequests;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/refuse_packet.h
+++ b/lycheeshunt/flows/refuse_packet.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::flows {
 
-// Drop the packet and count it under this code. The caller's retransmission finds a better way.
+// Drop the packet and count it under this code. The caller retransmits it, and by then
+// it may take another route.
 struct refuse_packet
 {
     const base::error_code reason;
--- a/lycheeshunt/flows/registered_flow.h
+++ b/lycheeshunt/flows/registered_flow.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::flows {
 
-// One flow in a registration: its owner has it, or it has ended.
+// One flow in a registration: open, or ended when not alive.
 struct registered_flow
 {
     const base::flow_key key;
--- a/lycheeshunt/flows/registrar_state.h
+++ b/lycheeshunt/flows/registrar_state.h
@@ -8,8 +8,8 @@
 
 namespace lycheeshunt::flows {
 
-// Registrations on their way out: those queued for each director, and those sent but not yet
-// acknowledged, by sequence.
+// Outgoing registrations: those queued for each agent, and those sent but not acknowledged yet, by
+// sequence number.
 struct registrar_state
 {
     std::map<base::node_id, registration_queue> queued;
--- a/lycheeshunt/flows/registration_ack.h
+++ b/lycheeshunt/flows/registration_ack.h
@@ -4,13 +4,13 @@
 
 namespace lycheeshunt::flows {
 
-// A director has stored the whole batch.
+// A director or backup has stored the complete batch.
 struct registration_ack
 {
     const base::service_id service;
     const base::node_id from;
     const base::generation at;
-    // Life of the owner that sent the batch.
+    // Incarnation of the owner that sent the batch.
     const base::incarnation life;
     const std::uint32_t sequence = 0;
 
--- a/lycheeshunt/flows/registration_batch.h
+++ b/lycheeshunt/flows/registration_batch.h
@@ -7,9 +7,9 @@
 
 namespace lycheeshunt::flows {
 
-// An owner tells a director (or its backup) which flows are its own. Sent again until a
-// registration_ack with the same sequence comes back; a later sequence of the same life counts
-// more than an earlier one.
+// An owner registers its flows with a director or backup. Retransmitted until a registration_ack
+// with the same sequence number arrives. Within an incarnation, a later sequence number overrides
+// an earlier one.
 struct registration_batch
 {
     const base::service_id service;
--- a/lycheeshunt/flows/registration_queue.h
+++ b/lycheeshunt/flows/registration_queue.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::flows {
 
-// Flows to register with one director; sent together, at the latest when due.
+// Flows to register with one agent, sent together, at the latest at dueAt.
 struct registration_queue
 {
     std::deque<registered_flow> flows;
--- a/lycheeshunt/flows/request_progress.h
+++ b/lycheeshunt/flows/request_progress.h
@@ -9,27 +9,27 @@
 
 namespace lycheeshunt::flows {
 
-// How far the requests and answers of one flow have come.
+// The progress of the requests and answers of one flow.
 struct request_progress
 {
-    // The caller has sent something that the backend server has not begun to answer.
+    // The caller has sent payload that the backend server has not started to answer.
     const bool isBusy = false;
-    // The backend server has sent payload, so the flow is certainly its own.
+    // The backend server has sent payload, which proves that it has the flow.
     const bool isAnswered = false;
-    // Whether the caller has sent payload, and where it ended in the caller's sequence.
+    // Whether the caller has sent payload, and the TCP sequence number after its last byte.
     const bool hasSent = false;
-    const std::uint32_t sentTo = 0;
-    // When the request that the server works on reached it.
+    const std::uint32_t sequenceEnd = 0;
+    // When the request in flight was delivered to the backend server.
     const base::clock_time since = {};
 
-    // Whether the packet carries payload that did not come before: a caller repeats a packet that
-    // is not acknowledged in time, also when it is answered already.
+    // Whether the packet carries payload that was not seen before. A caller retransmits a packet
+    // that is not acknowledged in time, even when the answer is on its way.
     bool hasNewPayload(const packets::ip_summary &packet) const
     {
         const bool isNumbered = packet.key.protocol == IPPROTO_TCP;
         return packet.payloadBytes > 0
             && (!hasSent || !isNumbered
-                || static_cast<std::int32_t>(packet.sequence - sentTo) >= 0);
+                || static_cast<std::int32_t>(packet.sequence - sequenceEnd) >= 0);
     }
 
     request_progress afterCaller(const packets::ip_summary &packet, base::clock_time now) const
@@ -44,13 +44,13 @@
     {
         if (packet.payloadBytes == 0)
             return *this;
-        return request_progress {false, true, hasSent, sentTo, since};
+        return request_progress {false, true, hasSent, sequenceEnd, since};
     }
 
-    // Nothing is expected of the server any more.
+    // The server is not expected to answer any more.
     request_progress withoutRequest() const
     {
-        return request_progress {false, isAnswered, hasSent, sentTo, since};
+        return request_progress {false, isAnswered, hasSent, sequenceEnd, since};
     }
 
     bool operator==(const request_progress &) const = default;
--- a/lycheeshunt/flows/request_timing.h
+++ b/lycheeshunt/flows/request_timing.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::flows {
 
 enum class request_step : std::uint8_t {
-    waited = 1, // at the agent for a slot of the server
-    answered, // from the server's first packet of the request to the first of its answer
+    waited = 1, // at the agent for a slot of the backend server
+    answered, // from delivery to the backend server to the first packet of its answer
 };
 
-// How long one step of a request took, for the metrics.
+// The duration of one step of a request, for the metrics.
 struct request_timing
 {
     const request_step step;
--- a/lycheeshunt/flows/reset_caller.h
+++ b/lycheeshunt/flows/reset_caller.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::flows {
 
-// Tell the caller, in answer to this packet, that its flow can't go on.
+// Reset the caller's connection, in answer to this packet.
 struct reset_caller
 {
     const base::packet_bytes callerPacket;
--- a/lycheeshunt/flows/send_packet.h
+++ b/lycheeshunt/flows/send_packet.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::flows {
 
-// Pass a caller's packet to another agent.
+// Forward a caller's packet to another agent.
 struct send_packet
 {
     const base::endpoint to;
--- a/lycheeshunt/flows/server_changed.h
+++ b/lycheeshunt/flows/server_changed.h
@@ -6,14 +6,14 @@
 
 namespace lycheeshunt::flows {
 
-// What this agent's backend server is, or that it takes no new flows any more.
+// The current state of this agent's backend server, such as whether it accepts new flows.
 struct server_changed
 {
     const base::service_id service;
     const base::incarnation life;
     const bool isAccepting = false;
     const std::uint32_t slots = 0;
-    // The server was there before the agent.
+    // The server was running before this agent started.
     const bool isOlder = false;
 
     bool operator==(const server_changed &) const = default;
--- a/lycheeshunt/flows/server_view.h
+++ b/lycheeshunt/flows/server_view.h
@@ -6,19 +6,20 @@
 
 namespace lycheeshunt::flows {
 
-// What an agent knows of its backend server. State: it changes in place.
+// An agent's view of its backend server. Mutable, as part of flow_state.
 struct server_view
 {
-    // The server has announced itself and does not drain.
+    // The server has announced itself and is not draining.
     bool isAccepting = false;
-    // It was there before this agent started, so it may hold flows that the agent never saw.
+    // The server was running before this agent started, so it may have flows that the agent has not
+    // seen.
     bool isOlder = true;
     std::uint32_t slots = 0;
     base::clock_time lastHeard;
-    // Until then it gets no new flows, since it gave one back.
+    // The server gets no new flows until then, because it has returned an opening packet.
     base::clock_time refusesUntil;
-    // It left an opening packet unanswered and has sent nothing since. Until then it gets no new
-    // flows; afterwards one at a time.
+    // The server did not answer an opening packet and has sent nothing since. Until silentUntil it
+    // gets no new flows, afterwards one at a time.
     bool isSilent = false;
     base::clock_time silentUntil;
 };
--- a/lycheeshunt/flows/tick.h
+++ b/lycheeshunt/flows/tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::flows {
 
-// Time has passed; carries nothing else.
+// Sent periodically, so that timeouts are handled.
 struct tick
 {
     bool operator==(const tick &) const = default;
--- a/lycheeshunt/flows/view_update.h
+++ b/lycheeshunt/flows/view_update.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::flows {
 
-// The node has reached a newer generation.
+// The view of a newer generation that the node has reached.
 struct view_update
 {
     const dissemination::shared_view view;
