Flows: plain names and comments in the tests and their fakes

The fakes "knew", "pushed", "took" and "passed"; callers had a "fate", faults a "strike" and runs were "calm" or "rough". They now send, handle and deliver, callers have a connection_state, and networks are reliable or unreliable. Test names say what is expected.

rename: brokenByPlan brokenByPlannedChange (trace_outcome, used in tools/measurements/flows.cpp) rename: ownOfDeadServers lostWithServers (trace_outcome, used in tools/measurements/flows.cpp)

--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -119,9 +119,9 @@
 {
     const base::result<packets::ip_summary> summary
         = m_codec.summarize(bytes, packets::direction::toCaller);
-    if (const packets::ip_summary *known = std::get_if<packets::ip_summary>(&summary))
+    if (const packets::ip_summary *valid = std::get_if<packets::ip_summary>(&summary))
         packets::sendDatagram(m_peerSide.get(),
-                              m_codec.towardsCaller(known->key, m_addresses.fabric), bytes);
+                              m_codec.towardsCaller(valid->key, m_addresses.fabric), bytes);
 }
 
 void agent_port::carryOut(const flow_action &action)
--- a/lycheeshunt/flows/codec_test.cpp
+++ b/lycheeshunt/flows/codec_test.cpp
@@ -36,7 +36,7 @@
 
 TEST_GROUP(flow_codec) {};
 
-TEST(flow_codec, everyMessageComesBackAsItWas)
+TEST(flow_codec, everyMessageDecodesToItself)
 {
     for (const peer_message &message : everyMessage()) {
         const base::result<flow_datagram> decoded = decodeDatagram(encodePeer(message));
@@ -45,7 +45,7 @@
     }
 }
 
-TEST(flow_codec, truncatedMessagesAndBytesAfterThemAreMalformed)
+TEST(flow_codec, truncatedMessagesAndTrailingBytesAreMalformed)
 {
     for (const peer_message &message : everyMessage()) {
         const std::string bytes = encodePeer(message);
@@ -56,21 +56,21 @@
     }
 }
 
-TEST(flow_codec, aBatchBeyondItsBoundIsTooLarge)
+TEST(flow_codec, aBatchWithTooManyFlowsIsTooLarge)
 {
     const registration_batch batch {service, agent, base::generation(3), 4,
                                     std::vector<registered_flow>(1000, registered_flow {key})};
     CHECK(codeOf(decodeDatagram(encodePeer(batch))) == base::error_code::messageTooLarge);
 }
 
-TEST(flow_codec, anUnknownVersionIsToldApart)
+TEST(flow_codec, anUnknownVersionHasItsOwnErrorCode)
 {
     std::string bytes = encodePeer(everyMessage().front());
     bytes[1] = 9;
     CHECK(codeOf(decodeDatagram(bytes)) == base::error_code::messageVersion);
 }
 
-TEST(flow_codec, changedBytesNeverDoHarm)
+TEST(flow_codec, corruptedMessagesDecodeOrFailWithAnErrorCode)
 {
     std::mt19937_64 random(5);
     for (const peer_message &message : everyMessage()) {
--- a/lycheeshunt/flows/decision_test.cpp
+++ b/lycheeshunt/flows/decision_test.cpp
@@ -1,5 +1,5 @@
-// Drives routing and flow decisions as another front end would: values in, values out, without a
-// socket or a thread, with the time passed in.
+// Drives routing and flow decisions as another front end would: with values in and out and a given
+// time, without sockets and threads.
 
 #include "lycheeshunt/flows/fake_cluster_test.h"
 
@@ -10,10 +10,10 @@
 
 namespace {
 
-using fate = fake_caller::fate;
+using connection_state = fake_caller::connection_state;
 
 const base::endpoint address {0xc0000201, 443};
-constexpr base::clock_time settling = base::clock_time::ofSeconds(3);
+constexpr base::clock_time settleTime = base::clock_time::ofSeconds(3);
 
 class small_service
 {
@@ -30,7 +30,7 @@
     void settle()
     {
         all.publish();
-        all.run(settling);
+        all.run(settleTime);
     }
 
     forwarded_packet packetFor(const std::string &agent, const packets::ip_summary &summary)
@@ -38,14 +38,14 @@
         const membership::member &to = all.memberOf(agent);
         return forwarded_packet {
             to.service, to.life, all.membership().view()->at, packet_stage::toDirector,
-            0,          summary, all.remember(summary, {})};
+            0,          summary, all.addPacket(summary, {})};
     }
 
-    std::size_t serversOf(std::size_t caller)
+    std::size_t countServersOf(std::size_t caller)
     {
         std::size_t servers = 0;
         for (const std::string &name : all.agentsOf("logbook"))
-            servers += all.serverKnows(name, all.callers().keyOf(caller)) ? 1 : 0;
+            servers += all.serverHas(name, all.callers().keyOf(caller)) ? 1 : 0;
         return servers;
     }
 
@@ -56,15 +56,15 @@
 
 TEST_GROUP(flow_decision) {};
 
-TEST(flow_decision, aPacketOfAnUnknownFlowIsResetAfterEveryAgentWasAsked)
+TEST(flow_decision, aPacketOfAnUnknownFlowIsResetAfterEveryAgentWasQueried)
 {
     small_service service(3);
-    // Later, no agent could have lost the flow in a restart.
+    // After this time, no agent counts as recently started, so none adopts an unknown flow.
     service.all.run(base::clock_time::ofSeconds(1000));
     const packets::ip_summary stray {base::flow_key {base::endpoint {0x0a000009, 9}, address, 6},
                                      false};
     service.all.sendThrough(0, stray);
-    service.all.run(settling);
+    service.all.run(settleTime);
     LONGS_EQUAL(1, service.all.refusals(base::error_code::flowUnknown));
 }
 
@@ -76,8 +76,8 @@
         const packets::ip_summary first = service.all.callers().summaryOf(caller);
         for (const std::string &name : service.all.agentsOf("logbook"))
             service.all.inject(name, service.packetFor(name, first));
-        service.all.run(settling);
-        LONGS_EQUAL(1, service.serversOf(caller));
+        service.all.run(settleTime);
+        LONGS_EQUAL(1, service.countServersOf(caller));
     }
     LONGS_EQUAL(0, service.all.callers().countSplit());
 }
@@ -86,19 +86,19 @@
 {
     small_service service(3);
     service.all.openFlows(address, 60);
-    service.all.run(settling);
+    service.all.run(settleTime);
     const std::size_t kept = service.all.callers().openAt("a1").size();
     CHECK(kept > 0);
     service.all.membership().drain("a1", true);
-    // Every entry stays behind.
+    // Every entry keeps routing by the old view.
     for (std::size_t i = 0; i < 3; ++i)
         service.all.freezeEntry(i, true);
     service.settle();
     service.all.openFlows(address, 60);
     service.all.callers().sendOnAll(service.all.network().now());
-    service.all.run(settling);
+    service.all.run(settleTime);
     LONGS_EQUAL(kept, service.all.callers().openAt("a1").size());
-    LONGS_EQUAL(120, service.all.callers().thatAre(fate::open).size());
+    LONGS_EQUAL(120, service.all.callers().inState(connection_state::open).size());
 }
 
 TEST(flow_decision, aFullServiceRefusesNewFlowsByCodeAndKeepsOldOnes)
@@ -106,68 +106,68 @@
     constexpr std::uint32_t connections = 10;
     small_service service(2, connections);
     service.all.openFlows(address, 60);
-    service.all.run(settling);
-    LONGS_EQUAL(20, service.all.callers().thatAre(fate::open).size());
-    LONGS_EQUAL(40, service.all.callers().thatAre(fate::refused).size());
+    service.all.run(settleTime);
+    LONGS_EQUAL(20, service.all.callers().inState(connection_state::open).size());
+    LONGS_EQUAL(40, service.all.callers().inState(connection_state::refused).size());
     LONGS_EQUAL(40, service.all.refusals(base::error_code::flowTableFull));
     service.all.callers().sendOnAll(service.all.network().now());
-    service.all.run(settling);
-    LONGS_EQUAL(20, service.all.callers().thatAre(fate::open).size());
+    service.all.run(settleTime);
+    LONGS_EQUAL(20, service.all.callers().inState(connection_state::open).size());
 }
 
-TEST(flow_decision, packetsForAnotherServiceOrLifeAreRefusedByCode)
+TEST(flow_decision, packetsForAnotherServiceOrIncarnationAreRefusedByCode)
 {
     small_service service(2);
     const packets::ip_summary first {base::flow_key {base::endpoint {0x0a000009, 9}, address, 6},
                                      true};
-    const forwarded_packet known = service.packetFor("a1", first);
+    const forwarded_packet valid = service.packetFor("a1", first);
     service.all.inject("a1",
-                       forwarded_packet {base::serviceIdOf("inspect"), known.life, known.at,
-                                         known.stage, 0, first, known.bytes});
+                       forwarded_packet {base::serviceIdOf("inspect"), valid.life, valid.at,
+                                         valid.stage, 0, first, valid.bytes});
     service.all.inject("a1",
-                       forwarded_packet {known.service, base::incarnation(99), known.at,
-                                         known.stage, 0, first, known.bytes});
+                       forwarded_packet {valid.service, base::incarnation(99), valid.at,
+                                         valid.stage, 0, first, valid.bytes});
     LONGS_EQUAL(1, service.all.refusals(base::error_code::wrongService));
     LONGS_EQUAL(1, service.all.refusals(base::error_code::wrongIncarnation));
     LONGS_EQUAL(0, service.all.stateOf("a1").owned.size());
 }
 
-TEST(flow_decision, anAddressThatMovedToAnotherServiceOpensNothingAtTheOld)
+TEST(flow_decision, anAddressThatMovedToAnotherServiceOpensNoFlowAtTheOldOne)
 {
     small_service service(2);
     const base::endpoint other {0xc0000209, 443};
     service.all.openFlows(address, 10);
-    service.all.run(settling);
-    // Entries have not heard of the ticket.
+    service.all.run(settleTime);
+    // The entries do not receive the new view.
     for (std::size_t i = 0; i < 3; ++i)
         service.all.freezeEntry(i, true);
     service.all.membership().define("logbook", {other}, 2000);
     service.settle();
     service.all.openFlows(address, 5);
     service.all.callers().sendOnAll(service.all.network().now());
-    service.all.run(settling);
+    service.all.run(settleTime);
     CHECK(service.all.refusals(base::error_code::wrongService) > 0);
-    LONGS_EQUAL(10, service.all.callers().thatAre(fate::open).size());
+    LONGS_EQUAL(10, service.all.callers().inState(connection_state::open).size());
 }
 
-TEST(flow_decision, theServersOwnPacketsTellARestartedAgentOfItsFlows)
+TEST(flow_decision, aRestartedAgentLearnsItsFlowsFromPacketsOfItsServer)
 {
     small_service service(1);
     const std::size_t caller = service.all.openFlows(address, 1).front();
-    service.all.run(settling);
+    service.all.run(settleTime);
     service.all.restartAgent("a1");
     service.settle();
     LONGS_EQUAL(0, service.all.stateOf("a1").owned.size());
-    service.all.serverPushes(caller);
-    service.all.run(settling);
+    service.all.sendFromServer(caller);
+    service.all.run(settleTime);
     LONGS_EQUAL(1, service.all.stateOf("a1").owned.size());
 }
 
-TEST(flow_decision, endedFlowsLeaveOwnerAndDirectory)
+TEST(flow_decision, endedFlowsAreRemovedFromOwnerAndDirectory)
 {
     small_service service(3);
     const std::vector<std::size_t> opened = service.all.openFlows(address, 30);
-    service.all.run(settling);
+    service.all.run(settleTime);
     for (const std::size_t caller : opened)
         service.all.callers().close(caller, service.all.network().now());
     service.all.run(base::clock_time::ofSeconds(20));
@@ -178,10 +178,10 @@
     }
 }
 
-TEST(flow_decision, heldPacketsAreBounded)
+TEST(flow_decision, packetsBufferedForLookupsAreBounded)
 {
     small_service service(2);
-    // Nobody answers any more.
+    // The only other agent does not answer any more.
     service.all.killVm("a2");
     for (std::uint16_t port = 1; port <= 3000; ++port) {
         const packets::ip_summary stray {
@@ -190,7 +190,7 @@
     }
     CHECK(service.all.stateOf("a1").lookups.size() <= 512);
     CHECK(service.all.refusals(base::error_code::tooManyLookups) > 0);
-    service.all.run(settling);
+    service.all.run(settleTime);
     LONGS_EQUAL(0, service.all.stateOf("a1").lookups.size());
     LONGS_EQUAL(0, service.all.stateOf("a1").lookupBytes);
 }
--- a/lycheeshunt/flows/fake_caller_test.h
+++ b/lycheeshunt/flows/fake_caller_test.h
@@ -1,5 +1,5 @@
-// One caller's connection in the tests of the flow decisions: it repeats what is not answered, as
-// TCP does, and notes how the connection fared.
+// A caller's connection in the tests of the flow decisions: retransmits unanswered packets, as TCP
+// does, and keeps the state of the connection.
 
 #pragma once
 
@@ -12,13 +12,13 @@
 
 struct fake_caller
 {
-    enum class fate { opening, open, refused, broken, silent, closed };
+    enum class connection_state { opening, open, refused, broken, silent, closed };
     enum class packet { first, data, last };
 
-    fate state = fate::opening;
+    connection_state state = connection_state::opening;
     packet waitingFor = packet::first;
-    bool waits = false;
-    int tries = 0;
+    bool isWaiting = false;
+    int attempts = 0;
     base::clock_time retryAt = {};
     // The server that answered first.
     std::string server = {};
@@ -26,11 +26,11 @@
     bool split = false;
     std::size_t answers = 0;
 
-    void begin(packet what, base::clock_time now)
+    void startSending(packet sent, base::clock_time now)
     {
-        waitingFor = what;
-        waits = true;
-        tries = 0;
+        waitingFor = sent;
+        isWaiting = true;
+        attempts = 0;
         retryAt = now;
     }
 
@@ -40,43 +40,43 @@
                                     false, 0};
     }
 
-    // Whether a packet is to be sent now. The caller gives up after some attempts.
+    // Whether a packet is to be sent now. After the last attempt the connection is silent.
     bool isDue(base::clock_time now)
     {
-        constexpr int maxTries = 7;
+        constexpr int maxAttempts = 7;
         constexpr base::clock_time firstRetry = base::clock_time::ofMillis(300);
-        if (!waits || retryAt > now)
+        if (!isWaiting || retryAt > now)
             return false;
-        if (tries >= maxTries) {
-            state = fate::silent;
-            waits = false;
+        if (attempts >= maxAttempts) {
+            state = connection_state::silent;
+            isWaiting = false;
             return false;
         }
-        retryAt = now + firstRetry * (std::int64_t(1) << tries);
-        ++tries;
+        retryAt = now + firstRetry * (std::int64_t(1) << attempts);
+        ++attempts;
         return true;
     }
 
-    void onAnswer(const std::string &from)
+    void handleAnswer(const std::string &from)
     {
         split = split || (!server.empty() && server != from);
         if (server.empty())
             server = from;
         ++answers;
-        if (state == fate::opening)
-            state = fate::open;
-        else if (waits && waitingFor == packet::last && state == fate::open)
-            state = fate::closed;
-        waits = false;
+        if (state == connection_state::opening)
+            state = connection_state::open;
+        else if (isWaiting && waitingFor == packet::last && state == connection_state::open)
+            state = connection_state::closed;
+        isWaiting = false;
     }
 
-    void onReset()
+    void handleReset()
     {
-        if (state == fate::opening)
-            state = fate::refused;
-        else if (state == fate::open)
-            state = fate::broken;
-        waits = false;
+        if (state == connection_state::opening)
+            state = connection_state::refused;
+        else if (state == connection_state::open)
+            state = connection_state::broken;
+        isWaiting = false;
     }
 };
 
--- a/lycheeshunt/flows/fake_callers_test.h
+++ b/lycheeshunt/flows/fake_callers_test.h
@@ -1,4 +1,4 @@
-// The callers of a test of the flow decisions, by index.
+// The callers in the tests of the flow decisions, by index.
 
 #pragma once
 
@@ -18,7 +18,7 @@
     {
         const std::size_t index = m_callers.size();
         fake_caller caller;
-        caller.begin(fake_caller::packet::first, now);
+        caller.startSending(fake_caller::packet::first, now);
         m_callers.push_back(caller);
         m_keys.push_back(
             base::flow_key {base::endpoint {0x0a000001, std::uint16_t(index + 1)}, address, 6});
@@ -26,24 +26,24 @@
         return index;
     }
 
-    // The same address and port again, for a new connection.
+    // Opens a new connection from the same address and port.
     void reopen(std::size_t index, base::clock_time now)
     {
         m_callers[index] = fake_caller {};
-        m_callers[index].begin(fake_caller::packet::first, now);
+        m_callers[index].startSending(fake_caller::packet::first, now);
     }
 
     void sendOnAll(base::clock_time now)
     {
         for (fake_caller &caller : m_callers) {
-            if (caller.state == fake_caller::fate::open && !caller.waits)
-                caller.begin(fake_caller::packet::data, now);
+            if (caller.state == fake_caller::connection_state::open && !caller.isWaiting)
+                caller.startSending(fake_caller::packet::data, now);
         }
     }
 
     void close(std::size_t index, base::clock_time now)
     {
-        m_callers[index].begin(fake_caller::packet::last, now);
+        m_callers[index].startSending(fake_caller::packet::last, now);
     }
 
     std::size_t size() const { return m_callers.size(); }
@@ -62,7 +62,7 @@
         return found == m_callerOf.end() ? nullptr : &m_callers[found->second];
     }
 
-    std::set<std::size_t> thatAre(fake_caller::fate state) const
+    std::set<std::size_t> inState(fake_caller::connection_state state) const
     {
         std::set<std::size_t> found;
         for (std::size_t i = 0; i < m_callers.size(); ++i) {
@@ -76,7 +76,7 @@
     std::set<std::size_t> openAt(const std::string &server) const
     {
         std::set<std::size_t> found;
-        for (const std::size_t index : thatAre(fake_caller::fate::open)) {
+        for (const std::size_t index : inState(fake_caller::connection_state::open)) {
             if (m_callers[index].server == server)
                 found.insert(index);
         }
--- a/lycheeshunt/flows/fake_cluster_test.h
+++ b/lycheeshunt/flows/fake_cluster_test.h
@@ -1,5 +1,5 @@
-// A few agents, entries, backend servers and callers for the tests of the flow decisions, joined
-// by function calls over a fake network, in virtual time.
+// Agents, entries, backend servers and callers for the tests of the flow decisions, connected by a
+// fake network in virtual time.
 //
 //     fake_cluster all(seed, fake_network::faults {0.02});
 //     all.membership().define("logbook", {address}, 2000);
@@ -46,40 +46,40 @@
         start(added, m_membership.join(name, service, zone, packets));
     }
 
-    // Makes the newest view known to everybody, at a different moment to each.
+    // Delivers the latest view to all agents and entries, to each at a random time.
     void publish(base::clock_time within = base::clock_time::ofMillis(200))
     {
         const dissemination::shared_view view = m_membership.view();
         const routing::shared_table table = std::make_shared<const routing::routing_table>(*view);
         for (entry &each : m_entries) {
             entry *to = &each;
-            m_network.atSomeMomentWithin(within, [to, table]() {
+            m_network.atRandomTimeWithin(within, [to, table]() {
                 if (!to->frozen && table->at() > to->table->at())
                     to->table = table;
             });
         }
         for (auto it = m_agents.begin(); it != m_agents.end(); ++it) {
             agent *to = &it->second;
-            m_network.atSomeMomentWithin(within, [this, to, view]() {
+            m_network.atRandomTimeWithin(within, [this, to, view]() {
                 if (!to->frozen)
-                    pass(*to, view_update {view});
+                    handleMessage(*to, view_update {view});
             });
         }
     }
 
-    // A frozen entry or agent keeps its view.
+    // A frozen entry or agent receives no new views.
     void freezeEntry(std::size_t index, bool frozen) { m_entries[index].frozen = frozen; }
     void freezeAgent(const std::string &name, bool frozen) { m_agents.at(name).frozen = frozen; }
 
-    // Packets that the fabric hands to a dead entry are lost. One that joins knows nothing yet.
+    // Packets to a dead entry are lost. An entry that joins has no routing table yet.
     void killEntry(std::size_t index) { m_entries[index].alive = false; }
     void joinEntry(std::size_t index) { m_entries[index] = entry {}; }
 
-    // The VM's backend server goes with it.
+    // Ends the agent and its backend server.
     void killVm(const std::string &name)
     {
         m_agents.at(name).state.reset();
-        m_agents.at(name).server->forgetAll();
+        m_agents.at(name).server->removeConnections();
     }
 
     void restartAgent(const std::string &name)
@@ -90,9 +90,9 @@
               m_membership.join(name, which.server->service(), old.availabilityZone, old.packets));
     }
 
-    void restartServer(const std::string &name) { m_agents.at(name).server->forgetAll(); }
+    void restartServer(const std::string &name) { m_agents.at(name).server->removeConnections(); }
 
-    // The VM comes back with a new agent and a new server, for this service.
+    // The VM restarts with a new agent and a new server, for this service.
     void replaceVm(const std::string &name, const std::string &service)
     {
         m_agents.at(name).server.emplace(service);
@@ -104,49 +104,48 @@
         std::vector<std::size_t> opened;
         for (std::size_t i = 0; i < count; ++i) {
             opened.push_back(m_callers.open(address, m_network.now()));
-            m_begunWith.emplace(m_callers.keyOf(opened.back()), m_membership.serviceAt(address));
+            m_firstService.emplace(m_callers.keyOf(opened.back()), m_membership.serviceAt(address));
         }
         return opened;
     }
 
-    // Sends a packet in through one entry.
+    // Sends a packet through one entry.
     void sendThrough(std::size_t index, const packets::ip_summary &summary)
     {
         if (!m_entries[index].alive)
             return;
         const routing::routing_outcome outcome = m_entries[index].table->routeOf(summary.key);
-        if (const routing::route *way = std::get_if<routing::route>(&outcome))
-            send(way->to.packets,
-                 forwarded_packet {way->service, way->to.life, way->at, packet_stage::toDirector, 0,
-                                   summary, remember(summary, {})});
+        if (const routing::route *found = std::get_if<routing::route>(&outcome))
+            send(found->to.packets,
+                 forwarded_packet {found->service, found->to.life, found->at,
+                                   packet_stage::toDirector, 0, summary, addPacket(summary, {})});
     }
 
-    // Hands a message to an agent at once.
+    // Lets an agent handle a message at once.
     void inject(const std::string &name, const flow_message &message)
     {
-        pass(m_agents.at(name), message);
+        handleMessage(m_agents.at(name), message);
     }
 
-    // The bytes of a packet that is injected.
-    base::packet_bytes remember(const packets::ip_summary &packet, const std::string &server)
+    // Stores a packet and returns bytes that refer to it.
+    base::packet_bytes addPacket(const packets::ip_summary &packet, const std::string &server)
     {
         m_packets.emplace_back(packet, server);
         return base::packet_bytes(std::to_string(m_packets.size() - 1));
     }
 
-    void serverPushes(std::size_t caller)
+    void sendFromServer(std::size_t caller)
     {
         agent &owner = m_agents.at(m_callers[caller].server);
-        const std::optional<packets::ip_summary> pushed
-            = owner.server->push(m_callers.keyOf(caller));
-        if (pushed)
-            takeAnswer(owner, *pushed);
+        const std::optional<packets::ip_summary> sent = owner.server->send(m_callers.keyOf(caller));
+        if (sent)
+            handleServerAnswer(owner, *sent);
     }
 
-    // Bytes on the wire of what agents told each other, with IP and UDP headers.
+    // Bytes of all messages between agents, with IP and UDP headers.
     std::uint64_t peerBytes() const { return m_peerBytes; }
 
-    // Packets that reached a server of another service than their flow was begun with.
+    // Packets that reached a server of another service than the one their flow was opened for.
     std::size_t wrongService() const { return m_wrongService; }
 
     std::size_t refusals(base::error_code reason) const
@@ -161,21 +160,21 @@
     {
         return *m_agents.at(name).self;
     }
-    bool serverKnows(const std::string &name, const base::flow_key &key) const
+    bool serverHas(const std::string &name, const base::flow_key &key) const
     {
-        return m_agents.at(name).server->knows(key);
+        return m_agents.at(name).server->has(key);
     }
 
     std::vector<std::string> agentsOf(const std::string &service) const
     {
-        return agentsThat([&service](const membership::member &member) {
+        return agentsMatching([&service](const membership::member &member) {
             return member.service == base::serviceIdOf(service);
         });
     }
 
     std::vector<std::string> agentsIn(const std::string &zone) const
     {
-        return agentsThat(
+        return agentsMatching(
             [&zone](const membership::member &member) { return member.availabilityZone == zone; });
     }
 
@@ -183,7 +182,7 @@
     struct agent
     {
         std::optional<membership::member> self = {};
-        // Empty while the process is dead.
+        // Empty while the process is not running.
         std::optional<flow_state> state = {};
         std::optional<fake_server> server = {};
         bool frozen = false;
@@ -196,7 +195,7 @@
     };
 
     std::vector<std::string>
-    agentsThat(const std::function<bool(const membership::member &)> &match) const
+    agentsMatching(const std::function<bool(const membership::member &)> &match) const
     {
         std::vector<std::string> names;
         for (auto it = m_agents.begin(); it != m_agents.end(); ++it) {
@@ -217,11 +216,11 @@
         m_network.send([this, to, message]() {
             const auto name = m_names.find(to);
             if (name != m_names.end())
-                pass(m_agents.at(name->second), message);
+                handleMessage(m_agents.at(name->second), message);
         });
     }
 
-    void pass(agent &to, const flow_message &message)
+    void handleMessage(agent &to, const flow_message &message)
     {
         if (!to.state)
             return;
@@ -258,17 +257,17 @@
     void deliver(agent &to, const base::packet_bytes &bytes)
     {
         const packets::ip_summary packet = m_packets[indexOf(bytes)].first;
-        const auto begun = m_begunWith.find(packet.key);
-        if (begun != m_begunWith.end() && begun->second != to.self->service)
+        const auto first = m_firstService.find(packet.key);
+        if (first != m_firstService.end() && first->second != to.self->service)
             ++m_wrongService;
-        takeAnswer(to, to.server->handle(packet));
+        handleServerAnswer(to, to.server->handle(packet));
     }
 
-    void takeAnswer(agent &from, const packets::ip_summary &answer)
+    void handleServerAnswer(agent &from, const packets::ip_summary &answer)
     {
-        const server_answer known {answer, remember(answer, from.self->name)};
+        const server_answer received {answer, addPacket(answer, from.self->name)};
         agent *to = &from;
-        m_network.at(m_network.now(), [this, to, known]() { pass(*to, known); });
+        m_network.at(m_network.now(), [this, to, received]() { handleMessage(*to, received); });
     }
 
     void answer(const base::packet_bytes &bytes)
@@ -278,9 +277,9 @@
             const std::pair<packets::ip_summary, std::string> &packet = m_packets[index];
             fake_caller *to = m_callers.find(packet.first.key);
             if (to != nullptr && packet.first.resets)
-                to->onReset();
+                to->handleReset();
             else if (to != nullptr)
-                to->onAnswer(packet.second);
+                to->handleAnswer(packet.second);
         });
     }
 
@@ -290,7 +289,7 @@
         const base::flow_key key = m_packets[indexOf(sent.callerPacket)].first.key;
         m_network.send([this, key]() {
             if (fake_caller *to = m_callers.find(key))
-                to->onReset();
+                to->handleReset();
         });
     }
 
@@ -298,7 +297,7 @@
     {
         constexpr base::clock_time tickEvery = base::clock_time::ofMillis(100);
         for (auto it = m_agents.begin(); it != m_agents.end(); ++it)
-            pass(it->second, tick {});
+            handleMessage(it->second, tick {});
         for (std::size_t i = 0; i < m_callers.size(); ++i) {
             if (m_callers[i].isDue(m_network.now()))
                 sendThrough(m_network.random(m_entries.size() - 1), m_callers.summaryOf(i));
@@ -314,8 +313,8 @@
     std::map<std::string, agent> m_agents;
     std::map<base::endpoint, std::string> m_names;
     std::vector<entry> m_entries;
-    std::map<base::flow_key, base::service_id> m_begunWith;
-    // A packet's bytes are its position here; answers have their server's agent beside them.
+    std::map<base::flow_key, base::service_id> m_firstService;
+    // The bytes of a packet are its index here. An answer is stored with the name of its agent.
     std::vector<std::pair<packets::ip_summary, std::string>> m_packets;
     std::map<base::error_code, std::size_t> m_refusals;
     std::size_t m_wrongService = 0;
--- a/lycheeshunt/flows/fake_membership_test.h
+++ b/lycheeshunt/flows/fake_membership_test.h
@@ -1,4 +1,4 @@
-// The views that control would make, for the tests of the flow decisions.
+// Creates the views that control would publish, for the tests of the flow decisions.
 
 #pragma once
 
@@ -16,7 +16,7 @@
 public:
     const dissemination::shared_view &view() const { return m_view; }
 
-    // The agent in a new life.
+    // Adds the agent with a new incarnation.
     membership::member join(const std::string &name, const std::string &service,
                             const std::string &zone, const base::endpoint &packets)
     {
@@ -24,7 +24,7 @@
                                    zone,
                                    membership::member_role::agent,
                                    base::serviceIdOf(service),
-                                   base::incarnation(++m_lives),
+                                   base::incarnation(++m_lastIncarnation),
                                    packets,
                                    membership::member_phase::serving};
         change({{joined}, {}});
@@ -35,8 +35,8 @@
 
     void suspect(const std::string &name)
     {
-        const membership::member &known = m_view->members.at(base::nodeIdOf(name));
-        change({{known.withPhase(membership::member_phase::suspected)}, {}});
+        const membership::member &member = m_view->members.at(base::nodeIdOf(name));
+        change({{member.withPhase(membership::member_phase::suspected)}, {}});
     }
 
     void drain(const std::string &name, bool draining)
@@ -85,7 +85,7 @@
 
     dissemination::shared_view m_view = std::make_shared<const dissemination::cluster_view>(
         dissemination::cluster_view {base::generation()});
-    std::uint64_t m_lives = 0;
+    std::uint64_t m_lastIncarnation = 0;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/fake_network_test.h
+++ b/lycheeshunt/flows/fake_network_test.h
@@ -1,5 +1,5 @@
-// Virtual time and a network for the tests of the flow decisions: what is sent is lost, doubled
-// and delayed by a seeded generator. The same seed gives the same run.
+// Virtual time and a network for the tests of the flow decisions. Loses, duplicates and delays
+// messages with a seeded generator; the same seed gives the same run.
 
 #pragma once
 
@@ -17,7 +17,7 @@
     struct faults
     {
         double loss = 0;
-        double doubled = 0;
+        double duplication = 0;
         std::int64_t maxDelayMillis = 3;
     };
     using event = std::function<void()>;
@@ -26,23 +26,23 @@
 
     base::clock_time now() const { return m_now; }
 
-    // Evenly from 0 to the limit, inclusive.
+    // Uniformly distributed from 0 to the limit, inclusive.
     std::uint64_t random(std::uint64_t limit) { return m_random() % (limit + 1); }
 
     void at(base::clock_time when, event what) { m_events.emplace(when, std::move(what)); }
 
-    void atSomeMomentWithin(base::clock_time span, event what)
+    void atRandomTimeWithin(base::clock_time span, event what)
     {
         at(m_now + base::clock_time::ofMillis(std::int64_t(random(std::uint64_t(span.millis())))),
            std::move(what));
     }
 
-    void send(const event &arrive)
+    void send(const event &deliver)
     {
-        const std::size_t copies = chance(m_faults.doubled) ? 2 : 1;
+        const std::size_t copies = chance(m_faults.duplication) ? 2 : 1;
         for (std::size_t i = 0; i < copies; ++i) {
             if (!chance(m_faults.loss))
-                atSomeMomentWithin(base::clock_time::ofMillis(m_faults.maxDelayMillis), arrive);
+                atRandomTimeWithin(base::clock_time::ofMillis(m_faults.maxDelayMillis), deliver);
         }
     }
 
--- a/lycheeshunt/flows/fake_server_test.h
+++ b/lycheeshunt/flows/fake_server_test.h
@@ -1,5 +1,5 @@
-// A backend server's TCP stack for the tests of the flow decisions: it knows its connections and
-// resets packets of any other.
+// A backend server's TCP stack for the tests of the flow decisions: keeps its connections and
+// resets packets of all others.
 
 #pragma once
 
@@ -17,29 +17,29 @@
     explicit fake_server(std::string service) : m_service(std::move(service)) { }
 
     const std::string &service() const { return m_service; }
-    bool knows(const base::flow_key &key) const { return m_connections.count(key) > 0; }
+    bool has(const base::flow_key &key) const { return m_connections.count(key) > 0; }
 
     // The answer to a caller's packet.
     packets::ip_summary handle(const packets::ip_summary &packet)
     {
         if (packet.opens)
             m_connections.insert(packet.key);
-        const bool known = knows(packet.key);
+        const bool known = has(packet.key);
         if (packet.finishes || packet.resets)
             m_connections.erase(packet.key);
         return packets::ip_summary {packet.key, false, known && packet.finishes, !known, 0};
     }
 
-    // A packet that the server sends of its own accord.
-    std::optional<packets::ip_summary> push(const base::flow_key &key) const
+    // A packet that the server sends without a request.
+    std::optional<packets::ip_summary> send(const base::flow_key &key) const
     {
-        if (!knows(key))
+        if (!has(key))
             return std::nullopt;
         return packets::ip_summary {key, false, false, false, 1};
     }
 
     // As when the server process restarts on the same address.
-    void forgetAll() { m_connections.clear(); }
+    void removeConnections() { m_connections.clear(); }
 
 private:
     const std::string m_service;
--- a/lycheeshunt/flows/faults_test.cpp
+++ b/lycheeshunt/flows/faults_test.cpp
@@ -1,5 +1,5 @@
-// A table of faults, each played on a small cluster with lost, doubled and delayed messages, and
-// again twice in a row. What may break is stated with the fault.
+// Runs a table of faults on a small cluster: each once, twice in a row, and with lost, duplicated
+// and delayed messages. Each fault returns the flows that it breaks; no others may break.
 
 #include "lycheeshunt/flows/fake_cluster_test.h"
 
@@ -12,23 +12,23 @@
 
 namespace {
 
-using fate = fake_caller::fate;
+using connection_state = fake_caller::connection_state;
 
 const base::endpoint logbookAddress {0xc0000201, 443};
 const base::endpoint inspectAddress {0xc0000202, 443};
 constexpr std::size_t logbookFlows = 120;
 constexpr std::size_t inspectFlows = 40;
-constexpr base::clock_time settling = base::clock_time::ofSeconds(3);
-// Callers repeat an unanswered packet for about this long.
-constexpr base::clock_time patience = base::clock_time::ofSeconds(40);
+constexpr base::clock_time settleTime = base::clock_time::ofSeconds(3);
+// Callers retransmit an unanswered packet for about this long.
+constexpr base::clock_time retransmissionPeriod = base::clock_time::ofSeconds(40);
 
 using caller_set = std::set<std::size_t>;
 
-// A fault does its harm and returns the flows that it breaks.
+// Causes a fault and returns the flows that it breaks inevitably.
 struct fault
 {
     const char *name;
-    caller_set (*strike)(fake_cluster &);
+    caller_set (*inject)(fake_cluster &);
 };
 
 caller_set killAndEvict(fake_cluster &all, const std::string &name)
@@ -185,7 +185,7 @@
 caller_set addressReusedWithinASecond(fake_cluster &all)
 {
     const std::vector<std::size_t> callers = all.openFlows(logbookAddress, 20);
-    all.run(settling);
+    all.run(settleTime);
     for (const std::size_t caller : callers)
         all.callers().close(caller, all.network().now());
     all.run(base::clock_time::ofMillis(800));
@@ -217,68 +217,69 @@
     for (int i = 1; i <= 4; ++i)
         all.addAgent("inspect-" + std::to_string(i), "inspect", "zone-" + std::to_string(i % 4));
     all.publish();
-    all.run(settling);
+    all.run(settleTime);
     all.openFlows(logbookAddress, logbookFlows);
     all.openFlows(inspectAddress, inspectFlows);
-    all.run(settling);
-    LONGS_EQUAL(logbookFlows + inspectFlows, all.callers().thatAre(fate::open).size());
+    all.run(settleTime);
+    LONGS_EQUAL(logbookFlows + inspectFlows, all.callers().inState(connection_state::open).size());
 }
 
-void checkAfter(fake_cluster &all, const fault &played, const caller_set &lost)
+void checkOutcome(fake_cluster &all, const fault &scenario, const caller_set &lost)
 {
     for (int i = 0; i < 3; ++i) {
         all.callers().sendOnAll(all.network().now());
-        all.run(patience);
+        all.run(retransmissionPeriod);
     }
-    const caller_set broken = all.callers().thatAre(fate::broken);
-    CHECK_TEXT(lost == broken, played.name);
-    LONGS_EQUAL_TEXT(0, all.callers().thatAre(fate::silent).size(), played.name);
-    LONGS_EQUAL_TEXT(0, all.callers().countSplit(), played.name);
-    LONGS_EQUAL_TEXT(0, all.wrongService(), played.name);
-    LONGS_EQUAL_TEXT(0, all.callers().thatAre(fate::opening).size(), played.name);
-    LONGS_EQUAL_TEXT(0, all.callers().thatAre(fate::refused).size(), played.name);
+    const caller_set broken = all.callers().inState(connection_state::broken);
+    CHECK_TEXT(lost == broken, scenario.name);
+    LONGS_EQUAL_TEXT(0, all.callers().inState(connection_state::silent).size(), scenario.name);
+    LONGS_EQUAL_TEXT(0, all.callers().countSplit(), scenario.name);
+    LONGS_EQUAL_TEXT(0, all.wrongService(), scenario.name);
+    LONGS_EQUAL_TEXT(0, all.callers().inState(connection_state::opening).size(), scenario.name);
+    LONGS_EQUAL_TEXT(0, all.callers().inState(connection_state::refused).size(), scenario.name);
 }
 
-void play(const fault &played, std::uint64_t seed, const fake_network::faults &network, int times)
+void runScenario(const fault &scenario, std::uint64_t seed, const fake_network::faults &network,
+                 int times)
 {
     fake_cluster all(seed, network);
     setUp(all);
     caller_set lost;
     for (int i = 0; i < times; ++i) {
-        lost.merge(played.strike(all));
-        all.run(settling);
+        lost.merge(scenario.inject(all));
+        all.run(settleTime);
     }
-    checkAfter(all, played, lost);
+    checkOutcome(all, scenario, lost);
 }
 
 constexpr std::uint64_t seeds[] = {11, 12, 13};
-const fake_network::faults calm {};
-const fake_network::faults rough {0.02, 0.02, 30};
+const fake_network::faults reliable {};
+const fake_network::faults unreliable {0.02, 0.02, 30};
 
 } // namespace
 
 TEST_GROUP(flow_faults) {};
 
-TEST(flow_faults, eachFaultBreaksOnlyWhatItMay)
+TEST(flow_faults, eachFaultBreaksOnlyTheFlowsItCannotKeep)
 {
     for (const fault &each : faults) {
         for (const std::uint64_t seed : seeds)
-            play(each, seed, calm, 1);
+            runScenario(each, seed, reliable, 1);
     }
 }
 
-TEST(flow_faults, eachFaultTwiceInARowBreaksOnlyWhatItMay)
+TEST(flow_faults, eachFaultTwiceInARowBreaksOnlyTheFlowsItCannotKeep)
 {
     for (const fault &each : faults) {
         for (const std::uint64_t seed : seeds)
-            play(each, seed, calm, 2);
+            runScenario(each, seed, reliable, 2);
     }
 }
 
-TEST(flow_faults, lostDoubledAndReorderedMessagesChangeNothing)
+TEST(flow_faults, lostDuplicatedAndReorderedMessagesBreakNoFurtherFlows)
 {
     for (const fault &each : faults) {
         for (const std::uint64_t seed : seeds)
-            play(each, seed, rough, 2);
+            runScenario(each, seed, unreliable, 2);
     }
 }
--- a/lycheeshunt/flows/internal/peer_codec.cpp
+++ b/lycheeshunt/flows/internal/peer_codec.cpp
@@ -214,7 +214,7 @@
 
 std::string encodePeerFields(const peer_message &message)
 {
-    return std::visit([](const auto &known) { return encode(known); }, message);
+    return std::visit([](const auto &alternative) { return encode(alternative); }, message);
 }
 
 base::result<peer_message> decodePeerFields(std::uint8_t kind, const msgpack::object &object)
--- a/lycheeshunt/flows/internal/registrar.cpp
+++ b/lycheeshunt/flows/internal/registrar.cpp
@@ -26,8 +26,8 @@
 // Whether the queued registration is still valid: the flow may have ended since it was queued.
 bool isCurrent(const flow_state &state, const registered_flow &flow)
 {
-    const owned_flow *known = state.owned.find(flow.key);
-    const bool alive = known != nullptr && known->phase != flow_phase::ended;
+    const owned_flow *owned = state.owned.find(flow.key);
+    const bool alive = owned != nullptr && owned->phase != flow_phase::ended;
     return alive == flow.alive;
 }
 
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -62,9 +62,9 @@
         return left.node == right.node && left.life == right.life;
     };
     for (const routing::target *to : {&after.directorOf(bucket), &after.backupOf(bucket)}) {
-        const bool known = before != nullptr
+        const bool isRegistered = before != nullptr
             && (isSame(before->directorOf(bucket), *to) || isSame(before->backupOf(bucket), *to));
-        if (!known)
+        if (!isRegistered)
             registerWith(context, *to, key, true, context.now);
     }
 }
@@ -98,10 +98,10 @@
     state.buckets = std::make_shared<const routing::bucket_table>(
         service->second.buckets, routing::directorsOf(view, state.identity->service));
     if (hasTargets(state.buckets)) {
-        const routing::bucket_table *known = hasTargets(before) ? before.get() : nullptr;
-        recordFormerDirectors(state, known, service->second.buckets);
+        const routing::bucket_table *previous = hasTargets(before) ? before.get() : nullptr;
+        recordFormerDirectors(state, previous, service->second.buckets);
         for (auto it = state.owned.begin(); it != state.owned.end(); ++it)
-            registerMoved(context, known, it->first);
+            registerMoved(context, previous, it->first);
     }
     startRecovery(context);
     if (state.identity->serverReturnsPackets)
@@ -110,11 +110,11 @@
 
 void recordPeerGeneration(flow_state &state, base::node_id node, base::generation at)
 {
-    const auto known = state.peerGenerations.find(node);
-    if (known == state.peerGenerations.end())
+    const auto recorded = state.peerGenerations.find(node);
+    if (recorded == state.peerGenerations.end())
         state.peerGenerations.emplace(node, at);
-    else if (known->second < at)
-        known->second = at;
+    else if (recorded->second < at)
+        recorded->second = at;
 }
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/trace_replay_test.h
+++ b/lycheeshunt/flows/trace_replay_test.h
@@ -1,6 +1,6 @@
-// Replays a trace of membership changes on a fake cluster, with feeds that stay open throughout,
-// and says what became of them. What plain consistent hashing, and hashing with one previous
-// owner of each bucket, would have broken is worked out beside it from the same changes.
+// Replays a trace of membership changes on a fake cluster with long-lived flows (feeds) and counts
+// those that break. For comparison, counts from the same changes the flows that would break with
+// plain consistent hashing, and with hashing that remembers one previous owner of each bucket.
 //
 //     trace_replay replay(seed);
 //     const trace_outcome outcome = replay.play(readTrace(path));
@@ -18,7 +18,7 @@
 {
     std::int64_t second = 0;
     std::string what;
-    std::string whom;
+    std::string node;
 };
 
 struct trace_outcome
@@ -26,9 +26,9 @@
     std::size_t changes = 0;
     std::size_t feeds = 0;
     std::size_t broken = 0;
-    // Of those: by nothing that the trace allows.
-    std::size_t brokenByPlan = 0;
-    std::size_t ownOfDeadServers = 0;
+    // The broken feeds whose server did not die.
+    std::size_t brokenByPlannedChange = 0;
+    std::size_t lostWithServers = 0;
     std::size_t notReset = 0;
     std::size_t wrongService = 0;
     std::size_t split = 0;
@@ -43,7 +43,7 @@
     for (std::string line; std::getline(file, line);) {
         trace_step step;
         std::istringstream words(line);
-        if (words >> step.second >> step.what >> step.whom)
+        if (words >> step.second >> step.what >> step.node)
             steps.push_back(step);
     }
     return steps;
@@ -62,17 +62,17 @@
         std::int64_t second = 0;
         for (const trace_step &step : steps) {
             for (; second < step.second; ++second)
-                passSecond();
+                runOneSecond();
             apply(step);
         }
         constexpr int lastSeconds = 60;
         for (int i = 0; i < lastSeconds; ++i)
-            passSecond();
+            runOneSecond();
         return outcome();
     }
 
 private:
-    // Where a feed would be without any directory.
+    // The owner of a feed if flows were assigned by hashing alone, without a directory.
     struct hashed_feed
     {
         base::bucket bucket;
@@ -92,13 +92,13 @@
 
     static base::endpoint address() { return base::endpoint {0xc0000201, 443}; }
 
-    void passSecond()
+    void runOneSecond()
     {
         if (m_started)
-            open(feeds - std::min(feeds, m_all.callers().size() - m_gone));
+            open(feeds - std::min(feeds, m_all.callers().size() - m_broken));
         m_all.callers().sendOnAll(m_all.network().now());
         m_all.run(base::clock_time::ofSeconds(1));
-        m_gone = m_all.callers().thatAre(fake_caller::fate::broken).size();
+        m_broken = m_all.callers().inState(fake_caller::connection_state::broken).size();
         m_started = true;
     }
 
@@ -116,7 +116,7 @@
         if (step.what == "entry_die") {
             m_all.killEntry(entryOf(step));
         } else if (step.what == "die") {
-            die(step.whom);
+            die(step.node);
         } else {
             change(step);
             m_all.publish();
@@ -131,19 +131,19 @@
         }
         ++m_changes;
         if (step.what == "join")
-            m_all.addAgent(step.whom, "logbook", "zone-1");
+            m_all.addAgent(step.node, "logbook", "zone-1");
         else if (step.what == "drain" || step.what == "undrain")
-            m_all.membership().drain(step.whom, step.what == "drain");
+            m_all.membership().drain(step.node, step.what == "drain");
         else if (step.what == "evict")
-            m_all.membership().evict(step.whom);
+            m_all.membership().evict(step.node);
         else
-            m_all.restartAgent(step.whom);
-        hashAgain();
+            m_all.restartAgent(step.node);
+        updateHashedOwners();
     }
 
     static std::size_t entryOf(const trace_step &step)
     {
-        return std::stoul(step.whom.substr(step.whom.find('-') + 1)) - 1;
+        return std::stoul(step.node.substr(step.node.find('-') + 1)) - 1;
     }
 
     void die(const std::string &name)
@@ -154,7 +154,7 @@
             feed.lost = feed.lost || feed.owner == base::nodeIdOf(name);
     }
 
-    void hashAgain()
+    void updateHashedOwners()
     {
         const routing::bucket_table table(
             buckets,
@@ -177,17 +177,18 @@
 
     trace_outcome outcome()
     {
-        const std::set<std::size_t> broken = m_all.callers().thatAre(fake_caller::fate::broken);
+        const std::set<std::size_t> broken
+            = m_all.callers().inState(fake_caller::connection_state::broken);
         trace_outcome result;
         result.changes = m_changes;
         result.feeds = m_all.callers().size();
         result.broken = broken.size();
-        result.ownOfDeadServers = m_lost.size();
+        result.lostWithServers = m_lost.size();
         for (const std::size_t caller : broken)
-            result.brokenByPlan += m_lost.count(caller) == 0 ? 1 : 0;
+            result.brokenByPlannedChange += m_lost.count(caller) == 0 ? 1 : 0;
         for (const std::size_t caller : m_lost)
             result.notReset += broken.count(caller) == 0 ? 1 : 0;
-        result.notReset += m_all.callers().thatAre(fake_caller::fate::silent).size();
+        result.notReset += m_all.callers().inState(fake_caller::connection_state::silent).size();
         result.wrongService = m_all.wrongService();
         result.split = m_all.callers().countSplit();
         for (const hashed_feed &feed : m_hashed) {
@@ -202,7 +203,7 @@
     std::map<std::uint32_t, bucket_history> m_history;
     std::set<std::size_t> m_lost;
     std::size_t m_changes = 0;
-    std::size_t m_gone = 0;
+    std::size_t m_broken = 0;
     bool m_started = false;
 };
 
--- a/lycheeshunt/flows/trace_test.cpp
+++ b/lycheeshunt/flows/trace_test.cpp
@@ -1,4 +1,4 @@
-// Replays the recorded membership changes; the trace states the outcome.
+// Replays the recorded membership changes and checks which flows break.
 
 #include "lycheeshunt/flows/trace_replay_test.h"
 
@@ -14,9 +14,9 @@
     trace_replay replay(21);
     const trace_outcome outcome = replay.play(readTrace(path));
     LONGS_EQUAL(300, outcome.changes);
-    CHECK(outcome.ownOfDeadServers > 0);
-    LONGS_EQUAL(0, outcome.brokenByPlan);
-    LONGS_EQUAL(outcome.ownOfDeadServers, outcome.broken);
+    CHECK(outcome.lostWithServers > 0);
+    LONGS_EQUAL(0, outcome.brokenByPlannedChange);
+    LONGS_EQUAL(outcome.lostWithServers, outcome.broken);
     LONGS_EQUAL(0, outcome.notReset);
     LONGS_EQUAL(0, outcome.wrongService);
     LONGS_EQUAL(0, outcome.split);
--- a/tools/measurements/flows.cpp
+++ b/tools/measurements/flows.cpp
@@ -35,11 +35,13 @@
     trace_replay replay(seed);
     const trace_outcome outcome = replay.play(steps);
     const std::string feeds = std::to_string(outcome.feeds) + " feeds";
-    report("flows_broken_by_planned_change_or_entry_loss", double(outcome.brokenByPlan), feeds, "0",
+    report("flows_broken_by_planned_change_or_entry_loss", double(outcome.brokenByPlannedChange),
+           feeds, "0",
            "{\"consistent_hashing\":" + std::to_string(outcome.brokenWithHashing)
                + ",\"one_previous_owner\":" + std::to_string(outcome.brokenWithOnePrevious) + "}");
-    report("flows_broken_by_their_dead_server", double(outcome.broken - outcome.brokenByPlan),
-           feeds, std::to_string(outcome.ownOfDeadServers));
+    report("flows_broken_by_their_dead_server",
+           double(outcome.broken - outcome.brokenByPlannedChange), feeds,
+           std::to_string(outcome.lostWithServers));
     report("flows_silent_or_at_two_servers", double(outcome.notReset + outcome.split), feeds, "0");
     return true;
 }
