Flows: name the cluster of the tests, store owners, complete a usage example

The tests called their cluster "all"; the example in agent_port.h lacked two arguments. rememberOwner is storeOwner (used within this part only). No rename in this commit reaches a file outside this part.

--- a/lycheeshunt/flows/agent_port.h
+++ b/lycheeshunt/flows/agent_port.h
@@ -2,7 +2,8 @@
 // entries and other agents and answers from the backend server, and carries out the actions of the
 // flow thread. Malformed datagrams are counted and dropped.
 //
-//     base::result<std::unique_ptr<agent_port>> port = agent_port::open(sockets, inbox);
+//     base::result<std::unique_ptr<agent_port>> port
+//         = agent_port::open(sockets, codec, incarnation, inbox);
 //     valueOf(port)->actions().push(action);
 
 #pragma once
--- a/lycheeshunt/flows/fake_cluster_test.h
+++ b/lycheeshunt/flows/fake_cluster_test.h
@@ -1,12 +1,12 @@
 // Agents, entries, backend servers and callers for the tests of the flow decisions, connected by a
-// fake network in virtual time.
+// fake network, in virtual time.
 //
-//     fake_cluster all(seed, fake_network::faults {0.02});
-//     all.membership().define("logbook", {address}, 2000);
-//     all.addAgent("logbook-1", "logbook", "zone-1");
-//     all.publish();
-//     all.openFlows(address, 100);
-//     all.run(base::clock_time::ofSeconds(2));
+//     fake_cluster cluster(seed, fake_network::faults {0.02});
+//     cluster.membership().define("logbook", {address}, 2000);
+//     cluster.addAgent("logbook-1", "logbook", "zone-1");
+//     cluster.publish();
+//     cluster.openFlows(address, 100);
+//     cluster.run(base::clock_time::ofSeconds(2));
 
 #pragma once
 
@@ -145,7 +145,7 @@
     // Bytes of all messages between agents, with IP and UDP headers.
     std::uint64_t peerBytes() const { return m_peerBytes; }
 
-    // Packets that reached a server of another service than the one their flow was opened for.
+    // Packets that reached a server of a service other than the one their flow was opened for.
     std::size_t wrongService() const { return m_wrongService; }
 
     std::size_t refusals(base::error_code reason) const
--- a/lycheeshunt/flows/faults_test.cpp
+++ b/lycheeshunt/flows/faults_test.cpp
@@ -31,166 +31,168 @@
     caller_set (*inject)(fake_cluster &);
 };
 
-caller_set killAndEvict(fake_cluster &all, const std::string &name)
+caller_set killAndEvict(fake_cluster &cluster, const std::string &name)
 {
-    caller_set lost = all.callers().openAt(name);
-    all.killVm(name);
-    all.run(base::clock_time::ofSeconds(1));
-    all.membership().evict(name);
-    all.publish();
+    caller_set lost = cluster.callers().openAt(name);
+    cluster.killVm(name);
+    cluster.run(base::clock_time::ofSeconds(1));
+    cluster.membership().evict(name);
+    cluster.publish();
     return lost;
 }
 
-std::string pick(fake_cluster &all, const std::string &service)
+std::string pick(fake_cluster &cluster, const std::string &service)
 {
-    const std::vector<std::string> names = all.agentsOf(service);
-    return names[all.network().random(names.size() - 1)];
+    const std::vector<std::string> names = cluster.agentsOf(service);
+    return names[cluster.network().random(names.size() - 1)];
 }
 
-std::string pickAlive(fake_cluster &all, const std::string &service)
+std::string pickAlive(fake_cluster &cluster, const std::string &service)
 {
-    std::string name = pick(all, service);
-    while (!all.isAlive(name) || all.callers().openAt(name).empty())
-        name = pick(all, service);
+    std::string name = pick(cluster, service);
+    while (!cluster.isAlive(name) || cluster.callers().openAt(name).empty())
+        name = pick(cluster, service);
     return name;
 }
 
-void changeMembership(fake_cluster &all, std::size_t changes)
+void changeMembership(fake_cluster &cluster, std::size_t changes)
 {
     for (std::size_t i = 0; i < changes; ++i) {
-        const std::string name = pick(all, "logbook");
-        all.membership().drain(name, i % 2 == 0);
+        const std::string name = pick(cluster, "logbook");
+        cluster.membership().drain(name, i % 2 == 0);
         if (i % 2 != 0) {
-            for (const std::string &each : all.agentsOf("logbook"))
-                all.membership().drain(each, false);
+            for (const std::string &each : cluster.agentsOf("logbook"))
+                cluster.membership().drain(each, false);
         }
-        all.publish(base::clock_time::ofMillis(20));
-        all.run(base::clock_time::ofMillis(50));
+        cluster.publish(base::clock_time::ofMillis(20));
+        cluster.run(base::clock_time::ofMillis(50));
     }
 }
 
-caller_set staleEntry(fake_cluster &all)
+caller_set staleEntry(fake_cluster &cluster)
 {
-    all.freezeEntry(0, true);
-    changeMembership(all, 300);
+    cluster.freezeEntry(0, true);
+    changeMembership(cluster, 300);
     return {};
 }
 
-caller_set twoGenerationsForAMinute(fake_cluster &all)
+caller_set twoGenerationsForAMinute(fake_cluster &cluster)
 {
-    all.freezeEntry(1, true);
-    all.membership().drain(pick(all, "logbook"), true);
-    all.publish();
+    cluster.freezeEntry(1, true);
+    cluster.membership().drain(pick(cluster, "logbook"), true);
+    cluster.publish();
     for (int second = 0; second < 60; ++second) {
-        all.openFlows(logbookAddress, 1);
-        all.callers().sendOnAll(all.network().now());
-        all.run(base::clock_time::ofSeconds(1));
+        cluster.openFlows(logbookAddress, 1);
+        cluster.callers().sendOnAll(cluster.network().now());
+        cluster.run(base::clock_time::ofSeconds(1));
     }
-    all.freezeEntry(1, false);
-    all.publish();
+    cluster.freezeEntry(1, false);
+    cluster.publish();
     return {};
 }
 
-caller_set directorDies(fake_cluster &all)
+caller_set directorDies(fake_cluster &cluster)
 {
-    return killAndEvict(all, pickAlive(all, "logbook"));
+    return killAndEvict(cluster, pickAlive(cluster, "logbook"));
 }
 
-caller_set directorAndBackupDieTogether(fake_cluster &all)
+caller_set directorAndBackupDieTogether(fake_cluster &cluster)
 {
-    const std::string first = pickAlive(all, "logbook");
-    std::string second = pickAlive(all, "logbook");
+    const std::string first = pickAlive(cluster, "logbook");
+    std::string second = pickAlive(cluster, "logbook");
     while (second == first)
-        second = pickAlive(all, "logbook");
-    caller_set lost = all.callers().openAt(second);
-    all.killVm(second);
-    all.membership().evict(second);
-    lost.merge(killAndEvict(all, first));
+        second = pickAlive(cluster, "logbook");
+    caller_set lost = cluster.callers().openAt(second);
+    cluster.killVm(second);
+    cluster.membership().evict(second);
+    lost.merge(killAndEvict(cluster, first));
     return lost;
 }
 
-caller_set ownerDrainsDuringDirectorChange(fake_cluster &all)
+caller_set ownerDrainsDuringDirectorChange(fake_cluster &cluster)
 {
-    all.membership().drain(pickAlive(all, "logbook"), true);
-    all.publish(base::clock_time::ofMillis(500));
-    all.addAgent("logbook-new-" + std::to_string(all.network().random(1000)), "logbook", "zone-9");
-    all.publish(base::clock_time::ofMillis(500));
-    all.callers().sendOnAll(all.network().now());
+    cluster.membership().drain(pickAlive(cluster, "logbook"), true);
+    cluster.publish(base::clock_time::ofMillis(500));
+    cluster.addAgent("logbook-new-" + std::to_string(cluster.network().random(1000)), "logbook",
+                     "zone-9");
+    cluster.publish(base::clock_time::ofMillis(500));
+    cluster.callers().sendOnAll(cluster.network().now());
     return {};
 }
 
-caller_set agentRestarts(fake_cluster &all)
+caller_set agentRestarts(fake_cluster &cluster)
 {
-    all.restartAgent(pickAlive(all, "logbook"));
-    all.publish();
-    all.callers().sendOnAll(all.network().now());
+    cluster.restartAgent(pickAlive(cluster, "logbook"));
+    cluster.publish();
+    cluster.callers().sendOnAll(cluster.network().now());
     return {};
 }
 
-caller_set serverRestarts(fake_cluster &all)
+caller_set serverRestarts(fake_cluster &cluster)
 {
-    const std::string name = pickAlive(all, "logbook");
-    caller_set lost = all.callers().openAt(name);
-    all.restartServer(name);
+    const std::string name = pickAlive(cluster, "logbook");
+    caller_set lost = cluster.callers().openAt(name);
+    cluster.restartServer(name);
     return lost;
 }
 
-caller_set vmReturnsAsTheOtherService(fake_cluster &all)
+caller_set vmReturnsAsTheOtherService(fake_cluster &cluster)
 {
-    const std::string name = pickAlive(all, "logbook");
-    caller_set lost = all.callers().openAt(name);
-    all.replaceVm(name, "inspect");
-    all.callers().sendOnAll(all.network().now());
-    all.run(base::clock_time::ofMillis(200));
-    all.publish(base::clock_time::ofSeconds(1));
+    const std::string name = pickAlive(cluster, "logbook");
+    caller_set lost = cluster.callers().openAt(name);
+    cluster.replaceVm(name, "inspect");
+    cluster.callers().sendOnAll(cluster.network().now());
+    cluster.run(base::clock_time::ofMillis(200));
+    cluster.publish(base::clock_time::ofSeconds(1));
     return lost;
 }
 
-caller_set zoneIsLost(fake_cluster &all)
+caller_set zoneIsLost(fake_cluster &cluster)
 {
     caller_set lost;
     for (const std::string &name :
-         all.agentsIn("zone-" + std::to_string(all.network().random(1)))) {
-        lost.merge(all.callers().openAt(name));
-        all.killVm(name);
-        all.membership().evict(name);
+         cluster.agentsIn("zone-" + std::to_string(cluster.network().random(1)))) {
+        lost.merge(cluster.callers().openAt(name));
+        cluster.killVm(name);
+        cluster.membership().evict(name);
     }
-    all.callers().sendOnAll(all.network().now());
-    all.run(base::clock_time::ofSeconds(1));
-    all.publish();
+    cluster.callers().sendOnAll(cluster.network().now());
+    cluster.run(base::clock_time::ofSeconds(1));
+    cluster.publish();
     return lost;
 }
 
-void openThroughAllEntries(fake_cluster &all)
+void openThroughAllEntries(fake_cluster &cluster)
 {
-    const std::size_t caller = all.openFlows(logbookAddress, 1).front();
+    const std::size_t caller = cluster.openFlows(logbookAddress, 1).front();
     for (std::size_t i = 0; i < 3; ++i)
-        all.sendThrough(i, all.callers().summaryOf(caller));
+        cluster.sendThrough(i, cluster.callers().summaryOf(caller));
 }
 
-caller_set firstPacketThroughEveryEntry(fake_cluster &all)
+caller_set firstPacketThroughEveryEntry(fake_cluster &cluster)
 {
-    all.freezeEntry(2, true);
-    all.addAgent("logbook-late-" + std::to_string(all.network().random(1000)), "logbook", "zone-9");
-    all.publish(base::clock_time::ofMillis(300));
+    cluster.freezeEntry(2, true);
+    cluster.addAgent("logbook-late-" + std::to_string(cluster.network().random(1000)), "logbook",
+                     "zone-9");
+    cluster.publish(base::clock_time::ofMillis(300));
     for (int i = 0; i < 60; ++i) {
-        openThroughAllEntries(all);
-        all.run(base::clock_time::ofMillis(5));
+        openThroughAllEntries(cluster);
+        cluster.run(base::clock_time::ofMillis(5));
     }
-    all.freezeEntry(2, false);
-    all.publish();
+    cluster.freezeEntry(2, false);
+    cluster.publish();
     return {};
 }
 
-caller_set addressReusedWithinASecond(fake_cluster &all)
+caller_set addressReusedWithinASecond(fake_cluster &cluster)
 {
-    const std::vector<std::size_t> callers = all.openFlows(logbookAddress, 20);
-    all.run(settleTime);
+    const std::vector<std::size_t> callers = cluster.openFlows(logbookAddress, 20);
+    cluster.run(settleTime);
     for (const std::size_t caller : callers)
-        all.callers().close(caller, all.network().now());
-    all.run(base::clock_time::ofMillis(800));
+        cluster.callers().close(caller, cluster.network().now());
+    cluster.run(base::clock_time::ofMillis(800));
     for (const std::size_t caller : callers)
-        all.callers().reopen(caller, all.network().now());
+        cluster.callers().reopen(caller, cluster.network().now());
     return {};
 }
 
@@ -208,48 +210,51 @@
     {"address reused within a second", addressReusedWithinASecond},
 };
 
-void setUp(fake_cluster &all)
+void setUp(fake_cluster &cluster)
 {
-    all.membership().define("logbook", {logbookAddress}, 2000);
-    all.membership().define("inspect", {inspectAddress}, 2000);
+    cluster.membership().define("logbook", {logbookAddress}, 2000);
+    cluster.membership().define("inspect", {inspectAddress}, 2000);
     for (int i = 1; i <= 7; ++i)
-        all.addAgent("logbook-" + std::to_string(i), "logbook", "zone-" + std::to_string(i % 4));
+        cluster.addAgent("logbook-" + std::to_string(i), "logbook",
+                         "zone-" + std::to_string(i % 4));
     for (int i = 1; i <= 4; ++i)
-        all.addAgent("inspect-" + std::to_string(i), "inspect", "zone-" + std::to_string(i % 4));
-    all.publish();
-    all.run(settleTime);
-    all.openFlows(logbookAddress, logbookFlows);
-    all.openFlows(inspectAddress, inspectFlows);
-    all.run(settleTime);
-    LONGS_EQUAL(logbookFlows + inspectFlows, all.callers().inState(connection_state::open).size());
+        cluster.addAgent("inspect-" + std::to_string(i), "inspect",
+                         "zone-" + std::to_string(i % 4));
+    cluster.publish();
+    cluster.run(settleTime);
+    cluster.openFlows(logbookAddress, logbookFlows);
+    cluster.openFlows(inspectAddress, inspectFlows);
+    cluster.run(settleTime);
+    LONGS_EQUAL(logbookFlows + inspectFlows,
+                cluster.callers().inState(connection_state::open).size());
 }
 
-void checkOutcome(fake_cluster &all, const fault &scenario, const caller_set &lost)
+void checkOutcome(fake_cluster &cluster, const fault &scenario, const caller_set &lost)
 {
     for (int i = 0; i < 3; ++i) {
-        all.callers().sendOnAll(all.network().now());
-        all.run(retransmissionPeriod);
+        cluster.callers().sendOnAll(cluster.network().now());
+        cluster.run(retransmissionPeriod);
     }
-    const caller_set broken = all.callers().inState(connection_state::broken);
+    const caller_set broken = cluster.callers().inState(connection_state::broken);
     CHECK_TEXT(lost == broken, scenario.name);
-    LONGS_EQUAL_TEXT(0, all.callers().inState(connection_state::silent).size(), scenario.name);
-    LONGS_EQUAL_TEXT(0, all.callers().countSplit(), scenario.name);
-    LONGS_EQUAL_TEXT(0, all.wrongService(), scenario.name);
-    LONGS_EQUAL_TEXT(0, all.callers().inState(connection_state::opening).size(), scenario.name);
-    LONGS_EQUAL_TEXT(0, all.callers().inState(connection_state::refused).size(), scenario.name);
+    LONGS_EQUAL_TEXT(0, cluster.callers().inState(connection_state::silent).size(), scenario.name);
+    LONGS_EQUAL_TEXT(0, cluster.callers().countSplit(), scenario.name);
+    LONGS_EQUAL_TEXT(0, cluster.wrongService(), scenario.name);
+    LONGS_EQUAL_TEXT(0, cluster.callers().inState(connection_state::opening).size(), scenario.name);
+    LONGS_EQUAL_TEXT(0, cluster.callers().inState(connection_state::refused).size(), scenario.name);
 }
 
 void runScenario(const fault &scenario, std::uint64_t seed, const fake_network::faults &network,
                  int times)
 {
-    fake_cluster all(seed, network);
-    setUp(all);
+    fake_cluster cluster(seed, network);
+    setUp(cluster);
     caller_set lost;
     for (int i = 0; i < times; ++i) {
-        lost.merge(scenario.inject(all));
-        all.run(settleTime);
+        lost.merge(scenario.inject(cluster));
+        cluster.run(settleTime);
     }
-    checkOutcome(all, scenario, lost);
+    checkOutcome(cluster, scenario, lost);
 }
 
 constexpr std::uint64_t seeds[] = {11, 12, 13};
--- a/lycheeshunt/flows/internal/forwarding.cpp
+++ b/lycheeshunt/flows/internal/forwarding.cpp
@@ -24,8 +24,8 @@
                           packet.entry, packet.agents, packet.isDoubtful}});
 }
 
-void rememberOwner(flow_context &context, const base::flow_key &key, const routing::target &owner,
-                   base::generation at)
+void storeOwner(flow_context &context, const base::flow_key &key, const routing::target &owner,
+                base::generation at)
 {
     if (isSelf(context.state, owner.node) || !directoryHasRoom(context.state, key))
         return;
--- a/lycheeshunt/flows/internal/forwarding.h
+++ b/lycheeshunt/flows/internal/forwarding.h
@@ -15,7 +15,7 @@
 // Stores the owner that a lookup or an offer has shown; `at` is the generation of the agent that
 // named the owner. A registration replaces the entry. A full directory stores nothing, and the next
 // packet of the flow starts another lookup.
-void rememberOwner(flow_context &context, const base::flow_key &key, const routing::target &owner,
-                   base::generation at);
+void storeOwner(flow_context &context, const base::flow_key &key, const routing::target &owner,
+                base::generation at);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -179,7 +179,7 @@
     if (isRecovering(state))
         return;
     if (lookup.isOpening)
-        rememberOwner(context, lookup.key, lookup.asker, lookup.at);
+        storeOwner(context, lookup.key, lookup.asker, lookup.at);
     answer(context, lookup, lookup_verdict::unknown, self);
 }
 
@@ -261,7 +261,7 @@
         return;
     }
     if (answer.verdict == lookup_verdict::owned && !isSelf(state, answer.owner.node)) {
-        rememberOwner(context, answer.key, answer.owner, answer.at);
+        storeOwner(context, answer.key, answer.owner, answer.at);
         forwardAllTo(context, answer.key, answer.owner, packet_stage::toOwner);
         return;
     }
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -170,7 +170,7 @@
     if (mayOffer) {
         // A retransmission of this packet must go to the same agent, even if this one can open the
         // flow by then.
-        rememberOwner(context, key, *second, currentGeneration(state));
+        storeOwner(context, key, *second, currentGeneration(state));
         forwardTo(context, packet, *second, packet_stage::offer);
         return;
     }
--- a/lycheeshunt/flows/internal/recovery.cpp
+++ b/lycheeshunt/flows/internal/recovery.cpp
@@ -13,7 +13,7 @@
 constexpr base::clock_time retryInterval = base::clock_time::ofMillis(200);
 // Shorter than the timeout of a lookup, so that recovered flows are known when the lookup ends.
 constexpr base::clock_time recoveryTimeout = base::clock_time::ofMillis(1500);
-// As long as a caller's TCP retransmits.
+// Longer than this after its start, no caller's TCP still retransmits packets of earlier flows.
 constexpr base::clock_time recentStartPeriod = base::clock_time::ofSeconds(900);
 
 void sendRequest(flow_context &context, base::node_id node, const base::flow_key &after)
--- a/lycheeshunt/flows/trace_replay_test.h
+++ b/lycheeshunt/flows/trace_replay_test.h
@@ -17,7 +17,7 @@
 struct trace_step
 {
     std::int64_t second = 0;
-    std::string what;
+    std::string event;
     std::string node;
 };
 
@@ -43,7 +43,7 @@
     for (std::string line; std::getline(file, line);) {
         trace_step step;
         std::istringstream words(line);
-        if (words >> step.second >> step.what >> step.node)
+        if (words >> step.second >> step.event >> step.node)
             steps.push_back(step);
     }
     return steps;
@@ -52,9 +52,10 @@
 class trace_replay
 {
 public:
-    explicit trace_replay(std::uint64_t seed) : m_all(seed, fake_network::faults {0.001, 0.001, 3})
+    explicit trace_replay(std::uint64_t seed)
+        : m_cluster(seed, fake_network::faults {0.001, 0.001, 3})
     {
-        m_all.membership().define("logbook", {address()}, 2000);
+        m_cluster.membership().define("logbook", {address()}, 2000);
     }
 
     trace_outcome play(const std::vector<trace_step> &steps)
@@ -95,49 +96,49 @@
     void runOneSecond()
     {
         if (m_started)
-            open(feeds - std::min(feeds, m_all.callers().size() - m_broken));
-        m_all.callers().sendOnAll(m_all.network().now());
-        m_all.run(base::clock_time::ofSeconds(1));
-        m_broken = m_all.callers().inState(fake_caller::connection_state::broken).size();
+            open(feeds - std::min(feeds, m_cluster.callers().size() - m_broken));
+        m_cluster.callers().sendOnAll(m_cluster.network().now());
+        m_cluster.run(base::clock_time::ofSeconds(1));
+        m_broken = m_cluster.callers().inState(fake_caller::connection_state::broken).size();
         m_started = true;
     }
 
     void open(std::size_t count)
     {
-        for (const std::size_t caller : m_all.openFlows(address(), count)) {
+        for (const std::size_t caller : m_cluster.openFlows(address(), count)) {
             const base::bucket bucket(
-                std::uint32_t(base::hashOf(m_all.callers().keyOf(caller)) % buckets));
+                std::uint32_t(base::hashOf(m_cluster.callers().keyOf(caller)) % buckets));
             m_hashed.push_back(hashed_feed {bucket, m_history[bucket.value()].current});
         }
     }
 
     void apply(const trace_step &step)
     {
-        if (step.what == "entry_die") {
-            m_all.killEntry(entryOf(step));
-        } else if (step.what == "die") {
+        if (step.event == "entry_die") {
+            m_cluster.killEntry(entryOf(step));
+        } else if (step.event == "die") {
             die(step.node);
         } else {
             change(step);
-            m_all.publish();
+            m_cluster.publish();
         }
     }
 
     void change(const trace_step &step)
     {
-        if (step.what == "entry_join") {
-            m_all.joinEntry(entryOf(step));
+        if (step.event == "entry_join") {
+            m_cluster.joinEntry(entryOf(step));
             return;
         }
         ++m_changes;
-        if (step.what == "join")
-            m_all.addAgent(step.node, "logbook", "zone-1");
-        else if (step.what == "drain" || step.what == "undrain")
-            m_all.membership().drain(step.node, step.what == "drain");
-        else if (step.what == "evict")
-            m_all.membership().evict(step.node);
+        if (step.event == "join")
+            m_cluster.addAgent(step.node, "logbook", "zone-1");
+        else if (step.event == "drain" || step.event == "undrain")
+            m_cluster.membership().drain(step.node, step.event == "drain");
+        else if (step.event == "evict")
+            m_cluster.membership().evict(step.node);
         else
-            m_all.restartAgent(step.node);
+            m_cluster.restartAgent(step.node);
         updateHashedOwners();
     }
 
@@ -148,8 +149,8 @@
 
     void die(const std::string &name)
     {
-        m_lost.merge(m_all.callers().openAt(name));
-        m_all.killVm(name);
+        m_lost.merge(m_cluster.callers().openAt(name));
+        m_cluster.killVm(name);
         for (hashed_feed &feed : m_hashed)
             feed.lost = feed.lost || feed.owner == base::nodeIdOf(name);
     }
@@ -158,7 +159,7 @@
     {
         const routing::bucket_table table(
             buckets,
-            routing::directorsOf(*m_all.membership().view(), base::serviceIdOf("logbook")));
+            routing::directorsOf(*m_cluster.membership().view(), base::serviceIdOf("logbook")));
         for (std::uint32_t i = 0; i < buckets; ++i) {
             const base::node_id owner = table.directorOf(base::bucket(i)).node;
             if (owner != m_history[i].current)
@@ -178,19 +179,20 @@
     trace_outcome outcome()
     {
         const std::set<std::size_t> broken
-            = m_all.callers().inState(fake_caller::connection_state::broken);
+            = m_cluster.callers().inState(fake_caller::connection_state::broken);
         trace_outcome result;
         result.changes = m_changes;
-        result.feeds = m_all.callers().size();
+        result.feeds = m_cluster.callers().size();
         result.broken = broken.size();
         result.lostWithServers = m_lost.size();
         for (const std::size_t caller : broken)
             result.brokenByPlannedChange += m_lost.count(caller) == 0 ? 1 : 0;
         for (const std::size_t caller : m_lost)
             result.notReset += broken.count(caller) == 0 ? 1 : 0;
-        result.notReset += m_all.callers().inState(fake_caller::connection_state::silent).size();
-        result.wrongService = m_all.wrongService();
-        result.split = m_all.callers().countSplit();
+        result.notReset
+            += m_cluster.callers().inState(fake_caller::connection_state::silent).size();
+        result.wrongService = m_cluster.wrongService();
+        result.split = m_cluster.callers().countSplit();
         for (const hashed_feed &feed : m_hashed) {
             result.brokenWithHashing += feed.brokenWithHashing ? 1 : 0;
             result.brokenWithOnePrevious += feed.brokenWithOnePrevious ? 1 : 0;
@@ -198,7 +200,7 @@
         return result;
     }
 
-    fake_cluster m_all;
+    fake_cluster m_cluster;
     std::vector<hashed_feed> m_hashed;
     std::map<std::uint32_t, bucket_history> m_history;
     std::set<std::size_t> m_lost;
