--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-constexpr std::size_t actionCapacity = 8192;
-// Takes this many datagrams from one socket before the other gets its turn.
+constexpr std::size_t actionRingCapacity = 8192;
+// Datagrams read from one socket before the other is served.
 constexpr int receiveBurst = 64;
-constexpr int waitWithoutLimit = -1;
+constexpr int noTimeout = -1;
 
 } // namespace
 
@@ -39,9 +39,9 @@
 agent_port::agent_port(const agent_sockets &sockets, const packets::packet_codec &codec,
                        base::incarnation incarnation, base::file_descriptor peerSide,
                        base::file_descriptor serverSide, base::ring<flow_message> &inbox)
-    : m_addresses(sockets), m_codec(codec), m_incarnation(incarnation.value()),
-      m_peerSide(std::move(peerSide)), m_serverSide(std::move(serverSide)), m_inbox(inbox),
-      m_actions(actionCapacity), m_thread([this]() { run(); })
+    : m_addresses(sockets), m_codec(codec), m_life(life.value()), m_peerSide(std::move(peerSide)),
+      m_serverSide(std::move(serverSide)), m_inbox(inbox), m_actions(actionRingCapacity),
+      m_thread([this]() { run(); })
 {
 }
 
@@ -57,7 +57,7 @@
         pollfd watched[] = {{m_peerSide.get(), POLLIN, 0},
                             {m_serverSide.get(), POLLIN, 0},
                             {m_actions.descriptor(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), waitWithoutLimit);
+        ::poll(watched, std::size(watched), noTimeout);
         if (watched[0].revents != 0)
             receiveFromPeers();
         if (watched[1].revents != 0)
@@ -119,9 +119,9 @@
 {
     const base::result<packets::ip_summary> summary
         = m_codec.summarize(bytes, packets::direction::toCaller);
-    if (const packets::ip_summary *known = std::get_if<packets::ip_summary>(&summary))
+    if (const packets::ip_summary *valid = std::get_if<packets::ip_summary>(&summary))
         packets::sendDatagram(m_peerSide.get(),
-                              m_codec.towardsCaller(known->key, m_addresses.fabric), bytes);
+                              m_codec.towardsCaller(valid->key, m_addresses.fabric), bytes);
 }
 
 void agent_port::carryOut(const flow_action &action)
@@ -145,7 +145,7 @@
                            sendToCaller(bytes);
                    },
                    [this](const refuse_packet &) { ++m_refused; },
-                   // The flow thread has logged and counted them.
+                   // Logged and counted on the flow thread already.
                    [](const flow_event &) {},
                    [](const request_timing &) {},
                },
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -23,26 +23,26 @@
     flow_state &state = context.state;
     std::visit(base::overloaded {
                    [&](const registration_batch &batch) {
-                       internal::notePeer(state, batch.owner.node, batch.at);
+                       internal::recordPeerGeneration(state, batch.owner.node, batch.at);
                        internal::handleRegistration(context, batch);
                    },
                    [&](const registration_ack &ack) {
-                       internal::notePeer(state, ack.from, ack.at);
+                       internal::recordPeerGeneration(state, ack.from, ack.at);
                        internal::handleRegistrationAck(context, ack);
                    },
                    [&](const flow_lookup &lookup) {
-                       internal::notePeer(state, lookup.asker.node, lookup.at);
+                       internal::recordPeerGeneration(state, lookup.asker.node, lookup.at);
                        internal::handleLookup(context, lookup);
                    },
                    [&](const lookup_answer &answer) {
-                       internal::notePeer(state, answer.from.node, answer.at);
+                       internal::recordPeerGeneration(state, answer.from.node, answer.at);
                        internal::handleLookupAnswer(context, answer);
                    },
                    [&](const recovery_request &request) {
                        internal::handleRecoveryRequest(context, request);
                    },
                    [&](const recovery_page &page) { internal::handleRecoveryPage(context, page); },
-                   // For entries.
+                   // Meant for entries only.
                    [](const owner_hint &) {},
                    [&](const placement::load_report &report) {
                        internal::handleLoadReport(context, report);
@@ -58,9 +58,9 @@
     internal::ownershipTick(context);
     internal::directoryTick(context);
     internal::registrarTick(context);
-    if (context.state.identity->serverReturns) {
-        internal::deliveryTick(context);
-        internal::requestQueueTick(context);
+    if (context.state.identity->serverReturnsPackets) {
+        internal::returningTick(context);
+        internal::pacingTick(context);
     }
 }
 
@@ -71,18 +71,18 @@
 {
     std::vector<flow_action> actions;
     flow_context context {state, now, actions};
-    const bool returns = state.identity->serverReturns;
+    const bool serverReturns = state.identity->serverReturnsPackets;
     std::visit(
         base::overloaded {
             [&](const forwarded_packet &packet) {
-                if (returns)
-                    internal::handleReturnablePacket(context, packet);
+                if (serverReturns)
+                    internal::handleReturningPacket(context, packet);
                 else
                     internal::handlePacket(context, packet);
             },
             [&](const server_answer &answer) {
-                if (returns)
-                    internal::handleServerPacket(context, answer);
+                if (serverReturns)
+                    internal::handleReturningAnswer(context, answer);
                 else
                     internal::handleAnswer(context, answer);
             },
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -57,7 +57,8 @@
     offered.push_back(forwarded.to);
     context.state.visits.put(
         packet.summary.key,
-        visit {packet.with(packet.stage, std::move(offered), packet.isDoubtful), context.now});
+        pending_delivery {packet.with(packet.stage, std::move(offered), packet.isDoubtful),
+                          context.now});
 }
 
 void carryOut(flow_context &context, const placement::placement_action &action)
@@ -144,7 +145,7 @@
 {
     flow_state &state = context.state;
     const agent_identity &self = *state.identity;
-    if (!self.serverReturns)
+    if (!self.serverReturnsPackets)
         return;
     state.placement.emplace(placement::peer {self.node, self.incarnation, self.availabilityZone},
                             placementRules());
--- a/lycheeshunt/flows/internal/peer_codec.cpp
+++ b/lycheeshunt/flows/internal/peer_codec.cpp
@@ -78,7 +78,7 @@
 {
     return base::packFields(lookup_fields(wireVersion, lookupKind, lookup.service.value(),
                                           fieldsOf(lookup.key), fieldsOf(lookup.asker),
-                                          lookup.at.value(), lookup.claims));
+                                          lookup.at.value(), lookup.isOpening));
 }
 
 std::string encode(const lookup_answer &answer)
@@ -118,7 +118,7 @@
         report_fields(wireVersion, loadReportKind, placement::encodeReport(report)));
 }
 
-// The fields after version and kind, when their number is right.
+// Whether the message has as many fields as its kind requires.
 template <typename fields_type>
 bool hasFields(const msgpack::object &object)
 {
@@ -214,7 +214,7 @@
 
 std::string encodePeerFields(const peer_message &message)
 {
-    return std::visit([](const auto &known) { return encode(known); }, message);
+    return std::visit([](const auto &alternative) { return encode(alternative); }, message);
 }
 
 base::result<peer_message> decodePeerFields(std::uint8_t kind, const msgpack::object &object)
--- a/lycheeshunt/flows/internal/request_queueing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -25,7 +25,7 @@
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
-    if (!state.identity->serverReturns)
+    if (!state.identity->serverReturnsPackets)
         return false;
     if (packet.summary.finishes || packet.summary.resets) {
         state.waiting.erase(key);
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -72,7 +72,7 @@
         record(context, flow_event_kind::searched, packet);
         holdPacket(context, packet, hold_purpose::find, {});
     } else
-        passOn(context, packet, *director, packet_stage::declined);
+        forwardTo(context, packet, *director, packet_stage::declined);
 }
 
 // Sends the packet to the next candidate; the remaining candidates are listed in the packet.
@@ -109,7 +109,7 @@
         context.actions.emplace_back(refuse_packet {base::error_code::agentNotReady});
         return;
     }
-    const visit *earlier = state.visits.find(key);
+    const pending_delivery *earlier = state.pendingDeliveries.find(key);
     if (earlier == nullptr || packet.stage == packet_stage::offer) {
         placeFlow(context, packet);
         return;
@@ -129,8 +129,8 @@
         state.directory.erase(key);
     const std::optional<routing::target> owner = knownOwner(state, key);
     if (owner && !isSelf(state, owner->node)) {
-        touchEntry(context, key);
-        passOn(context, packet, *owner, packet_stage::toOwner);
+        refreshEntry(context, key);
+        forwardTo(context, packet, *owner, packet_stage::toOwner);
         return;
     }
     lookUpOwner(context, packet);
@@ -167,7 +167,7 @@
     const forwarded_packet packet {before.service, before.incarnation, before.at,    before.stage,
                                    before.hops,    answer.summary,     answer.bytes, before.entry,
                                    before.agents,  before.isDoubtful};
-    state.visits.erase(key);
+    state.pendingDeliveries.erase(key);
     if (flow != nullptr) {
         eraseOwned(state, key);
         registerLater(context, key, false);
@@ -209,7 +209,7 @@
         own(context, key, flow_phase::open);
         record(context, flow_event_kind::adopted, packet);
     }
-    context.state.visits.put(key, visit {packet, context.now});
+    context.state.pendingDeliveries.put(key, pending_delivery {packet, context.now});
     handleOwned(context, owned_flow(*context.state.owned.find(key)), packet);
     if (packet.hops > 0 || packet.stage == packet_stage::trial)
         sendOwnerHint(context, packet);
@@ -254,7 +254,7 @@
 
 void handleEarlyPackets(flow_context &context)
 {
-    if (!context.state.buckets || context.state.early.isEmpty())
+    if (!context.state.buckets || context.state.earlyPackets.isEmpty())
         return;
     for (const forwarded_packet &packet : context.state.early.take(context.now))
         handleReturnablePacket(context, packet);
