--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -10,7 +10,7 @@
 {
     const base::node_id node;
     const base::service_id service;
-    const base::incarnation life;
+    const base::incarnation incarnation;
     // The address at which it receives packets from entries and other agents.
     const base::endpoint packets;
     const std::string availabilityZone = {};
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -39,9 +39,9 @@
 agent_port::agent_port(const agent_sockets &sockets, const packets::packet_codec &codec,
                        base::incarnation incarnation, base::file_descriptor peerSide,
                        base::file_descriptor serverSide, base::ring<flow_message> &inbox)
-    : m_addresses(sockets), m_codec(codec), m_life(life.value()), m_peerSide(std::move(peerSide)),
-      m_serverSide(std::move(serverSide)), m_inbox(inbox), m_actions(actionRingCapacity),
-      m_thread([this]() { run(); })
+    : m_addresses(sockets), m_codec(codec), m_incarnation(incarnation.value()),
+      m_peerSide(std::move(peerSide)), m_serverSide(std::move(serverSide)), m_inbox(inbox),
+      m_actions(actionRingCapacity), m_thread([this]() { run(); })
 {
 }
 
--- a/lycheeshunt/flows/agent_port.h
+++ b/lycheeshunt/flows/agent_port.h
@@ -41,7 +41,7 @@
 
     base::ring<flow_action> &actions() { return m_actions; }
     // From now on, probes for this incarnation are answered. Thread-safe.
-    void setLife(base::incarnation life) { m_life = life.value(); }
+    void setIncarnation(base::incarnation incarnation) { m_incarnation = incarnation.value(); }
 
     std::uint64_t malformed() const { return m_malformed; }
     std::uint64_t refused() const { return m_refused; }
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -59,8 +59,8 @@
     internal::directoryTick(context);
     internal::registrarTick(context);
     if (context.state.identity->serverReturnsPackets) {
-        internal::returningTick(context);
-        internal::pacingTick(context);
+        internal::deliveryTick(context);
+        internal::requestQueueTick(context);
     }
 }
 
@@ -76,13 +76,13 @@
         base::overloaded {
             [&](const forwarded_packet &packet) {
                 if (serverReturns)
-                    internal::handleReturningPacket(context, packet);
+                    internal::handleReturnablePacket(context, packet);
                 else
                     internal::handlePacket(context, packet);
             },
             [&](const server_answer &answer) {
                 if (serverReturns)
-                    internal::handleReturningAnswer(context, answer);
+                    internal::handleServerPacket(context, answer);
                 else
                     internal::handleAnswer(context, answer);
             },
--- a/lycheeshunt/flows/decision_test.cpp
+++ b/lycheeshunt/flows/decision_test.cpp
@@ -37,8 +37,8 @@
     {
         const membership::member &to = cluster.memberOf(agent);
         return forwarded_packet {
-            to.service, to.life, cluster.membership().view()->at, packet_stage::toDirector,
-            0,          summary, cluster.addPacket(summary, {})};
+            to.service, to.incarnation, cluster.membership().view()->at, packet_stage::toDirector,
+            0,          summary,        cluster.addPacket(summary, {})};
     }
 
     std::size_t countServersOf(std::size_t caller)
@@ -122,8 +122,8 @@
                                      true};
     const forwarded_packet valid = service.packetFor("a1", first);
     service.cluster.inject("a1",
-                           forwarded_packet {base::serviceIdOf("inspect"), valid.life, valid.at,
-                                             valid.stage, 0, first, valid.bytes});
+                           forwarded_packet {base::serviceIdOf("inspect"), valid.incarnation,
+                                             valid.at, valid.stage, 0, first, valid.bytes});
     service.cluster.inject("a1",
                            forwarded_packet {valid.service, base::incarnation(99), valid.at,
                                              valid.stage, 0, first, valid.bytes});
--- a/lycheeshunt/flows/fake_cluster_test.h
+++ b/lycheeshunt/flows/fake_cluster_test.h
@@ -117,7 +117,7 @@
         const routing::routing_outcome outcome = m_entries[index].table->routeOf(summary.key);
         if (const routing::route *found = std::get_if<routing::route>(&outcome))
             send(found->to.packets,
-                 forwarded_packet {found->service, found->to.life, found->at,
+                 forwarded_packet {found->service, found->to.incarnation, found->at,
                                    packet_stage::toDirector, 0, summary, addPacket(summary, {})});
     }
 
--- a/lycheeshunt/flows/internal/directory.cpp
+++ b/lycheeshunt/flows/internal/directory.cpp
@@ -27,8 +27,8 @@
 {
     if (existing.owner.node != batch.owner.node)
         return false;
-    if (existing.owner.life != batch.owner.life)
-        return existing.owner.life > batch.owner.life;
+    if (existing.owner.incarnation != batch.owner.incarnation)
+        return existing.owner.incarnation > batch.owner.incarnation;
     return existing.sequence > batch.sequence;
 }
 
@@ -45,7 +45,7 @@
     if (existing == nullptr || existing->owner.node == batch.owner.node || existing->sequence == 0)
         return false;
     const std::optional<routing::target> owner = knownOwner(state, key);
-    return owner && owner->life == existing->owner.life;
+    return owner && owner->incarnation == existing->owner.incarnation;
 }
 
 bool store(flow_context &context, const registration_batch &batch, const registered_flow &flow)
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -2,7 +2,7 @@
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
-#include "lycheeshunt/flows/internal/passing.h"
+#include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/returned_packets.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 #include "lycheeshunt/placement/decision.h"
@@ -50,12 +50,12 @@
         return refuseFlow(context, packet, base::error_code::noServer);
     recordEvent(context, flow_event_kind::offered, packet, forwarded.to);
     std::vector<base::node_id> offered = forwarded.offer.tried;
-    passOn(context, packet.with(packet.stage, offered, packet.isDoubtful), *to,
-           packet_stage::offer);
+    forwardTo(context, packet.with(packet.stage, offered, packet.isDoubtful), *to,
+              packet_stage::offer);
     // A retransmission goes to an agent that is not in this list, since the one just chosen may
     // have failed.
     offered.push_back(forwarded.to);
-    context.state.visits.put(
+    context.state.pendingDeliveries.put(
         packet.summary.key,
         pending_delivery {packet.with(packet.stage, std::move(offered), packet.isDoubtful),
                           context.now});
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -101,7 +101,7 @@
     const forwarded_packet &first = pending.packets.front();
     if (context.state.identity->serverReturnsPackets) {
         for (const forwarded_packet &packet : pending.packets)
-            tryCandidates(context, packet, pending.mayOwn, !pending.unanswered.empty());
+            tryCandidateServers(context, packet, pending.mayOwn, !pending.unanswered.empty());
         return;
     }
     if (pending.purpose == lookup_purpose::open)
@@ -269,7 +269,7 @@
         const pending_lookup finished = removeLookup(context, answer.key);
         for (const forwarded_packet &packet : finished.packets) {
             if (state.identity->serverReturnsPackets)
-                adoptReturning(context, packet);
+                adoptTentatively(context, packet);
             else
                 handlePacketAsOwner(context, packet);
         }
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -1,7 +1,6 @@
 #include "lycheeshunt/flows/internal/ownership.h"
 
 #include "lycheeshunt/flows/internal/forwarding.h"
-#include "lycheeshunt/flows/internal/pacing.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/request_queueing.h"
 #include "lycheeshunt/flows/internal/service_view.h"
@@ -136,7 +135,7 @@
 void handleOwned(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
-    if (holdsForSlot(context, flow, packet)) {
+    if (queueForSlot(context, flow, packet)) {
         // The packet shows that the caller is alive and has received the answer to its opening
         // packet.
         if (flow.phase != flow_phase::ended)
--- a/lycheeshunt/flows/internal/recovery.cpp
+++ b/lycheeshunt/flows/internal/recovery.cpp
@@ -77,7 +77,8 @@
 {
     flow_state &state = context.state;
     const auto pending = state.recovery.pendingRequests.find(page.from);
-    if (page.service != state.identity->service || page.askerLife != state.identity->life
+    if (page.service != state.identity->service
+        || page.askerIncarnation != state.identity->incarnation
         || pending == state.recovery.pendingRequests.end())
         return;
     for (const base::flow_key &key : page.flows) {
--- a/lycheeshunt/flows/internal/registrar.cpp
+++ b/lycheeshunt/flows/internal/registrar.cpp
@@ -115,7 +115,7 @@
             flows.push_back(flow);
     }
     context.state.registrar.pending.erase(overdue.batch.sequence);
-    if (!to || to->life != overdue.to.life || flows.empty())
+    if (!to || to->incarnation != overdue.to.incarnation || flows.empty())
         return;
     sendBatch(context, *to,
               registration_batch {overdue.batch.service, overdue.batch.owner,
--- a/lycheeshunt/flows/internal/request_queueing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -32,13 +32,13 @@
         return false;
     }
     // A packet that probes whether the server holds its flow is not counted as a request.
-    const visit *delivery = state.visits.find(key);
+    const pending_delivery *delivery = state.pendingDeliveries.find(key);
     const bool isTrial = delivery != nullptr && !delivery->packet.summary.opens;
     if (packet.summary.payloadBytes == 0 || isTrial)
         return false;
     if (state.waiting.contains(key))
         return state.waiting.add(packet, context.now);
-    const bool startsRequest = !flow.progress.isBusy && flow.progress.isNews(packet.summary)
+    const bool startsRequest = !flow.progress.isBusy && flow.progress.hasNewPayload(packet.summary)
         && flow.phase != flow_phase::ended;
     if (!startsRequest || (hasFreeSlot(state) && state.waiting.isEmpty()))
         return false;
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -2,9 +2,9 @@
 
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/flow_placement.h"
+#include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
-#include "lycheeshunt/flows/internal/passing.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
@@ -59,8 +59,8 @@
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
-    if (const held_flow *lookup = state.held.find(key)) {
-        holdMore(context, *lookup, packet);
+    if (const pending_lookup *lookup = state.lookups.find(key)) {
+        addToLookup(context, *lookup, packet);
         return;
     }
     const routing::target *director = directorOf(state, key);
@@ -70,7 +70,7 @@
         notifyEntry(context, packet, packet.isDoubtful);
     else if (isSelf(state, director->node) || packet.hops > 0) {
         record(context, flow_event_kind::searched, packet);
-        holdPacket(context, packet, hold_purpose::find, {});
+        startLookup(context, packet, lookup_purpose::find, {});
     } else
         forwardTo(context, packet, *director, packet_stage::declined);
 }
@@ -154,7 +154,7 @@
     const owned_flow *flow = state.owned.find(key);
     const bool wasAnswered = flow != nullptr && flow->progress.isAnswered;
     const bool isEnded = flow != nullptr && flow->phase == flow_phase::ended;
-    const visit *delivery = state.visits.find(key);
+    const pending_delivery *delivery = state.pendingDeliveries.find(key);
     const forwarded_packet before = delivery != nullptr
         ? delivery->packet
         : forwarded_packet {state.identity->service,
@@ -195,9 +195,9 @@
     // A server that was silent is probed by one flow at a time, so each flow restarts the backoff.
     if (context.state.server.isSilent)
         context.state.server.silentUntil = context.now + silentServerBackoff;
-    own(context, key, flow_phase::opening);
+    takeOwnership(context, key, flow_phase::opening);
     record(context, flow_event_kind::opened, packet);
-    context.state.visits.put(key, visit {packet, context.now});
+    context.state.pendingDeliveries.put(key, pending_delivery {packet, context.now});
     deliverToServer(context, packet);
     sendOwnerHint(context, packet);
 }
@@ -206,7 +206,7 @@
 {
     const base::flow_key &key = packet.summary.key;
     if (context.state.owned.find(key) == nullptr) {
-        own(context, key, flow_phase::open);
+        takeOwnership(context, key, flow_phase::open);
         record(context, flow_event_kind::adopted, packet);
     }
     context.state.pendingDeliveries.put(key, pending_delivery {packet, context.now});
@@ -246,7 +246,7 @@
     }
     if (packet.summary.opens)
         handleOpening(context, packet);
-    else if (!state.buckets && state.early.put(key, packet, context.now))
+    else if (!state.buckets && state.earlyPackets.put(key, packet, context.now))
         record(context, flow_event_kind::held, packet);
     else
         handleOngoing(context, packet);
@@ -256,7 +256,7 @@
 {
     if (!context.state.buckets || context.state.earlyPackets.isEmpty())
         return;
-    for (const forwarded_packet &packet : context.state.early.take(context.now))
+    for (const forwarded_packet &packet : context.state.earlyPackets.take(context.now))
         handleReturnablePacket(context, packet);
 }
 
@@ -269,11 +269,11 @@
         handleReturnedPacket(context, answer);
         return;
     }
-    const visit *delivery = state.visits.find(answer.summary.key);
+    const pending_delivery *delivery = state.pendingDeliveries.find(answer.summary.key);
     const bool isFound = delivery != nullptr && delivery->packet.stage == packet_stage::trial;
     if (isFound)
         sendOwnerHint(context, forwarded_packet(delivery->packet));
-    state.visits.erase(answer.summary.key);
+    state.pendingDeliveries.erase(answer.summary.key);
     handleAnswer(context, answer);
 }
 
@@ -289,7 +289,7 @@
     if (isNewServer || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(
             agent_identity {self.node, changed.service, changed.incarnation, self.packets,
-                            self.availabilityZone, self.serverReturns});
+                            self.availabilityZone, self.serverReturnsPackets});
         startPlacement(context);
     }
 }
@@ -297,9 +297,9 @@
 void deliveryTick(flow_context &context)
 {
     flow_state &state = context.state;
-    std::vector<visit> unanswered;
+    std::vector<pending_delivery> unanswered;
     std::vector<base::flow_key> expired;
-    for (auto it = state.visits.begin(); it != state.visits.end(); ++it) {
+    for (auto it = state.pendingDeliveries.begin(); it != state.pendingDeliveries.end(); ++it) {
         const base::clock_time age = context.now - it->second.at;
         const owned_flow *flow = state.owned.find(it->first);
         const bool awaitsAnswer = it->second.packet.summary.opens && flow != nullptr
@@ -310,12 +310,12 @@
             unanswered.push_back(it->second);
     }
     for (const base::flow_key &key : expired)
-        state.visits.erase(key);
-    for (const visit &timedOut : unanswered) {
+        state.pendingDeliveries.erase(key);
+    for (const pending_delivery &timedOut : unanswered) {
         state.server.isSilent = true;
         state.server.silentUntil = context.now + silentServerBackoff;
         record(context, flow_event_kind::serverSilent, timedOut.packet);
-        state.visits.erase(timedOut.packet.summary.key);
+        state.pendingDeliveries.erase(timedOut.packet.summary.key);
         eraseOwned(state, timedOut.packet.summary.key);
         registerLater(context, timedOut.packet.summary.key, false);
         offerToOtherAgents(context, timedOut.packet);
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -93,7 +93,7 @@
     state.draining = self != view.members.end() && view.isDraining(self->second);
     state.maxOwned = service->second.limits.connections;
     state.openIdleTimeout = service->second.limits.idleTimeout;
-    placementPeers(context);
+    updatePlacementPeers(context);
     const std::shared_ptr<const routing::bucket_table> before = state.buckets;
     state.buckets = std::make_shared<const routing::bucket_table>(
         service->second.buckets, routing::directorsOf(view, state.identity->service));
@@ -105,7 +105,7 @@
     }
     startRecovery(context);
     if (state.identity->serverReturnsPackets)
-        returningView(context);
+        handleEarlyPackets(context);
 }
 
 void recordPeerGeneration(flow_state &state, base::node_id node, base::generation at)
--- a/lycheeshunt/flows/registration_ack.h
+++ b/lycheeshunt/flows/registration_ack.h
@@ -11,7 +11,7 @@
     const base::node_id from;
     const base::generation at;
     // Incarnation of the owner that sent the batch.
-    const base::incarnation life;
+    const base::incarnation incarnation;
     const std::uint32_t sequence = 0;
 
     bool operator==(const registration_ack &) const = default;
--- a/lycheeshunt/flows/returned_packets_test.cpp
+++ b/lycheeshunt/flows/returned_packets_test.cpp
@@ -277,7 +277,7 @@
     const std::vector<flow_lookup> queries = sentMessages<flow_lookup>();
     const std::vector<send_packet> forwarded = actionsOf<send_packet>();
     CHECK(queries.size() + forwarded.size() > 0);
-    CHECK(state->early.isEmpty());
+    CHECK(state->earlyPackets.isEmpty());
 }
 
 TEST(returned_packets, aPacketThatWaitedTooLongForAViewIsDropped)
--- a/lycheeshunt/replication/internal/election.cpp
+++ b/lycheeshunt/replication/internal/election.cpp
@@ -45,7 +45,7 @@
     for (const configuration_member &member : state.members().members) {
         const auto found = state.presences.find(member.id().node);
         const bool isHeard = found != state.presences.end()
-            && state.now - found->second.heardAt < state.settings->timing.presenceTimeout;
+            && state.now - found->second.lastHeard < state.settings->timing.presenceTimeout;
         heard += member.isVoter && member.id() != state.id() && isHeard ? 1 : 0;
     }
     return state.members().isQuorum(heard);
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -15,7 +15,7 @@
 {
     const auto found = state.presences.find(node);
     const bool isFresh = found != state.presences.end()
-        && state.now - found->second.heardAt <= state.settings->timing.presenceTimeout;
+        && state.now - found->second.lastHeard <= state.settings->timing.presenceTimeout;
     return isFresh ? &found->second : nullptr;
 }
 
@@ -47,7 +47,7 @@
             contacts.insert(member.streams);
     }
     for (auto it = state.presences.begin(); it != state.presences.end(); ++it) {
-        if (state.now - it->second.heardAt <= state.settings->timing.presenceTimeout)
+        if (state.now - it->second.lastHeard <= state.settings->timing.presenceTimeout)
             contacts.insert(it->second.streams);
     }
     contacts.erase(base::endpoint {});
@@ -95,7 +95,7 @@
             state.presences.begin(), state.presences.end(),
             [&](const std::pair<const base::node_id, peer_presence> &row) {
                 return row.second.streams == seed && !row.second.isFormed
-                    && state.now - row.second.heardAt <= state.settings->timing.presenceTimeout;
+                    && state.now - row.second.lastHeard <= state.settings->timing.presenceTimeout;
             });
         if (found == state.presences.end())
             return std::nullopt;
