--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -139,7 +139,7 @@
                                propose(replication::entry_kind::membership,
                                        membership::encodeBatch(proposed.batch), 0);
                            },
-                           [](const membership::report_clash &clash) {
+                           [](const membership::report_conflict &clash) {
                                base::logWarning("membership",
                                                 clash.loser.name
                                                     + " is ignored: " + clash.winner.name
--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -118,8 +118,8 @@
     if (batch && other.isMerged)
         base::logEvent("membership", "caught_up",
                        {{"generation", std::to_string(other.at.value())},
-                        {"members", std::to_string(batch->present.size())},
-                        {"gone", std::to_string(batch->gone.size())}});
+                        {"members", std::to_string(batch->updated.size())},
+                        {"gone", std::to_string(batch->removed.size())}});
     else if (batch)
         logBatch(other.at, *batch);
     if (other.isMerged) {
--- a/lycheeshunt/daemon/internal/control_log.cpp
+++ b/lycheeshunt/daemon/internal/control_log.cpp
@@ -36,7 +36,7 @@
 void logBatch(base::generation at, const membership::membership_batch &batch)
 {
     const std::string generation = std::to_string(at.value());
-    for (const membership::member &member : batch.present)
+    for (const membership::member &member : batch.updated)
         base::logEvent("membership", "member",
                        {{"generation", generation},
                         {"name", member.name},
@@ -44,7 +44,7 @@
                         {"phase", nameOf(member.phase)},
                         {"incarnation", std::to_string(member.incarnation.value())},
                         {"share", std::to_string(member.share)}});
-    for (const base::node_id &node : batch.gone)
+    for (const base::node_id &node : batch.removed)
         base::logEvent("membership", "gone",
                        {{"generation", generation}, {"node", std::to_string(node.value())}});
 }
--- a/lycheeshunt/daemon/internal/log_compaction.cpp
+++ b/lycheeshunt/daemon/internal/log_compaction.cpp
@@ -56,12 +56,12 @@
         const std::optional<membership::membership_batch> batch = batchOf(entry);
         if (!batch)
             return false;
-        for (const membership::member &member : batch->present) {
+        for (const membership::member &member : batch->updated) {
             m_gone.erase(member.id());
             m_present.erase(member.id());
             m_present.emplace(member.id(), member);
         }
-        for (const base::node_id &id : batch->gone) {
+        for (const base::node_id &id : batch->removed) {
             m_present.erase(id);
             m_gone.insert(id);
         }
@@ -89,9 +89,9 @@
     const std::optional<membership::membership_batch> batch = batchOf(entry);
     if (!batch)
         return;
-    for (const membership::member &member : batch->present)
+    for (const membership::member &member : batch->updated)
         m_members.insert(member.id());
-    for (const base::node_id &id : batch->gone)
+    for (const base::node_id &id : batch->removed)
         m_members.erase(id);
 }
 
@@ -146,9 +146,9 @@
     if (!batch)
         return entry;
     std::set<base::node_id> gone = m_members;
-    for (const membership::member &member : batch->present)
+    for (const membership::member &member : batch->updated)
         gone.erase(member.id());
-    return withBatch(entry, {batch->present, {gone.begin(), gone.end()}});
+    return withBatch(entry, {batch->updated, {gone.begin(), gone.end()}});
 }
 
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/daemon/log_compaction_test.cpp
+++ b/lycheeshunt/daemon/log_compaction_test.cpp
@@ -66,8 +66,8 @@
         = log_compaction::merge({batchEntry(1, {{memberOf("n1", 1), memberOf("n2", 1)}, {}}),
                                  batchEntry(2, {{memberOf("n1", 2)}, {}})});
     const membership::membership_batch batch = batchOf(merged);
-    LONGS_EQUAL(2, batch.present.size());
-    for (const membership::member &member : batch.present)
+    LONGS_EQUAL(2, batch.updated.size());
+    for (const membership::member &member : batch.updated)
         LONGS_EQUAL(member.name == "n1" ? 2 : 1, member.incarnation.value());
 }
 
@@ -78,8 +78,8 @@
     const tickets::other_committed merged
         = log_compaction::merge({batchEntry(1, {{left}, {}}), batchEntry(4, {{}, {left.id()}})});
     const membership::membership_batch batch = batchOf(merged);
-    LONGS_EQUAL(0, batch.present.size());
-    LONGS_EQUAL(1, batch.gone.size());
+    LONGS_EQUAL(0, batch.updated.size());
+    LONGS_EQUAL(1, batch.removed.size());
     CHECK(merged.at == base::generation(4));
 }
 
@@ -89,8 +89,8 @@
     const tickets::other_committed merged
         = log_compaction::merge({batchEntry(1, {{}, {back.id()}}), batchEntry(2, {{back}, {}})});
     const membership::membership_batch batch = batchOf(merged);
-    LONGS_EQUAL(1, batch.present.size());
-    LONGS_EQUAL(0, batch.gone.size());
+    LONGS_EQUAL(1, batch.updated.size());
+    LONGS_EQUAL(0, batch.removed.size());
 }
 
 TEST(log_compaction, entriesWithoutEffectComeToNothing)
--- a/lycheeshunt/dissemination/acknowledgement.h
+++ b/lycheeshunt/dissemination/acknowledgement.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// A node has this generation, with this digest, in force.
+// A node has the view of this generation, with this digest, in force.
 struct acknowledgement
 {
     const base::generation at;
--- a/lycheeshunt/dissemination/adopt_view.h
+++ b/lycheeshunt/dissemination/adopt_view.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// Hand a newer view to the node's other duties.
+// Publish a newer view to the node's other duties.
 struct adopt_view
 {
     const shared_view view;
--- a/lycheeshunt/dissemination/batch_applied.h
+++ b/lycheeshunt/dissemination/batch_applied.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// Committed membership changes lead to this generation.
+// Committed membership changes created this generation.
 struct batch_applied
 {
     const base::generation at;
--- a/lycheeshunt/dissemination/cluster_view.h
+++ b/lycheeshunt/dissemination/cluster_view.h
@@ -1,5 +1,5 @@
-// Everything a node needs to know at one generation. Immutable: applying a log entry makes the
-// next view. The same entries in the same order give the same view on every node.
+// The cluster at one generation, as nodes need it. Immutable: applying a log entry creates the next
+// view. The same entries in the same order give the same view on every node.
 //
 //     const cluster_view next = view.withTicket(generation, ticket);
 
@@ -22,9 +22,9 @@
     const base::generation at;
     const std::map<base::service_id, tickets::service_definition> services = {};
     const std::map<base::node_id, membership::member> members = {};
-    // Names of the agents that a ticket has put into draining.
+    // Names of the agents that tickets have set to draining.
     const std::set<std::string> draining = {};
-    // Addresses that split their flows over services; only in a whole view.
+    // Addresses that split their flows over services. Only in a complete view.
     const std::map<tickets::service_address, tickets::address_route> routes = {};
 
     cluster_view withTicket(base::generation next, const tickets::ticket &ticket) const;
--- a/lycheeshunt/dissemination/codec.cpp
+++ b/lycheeshunt/dissemination/codec.cpp
@@ -16,14 +16,14 @@
     deltaKind = 1,
     pieceKind = 2,
     requestKind = 3,
-    heardKind = 4,
+    acknowledgementKind = 4,
     directoryKind = 5,
 };
 
 constexpr std::size_t maxDirectory = 64;
 
-// Services set, removed; members present, gone; names draining, no longer draining; routes set,
-// removed.
+// Services updated, removed; members updated, removed; names draining, no longer draining; routes
+// updated, removed.
 using change_fields
     = std::tuple<std::vector<std::string>, std::vector<std::uint64_t>, std::vector<std::string>,
                  std::vector<std::uint64_t>, std::vector<std::string>, std::vector<std::string>,
@@ -37,7 +37,7 @@
                                   std::uint64_t, std::uint64_t, cursor_fields>;
 using address_fields = base::endpoint_fields;
 using directory_fields = std::tuple<address_fields, std::vector<address_fields>>;
-using heard_fields = std::tuple<std::uint64_t, std::uint64_t>;
+using acknowledgement_fields = std::tuple<std::uint64_t, std::uint64_t>;
 
 template <typename fields_type>
 std::string pack(message_kind kind, const fields_type &fields)
@@ -48,18 +48,20 @@
 change_fields fieldsOf(const view_change &change)
 {
     change_fields fields;
-    auto &[services, removed, members, gone, draining, undrained, routes, unrouted] = fields;
+    auto &[services, removedServices, members, removedMembers, draining, undrained, routes,
+           removedRoutes]
+        = fields;
     for (auto it = change.services.begin(); it != change.services.end(); ++it) {
         if (it->second)
             services.push_back(tickets::encodeService(*it->second));
         else
-            removed.push_back(it->first.value());
+            removedServices.push_back(it->first.value());
     }
     for (auto it = change.members.begin(); it != change.members.end(); ++it) {
-        if (it->second.now)
-            members.push_back(membership::encodeMember(*it->second.now));
+        if (it->second.member)
+            members.push_back(membership::encodeMember(*it->second.member));
         else
-            gone.push_back(it->first.value());
+            removedMembers.push_back(it->first.value());
     }
     for (auto it = change.draining.begin(); it != change.draining.end(); ++it)
         (it->second ? draining : undrained).push_back(it->first);
@@ -67,14 +69,15 @@
         if (it->second)
             routes.push_back(tickets::encodeRoute(*it->second));
         else
-            unrouted.push_back(tickets::encodeAddress(it->first));
+            removedRoutes.push_back(tickets::encodeAddress(it->first));
     }
     return fields;
 }
 
 base::result<view_change> changeFrom(const change_fields &fields)
 {
-    const auto &[rawServices, removed, rawMembers, gone, draining, undrained, rawRoutes, unrouted]
+    const auto &[rawServices, removedServices, rawMembers, removedMembers, draining, undrained,
+                 rawRoutes, removedRoutes]
         = fields;
     std::map<base::service_id, std::optional<tickets::service_definition>> services;
     for (const std::string &raw : rawServices) {
@@ -83,7 +86,7 @@
             return *failure;
         services.emplace(base::valueOf(service).id(), base::valueOf(service));
     }
-    for (const std::uint64_t id : removed)
+    for (const std::uint64_t id : removedServices)
         services.emplace(base::service_id(id), std::nullopt);
     std::map<base::node_id, member_change> members;
     for (const std::string &raw : rawMembers) {
@@ -93,7 +96,7 @@
         members.emplace(base::valueOf(member).id(),
                         member_change {base::valueOf(member), base::service_id()});
     }
-    for (const std::uint64_t id : gone)
+    for (const std::uint64_t id : removedMembers)
         members.emplace(base::node_id(id), member_change {std::nullopt, base::service_id()});
     std::map<std::string, bool> drains;
     for (const std::string &name : draining)
@@ -107,7 +110,7 @@
             return *failure;
         routes.emplace(base::valueOf(route).address, base::valueOf(route));
     }
-    for (const std::string &raw : unrouted) {
+    for (const std::string &raw : removedRoutes) {
         const base::result<tickets::service_address> address = tickets::decodeAddress(raw);
         if (const base::error *failure = base::errorOf(address))
             return *failure;
@@ -180,7 +183,8 @@
         return *failure;
     const auto &[leader, raw] = base::valueOf(fields);
     if (raw.size() > maxDirectory)
-        return base::error {base::error_code::messageTooLarge, "control VMs"};
+        return base::error {base::error_code::messageTooLarge,
+                            "more than 64 control VMs in the directory"};
     std::vector<base::endpoint> members;
     for (const address_fields &member : raw)
         members.push_back(base::endpointOf(member));
@@ -192,20 +196,21 @@
     const base::result<request_fields> fields = base::unpackFields<request_fields>(body);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[node, incarnation, scope, held, atLeast, snapshotAt, rawCursor]
+    const auto &[node, incarnation, scope, current, atLeast, snapshotAt, rawCursor]
         = base::valueOf(fields);
     const base::result<snapshot_cursor> cursor = cursorFrom(rawCursor);
     if (const base::error *failure = base::errorOf(cursor))
         return *failure;
     return node_message(view_request {base::node_id(node), base::incarnation(incarnation),
-                                      view_scope {base::service_id(scope)}, base::generation(held),
-                                      base::generation(atLeast), base::generation(snapshotAt),
-                                      base::valueOf(cursor)});
+                                      view_scope {base::service_id(scope)},
+                                      base::generation(current), base::generation(atLeast),
+                                      base::generation(snapshotAt), base::valueOf(cursor)});
 }
 
-base::result<node_message> decodeHeard(std::string_view body)
+base::result<node_message> decodeAcknowledgement(std::string_view body)
 {
-    const base::result<heard_fields> fields = base::unpackFields<heard_fields>(body);
+    const base::result<acknowledgement_fields> fields
+        = base::unpackFields<acknowledgement_fields>(body);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     const auto &[at, digest] = base::valueOf(fields);
@@ -262,12 +267,13 @@
             [](const view_request &request) {
                 return pack(requestKind,
                             request_fields(request.node.value(), request.incarnation.value(),
-                                           request.scope.service.value(), request.held.value(),
+                                           request.scope.service.value(), request.current.value(),
                                            request.atLeast.value(), request.snapshotAt.value(),
                                            fieldsOf(request.cursor)));
             },
-            [](const acknowledgement &heard) {
-                return pack(heardKind, heard_fields(heard.at.value(), heard.digest.value()));
+            [](const acknowledgement &ack) {
+                return pack(acknowledgementKind,
+                            acknowledgement_fields(ack.at.value(), ack.digest.value()));
             },
         },
         message);
@@ -280,8 +286,8 @@
     switch (static_cast<std::uint8_t>(bytes.front())) {
     case requestKind:
         return decodeRequest(bytes.substr(1));
-    case heardKind:
-        return decodeHeard(bytes.substr(1));
+    case acknowledgementKind:
+        return decodeAcknowledgement(bytes.substr(1));
     default:
         return unknownKind();
     }
--- a/lycheeshunt/dissemination/codec.h
+++ b/lycheeshunt/dissemination/codec.h
@@ -1,5 +1,5 @@
-// MessagePack form of what passes between control and the nodes about views. The first byte of a
-// message is its kind; an unknown kind is messageVersion.
+// MessagePack encoding of the messages between control and the nodes about views. The first byte of
+// a message is its kind; an unknown kind is refused with messageVersion.
 
 #pragma once
 
@@ -12,7 +12,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// The services that members had before a change are control's own and are not encoded.
+// The previous services of members are internal to control and are not encoded.
 std::string encodeControlMessage(const control_message &message);
 base::result<control_message> decodeControlMessage(std::string_view bytes);
 
--- a/lycheeshunt/dissemination/control_directory.h
+++ b/lycheeshunt/dissemination/control_directory.h
@@ -6,15 +6,15 @@
 
 namespace lycheeshunt::dissemination {
 
-// Where the control VMs take streams; a node follows the leader.
+// Addresses at which the control VMs accept streams. Nodes connect to the leader.
 struct control_directory
 {
     // Port 0 while no leader is known.
     const base::endpoint leader = {};
     const std::vector<base::endpoint> members = {};
 
-    // The leader first.
-    std::vector<base::endpoint> inOrder() const
+    // All addresses, the leader first.
+    std::vector<base::endpoint> leaderFirst() const
     {
         std::vector<base::endpoint> ordered;
         if (leader.port != 0)
--- a/lycheeshunt/dissemination/control_message.h
+++ b/lycheeshunt/dissemination/control_message.h
@@ -8,7 +8,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// What control says to a node about views.
+// Messages from control to a node.
 using control_message = std::variant<view_delta, snapshot_piece, control_directory>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/control_message_received.h
+++ b/lycheeshunt/dissemination/control_message_received.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// Control's message, as a node received it.
+// A node received a message from control.
 struct control_message_received
 {
     const control_message message;
--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -1,7 +1,7 @@
 #include "lycheeshunt/dissemination/decision.h"
 
 #include "lycheeshunt/base/overloaded.h"
-#include "lycheeshunt/dissemination/internal/force_report.h"
+#include "lycheeshunt/dissemination/internal/in_force_report.h"
 #include "lycheeshunt/dissemination/snapshot.h"
 
 #include <algorithm>
@@ -27,13 +27,13 @@
     }
 }
 
-// Deltas can't start between the entries that were merged, so nodes that are behind get a snapshot.
+// No delta can start between merged entries, so nodes with an earlier generation get a snapshot.
 void publishMerged(publisher_state &state, const entries_merged &entries)
 {
     std::vector<view_change> changes;
     if (entries.batch)
         changes.push_back(changeOf(*state.view, *entries.batch));
-    // The highest version is in force, whatever the order in the log.
+    // The highest version is in force, regardless of the order in the log.
     if (entries.state && entries.state->version > state.stateVersion) {
         state.stateVersion = entries.state->version;
         changes.push_back(changeOf(*state.view, *entries.state));
@@ -53,11 +53,11 @@
     state.subscribers.emplace(connection, std::move(next));
 }
 
-// Nodes mostly hold the same generation, so the merged changes of the last one asked for are kept.
-class delta_maker
+// Caches the merged changes since the last generation requested, as most nodes have the same one.
+class delta_builder
 {
 public:
-    explicit delta_maker(const publisher_state &state) : m_state(state) { }
+    explicit delta_builder(const publisher_state &state) : m_state(state) { }
 
     view_delta deltaFor(base::generation from, const view_scope &scope)
     {
@@ -87,134 +87,139 @@
     std::optional<view_change> m_merged;
 };
 
-void sendDelta(publisher_state &state, streams::connection_id connection, delta_maker &maker,
+void sendDelta(publisher_state &state, streams::connection_id connection, delta_builder &builder,
                base::clock_time now, action_list &actions)
 {
-    const subscriber known = state.subscribers.at(connection);
-    view_delta delta = maker.deltaFor(known.held, known.scope);
+    const subscriber receiver = state.subscribers.at(connection);
+    view_delta delta = builder.deltaFor(receiver.current, receiver.scope);
     setSubscriber(state, connection,
-                  subscriber {known.node, known.incarnation, known.scope, known.held,
-                              known.acknowledged, sent_delta {delta.to, delta.digest, now}});
+                  subscriber {receiver.node, receiver.incarnation, receiver.scope, receiver.current,
+                              receiver.acknowledged, sent_delta {delta.to, delta.digest, now}});
     actions.emplace_back(send_to_node {connection, std::move(delta)});
 }
 
-void renewBase(publisher_state &state, base::generation atLeast)
+void renewSnapshotBase(publisher_state &state, base::generation atLeast)
 {
-    if (state.base && state.base->view->at >= atLeast && state.reachesBackTo(state.base->view->at))
+    if (state.snapshotBase && state.snapshotBase->view->at >= atLeast
+        && state.historyCovers(state.snapshotBase->view->at))
         return;
-    state.base = std::make_shared<const snapshot_base>(snapshot_base {state.view, state.digests});
+    state.snapshotBase
+        = std::make_shared<const snapshot_base>(snapshot_base {state.view, state.digests});
 }
 
 void sendPiece(publisher_state &state, streams::connection_id connection,
                const snapshot_cursor &cursor, action_list &actions)
 {
     const view_scope scope = state.subscribers.at(connection).scope;
-    const cluster_view &view = *state.base->view;
+    const cluster_view &view = *state.snapshotBase->view;
     snapshot_part cut = partAfter(view, scope, cursor);
-    actions.emplace_back(
-        send_to_node {connection,
-                      snapshot_piece {view.at, state.view->at, state.base->digests.of(scope),
-                                      cursor, cut.next, std::move(cut.part)}});
+    actions.emplace_back(send_to_node {connection,
+                                       snapshot_piece {view.at, state.view->at,
+                                                       state.snapshotBase->digests.of(scope),
+                                                       cursor, cut.next, std::move(cut.part)}});
 }
 
 void startSnapshot(publisher_state &state, streams::connection_id connection,
                    base::generation atLeast, action_list &actions)
 {
-    renewBase(state, atLeast);
+    renewSnapshotBase(state, atLeast);
     sendPiece(state, connection, snapshot_cursor {}, actions);
 }
 
-// The node has not asked, so its first piece is sent again until it asks for the next.
+// Sends the first piece unrequested, and retransmits it until the node requests the next one.
 void offerSnapshot(publisher_state &state, streams::connection_id connection, base::clock_time now,
                    action_list &actions)
 {
-    const subscriber known = state.subscribers.at(connection);
+    const subscriber receiver = state.subscribers.at(connection);
     setSubscriber(state, connection,
-                  subscriber {known.node, known.incarnation, known.scope, known.held,
-                              known.acknowledged,
+                  subscriber {receiver.node, receiver.incarnation, receiver.scope, receiver.current,
+                              receiver.acknowledged,
                               sent_delta {base::generation(), view_digest(), now}});
-    startSnapshot(state, connection, known.held, actions);
+    startSnapshot(state, connection, receiver.current, actions);
 }
 
-void takeRequest(publisher_state &state, streams::connection_id connection,
-                 const view_request &request, base::clock_time now, action_list &actions)
+void handleRequest(publisher_state &state, streams::connection_id connection,
+                   const view_request &request, base::clock_time now, action_list &actions)
 {
-    const bool mayResume = state.base && request.snapshotAt != base::generation()
-        && state.base->view->at == request.snapshotAt && state.reachesBackTo(request.snapshotAt);
-    const bool mayContinue
-        = !mayResume && request.held != base::generation() && state.reachesBackTo(request.held);
-    const bool isAhead = std::max(request.held, request.atLeast) > state.view->at;
+    const bool canResume = state.snapshotBase && request.snapshotAt != base::generation()
+        && state.snapshotBase->view->at == request.snapshotAt
+        && state.historyCovers(request.snapshotAt);
+    const bool canContinue = !canResume && request.current != base::generation()
+        && state.historyCovers(request.current);
+    const bool isAhead = std::max(request.current, request.atLeast) > state.view->at;
     setSubscriber(state, connection,
                   subscriber {request.node, request.incarnation, request.scope,
-                              mayContinue || isAhead ? request.held : base::generation()});
-    // The node is ahead, so this control VM has still to catch up; or nothing is committed yet.
+                              canContinue || isAhead ? request.current : base::generation()});
+    // Either the node is ahead, as this control VM has yet to catch up, or nothing is committed
+    // yet.
     if (isAhead || state.view->at == base::generation())
         return;
-    if (mayResume) {
+    if (canResume) {
         sendPiece(state, connection, request.cursor, actions);
-    } else if (mayContinue) {
-        delta_maker maker(state);
-        sendDelta(state, connection, maker, now, actions);
+    } else if (canContinue) {
+        delta_builder builder(state);
+        sendDelta(state, connection, builder, now, actions);
     } else {
-        startSnapshot(state, connection, std::max(request.held, request.atLeast), actions);
+        startSnapshot(state, connection, std::max(request.current, request.atLeast), actions);
     }
 }
 
-// Only the delta under way can be acknowledged: any other generation or digest is late, or of
-// another history.
-void takeAcknowledgement(publisher_state &state, streams::connection_id connection,
-                         const acknowledgement &heard)
+// Only the delta in flight can be acknowledged. Any other generation or digest is stale or belongs
+// to a diverged history.
+void handleAcknowledgement(publisher_state &state, streams::connection_id connection,
+                           const acknowledgement &ack)
 {
     const auto found = state.subscribers.find(connection);
     if (found == state.subscribers.end() || !found->second.sent)
         return;
-    const subscriber known = found->second;
-    if (known.sent->to != heard.at || known.sent->digest != heard.digest)
+    const subscriber receiver = found->second;
+    if (receiver.sent->to != ack.at || receiver.sent->digest != ack.digest)
         return;
     setSubscriber(state, connection,
-                  subscriber {known.node, known.incarnation, known.scope, heard.at, heard.at});
+                  subscriber {receiver.node, receiver.incarnation, receiver.scope, ack.at, ack.at});
 }
 
-bool isDue(const publisher_state &state, const subscriber &known, base::clock_time now)
+bool isDue(const publisher_state &state, const subscriber &receiver, base::clock_time now)
 {
-    if (known.held == base::generation() || known.held > state.view->at)
+    if (receiver.current == base::generation() || receiver.current > state.view->at)
         return false;
-    return known.sent ? now - known.sent->at >= resendAfter : known.held < state.view->at;
+    return receiver.sent ? now - receiver.sent->at >= acknowledgementTimeout
+                         : receiver.current < state.view->at;
 }
 
-void sendDue(publisher_state &state, base::clock_time now, action_list &actions)
+void sendDueUpdates(publisher_state &state, base::clock_time now, action_list &actions)
 {
     std::vector<streams::connection_id> due;
     for (auto it = state.subscribers.begin(); it != state.subscribers.end(); ++it) {
         if (isDue(state, it->second, now))
             due.push_back(it->first);
     }
-    delta_maker maker(state);
+    delta_builder builder(state);
     for (const streams::connection_id &connection : due) {
-        const base::generation held = state.subscribers.at(connection).held;
-        if (state.reachesBackTo(held))
-            sendDelta(state, connection, maker, now, actions);
+        const base::generation current = state.subscribers.at(connection).current;
+        if (state.historyCovers(current))
+            sendDelta(state, connection, builder, now, actions);
         else
             offerSnapshot(state, connection, now, actions);
     }
 }
 
-void answerWaiting(publisher_state &state, base::clock_time now, action_list &actions)
+void answerPendingQueries(publisher_state &state, base::clock_time now, action_list &actions)
 {
-    std::vector<waiting_query> still;
-    for (const waiting_query &waiting : state.waiting) {
-        in_force_answer answer = internal::reportOn(state, waiting.query);
-        if (answer.isInForce() || now >= waiting.deadline)
+    std::vector<pending_query> remaining;
+    for (const pending_query &pending : state.pendingQueries) {
+        in_force_answer answer = internal::answerTo(state, pending.query);
+        if (answer.isInForce() || now >= pending.deadline)
             actions.emplace_back(std::move(answer));
         else
-            still.push_back(waiting);
+            remaining.push_back(pending);
     }
-    state.waiting.swap(still);
+    state.pendingQueries.swap(remaining);
 }
 
 } // namespace
 
-bool publisher_state::reachesBackTo(base::generation from) const
+bool publisher_state::historyCovers(base::generation from) const
 {
     if (from == view->at)
         return true;
@@ -227,19 +232,19 @@
     action_list actions;
     std::visit(
         base::overloaded {
-            // A node speaks first; until then nothing is known of it.
+            // Nothing is known of the node before its first message.
             [](const subscriber_opened &) {},
             [&](const subscriber_closed &closed) { state.subscribers.erase(closed.connection); },
-            [&](const node_message_received &said) {
+            [&](const node_message_received &received) {
                 std::visit(base::overloaded {
                                [&](const view_request &request) {
-                                   takeRequest(state, said.connection, request, now, actions);
+                                   handleRequest(state, received.connection, request, now, actions);
                                },
-                               [&](const acknowledgement &heard) {
-                                   takeAcknowledgement(state, said.connection, heard);
+                               [&](const acknowledgement &ack) {
+                                   handleAcknowledgement(state, received.connection, ack);
                                },
                            },
-                           said.message);
+                           received.message);
             },
             [&](const ticket_applied &applied) {
                 publish(state, applied.at, changeOf(applied.ticket));
@@ -248,7 +253,7 @@
                 publish(state, applied.at, changeOf(*state.view, applied.batch));
             },
             [&](const state_applied &applied) {
-                // The highest version is in force, whatever the order in the log.
+                // The highest version is in force, regardless of the order in the log.
                 if (applied.state->version <= state.stateVersion)
                     return;
                 state.stateVersion = applied.state->version;
@@ -256,12 +261,12 @@
             },
             [&](const entries_merged &entries) { publishMerged(state, entries); },
             [&](const in_force_query &query) {
-                state.waiting.push_back(waiting_query {query, now + query.wait});
-                answerWaiting(state, now, actions);
+                state.pendingQueries.push_back(pending_query {query, now + query.wait});
+                answerPendingQueries(state, now, actions);
             },
             [&](const publisher_tick &) {
-                sendDue(state, now, actions);
-                answerWaiting(state, now, actions);
+                sendDueUpdates(state, now, actions);
+                answerPendingQueries(state, now, actions);
             },
         },
         message);
--- a/lycheeshunt/dissemination/decision.h
+++ b/lycheeshunt/dissemination/decision.h
@@ -1,5 +1,5 @@
-// Decides what control sends to whom, and what counts as in force. A node has one delta under way
-// at a time; what comes meanwhile goes into its next.
+// Decides which views control sends to which node, and which generations are in force. At most one
+// delta per node is in flight; later changes go into the next one.
 //
 //     step<publisher_state, dissemination_action> next = decide(std::move(state), message, now);
 
@@ -12,11 +12,11 @@
 
 namespace lycheeshunt::dissemination {
 
-// The history holds no more changed objects than this, and so does a delta.
+// Maximum number of changed objects in the history, and therefore in a delta.
 constexpr std::size_t maxHistoryObjects = 16'384;
 constexpr std::size_t maxHistoryEntries = 1024;
-// A delta that is not acknowledged is sent again after this.
-constexpr base::clock_time resendAfter = base::clock_time::ofMillis(1000);
+// An unacknowledged delta is retransmitted after this time.
+constexpr base::clock_time acknowledgementTimeout = base::clock_time::ofMillis(1000);
 
 base::step<publisher_state, dissemination_action>
 decide(publisher_state state, const dissemination_message &message, base::clock_time now);
--- a/lycheeshunt/dissemination/entries_merged.h
+++ b/lycheeshunt/dissemination/entries_merged.h
@@ -8,13 +8,13 @@
 
 namespace lycheeshunt::dissemination {
 
-// What several entries of the log amount to, up to this generation. The generations between are
-// not known here.
+// The combined effect of several log entries up to this generation. The generations in between are
+// not known to the publisher.
 struct entries_merged
 {
     const base::generation at;
     const std::optional<membership::membership_batch> batch = {};
-    // Null when no entry was a desired state.
+    // Null if none of the entries was a desired state.
     const states::shared_state state = {};
 
     bool operator==(const entries_merged &) const = default;
--- a/lycheeshunt/dissemination/fake_cluster_test.h
+++ b/lycheeshunt/dissemination/fake_cluster_test.h
@@ -1,5 +1,5 @@
-// For tests: publisher and followers together, in virtual time over a seeded network that delays,
-// loses, repeats and reorders.
+// For tests: a publisher and its followers in virtual time, over a seeded network that delays,
+// loses, duplicates and reorders messages.
 
 #pragma once
 
@@ -16,7 +16,7 @@
 
 constexpr base::clock_time networkStep = base::clock_time::ofMillis(10);
 constexpr base::clock_time publisherTicks = base::clock_time::ofMillis(50);
-constexpr base::clock_time settleLimit = base::clock_time::ofSeconds(60);
+constexpr base::clock_time convergenceLimit = base::clock_time::ofSeconds(60);
 
 inline membership::member memberOf(const std::string &name, const std::string &service,
                                    std::uint64_t incarnation = 1)
@@ -56,7 +56,7 @@
 {
     follower_state state;
     std::uint64_t connection = 0;
-    bool isCut = false;
+    bool isDisconnected = false;
     std::vector<shared_view> adopted;
     int mismatches = 0;
     int pieces = 0;
@@ -70,10 +70,11 @@
     {
     }
 
-    void join(const std::string &name, const std::string &service, std::uint64_t incarnation = 1)
+    void startNode(const std::string &name, const std::string &service,
+                   std::uint64_t incarnation = 1)
     {
-        nodes[name]
-            = fake_node {followerOf(memberOf(name, service, incarnation)), 0, false, {}, 0, 0};
+        nodes[name] = fake_node {
+            makeFollowerState(memberOf(name, service, incarnation)), 0, false, {}, 0, 0};
         connect(name);
     }
 
@@ -88,7 +89,7 @@
         toFollower(name, link_opened {streams::connection_id(node.connection)});
     }
 
-    // Control starts again with its log, but without what it knew of the nodes.
+    // Control restarts and replays its log, without its subscribers and without its history.
     void restartControl()
     {
         publisher = publisher_state {};
@@ -99,7 +100,7 @@
             connect(it->first);
     }
 
-    // Control starts again and hears of its log at once, as what its entries amount to.
+    // Control restarts and receives its log as one merged entry.
     void restartControlMerged(const membership::membership_batch &batch)
     {
         publisher = publisher_state {};
@@ -108,16 +109,16 @@
             connect(it->first);
     }
 
-    void change(std::uint64_t number)
+    void commitTicket(std::uint64_t number)
     {
         const base::generation at(++lastGeneration);
         apply([this, at, number]() { toPublisher(ticket_applied {at, ticketOf(number)}); });
     }
 
-    void admit(const std::vector<membership::member> &present)
+    void commitMembers(const std::vector<membership::member> &members)
     {
         const base::generation at(++lastGeneration);
-        apply([this, at, present]() { toPublisher(batch_applied {at, {present, {}}}); });
+        apply([this, at, members]() { toPublisher(batch_applied {at, {members, {}}}); });
     }
 
     void runFor(base::clock_time span)
@@ -127,21 +128,21 @@
             advance();
     }
 
-    bool settles()
+    bool converges()
     {
-        const base::clock_time until = now + settleLimit;
+        const base::clock_time until = now + convergenceLimit;
         do {
             runFor(publisherTicks);
-        } while (now < until && !isSettled());
-        return isSettled();
+        } while (now < until && !hasConverged());
+        return hasConverged();
     }
 
-    bool isSettled() const
+    bool hasConverged() const
     {
         for (auto it = nodes.begin(); it != nodes.end(); ++it) {
             const follower_state &state = it->second.state;
-            if (!state.isReady || state.held->at != publisher.view->at
-                || *state.held != restrictedTo(*publisher.view, state.scope()))
+            if (!state.isReady || state.view->at != publisher.view->at
+                || *state.view != restrictedTo(*publisher.view, state.scope()))
                 return false;
         }
         return true;
@@ -156,7 +157,7 @@
             if (const in_force_answer *answer = std::get_if<in_force_answer>(&action))
                 answers.push_back(std::make_shared<const in_force_answer>(*answer));
             else
-                sendDown(std::get<send_to_node>(action));
+                sendToNode(std::get<send_to_node>(action));
         }
     }
 
@@ -178,9 +179,9 @@
     {
         now = now + networkStep;
         std::vector<std::function<void()>> due;
-        while (!m_flying.empty() && m_flying.begin()->first <= now) {
-            due.push_back(m_flying.begin()->second);
-            m_flying.erase(m_flying.begin());
+        while (!m_inFlight.empty() && m_inFlight.begin()->first <= now) {
+            due.push_back(m_inFlight.begin()->second);
+            m_inFlight.erase(m_inFlight.begin());
         }
         for (const std::function<void()> &deliver : due)
             deliver();
@@ -191,30 +192,30 @@
             toFollower(it->first, follower_tick {});
     }
 
-    bool happens(int percent) { return static_cast<int>(m_random() % 100) < percent; }
+    bool isChosen(int percent) { return static_cast<int>(m_random() % 100) < percent; }
 
-    void fly(const std::function<void()> &deliver)
+    void transmit(const std::function<void()> &deliver)
     {
-        if (happens(m_faults.lostPercent))
+        if (isChosen(m_faults.lostPercent))
             return;
-        const int copies = happens(m_faults.repeatedPercent) ? 2 : 1;
+        const int copies = isChosen(m_faults.repeatedPercent) ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
             const std::int64_t delay = static_cast<std::int64_t>(
                 m_random() % static_cast<std::uint64_t>(m_faults.maxDelayMillis + 1));
-            m_flying.emplace(now + base::clock_time::ofMillis(delay), deliver);
+            m_inFlight.emplace(now + base::clock_time::ofMillis(delay), deliver);
         }
     }
 
-    void sendDown(const send_to_node &send)
+    void sendToNode(const send_to_node &send)
     {
         const std::string bytes = encodeControlMessage(send.message);
         for (auto it = nodes.begin(); it != nodes.end(); ++it) {
-            if (it->second.connection != send.connection.value() || it->second.isCut)
+            if (it->second.connection != send.connection.value() || it->second.isDisconnected)
                 continue;
             it->second.pieces += std::holds_alternative<snapshot_piece>(send.message) ? 1 : 0;
             const std::string name = it->first;
             const std::uint64_t connection = send.connection.value();
-            fly([this, name, connection, bytes]() {
+            transmit([this, name, connection, bytes]() {
                 if (nodes.at(name).connection == connection)
                     toFollower(
                         name,
@@ -231,7 +232,7 @@
         node.state = std::move(next.state);
         for (const follower_action &action : next.actions) {
             std::visit(base::overloaded {
-                           [&](const send_to_control &send) { sendUp(node, send); },
+                           [&](const send_to_control &send) { sendToPublisher(node, send); },
                            [](const announce_self &) {},
                            [](const leave_group &) {},
                            [&](const adopt_view &adopt) { node.adopted.push_back(adopt.view); },
@@ -243,13 +244,13 @@
         }
     }
 
-    void sendUp(const fake_node &node, const send_to_control &send)
+    void sendToPublisher(const fake_node &node, const send_to_control &send)
     {
-        if (node.isCut)
+        if (node.isDisconnected)
             return;
         const std::string bytes = encodeNodeMessage(send.message);
         const streams::connection_id connection = send.connection;
-        fly([this, connection, bytes]() {
+        transmit([this, connection, bytes]() {
             toPublisher(
                 node_message_received {connection, base::valueOf(decodeNodeMessage(bytes))});
         });
@@ -257,7 +258,7 @@
 
     std::mt19937_64 m_random;
     const network_faults m_faults;
-    std::multimap<base::clock_time, std::function<void()>> m_flying;
+    std::multimap<base::clock_time, std::function<void()>> m_inFlight;
     std::uint64_t m_lastConnection = 0;
 };
 
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -13,35 +13,35 @@
 
 namespace {
 constexpr std::size_t inboxCapacity = 256;
-constexpr base::clock_time tickEvery = base::clock_time::ofMillis(250);
+constexpr base::clock_time tickInterval = base::clock_time::ofMillis(250);
 constexpr const char *logPart = "dissemination";
 } // namespace
 
 follower::follower(std::vector<base::endpoint> control, const membership::member &self,
                    std::uint64_t seed, view_sink sink, incarnation_sink incarnationSink,
                    bool isAnnounced)
-    : m_state(followerOf(self)), m_seeds(control), m_sink(std::move(sink)),
+    : m_state(makeFollowerState(self)), m_seeds(control), m_sink(std::move(sink)),
       m_incarnationSink(std::move(incarnationSink)), m_started(1),
       m_duty(
-          inboxCapacity, tickEvery, follower_tick {},
+          inboxCapacity, tickInterval, follower_tick {},
           [this](const follower_message &message, base::clock_time now) { handle(message, now); })
 {
     if (!isAnnounced)
         m_duty.inbox().push(self_changed {self, false});
     m_client = std::make_unique<streams::stream_client>(
         std::move(control), streams::stream_timing {}, seed,
-        [this](const streams::stream_event &event) { takeEvent(event); });
+        [this](const streams::stream_event &event) { handleEvent(event); });
     m_started.count_down();
 }
 
 follower::~follower()
 {
     m_duty.stop();
-    leave();
+    sendLeave();
     m_client.reset();
 }
 
-void follower::leave()
+void follower::sendLeave()
 {
     const bool isExpectedBack = m_state.self->phase == membership::member_phase::draining;
     if (!m_state.connection || !m_state.isAnnounced || isExpectedBack)
@@ -51,11 +51,11 @@
         *m_state.connection, streams::channel::membership, membership::encodeLeave(left)});
 }
 
-// The seeds stay in the list: all members known may be gone.
+// The seeds stay in the list, as all servers of the directory may have been replaced.
 void follower::useServers(std::vector<base::endpoint> servers, bool isLeaderFirst)
 {
     const std::lock_guard<std::mutex> lock(m_seedsLock);
-    std::vector<base::endpoint>(servers).swap(m_known);
+    std::vector<base::endpoint>(servers).swap(m_directoryServers);
     for (const base::endpoint &seed : m_seeds) {
         if (std::find(servers.begin(), servers.end(), seed) == servers.end())
             servers.push_back(seed);
@@ -65,13 +65,13 @@
 
 void follower::addSeeds(const std::vector<base::endpoint> &seeds)
 {
-    std::vector<base::endpoint> known;
+    std::vector<base::endpoint> servers;
     {
         const std::lock_guard<std::mutex> lock(m_seedsLock);
         std::vector<base::endpoint>(seeds).swap(m_seeds);
-        std::vector<base::endpoint>(m_known).swap(known);
+        std::vector<base::endpoint>(m_directoryServers).swap(servers);
     }
-    useServers(std::move(known), false);
+    useServers(std::move(servers), false);
 }
 
 void follower::handle(const follower_message &message, base::clock_time now)
@@ -125,32 +125,32 @@
                action);
 }
 
-void follower::takeEvent(const streams::stream_event &event)
+void follower::handleEvent(const streams::stream_event &event)
 {
     m_started.wait();
-    std::visit(base::overloaded {
-                   [this](const streams::stream_opened &opened) {
-                       m_isConnected = true;
-                       base::logInfo(logPart, "connected to control");
-                       m_duty.inbox().push(link_opened {opened.connection});
-                   },
-                   [this](const streams::stream_closed &closed) {
-                       m_isConnected = false;
-                       base::logWarning(logPart, "lost the connection to control");
-                       m_duty.inbox().push(link_closed {closed.connection});
-                   },
-                   [this](const streams::stream_frame &frame) {
-                       if (frame.channel != streams::channel::dissemination)
-                           return;
-                       const base::result<control_message> message
-                           = decodeControlMessage(frame.bytes);
-                       if (const base::error *failure = base::errorOf(message))
-                           base::logWarning(logPart, "message refused: " + failure->text());
-                       else
-                           m_duty.inbox().push(control_message_received {base::valueOf(message)});
-                   },
-               },
-               event);
+    std::visit(
+        base::overloaded {
+            [this](const streams::stream_opened &opened) {
+                m_isConnected = true;
+                base::logInfo(logPart, "connected to control");
+                m_duty.inbox().push(link_opened {opened.connection});
+            },
+            [this](const streams::stream_closed &closed) {
+                m_isConnected = false;
+                base::logWarning(logPart, "lost the connection to control");
+                m_duty.inbox().push(link_closed {closed.connection});
+            },
+            [this](const streams::stream_frame &frame) {
+                if (frame.channel != streams::channel::dissemination)
+                    return;
+                const base::result<control_message> message = decodeControlMessage(frame.bytes);
+                if (const base::error *failure = base::errorOf(message))
+                    base::logWarning(logPart, "message from control refused: " + failure->text());
+                else
+                    m_duty.inbox().push(control_message_received {base::valueOf(message)});
+            },
+        },
+        event);
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/follower.h
+++ b/lycheeshunt/dissemination/follower.h
@@ -1,5 +1,5 @@
-// Keeps one node at the newest generation: announces the node to control, takes deltas and
-// snapshots as follower_decision.h says, and hands each newer view to the node's other duties.
+// Keeps one node at the newest generation: announces the node to control, applies deltas and
+// snapshots (follower_decision.h), and publishes each newer view to the node's other duties.
 //
 //     follower link(control, self, seed, [&](const shared_view &view) { ... });
 
@@ -31,12 +31,12 @@
 
     using incarnation_sink = std::function<void(base::incarnation)>;
 
-    // The sinks are called on the follower's thread. One that is not announced follows views
-    // without being a member, until changeSelf() says that it is.
+    // The sinks are called on the follower's thread. Unless `isAnnounced`, the node receives views
+    // without being a member, until changeSelf() announces it.
     follower(std::vector<base::endpoint> control, const membership::member &self,
              std::uint64_t seed, view_sink sink, incarnation_sink incarnationSink = {},
              bool isAnnounced = true);
-    // Tells control that the node has left, unless it drains, then closes the stream.
+    // Sends member_left to control, unless the node is draining, then closes the stream.
     ~follower();
 
     follower(const follower &) = delete;
@@ -44,26 +44,26 @@
 
     // Thread-safe.
     void changeSelf(const self_changed &changed) { m_duty.inbox().push(changed); }
-    // Looks for control at these addresses too.
+    // Also searches for control at these addresses. They replace the earlier seeds.
     void addSeeds(const std::vector<base::endpoint> &seeds);
     bool isConnected() const { return m_isConnected; }
 
 private:
-    void leave();
+    void sendLeave();
     void useServers(std::vector<base::endpoint> servers, bool isLeaderFirst);
     void handle(const follower_message &message, base::clock_time now);
     void carryOut(const follower_action &action);
-    void takeEvent(const streams::stream_event &event);
+    void handleEvent(const streams::stream_event &event);
 
     follower_state m_state;
     std::mutex m_seedsLock;
     std::vector<base::endpoint> m_seeds;
-    std::vector<base::endpoint> m_known;
+    std::vector<base::endpoint> m_directoryServers;
     const view_sink m_sink;
     const incarnation_sink m_incarnationSink;
     std::atomic<bool> m_isConnected = false;
     std::unique_ptr<streams::stream_client> m_client;
-    // Holds back the client's thread until m_client is set.
+    // Blocks the client's thread until m_client is set.
     std::latch m_started;
     base::duty<follower_message> m_duty;
 };
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -9,42 +9,43 @@
 using follower_step = base::step<follower_state, follower_action>;
 using action_list = std::vector<follower_action>;
 
-constexpr base::clock_time announceEvery = base::clock_time::ofSeconds(1);
-constexpr base::clock_time askAgainAfter = base::clock_time::ofSeconds(1);
+constexpr base::clock_time announceInterval = base::clock_time::ofSeconds(1);
+constexpr base::clock_time requestRetryInterval = base::clock_time::ofSeconds(1);
 
 view_request requestOf(const follower_state &state)
 {
     const membership::member &self = *state.self;
-    const base::generation held = state.needsRepair ? base::generation() : state.heldAt();
+    const base::generation current
+        = state.needsRepair ? base::generation() : state.viewGeneration();
     return view_request {self.id(),
                          self.incarnation,
                          state.scope(),
-                         held,
-                         state.heldAt(),
+                         current,
+                         state.viewGeneration(),
                          state.assembly ? state.assembly->at : base::generation(),
                          state.assembly ? state.assembly->next() : snapshot_cursor {}};
 }
 
-void ask(follower_state &state, base::clock_time now, action_list &actions)
+void sendRequest(follower_state &state, base::clock_time now, action_list &actions)
 {
     if (!state.connection)
         return;
-    state.awaitsAnswer = true;
-    state.askedAt = now;
+    state.awaitsReply = true;
+    state.requestedAt = now;
     actions.emplace_back(send_to_control {*state.connection, requestOf(state)});
 }
 
-// Control has not heard yet that the node has left.
+// Whether the node has left but is still a member in control's view.
 bool isStillMember(const follower_state &state)
 {
-    if (!state.hasLeft || !state.held)
+    if (!state.hasLeft || !state.view)
         return false;
-    const auto known = state.held->members.find(state.self->id());
-    return known != state.held->members.end()
-        && known->second.incarnation <= state.self->incarnation;
+    const auto record = state.view->members.find(state.self->id());
+    return record != state.view->members.end()
+        && record->second.incarnation <= state.self->incarnation;
 }
 
-// Says that the node is a member, or that it is none any more.
+// Announces the node as a member, or repeats that it has left.
 void announce(follower_state &state, base::clock_time now, action_list &actions)
 {
     state.announcedAt = now;
@@ -57,16 +58,16 @@
             leave_group {*state.connection, {state.self->id(), state.self->incarnation}});
 }
 
-// The clock of this VM was set back between two incarnations: without a later incarnation control
-// would take this incarnation for one that is over.
-void outliveView(follower_state &state, base::clock_time now, action_list &actions)
+// If this VM's clock was set back between two starts, the view has a later incarnation of the node,
+// and control would ignore this one as stale. Takes an incarnation later than that one.
+void advanceIncarnation(follower_state &state, base::clock_time now, action_list &actions)
 {
     const membership::member &self = *state.self;
-    const auto known = state.held->members.find(self.id());
-    if (!state.isAnnounced || known == state.held->members.end()
-        || known->second.incarnation <= self.incarnation)
+    const auto record = state.view->members.find(self.id());
+    if (!state.isAnnounced || record == state.view->members.end()
+        || record->second.incarnation <= self.incarnation)
         return;
-    const base::incarnation next(known->second.incarnation.value() + 1);
+    const base::incarnation next(record->second.incarnation.value() + 1);
     state.self = std::make_shared<const membership::member>(
         membership::member {self.name, self.availabilityZone, self.role, self.service, next,
                             self.packets, self.phase, self.health, self.share});
@@ -77,24 +78,24 @@
 void adopt(follower_state &state, shared_view view, view_digest digest, base::clock_time now,
            action_list &actions)
 {
-    state.held = std::move(view);
+    state.view = std::move(view);
     state.digest = digest;
     state.needsRepair = false;
     state.assembly.reset();
-    if (state.held->at >= state.required)
+    if (state.view->at >= state.required)
         state.isReady = true;
     if (state.isReady)
-        actions.emplace_back(adopt_view {state.held});
-    outliveView(state, now, actions);
+        actions.emplace_back(adopt_view {state.view});
+    advanceIncarnation(state, now, actions);
 }
 
-void learnRequired(follower_state &state, base::generation newest)
+void recordRequired(follower_state &state, base::generation newest)
 {
     if (state.required == base::generation())
         state.required = newest;
 }
 
-void repair(follower_state &state, base::generation at, action_list &actions)
+void startRepair(follower_state &state, base::generation at, action_list &actions)
 {
     state.needsRepair = true;
     state.assembly.reset();
@@ -104,31 +105,31 @@
 void acknowledge(const follower_state &state, action_list &actions)
 {
     if (state.connection)
-        actions.emplace_back(
-            send_to_control {*state.connection, acknowledgement {state.heldAt(), state.digest}});
+        actions.emplace_back(send_to_control {
+            *state.connection, acknowledgement {state.viewGeneration(), state.digest}});
 }
 
-void takeDelta(follower_state &state, const view_delta &delta, base::clock_time now,
-               action_list &actions)
+void handleDelta(follower_state &state, const view_delta &delta, base::clock_time now,
+                 action_list &actions)
 {
-    // A snapshot is under way, or the delta starts beyond what is held, or is an old one.
-    if (state.needsRepair || !state.held || delta.to < state.heldAt())
+    // The node needs a snapshot first, or the delta is stale.
+    if (state.needsRepair || !state.view || delta.to < state.viewGeneration())
         return;
-    if (delta.from > state.heldAt()) {
-        ask(state, now, actions);
+    if (delta.from > state.viewGeneration()) {
+        sendRequest(state, now, actions);
         return;
     }
-    learnRequired(state, delta.newest);
-    const view_digest digest = digestAfter(state.digest, *state.held, delta.change);
+    recordRequired(state, delta.newest);
+    const view_digest digest = digestAfter(state.digest, *state.view, delta.change);
     if (digest != delta.digest) {
-        repair(state, delta.to, actions);
-        ask(state, now, actions);
+        startRepair(state, delta.to, actions);
+        sendRequest(state, now, actions);
         return;
     }
-    state.awaitsAnswer = false;
-    if (delta.to > state.heldAt())
+    state.awaitsReply = false;
+    if (delta.to > state.viewGeneration())
         adopt(state,
-              std::make_shared<const cluster_view>(delta.change.appliedTo(*state.held, delta.to)),
+              std::make_shared<const cluster_view>(delta.change.appliedTo(*state.view, delta.to)),
               digest, now, actions);
     acknowledge(state, actions);
 }
@@ -138,22 +139,23 @@
     shared_view view = std::make_shared<const cluster_view>(state.assembly->assembled());
     const view_digest digest = digestOf(*view);
     if (digest != state.assembly->digest) {
-        // Asked for again at the next interval, so that a lasting fault makes no storm.
-        repair(state, view->at, actions);
-        state.awaitsAnswer = true;
-        state.askedAt = now;
+        // Retried only after the retry interval, so that a persistent fault causes no request
+        // storm.
+        startRepair(state, view->at, actions);
+        state.awaitsReply = true;
+        state.requestedAt = now;
         return;
     }
     adopt(state, std::move(view), digest, now, actions);
-    ask(state, now, actions);
+    sendRequest(state, now, actions);
 }
 
-void takePiece(follower_state &state, const snapshot_piece &piece, base::clock_time now,
-               action_list &actions)
+void handlePiece(follower_state &state, const snapshot_piece &piece, base::clock_time now,
+                 action_list &actions)
 {
-    const bool isOld
-        = piece.at < state.heldAt() || (piece.at == state.heldAt() && !state.needsRepair);
-    if (isOld || (state.assembly && piece.at < state.assembly->at))
+    const bool isStale = piece.at < state.viewGeneration()
+        || (piece.at == state.viewGeneration() && !state.needsRepair);
+    if (isStale || (state.assembly && piece.at < state.assembly->at))
         return;
     if (!state.assembly || piece.at > state.assembly->at) {
         state.assembly.reset();
@@ -161,57 +163,57 @@
             return;
         state.assembly.emplace(snapshot_assembly {piece.at, piece.digest});
     }
-    // A piece that comes twice or out of turn.
+    // Ignore duplicate and reordered pieces.
     if (piece.start != state.assembly->next())
         return;
-    learnRequired(state, piece.newest);
+    recordRequired(state, piece.newest);
     state.assembly->add(piece);
     if (piece.next.isEnd())
         finishSnapshot(state, now, actions);
     else
-        ask(state, now, actions);
+        sendRequest(state, now, actions);
 }
 
-void open(follower_state &state, const link_opened &opened, base::clock_time now,
-          action_list &actions)
+void handleOpened(follower_state &state, const link_opened &opened, base::clock_time now,
+                  action_list &actions)
 {
     state.connection = opened.connection;
     announce(state, now, actions);
-    ask(state, now, actions);
+    sendRequest(state, now, actions);
 }
 
 void changeSelf(follower_state &state, const self_changed &changed, base::clock_time now,
                 action_list &actions)
 {
-    const bool isMoved = state.self->service != changed.self.service;
+    const bool hasMoved = state.self->service != changed.self.service;
     state.self = std::make_shared<const membership::member>(changed.self);
     state.hasLeft = !changed.isAnnounced && (state.isAnnounced || state.hasLeft);
     state.isAnnounced = changed.isAnnounced;
     announce(state, now, actions);
-    if (!isMoved)
+    if (!hasMoved)
         return;
-    // The view of another service is another view.
-    state.held.reset();
+    // The view was restricted to the previous service.
+    state.view.reset();
     state.digest = view_digest();
     state.assembly.reset();
-    ask(state, now, actions);
+    sendRequest(state, now, actions);
 }
 
-void takeDirectory(const control_directory &directory, action_list &actions)
+void handleDirectory(const control_directory &directory, action_list &actions)
 {
-    std::vector<base::endpoint> servers = directory.inOrder();
+    std::vector<base::endpoint> servers = directory.leaderFirst();
     if (!servers.empty())
         actions.emplace_back(use_servers {std::move(servers), directory.leader.port != 0});
 }
 
-void check(follower_state &state, base::clock_time now, action_list &actions)
+void handleTick(follower_state &state, base::clock_time now, action_list &actions)
 {
     if (!state.connection)
         return;
-    if (now - state.announcedAt >= announceEvery)
+    if (now - state.announcedAt >= announceInterval)
         announce(state, now, actions);
-    if (state.awaitsAnswer && now - state.askedAt >= askAgainAfter)
-        ask(state, now, actions);
+    if (state.awaitsReply && now - state.requestedAt >= requestRetryInterval)
+        sendRequest(state, now, actions);
 }
 
 } // namespace
@@ -222,7 +224,7 @@
                                                         : view_scope {self->service};
 }
 
-follower_state followerOf(const membership::member &self)
+follower_state makeFollowerState(const membership::member &self)
 {
     follower_state state;
     state.self = std::make_shared<const membership::member>(self);
@@ -232,26 +234,30 @@
 follower_step decide(follower_state state, const follower_message &message, base::clock_time now)
 {
     action_list actions;
-    std::visit(
-        base::overloaded {
-            [&](const link_opened &opened) { open(state, opened, now, actions); },
-            [&](const link_closed &closed) {
-                if (state.connection == closed.connection)
-                    state.connection.reset();
-            },
-            [&](const control_message_received &said) {
-                std::visit(
-                    base::overloaded {
-                        [&](const view_delta &delta) { takeDelta(state, delta, now, actions); },
-                        [&](const snapshot_piece &piece) { takePiece(state, piece, now, actions); },
-                        [&](const control_directory &known) { takeDirectory(known, actions); },
-                    },
-                    said.message);
-            },
-            [&](const self_changed &changed) { changeSelf(state, changed, now, actions); },
-            [&](const follower_tick &) { check(state, now, actions); },
-        },
-        message);
+    std::visit(base::overloaded {
+                   [&](const link_opened &opened) { handleOpened(state, opened, now, actions); },
+                   [&](const link_closed &closed) {
+                       if (state.connection == closed.connection)
+                           state.connection.reset();
+                   },
+                   [&](const control_message_received &received) {
+                       std::visit(base::overloaded {
+                                      [&](const view_delta &delta) {
+                                          handleDelta(state, delta, now, actions);
+                                      },
+                                      [&](const snapshot_piece &piece) {
+                                          handlePiece(state, piece, now, actions);
+                                      },
+                                      [&](const control_directory &directory) {
+                                          handleDirectory(directory, actions);
+                                      },
+                                  },
+                                  received.message);
+                   },
+                   [&](const self_changed &changed) { changeSelf(state, changed, now, actions); },
+                   [&](const follower_tick &) { handleTick(state, now, actions); },
+               },
+               message);
     return follower_step {std::move(state), std::move(actions)};
 }
 
--- a/lycheeshunt/dissemination/follower_decision.h
+++ b/lycheeshunt/dissemination/follower_decision.h
@@ -1,5 +1,5 @@
-// Decides how a node takes views: deltas onto what it holds, snapshots where that is too old or has
-// another digest. It never goes back to an older generation.
+// Decides how a node follows control's view: it applies deltas to its view, or replaces the view by
+// a snapshot if it is too old or its digest differs. It never goes back to an older generation.
 //
 //     step<follower_state, follower_action> next = decide(std::move(state), message, now);
 
--- a/lycheeshunt/dissemination/follower_state.h
+++ b/lycheeshunt/dissemination/follower_state.h
@@ -10,34 +10,35 @@
 
 namespace lycheeshunt::dissemination {
 
-// What one node holds and what it waits for.
+// The view of one node, and its outstanding request.
 struct follower_state
 {
     std::shared_ptr<const membership::member> self;
     std::optional<streams::connection_id> connection;
-    // Null until a whole view has come.
-    shared_view held;
+    // Null until a complete view has been received.
+    shared_view view;
     view_digest digest;
-    // The view held is not control's: a snapshot must replace it.
+    // The view differs from control's and must be replaced by a snapshot.
     bool needsRepair = false;
     std::optional<snapshot_assembly> assembly;
-    // Control's generation when the node first heard from it: no work before it is reached.
+    // Control's generation at the first message from it. The node takes no work before it gets
+    // there.
     base::generation required;
     bool isReady = false;
-    bool awaitsAnswer = false;
-    base::clock_time askedAt;
+    bool awaitsReply = false;
+    base::clock_time requestedAt;
     base::clock_time announcedAt;
-    // Whether the node says that it is a member.
+    // Whether the node announces itself as a member.
     bool isAnnounced = true;
-    // It was a member in this incarnation and is none any more.
+    // This incarnation was a member and has left.
     bool hasLeft = false;
 
-    base::generation heldAt() const { return held ? held->at : base::generation(); }
+    base::generation viewGeneration() const { return view ? view->at : base::generation(); }
     view_scope scope() const;
 
     bool operator==(const follower_state &) const = default;
 };
 
-follower_state followerOf(const membership::member &self);
+follower_state makeFollowerState(const membership::member &self);
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/follower_test.cpp
+++ b/lycheeshunt/dissemination/follower_test.cpp
@@ -1,4 +1,5 @@
-// The follower's thread against a stream server: what control hears of a node's start and stop.
+// The follower against a stream server: the messages that control receives when a node starts and
+// stops.
 
 #include "lycheeshunt/dissemination/follower.h"
 
@@ -26,9 +27,9 @@
                                base::endpoint {0x7f000001, 9}};
 }
 
-// The next message of the wanted kind on the membership channel.
-template <typename wanted>
-wanted await(base::ring<streams::stream_event> &events)
+// Returns the next message of this type on the membership channel.
+template <typename message_type>
+message_type await(base::ring<streams::stream_event> &events)
 {
     while (true) {
         const std::optional<streams::stream_event> event = events.pop();
@@ -37,7 +38,7 @@
             continue;
         const base::result<membership::member_frame> message
             = membership::decodeFrame(frame->bytes);
-        if (const wanted *found = std::get_if<wanted>(&base::valueOf(message)))
+        if (const message_type *found = std::get_if<message_type>(&base::valueOf(message)))
             return *found;
     }
 }
@@ -46,50 +47,50 @@
 
 TEST_GROUP(follower) {};
 
-// A node that holds nothing any more leaves while it runs, and says so until control has heard, so
-// that nobody waits for its answers.
-TEST(follower, aNodeThatIsNoMemberAnyMoreLeavesUntilControlHasHeard)
+// A running node that is no longer a member repeats member_left until control's view omits it, so
+// that no other node waits for its replies.
+TEST(follower, aNodeThatHasLeftRepeatsItUntilControlsViewOmitsIt)
 {
     const membership::member self = entryNode();
     const base::clock_time start = base::clock_time::ofSeconds(10);
-    dissemination::follower_state state = dissemination::followerOf(self);
+    dissemination::follower_state state = dissemination::makeFollowerState(self);
     std::size_t leaves = 0;
-    const auto give = [&](const dissemination::follower_message &message, base::clock_time now) {
+    const auto handle = [&](const dissemination::follower_message &message, base::clock_time now) {
         base::step<dissemination::follower_state, dissemination::follower_action> next
             = dissemination::decide(std::move(state), message, now);
         state = std::move(next.state);
         for (const dissemination::follower_action &action : next.actions)
             leaves += std::holds_alternative<dissemination::leave_group>(action) ? 1 : 0;
     };
-    const auto hold = [&](bool isMember) {
+    const auto setView = [&](bool isMember) {
         std::map<base::node_id, membership::member> members;
         if (isMember)
             members.emplace(self.id(), self);
-        state.held = std::make_shared<const dissemination::cluster_view>(
+        state.view = std::make_shared<const dissemination::cluster_view>(
             dissemination::cluster_view {base::generation(1), {}, members});
     };
-    hold(true);
-    give(dissemination::link_opened {streams::connection_id(1)}, start);
+    setView(true);
+    handle(dissemination::link_opened {streams::connection_id(1)}, start);
     LONGS_EQUAL(0, leaves);
-    give(dissemination::self_changed {self, false}, start);
+    handle(dissemination::self_changed {self, false}, start);
     LONGS_EQUAL(1, leaves);
-    give(dissemination::follower_tick {}, start + base::clock_time::ofSeconds(2));
+    handle(dissemination::follower_tick {}, start + base::clock_time::ofSeconds(2));
     LONGS_EQUAL(2, leaves);
-    hold(false);
-    give(dissemination::follower_tick {}, start + base::clock_time::ofSeconds(4));
+    setView(false);
+    handle(dissemination::follower_tick {}, start + base::clock_time::ofSeconds(4));
     LONGS_EQUAL(2, leaves);
 }
 
-// An agent that starts beside a server that serves has not been announced yet; its record is that
-// of its last incarnation.
-TEST(follower, aNodeThatHasNotBeenAnnouncedYetDoesNotLeave)
+// An agent that restarts next to a serving backend server is not announced yet. The member in the
+// view is its previous incarnation, which it must not remove.
+TEST(follower, aNodeThatWasNotAnnouncedDoesNotLeave)
 {
     const membership::member self = entryNode();
-    dissemination::follower_state state = dissemination::followerOf(self);
+    dissemination::follower_state state = dissemination::makeFollowerState(self);
     state.isAnnounced = false;
     std::map<base::node_id, membership::member> members;
     members.emplace(self.id(), self);
-    state.held = std::make_shared<const dissemination::cluster_view>(
+    state.view = std::make_shared<const dissemination::cluster_view>(
         dissemination::cluster_view {base::generation(1), {}, members});
     const base::clock_time now = base::clock_time::ofSeconds(10);
     const base::step<dissemination::follower_state, dissemination::follower_action> next
@@ -99,7 +100,7 @@
         CHECK_FALSE(std::holds_alternative<dissemination::leave_group>(action));
 }
 
-TEST(follower, announcesItselfAndSaysWhenItLeaves)
+TEST(follower, announcesItselfAndNotifiesControlWhenItLeaves)
 {
     base::ring<streams::stream_event> events(eventCapacity);
     const std::unique_ptr<streams::stream_server> server
--- a/lycheeshunt/dissemination/follower_tick.h
+++ b/lycheeshunt/dissemination/follower_tick.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// Time has passed: announce, and ask again for what has not come.
+// Periodic timer: announces the node and retries unanswered requests.
 struct follower_tick
 {
     bool operator==(const follower_tick &) const = default;
--- a/lycheeshunt/dissemination/history_entry.h
+++ b/lycheeshunt/dissemination/history_entry.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// The change that led to one generation.
+// The change that created one generation.
 struct history_entry
 {
     const base::generation at;
--- a/lycheeshunt/dissemination/in_force_answer.h
+++ b/lycheeshunt/dissemination/in_force_answer.h
@@ -8,11 +8,11 @@
 
 namespace lycheeshunt::dissemination {
 
-// Names in each list of an answer, at the most; the counts are always whole.
-constexpr std::size_t forceAnswerNames = 100;
+// Maximum number of names in each list of an answer. The counts are always complete.
+constexpr std::size_t maxInForceAnswerNames = 100;
 
-// The members that have not acknowledged the generation: those whose stream is up, and those that
-// can't be reached, or of which only an earlier incarnation has spoken.
+// The members that have not acknowledged the generation: `behind` have a stream to control;
+// `unreachable` have none, or only one of an earlier incarnation.
 struct in_force_answer
 {
     const base::request_id request;
--- a/lycheeshunt/dissemination/in_force_query.h
+++ b/lycheeshunt/dissemination/in_force_query.h
@@ -6,7 +6,8 @@
 
 namespace lycheeshunt::dissemination {
 
-// An operator asks which nodes have not reached a generation, and may wait until all have.
+// An operator queries which nodes have not reached a generation. The answer may be delayed by up to
+// `wait` until all have.
 struct in_force_query
 {
     const base::request_id request;
--- a/lycheeshunt/dissemination/internal/force_report.cpp
+++ b/lycheeshunt/dissemination/internal/in_force_report.cpp
@@ -1,4 +1,4 @@
-#include "lycheeshunt/dissemination/internal/force_report.h"
+#include "lycheeshunt/dissemination/internal/in_force_report.h"
 
 #include "lycheeshunt/dissemination/publisher_state.h"
 
@@ -6,17 +6,18 @@
 
 namespace {
 
-// The furthest acknowledgement of each node whose present incarnation has a stream.
+// The latest generation acknowledged by each node whose current incarnation has a stream.
 std::map<base::node_id, base::generation> reachedGenerations(const publisher_state &state)
 {
     std::map<base::node_id, base::generation> reached;
     for (auto it = state.subscribers.begin(); it != state.subscribers.end(); ++it) {
-        const subscriber &known = it->second;
-        const auto member = state.view->members.find(known.node);
-        if (member == state.view->members.end() || member->second.incarnation != known.incarnation)
+        const subscriber &receiver = it->second;
+        const auto member = state.view->members.find(receiver.node);
+        if (member == state.view->members.end()
+            || member->second.incarnation != receiver.incarnation)
             continue;
-        base::generation &best = reached[known.node];
-        best = std::max(best, known.acknowledged);
+        base::generation &best = reached[receiver.node];
+        best = std::max(best, receiver.acknowledged);
     }
     return reached;
 }
@@ -24,13 +25,13 @@
 void addName(std::vector<std::string> &names, std::size_t &count, const std::string &name)
 {
     ++count;
-    if (names.size() < forceAnswerNames)
+    if (names.size() < maxInForceAnswerNames)
         names.push_back(name);
 }
 
 } // namespace
 
-in_force_answer reportOn(const publisher_state &state, const in_force_query &query)
+in_force_answer answerTo(const publisher_state &state, const in_force_query &query)
 {
     const std::map<base::node_id, base::generation> reached = reachedGenerations(state);
     std::vector<std::string> behind;
--- a/lycheeshunt/dissemination/internal/force_report.h
+++ b/lycheeshunt/dissemination/internal/in_force_report.h
@@ -1,4 +1,4 @@
-// Which members of control's view have not acknowledged a generation.
+// Lists the members of control's view that have not acknowledged a generation.
 
 #pragma once
 
@@ -11,6 +11,6 @@
 
 namespace lycheeshunt::dissemination::internal {
 
-in_force_answer reportOn(const publisher_state &state, const in_force_query &query);
+in_force_answer answerTo(const publisher_state &state, const in_force_query &query);
 
 } // namespace lycheeshunt::dissemination::internal
--- a/lycheeshunt/dissemination/leave_group.h
+++ b/lycheeshunt/dissemination/leave_group.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// Tell control that the node is no member any more.
+// Notify control that the node is no longer a member.
 struct leave_group
 {
     const streams::connection_id connection;
--- a/lycheeshunt/dissemination/link_closed.h
+++ b/lycheeshunt/dissemination/link_closed.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// The node's stream to control is gone.
+// The node's stream to control was closed.
 struct link_closed
 {
     const streams::connection_id connection;
--- a/lycheeshunt/dissemination/link_opened.h
+++ b/lycheeshunt/dissemination/link_opened.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// The node's stream to control is up.
+// The node's stream to control was opened.
 struct link_opened
 {
     const streams::connection_id connection;
--- a/lycheeshunt/dissemination/member_change.h
+++ b/lycheeshunt/dissemination/member_change.h
@@ -6,12 +6,12 @@
 
 namespace lycheeshunt::dissemination {
 
-// What became of one member. The service before the change tells the agents of that service that
-// the member has left them.
+// The new state of one member, or nothing if it was removed. `previousService` selects the agents
+// that must be notified when the member leaves their service.
 struct member_change
 {
-    const std::optional<membership::member> now;
-    const base::service_id serviceBefore;
+    const std::optional<membership::member> member;
+    const base::service_id previousService;
 
     bool operator==(const member_change &) const = default;
 };
--- a/lycheeshunt/dissemination/node_message.h
+++ b/lycheeshunt/dissemination/node_message.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// What a node says to control about views.
+// Messages from a node to control.
 using node_message = std::variant<view_request, acknowledgement>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/node_message_received.h
+++ b/lycheeshunt/dissemination/node_message_received.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// A node's message, and the stream it came by.
+// Control received a message from the node on this stream.
 struct node_message_received
 {
     const streams::connection_id connection;
--- a/lycheeshunt/dissemination/waiting_query.h
+++ b/lycheeshunt/dissemination/pending_query.h
@@ -4,13 +4,13 @@
 
 namespace lycheeshunt::dissemination {
 
-// A question that is answered once the generation is in force, or at the deadline.
-struct waiting_query
+// A query that is answered once the generation is in force, or at the deadline.
+struct pending_query
 {
     const in_force_query query;
     const base::clock_time deadline;
 
-    bool operator==(const waiting_query &) const = default;
+    bool operator==(const pending_query &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/publisher_duty.cpp
+++ b/lycheeshunt/dissemination/publisher_duty.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 constexpr std::size_t inboxCapacity = 4096;
-// Changes that come within one tick reach the nodes as one.
-constexpr base::clock_time tickEvery = base::clock_time::ofMillis(50);
+// Changes within one interval are sent to the nodes as one delta.
+constexpr base::clock_time tickInterval = base::clock_time::ofMillis(50);
 } // namespace
 
 publisher_duty::publisher_duty(action_sink sink)
-    : m_sink(std::move(sink)), m_duty(inboxCapacity, tickEvery, publisher_tick {},
+    : m_sink(std::move(sink)), m_duty(inboxCapacity, tickInterval, publisher_tick {},
                                       [this](const dissemination_message &message,
                                              base::clock_time now) { handle(message, now); })
 {
--- a/lycheeshunt/dissemination/publisher_state.h
+++ b/lycheeshunt/dissemination/publisher_state.h
@@ -2,10 +2,10 @@
 
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/dissemination/history_entry.h"
+#include "lycheeshunt/dissemination/pending_query.h"
 #include "lycheeshunt/dissemination/scope_digests.h"
 #include "lycheeshunt/dissemination/snapshot_base.h"
 #include "lycheeshunt/dissemination/subscriber.h"
-#include "lycheeshunt/dissemination/waiting_query.h"
 #include "lycheeshunt/streams/connection_id.h"
 
 #include <deque>
@@ -15,21 +15,21 @@
 
 namespace lycheeshunt::dissemination {
 
-// The newest view, the changes that led to it, and how far each node has come.
+// The newest view, the history of changes, and the generation that each node has.
 struct publisher_state
 {
     shared_view view = std::make_shared<const cluster_view>(cluster_view {});
     scope_digests digests;
     std::deque<history_entry> history;
     std::size_t historyObjects = 0;
-    std::shared_ptr<const snapshot_base> base;
+    std::shared_ptr<const snapshot_base> snapshotBase;
     std::map<streams::connection_id, subscriber> subscribers;
-    std::vector<waiting_query> waiting;
-    // Of the desired state in the view; 0 before the first.
+    std::vector<pending_query> pendingQueries;
+    // Version of the desired state in the view; 0 before the first.
     std::uint64_t stateVersion = 0;
 
-    // Whether the changes after this generation are all known.
-    bool reachesBackTo(base::generation from) const;
+    // Whether the history has all changes after this generation.
+    bool historyCovers(base::generation from) const;
 
     bool operator==(const publisher_state &) const = default;
 };
--- a/lycheeshunt/dissemination/publisher_tick.h
+++ b/lycheeshunt/dissemination/publisher_tick.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// Time has passed: send what is due, answer whoever has waited long enough.
+// Periodic timer: sends due updates and answers expired queries.
 struct publisher_tick
 {
     bool operator==(const publisher_tick &) const = default;
--- a/lycheeshunt/dissemination/report_incarnation.h
+++ b/lycheeshunt/dissemination/report_incarnation.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// The node had to take a later incarnation: the view knew one that was ahead of its clock.
+// The node has taken a later incarnation, as the view contained one that was ahead of its clock.
 struct report_incarnation
 {
     const base::incarnation incarnation;
--- a/lycheeshunt/dissemination/report_mismatch.h
+++ b/lycheeshunt/dissemination/report_mismatch.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// What this generation led to has not the digest that control names.
+// The view at this generation does not have the digest that control sent.
 struct report_mismatch
 {
     const base::generation at;
--- a/lycheeshunt/dissemination/scope_digests.cpp
+++ b/lycheeshunt/dissemination/scope_digests.cpp
@@ -7,15 +7,15 @@
 
 view_digest scope_digests::of(const view_scope &scope) const
 {
-    if (scope.isWhole())
-        return view_digest(m_whole);
+    if (scope.isComplete())
+        return view_digest(m_all);
     const auto found = m_services.find(scope.service);
     return view_digest(m_draining + (found == m_services.end() ? 0 : found->second));
 }
 
 void scope_digests::apply(const cluster_view &view, const view_change &change)
 {
-    m_whole = digestAfter(view_digest(m_whole), view, change).value();
+    m_all = digestAfter(view_digest(m_all), view, change).value();
     const view_change drains {{}, {}, change.draining};
     m_draining = digestAfter(view_digest(m_draining), view, drains).value();
     for (auto it = change.services.begin(); it != change.services.end(); ++it) {
@@ -29,8 +29,8 @@
         const auto old = view.members.find(it->first);
         if (old != view.members.end())
             add(old->second.service, 0 - digestPart(old->second));
-        if (it->second.now)
-            add(it->second.now->service, digestPart(*it->second.now));
+        if (it->second.member)
+            add(it->second.member->service, digestPart(*it->second.member));
     }
 }
 
--- a/lycheeshunt/dissemination/scope_digests.h
+++ b/lycheeshunt/dissemination/scope_digests.h
@@ -1,4 +1,4 @@
-// The digests of every scope of control's newest view, kept by the changes alone.
+// The digests of every scope of control's newest view, updated incrementally with each change.
 //
 //     digests.apply(view, change);
 //     const view_digest expected = digests.of(scope);
@@ -20,7 +20,7 @@
 public:
     view_digest of(const view_scope &scope) const;
 
-    // Takes in a change to the view, which is as it was before.
+    // Adds a change to the digests. `view` is the view before the change.
     void apply(const cluster_view &view, const view_change &change);
 
     bool operator==(const scope_digests &) const = default;
@@ -28,7 +28,7 @@
 private:
     void add(base::service_id service, std::uint64_t part);
 
-    std::uint64_t m_whole = 0;
+    std::uint64_t m_all = 0;
     std::uint64_t m_draining = 0;
     std::map<base::service_id, std::uint64_t> m_services;
 };
--- a/lycheeshunt/dissemination/self_changed.h
+++ b/lycheeshunt/dissemination/self_changed.h
@@ -4,8 +4,8 @@
 
 namespace lycheeshunt::dissemination {
 
-// What the node says of itself has changed. Unless `isAnnounced`, the node follows views without
-// being a member; where it was one, it leaves.
+// The node's own member record has changed. Unless `isAnnounced`, the node receives views without
+// being a member; if it was a member, it leaves.
 struct self_changed
 {
     const membership::member self;
--- a/lycheeshunt/dissemination/sent_delta.h
+++ b/lycheeshunt/dissemination/sent_delta.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// A delta that awaits its acknowledgement.
+// A delta in flight that has not been acknowledged yet.
 struct sent_delta
 {
     const base::generation to;
--- a/lycheeshunt/dissemination/snapshot.cpp
+++ b/lycheeshunt/dissemination/snapshot.cpp
@@ -29,36 +29,36 @@
     }
 };
 
-std::optional<snapshot_cursor> takeServices(const cluster_view &view, const view_scope &scope,
-                                            std::uint64_t after, collector &taken)
+std::optional<snapshot_cursor> collectServices(const cluster_view &view, const view_scope &scope,
+                                               std::uint64_t after, collector &collected)
 {
-    const base::service_id first = scope.isWhole() ? base::service_id(after) : scope.service;
-    auto it = scope.isWhole() ? view.services.upper_bound(first) : view.services.find(first);
+    const base::service_id first = scope.isComplete() ? base::service_id(after) : scope.service;
+    auto it = scope.isComplete() ? view.services.upper_bound(first) : view.services.find(first);
     for (; it != view.services.end() && scope.covers(it->first); ++it) {
-        if (taken.isFull())
+        if (collected.isFull())
             return snapshot_cursor {snapshot_section::services,
-                                    taken.services.rbegin()->first.value()};
-        taken.services.emplace(it->first, it->second);
+                                    collected.services.rbegin()->first.value()};
+        collected.services.emplace(it->first, it->second);
     }
     return std::nullopt;
 }
 
-std::optional<snapshot_cursor> takeMembers(const cluster_view &view, const view_scope &scope,
-                                           std::uint64_t after, collector &taken)
+std::optional<snapshot_cursor> collectMembers(const cluster_view &view, const view_scope &scope,
+                                              std::uint64_t after, collector &collected)
 {
     std::uint64_t last = after;
     for (auto it = view.members.upper_bound(base::node_id(after)); it != view.members.end(); ++it) {
         if (!scope.covers(it->second.service))
             continue;
-        if (taken.isFull())
+        if (collected.isFull())
             return snapshot_cursor {snapshot_section::members, last};
-        taken.members.emplace(it->first, member_change {it->second, base::service_id()});
+        collected.members.emplace(it->first, member_change {it->second, base::service_id()});
         last = it->first.value();
     }
     return std::nullopt;
 }
 
-// An address as one number, in the order of addresses.
+// Encodes an address as a number that sorts like the address.
 std::uint64_t keyOf(const tickets::service_address &address)
 {
     constexpr int portBits = 16;
@@ -67,31 +67,31 @@
         | (std::uint64_t(address.where.port) << protocolBits) | address.protocol;
 }
 
-std::optional<snapshot_cursor> takeRoutes(const cluster_view &view, const view_scope &scope,
-                                          std::uint64_t after, collector &taken)
+std::optional<snapshot_cursor> collectRoutes(const cluster_view &view, const view_scope &scope,
+                                             std::uint64_t after, collector &collected)
 {
-    if (!scope.isWhole())
+    if (!scope.isComplete())
         return std::nullopt;
     std::uint64_t last = after;
     for (auto it = view.routes.begin(); it != view.routes.end(); ++it) {
         if (keyOf(it->first) <= after)
             continue;
-        if (taken.isFull())
+        if (collected.isFull())
             return snapshot_cursor {snapshot_section::routes, last};
-        taken.routes.emplace(it->first, it->second);
+        collected.routes.emplace(it->first, it->second);
         last = keyOf(it->first);
     }
     return std::nullopt;
 }
 
-std::optional<snapshot_cursor> takeDraining(const cluster_view &view, const std::string &after,
-                                            collector &taken)
+std::optional<snapshot_cursor> collectDraining(const cluster_view &view, const std::string &after,
+                                               collector &collected)
 {
     std::string last = after;
     for (auto it = view.draining.upper_bound(after); it != view.draining.end(); ++it) {
-        if (taken.isFull())
+        if (collected.isFull())
             return snapshot_cursor {snapshot_section::draining, 0, last};
-        taken.draining.emplace(*it, true);
+        collected.draining.emplace(*it, true);
         last = *it;
     }
     return std::nullopt;
@@ -102,30 +102,30 @@
 snapshot_part partAfter(const cluster_view &view, const view_scope &scope,
                         const snapshot_cursor &cursor)
 {
-    collector taken;
+    collector collected;
     std::optional<snapshot_cursor> stopped;
     if (cursor.section == snapshot_section::services)
-        stopped.emplace(takeServices(view, scope, cursor.key, taken)
+        stopped.emplace(collectServices(view, scope, cursor.key, collected)
                             .value_or(snapshot_cursor {snapshot_section::members}));
     if (stopped && stopped->section == snapshot_section::services)
-        return taken.upTo(*stopped);
+        return collected.upTo(*stopped);
     const bool isInMembers = cursor.section == snapshot_section::members;
     if (stopped || isInMembers) {
         const std::optional<snapshot_cursor> full
-            = takeMembers(view, scope, isInMembers ? cursor.key : 0, taken);
+            = collectMembers(view, scope, isInMembers ? cursor.key : 0, collected);
         if (full)
-            return taken.upTo(*full);
+            return collected.upTo(*full);
     }
     const bool isInRoutes = cursor.section == snapshot_section::routes;
     if (!isInRoutes) {
-        const std::optional<snapshot_cursor> full = takeDraining(
-            view, cursor.section == snapshot_section::draining ? cursor.name : "", taken);
+        const std::optional<snapshot_cursor> full = collectDraining(
+            view, cursor.section == snapshot_section::draining ? cursor.name : "", collected);
         if (full)
-            return taken.upTo(*full);
+            return collected.upTo(*full);
     }
     const std::optional<snapshot_cursor> full
-        = takeRoutes(view, scope, isInRoutes ? cursor.key : 0, taken);
-    return taken.upTo(full.value_or(snapshot_cursor {snapshot_section::end}));
+        = collectRoutes(view, scope, isInRoutes ? cursor.key : 0, collected);
+    return collected.upTo(full.value_or(snapshot_cursor {snapshot_section::end}));
 }
 
 cluster_view restrictedTo(const cluster_view &view, const view_scope &scope)
@@ -141,7 +141,7 @@
             members.insert(*it);
     }
     std::map<tickets::service_address, tickets::address_route> routes;
-    if (scope.isWhole())
+    if (scope.isComplete())
         routes = view.routes;
     return cluster_view {view.at, std::move(services), std::move(members), view.draining,
                          std::move(routes)};
--- a/lycheeshunt/dissemination/snapshot.h
+++ b/lycheeshunt/dissemination/snapshot.h
@@ -1,5 +1,5 @@
-// Cuts a view into bounded pieces. A piece depends on nothing but the view, the scope and where it
-// starts, so control keeps nothing for a node between two pieces.
+// Splits a view into bounded pieces. A piece depends only on the view, the scope and its start, so
+// control keeps no state for a node between two pieces.
 //
 //     const snapshot_part first = partAfter(view, scope, snapshot_cursor {});
 //     const snapshot_part second = partAfter(view, scope, first.next);
@@ -21,14 +21,14 @@
     bool operator==(const snapshot_part &) const = default;
 };
 
-// Objects of one piece, at the most: some 20 KB of members.
+// Maximum number of objects in one piece: about 20 KB of members.
 constexpr std::size_t snapshotPieceObjects = 256;
 
-// The scope's objects after the cursor, in a fixed order.
+// Returns the objects of the scope after the cursor, in a fixed order.
 snapshot_part partAfter(const cluster_view &view, const view_scope &scope,
                         const snapshot_cursor &cursor);
 
-// The scope's part of a view.
+// Returns the part of the view that belongs to the scope.
 cluster_view restrictedTo(const cluster_view &view, const view_scope &scope);
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/snapshot_assembly.h
+++ b/lycheeshunt/dissemination/snapshot_assembly.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// The pieces of a snapshot that have come so far.
+// The pieces of a snapshot that have been received so far.
 struct snapshot_assembly
 {
     base::generation at;
--- a/lycheeshunt/dissemination/snapshot_base.h
+++ b/lycheeshunt/dissemination/snapshot_base.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::dissemination {
 
-// The view that snapshots are cut from. It stays the same while the history reaches back to it, so
-// that nodes which start together share it and none starts afresh at each change.
+// The view that snapshots are taken from. It is kept while the history covers it, so that nodes
+// which start together share it and changes do not restart their snapshots.
 struct snapshot_base
 {
     const shared_view view;
--- a/lycheeshunt/dissemination/snapshot_cursor.h
+++ b/lycheeshunt/dissemination/snapshot_cursor.h
@@ -15,13 +15,13 @@
     routes = 5, // after draining
 };
 
-// A place in the fixed order of a view's objects: what comes after this key of this section.
+// A position in the fixed order of a view's objects: after this key of this section.
 struct snapshot_cursor
 {
     const snapshot_section section = snapshot_section::services;
-    // Of the last service, member or route before the place; zero at a section's start.
+    // Key of the last service, member or route before the position; zero at the start of a section.
     const std::uint64_t key = 0;
-    // The last draining name before the place.
+    // The last draining name before the position.
     const std::string name = {};
 
     bool isEnd() const { return section == snapshot_section::end; }
--- a/lycheeshunt/dissemination/snapshot_piece.h
+++ b/lycheeshunt/dissemination/snapshot_piece.h
@@ -6,12 +6,12 @@
 
 namespace lycheeshunt::dissemination {
 
-// A bounded part of a node's view at one generation.
+// A bounded part of a snapshot of a node's view at one generation.
 struct snapshot_piece
 {
     const base::generation at;
     const base::generation newest;
-    // Of the whole snapshot.
+    // Digest of the complete snapshot.
     const view_digest digest;
     const snapshot_cursor start;
     const snapshot_cursor next;
--- a/lycheeshunt/dissemination/state_applied.h
+++ b/lycheeshunt/dissemination/state_applied.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// A desired state comes into force at this generation.
+// A committed desired state created this generation.
 struct state_applied
 {
     const base::generation at;
--- a/lycheeshunt/dissemination/subscriber.h
+++ b/lycheeshunt/dissemination/subscriber.h
@@ -7,16 +7,18 @@
 
 namespace lycheeshunt::dissemination {
 
-// The node on one stream, and how far it has come.
+// The node on one stream, and the generation that it has.
 struct subscriber
 {
     const base::node_id node = {};
     const base::incarnation incarnation = {};
     const view_scope scope = {};
-    // Zero while the node has no view or is given a snapshot.
-    const base::generation held = {};
+    // Generation that the next delta starts from. Zero while the node has no view or receives a
+    // snapshot.
+    const base::generation current = {};
     const base::generation acknowledged = {};
-    // To generation zero: the first piece of a snapshot that the node did not ask for.
+    // A delta to generation zero stands for the first piece of a snapshot that the node has not
+    // requested.
     const std::optional<sent_delta> sent = {};
 
     bool operator==(const subscriber &) const = default;
--- a/lycheeshunt/dissemination/subscriber_closed.h
+++ b/lycheeshunt/dissemination/subscriber_closed.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// A node's stream is gone.
+// The stream of a node was closed.
 struct subscriber_closed
 {
     const streams::connection_id connection;
--- a/lycheeshunt/dissemination/subscriber_opened.h
+++ b/lycheeshunt/dissemination/subscriber_opened.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// A node's stream is up.
+// The stream of a node was opened.
 struct subscriber_opened
 {
     const streams::connection_id connection;
--- a/lycheeshunt/dissemination/ticket_applied.h
+++ b/lycheeshunt/dissemination/ticket_applied.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::dissemination {
 
-// A committed ticket leads to this generation.
+// A committed ticket created this generation.
 struct ticket_applied
 {
     const base::generation at;
--- a/lycheeshunt/dissemination/use_servers.h
+++ b/lycheeshunt/dissemination/use_servers.h
@@ -6,12 +6,12 @@
 
 namespace lycheeshunt::dissemination {
 
-// Look for control at these addresses when the present stream ends.
+// Connect to control at these addresses when the current stream closes.
 struct use_servers
 {
     const std::vector<base::endpoint> servers = {};
-    // The first of them leads. Else the search goes on where it was: VMs that are cut off together
-    // would send the node to each other for ever.
+    // The first address is the leader. Otherwise the search continues at its current position, as
+    // control VMs in one network partition would redirect the node to each other forever.
     const bool isLeaderFirst = false;
 
     bool operator==(const use_servers &) const = default;
--- a/lycheeshunt/dissemination/view_change.cpp
+++ b/lycheeshunt/dissemination/view_change.cpp
@@ -20,7 +20,7 @@
     map.emplace(key, value);
 }
 
-base::service_id serviceBefore(const cluster_view &view, base::node_id id)
+base::service_id previousService(const cluster_view &view, base::node_id id)
 {
     const auto found = view.members.find(id);
     return found == view.members.end() ? base::service_id() : found->second.service;
@@ -30,7 +30,7 @@
 
 view_change view_change::within(const view_scope &scope) const
 {
-    if (scope.isWhole())
+    if (scope.isComplete())
         return *this;
     service_changes ownServices;
     const auto service = services.find(scope.service);
@@ -39,10 +39,10 @@
     member_changes ownMembers;
     for (auto it = members.begin(); it != members.end(); ++it) {
         const member_change &change = it->second;
-        if (change.now && change.now->service == scope.service)
+        if (change.member && change.member->service == scope.service)
             ownMembers.insert(*it);
-        else if (change.serviceBefore == scope.service)
-            ownMembers.emplace(it->first, member_change {std::nullopt, change.serviceBefore});
+        else if (change.previousService == scope.service)
+            ownMembers.emplace(it->first, member_change {std::nullopt, change.previousService});
     }
     return view_change {std::move(ownServices), std::move(ownMembers), draining};
 }
@@ -58,8 +58,8 @@
     std::map<base::node_id, membership::member> nextMembers = view.members;
     for (auto it = members.begin(); it != members.end(); ++it) {
         nextMembers.erase(it->first);
-        if (it->second.now)
-            nextMembers.emplace(it->first, *it->second.now);
+        if (it->second.member)
+            nextMembers.emplace(it->first, *it->second.member);
     }
     std::set<std::string> nextDraining = view.draining;
     for (auto it = draining.begin(); it != draining.end(); ++it) {
@@ -92,9 +92,9 @@
         for (auto it = change->members.begin(); it != change->members.end(); ++it) {
             const auto earlier = members.find(it->first);
             const base::service_id before = earlier == members.end()
-                ? it->second.serviceBefore
-                : earlier->second.serviceBefore;
-            replace(members, it->first, member_change {it->second.now, before});
+                ? it->second.previousService
+                : earlier->second.previousService;
+            replace(members, it->first, member_change {it->second.member, before});
         }
         for (auto it = change->draining.begin(); it != change->draining.end(); ++it)
             draining[it->first] = it->second;
@@ -129,18 +129,18 @@
     for (auto it = view.services.begin(); it != view.services.end(); ++it)
         services.emplace(it->first, std::nullopt);
     for (const tickets::service_definition &service : state.services) {
-        const auto held = view.services.find(service.id());
+        const auto current = view.services.find(service.id());
         services.erase(service.id());
-        if (held == view.services.end() || held->second != service)
+        if (current == view.services.end() || current->second != service)
             services.emplace(service.id(), service);
     }
     route_changes routes;
     for (auto it = view.routes.begin(); it != view.routes.end(); ++it)
         routes.emplace(it->first, std::nullopt);
     for (const tickets::address_route &route : state.routes) {
-        const auto held = view.routes.find(route.address);
+        const auto current = view.routes.find(route.address);
         routes.erase(route.address);
-        if (held == view.routes.end() || held->second != route)
+        if (current == view.routes.end() || current->second != route)
             routes.emplace(route.address, route);
     }
     return view_change {std::move(services), {}, {}, std::move(routes)};
@@ -149,10 +149,10 @@
 view_change changeOf(const cluster_view &view, const membership::membership_batch &batch)
 {
     member_changes members;
-    for (const membership::member &member : batch.present)
-        replace(members, member.id(), member_change {member, serviceBefore(view, member.id())});
-    for (const base::node_id &id : batch.gone)
-        replace(members, id, member_change {std::nullopt, serviceBefore(view, id)});
+    for (const membership::member &member : batch.updated)
+        replace(members, member.id(), member_change {member, previousService(view, member.id())});
+    for (const base::node_id &id : batch.removed)
+        replace(members, id, member_change {std::nullopt, previousService(view, id)});
     return view_change {{}, std::move(members), {}};
 }
 
--- a/lycheeshunt/dissemination/view_change.h
+++ b/lycheeshunt/dissemination/view_change.h
@@ -1,5 +1,5 @@
-// What is different between two generations. It names the state that each touched object has
-// afterwards, so applying it twice, or over part of itself, gives the same view.
+// The difference between two generations. It contains the new state of each changed object, so that
+// applying it is idempotent, also to a view that already has some of its changes.
 //
 //     const view_change change = changeOf(ticket);
 //     const cluster_view next = change.appliedTo(view, generation);
@@ -34,12 +34,12 @@
 
 struct view_change
 {
-    // Without a definition: the service is removed.
+    // No definition: the service is removed.
     const std::map<base::service_id, std::optional<tickets::service_definition>> services = {};
     const std::map<base::node_id, member_change> members = {};
-    // Every node gets these: a drain may come before its member.
+    // Sent to every node, as a drain may precede the member that it names.
     const std::map<std::string, bool> draining = {};
-    // Without a route: the address is no longer served. Only nodes with a whole view get these.
+    // No route: the address is no longer served. Sent only to nodes with a complete view.
     const std::map<tickets::service_address, std::optional<tickets::address_route>> routes = {};
 
     std::size_t size() const
@@ -53,11 +53,11 @@
     bool operator==(const view_change &) const = default;
 };
 
-// The changes one after another, as one.
+// Combines consecutive changes into one.
 view_change merged(const std::vector<const view_change *> &changes);
 
 view_change changeOf(const tickets::ticket &ticket);
-// A desired state replaces all services and routes of the view.
+// The desired state replaces all services and routes of the view.
 view_change changeOf(const cluster_view &view, const states::desired_state &state);
 view_change changeOf(const cluster_view &view, const membership::membership_batch &batch);
 
--- a/lycheeshunt/dissemination/view_delta.h
+++ b/lycheeshunt/dissemination/view_delta.h
@@ -5,14 +5,14 @@
 
 namespace lycheeshunt::dissemination {
 
-// Leads a node from one generation to another, as far as its scope goes.
+// The change of a node's view from one generation to another, within the node's scope.
 struct view_delta
 {
     const base::generation from;
     const base::generation to;
-    // Control's own generation: a node that starts takes no work before it has come this far.
+    // Control's generation. A starting node takes no work before it has reached it.
     const base::generation newest;
-    // Of the node's part of the view at `to`.
+    // Digest of the node's part of the view at `to`.
     const view_digest digest;
     const view_change change;
 
--- a/lycheeshunt/dissemination/view_digest.cpp
+++ b/lycheeshunt/dissemination/view_digest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Distinct seeds keep objects of different kinds apart.
+// Distinct seeds, so that objects of different kinds with equal bytes have different hashes.
 enum part_seed : std::uint64_t {
     serviceSeed = 11,
     memberSeed = 12,
@@ -60,9 +60,9 @@
     return view_digest(sum);
 }
 
-view_digest digestAfter(view_digest held, const cluster_view &view, const view_change &change)
+view_digest digestAfter(view_digest current, const cluster_view &view, const view_change &change)
 {
-    std::uint64_t sum = held.value();
+    std::uint64_t sum = current.value();
     for (auto it = change.services.begin(); it != change.services.end(); ++it) {
         const auto old = view.services.find(it->first);
         sum -= old == view.services.end() ? 0 : digestPart(old->second);
@@ -71,7 +71,7 @@
     for (auto it = change.members.begin(); it != change.members.end(); ++it) {
         const auto old = view.members.find(it->first);
         sum -= old == view.members.end() ? 0 : digestPart(old->second);
-        sum += it->second.now ? digestPart(*it->second.now) : 0;
+        sum += it->second.member ? digestPart(*it->second.member) : 0;
     }
     for (auto it = change.draining.begin(); it != change.draining.end(); ++it) {
         const bool was = view.draining.count(it->first) > 0;
--- a/lycheeshunt/dissemination/view_digest.h
+++ b/lycheeshunt/dissemination/view_digest.h
@@ -1,7 +1,7 @@
-// A digest of what a view holds: the sum of a hash of each object, so that a change costs as much
-// as what it touches. It finds faults and other histories; it is no defence against forgery.
+// A digest of a view: the sum of the hashes of its objects, so that an update costs only as much as
+// the objects it changes. It detects faults and diverged histories, not forgery.
 //
-//     const view_digest next = digestAfter(held, view, change);
+//     const view_digest next = digestAfter(current, view, change);
 
 #pragma once
 
@@ -27,13 +27,13 @@
 
 using view_digest = base::strong_number<struct view_digest_tag, std::uint64_t>;
 
-// Over all objects of the view.
+// Computes the digest over all objects of the view.
 view_digest digestOf(const cluster_view &view);
 
-// What the digest becomes when the change is applied to the view.
-view_digest digestAfter(view_digest held, const cluster_view &view, const view_change &change);
+// Returns the digest after the change is applied to the view.
+view_digest digestAfter(view_digest current, const cluster_view &view, const view_change &change);
 
-// The part that one object adds to a digest.
+// The summand of one object in a digest.
 std::uint64_t digestPart(const tickets::service_definition &service);
 std::uint64_t digestPart(const membership::member &member);
 std::uint64_t digestPart(std::string_view drainingName);
--- a/lycheeshunt/dissemination/view_request.h
+++ b/lycheeshunt/dissemination/view_request.h
@@ -6,17 +6,18 @@
 
 namespace lycheeshunt::dissemination {
 
-// A node says who it is, what it needs and what it holds; sent again until it is answered.
+// A node subscribes with its identity, its scope and the generation that it has. Retried until
+// control answers.
 struct view_request
 {
     const base::node_id node;
     const base::incarnation incarnation;
     const view_scope scope = {};
-    // Zero: the node needs a snapshot.
-    const base::generation held = {};
-    // The node will take no view that is older.
+    // Generation of the node's view. Zero if the node needs a snapshot.
+    const base::generation current = {};
+    // The node ignores older views.
     const base::generation atLeast = {};
-    // Of the snapshot that is under way; zero when none is.
+    // Generation of the snapshot in progress; zero if there is none.
     const base::generation snapshotAt = {};
     const snapshot_cursor cursor = {};
 
--- a/lycheeshunt/dissemination/view_scope.h
+++ b/lycheeshunt/dissemination/view_scope.h
@@ -4,14 +4,14 @@
 
 namespace lycheeshunt::dissemination {
 
-// The part of the view that a node needs: an entry the whole, an agent its own service.
+// The part of the view that a node needs: everything for an entry, its own service for an agent.
 struct view_scope
 {
-    // Zero: every service.
+    // Zero stands for all services.
     const base::service_id service;
 
-    bool isWhole() const { return service == base::service_id(); }
-    bool covers(base::service_id other) const { return isWhole() || service == other; }
+    bool isComplete() const { return service == base::service_id(); }
+    bool covers(base::service_id other) const { return isComplete() || service == other; }
 
     bool operator==(const view_scope &) const = default;
 };
--- a/lycheeshunt/membership/batch_committed.h
+++ b/lycheeshunt/membership/batch_committed.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::membership {
 
-// The log has committed membership changes.
+// A batch of membership changes was committed to the log.
 struct batch_committed
 {
     const membership_batch batch;
--- a/lycheeshunt/membership/codec.cpp
+++ b/lycheeshunt/membership/codec.cpp
@@ -90,13 +90,13 @@
 
 std::string encodeBatch(const membership_batch &batch)
 {
-    std::vector<member_fields> present;
-    for (const member &member : batch.present)
-        present.push_back(fieldsOf(member));
-    std::vector<std::uint64_t> gone;
-    for (const base::node_id &id : batch.gone)
-        gone.push_back(id.value());
-    return base::packFields(batch_fields(present, gone));
+    std::vector<member_fields> updated;
+    for (const member &member : batch.updated)
+        updated.push_back(fieldsOf(member));
+    std::vector<std::uint64_t> removed;
+    for (const base::node_id &id : batch.removed)
+        removed.push_back(id.value());
+    return base::packFields(batch_fields(updated, removed));
 }
 
 base::result<membership_batch> decodeBatch(std::string_view bytes)
@@ -104,18 +104,18 @@
     const base::result<batch_fields> fields = base::unpackFields<batch_fields>(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[rawPresent, rawGone] = base::valueOf(fields);
-    std::vector<member> present;
-    for (const member_fields &raw : rawPresent) {
+    const auto &[rawUpdated, rawRemoved] = base::valueOf(fields);
+    std::vector<member> updated;
+    for (const member_fields &raw : rawUpdated) {
         const base::result<member> decoded = memberOf(raw);
         if (const base::error *failure = base::errorOf(decoded))
             return *failure;
-        present.push_back(base::valueOf(decoded));
+        updated.push_back(base::valueOf(decoded));
     }
-    std::vector<base::node_id> gone;
-    for (const std::uint64_t raw : rawGone)
-        gone.emplace_back(raw);
-    return membership_batch {std::move(present), std::move(gone)};
+    std::vector<base::node_id> removed;
+    for (const std::uint64_t raw : rawRemoved)
+        removed.emplace_back(raw);
+    return membership_batch {std::move(updated), std::move(removed)};
 }
 
 } // namespace lycheeshunt::membership
--- a/lycheeshunt/membership/codec.h
+++ b/lycheeshunt/membership/codec.h
@@ -1,4 +1,4 @@
-// MessagePack form of members, for announcements, the log and other nodes.
+// MessagePack encoding of members, used in announcements, in the log and in views.
 
 #pragma once
 
@@ -15,7 +15,7 @@
 
 struct membership_batch;
 
-// What a member sends on its stream to control.
+// A message of a member on the membership channel of its stream to control.
 using member_frame = std::variant<member_announced, member_left>;
 
 std::string encodeMember(const member &member);
@@ -23,7 +23,7 @@
 
 std::string encodeLeave(const member_left &left);
 
-// Takes what encodeMember or encodeLeave made.
+// Decodes the output of encodeMember or encodeLeave.
 base::result<member_frame> decodeFrame(std::string_view bytes);
 
 std::string encodeBatch(const membership_batch &batch);
--- a/lycheeshunt/membership/decision.h
+++ b/lycheeshunt/membership/decision.h
@@ -1,5 +1,5 @@
-// Decides who is a member, from announcements and from silence. Changes are batched: one proposal
-// a tick carries all that differs from the log.
+// Decides which nodes are members, from their announcements and from expired leases. Changes are
+// batched: at most one proposal per tick carries everything that differs from the log.
 //
 //     step<membership_state, membership_action> next = decide(std::move(state), message, now);
 
--- a/lycheeshunt/membership/decision_test.cpp
+++ b/lycheeshunt/membership/decision_test.cpp
@@ -1,4 +1,4 @@
-// Leases under virtual time: tables of what members and control do, and what the log then says.
+// Leases in virtual time: the members in the log after announcements, silence and leader changes.
 
 #include "lycheeshunt/membership/decision.h"
 
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr base::clock_time start = base::clock_time::ofSeconds(1000);
-constexpr base::clock_time tickSpan = base::clock_time::ofMillis(100);
+constexpr base::clock_time tickInterval = base::clock_time::ofMillis(100);
 constexpr std::int64_t announceMillis = 1000;
 
 member agent(const std::string &name, std::uint64_t incarnation = 1,
@@ -30,11 +30,11 @@
                    base::endpoint {0x7f000001, port}};
 }
 
-// One control process: announcements in, committed batches back in at once unless it is cut off.
+// One control process. Proposed batches are committed at once, unless commits are set to be lost.
 class control
 {
 public:
-    void take(const membership_message &message)
+    void handle(const membership_message &message)
     {
         base::step<membership_state, membership_action> next
             = decide(std::move(m_state), message, m_now);
@@ -42,35 +42,36 @@
         for (const membership_action &action : next.actions)
             std::visit(base::overloaded {
                            [this](const propose_batch &proposed) { commit(proposed.batch); },
-                           [this](const report_clash &clash) {
-                               m_warnings.push_back(clash.winner.name + ">" + clash.loser.name);
+                           [this](const report_conflict &conflict) {
+                               m_conflicts.push_back(conflict.winner.name + ">"
+                                                     + conflict.loser.name);
                            },
                        },
                        action);
     }
 
-    // Time passes while these members announce themselves once a second.
-    void run(std::int64_t seconds, const std::vector<member> &alive)
+    // Advances the time while these members announce themselves once per second.
+    void run(std::int64_t seconds, const std::vector<member> &announcing)
     {
         const base::clock_time end = m_now + base::clock_time::ofSeconds(seconds);
         while (m_now < end) {
             if (m_now.millis() % announceMillis == 0) {
-                for (const member &each : alive)
-                    take(member_announced {each});
+                for (const member &each : announcing)
+                    handle(member_announced {each});
             }
-            m_now = m_now + tickSpan;
-            take(membership_tick {});
+            m_now = m_now + tickInterval;
+            handle(membership_tick {});
         }
     }
 
-    // "S" serving, "?" suspected, "D" draining, "-" gone.
+    // "S" serving, "?" suspected, "D" draining, "-" removed.
     std::string phaseOf(const std::string &name) const
     {
-        const member *known = find(name);
-        if (known == nullptr)
+        const member *found = find(name);
+        if (found == nullptr)
             return "-";
-        return known->phase == member_phase::serving  ? "S"
-            : known->phase == member_phase::suspected ? "?"
+        return found->phase == member_phase::serving  ? "S"
+            : found->phase == member_phase::suspected ? "?"
                                                       : "D";
     }
     const member *find(const std::string &name) const
@@ -81,25 +82,25 @@
 
     std::size_t proposals() const { return m_proposals; }
     std::size_t largest() const { return m_largest; }
-    const std::vector<std::string> &warnings() const { return m_warnings; }
+    const std::vector<std::string> &conflicts() const { return m_conflicts; }
     membership_state &state() { return m_state; }
-    void setLogLost(bool lost) { m_logLost = lost; }
+    void setCommitsLost(bool lost) { m_commitsLost = lost; }
 
 private:
     void commit(const membership_batch &batch)
     {
         ++m_proposals;
-        m_largest = std::max(m_largest, batch.present.size() + batch.gone.size());
-        if (!m_logLost)
-            take(batch_committed {batch});
+        m_largest = std::max(m_largest, batch.updated.size() + batch.removed.size());
+        if (!m_commitsLost)
+            handle(batch_committed {batch});
     }
 
     membership_state m_state;
     base::clock_time m_now = start;
     std::size_t m_proposals = 0;
     std::size_t m_largest = 0;
-    bool m_logLost = false;
-    std::vector<std::string> m_warnings;
+    bool m_commitsLost = false;
+    std::vector<std::string> m_conflicts;
 };
 
 std::vector<member> without(const std::vector<member> &all, const std::string &prefix)
@@ -135,24 +136,24 @@
 
 TEST_GROUP(membership) {};
 
-TEST(membership, silenceIsJudgedByHowManyAreSilent)
+TEST(membership, timeoutsDependOnTheNumberOfSilentMembers)
 {
     const silence_case cases[] = {
-        {"one, shortly", "z1a", 2, "S"},
-        {"one, suspected", "z1a", 6, "?"},
-        {"one, evicted", "z1a", 15, "-"},
+        {"one member, briefly", "z1a", 2, "S"},
+        {"one member, suspected", "z1a", 6, "?"},
+        {"one member, evicted", "z1a", 15, "-"},
         {"a zone, suspected", "z1", 6, "?"},
-        {"a zone, not evicted soon", "z1", 250, "?"},
-        {"a zone, evicted in the end", "z1", 310, "-"},
-        {"everyone: control is cut off", "z", 20, "S"},
-        {"everyone, for long", "z", 40, "?"},
-        {"everyone, for an hour's part", "z", 290, "?"},
+        {"a zone, not yet evicted", "z1", 250, "?"},
+        {"a zone, evicted", "z1", 310, "-"},
+        {"all members: control is disconnected", "z", 20, "S"},
+        {"all members, suspected", "z", 40, "?"},
+        {"all members, not yet evicted", "z", 290, "?"},
     };
     for (const silence_case &row : cases) {
         control leader;
         const std::vector<member> all = fourZones();
         leader.run(20, all);
-        // Twice in a row: the second time finds the same as the first.
+        // The second round must have the same result as the first.
         for (int round = 0; round < 2; ++round) {
             leader.run(row.seconds, without(all, row.silentPrefix));
             STRCMP_EQUAL_TEXT(row.phase, leader.phaseOf("z1a").c_str(), row.what);
@@ -163,7 +164,7 @@
     }
 }
 
-TEST(membership, controlCutOffForAMomentProposesNothing)
+TEST(membership, aBrieflyDisconnectedControlProposesNothing)
 {
     control leader;
     const std::vector<member> all = fourZones();
@@ -174,7 +175,7 @@
     LONGS_EQUAL(before, leader.proposals());
 }
 
-TEST(membership, aFlappingMemberIsTrustedOnlyAfterASteadySpan)
+TEST(membership, aFlappingMemberStaysSuspectedUntilItIsStable)
 {
     control leader;
     const std::vector<member> all = fourZones();
@@ -192,37 +193,37 @@
     STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
 }
 
-TEST(membership, aRejoiningMembersWordClearsSuspicionAtOnce)
+TEST(membership, anAnnouncementClearsSuspicionAtOnce)
 {
     control leader;
     const std::vector<member> all = fourZones();
     leader.run(20, all);
     leader.run(6, without(all, "z1a"));
     STRCMP_EQUAL("?", leader.phaseOf("z1a").c_str());
-    leader.take(member_announced {agent("z1a")});
-    leader.take(membership_tick {});
+    leader.handle(member_announced {agent("z1a")});
+    leader.handle(membership_tick {});
     STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
 }
 
-TEST(membership, incarnationsAreToldApart)
+TEST(membership, incarnationsAreDistinguished)
 {
     struct incarnation_case
     {
         const char *what;
-        std::vector<member> said;
+        std::vector<member> announcements;
         std::uint64_t incarnation;
         const char *service;
     };
-    const member otherPlace {"z1a",
-                             "z1",
-                             member_role::agent,
-                             base::serviceIdOf("logbook"),
-                             base::incarnation(5),
-                             base::endpoint {0x7f000001, 9}};
+    const member otherAddress {"z1a",
+                               "z1",
+                               member_role::agent,
+                               base::serviceIdOf("logbook"),
+                               base::incarnation(5),
+                               base::endpoint {0x7f000001, 9}};
     const incarnation_case cases[] = {
         {"a later incarnation replaces", {agent("z1a", 5), agent("z1a", 6)}, 6, "logbook"},
         {"an earlier incarnation is ignored", {agent("z1a", 6), agent("z1a", 5)}, 6, "logbook"},
-        {"back as the other service",
+        {"a later incarnation has another service",
          {agent("z1a", 5), agent("z1a", 6, "inspect"), agent("z1a", 5)},
          6,
          "inspect"},
@@ -230,8 +231,8 @@
          {agent("z1a", 5), agent("z1a", 5, "inspect")},
          5,
          "logbook"},
-        {"one incarnation never changes address", {agent("z1a", 5), otherPlace}, 5, "logbook"},
-        {"twice over",
+        {"one incarnation never changes address", {agent("z1a", 5), otherAddress}, 5, "logbook"},
+        {"announcements are repeated",
          {agent("z1a", 6), agent("z1a", 6), agent("z1a", 5), agent("z1a", 5)},
          6,
          "logbook"},
@@ -239,19 +240,19 @@
     for (const incarnation_case &row : cases) {
         control leader;
         leader.run(3, {agent("z1a", 5), agent("z2a")});
-        for (const member &each : row.said) {
-            leader.take(member_announced {each});
-            leader.take(membership_tick {});
+        for (const member &each : row.announcements) {
+            leader.handle(member_announced {each});
+            leader.handle(membership_tick {});
         }
-        const member *known = leader.find("z1a");
-        CHECK_TEXT(known != nullptr, row.what);
-        LONGS_EQUAL_TEXT(row.incarnation, known->incarnation.value(), row.what);
-        CHECK_TEXT(known->service == base::serviceIdOf(row.service), row.what);
-        CHECK_TEXT(known->packets == agent("z1a").packets, row.what);
+        const member *found = leader.find("z1a");
+        CHECK_TEXT(found != nullptr, row.what);
+        LONGS_EQUAL_TEXT(row.incarnation, found->incarnation.value(), row.what);
+        CHECK_TEXT(found->service == base::serviceIdOf(row.service), row.what);
+        CHECK_TEXT(found->packets == agent("z1a").packets, row.what);
     }
 }
 
-TEST(membership, theNewerOfTwoNamesHasTheAddressAndTheOtherIsReportedOnce)
+TEST(membership, theLaterIncarnationGetsASharedAddressAndTheOtherIsReportedOnce)
 {
     const member older = agent("z1a", 5);
     const member newer {"z1x",        "z1", member_role::agent, older.service, base::incarnation(6),
@@ -264,41 +265,41 @@
         leader.run(20, {older, newer, agent("z2a")});
         STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
         STRCMP_EQUAL("S", leader.phaseOf("z1x").c_str());
-        LONGS_EQUAL(1, leader.warnings().size());
-        STRCMP_EQUAL("z1x>z1a", leader.warnings()[0].c_str());
-        // The winner stops for good: the address is free again.
-        leader.take(member_left {newer.id(), newer.incarnation});
+        LONGS_EQUAL(1, leader.conflicts().size());
+        STRCMP_EQUAL("z1x>z1a", leader.conflicts()[0].c_str());
+        // The winner leaves, which frees the address.
+        leader.handle(member_left {newer.id(), newer.incarnation});
         leader.run(2, {older, agent("z2a")});
         STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
     }
 }
 
-TEST(membership, leavingIsHeardAtOnceAndLateWordsOfThatIncarnationAreIgnored)
+TEST(membership, leavingTakesEffectAtOnceAndStaleAnnouncementsAreIgnored)
 {
     control leader;
     const std::vector<member> all = fourZones();
     leader.run(20, all);
-    leader.take(member_announced {agent("z1a").withPhase(member_phase::draining)});
-    leader.take(membership_tick {});
+    leader.handle(member_announced {agent("z1a").withPhase(member_phase::draining)});
+    leader.handle(membership_tick {});
     STRCMP_EQUAL("D", leader.phaseOf("z1a").c_str());
-    // A crossed announcement from before.
-    leader.take(member_announced {agent("z1a")});
-    leader.take(membership_tick {});
+    // A stale announcement from before the drain.
+    leader.handle(member_announced {agent("z1a")});
+    leader.handle(membership_tick {});
     STRCMP_EQUAL("D", leader.phaseOf("z1a").c_str());
     for (int round = 0; round < 2; ++round) {
-        leader.take(member_left {base::nodeIdOf("z1a"), base::incarnation(1)});
+        leader.handle(member_left {base::nodeIdOf("z1a"), base::incarnation(1)});
         leader.run(1, without(all, "z1a"));
         STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
     }
     leader.run(2, all);
     STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
-    leader.take(member_announced {agent("z1a", 2)});
-    leader.take(member_left {base::nodeIdOf("z1a"), base::incarnation(1)});
+    leader.handle(member_announced {agent("z1a", 2)});
+    leader.handle(member_left {base::nodeIdOf("z1a"), base::incarnation(1)});
     leader.run(1, without(all, "z1a"));
     STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
 }
 
-TEST(membership, aNewAgentsShareGrowsAndTheFirstOnesAreWhole)
+TEST(membership, aNewAgentsShareGrowsAndTheFirstAgentsStartAtAFullShare)
 {
     control leader;
     leader.run(2, {agent("z1a"), agent("z2a")});
@@ -315,22 +316,22 @@
     LONGS_EQUAL(before, leader.proposals());
 }
 
-TEST(membership, nobodyIsEvictedBeforeAWholeSpanAfterARestartOrANewLeader)
+TEST(membership, noMemberIsEvictedBeforeAFullTimeoutAfterARestartOrANewLeader)
 {
     const std::vector<member> all = fourZones();
     control restarted;
-    restarted.take(batch_committed {membership_batch {all, {}}});
-    restarted.take(batch_committed {membership_batch {{}, {base::nodeIdOf("z4d")}}});
+    restarted.handle(batch_committed {membership_batch {all, {}}});
+    restarted.handle(batch_committed {membership_batch {{}, {base::nodeIdOf("z4d")}}});
     restarted.run(2, {});
     LONGS_EQUAL(0, restarted.proposals());
     STRCMP_EQUAL("-", restarted.phaseOf("z4d").c_str());
 
     control follower;
-    follower.take(leadership_changed {false});
-    follower.take(batch_committed {membership_batch {all, {}}});
+    follower.handle(leadership_changed {false});
+    follower.handle(batch_committed {membership_batch {all, {}}});
     follower.run(1000, {});
     LONGS_EQUAL(0, follower.proposals());
-    follower.take(leadership_changed {true});
+    follower.handle(leadership_changed {true});
     follower.run(11, without(all, "z1a"));
     STRCMP_EQUAL("?", follower.phaseOf("z1a").c_str());
     follower.run(4, without(all, "z1a"));
@@ -338,7 +339,7 @@
     STRCMP_EQUAL("S", follower.phaseOf("z4d").c_str());
 }
 
-TEST(membership, batchesAreBoundedAndALostOneIsProposedAgain)
+TEST(membership, batchesAreBoundedAndALostOneIsRetried)
 {
     std::vector<member> many;
     for (std::uint16_t i = 0; i < 1000; ++i)
@@ -346,10 +347,10 @@
                                base::serviceIdOf("logbook"), base::incarnation(1),
                                base::endpoint {0x7f000001, i}});
     control leader;
-    leader.setLogLost(true);
+    leader.setCommitsLost(true);
     leader.run(3, many);
     LONGS_EQUAL(0, leader.state().committed.size());
-    leader.setLogLost(false);
+    leader.setCommitsLost(false);
     leader.run(3, many);
     LONGS_EQUAL(many.size(), leader.state().committed.size());
     LONGS_EQUAL(leader.state().policy->maxBatch, leader.largest());
--- a/lycheeshunt/membership/departed.h
+++ b/lycheeshunt/membership/departed_member.h
@@ -5,13 +5,14 @@
 
 namespace lycheeshunt::membership {
 
-// A member that is gone: an announcement of an incarnation before `minIncarnation` is a late one.
-struct departed
+// A node that was removed. Announcements of incarnations earlier than `minIncarnation` were sent
+// before the removal and are ignored.
+struct departed_member
 {
     const base::incarnation minIncarnation;
     const base::clock_time at;
 
-    bool operator==(const departed &) const = default;
+    bool operator==(const departed_member &) const = default;
 };
 
 } // namespace lycheeshunt::membership
--- a/lycheeshunt/membership/internal/silence_census.h
+++ b/lycheeshunt/membership/internal/silence_census.h
@@ -1,5 +1,5 @@
-// How many members are quiet at one moment, overall and by availability zone. Many at once speak
-// of a network partition rather than of so many deaths.
+// Counts the silent members, in total and by availability zone. Many silent members at once suggest
+// a network partition rather than many process failures.
 
 #pragma once
 
@@ -12,19 +12,19 @@
 class silence_census
 {
 public:
-    // Nobody is quiet.
+    // A census without silent members.
     silence_census() = default;
     silence_census(const membership_state &state, base::clock_time now);
 
-    // Most of all members are quiet: control itself is probably cut off.
-    bool isMostlyQuiet() const;
-    // Many members, or most of this availability zone, are quiet.
+    // More than half of all members are silent: control itself is probably disconnected.
+    bool isMajoritySilent() const;
+    // A quarter of all members, or half of this availability zone, are silent.
     bool isMassSilence(const std::string &availabilityZone) const;
 
 private:
     struct counts
     {
-        std::size_t quiet = 0;
+        std::size_t silent = 0;
         std::size_t total = 0;
     };
 
--- a/lycheeshunt/membership/leadership_changed.h
+++ b/lycheeshunt/membership/leadership_changed.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::membership {
 
-// This control process has begun or ceased to lead. Only a leader judges silence.
+// This control process became leader or lost leadership. Only the leader evaluates leases.
 struct leadership_changed
 {
     const bool leading = false;
--- a/lycheeshunt/membership/lease.h
+++ b/lycheeshunt/membership/lease.h
@@ -5,18 +5,18 @@
 
 namespace lycheeshunt::membership {
 
-// A member's own last word, and how steadily it has been heard.
+// The last announcement of a member, and how regularly its announcements have arrived.
 struct lease
 {
     const membership::member member;
     const base::clock_time lastHeard;
-    // Start of the present spell of announcements without a lapse.
-    const base::clock_time steadySince;
-    // Lapses and restarts that are not yet forgiven.
-    const std::uint32_t lapses = 0;
-    // When the member's share began to grow.
+    // Start of the current period of announcements without an interruption.
+    const base::clock_time stableSince;
+    // Interruptions and restarts since the counter was last reset.
+    const std::uint32_t flaps = 0;
+    // Start of the ramp-up of the member's share.
     const base::clock_time rampSince;
-    // False while only the log has spoken of the member.
+    // False while the member is known from the log only.
     const bool announced = true;
 
     bool operator==(const lease &) const = default;
--- a/lycheeshunt/membership/member.h
+++ b/lycheeshunt/membership/member.h
@@ -12,10 +12,10 @@
 
 enum class member_phase : std::uint8_t { serving = 1, suspected = 2, draining = 3 };
 
-// Parts of a whole share of new flows; a member that has just begun to serve has fewer.
+// Parts of a full share of new flows. A member that has just started serving has fewer parts.
 constexpr std::uint8_t fullShare = 4;
 
-// One process of the system as control knows it. An entry has no service.
+// An entry or agent process as control knows it. An entry has no service.
 struct member
 {
     const std::string name;
@@ -24,11 +24,11 @@
     const base::service_id service;
     const base::incarnation incarnation;
     const base::endpoint packets;
-    // Announced as serving or draining; control adds suspicion.
+    // Members announce serving or draining; only control sets suspected.
     const member_phase phase = member_phase::serving;
-    // An agent's verdict on its backend server.
+    // Health of the agent's backend server, as the agent reports it.
     const member_health health = member_health::good;
-    // Between 1 and fullShare; set by control alone.
+    // Between 1 and fullShare; set by control only.
     const std::uint8_t share = fullShare;
 
     base::node_id id() const { return base::nodeIdOf(name); }
@@ -42,7 +42,7 @@
         return member {name,  availabilityZone, role, service, incarnation, packets,
                        phase, health,           next};
     }
-    // What can't change within one incarnation.
+    // Compares the fields that are fixed within one incarnation.
     bool isSameIncarnationAs(const member &other) const
     {
         return name == other.name && role == other.role && service == other.service
--- a/lycheeshunt/membership/member_announced.h
+++ b/lycheeshunt/membership/member_announced.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::membership {
 
-// A process says who it is; repeated, it keeps its lease alive.
+// A process announces itself. Repeated announcements renew its lease.
 struct member_announced
 {
     const membership::member member;
--- a/lycheeshunt/membership/member_health.h
+++ b/lycheeshunt/membership/member_health.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::membership {
 
-// What an agent says of its backend server.
+// Health of a backend server, as its agent reports it.
 enum class member_health : std::uint8_t { good = 1, bad = 2 };
 
 } // namespace lycheeshunt::membership
--- a/lycheeshunt/membership/member_left.h
+++ b/lycheeshunt/membership/member_left.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::membership {
 
-// The last word of one incarnation of a process: it has stopped serving and needs no suspicion.
+// Sent by an incarnation of a process when it stops serving: it is removed without suspicion.
 struct member_left
 {
     const base::node_id node;
--- a/lycheeshunt/membership/membership_batch.h
+++ b/lycheeshunt/membership/membership_batch.h
@@ -7,13 +7,14 @@
 
 namespace lycheeshunt::membership {
 
-// The membership changes of one log entry: members as they now are, and members gone.
+// The membership changes of one log entry: the new state of added or changed members, and the
+// members that are removed.
 struct membership_batch
 {
-    const std::vector<member> present;
-    const std::vector<base::node_id> gone;
+    const std::vector<member> updated;
+    const std::vector<base::node_id> removed;
 
-    bool isEmpty() const { return present.empty() && gone.empty(); }
+    bool isEmpty() const { return updated.empty() && removed.empty(); }
 
     bool operator==(const membership_batch &) const = default;
 };
--- a/lycheeshunt/membership/membership_duty.cpp
+++ b/lycheeshunt/membership/membership_duty.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 constexpr std::size_t inboxCapacity = 4096;
-// Also how long changes are gathered into one batch.
-constexpr base::clock_time tickEvery = base::clock_time::ofMillis(100);
+// Also the period for which changes are collected into one batch.
+constexpr base::clock_time tickInterval = base::clock_time::ofMillis(100);
 } // namespace
 
 membership_duty::membership_duty(action_sink sink)
-    : m_sink(std::move(sink)), m_duty(inboxCapacity, tickEvery, membership_tick {},
+    : m_sink(std::move(sink)), m_duty(inboxCapacity, tickInterval, membership_tick {},
                                       [this](const membership_message &message,
                                              base::clock_time now) { handle(message, now); })
 {
--- a/lycheeshunt/membership/membership_message.h
+++ b/lycheeshunt/membership/membership_message.h
@@ -6,7 +6,7 @@
 #include "lycheeshunt/membership/member_left.h"
 #include "lycheeshunt/membership/membership_tick.h"
 #include "lycheeshunt/membership/propose_batch.h"
-#include "lycheeshunt/membership/report_clash.h"
+#include "lycheeshunt/membership/report_conflict.h"
 
 #include <variant>
 
@@ -14,6 +14,6 @@
 
 using membership_message = std::variant<member_announced, member_left, batch_committed,
                                         leadership_changed, membership_tick>;
-using membership_action = std::variant<propose_batch, report_clash>;
+using membership_action = std::variant<propose_batch, report_conflict>;
 
 } // namespace lycheeshunt::membership
--- a/lycheeshunt/membership/membership_tick.h
+++ b/lycheeshunt/membership/membership_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::membership {
 
-// Time has passed; leases may have run out.
+// Periodic timer: checks leases and proposes changes.
 struct membership_tick
 {
     bool operator==(const membership_tick &) const = default;
--- a/lycheeshunt/membership/propose_batch.h
+++ b/lycheeshunt/membership/propose_batch.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::membership {
 
-// Put membership changes into the log.
+// Propose membership changes to the log.
 struct propose_batch
 {
     const membership_batch batch;
