Name the messages and actions of admission, requests and health in usual terms

Messages were named after giving, losing and wanting; they now say that work is dispatched, transferred or requested, that a copy is acknowledged and that an owner has terminated.

rename: hand_over dispatch_work rename: move_work transfer_work rename: work_wanted queued_work_requested rename: work_end work_outcome rename: owner_lost owner_terminated rename: backup_copied copy_acknowledged

--- a/lycheeshunt/admission/admission_action.h
+++ b/lycheeshunt/admission/admission_action.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "lycheeshunt/admission/cancel_at_server.h"
-#include "lycheeshunt/admission/hand_over.h"
-#include "lycheeshunt/admission/lose_work.h"
-#include "lycheeshunt/admission/move_work.h"
+#include "lycheeshunt/admission/dispatch_work.h"
 #include "lycheeshunt/admission/refuse_work.h"
-#include "lycheeshunt/admission/report_empty.h"
+#include "lycheeshunt/admission/report_drained.h"
+#include "lycheeshunt/admission/report_work_lost.h"
+#include "lycheeshunt/admission/transfer_work.h"
 #include <variant>
 
 namespace lycheeshunt::admission {
 
-using admission_action
-    = std::variant<hand_over, refuse_work, move_work, cancel_at_server, lose_work, report_empty>;
+using admission_action = std::variant<dispatch_work, refuse_work, transfer_work, cancel_at_server,
+                                      report_work_lost, report_drained>;
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/decision.cpp
+++ b/lycheeshunt/admission/decision.cpp
@@ -78,7 +78,7 @@
     while (const std::optional<queue_place> next = nextToStart(state, now)) {
         const queued_work &work = **next;
         state.running.emplace(work.id, running_work {now, work.deadline, work.likelyLong});
-        actions.emplace_back(hand_over {work.id});
+        actions.emplace_back(dispatch_work {work.id});
         state.queue.erase(*next);
     }
 }
@@ -177,7 +177,7 @@
     const queue_place oldest = firstShort(state);
     if (oldest == state.queue.end())
         return;
-    actions.emplace_back(move_work {oldest->id});
+    actions.emplace_back(transfer_work {oldest->id});
     state.queue.erase(oldest);
 }
 
@@ -212,11 +212,11 @@
     const bool wasLong = isLong(state, found->second, now);
     const base::clock_time held = now - found->second.since;
     state.running.erase(found);
-    if (ended.how == work_end::shed) {
+    if (ended.how == work_outcome::shed) {
         actions.emplace_back(refuse_work {ended.id, base::error_code::serverShedding});
         cutAllowed(state, now);
     }
-    if (ended.how != work_end::answered)
+    if (ended.how != work_outcome::answered)
         return;
     growAllowed(state);
     if (!wasLong)
@@ -226,7 +226,7 @@
 void restart(admission_state &state, action_list &actions)
 {
     for (auto it = state.running.begin(); it != state.running.end(); ++it)
-        actions.emplace_back(lose_work {it->first});
+        actions.emplace_back(report_work_lost {it->first});
     state.running.clear();
     state.allowed = std::min(coldSlots, static_cast<double>(state.limits->slots));
     state.meanShortMillis = 0;
@@ -251,7 +251,7 @@
     if (!state.draining || state.emptyReported || !state.running.empty() || !state.queue.empty())
         return;
     state.emptyReported = true;
-    actions.emplace_back(report_empty {});
+    actions.emplace_back(report_drained {});
 }
 
 } // namespace
@@ -264,7 +264,7 @@
                    [&](const work_arrived &work) { arrive(state, work, now, actions); },
                    [&](const work_cancelled &work) { cancel(state, work.id, actions); },
                    [&](const work_ended &ended) { end(state, ended, now, actions); },
-                   [&](const work_wanted &) { giveWork(state, actions); },
+                   [&](const queued_work_requested &) { giveWork(state, actions); },
                    [&](const drain_changed &change) { changeDrain(state, change.draining); },
                    [&](const limits_changed &change) { changeLimits(state, change.limits); },
                    [&](const server_restarted &) { restart(state, actions); },
--- a/lycheeshunt/admission/decision.h
+++ b/lycheeshunt/admission/decision.h
@@ -3,8 +3,8 @@
 //
 //     step<admission_state, admission_action> next = decide(std::move(state), message, now);
 //
-// Every piece of work gets exactly one of: refuse_work or move_work (it was not run here), or
-// hand_over followed by work_ended or lose_work.
+// Every piece of work gets exactly one of: refuse_work or transfer_work (it was not run here), or
+// dispatch_work followed by work_ended or report_work_lost.
 
 #pragma once
 
--- a/lycheeshunt/admission/decision_test.cpp
+++ b/lycheeshunt/admission/decision_test.cpp
@@ -24,7 +24,7 @@
     return work_arrived {work_id(id), deadline, likelyLong};
 }
 
-work_ended ended(std::uint64_t id, work_end how = work_end::answered)
+work_ended ended(std::uint64_t id, work_outcome how = work_outcome::answered)
 {
     return work_ended {work_id(id), how};
 }
@@ -56,7 +56,7 @@
 
     std::vector<admission_action> started(std::uint64_t id)
     {
-        return {hand_over {work_id(id)}};
+        return {dispatch_work {work_id(id)}};
     }
 
     std::vector<admission_action> refused(std::uint64_t id, error_code reason)
@@ -156,9 +156,9 @@
     fill(1, 0);
     apply(work(4), 1);
     apply(work(5), 2);
-    CHECK(is(apply(work_wanted {}, 3), {move_work {work_id(4)}}));
+    CHECK(is(apply(queued_work_requested {}, 3), {transfer_work {work_id(4)}}));
     CHECK(is(apply(ended(1), 4), started(5)));
-    CHECK(apply(work_wanted {}, 5).empty());
+    CHECK(apply(queued_work_requested {}, 5).empty());
 }
 
 TEST(admission, likelyLongWorkStaysOutOfTheLastSlots)
@@ -190,15 +190,15 @@
 TEST(admission, serverThatShedsEverythingIsGivenLessAndTheWorkWasNotRun)
 {
     fill(1, 0);
-    CHECK(is(apply(ended(1, work_end::shed), 10), refused(1, error_code::serverShedding)));
+    CHECK(is(apply(ended(1, work_outcome::shed), 10), refused(1, error_code::serverShedding)));
     LONGS_EQUAL(2, countsOf(state, at(10)).allowed);
-    apply(ended(2, work_end::shed), 11); // the same event
-    apply(ended(3, work_end::shed), 11);
+    apply(ended(2, work_outcome::shed), 11); // the same event
+    apply(ended(3, work_outcome::shed), 11);
     LONGS_EQUAL(2, countsOf(state, at(11)).allowed);
     for (std::uint64_t id = 10; id < 30; ++id) {
         const std::int64_t now = static_cast<std::int64_t>(id) * 100;
         apply(work(id), now);
-        apply(ended(id, work_end::shed), now + 1);
+        apply(ended(id, work_outcome::shed), now + 1);
     }
     LONGS_EQUAL(1, countsOf(state, at(3000)).allowed);
     CHECK(is(apply(work(50), 3000), started(50)));
@@ -220,8 +220,8 @@
     fill(1, 0);
     apply(work(4), 1);
     CHECK(is(apply(server_restarted {}, 2),
-             {lose_work {work_id(1)}, lose_work {work_id(2)}, lose_work {work_id(3)},
-              hand_over {work_id(4)}}));
+             {report_work_lost {work_id(1)}, report_work_lost {work_id(2)},
+              report_work_lost {work_id(3)}, dispatch_work {work_id(4)}}));
 }
 
 TEST(admission, drainRefusesAtOnceFinishesAndSaysEmptyOnce)
@@ -234,13 +234,13 @@
     apply(ended(2), 4);
     apply(ended(3), 5);
     CHECK(apply(admission_tick {}, 3'600'000 - 1).size() == 1); // its deadline: cancelled, not cut
-    CHECK(is(apply(ended(4), 3'600'000), {report_empty {}}));
+    CHECK(is(apply(ended(4), 3'600'000), {report_drained {}}));
     CHECK(apply(admission_tick {}, 3'600'001).empty());
 }
 
 TEST(admission, drainOfAnIdleServerIsEmptyAtOnceAndCanBeTakenBack)
 {
-    CHECK(is(apply(drain_changed {true}, 0), {report_empty {}}));
+    CHECK(is(apply(drain_changed {true}, 0), {report_drained {}}));
     CHECK(apply(drain_changed {false}, 1).empty());
     CHECK(is(apply(work(1), 2), started(1)));
 }
--- a/lycheeshunt/admission/hand_over.h
+++ b/lycheeshunt/admission/dispatch_work.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::admission {
 
 // Give the work to the backend server. From here on it may have run.
-struct hand_over
+struct dispatch_work
 {
     const work_id id;
 
-    bool operator==(const hand_over &) const = default;
+    bool operator==(const dispatch_work &) const = default;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/work_wanted.h
+++ b/lycheeshunt/admission/queued_work_requested.h
@@ -3,9 +3,9 @@
 namespace lycheeshunt::admission {
 
 // Another agent has a free slot for work that waits here.
-struct work_wanted
+struct queued_work_requested
 {
-    bool operator==(const work_wanted &) const = default;
+    bool operator==(const queued_work_requested &) const = default;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/report_empty.h
+++ b/lycheeshunt/admission/report_drained.h
@@ -3,9 +3,9 @@
 namespace lycheeshunt::admission {
 
 // A draining backend server has finished everything it was given.
-struct report_empty
+struct report_drained
 {
-    bool operator==(const report_empty &) const = default;
+    bool operator==(const report_drained &) const = default;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/lose_work.h
+++ b/lycheeshunt/admission/report_work_lost.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::admission {
 
 // The outcome of work that was handed over will never be known.
-struct lose_work
+struct report_work_lost
 {
     const work_id id;
 
-    bool operator==(const lose_work &) const = default;
+    bool operator==(const report_work_lost &) const = default;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/move_work.h
+++ b/lycheeshunt/admission/transfer_work.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::admission {
 
 // The work was not run; offer it to the agent that wants it.
-struct move_work
+struct transfer_work
 {
     const work_id id;
 
-    bool operator==(const move_work &) const = default;
+    bool operator==(const transfer_work &) const = default;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/work_ended.h
+++ b/lycheeshunt/admission/work_ended.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lycheeshunt/admission/work_end.h"
 #include "lycheeshunt/admission/work_id.h"
+#include "lycheeshunt/admission/work_outcome.h"
 
 namespace lycheeshunt::admission {
 
@@ -9,7 +9,7 @@
 struct work_ended
 {
     const work_id id;
-    const work_end how = work_end::answered;
+    const work_outcome how = work_outcome::answered;
 
     bool operator==(const work_ended &) const = default;
 };
--- a/lycheeshunt/health/decision.cpp
+++ b/lycheeshunt/health/decision.cpp
@@ -21,31 +21,31 @@
 // Hysteresis: a verdict holds at least this long, so that it costs few membership changes.
 constexpr base::clock_time leastVerdict = base::clock_time::ofSeconds(3);
 
-seen_window rolled(const seen_window &window, base::clock_time now)
+outcome_window rolled(const outcome_window &window, base::clock_time now)
 {
     const base::clock_time age = now - window.startedAt;
     if (age < windowSpan)
         return window;
     if (age < windowSpan * 2)
-        return seen_window {now, 0, 0, window.answered, window.failed};
-    return seen_window {now};
+        return outcome_window {now, 0, 0, window.answered, window.failed};
+    return outcome_window {now};
 }
 
-seen_window withWork(const seen_window &window, const work_seen &work)
+outcome_window withWork(const outcome_window &window, const observed_outcomes &work)
 {
-    return seen_window {window.startedAt, window.answered + work.answered,
-                        window.failed + work.failed, window.answeredBefore, window.failedBefore};
+    return outcome_window {window.startedAt, window.answered + work.answered,
+                           window.failed + work.failed, window.answeredBefore, window.failedBefore};
 }
 
-reported_streak withReport(const reported_streak &streak, const health_report &report,
-                           base::clock_time now)
+report_streak withReport(const report_streak &streak, const health_report &report,
+                         base::clock_time now)
 {
     const bool same = streak.health == report.health;
-    return reported_streak {report.health, same ? streak.length + 1 : 1, now};
+    return report_streak {report.health, same ? streak.length + 1 : 1, now};
 }
 
 // Nothing while too little is seen. Between the two bounds the present verdict stays.
-std::optional<member_health> verdictOfSeen(const seen_window &seen, member_health present)
+std::optional<member_health> verdictOfSeen(const outcome_window &seen, member_health present)
 {
     const std::uint32_t all = seen.allAnswered() + seen.allFailed();
     if (all < leastOutcomes)
@@ -58,7 +58,7 @@
     return present;
 }
 
-std::optional<member_health> verdictOfReports(const reported_streak &reported, base::clock_time now)
+std::optional<member_health> verdictOfReports(const report_streak &reported, base::clock_time now)
 {
     if (reported.length < reportsToBelieve || now - reported.lastAt > reportLasts)
         return std::nullopt;
@@ -70,11 +70,11 @@
 health_state judge(const health_state &state, const health_observation &observation,
                    base::clock_time now)
 {
-    const seen_window window = rolled(state.seen, now);
-    const work_seen *work = std::get_if<work_seen>(&observation);
+    const outcome_window window = rolled(state.seen, now);
+    const observed_outcomes *work = std::get_if<observed_outcomes>(&observation);
     const health_report *report = std::get_if<health_report>(&observation);
-    const seen_window seen = work != nullptr ? withWork(window, *work) : window;
-    const reported_streak reported
+    const outcome_window seen = work != nullptr ? withWork(window, *work) : window;
+    const report_streak reported
         = report != nullptr ? withReport(state.reported, *report, now) : state.reported;
     const std::optional<member_health> proven = verdictOfSeen(seen, state.verdict);
     const member_health wanted
--- a/lycheeshunt/health/decision.h
+++ b/lycheeshunt/health/decision.h
@@ -1,7 +1,7 @@
 // Weighs what a backend server says of its own health against what its agent sees. What is seen
 // goes first, as health endpoints lag and mislead; reports decide only where little is seen.
 //
-//     const health_state next = judge(state, work_seen {answered, failed}, now);
+//     const health_state next = judge(state, observed_outcomes {answered, failed}, now);
 //     if (next.verdict != state.verdict) ...
 
 #pragma once
--- a/lycheeshunt/health/decision_test.cpp
+++ b/lycheeshunt/health/decision_test.cpp
@@ -17,16 +17,16 @@
 struct second
 {
     health_report report;
-    work_seen work;
+    observed_outcomes work;
 };
 
 const health_report saysGood {reported_health::good, 0};
 const health_report saysBad {reported_health::bad, 0};
 const health_report noAnswer {reported_health::unreachable, 0};
-const work_seen nothing {0, 0};
-const work_seen allAnswered {4, 0};
-const work_seen allFailed {0, 4};
-const work_seen someFailed {2, 1};
+const observed_outcomes nothing {0, 0};
+const observed_outcomes allAnswered {4, 0};
+const observed_outcomes allFailed {0, 4};
+const observed_outcomes someFailed {2, 1};
 
 struct health_case
 {
--- a/lycheeshunt/health/endpoint_poller_test.cpp
+++ b/lycheeshunt/health/endpoint_poller_test.cpp
@@ -117,9 +117,9 @@
     base::ring<membership::member_health> verdicts(8);
     health_duty duty(closedAddress(),
                      [&](membership::member_health verdict) { verdicts.tryPush(verdict); });
-    duty.inbox().push(work_seen {0, 9});
+    duty.inbox().push(observed_outcomes {0, 9});
     CHECK(verdicts.pop() == membership::member_health::bad);
-    duty.inbox().push(work_seen {0, 9});
+    duty.inbox().push(observed_outcomes {0, 9});
     duty.stop();
     LONGS_EQUAL(0, verdicts.depth());
 }
--- a/lycheeshunt/health/health_duty.cpp
+++ b/lycheeshunt/health/health_duty.cpp
@@ -21,7 +21,7 @@
 {
     const health_observation observation = std::visit(
         base::overloaded {
-            [](const work_seen &seen) { return health_observation(seen); },
+            [](const observed_outcomes &seen) { return health_observation(seen); },
             [this](const health_tick &) { return health_observation(m_poller.poll()); },
         },
         message);
--- a/lycheeshunt/health/health_duty.h
+++ b/lycheeshunt/health/health_duty.h
@@ -2,7 +2,7 @@
 // what the agent saw through its ring, and tells each change of the verdict.
 //
 //     health_duty health(server, [&](membership::member_health verdict) { ... });
-//     health.inbox().tryPush(work_seen {answered, failed});
+//     health.inbox().tryPush(observed_outcomes {answered, failed});
 
 #pragma once
 
@@ -10,13 +10,13 @@
 #include "lycheeshunt/health/endpoint_poller.h"
 #include "lycheeshunt/health/health_state.h"
 #include "lycheeshunt/health/health_tick.h"
-#include "lycheeshunt/health/work_seen.h"
+#include "lycheeshunt/health/observed_outcomes.h"
 
 #include <variant>
 
 namespace lycheeshunt::health {
 
-using health_message = std::variant<work_seen, health_tick>;
+using health_message = std::variant<observed_outcomes, health_tick>;
 
 class health_duty
 {
--- a/lycheeshunt/health/health_state.h
+++ b/lycheeshunt/health/health_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lycheeshunt/base/clock_time.h"
-#include "lycheeshunt/health/reported_streak.h"
-#include "lycheeshunt/health/seen_window.h"
+#include "lycheeshunt/health/outcome_window.h"
+#include "lycheeshunt/health/report_streak.h"
 #include "lycheeshunt/membership/member_health.h"
 
 namespace lycheeshunt::health {
@@ -12,8 +12,8 @@
 {
     const membership::member_health verdict = membership::member_health::good;
     const base::clock_time since = {};
-    const reported_streak reported = {};
-    const seen_window seen = {};
+    const report_streak reported = {};
+    const outcome_window seen = {};
 
     bool operator==(const health_state &) const = default;
 };
--- a/lycheeshunt/health/seen_window.h
+++ b/lycheeshunt/health/outcome_window.h
@@ -7,7 +7,7 @@
 namespace lycheeshunt::health {
 
 // Answers and failures of the last few seconds.
-struct seen_window
+struct outcome_window
 {
     const base::clock_time startedAt = {};
     const std::uint32_t answered = 0;
@@ -18,7 +18,7 @@
     std::uint32_t allAnswered() const { return answered + answeredBefore; }
     std::uint32_t allFailed() const { return failed + failedBefore; }
 
-    bool operator==(const seen_window &) const = default;
+    bool operator==(const outcome_window &) const = default;
 };
 
 } // namespace lycheeshunt::health
--- a/lycheeshunt/health/reported_streak.h
+++ b/lycheeshunt/health/report_streak.h
@@ -6,13 +6,13 @@
 namespace lycheeshunt::health {
 
 // The same report, so many times in a row.
-struct reported_streak
+struct report_streak
 {
     const reported_health health = reported_health::good;
     const std::uint32_t length = 0;
     const base::clock_time lastAt = {};
 
-    bool operator==(const reported_streak &) const = default;
+    bool operator==(const report_streak &) const = default;
 };
 
 } // namespace lycheeshunt::health
--- a/lycheeshunt/placement/evidence.cpp
+++ b/lycheeshunt/placement/evidence.cpp
@@ -30,13 +30,13 @@
 
 } // namespace
 
-server_evidence afterWork(server_evidence evidence, admission::work_end outcome,
+server_evidence afterWork(server_evidence evidence, admission::work_outcome outcome,
                           base::clock_time now)
 {
     // Shedding is an explicit reply that admission handles; it does not indicate a failure.
-    if (outcome == admission::work_end::shed)
+    if (outcome == admission::work_outcome::shed)
         return evidence;
-    const double failed = outcome == admission::work_end::failed ? 1.0 : 0.0;
+    const double failed = outcome == admission::work_outcome::failed ? 1.0 : 0.0;
     const double previousSamples = samplesNow(evidence, now);
     const double weight = std::max(workWeight, 1.0 / (previousSamples + 1.0));
     evidence.failedShare += weight * (failed - evidence.failedShare);
--- a/lycheeshunt/placement/evidence.h
+++ b/lycheeshunt/placement/evidence.h
@@ -8,13 +8,13 @@
 #pragma once
 
 #include "lycheeshunt/admission/slot_counts.h"
-#include "lycheeshunt/admission/work_end.h"
+#include "lycheeshunt/admission/work_outcome.h"
 #include "lycheeshunt/placement/server_evidence.h"
 #include <cstdint>
 
 namespace lycheeshunt::placement {
 
-server_evidence afterWork(server_evidence evidence, admission::work_end outcome,
+server_evidence afterWork(server_evidence evidence, admission::work_outcome outcome,
                           base::clock_time now);
 
 // ownLoad is the share of slots that are busy by the agent's own count.
--- a/lycheeshunt/placement/evidence_test.cpp
+++ b/lycheeshunt/placement/evidence_test.cpp
@@ -6,7 +6,7 @@
 
 using namespace lycheeshunt::placement;
 using lycheeshunt::admission::slot_counts;
-using lycheeshunt::admission::work_end;
+using lycheeshunt::admission::work_outcome;
 using lycheeshunt::base::clock_time;
 
 namespace {
@@ -18,7 +18,7 @@
     return clock_time::ofMillis(millis);
 }
 
-server_evidence withWork(server_evidence evidence, work_end outcome, int count)
+server_evidence withWork(server_evidence evidence, work_outcome outcome, int count)
 {
     for (int i = 1; i <= count; ++i)
         evidence = afterWork(evidence, outcome, at(i * 10));
@@ -68,13 +68,14 @@
 
 TEST(evidence, failedWorkOutweighsGoodHealth)
 {
-    const server_evidence evidence = withWork(withReports(0, 0, 0), work_end::failed, 10);
+    const server_evidence evidence = withWork(withReports(0, 0, 0), work_outcome::failed, 10);
     CHECK(isFailing(evidence, at(110)));
 }
 
 TEST(evidence, successfulWorkOutweighsBadHealth)
 {
-    const server_evidence evidence = withWork(withReports(0, 0, 0, false), work_end::answered, 10);
+    const server_evidence evidence
+        = withWork(withReports(0, 0, 0, false), work_outcome::answered, 10);
     CHECK(!isFailing(evidence, at(110)));
 }
 
@@ -87,12 +88,12 @@
 
 TEST(evidence, failuresExpireWithoutNewWork)
 {
-    const server_evidence evidence = withWork(server_evidence {}, work_end::failed, 10);
+    const server_evidence evidence = withWork(server_evidence {}, work_outcome::failed, 10);
     CHECK(isFailing(evidence, at(110)));
     CHECK(!isFailing(evidence, at(60'000)));
 }
 
 TEST(evidence, sheddingIsNotAFailure)
 {
-    CHECK(!isFailing(withWork(server_evidence {}, work_end::shed, 50), at(510)));
+    CHECK(!isFailing(withWork(server_evidence {}, work_outcome::shed, 50), at(510)));
 }
--- a/lycheeshunt/requests/confirm_copy.h
+++ b/lycheeshunt/requests/acknowledge_copy.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::requests {
 
 // Tell the director that this backup holds its record.
-struct confirm_copy
+struct acknowledge_copy
 {
     const request_identity identity;
 
-    bool operator==(const confirm_copy &) const = default;
+    bool operator==(const acknowledge_copy &) const = default;
 };
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/requests/backup_copied.h
+++ b/lycheeshunt/requests/copy_acknowledged.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::requests {
 
 // The backup director holds the record of a start.
-struct backup_copied
+struct copy_acknowledged
 {
     const request_identity identity;
 
-    bool operator==(const backup_copied &) const = default;
+    bool operator==(const copy_acknowledged &) const = default;
 };
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/requests/decision.cpp
+++ b/lycheeshunt/requests/decision.cpp
@@ -109,7 +109,7 @@
 void join(request_record &record, const request_arrived &request, action_list &actions)
 {
     if (record.fromCopy && record.waiting.empty())
-        actions.emplace_back(ask_owner {request.identity, record.owner});
+        actions.emplace_back(query_owner {request.identity, record.owner});
     record.waiting.push_back(request.reply);
 }
 
@@ -172,10 +172,10 @@
     record.mayHaveRunBefore = state.records.contains(copy.identity);
     state.due.emplace(record.deadline, copy.identity);
     state.records.insert_or_assign(copy.identity, std::move(record));
-    actions.emplace_back(confirm_copy {copy.identity});
+    actions.emplace_back(acknowledge_copy {copy.identity});
 }
 
-void backupCopied(request_state &state, const backup_copied &copied, action_list &actions)
+void backupCopied(request_state &state, const copy_acknowledged &copied, action_list &actions)
 {
     const record_place found = state.records.find(copied.identity);
     if (found != state.records.end() && found->second.stage == request_stage::claimed)
@@ -268,7 +268,7 @@
         finishUnstarted(record, base::error_code::workCancelled, now, actions);
 }
 
-void takeRole(request_state &state, const role_taken &role, base::clock_time now)
+void takeRole(request_state &state, const director_role_assumed &role, base::clock_time now)
 {
     if (!role.recordsWhole)
         state.recordsSince = now;
@@ -333,22 +333,23 @@
 request_step decide(request_state state, const request_message &message, base::clock_time now)
 {
     action_list actions;
-    std::visit(base::overloaded {
-                   [&](const request_arrived &request) { arrive(state, request, now, actions); },
-                   [&](const request_cancelled &request) {
-                       cancel(state, request.identity, now, actions);
-                   },
-                   [&](const start_claimed &request) { claim(state, request, now, actions); },
-                   [&](const backup_copied &copied) { backupCopied(state, copied, actions); },
-                   [&](const copy_received &copy) { holdCopy(state, copy, actions); },
-                   [&](const owner_answered &answer) { answered(state, answer, now, actions); },
-                   [&](const owner_refused &refusal) { refused(state, refusal, now, actions); },
-                   [&](const owner_failed &failure) { failed(state, failure, now, actions); },
-                   [&](const owner_lost &loss) { ownerLost(state, loss.owner, now, actions); },
-                   [&](const role_taken &role) { takeRole(state, role, now); },
-                   [&](const requests_tick &) { passTime(state, now, actions); },
-               },
-               message);
+    std::visit(
+        base::overloaded {
+            [&](const request_arrived &request) { arrive(state, request, now, actions); },
+            [&](const request_cancelled &request) {
+                cancel(state, request.identity, now, actions);
+            },
+            [&](const start_claimed &request) { claim(state, request, now, actions); },
+            [&](const copy_acknowledged &copied) { backupCopied(state, copied, actions); },
+            [&](const copy_received &copy) { holdCopy(state, copy, actions); },
+            [&](const owner_answered &answer) { answered(state, answer, now, actions); },
+            [&](const owner_refused &refusal) { refused(state, refusal, now, actions); },
+            [&](const owner_failed &failure) { failed(state, failure, now, actions); },
+            [&](const owner_terminated &loss) { ownerLost(state, loss.owner, now, actions); },
+            [&](const director_role_assumed &role) { takeRole(state, role, now); },
+            [&](const requests_tick &) { passTime(state, now, actions); },
+        },
+        message);
     return request_step {std::move(state), std::move(actions)};
 }
 
--- a/lycheeshunt/requests/decision_test.cpp
+++ b/lycheeshunt/requests/decision_test.cpp
@@ -65,7 +65,7 @@
         apply(request(identity, reply, idempotent, now), now);
         CHECK(is(apply(start_claimed {identity, ownerA}, now),
                  {copy_to_backup {identity, ownerA, at(10'000), idempotent}}));
-        CHECK(is(apply(backup_copied {identity}, now), {permit_start {identity, ownerA}}));
+        CHECK(is(apply(copy_acknowledged {identity}, now), {permit_start {identity, ownerA}}));
     }
 
     // First attempts that fill the retry budget.
@@ -145,15 +145,15 @@
 {
     apply(request(one, 1, false), 0);
     apply(start_claimed {one, ownerA}, 1);
-    CHECK(is(apply(owner_lost {ownerA}, 2), {notRun(1, error_code::noServer)}));
-    CHECK(apply(backup_copied {one}, 3).empty());
+    CHECK(is(apply(owner_terminated {ownerA}, 2), {notRun(1, error_code::noServer)}));
+    CHECK(apply(copy_acknowledged {one}, 3).empty());
 }
 
 TEST(requests, ownerLostAfterTheHandOverIsUnknownAndNeverNotRun)
 {
     earnRetries();
     start(one, 1, false, 0);
-    CHECK(is(apply(owner_lost {ownerA}, 5), {unknown(1)}));
+    CHECK(is(apply(owner_terminated {ownerA}, 5), {unknown(1)}));
     CHECK(is(apply(request(one, 2, false), 6), {unknown(2)}));
     CHECK(apply(requests_tick {}, 500).empty());
 }
@@ -162,7 +162,7 @@
 {
     earnRetries();
     start(one, 1, true, 0);
-    CHECK(apply(owner_lost {ownerA}, 5).empty());
+    CHECK(apply(owner_terminated {ownerA}, 5).empty());
     CHECK(isOfferedOnce(apply(requests_tick {}, 100)));
     // Its first start may have run, so it can no longer be called not run.
     CHECK(is(apply(requests_tick {}, 10'000), {unknown(1)}));
@@ -252,14 +252,14 @@
     start(one, 1, false, 0);
     CHECK(apply(owner_refused {one, ownerB, error_code::queueFull}, 4).empty());
     CHECK(apply(owner_failed {one, ownerB}, 4).empty());
-    CHECK(apply(owner_lost {ownerB}, 4).empty());
+    CHECK(apply(owner_terminated {ownerB}, 4).empty());
 }
 
 TEST(requests, backupAnswersResendsWhenTheDirectorIsGone)
 {
-    CHECK(is(apply(copy_received {one, ownerA, at(10'000), false}, 0), {confirm_copy {one}}));
-    apply(role_taken {false}, 5);
-    CHECK(is(apply(request(one, 1, false), 6), {ask_owner {one, ownerA}}));
+    CHECK(is(apply(copy_received {one, ownerA, at(10'000), false}, 0), {acknowledge_copy {one}}));
+    apply(director_role_assumed {false}, 5);
+    CHECK(is(apply(request(one, 1, false), 6), {query_owner {one, ownerA}}));
     CHECK(apply(request(one, 2, false), 6).empty());
     const answer_bytes answer = answerOf("kept");
     LONGS_EQUAL(2, apply(owner_answered {one, ownerA, answer}, 7).size());
@@ -268,14 +268,14 @@
 TEST(requests, backupKnowsTheOutcomeIsUnknownWhenDirectorAndOwnerAreGone)
 {
     apply(copy_received {one, ownerA, at(10'000), false}, 0);
-    apply(role_taken {false}, 5);
-    apply(owner_lost {ownerA}, 5);
+    apply(director_role_assumed {false}, 5);
+    apply(owner_terminated {ownerA}, 5);
     CHECK(is(apply(request(one, 1, false), 6), {unknown(1)}));
 }
 
 TEST(requests, directorWithoutRecordsNeverRunsWhatMayHaveRun)
 {
-    apply(role_taken {false}, 1000);
+    apply(director_role_assumed {false}, 1000);
     CHECK(is(apply(request(one, 1, false, 900), 1001), {unknown(1)}));
     CHECK(isOfferedOnce(apply(request(two, 2, true, 900), 1001)));
     const request_identity fresh {7, 3};
--- a/lycheeshunt/requests/role_taken.h
+++ b/lycheeshunt/requests/director_role_assumed.h
@@ -3,11 +3,11 @@
 namespace lycheeshunt::requests {
 
 // This agent became director. The records of the one before it came whole, or not.
-struct role_taken
+struct director_role_assumed
 {
     const bool recordsWhole = false;
 
-    bool operator==(const role_taken &) const = default;
+    bool operator==(const director_role_assumed &) const = default;
 };
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/requests/owner_lost.h
+++ b/lycheeshunt/requests/owner_terminated.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::requests {
 
 // An agent is gone, or has restarted.
-struct owner_lost
+struct owner_terminated
 {
     const base::node_id owner;
 
-    bool operator==(const owner_lost &) const = default;
+    bool operator==(const owner_terminated &) const = default;
 };
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/requests/ask_owner.h
+++ b/lycheeshunt/requests/query_owner.h
@@ -6,12 +6,12 @@
 namespace lycheeshunt::requests {
 
 // Have the owner send the outcome here, now if it has it.
-struct ask_owner
+struct query_owner
 {
     const request_identity identity;
     const base::node_id owner;
 
-    bool operator==(const ask_owner &) const = default;
+    bool operator==(const query_owner &) const = default;
 };
 
 } // namespace lycheeshunt::requests
--- a/tools/measurements/crest/real_cluster.cpp
+++ b/tools/measurements/crest/real_cluster.cpp
@@ -134,7 +134,7 @@
                    },
                    [&](const requests::copy_to_backup &copy) {
                        m_events.after(2 * hopMillis, [this, index, identity = copy.identity]() {
-                           direct(index, requests::backup_copied {identity});
+                           direct(index, requests::copy_acknowledged {identity});
                        });
                    },
                    [&](const requests::permit_start &permit) {
@@ -208,7 +208,7 @@
 void real_cluster::give(std::size_t index, std::size_t to)
 {
     m_agents[index].wanting = to;
-    admit(index, admission::work_wanted {});
+    admit(index, admission::queued_work_requested {});
 }
 
 void real_cluster::report(std::size_t index, const placement::send_report &sent)
@@ -253,10 +253,10 @@
 void real_cluster::carryOut(std::size_t index, const admission::admission_action &action)
 {
     std::visit(base::overloaded {
-                   [&](const admission::hand_over &given) {
+                   [&](const admission::dispatch_work &given) {
                        start(index, static_cast<std::size_t>(given.id.value()));
                    },
-                   [&](const admission::move_work &moved) {
+                   [&](const admission::transfer_work &moved) {
                        const std::size_t work = static_cast<std::size_t>(moved.id.value());
                        const std::size_t to = m_agents[index].wanting;
                        --m_agents[index].flows;
@@ -381,7 +381,7 @@
     admit(index, admission::server_restarted {});
     m_events.after(restartTime, [this, index]() {
         for (std::size_t director = 0; director < m_agents.size(); ++director)
-            direct(director, requests::owner_lost {nodeOf(index)});
+            direct(director, requests::owner_terminated {nodeOf(index)});
     });
 }
 
