--- a/lycheeshunt/admission/admission_state.h
+++ b/lycheeshunt/admission/admission_state.h
@@ -1,4 +1,4 @@
-// The slots of one backend server, the work in them and the work that waits.
+// State of admission at one agent: the slots of its backend server, running work and queued work.
 
 #pragma once
 
@@ -14,21 +14,23 @@
 
 struct admission_state
 {
-    explicit admission_state(const tickets::service_limits &given)
-        : limits(std::make_shared<const tickets::service_limits>(given)), allowed(given.slots)
+    explicit admission_state(const tickets::service_limits &initialLimits)
+        : limits(std::make_shared<const tickets::service_limits>(initialLimits)),
+          allowed(initialLimits.slots)
     {
     }
 
     std::shared_ptr<const tickets::service_limits> limits;
     std::list<queued_work> queue;
     std::map<work_id, running_work> running;
-    // Slots in use at most. Below limits->slots after the server shed load or restarted.
+    // Current concurrency limit. Less than limits->slots after the server shed load or restarted.
     double allowed;
-    // Moving mean of the time that short work held its slot, in milliseconds; 0 is not known yet.
+    // Moving average of the time short work occupied its slot, in milliseconds; 0 until the first
+    // sample.
     double meanShortMillis = 0;
-    std::optional<base::clock_time> lastCut = {};
+    std::optional<base::clock_time> lastDecrease = {};
     bool draining = false;
-    bool emptyReported = false;
+    bool drainedReported = false;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/admission_tick.h
+++ b/lycheeshunt/admission/admission_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::admission {
 
-// Time has passed; carries nothing else.
+// Periodic message that drives timeouts.
 struct admission_tick
 {
     bool operator==(const admission_tick &) const = default;
--- a/lycheeshunt/admission/cancel_at_server.h
+++ b/lycheeshunt/admission/cancel_at_server.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::admission {
 
-// Ask the backend server to give up work that was handed over. Its slot stays taken until it ends.
+// Requests the backend server to cancel dispatched work. The slot stays occupied until the work
+// ends.
 struct cancel_at_server
 {
     const work_id id;
--- a/lycheeshunt/admission/decision.h
+++ b/lycheeshunt/admission/decision.h
@@ -1,9 +1,10 @@
-// Decides which work gets a slot of the backend server, which waits and which is refused. Work is
-// refused on arrival when it can't be expected to get a slot in time. No I/O, threads or clock.
+// Admission control for one backend server: decides which work is dispatched to a slot, queued or
+// refused. Work is refused on arrival when it is not expected to get a slot in time. Performs no
+// I/O, starts no threads and reads no clock.
 //
 //     step<admission_state, admission_action> next = decide(std::move(state), message, now);
 //
-// Every piece of work gets exactly one of: refuse_work or transfer_work (it was not run here), or
+// Each unit of work leads to exactly one of: refuse_work or transfer_work (it was not run here), or
 // dispatch_work followed by work_ended or report_work_lost.
 
 #pragma once
@@ -19,7 +20,7 @@
 base::step<admission_state, admission_action>
 decide(admission_state state, const admission_message &message, base::clock_time now);
 
-// What placement is told of this agent.
+// The slot counts that this agent reports to placement.
 slot_counts countsOf(const admission_state &state, base::clock_time now);
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/decision_test.cpp
+++ b/lycheeshunt/admission/decision_test.cpp
@@ -19,14 +19,14 @@
     return clock_time::ofMillis(millis);
 }
 
-work_arrived work(std::uint64_t id, clock_time deadline = farDeadline, bool likelyLong = false)
+work_arrived work(std::uint64_t id, clock_time deadline = farDeadline, bool expectedLong = false)
 {
-    return work_arrived {work_id(id), deadline, likelyLong};
+    return work_arrived {work_id(id), deadline, expectedLong};
 }
 
-work_ended ended(std::uint64_t id, work_outcome how = work_outcome::answered)
+work_ended ended(std::uint64_t id, work_outcome outcome = work_outcome::answered)
 {
-    return work_ended {work_id(id), how};
+    return work_ended {work_id(id), outcome};
 }
 
 service_limits smallLimits()
@@ -48,13 +48,13 @@
         return std::move(next.actions);
     }
 
-    void fill(std::uint64_t firstId, std::int64_t now)
+    void fillSlots(std::uint64_t firstId, std::int64_t now)
     {
         for (std::uint64_t id = firstId; id < firstId + 3; ++id)
-            CHECK(apply(work(id), now) == started(id));
+            CHECK(apply(work(id), now) == dispatched(id));
     }
 
-    std::vector<admission_action> started(std::uint64_t id)
+    std::vector<admission_action> dispatched(std::uint64_t id)
     {
         return {dispatch_work {work_id(id)}};
     }
@@ -71,16 +71,16 @@
     }
 };
 
-TEST(admission, workGetsAFreeSlotAtOnceAndWaitsWhenThereIsNone)
+TEST(admission, workIsDispatchedToAFreeSlotAndQueuedWhenThereIsNone)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     CHECK(apply(work(4), 1).empty());
-    CHECK(is(apply(ended(2), 5), started(4)));
+    CHECK(is(apply(ended(2), 5), dispatched(4)));
 }
 
-TEST(admission, fullQueueRefusesAtOnce)
+TEST(admission, fullQueueRefusesOnArrival)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     for (std::uint64_t id = 4; id < 8; ++id)
         CHECK(apply(work(id), 1).empty());
     CHECK(is(apply(work(8), 1), refused(8, error_code::queueFull)));
@@ -88,34 +88,34 @@
 
 TEST(admission, workThatWouldWaitTooLongIsRefusedOnArrival)
 {
-    fill(1, 0);
-    apply(ended(1), 900); // the mean is now 900 ms
-    CHECK(is(apply(work(4), 900), started(4)));
-    CHECK(apply(work(5), 901).empty()); // 300 ms of 400
+    fillSlots(1, 0);
+    apply(ended(1), 900); // mean occupancy is now 900 ms
+    CHECK(is(apply(work(4), 900), dispatched(4)));
+    CHECK(apply(work(5), 901).empty()); // expected wait 300 ms, maximum 400 ms
     CHECK(is(apply(work(6), 901), refused(6, error_code::waitTooLong)));
 }
 
-TEST(admission, deadlinePassingInTheQueueIsNotRun)
+TEST(admission, workWhoseDeadlinePassesInTheQueueIsNotRun)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4, at(50)), 1);
     CHECK(is(apply(admission_tick {}, 50), refused(4, error_code::deadlinePassed)));
     CHECK(apply(ended(1), 60).empty());
 }
 
-TEST(admission, deadlinePassingInTheHandOverIsNotRun)
+TEST(admission, workWhoseDeadlinePassesAsASlotBecomesFreeIsNotRun)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4, at(50)), 1);
     CHECK(is(apply(ended(1), 50), refused(4, error_code::deadlinePassed)));
 }
 
-TEST(admission, deadlinePassedOnArrivalIsNotRun)
+TEST(admission, workWhoseDeadlineHasPassedOnArrivalIsNotRun)
 {
     CHECK(is(apply(work(1, at(5)), 5), refused(1, error_code::deadlinePassed)));
 }
 
-TEST(admission, deadlinePassingInTheServerCancelsOnceAndKeepsTheSlot)
+TEST(admission, runningWorkWhoseDeadlinePassesIsCancelledOnceAndKeepsItsSlot)
 {
     apply(work(1, at(50)), 0);
     CHECK(is(apply(admission_tick {}, 50), {cancel_at_server {work_id(1)}}));
@@ -125,17 +125,17 @@
     LONGS_EQUAL(0, countsOf(state, at(70)).busy);
 }
 
-TEST(admission, waitIsBounded)
+TEST(admission, queueWaitIsBounded)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4), 1);
     CHECK(apply(admission_tick {}, 400).empty());
     CHECK(is(apply(admission_tick {}, 401), refused(4, error_code::queueWaitExceeded)));
 }
 
-TEST(admission, cancelBeforeTheHandOverIsNotRunAndAfterItGoesToTheServer)
+TEST(admission, cancelBeforeDispatchIsNotRunAndAfterDispatchGoesToTheServer)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4), 1);
     CHECK(is(apply(work_cancelled {work_id(4)}, 2), refused(4, error_code::workCancelled)));
     CHECK(is(apply(work_cancelled {work_id(1)}, 2), {cancel_at_server {work_id(1)}}));
@@ -143,56 +143,56 @@
     CHECK(apply(work_cancelled {work_id(99)}, 3).empty());
 }
 
-TEST(admission, cancelRacingTheHandOverGoesToTheServer)
+TEST(admission, cancelRacingDispatchGoesToTheServer)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4), 1);
-    CHECK(is(apply(ended(1), 2), started(4)));
+    CHECK(is(apply(ended(1), 2), dispatched(4)));
     CHECK(is(apply(work_cancelled {work_id(4)}, 2), {cancel_at_server {work_id(4)}}));
 }
 
-TEST(admission, workIsGivenUpToAnAgentThatWantsItOldestFirst)
+TEST(admission, oldestQueuedWorkIsTransferredToTheAgentThatRequestsWork)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4), 1);
     apply(work(5), 2);
     CHECK(is(apply(queued_work_requested {}, 3), {transfer_work {work_id(4)}}));
-    CHECK(is(apply(ended(1), 4), started(5)));
+    CHECK(is(apply(ended(1), 4), dispatched(5)));
     CHECK(apply(queued_work_requested {}, 5).empty());
 }
 
-TEST(admission, likelyLongWorkStaysOutOfTheLastSlots)
+TEST(admission, expectedLongWorkLeavesTheReservedSlotsToShortWork)
 {
-    CHECK(is(apply(work(1, farDeadline, true), 0), started(1)));
-    CHECK(is(apply(work(2, farDeadline, true), 0), started(2)));
+    CHECK(is(apply(work(1, farDeadline, true), 0), dispatched(1)));
+    CHECK(is(apply(work(2, farDeadline, true), 0), dispatched(2)));
     CHECK(apply(work(3, farDeadline, true), 1).empty());
-    CHECK(is(apply(work(4), 2), started(4)));
+    CHECK(is(apply(work(4), 2), dispatched(4)));
     CHECK(is(apply(ended(4), 3), {}));
-    CHECK(is(apply(admission_tick {}, 201), started(3)));
+    CHECK(is(apply(admission_tick {}, 201), dispatched(3)));
 }
 
-TEST(admission, workBecomesLongByItsAgeAndAllSlotsHeldRefuse)
+TEST(admission, workBecomesLongByAgeAndNewWorkIsRefusedWhenAllSlotsRunLongWork)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     LONGS_EQUAL(0, countsOf(state, at(999)).longBusy);
     LONGS_EQUAL(3, countsOf(state, at(1000)).longBusy);
     CHECK(!countsOf(state, at(1000)).accepting);
     CHECK(is(apply(work(4), 1000), refused(4, error_code::slotsHeldByLongWork)));
 }
 
-TEST(admission, longWorkIsNoMeasureOfShortWork)
+TEST(admission, longWorkDoesNotAffectTheMeanOfShortWork)
 {
     apply(work(1), 0);
     apply(ended(1), 5000);
     DOUBLES_EQUAL(0, state.meanShortMillis, 0);
 }
 
-TEST(admission, serverThatShedsEverythingIsGivenLessAndTheWorkWasNotRun)
+TEST(admission, sheddingReducesTheLimitAndTheWorkIsReportedNotRun)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     CHECK(is(apply(ended(1, work_outcome::shed), 10), refused(1, error_code::serverShedding)));
     LONGS_EQUAL(2, countsOf(state, at(10)).allowed);
-    apply(ended(2, work_outcome::shed), 11); // the same event
+    apply(ended(2, work_outcome::shed), 11); // the same overload event
     apply(ended(3, work_outcome::shed), 11);
     LONGS_EQUAL(2, countsOf(state, at(11)).allowed);
     for (std::uint64_t id = 10; id < 30; ++id) {
@@ -201,10 +201,10 @@
         apply(ended(id, work_outcome::shed), now + 1);
     }
     LONGS_EQUAL(1, countsOf(state, at(3000)).allowed);
-    CHECK(is(apply(work(50), 3000), started(50)));
+    CHECK(is(apply(work(50), 3000), dispatched(50)));
 }
 
-TEST(admission, concurrencyGrowsBackWithAnswers)
+TEST(admission, limitRecoversWithAnswers)
 {
     apply(server_restarted {}, 0);
     LONGS_EQUAL(2, countsOf(state, at(0)).allowed);
@@ -215,49 +215,50 @@
     LONGS_EQUAL(3, countsOf(state, at(2)).allowed);
 }
 
-TEST(admission, restartLosesWhatRanAndKeepsWhatWaits)
+TEST(admission, restartLosesRunningWorkAndKeepsQueuedWork)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4), 1);
     CHECK(is(apply(server_restarted {}, 2),
              {report_work_lost {work_id(1)}, report_work_lost {work_id(2)},
               report_work_lost {work_id(3)}, dispatch_work {work_id(4)}}));
 }
 
-TEST(admission, drainRefusesAtOnceFinishesAndSaysEmptyOnce)
+TEST(admission, drainRefusesNewWorkFinishesTheRestAndReportsDrainedOnce)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     apply(work(4), 1);
     CHECK(apply(drain_changed {true}, 2).empty());
     CHECK(is(apply(work(5), 2), refused(5, error_code::serverDraining)));
-    CHECK(is(apply(ended(1), 3), started(4)));
+    CHECK(is(apply(ended(1), 3), dispatched(4)));
     apply(ended(2), 4);
     apply(ended(3), 5);
-    CHECK(apply(admission_tick {}, 3'600'000 - 1).size() == 1); // its deadline: cancelled, not cut
+    CHECK(apply(admission_tick {}, 3'600'000 - 1).size()
+          == 1); // past its deadline: cancelled, but still running
     CHECK(is(apply(ended(4), 3'600'000), {report_drained {}}));
     CHECK(apply(admission_tick {}, 3'600'001).empty());
 }
 
-TEST(admission, drainOfAnIdleServerIsEmptyAtOnceAndCanBeTakenBack)
+TEST(admission, idleServerIsDrainedAtOnceAndDrainingCanBeUndone)
 {
     CHECK(is(apply(drain_changed {true}, 0), {report_drained {}}));
     CHECK(apply(drain_changed {false}, 1).empty());
-    CHECK(is(apply(work(1), 2), started(1)));
+    CHECK(is(apply(work(1), 2), dispatched(1)));
 }
 
-TEST(admission, fewerSlotsFromATicketTakeNothingAway)
+TEST(admission, fewerSlotsFromATicketDoNotInterruptRunningWork)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     CHECK(apply(limits_changed {service_limits {1, 100, 4, at(400), at(1000), 0}}, 1).empty());
     apply(work(4), 1);
     CHECK(apply(ended(1), 2).empty());
     CHECK(apply(ended(2), 3).empty());
-    CHECK(is(apply(ended(3), 4), started(4)));
+    CHECK(is(apply(ended(3), 4), dispatched(4)));
 }
 
-TEST(admission, endOfUnknownWorkChangesNothing)
+TEST(admission, endOfUnknownWorkIsIgnored)
 {
-    fill(1, 0);
+    fillSlots(1, 0);
     CHECK(apply(ended(77), 1).empty());
     LONGS_EQUAL(3, countsOf(state, at(1)).busy);
 }
--- a/lycheeshunt/admission/dispatch_work.h
+++ b/lycheeshunt/admission/dispatch_work.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::admission {
 
-// Give the work to the backend server. From here on it may have run.
+// Dispatches the work to the backend server. From here on it may have run.
 struct dispatch_work
 {
     const work_id id;
--- a/lycheeshunt/admission/drain_changed.h
+++ b/lycheeshunt/admission/drain_changed.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::admission {
 
-// The backend server starts or stops draining.
+// The backend server started or stopped draining.
 struct drain_changed
 {
     const bool draining = true;
--- a/lycheeshunt/admission/limits_changed.h
+++ b/lycheeshunt/admission/limits_changed.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::admission {
 
-// A ticket has changed the limits of the service.
+// A ticket changed the limits of the service.
 struct limits_changed
 {
     const tickets::service_limits limits;
--- a/lycheeshunt/admission/queued_work.h
+++ b/lycheeshunt/admission/queued_work.h
@@ -5,13 +5,13 @@
 
 namespace lycheeshunt::admission {
 
-// Work that waits for a slot.
+// Work that is queued for a slot.
 struct queued_work
 {
     const work_id id;
-    const base::clock_time arrived;
+    const base::clock_time arrivedAt;
     const base::clock_time deadline;
-    const bool likelyLong = false;
+    const bool expectedLong = false;
 
     bool operator==(const queued_work &) const = default;
 };
--- a/lycheeshunt/admission/queued_work_requested.h
+++ b/lycheeshunt/admission/queued_work_requested.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::admission {
 
-// Another agent has a free slot for work that waits here.
+// Another agent has a free slot and requests work that is queued here.
 struct queued_work_requested
 {
     bool operator==(const queued_work_requested &) const = default;
--- a/lycheeshunt/admission/refuse_work.h
+++ b/lycheeshunt/admission/refuse_work.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::admission {
 
-// Tell the caller that the work was not run, and why.
+// Notifies the caller that the work was not run, and why.
 struct refuse_work
 {
     const work_id id;
--- a/lycheeshunt/admission/report_drained.h
+++ b/lycheeshunt/admission/report_drained.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::admission {
 
-// A draining backend server has finished everything it was given.
+// Reports that a draining backend server has completed all its work.
 struct report_drained
 {
     bool operator==(const report_drained &) const = default;
--- a/lycheeshunt/admission/report_work_lost.h
+++ b/lycheeshunt/admission/report_work_lost.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::admission {
 
-// The outcome of work that was handed over will never be known.
+// Reports that the outcome of dispatched work will never be known.
 struct report_work_lost
 {
     const work_id id;
--- a/lycheeshunt/admission/running_work.h
+++ b/lycheeshunt/admission/running_work.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::admission {
 
-// Work that was handed over and holds a slot.
+// Work that was dispatched and occupies a slot.
 struct running_work
 {
-    const base::clock_time since;
+    const base::clock_time startedAt;
     const base::clock_time deadline;
-    const bool likelyLong = false;
+    const bool expectedLong = false;
     const bool cancelled = false;
 
     bool operator==(const running_work &) const = default;
--- a/lycheeshunt/admission/server_restarted.h
+++ b/lycheeshunt/admission/server_restarted.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::admission {
 
-// The backend server has restarted and is cold; what ran there is lost.
+// The backend server restarted and is cold; the work that was running on it is lost.
 struct server_restarted
 {
     bool operator==(const server_restarted &) const = default;
--- a/lycheeshunt/admission/slot_counts.h
+++ b/lycheeshunt/admission/slot_counts.h
@@ -4,17 +4,17 @@
 
 namespace lycheeshunt::admission {
 
-// What one agent counts at its own backend server.
+// Slot usage of the backend server of one agent.
 struct slot_counts
 {
-    // Slots that may be used now.
+    // Current concurrency limit.
     const std::uint32_t allowed = 0;
     const std::uint32_t busy = 0;
-    // Of the busy slots, those that long work holds.
+    // Busy slots that are occupied by long work.
     const std::uint32_t longBusy = 0;
     const std::uint32_t queued = 0;
     const bool draining = false;
-    // Whether new work would be let in now.
+    // Whether new work would be admitted now.
     const bool accepting = true;
 
     bool operator==(const slot_counts &) const = default;
--- a/lycheeshunt/admission/transfer_work.h
+++ b/lycheeshunt/admission/transfer_work.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::admission {
 
-// The work was not run; offer it to the agent that wants it.
+// Removes queued work, which was not run, and offers it to the agent that requested work.
 struct transfer_work
 {
     const work_id id;
--- a/lycheeshunt/admission/work_arrived.h
+++ b/lycheeshunt/admission/work_arrived.h
@@ -5,14 +5,14 @@
 
 namespace lycheeshunt::admission {
 
-// Work asks for a slot of the backend server.
+// New work requests a slot of the backend server.
 struct work_arrived
 {
     const work_id id;
-    // On the clock of this agent.
+    // By this agent's clock.
     const base::clock_time deadline;
-    // Earlier work of the same flow was long.
-    const bool likelyLong = false;
+    // Earlier work of the same flow was long, so this work is expected to be long too.
+    const bool expectedLong = false;
 
     bool operator==(const work_arrived &) const = default;
 };
--- a/lycheeshunt/admission/work_cancelled.h
+++ b/lycheeshunt/admission/work_cancelled.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::admission {
 
-// The caller no longer wants the work.
+// The caller cancelled the work.
 struct work_cancelled
 {
     const work_id id;
--- a/lycheeshunt/admission/work_ended.h
+++ b/lycheeshunt/admission/work_ended.h
@@ -5,11 +5,11 @@
 
 namespace lycheeshunt::admission {
 
-// The backend server is done with the work; its slot is free.
+// The work ended at the backend server; its slot is free.
 struct work_ended
 {
     const work_id id;
-    const work_outcome how = work_outcome::answered;
+    const work_outcome outcome = work_outcome::answered;
 
     bool operator==(const work_ended &) const = default;
 };
--- a/lycheeshunt/admission/work_id.h
+++ b/lycheeshunt/admission/work_id.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::admission {
 
-// Number of one piece of work at one agent; never used again in the life of the agent.
+// Identifies a unit of work at one agent; not reused while the agent process runs.
 using work_id = base::strong_number<struct work_id_tag, std::uint64_t>;
 
 } // namespace lycheeshunt::admission
