Reword requests

Comments had owners that are let go on, records that come whole and resends that are remembered. They now name the retry budget as a token bucket, stored records, acknowledged copies, permitted starts and retransmissions; functions say which message they handle, and timers which were called due are timers.

--- a/lycheeshunt/requests/acknowledge_copy.h
+++ b/lycheeshunt/requests/acknowledge_copy.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::requests {
 
-// Tell the director that this backup holds its record.
+// Acknowledges to the director that this backup stores its record.
 struct acknowledge_copy
 {
     const request_identity identity;
--- a/lycheeshunt/requests/answer_bytes.h
+++ b/lycheeshunt/requests/answer_bytes.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// A whole answer; shared, so that each resend costs no copy.
+// A complete answer; shared, so that replying to retransmitted requests copies nothing.
 using answer_bytes = std::shared_ptr<const std::string>;
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/requests/cancel_at_owner.h
+++ b/lycheeshunt/requests/cancel_at_owner.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// Ask the owner to give up a request that was handed over.
+// Requests the owner to cancel a request that it was permitted to start.
 struct cancel_at_owner
 {
     const request_identity identity;
--- a/lycheeshunt/requests/copy_acknowledged.h
+++ b/lycheeshunt/requests/copy_acknowledged.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::requests {
 
-// The backup director holds the record of a start.
+// The backup director acknowledged that it stores the record of a start.
 struct copy_acknowledged
 {
     const request_identity identity;
--- a/lycheeshunt/requests/copy_received.h
+++ b/lycheeshunt/requests/copy_received.h
@@ -6,7 +6,8 @@
 
 namespace lycheeshunt::requests {
 
-// Another director records with this one, its backup, that the owner is about to start a request.
+// Another director, whose backup is this one, replicates the record that an owner is about to start
+// a request.
 struct copy_received
 {
     const request_identity identity;
--- a/lycheeshunt/requests/copy_to_backup.h
+++ b/lycheeshunt/requests/copy_to_backup.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::requests {
 
-// Have the backup director record that the owner is about to hand the request over.
+// Replicates to the backup director the record that the owner is about to start the request.
 struct copy_to_backup
 {
     const request_identity identity;
--- a/lycheeshunt/requests/decision.h
+++ b/lycheeshunt/requests/decision.h
@@ -1,10 +1,11 @@
-// Decides, at the director of a request's identity, whether it runs, runs again, or gets an outcome
-// that is known. A request that isn't idempotent is started at most once: its owner asks first, and
-// the start is recorded here and at the backup director before the owner is let go on.
+// Decides, at the director of a request's identity, whether the request runs, is retried, or is
+// answered with its recorded outcome. A request that is not idempotent is started at most once: its
+// owner asks for permission, which is granted only after the start is recorded here and at the
+// backup director.
 //
 //     step<request_state, request_action> next = decide(std::move(state), message, now);
 //
-// Each arrival of a request gets exactly one reply_to_caller.
+// Each arrival of a request, retransmissions included, leads to exactly one reply_to_caller.
 
 #pragma once
 
@@ -15,7 +16,7 @@
 
 namespace lycheeshunt::requests {
 
-// How long an ended request is remembered. A resend may come this long after the outcome.
+// How long the record of an ended request is kept, to answer retransmissions of the request.
 constexpr base::clock_time retention = base::clock_time::ofSeconds(120);
 
 base::step<request_state, request_action>
--- a/lycheeshunt/requests/decision_test.cpp
+++ b/lycheeshunt/requests/decision_test.cpp
@@ -58,7 +58,8 @@
         return std::move(next.actions);
     }
 
-    // Arrives, is claimed by the owner and copied to the backup, so that it may run.
+    // Brings a request to its start: it arrives, ownerA claims it and the backup acknowledges its
+    // copy.
     void start(const request_identity &identity, std::uint64_t reply, bool idempotent,
                std::int64_t now)
     {
@@ -68,8 +69,8 @@
         CHECK(is(apply(copy_acknowledged {identity}, now), {permit_start {identity, ownerA}}));
     }
 
-    // First attempts that fill the retry budget.
-    void earnRetries()
+    // Fills the retry budget by first attempts.
+    void fillRetryBudget()
     {
         for (std::uint64_t number = 100; number < 200; ++number) {
             const request_identity other {1, number};
@@ -93,7 +94,7 @@
     }
 };
 
-TEST(requests, answerReachesItsOwnCallerWhole)
+TEST(requests, completeAnswerReachesTheCallerOfItsRequest)
 {
     start(one, 1, false, 0);
     start(two, 2, false, 0);
@@ -105,27 +106,27 @@
              {reply_to_caller {reply_handle(1), first}}));
 }
 
-TEST(requests, answerThatComesTwiceOrFromAnotherOwnerIsDropped)
+TEST(requests, duplicateAnswerAndAnswerFromAnotherAgentAreIgnored)
 {
     start(one, 1, false, 0);
-    CHECK(apply(owner_answered {one, ownerB, answerOf("crossed")}, 4).empty());
+    CHECK(apply(owner_answered {one, ownerB, answerOf("misdirected")}, 4).empty());
     apply(owner_answered {one, ownerA, answerOf("a")}, 5);
     CHECK(apply(owner_answered {one, ownerA, answerOf("b")}, 6).empty());
     CHECK(apply(owner_answered {two, ownerA, answerOf("c")}, 6).empty());
 }
 
-TEST(requests, resendDuringTheRunJoinsAndAfterTheAnswerGetsIt)
+TEST(requests, retransmissionWaitsForTheAnswerOrGetsTheStoredAnswer)
 {
     start(one, 1, false, 0);
     CHECK(apply(request(one, 2, false), 3).empty());
-    const answer_bytes answer = answerOf("whole");
+    const answer_bytes answer = answerOf("complete");
     CHECK(
         is(apply(owner_answered {one, ownerA, answer}, 5),
            {reply_to_caller {reply_handle(1), answer}, reply_to_caller {reply_handle(2), answer}}));
     CHECK(is(apply(request(one, 3, false), 100'000), {reply_to_caller {reply_handle(3), answer}}));
 }
 
-TEST(requests, stormOfResendsStartsNothingMore)
+TEST(requests, manyRetransmissionsCauseNoFurtherStart)
 {
     start(one, 1, false, 0);
     for (std::uint64_t reply = 2; reply < 1000; ++reply)
@@ -141,7 +142,7 @@
     CHECK(is(apply(start_claimed {two, ownerA}, 1), {deny_start {two, ownerA}}));
 }
 
-TEST(requests, startWaitsForTheBackup)
+TEST(requests, startWaitsForTheAcknowledgementOfTheBackup)
 {
     apply(request(one, 1, false), 0);
     apply(start_claimed {one, ownerA}, 1);
@@ -149,22 +150,22 @@
     CHECK(apply(copy_acknowledged {one}, 3).empty());
 }
 
-TEST(requests, ownerLostAfterTheHandOverIsUnknownAndNeverNotRun)
+TEST(requests, ownerTerminationAfterTheStartIsUnknownAndNeverNotRun)
 {
-    earnRetries();
+    fillRetryBudget();
     start(one, 1, false, 0);
     CHECK(is(apply(owner_terminated {ownerA}, 5), {unknown(1)}));
     CHECK(is(apply(request(one, 2, false), 6), {unknown(2)}));
     CHECK(apply(requests_tick {}, 500).empty());
 }
 
-TEST(requests, ownerLostAfterTheHandOverRetriesTheIdempotent)
+TEST(requests, ownerTerminationAfterTheStartRetriesAnIdempotentRequest)
 {
-    earnRetries();
+    fillRetryBudget();
     start(one, 1, true, 0);
     CHECK(apply(owner_terminated {ownerA}, 5).empty());
     CHECK(isOfferedOnce(apply(requests_tick {}, 100)));
-    // Its first start may have run, so it can no longer be called not run.
+    // The first start may have run, so the outcome can no longer be not_run.
     CHECK(is(apply(requests_tick {}, 10'000), {unknown(1)}));
 }
 
@@ -175,7 +176,7 @@
     CHECK(is(apply(start_claimed {one, ownerA}, 1), {deny_start {one, ownerA}}));
 }
 
-TEST(requests, cancelRacingTheHandOverIsDecidedByTheDirector)
+TEST(requests, cancelRacingTheStartIsDecidedByTheDirector)
 {
     start(one, 1, false, 0);
     CHECK(is(apply(request_cancelled {one}, 0), {cancel_at_owner {one, ownerA}}));
@@ -184,7 +185,7 @@
              {reply_to_caller {reply_handle(1), answer}}));
 }
 
-TEST(requests, deadlineInTheServerIsUnknownAndTheLateAnswerIsKeptForResends)
+TEST(requests, deadlineAfterTheStartIsUnknownAndTheLateAnswerIsKeptForRetransmissions)
 {
     start(one, 1, false, 0);
     CHECK(is(apply(requests_tick {}, 10'000), {cancel_at_owner {one, ownerA}, unknown(1)}));
@@ -206,9 +207,9 @@
     CHECK(is(apply(start_claimed {one, ownerA}, 10'000), {deny_start {one, ownerA}}));
 }
 
-TEST(requests, refusedIsTriedAgainWithinTheBudgetAndTheDeadline)
+TEST(requests, refusedRequestIsRetriedWithinTheBudgetAndTheDeadline)
 {
-    earnRetries();
+    fillRetryBudget();
     apply(request(one, 1, false), 0);
     CHECK(apply(owner_refused {one, ownerA, error_code::queueFull}, 1).empty());
     CHECK(apply(requests_tick {}, 2).empty());
@@ -218,9 +219,9 @@
              {notRun(2, error_code::queueFull)}));
 }
 
-TEST(requests, retriesUnderOverloadAreATenthOfTheLoad)
+TEST(requests, retriesUnderOverloadAreATenthOfFirstAttempts)
 {
-    earnRetries();
+    fillRetryBudget();
     std::uint64_t retried = 0;
     for (std::uint64_t number = 1000; number < 2000; ++number) {
         const request_identity identity {2, number};
@@ -232,7 +233,7 @@
     CHECK(retried <= 111);
 }
 
-TEST(requests, shedAfterTheHandOverWasNotRun)
+TEST(requests, requestShedAfterTheStartWasNotRun)
 {
     start(one, 1, false, 0);
     CHECK(is(apply(owner_refused {one, ownerA, error_code::serverShedding}, 4),
@@ -240,14 +241,14 @@
     CHECK(isOfferedOnce(apply(request(one, 2, false), 5)));
 }
 
-TEST(requests, failureAfterTheHandOverIsUnknown)
+TEST(requests, failureAfterTheStartIsUnknown)
 {
-    earnRetries();
+    fillRetryBudget();
     start(one, 1, false, 0);
     CHECK(is(apply(owner_failed {one, ownerA}, 4), {unknown(1)}));
 }
 
-TEST(requests, refusalByAnAgentThatIsNotTheOwnerChangesNothing)
+TEST(requests, messagesOfAnAgentThatIsNotTheOwnerAreIgnored)
 {
     start(one, 1, false, 0);
     CHECK(apply(owner_refused {one, ownerB, error_code::queueFull}, 4).empty());
@@ -255,7 +256,7 @@
     CHECK(apply(owner_terminated {ownerB}, 4).empty());
 }
 
-TEST(requests, backupAnswersResendsWhenTheDirectorIsGone)
+TEST(requests, backupAnswersRetransmissionsWhenItBecomesDirector)
 {
     CHECK(is(apply(copy_received {one, ownerA, at(10'000), false}, 0), {acknowledge_copy {one}}));
     apply(director_role_assumed {false}, 5);
@@ -265,7 +266,7 @@
     LONGS_EQUAL(2, apply(owner_answered {one, ownerA, answer}, 7).size());
 }
 
-TEST(requests, backupKnowsTheOutcomeIsUnknownWhenDirectorAndOwnerAreGone)
+TEST(requests, outcomeIsUnknownWhenDirectorAndOwnerHaveFailed)
 {
     apply(copy_received {one, ownerA, at(10'000), false}, 0);
     apply(director_role_assumed {false}, 5);
@@ -273,7 +274,7 @@
     CHECK(is(apply(request(one, 1, false), 6), {unknown(1)}));
 }
 
-TEST(requests, directorWithoutRecordsNeverRunsWhatMayHaveRun)
+TEST(requests, directorWithoutRecordsDoesNotRunRequestsThatMayHaveRun)
 {
     apply(director_role_assumed {false}, 1000);
     CHECK(is(apply(request(one, 1, false, 900), 1001), {unknown(1)}));
@@ -282,7 +283,7 @@
     CHECK(isOfferedOnce(apply(request(fresh, 3, false, 1000), 1001)));
 }
 
-TEST(requests, resendOlderThanTheMemoryIsUnknown)
+TEST(requests, retransmissionAfterTheRetentionPeriodIsUnknown)
 {
     start(one, 1, false, 0);
     apply(owner_answered {one, ownerA, answerOf("a")}, 5);
@@ -292,7 +293,7 @@
     CHECK(is(apply(request(one, 2, false, 0, now + 1000), now), {unknown(2)}));
 }
 
-TEST(requests, ownerWithoutABackupStartsAtOnce)
+TEST(requests, startIsPermittedAtOnceWithoutABackup)
 {
     state.hasBackup = false;
     apply(request(one, 1, false), 0);
--- a/lycheeshunt/requests/deny_start.h
+++ b/lycheeshunt/requests/deny_start.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// The owner must drop the request without running it.
+// Denies the owner the start; it must drop the request without running it.
 struct deny_start
 {
     const request_identity identity;
--- a/lycheeshunt/requests/director_role_assumed.h
+++ b/lycheeshunt/requests/director_role_assumed.h
@@ -2,10 +2,10 @@
 
 namespace lycheeshunt::requests {
 
-// This agent became director. The records of the one before it came whole, or not.
+// This agent became the director; says whether it received all records of its predecessor.
 struct director_role_assumed
 {
-    const bool recordsWhole = false;
+    const bool recordsComplete = false;
 
     bool operator==(const director_role_assumed &) const = default;
 };
--- a/lycheeshunt/requests/offer_request.h
+++ b/lycheeshunt/requests/offer_request.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// Place the request on an agent.
+// Offers the request to placement, which selects an agent for it.
 struct offer_request
 {
     const request_identity identity;
--- a/lycheeshunt/requests/outcome_unknown.h
+++ b/lycheeshunt/requests/outcome_unknown.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::requests {
 
-// The request may have run; it is not run again.
+// The request may have run and is not retried.
 struct outcome_unknown
 {
     bool operator==(const outcome_unknown &) const = default;
--- a/lycheeshunt/requests/owner_answered.h
+++ b/lycheeshunt/requests/owner_answered.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::requests {
 
-// The owner has the whole answer of its backend server.
+// The owner received the complete answer of its backend server.
 struct owner_answered
 {
     const request_identity identity;
--- a/lycheeshunt/requests/owner_failed.h
+++ b/lycheeshunt/requests/owner_failed.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// The request was handed over and brought no answer.
+// The request was dispatched to the backend server but got no answer.
 struct owner_failed
 {
     const request_identity identity;
--- a/lycheeshunt/requests/owner_refused.h
+++ b/lycheeshunt/requests/owner_refused.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::requests {
 
-// The owner did not run the request, or its server refused it before running any of it.
+// The owner did not run the request, or its backend server rejected it before running any of it.
 struct owner_refused
 {
     const request_identity identity;
--- a/lycheeshunt/requests/owner_terminated.h
+++ b/lycheeshunt/requests/owner_terminated.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::requests {
 
-// An agent is gone, or has restarted.
+// An owner was removed from the cluster or has restarted.
 struct owner_terminated
 {
     const base::node_id owner;
--- a/lycheeshunt/requests/permit_start.h
+++ b/lycheeshunt/requests/permit_start.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// The owner may hand the request over, once.
+// Permits the owner to dispatch the request to its backend server, once.
 struct permit_start
 {
     const request_identity identity;
--- a/lycheeshunt/requests/query_owner.h
+++ b/lycheeshunt/requests/query_owner.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// Have the owner send the outcome here, now if it has it.
+// Requests the outcome from the owner, which sends it at once if it already has it.
 struct query_owner
 {
     const request_identity identity;
--- a/lycheeshunt/requests/reply_handle.h
+++ b/lycheeshunt/requests/reply_handle.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// Where a front end sends the outcome of one arrival of a request.
+// Identifies where a front end sends the outcome of one arrival of a request.
 using reply_handle = base::strong_number<struct reply_handle_tag, std::uint64_t>;
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/requests/reply_to_caller.h
+++ b/lycheeshunt/requests/reply_to_caller.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// The outcome of one arrival of a request.
+// Sends the caller the outcome of one arrival of a request.
 struct reply_to_caller
 {
     const reply_handle reply;
--- a/lycheeshunt/requests/request_arrived.h
+++ b/lycheeshunt/requests/request_arrived.h
@@ -6,14 +6,14 @@
 
 namespace lycheeshunt::requests {
 
-// A caller sends a request, for the first time or again.
+// A request of a caller arrived, for the first time or as a retransmission.
 struct request_arrived
 {
     const request_identity identity;
     const reply_handle reply;
     const base::clock_time deadline;
     const bool idempotent = false;
-    // When the caller sent it for the first time, on the clock of this director.
+    // When the caller first sent it, by this director's clock.
     const base::clock_time firstSentAt;
 
     bool operator==(const request_arrived &) const = default;
--- a/lycheeshunt/requests/request_cancelled.h
+++ b/lycheeshunt/requests/request_cancelled.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::requests {
 
-// The caller no longer wants the request.
+// The caller cancelled the request.
 struct request_cancelled
 {
     const request_identity identity;
--- a/lycheeshunt/requests/request_identity.h
+++ b/lycheeshunt/requests/request_identity.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// What the caller names a request by; the same in each resend.
+// Identifies a request; assigned by the caller and the same in each retransmission.
 struct request_identity
 {
     const std::uint64_t caller = 0;
--- a/lycheeshunt/requests/request_record.h
+++ b/lycheeshunt/requests/request_record.h
@@ -10,21 +10,21 @@
 
 namespace lycheeshunt::requests {
 
-// What a director remembers of one request. State, not a message: it changes in place.
+// The record of one request at its director. State, not a message: it changes in place.
 struct request_record
 {
     base::clock_time deadline = {};
     bool idempotent = false;
     // An earlier start of this idempotent request may have run.
     bool mayHaveRunBefore = false;
-    // Came as a copy; the owner sends its answer only when asked.
-    bool fromCopy = false;
+    // Replicated from another director; the owner sends its answer here only when queried.
+    bool replicated = false;
     request_stage stage = request_stage::offered;
     base::node_id owner = {};
     base::clock_time retryAt = {};
     std::uint32_t retries = 0;
-    base::clock_time forgetAt = {};
-    std::vector<reply_handle> waiting = {};
+    base::clock_time expiresAt = {};
+    std::vector<reply_handle> pendingReplies = {};
     std::shared_ptr<const request_outcome> outcome = {};
 };
 
--- a/lycheeshunt/requests/request_state.h
+++ b/lycheeshunt/requests/request_state.h
@@ -1,4 +1,4 @@
-// The requests that one director answers for.
+// The requests of one director.
 
 #pragma once
 
@@ -14,10 +14,12 @@
     explicit request_state(std::uint32_t seed) : random(seed) { }
 
     std::map<request_identity, request_record> records;
-    // When to look at a record again; one that no longer fits its record does no harm.
-    std::multimap<base::clock_time, request_identity> due;
-    // Requests first sent earlier may have been started without a record here.
-    base::clock_time recordsSince = {};
+    // Times at which records are to be processed; a stale entry, whose record has changed since, is
+    // harmless.
+    std::multimap<base::clock_time, request_identity> timers;
+    // Records are complete from this time on: a request first sent earlier may have been started
+    // without a record here.
+    base::clock_time recordsCompleteSince = {};
     bool hasBackup = true;
     double retryTokens = 0;
     std::minstd_rand random;
--- a/lycheeshunt/requests/requests_tick.h
+++ b/lycheeshunt/requests/requests_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::requests {
 
-// Time has passed; carries nothing else.
+// Periodic message that drives deadlines, retries and the expiry of records.
 struct requests_tick
 {
     bool operator==(const requests_tick &) const = default;
--- a/lycheeshunt/requests/start_claimed.h
+++ b/lycheeshunt/requests/start_claimed.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::requests {
 
-// An owner has a slot free and asks whether it may hand the request over.
+// An owner has a free slot and requests permission to start the request.
 struct start_claimed
 {
     const request_identity identity;
