Reword health

The decision weighed what is said against what is seen; it now combines health reports with observed outcomes.

SCOPE: `seen` named a window in two functions, `what` both the name of a case and the poll of one second.

--- a/lycheeshunt/health/decision.h
+++ b/lycheeshunt/health/decision.h
@@ -1,7 +1,8 @@
-// Weighs what a backend server says of its own health against what its agent sees. What is seen
-// goes first, as health endpoints lag and mislead; reports decide only where little is seen.
+// Combines the health that a backend server reports with the flow outcomes that its agent observes.
+// Observed outcomes take precedence, as health endpoints lag and mislead; reports decide only while
+// there are too few outcomes.
 //
-//     const health_state next = judge(state, observed_outcomes {answered, failed}, now);
+//     const health_state next = evaluate(state, observed_outcomes {answered, failed}, now);
 //     if (next.verdict != state.verdict) ...
 
 #pragma once
@@ -12,7 +13,7 @@
 
 namespace lycheeshunt::health {
 
-health_state judge(const health_state &state, const health_observation &observation,
-                   base::clock_time now);
+health_state evaluate(const health_state &state, const health_observation &observation,
+                      base::clock_time now);
 
 } // namespace lycheeshunt::health
--- a/lycheeshunt/health/decision_test.cpp
+++ b/lycheeshunt/health/decision_test.cpp
@@ -1,4 +1,4 @@
-// A table of health endpoints that lag or lie, against what the agent sees.
+// Health endpoints that lag or report wrongly, against the outcomes that the agent observes.
 
 #include "lycheeshunt/health/decision.h"
 
@@ -13,24 +13,24 @@
 
 namespace {
 
-// One second: what was polled, and what the agent saw.
+// One second: the result of the poll and the outcomes that the agent observed.
 struct second
 {
     health_report report;
-    observed_outcomes work;
+    observed_outcomes outcomes;
 };
 
-const health_report saysGood {reported_health::good, 0};
-const health_report saysBad {reported_health::bad, 0};
-const health_report noAnswer {reported_health::unreachable, 0};
-const observed_outcomes nothing {0, 0};
+const health_report reportedGood {reported_health::good, 0};
+const health_report reportedBad {reported_health::bad, 0};
+const health_report reportedUnreachable {reported_health::unreachable, 0};
+const observed_outcomes noOutcomes {0, 0};
 const observed_outcomes allAnswered {4, 0};
 const observed_outcomes allFailed {0, 4};
 const observed_outcomes someFailed {2, 1};
 
 struct health_case
 {
-    const char *what;
+    const char *name;
     std::function<second(int)> at;
     int seconds;
     member_health verdict;
@@ -41,65 +41,65 @@
 
 TEST_GROUP(health) {};
 
-TEST(health, whatIsSeenGoesBeforeWhatIsSaid)
+TEST(health, observedOutcomesTakePrecedenceOverReports)
 {
     const member_health good = member_health::good;
     const member_health bad = member_health::bad;
     const health_case cases[] = {
-        {"all well",
+        {"endpoint good, all succeed",
          [](int) {
-             return second {saysGood, allAnswered};
+             return second {reportedGood, allAnswered};
          },
          30, good, 0},
-        {"says good while all fail",
+        {"endpoint good, all fail",
          [](int) {
-             return second {saysGood, allFailed};
+             return second {reportedGood, allFailed};
          },
          30, bad, 1},
-        {"says bad while all succeed",
+        {"endpoint bad, all succeed",
          [](int) {
-             return second {saysBad, allAnswered};
+             return second {reportedBad, allAnswered};
          },
          30, good, 0},
         {"unreachable endpoint, all succeed",
          [](int) {
-             return second {noAnswer, allAnswered};
+             return second {reportedUnreachable, allAnswered};
          },
          30, good, 0},
-        {"idle and says bad",
+        {"idle, endpoint bad",
          [](int) {
-             return second {saysBad, nothing};
+             return second {reportedBad, noOutcomes};
          },
          30, bad, 1},
-        {"idle and unreachable",
+        {"idle, endpoint unreachable",
          [](int) {
-             return second {noAnswer, nothing};
+             return second {reportedUnreachable, noOutcomes};
          },
          30, bad, 1},
-        {"idle and alternating",
+        {"idle, endpoint alternating",
          [](int i) {
-             return second {i % 2 == 0 ? saysGood : saysBad, nothing};
+             return second {i % 2 == 0 ? reportedGood : reportedBad, noOutcomes};
          },
          60, good, 0},
-        {"some fail: neither proven, says good",
+        {"some fail, too few for bad and too many for good, endpoint good",
          [](int) {
-             return second {saysGood, someFailed};
+             return second {reportedGood, someFailed};
          },
          30, good, 0},
-        {"fails, then mends, while the endpoint lags 10 s",
+        {"fails, then recovers, while the endpoint lags 10 s",
          [](int i) {
-             return second {i >= 20 && i < 30 ? saysBad : saysGood,
+             return second {i >= 20 && i < 30 ? reportedBad : reportedGood,
                             i >= 10 && i < 20 ? allFailed : allAnswered};
          },
          60, good, 2},
-        {"frozen at bad after a mended fault",
+        {"endpoint stuck at bad after recovery",
          [](int i) {
-             return second {saysBad, i < 10 ? allFailed : allAnswered};
+             return second {reportedBad, i < 10 ? allFailed : allAnswered};
          },
          40, good, 2},
-        {"alternating work: a second well, a second ill",
+        {"outcomes alternate every second, endpoint good",
          [](int i) {
-             return second {saysGood, i % 2 == 0 ? allAnswered : allFailed};
+             return second {reportedGood, i % 2 == 0 ? allAnswered : allFailed};
          },
          40, bad, 1},
     };
@@ -108,13 +108,13 @@
         int changes = 0;
         for (int i = 0; i < row.seconds; ++i) {
             const base::clock_time now = base::clock_time::ofSeconds(100 + i);
-            const second what = row.at(i);
-            const health_state reported = judge(*state, what.report, now);
-            const health_state next = judge(reported, what.work, now);
+            const second observed = row.at(i);
+            const health_state polled = evaluate(*state, observed.report, now);
+            const health_state next = evaluate(polled, observed.outcomes, now);
             changes += next.verdict != state->verdict ? 1 : 0;
             state = std::make_unique<const health_state>(next);
         }
-        CHECK_TEXT(state->verdict == row.verdict, row.what);
-        LONGS_EQUAL_TEXT(row.changes, changes, row.what);
+        CHECK_TEXT(state->verdict == row.verdict, row.name);
+        LONGS_EQUAL_TEXT(row.changes, changes, row.name);
     }
 }
--- a/lycheeshunt/health/endpoint_poller.cpp
+++ b/lycheeshunt/health/endpoint_poller.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-constexpr std::chrono::seconds answerWithin {1};
+constexpr std::chrono::seconds requestTimeout {1};
 
 web::http::client::http_client_config pollConfig()
 {
     web::http::client::http_client_config config;
-    config.set_timeout(answerWithin);
+    config.set_timeout(requestTimeout);
     return config;
 }
 
-reported_health askHealth(web::http::client::http_client &client)
+reported_health queryHealth(web::http::client::http_client &client)
 {
     try {
         const web::http::http_response answer
@@ -27,8 +27,8 @@
     }
 }
 
-// Whatever is no such object counts as no answer.
-std::uint32_t askLoad(web::http::client::http_client &client)
+// Returns 0 if there is no reply or it is not a JSON object with a number "busy".
+std::uint32_t queryLoad(web::http::client::http_client &client)
 {
     try {
         const web::json::value load
@@ -56,9 +56,9 @@
 
 health_report endpoint_poller::poll()
 {
-    const reported_health health = askHealth(m_connection->client);
+    const reported_health health = queryHealth(m_connection->client);
     const std::uint32_t busy
-        = health == reported_health::unreachable ? 0 : askLoad(m_connection->client);
+        = health == reported_health::unreachable ? 0 : queryLoad(m_connection->client);
     return health_report {health, busy};
 }
 
--- a/lycheeshunt/health/endpoint_poller.h
+++ b/lycheeshunt/health/endpoint_poller.h
@@ -1,4 +1,4 @@
-// Asks a backend server's health and load endpoints over HTTP.
+// Queries the health and load endpoints of a backend server over HTTP.
 //
 //     endpoint_poller poller(server);
 //     const health_report report = poller.poll();
@@ -24,7 +24,7 @@
     endpoint_poller(const endpoint_poller &) = delete;
     endpoint_poller &operator=(const endpoint_poller &) = delete;
 
-    // Waits for the answers, 2 s at most.
+    // Blocks until both endpoints have replied, 2 s at most.
     health_report poll();
 
 private:
--- a/lycheeshunt/health/endpoint_poller_test.cpp
+++ b/lycheeshunt/health/endpoint_poller_test.cpp
@@ -1,4 +1,4 @@
-// The HTTP client against a small listener that answers with fixed bytes.
+// Runs the HTTP client against a local listener that replies with fixed bytes.
 
 #include "lycheeshunt/health/endpoint_poller.h"
 
@@ -25,9 +25,9 @@
     return base::localEndpoint(listener);
 }
 
-// The HTTP library frees a request on threads of its own, some time after its answer, so that what
-// a test seems to leak differs from run to run. The address sanitizer finds leaks at the end.
-const bool leaksAreLeftToTheSanitizer = []() {
+// The HTTP library frees requests on its own threads, some time after the reply, so that CppUTest
+// would report leaks that differ from run to run. The address sanitizer detects leaks at exit.
+const bool leakDetectionIsLeftToTheSanitizer = []() {
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
     return true;
 }();
@@ -38,18 +38,18 @@
     ::poll(&watched, 1, -1);
 }
 
-std::string answer(const std::string &status, const std::string &body)
+std::string httpReply(const std::string &status, const std::string &body)
 {
     return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nConnection: close\r\n"
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// Takes one connection for each answer, in order.
+// Accepts one connection for each reply, in order.
 class listener
 {
 public:
-    explicit listener(std::vector<std::string> answers)
-        : m_socket(base::takeValue(base::openListener(anyPort))), m_answers(std::move(answers)),
+    explicit listener(std::vector<std::string> replies)
+        : m_socket(base::takeValue(base::openListener(anyPort))), m_replies(std::move(replies)),
           m_thread([this]() { run(); })
     {
     }
@@ -60,25 +60,25 @@
 private:
     void run()
     {
-        for (const std::string &each : m_answers) {
+        for (const std::string &reply : m_replies) {
             waitReadable(m_socket.get());
-            const base::file_descriptor caller(::accept(m_socket.get(), nullptr, nullptr));
+            const base::file_descriptor connection(::accept(m_socket.get(), nullptr, nullptr));
             char request[4096];
-            waitReadable(caller.get());
-            ::recv(caller.get(), request, sizeof request, 0);
-            ::send(caller.get(), each.data(), each.size(), MSG_NOSIGNAL);
+            waitReadable(connection.get());
+            ::recv(connection.get(), request, sizeof request, 0);
+            ::send(connection.get(), reply.data(), reply.size(), MSG_NOSIGNAL);
         }
     }
 
     const base::file_descriptor m_socket;
-    const std::vector<std::string> m_answers;
+    const std::vector<std::string> m_replies;
     std::thread m_thread;
 };
 
 struct poll_case
 {
-    const char *what;
-    std::vector<std::string> answers;
+    const char *name;
+    std::vector<std::string> replies;
     health_report report;
 };
 
@@ -86,33 +86,33 @@
 
 TEST_GROUP(endpoint_poller) {};
 
-TEST(endpoint_poller, readsWhatTheEndpointsSay)
+TEST(endpoint_poller, readsHealthAndLoadFromTheEndpoints)
 {
     const poll_case cases[] = {
-        {"good with a load",
-         {answer("200 OK", "{}"), answer("200 OK", "{\"busy\":5}")},
+        {"good with load",
+         {httpReply("200 OK", "{}"), httpReply("200 OK", "{\"busy\":5}")},
          {reported_health::good, 5}},
-        {"bad", {answer("503 Busy", ""), answer("404 None", "")}, {reported_health::bad, 0}},
-        {"load of another form",
-         {answer("200 OK", ""), answer("200 OK", "[\"busy\"]")},
+        {"bad", {httpReply("503 Busy", ""), httpReply("404 None", "")}, {reported_health::bad, 0}},
+        {"load is not an object",
+         {httpReply("200 OK", ""), httpReply("200 OK", "[\"busy\"]")},
          {reported_health::good, 0}},
-        {"closed without an answer", {""}, {reported_health::unreachable, 0}},
-        {"no HTTP", {"nonsense\r\n\r\n"}, {reported_health::unreachable, 0}},
+        {"connection closed without a reply", {""}, {reported_health::unreachable, 0}},
+        {"reply is not HTTP", {"nonsense\r\n\r\n"}, {reported_health::unreachable, 0}},
     };
     for (const poll_case &row : cases) {
-        const listener server(row.answers);
-        CHECK_TEXT(endpoint_poller(server.local()).poll() == row.report, row.what);
+        const listener server(row.replies);
+        CHECK_TEXT(endpoint_poller(server.local()).poll() == row.report, row.name);
     }
 }
 
-TEST(endpoint_poller, nothingListensThere)
+TEST(endpoint_poller, closedPortIsUnreachable)
 {
-    CHECK(leaksAreLeftToTheSanitizer);
+    CHECK(leakDetectionIsLeftToTheSanitizer);
     CHECK(endpoint_poller(closedAddress()).poll()
           == (health_report {reported_health::unreachable, 0}));
 }
 
-TEST(endpoint_poller, theDutyTellsOnceThatWorkFails)
+TEST(endpoint_poller, dutyPublishesAChangedVerdictOnce)
 {
     base::ring<membership::member_health> verdicts(8);
     health_duty duty(closedAddress(),
--- a/lycheeshunt/health/health_duty.cpp
+++ b/lycheeshunt/health/health_duty.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 constexpr std::size_t inboxCapacity = 64;
-constexpr base::clock_time pollEvery = base::clock_time::ofSeconds(1);
+constexpr base::clock_time pollInterval = base::clock_time::ofSeconds(1);
 } // namespace
 
 health_duty::health_duty(const base::endpoint &server, verdict_sink sink)
     : m_poller(server), m_sink(std::move(sink)), m_state(std::make_unique<const health_state>()),
-      m_duty(inboxCapacity, pollEvery, health_tick {},
+      m_duty(inboxCapacity, pollInterval, health_tick {},
              [this](const health_message &message, base::clock_time now) { handle(message, now); })
 {
 }
@@ -21,12 +21,12 @@
 {
     const health_observation observation = std::visit(
         base::overloaded {
-            [](const observed_outcomes &seen) { return health_observation(seen); },
+            [](const observed_outcomes &outcomes) { return health_observation(outcomes); },
             [this](const health_tick &) { return health_observation(m_poller.poll()); },
         },
         message);
     std::unique_ptr<const health_state> next
-        = std::make_unique<const health_state>(judge(*m_state, observation, now));
+        = std::make_unique<const health_state>(evaluate(*m_state, observation, now));
     const bool changed = next->verdict != m_state->verdict;
     m_state = std::move(next);
     if (changed)
--- a/lycheeshunt/health/health_duty.h
+++ b/lycheeshunt/health/health_duty.h
@@ -1,5 +1,5 @@
-// The thread of an agent that watches its backend server: polls the endpoints once a second, takes
-// what the agent saw through its ring, and tells each change of the verdict.
+// The thread of an agent that monitors the health of its backend server: polls the endpoints once a
+// second, receives observed outcomes through its ring, and publishes each change of the verdict.
 //
 //     health_duty health(server, [&](membership::member_health verdict) { ... });
 //     health.inbox().tryPush(observed_outcomes {answered, failed});
--- a/lycheeshunt/health/health_state.h
+++ b/lycheeshunt/health/health_state.h
@@ -7,13 +7,13 @@
 
 namespace lycheeshunt::health {
 
-// What an agent believes of its backend server, and why.
+// The health verdict of an agent on its backend server, and the evidence behind it.
 struct health_state
 {
     const membership::member_health verdict = membership::member_health::good;
-    const base::clock_time since = {};
-    const report_streak reported = {};
-    const outcome_window seen = {};
+    const base::clock_time verdictSince = {};
+    const report_streak reports = {};
+    const outcome_window observed = {};
 
     bool operator==(const health_state &) const = default;
 };
--- a/lycheeshunt/health/health_tick.h
+++ b/lycheeshunt/health/health_tick.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::health {
 
-// It is time to poll the backend server's endpoints.
+// Periodic message that triggers a poll of the endpoints of the backend server.
 struct health_tick
 {
     bool operator==(const health_tick &) const = default;
--- a/lycheeshunt/health/observed_outcomes.h
+++ b/lycheeshunt/health/observed_outcomes.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::health {
 
-// What the agent itself saw of its backend server since the last such count.
+// Flow outcomes at the backend server that the agent observed since its previous message.
 struct observed_outcomes
 {
-    // Flows that got an answer.
+    // Flows that the backend server answered.
     const std::uint32_t answered = 0;
-    // Flows that the backend server reset, or left without any answer for too long.
+    // Flows that the backend server reset, or that timed out without any answer.
     const std::uint32_t failed = 0;
 
     bool operator==(const observed_outcomes &) const = default;
--- a/lycheeshunt/health/report_streak.h
+++ b/lycheeshunt/health/report_streak.h
@@ -5,12 +5,12 @@
 
 namespace lycheeshunt::health {
 
-// The same report, so many times in a row.
+// The most recent reported health and how many polls in a row reported it.
 struct report_streak
 {
     const reported_health health = reported_health::good;
     const std::uint32_t length = 0;
-    const base::clock_time lastAt = {};
+    const base::clock_time lastReportAt = {};
 
     bool operator==(const report_streak &) const = default;
 };
