--- a/lycheeshunt/admission/lose_work.h
+++ b/lycheeshunt/admission/dispatch_work.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::admission {
 
-// The outcome of work that was handed over will never be known.
-struct lose_work
+// Dispatches the work to the backend server. From here on it may have run.
+struct dispatch_work
 {
     const work_id id;
 
-    bool operator==(const lose_work &) const = default;
+    bool operator==(const dispatch_work &) const = default;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/admission/hand_over.h
+++ b/lycheeshunt/admission/report_work_lost.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::admission {
 
-// Give the work to the backend server. From here on it may have run.
-struct hand_over
+// Reports that the outcome of dispatched work will never be known.
+struct report_work_lost
 {
     const work_id id;
 
-    bool operator==(const hand_over &) const = default;
+    bool operator==(const report_work_lost &) const = default;
 };
 
 } // namespace lycheeshunt::admission
--- a/lycheeshunt/requests/backup_copied.h
+++ b/lycheeshunt/requests/acknowledge_copy.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::requests {
 
-// The backup director holds the record of a start.
-struct backup_copied
+// Acknowledges to the director that this backup stores its record.
+struct acknowledge_copy
 {
     const request_identity identity;
 
-    bool operator==(const backup_copied &) const = default;
+    bool operator==(const acknowledge_copy &) const = default;
 };
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/requests/confirm_copy.h
+++ b/lycheeshunt/requests/copy_acknowledged.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::requests {
 
-// Tell the director that this backup holds its record.
-struct confirm_copy
+// The backup director acknowledged that it stores the record of a start.
+struct copy_acknowledged
 {
     const request_identity identity;
 
-    bool operator==(const confirm_copy &) const = default;
+    bool operator==(const copy_acknowledged &) const = default;
 };
 
 } // namespace lycheeshunt::requests
