tools: name the crest measurement's baselines for what they are

plain_cluster said only that its queues are plain; it is the baseline that the product is compared with, so the type, its policy and its files are named so.

--- a/tools/measurements/crest.cpp
+++ b/tools/measurements/crest.cpp
@@ -6,8 +6,8 @@
 //                                          silence
 //     build/measure_crest vary [VARIANT]   one decision varied at a time
 
+#include "crest/baseline_cluster.h"
 #include "crest/figures.h"
-#include "crest/plain_cluster.h"
 #include "crest/real_cluster.h"
 
 #include <chrono>
@@ -21,9 +21,9 @@
 
 constexpr std::int64_t minute = 60'000;
 
-run_result runPlain(const scenario &given, plain_policy policy)
+run_result runBaseline(const scenario &given, baseline_policy policy)
 {
-    return plain_cluster(given, policy).run();
+    return baseline_cluster(given, policy).run();
 }
 
 run_result runReal(const scenario &given)
@@ -45,9 +45,9 @@
 {
     const scenario given {.duration = 10 * minute, .load = 0.5, .crestLoad = 2.0};
     printCrest("ours", given, runReal(given), true);
-    printCrest("ideal", given, runPlain(given, plain_policy::ideal), false);
-    printCrest("random", given, runPlain(given, plain_policy::random), false);
-    printCrest("least connections 2 s old", given, runPlain(given, plain_policy::staleLeast),
+    printCrest("ideal", given, runBaseline(given, baseline_policy::ideal), false);
+    printCrest("random", given, runBaseline(given, baseline_policy::random), false);
+    printCrest("least connections 2 s old", given, runBaseline(given, baseline_policy::staleLeast),
                false);
     const scenario faulty {
         .duration = 10 * minute, .load = 0.5, .crestLoad = 2.0, .callerFaults = true};
@@ -72,13 +72,13 @@
     constexpr double strictLoad = 0.75;
     const scenario given {.duration = 30 * minute, .load = load, .crestLoad = load, .seed = seed};
     const std::string name = "short wait at " + std::to_string(static_cast<int>(load * 100)) + "%";
-    const wait_figures ideal = shortWaits(runPlain(given, plain_policy::ideal));
+    const wait_figures ideal = shortWaits(runBaseline(given, baseline_policy::ideal));
     const double bound = load < strictLoad ? 0.25 : 1.5 * ideal.p99;
     printWaits(name + ", ours", shortWaits(runReal(given)), bound);
     printWaits(name + ", ideal", ideal, {});
-    printWaits(name + ", random", shortWaits(runPlain(given, plain_policy::random)), {});
+    printWaits(name + ", random", shortWaits(runBaseline(given, baseline_policy::random)), {});
     printWaits(name + ", least connections 2 s old",
-               shortWaits(runPlain(given, plain_policy::staleLeast)), {});
+               shortWaits(runBaseline(given, baseline_policy::staleLeast)), {});
 }
 
 void printUneven(const std::string &name, const unevenness &ours, const unevenness &ideal)
@@ -100,8 +100,8 @@
 {
     const scenario given = unevenScenario({}, seed);
     const run_result ours = runReal(given);
-    const run_result ideal = runPlain(given, plain_policy::ideal);
-    const run_result random = runPlain(given, plain_policy::random);
+    const run_result ideal = runBaseline(given, baseline_policy::ideal);
+    const run_result random = runBaseline(given, baseline_policy::random);
     printUneven("unevenness in busy slots", ours.busy, ideal.busy);
     printUneven("unevenness in flows", ours.flows, ideal.flows);
     print({"unevenness in busy slots of random, worst window",
--- a/tools/measurements/crest/plain_cluster.cpp
+++ b/tools/measurements/crest/baseline_cluster.cpp
@@ -1,4 +1,4 @@
-#include "plain_cluster.h"
+#include "baseline_cluster.h"
 
 namespace lycheeshunt::crest {
 
@@ -9,14 +9,14 @@
 
 } // namespace
 
-plain_cluster::plain_cluster(const scenario &given, plain_policy policy)
+baseline_cluster::baseline_cluster(const scenario &given, baseline_policy policy)
     : m_given(given), m_policy(policy), m_servers(given.servers), m_random(given.seed)
 {
     m_result.arrivals = arrivalsOf(given);
     m_result.outcomes.resize(m_result.arrivals.size());
 }
 
-run_result plain_cluster::run()
+run_result baseline_cluster::run()
 {
     schedule(0);
     sample();
@@ -27,7 +27,7 @@
     return std::move(m_result);
 }
 
-void plain_cluster::schedule(std::size_t work)
+void baseline_cluster::schedule(std::size_t work)
 {
     if (work >= m_result.arrivals.size())
         return;
@@ -37,7 +37,7 @@
     });
 }
 
-void plain_cluster::arrive(std::size_t work)
+void baseline_cluster::arrive(std::size_t work)
 {
     const std::size_t index = pick();
     ++m_servers[index].flows;
@@ -49,10 +49,10 @@
     serve(index);
 }
 
-std::size_t plain_cluster::pick()
+std::size_t baseline_cluster::pick()
 {
-    if (m_policy != plain_policy::random)
-        return leastOf(m_policy == plain_policy::staleLeast);
+    if (m_policy != baseline_policy::random)
+        return leastOf(m_policy == baseline_policy::staleLeast);
     const std::size_t draining = drainingAt(m_given, m_events.now());
     std::uniform_int_distribution<std::size_t> any(0, m_servers.size() - 1);
     std::size_t index = any(m_random);
@@ -61,7 +61,7 @@
     return index;
 }
 
-std::size_t plain_cluster::leastOf(bool reported) const
+std::size_t baseline_cluster::leastOf(bool reported) const
 {
     const std::size_t draining = drainingAt(m_given, m_events.now());
     const auto lengthOf
@@ -78,7 +78,7 @@
     return best;
 }
 
-void plain_cluster::serve(std::size_t index)
+void baseline_cluster::serve(std::size_t index)
 {
     server &each = m_servers[index];
     while (!each.queue.empty() && each.busy < m_given.limits.slots) {
@@ -97,7 +97,7 @@
     }
 }
 
-void plain_cluster::finish(std::size_t index, std::size_t work)
+void baseline_cluster::finish(std::size_t index, std::size_t work)
 {
     --m_servers[index].busy;
     m_result.outcomes[work].answeredAt = m_events.now();
@@ -105,12 +105,12 @@
     serve(index);
 }
 
-void plain_cluster::closeLater(std::size_t index, std::size_t work)
+void baseline_cluster::closeLater(std::size_t index, std::size_t work)
 {
     m_events.after(m_result.arrivals[work].lingers, [this, index]() { --m_servers[index].flows; });
 }
 
-void plain_cluster::sample()
+void baseline_cluster::sample()
 {
     std::vector<double> busy;
     std::vector<double> flows;
@@ -125,7 +125,7 @@
         m_events.after(sampleEvery, [this]() { sample(); });
 }
 
-void plain_cluster::reportAll()
+void baseline_cluster::reportAll()
 {
     for (server &each : m_servers)
         each.reported = each.length();
--- a/tools/measurements/crest/plain_cluster.h
+++ b/tools/measurements/crest/baseline_cluster.h
@@ -11,16 +11,16 @@
 
 namespace lycheeshunt::crest {
 
-enum class plain_policy : std::uint8_t {
+enum class baseline_policy : std::uint8_t {
     ideal, // shortest true queue, then fewest flows
     random,
     staleLeast, // fewest busy and waiting on a report 2 s old
 };
 
-class plain_cluster
+class baseline_cluster
 {
 public:
-    plain_cluster(const scenario &given, plain_policy policy);
+    baseline_cluster(const scenario &given, baseline_policy policy);
 
     run_result run();
 
@@ -46,7 +46,7 @@
     void reportAll();
 
     const scenario m_given;
-    const plain_policy m_policy;
+    const baseline_policy m_policy;
     event_queue m_events;
     run_result m_result;
     std::vector<server> m_servers;
