--- a/tools/measurements/crest.cpp
+++ b/tools/measurements/crest.cpp
@@ -1,10 +1,10 @@
-// Measures placement, admission and requests in virtual time: service at the crest of demand, the
-// wait of short work behind long work, and unevenness. Prints one JSON object a line.
+// Measures placement, admission and requests in a discrete-event simulation: requests answered at
+// the peak of demand (the crest), queueing time of short requests behind long ones, and the
+// imbalance between servers. Prints one JSON object per line.
 //
-//     build/measure_crest                  everything but vary
-//     build/measure_crest PART SEED        one of crest, waits, unevenness, growth,
-//                                          silence
-//     build/measure_crest vary [VARIANT]   one decision varied at a time
+//     build/measure_crest                  all parts except vary
+//     build/measure_crest PART SEED        one part: crest, waits, unevenness, growth or silence
+//     build/measure_crest vary [VARIANT]   changes one placement rule at a time
 
 #include "crest/baseline_cluster.h"
 #include "crest/figures.h"
@@ -21,41 +21,41 @@
 
 constexpr std::int64_t minute = 60'000;
 
-run_result runBaseline(const scenario &given, baseline_policy policy)
+run_result runBaseline(const scenario &parameters, baseline_policy policy)
 {
-    return baseline_cluster(given, policy).run();
+    return baseline_cluster(parameters, policy).run();
 }
 
-run_result runReal(const scenario &given)
+run_result runProduct(const scenario &parameters)
 {
-    return real_cluster(given).run();
+    return real_cluster(parameters).run();
 }
 
-void printCrest(const std::string &name, const scenario &given, const run_result &result,
+void printCrest(const std::string &name, const scenario &parameters, const run_result &result,
                 bool bounded)
 {
-    const std::optional<double> none;
-    print({"crest answered in time, " + name, answeredShare(given, result),
-           "share of what capacity allows", bounded ? std::optional(0.95) : none});
-    print({"crest time to be told of a refusal, p99, " + name, refusalMillis(result), "ms",
-           bounded ? std::optional(50.0) : none});
+    const std::optional<double> noBound;
+    print({"crest answered in time, " + name, answeredInTimeShare(parameters, result),
+           "share of what capacity allows", bounded ? std::optional(0.95) : noBound});
+    print({"crest time to be told of a refusal, p99, " + name, refusalDelayMillis(result), "ms",
+           bounded ? std::optional(50.0) : noBound});
 }
 
 void measureCrest()
 {
-    const scenario given {.duration = 10 * minute, .load = 0.5, .crestLoad = 2.0};
-    printCrest("ours", given, runReal(given), true);
-    printCrest("ideal", given, runBaseline(given, baseline_policy::ideal), false);
-    printCrest("random", given, runBaseline(given, baseline_policy::random), false);
-    printCrest("least connections 2 s old", given, runBaseline(given, baseline_policy::staleLeast),
-               false);
+    const scenario parameters {.duration = 10 * minute, .load = 0.5, .peakLoad = 2.0};
+    printCrest("ours", parameters, runProduct(parameters), true);
+    printCrest("ideal", parameters, runBaseline(parameters, baseline_policy::ideal), false);
+    printCrest("random", parameters, runBaseline(parameters, baseline_policy::random), false);
+    printCrest("least connections 2 s old", parameters,
+               runBaseline(parameters, baseline_policy::staleLeastConnections), false);
     const scenario faulty {
-        .duration = 10 * minute, .load = 0.5, .crestLoad = 2.0, .callerFaults = true};
-    const run_result result = runReal(faulty);
+        .duration = 10 * minute, .load = 0.5, .peakLoad = 2.0, .callerFaults = true};
+    const run_result result = runProduct(faulty);
     printCrest("ours with resends, cancellations and an agent lost", faulty, result, false);
-    print({"crest work run twice", static_cast<double>(runTwice(result)), "requests", 0.0});
-    print({"crest told not run but run", static_cast<double>(falselyNotRun(result)), "requests",
-           0.0});
+    print({"crest work run twice", static_cast<double>(countRunTwice(result)), "requests", 0.0});
+    print({"crest told not run but run", static_cast<double>(wronglyReportedNotRun(result)),
+           "requests", 0.0});
 }
 
 void printWaits(const std::string &name, const wait_figures &waits, std::optional<double> bound)
@@ -70,27 +70,29 @@
 void measureWaits(double load, std::uint32_t seed)
 {
     constexpr double strictLoad = 0.75;
-    const scenario given {.duration = 30 * minute, .load = load, .crestLoad = load, .seed = seed};
+    const scenario parameters {
+        .duration = 30 * minute, .load = load, .peakLoad = load, .seed = seed};
     const std::string name = "short wait at " + std::to_string(static_cast<int>(load * 100)) + "%";
-    const wait_figures ideal = shortWaits(runBaseline(given, baseline_policy::ideal));
+    const wait_figures ideal = shortWorkWaits(runBaseline(parameters, baseline_policy::ideal));
     const double bound = load < strictLoad ? 0.25 : 1.5 * ideal.p99;
-    printWaits(name + ", ours", shortWaits(runReal(given)), bound);
+    printWaits(name + ", ours", shortWorkWaits(runProduct(parameters)), bound);
     printWaits(name + ", ideal", ideal, {});
-    printWaits(name + ", random", shortWaits(runBaseline(given, baseline_policy::random)), {});
+    printWaits(name + ", random", shortWorkWaits(runBaseline(parameters, baseline_policy::random)),
+               {});
     printWaits(name + ", least connections 2 s old",
-               shortWaits(runBaseline(given, baseline_policy::staleLeast)), {});
+               shortWorkWaits(runBaseline(parameters, baseline_policy::staleLeastConnections)), {});
 }
 
-void printUneven(const std::string &name, const unevenness &ours, const unevenness &ideal)
+void printUnevenness(const std::string &name, const unevenness &product, const unevenness &ideal)
 {
     const std::string unit = "busiest over mean";
-    print({name + ", worst window", ours.worst, unit, 1.03 * ideal.worst, "ideal"});
-    print({name + ", mean of windows", ours.mean, unit, {}, "ideal"});
+    print({name + ", worst window", product.worst, unit, 1.03 * ideal.worst, "ideal"});
+    print({name + ", mean of windows", product.mean, unit, {}, "ideal"});
     print({name + " of the ideal, worst window", ideal.worst, unit, {}, ""});
     print({name + " of the ideal, mean of windows", ideal.mean, unit, {}, ""});
 }
 
-scenario unevenScenario(const placement::placement_rules &rules, std::uint32_t seed)
+scenario unevennessScenario(const placement::placement_rules &rules, std::uint32_t seed)
 {
     return scenario {
         .duration = 30 * minute, .feedRate = 3, .drains = true, .seed = seed, .rules = rules};
@@ -98,12 +100,12 @@
 
 void measureUnevenness(std::uint32_t seed)
 {
-    const scenario given = unevenScenario({}, seed);
-    const run_result ours = runReal(given);
-    const run_result ideal = runBaseline(given, baseline_policy::ideal);
-    const run_result random = runBaseline(given, baseline_policy::random);
-    printUneven("unevenness in busy slots", ours.busy, ideal.busy);
-    printUneven("unevenness in flows", ours.flows, ideal.flows);
+    const scenario parameters = unevennessScenario({}, seed);
+    const run_result product = runProduct(parameters);
+    const run_result ideal = runBaseline(parameters, baseline_policy::ideal);
+    const run_result random = runBaseline(parameters, baseline_policy::random);
+    printUnevenness("unevenness in busy slots", product.busy, ideal.busy);
+    printUnevenness("unevenness in flows", product.flows, ideal.flows);
     print({"unevenness in busy slots of random, worst window",
            random.busy.worst,
            "busiest over mean",
@@ -114,56 +116,58 @@
            "busiest over mean",
            {},
            ""});
-    print({"offers beyond the first a flow", offersMean(ours), "hops", {}, ""});
+    print({"offers beyond the first a flow", meanOffers(product), "hops", {}, ""});
 }
 
 void measureGrowth(std::size_t servers)
 {
-    const scenario given {.servers = servers,
-                          .duration = static_cast<std::int64_t>(300'000 / servers) + 15'000,
-                          .seed = 4};
-    real_cluster cluster(given);
+    const scenario parameters {.servers = servers,
+                               .duration = static_cast<std::int64_t>(300'000 / servers) + 15'000,
+                               .seed = 4};
+    real_cluster cluster(parameters);
     const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
     const run_result result = cluster.run();
-    const std::chrono::duration<double, std::nano> taken = std::chrono::steady_clock::now() - start;
+    const std::chrono::duration<double, std::nano> elapsed
+        = std::chrono::steady_clock::now() - start;
     const std::string name = std::to_string(servers) + " servers";
     print({"time a placement decision with all that the model adds, " + name,
-           taken.count() / static_cast<double>(cluster.placementDecisions()),
+           elapsed.count() / static_cast<double>(cluster.placementDecisions()),
            "ns",
            {},
            ""});
-    printWaits("short wait at 70%, " + name, shortWaits(result), {});
+    printWaits("short wait at 70%, " + name, shortWorkWaits(result), {});
 }
 
-void vary(const std::string &name, const placement::placement_rules &rules)
+void measureVariant(const std::string &name, const placement::placement_rules &rules)
 {
-    const run_result uneven = runReal(unevenScenario(rules, 3));
+    const run_result uneven = runProduct(unevennessScenario(rules, 3));
     print({"busy slots worst, " + name, uneven.busy.worst, "busiest over mean", {}, ""});
     print({"busy slots mean, " + name, uneven.busy.mean, "busiest over mean", {}, ""});
     print({"flows worst, " + name, uneven.flows.worst, "busiest over mean", {}, ""});
-    print({"offers, " + name, offersMean(uneven), "hops", {}, ""});
+    print({"offers, " + name, meanOffers(uneven), "hops", {}, ""});
     for (const double load : {0.7, 0.95}) {
-        const scenario given {
-            .duration = 10 * minute, .load = load, .crestLoad = load, .seed = 2, .rules = rules};
+        const scenario parameters {
+            .duration = 10 * minute, .load = load, .peakLoad = load, .seed = 2, .rules = rules};
         print({"short wait p99 at " + std::to_string(static_cast<int>(load * 100)) + "%, " + name,
-               shortWaits(runReal(given)).p99,
+               shortWorkWaits(runProduct(parameters)).p99,
                "mean short service times",
                {},
                ""});
     }
 }
 
-// Agents whose load reports stop for 3 s at a time while their servers work on.
-void measureSilence(const std::string &name, const placement::placement_rules &rules,
-                    std::uint32_t seed)
+// Load reports of some agents pause for 3 s at a time and 10% of all reports are lost, while the
+// servers keep working.
+void measureReportLoss(const std::string &name, const placement::placement_rules &rules,
+                       std::uint32_t seed)
 {
-    const scenario given {.duration = 30 * minute,
-                          .feedRate = 3,
-                          .reportLoss = 0.1,
-                          .reportPauses = true,
-                          .seed = seed,
-                          .rules = rules};
-    const run_result result = runReal(given);
+    const scenario parameters {.duration = 30 * minute,
+                               .feedRate = 3,
+                               .reportLoss = 0.1,
+                               .reportPauses = true,
+                               .seed = seed,
+                               .rules = rules};
+    const run_result result = runProduct(parameters);
     print({"silent agents, " + name + ", busy slots worst",
            result.busy.worst,
            "busiest over mean",
@@ -174,15 +178,15 @@
            "busiest over mean",
            {},
            ""});
-    printWaits("silent agents, " + name + ", short wait", shortWaits(result), {});
+    printWaits("silent agents, " + name + ", short wait", shortWorkWaits(result), {});
 }
 
-void measureSilences(std::uint32_t seed)
+void measureReportLosses(std::uint32_t seed)
 {
     const base::clock_time second = base::clock_time::ofSeconds(1);
-    measureSilence("suspected after 1 s", {}, seed);
-    measureSilence("evicted after 1 s", {.evictAfter = second}, seed);
-    measureSilence("believed for ever", {.suspectAfter = second * 3600}, seed);
+    measureReportLoss("suspected after 1 s", {}, seed);
+    measureReportLoss("evicted after 1 s", {.evictAfter = second}, seed);
+    measureReportLoss("believed for ever", {.suspectAfter = second * 3600}, seed);
 }
 
 struct variant
@@ -219,11 +223,11 @@
     };
 }
 
-void varyAll(const std::string &only)
+void measureVariants(const std::string &only)
 {
-    for (const variant &each : variants()) {
-        if (only.empty() || each.name == only)
-            vary(each.name, each.rules);
+    for (const variant &entry : variants()) {
+        if (only.empty() || entry.name == only)
+            measureVariant(entry.name, entry.rules);
     }
 }
 
@@ -235,7 +239,7 @@
     const std::uint32_t seed
         = count > 2 && part != "vary" ? static_cast<std::uint32_t>(std::stoul(arguments[2])) : 3;
     if (part == "vary")
-        varyAll(count > 2 ? arguments[2] : "");
+        measureVariants(count > 2 ? arguments[2] : "");
     if (part.empty() || part == "crest")
         measureCrest();
     if (part.empty() || part == "waits") {
@@ -249,6 +253,6 @@
             measureGrowth(servers);
     }
     if (part.empty() || part == "silence")
-        measureSilences(seed);
+        measureReportLosses(seed);
     return 0;
 }
--- a/tools/measurements/crest/baseline_cluster.cpp
+++ b/tools/measurements/crest/baseline_cluster.cpp
@@ -4,56 +4,57 @@
 
 namespace {
 
-constexpr std::int64_t sampleEvery = 100;
-constexpr std::int64_t reportEvery = 2000;
+constexpr std::int64_t sampleInterval = 100;
+constexpr std::int64_t reportInterval = 2000;
 
 } // namespace
 
-baseline_cluster::baseline_cluster(const scenario &given, baseline_policy policy)
-    : m_given(given), m_policy(policy), m_servers(given.servers), m_random(given.seed)
+baseline_cluster::baseline_cluster(const scenario &parameters, baseline_policy policy)
+    : m_scenario(parameters), m_policy(policy), m_servers(parameters.servers),
+      m_random(parameters.seed)
 {
-    m_result.arrivals = arrivalsOf(given);
+    m_result.arrivals = arrivalsOf(parameters);
     m_result.outcomes.resize(m_result.arrivals.size());
 }
 
 run_result baseline_cluster::run()
 {
-    schedule(0);
+    scheduleArrival(0);
     sample();
-    reportAll();
-    m_events.runUntil(m_given.duration + 60'000);
+    refreshReports();
+    m_events.runUntil(m_scenario.duration + 60'000);
     m_result.busy = m_busy.result();
     m_result.flows = m_flows.result();
     return std::move(m_result);
 }
 
-void baseline_cluster::schedule(std::size_t work)
+void baseline_cluster::scheduleArrival(std::size_t work)
 {
     if (work >= m_result.arrivals.size())
         return;
-    m_events.after(m_result.arrivals[work].at - m_events.now(), [this, work]() {
-        arrive(work);
-        schedule(work + 1);
+    m_events.after(m_result.arrivals[work].arrivedAt - m_events.now(), [this, work]() {
+        handleArrival(work);
+        scheduleArrival(work + 1);
     });
 }
 
-void baseline_cluster::arrive(std::size_t work)
+void baseline_cluster::handleArrival(std::size_t work)
 {
-    const std::size_t index = pick();
+    const std::size_t index = pickServer();
     ++m_servers[index].flows;
     if (m_result.arrivals[work].isFeed()) {
-        closeLater(index, work);
+        scheduleClose(index, work);
         return;
     }
     m_servers[index].queue.push_back(work);
-    serve(index);
+    startQueued(index);
 }
 
-std::size_t baseline_cluster::pick()
+std::size_t baseline_cluster::pickServer()
 {
     if (m_policy != baseline_policy::random)
-        return leastOf(m_policy == baseline_policy::staleLeast);
-    const std::size_t draining = drainingAt(m_given, m_events.now());
+        return leastLoaded(m_policy == baseline_policy::staleLeastConnections);
+    const std::size_t draining = drainingAt(m_scenario, m_events.now());
     std::uniform_int_distribution<std::size_t> any(0, m_servers.size() - 1);
     std::size_t index = any(m_random);
     while (index == draining)
@@ -61,38 +62,39 @@
     return index;
 }
 
-std::size_t baseline_cluster::leastOf(bool reported) const
+std::size_t baseline_cluster::leastLoaded(bool useReports) const
 {
-    const std::size_t draining = drainingAt(m_given, m_events.now());
-    const auto lengthOf
-        = [&](const server &each) { return reported ? each.reported : each.length(); };
+    const std::size_t draining = drainingAt(m_scenario, m_events.now());
+    const auto lengthOf = [&](const server &current) {
+        return useReports ? current.reportedLength : current.length();
+    };
     std::size_t best = draining == 0 ? 1 : 0;
     for (std::size_t index = best + 1; index < m_servers.size(); ++index) {
-        const server &each = m_servers[index];
+        const server &current = m_servers[index];
         const server &least = m_servers[best];
-        if (index == draining || lengthOf(each) > lengthOf(least))
+        if (index == draining || lengthOf(current) > lengthOf(least))
             continue;
-        if (lengthOf(each) < lengthOf(least) || each.flows < least.flows)
+        if (lengthOf(current) < lengthOf(least) || current.flows < least.flows)
             best = index;
     }
     return best;
 }
 
-void baseline_cluster::serve(std::size_t index)
+void baseline_cluster::startQueued(std::size_t index)
 {
-    server &each = m_servers[index];
-    while (!each.queue.empty() && each.busy < m_given.limits.slots) {
-        const std::size_t work = each.queue.front();
-        each.queue.pop_front();
+    server &current = m_servers[index];
+    while (!current.queue.empty() && current.busy < m_scenario.limits.slots) {
+        const std::size_t work = current.queue.front();
+        current.queue.pop_front();
         if (m_result.arrivals[work].deadline() <= m_events.now()) {
-            m_result.outcomes[work].toldNotRunAt = m_events.now();
-            closeLater(index, work);
+            m_result.outcomes[work].refusedAt = m_events.now();
+            scheduleClose(index, work);
             continue;
         }
-        ++each.busy;
+        ++current.busy;
         ++m_result.outcomes[work].runs;
         m_result.outcomes[work].startedAt = m_events.now();
-        m_events.after(m_result.arrivals[work].service,
+        m_events.after(m_result.arrivals[work].serviceTime,
                        [this, index, work]() { finish(index, work); });
     }
 }
@@ -101,36 +103,37 @@
 {
     --m_servers[index].busy;
     m_result.outcomes[work].answeredAt = m_events.now();
-    closeLater(index, work);
-    serve(index);
+    scheduleClose(index, work);
+    startQueued(index);
 }
 
-void baseline_cluster::closeLater(std::size_t index, std::size_t work)
+void baseline_cluster::scheduleClose(std::size_t index, std::size_t work)
 {
-    m_events.after(m_result.arrivals[work].lingers, [this, index]() { --m_servers[index].flows; });
+    m_events.after(m_result.arrivals[work].lingerTime,
+                   [this, index]() { --m_servers[index].flows; });
 }
 
 void baseline_cluster::sample()
 {
     std::vector<double> busy;
     std::vector<double> flows;
-    for (const server &each : m_servers) {
-        busy.push_back(static_cast<double>(each.busy));
-        flows.push_back(static_cast<double>(each.flows));
+    for (const server &current : m_servers) {
+        busy.push_back(static_cast<double>(current.busy));
+        flows.push_back(static_cast<double>(current.flows));
     }
-    const std::size_t draining = drainingAt(m_given, m_events.now());
+    const std::size_t draining = drainingAt(m_scenario, m_events.now());
     m_busy.add(busy, draining);
     m_flows.add(flows, draining);
-    if (m_events.now() < m_given.duration - sampleEvery)
-        m_events.after(sampleEvery, [this]() { sample(); });
+    if (m_events.now() < m_scenario.duration - sampleInterval)
+        m_events.after(sampleInterval, [this]() { sample(); });
 }
 
-void baseline_cluster::reportAll()
+void baseline_cluster::refreshReports()
 {
-    for (server &each : m_servers)
-        each.reported = each.length();
-    if (m_events.now() < m_given.duration)
-        m_events.after(reportEvery, [this]() { reportAll(); });
+    for (server &current : m_servers)
+        current.reportedLength = current.length();
+    if (m_events.now() < m_scenario.duration)
+        m_events.after(reportInterval, [this]() { refreshReports(); });
 }
 
 } // namespace lycheeshunt::crest
--- a/tools/measurements/crest/baseline_cluster.h
+++ b/tools/measurements/crest/baseline_cluster.h
@@ -1,4 +1,5 @@
-// Baselines: servers with one plain queue each, and three ways to pick the server.
+// Simulates the baselines that the product is compared with: each server has one FIFO queue, and a
+// policy picks the server of each new flow.
 
 #pragma once
 
@@ -12,15 +13,15 @@
 namespace lycheeshunt::crest {
 
 enum class baseline_policy : std::uint8_t {
-    ideal, // shortest true queue, then fewest flows
+    ideal, // fewest running and queued requests right now, then fewest flows
     random,
-    staleLeast, // fewest busy and waiting on a report 2 s old
+    staleLeastConnections, // fewest running and queued requests by reports sent every 2 s
 };
 
 class baseline_cluster
 {
 public:
-    baseline_cluster(const scenario &given, baseline_policy policy);
+    baseline_cluster(const scenario &parameters, baseline_policy policy);
 
     run_result run();
 
@@ -30,22 +31,22 @@
         std::size_t busy = 0;
         std::deque<std::size_t> queue = {};
         std::size_t flows = 0;
-        std::size_t reported = 0;
+        std::size_t reportedLength = 0;
 
         std::size_t length() const { return busy + queue.size(); }
     };
 
-    void schedule(std::size_t work);
-    void arrive(std::size_t work);
-    std::size_t pick();
-    std::size_t leastOf(bool reported) const;
-    void serve(std::size_t index);
+    void scheduleArrival(std::size_t work);
+    void handleArrival(std::size_t work);
+    std::size_t pickServer();
+    std::size_t leastLoaded(bool useReports) const;
+    void startQueued(std::size_t index);
     void finish(std::size_t index, std::size_t work);
-    void closeLater(std::size_t index, std::size_t work);
+    void scheduleClose(std::size_t index, std::size_t work);
     void sample();
-    void reportAll();
+    void refreshReports();
 
-    const scenario m_given;
+    const scenario m_scenario;
     const baseline_policy m_policy;
     event_queue m_events;
     run_result m_result;
--- a/tools/measurements/crest/event_queue.h
+++ b/tools/measurements/crest/event_queue.h
@@ -1,4 +1,5 @@
-// Virtual time: runs what was scheduled in the order of its instants, then of its scheduling.
+// Discrete-event simulation: runs callbacks in virtual time, ordered by their due time and then by
+// the order in which they were scheduled.
 
 #pragma once
 
@@ -16,15 +17,15 @@
 
     void after(std::int64_t millis, std::function<void()> run)
     {
-        m_events.push(event {m_now + millis, m_next++, std::move(run)});
+        m_events.push(event {m_now + millis, m_nextOrder++, std::move(run)});
     }
 
     void runUntil(std::int64_t end)
     {
-        while (!m_events.empty() && m_events.top().at <= end) {
+        while (!m_events.empty() && m_events.top().time <= end) {
             const event next = m_events.top();
             m_events.pop();
-            m_now = next.at;
+            m_now = next.time;
             next.run();
         }
         m_now = end;
@@ -33,18 +34,18 @@
 private:
     struct event
     {
-        std::int64_t at;
+        std::int64_t time;
         std::uint64_t order;
         std::function<void()> run;
 
         bool operator<(const event &other) const
         {
-            return at != other.at ? at > other.at : order > other.order;
+            return time != other.time ? time > other.time : order > other.order;
         }
     };
 
     std::int64_t m_now = 0;
-    std::uint64_t m_next = 0;
+    std::uint64_t m_nextOrder = 0;
     std::priority_queue<event> m_events;
 };
 
--- a/tools/measurements/crest/figures.cpp
+++ b/tools/measurements/crest/figures.cpp
@@ -23,91 +23,92 @@
     return values[position];
 }
 
-double fluidAnswers(const scenario &given, const std::vector<work_item> &arrivals)
+double answersOfFluidServer(const scenario &parameters, const std::vector<work_item> &arrivals)
 {
-    constexpr std::int64_t span = 10;
-    constexpr double waitMillis = 2000;
-    const double capacity = static_cast<double>(given.servers * given.limits.slots);
+    constexpr std::int64_t stepMillis = 10;
+    constexpr double maxWaitMillis = 2000;
+    const double capacity = static_cast<double>(parameters.servers * parameters.limits.slots);
     double backlog = 0;
     double served = 0;
     std::size_t next = 0;
-    for (std::int64_t now = span; now < given.duration + 60'000; now += span) {
-        for (; next < arrivals.size() && arrivals[next].at < now; ++next)
-            backlog += static_cast<double>(arrivals[next].service);
-        const double done = std::min(backlog, capacity * span);
+    for (std::int64_t now = stepMillis; now < parameters.duration + 60'000; now += stepMillis) {
+        for (; next < arrivals.size() && arrivals[next].arrivedAt < now; ++next)
+            backlog += static_cast<double>(arrivals[next].serviceTime);
+        const double done = std::min(backlog, capacity * stepMillis);
         served += done;
-        backlog = std::min(backlog - done, capacity * waitMillis);
+        backlog = std::min(backlog - done, capacity * maxWaitMillis);
     }
     double offered = 0;
     for (const work_item &item : arrivals)
-        offered += static_cast<double>(item.service);
+        offered += static_cast<double>(item.serviceTime);
     return served / offered * static_cast<double>(arrivals.size());
 }
 
 } // namespace
 
-wait_figures shortWaits(const run_result &result)
+wait_figures shortWorkWaits(const run_result &result)
 {
     std::vector<double> waits;
     double sum = 0;
-    double all = 0;
+    double total = 0;
     for (std::size_t work = 0; work < result.arrivals.size(); ++work) {
         const work_item &item = result.arrivals[work];
-        if (item.isFeed() || item.isLong || item.at < warmUp)
+        if (item.isFeed() || item.isLong || item.arrivedAt < warmUp)
             continue;
         const std::int64_t startedAt = result.outcomes[work].startedAt;
-        all += 1;
+        total += 1;
         if (startedAt < 0)
             continue;
-        waits.push_back(static_cast<double>(startedAt - item.at) / shortMeanMillis);
+        waits.push_back(static_cast<double>(startedAt - item.arrivedAt) / shortMeanMillis);
         sum += waits.back();
     }
     const double started = static_cast<double>(waits.size());
     return wait_figures {sum / std::max(1.0, started), percentile(waits, 0.99),
-                         1 - started / std::max(1.0, all)};
+                         1 - started / std::max(1.0, total)};
 }
 
-double answeredShare(const scenario &given, const run_result &result)
+double answeredInTimeShare(const scenario &parameters, const run_result &result)
 {
     double answered = 0;
     for (std::size_t work = 0; work < result.arrivals.size(); ++work) {
-        const std::int64_t at = result.outcomes[work].answeredAt;
-        if (at >= 0 && at <= result.arrivals[work].deadline())
+        const std::int64_t answeredAt = result.outcomes[work].answeredAt;
+        if (answeredAt >= 0 && answeredAt <= result.arrivals[work].deadline())
             answered += 1;
     }
-    return answered / fluidAnswers(given, result.arrivals);
+    return answered / answersOfFluidServer(parameters, result.arrivals);
 }
 
-double refusalMillis(const run_result &result)
+double refusalDelayMillis(const run_result &result)
 {
     std::vector<double> spans;
     for (std::size_t work = 0; work < result.arrivals.size(); ++work) {
-        const outcome &known = result.outcomes[work];
-        if (known.toldNotRunAt >= 0 && !known.disturbed)
-            spans.push_back(static_cast<double>(known.toldNotRunAt - result.arrivals[work].at));
+        const outcome &record = result.outcomes[work];
+        if (record.refusedAt >= 0 && !record.faultInjected)
+            spans.push_back(
+                static_cast<double>(record.refusedAt - result.arrivals[work].arrivedAt));
     }
     return percentile(spans, 0.99);
 }
 
-std::uint64_t runTwice(const run_result &result)
+std::uint64_t countRunTwice(const run_result &result)
 {
     return static_cast<std::uint64_t>(
         std::count_if(result.outcomes.begin(), result.outcomes.end(),
-                      [](const outcome &known) { return known.runs > 1; }));
+                      [](const outcome &record) { return record.runs > 1; }));
 }
 
-std::uint64_t falselyNotRun(const run_result &result)
+std::uint64_t wronglyReportedNotRun(const run_result &result)
 {
     return static_cast<std::uint64_t>(
         std::count_if(result.outcomes.begin(), result.outcomes.end(),
-                      [](const outcome &known) { return known.falselyNotRun; }));
+                      [](const outcome &record) { return record.wronglyReportedNotRun; }));
 }
 
-double offersMean(const run_result &result)
+double meanOffers(const run_result &result)
 {
     double sum = 0;
-    for (const outcome &known : result.outcomes)
-        sum += known.offers;
+    for (const outcome &record : result.outcomes)
+        sum += record.offers;
     return sum / static_cast<double>(std::max<std::size_t>(1, result.outcomes.size()));
 }
 
--- a/tools/measurements/crest/figures.h
+++ b/tools/measurements/crest/figures.h
@@ -1,4 +1,4 @@
-// Figures from what became of the work, and the lines they are printed in.
+// Computes figures from the outcomes of a run and prints them.
 
 #pragma once
 
@@ -10,8 +10,9 @@
 
 namespace lycheeshunt::crest {
 
-// Mean and 99th percentile of the wait of short work that was run, in mean short service times, and
-// the share of short work that was not: refused, or past its deadline before it got a slot.
+// Mean and 99th percentile of the queueing time of short requests that were run, in units of the
+// mean short service time, and the share of short requests that were not run: refused, or past
+// their deadline before a slot was free.
 struct wait_figures
 {
     double mean = 0;
@@ -19,18 +20,19 @@
     double notRunShare = 0;
 };
 
-wait_figures shortWaits(const run_result &result);
+wait_figures shortWorkWaits(const run_result &result);
 
-// Work answered in time, over what a fluid server of the whole capacity answers, whose backlog is
-// bounded by the wait that the deadline leaves.
-double answeredShare(const scenario &given, const run_result &result);
+// Requests answered before their deadline, relative to those that a fluid server with the total
+// capacity answers. Its backlog is limited to the 2 s that a deadline allows for waiting.
+double answeredInTimeShare(const scenario &parameters, const run_result &result);
 
-// 99th percentile of the milliseconds from arrival to the refusal, of undisturbed work.
-double refusalMillis(const run_result &result);
+// 99th percentile of the milliseconds from arrival to refusal, without the requests that the caller
+// resent or cancelled.
+double refusalDelayMillis(const run_result &result);
 
-std::uint64_t runTwice(const run_result &result);
-std::uint64_t falselyNotRun(const run_result &result);
-double offersMean(const run_result &result);
+std::uint64_t countRunTwice(const run_result &result);
+std::uint64_t wronglyReportedNotRun(const run_result &result);
+double meanOffers(const run_result &result);
 
 struct figure
 {
@@ -41,7 +43,7 @@
     const std::string baseline = {};
 };
 
-// One JSON object a line.
+// Prints the figure as a JSON object on a line of its own.
 void print(const figure &line);
 
 } // namespace lycheeshunt::crest
--- a/tools/measurements/crest/real_cluster.cpp
+++ b/tools/measurements/crest/real_cluster.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-constexpr std::int64_t sampleEvery = 100;
-constexpr std::int64_t tickEvery = 10;
-constexpr std::int64_t agentLostAt = 20'000;
-constexpr std::int64_t restartTime = 1000;
-constexpr std::size_t lostAgent = 3;
+constexpr std::int64_t sampleInterval = 100;
+constexpr std::int64_t tickInterval = 10;
+constexpr std::int64_t agentFailureTime = 20'000;
+constexpr std::int64_t restartMillis = 1000;
+constexpr std::size_t failedAgent = 3;
 
 base::node_id nodeOf(std::size_t index)
 {
@@ -31,79 +31,81 @@
 
 } // namespace
 
-real_cluster::real_cluster(const scenario &given) : m_given(given), m_random(given.seed + 1)
+real_cluster::real_cluster(const scenario &parameters)
+    : m_scenario(parameters), m_random(parameters.seed + 1)
 {
-    m_result.arrivals = arrivalsOf(given);
+    m_result.arrivals = arrivalsOf(parameters);
     m_result.outcomes.resize(m_result.arrivals.size());
     std::vector<placement::peer> peers;
-    for (std::size_t index = 0; index < given.servers; ++index)
+    for (std::size_t index = 0; index < parameters.servers; ++index)
         peers.push_back(placement::peer {nodeOf(index), base::incarnation(1),
                                          "zone-" + std::to_string(index % 4)});
-    for (std::size_t index = 0; index < given.servers; ++index)
-        m_agents.push_back(agent {admission::admission_state(given.limits),
-                                  placement::placement_state(peers[index], given.rules),
-                                  requests::request_state(given.seed)});
-    for (std::size_t index = 0; index < given.servers; ++index) {
-        place(index, placement::peers_changed {peers});
-        countLoad(index);
+    for (std::size_t index = 0; index < parameters.servers; ++index)
+        m_agents.push_back(agent {admission::admission_state(parameters.limits),
+                                  placement::placement_state(peers[index], parameters.rules),
+                                  requests::request_state(parameters.seed)});
+    for (std::size_t index = 0; index < parameters.servers; ++index) {
+        runPlacement(index, placement::peers_changed {peers});
+        updateLoad(index);
     }
 }
 
 run_result real_cluster::run()
 {
-    schedule(0);
+    scheduleArrival(0);
     tick();
     sample();
-    if (m_given.callerFaults)
-        m_events.after(agentLostAt, [this]() { loseAgent(lostAgent); });
-    m_events.runUntil(m_given.duration + 60'000);
+    if (m_scenario.callerFaults)
+        m_events.after(agentFailureTime, [this]() { failAgent(failedAgent); });
+    m_events.runUntil(m_scenario.duration + 60'000);
     m_result.busy = m_busy.result();
     m_result.flows = m_flows.result();
     return std::move(m_result);
 }
 
-void real_cluster::schedule(std::size_t work)
+void real_cluster::scheduleArrival(std::size_t work)
 {
     if (work >= m_result.arrivals.size())
         return;
-    m_events.after(m_result.arrivals[work].at - m_events.now(), [this, work]() {
-        arrive(work);
-        schedule(work + 1);
+    m_events.after(m_result.arrivals[work].arrivedAt - m_events.now(), [this, work]() {
+        handleArrival(work);
+        scheduleArrival(work + 1);
     });
 }
 
-void real_cluster::arrive(std::size_t work)
+void real_cluster::handleArrival(std::size_t work)
 {
-    if (!m_given.callerFaults) {
-        place(directorOf(work), placement::flow_offered {placement::offer_id(work)});
+    if (!m_scenario.callerFaults) {
+        runPlacement(directorOf(work), placement::flow_offered {placement::offer_id(work)});
         return;
     }
     const work_item &item = m_result.arrivals[work];
     const requests::request_arrived request {identityOf(work), requests::reply_handle(work),
                                              base::clock_time::ofMillis(item.deadline()), false,
-                                             base::clock_time::ofMillis(item.at)};
+                                             base::clock_time::ofMillis(item.arrivedAt)};
     ++m_result.outcomes[work].arrivals;
     send(directorOf(work), request);
-    disturb(work);
+    injectCallerFault(work);
 }
 
-// A few callers resend or cancel, at any time up to twice the usual service.
-void real_cluster::disturb(std::size_t work)
+// 4% of the callers resend and 1% cancel, at a random time up to 20 ms after twice the service
+// time of the request.
+void real_cluster::injectCallerFault(std::size_t work)
 {
     const work_item &item = m_result.arrivals[work];
-    std::uniform_int_distribution<std::int64_t> delay(0, 2 * item.service + 20);
-    const std::uint32_t pick = static_cast<std::uint32_t>(m_random() % 100);
-    if (pick < 4) {
-        const requests::request_arrived again {identityOf(work), requests::reply_handle(work),
-                                               base::clock_time::ofMillis(item.deadline()), false,
-                                               base::clock_time::ofMillis(item.at)};
-        m_result.outcomes[work].disturbed = true;
-        m_events.after(delay(m_random), [this, work, again]() {
+    std::uniform_int_distribution<std::int64_t> delay(0, 2 * item.serviceTime + 20);
+    const std::uint32_t percentDrawn = static_cast<std::uint32_t>(m_random() % 100);
+    if (percentDrawn < 4) {
+        const requests::request_arrived resent {identityOf(work), requests::reply_handle(work),
+                                                base::clock_time::ofMillis(item.deadline()), false,
+                                                base::clock_time::ofMillis(item.arrivedAt)};
+        m_result.outcomes[work].faultInjected = true;
+        m_events.after(delay(m_random), [this, work, resent]() {
             ++m_result.outcomes[work].arrivals;
-            send(directorOf(work), again);
+            send(directorOf(work), resent);
         });
-    } else if (pick < 5) {
-        m_result.outcomes[work].disturbed = true;
+    } else if (percentDrawn < 5) {
+        m_result.outcomes[work].faultInjected = true;
         m_events.after(delay(m_random), [this, work]() {
             send(directorOf(work), requests::request_cancelled {identityOf(work)});
         });
@@ -112,62 +114,63 @@
 
 void real_cluster::send(std::size_t to, const requests::request_message &message)
 {
-    m_events.after(hopMillis, [this, to, message]() { direct(to, message); });
+    m_events.after(hopMillis, [this, to, message]() { runDirector(to, message); });
 }
 
-void real_cluster::direct(std::size_t index, const requests::request_message &message)
+void real_cluster::runDirector(std::size_t index, const requests::request_message &message)
 {
-    agent &each = m_agents[index];
+    agent &current = m_agents[index];
     base::step<requests::request_state, requests::request_action> next
-        = requests::decide(std::move(each.director), message, clock());
-    each.director = std::move(next.state);
+        = requests::decide(std::move(current.director), message, clock());
+    current.director = std::move(next.state);
     for (const requests::request_action &action : next.actions)
         carryOut(index, action);
 }
 
 void real_cluster::carryOut(std::size_t index, const requests::request_action &action)
 {
-    std::visit(base::overloaded {
-                   [&](const requests::offer_request &offer) {
-                       place(index,
+    std::visit(
+        base::overloaded {
+            [&](const requests::offer_request &offer) {
+                runPlacement(index,
                              placement::flow_offered {placement::offer_id(offer.identity.number)});
-                   },
-                   [&](const requests::copy_to_backup &copy) {
-                       m_events.after(2 * hopMillis, [this, index, identity = copy.identity]() {
-                           direct(index, requests::backup_copied {identity});
-                       });
-                   },
-                   [&](const requests::permit_start &permit) {
-                       const std::size_t owner = indexOf(permit.owner);
-                       const std::uint32_t incarnation = m_agents[owner].incarnation;
-                       const std::size_t work = workOf(permit.identity);
-                       m_events.after(hopMillis, [this, owner, incarnation, work]() {
-                           if (m_agents[owner].incarnation == incarnation)
-                               take(owner, work);
-                       });
-                   },
-                   [&](const requests::cancel_at_owner &cancel) {
-                       const std::size_t owner = indexOf(cancel.owner);
-                       const std::size_t work = workOf(cancel.identity);
-                       m_events.after(hopMillis, [this, owner, work]() {
-                           admit(owner, admission::work_cancelled {admission::work_id(work)});
-                       });
-                   },
-                   [&](const requests::reply_to_caller &told) {
-                       reply(static_cast<std::size_t>(told.reply.value()), told.outcome);
-                   },
-                   [](const auto &) {},
-               },
-               action);
+            },
+            [&](const requests::copy_to_backup &copy) {
+                m_events.after(2 * hopMillis, [this, index, identity = copy.identity]() {
+                    runDirector(index, requests::backup_copied {identity});
+                });
+            },
+            [&](const requests::permit_start &permit) {
+                const std::size_t owner = indexOf(permit.owner);
+                const std::uint32_t incarnation = m_agents[owner].incarnation;
+                const std::size_t work = workOf(permit.identity);
+                m_events.after(hopMillis, [this, owner, incarnation, work]() {
+                    if (m_agents[owner].incarnation == incarnation)
+                        acceptFlow(owner, work);
+                });
+            },
+            [&](const requests::cancel_at_owner &cancel) {
+                const std::size_t owner = indexOf(cancel.owner);
+                const std::size_t work = workOf(cancel.identity);
+                m_events.after(hopMillis, [this, owner, work]() {
+                    runAdmission(owner, admission::work_cancelled {admission::work_id(work)});
+                });
+            },
+            [&](const requests::reply_to_caller &answer) {
+                handleReply(static_cast<std::size_t>(answer.reply.value()), answer.outcome);
+            },
+            [](const auto &) {},
+        },
+        action);
 }
 
-void real_cluster::place(std::size_t index, const placement::placement_message &message)
+void real_cluster::runPlacement(std::size_t index, const placement::placement_message &message)
 {
-    agent &each = m_agents[index];
+    agent &current = m_agents[index];
     ++m_placementDecisions;
     base::step<placement::placement_state, placement::placement_action> next
-        = placement::decide(std::move(each.placing), message, clock());
-    each.placing = std::move(next.state);
+        = placement::decide(std::move(current.placementState), message, clock());
+    current.placementState = std::move(next.state);
     for (const placement::placement_action &action : next.actions)
         carryOut(index, action);
 }
@@ -175,96 +178,98 @@
 void real_cluster::carryOut(std::size_t index, const placement::placement_action &action)
 {
     std::visit(base::overloaded {
-                   [&](const placement::accept_flow &taken) {
-                       const std::size_t work = static_cast<std::size_t>(taken.id.value());
-                       if (m_given.callerFaults)
+                   [&](const placement::accept_flow &accepted) {
+                       const std::size_t work = static_cast<std::size_t>(accepted.id.value());
+                       if (m_scenario.callerFaults)
                            send(directorOf(work),
                                 requests::start_claimed {identityOf(work), nodeOf(index)});
                        else
-                           take(index, work);
+                           acceptFlow(index, work);
                    },
-                   [&](const placement::forward_offer &passed) {
-                       const std::size_t to = indexOf(passed.to);
-                       m_events.after(hopMillis, [this, to, offer = passed.offer]() {
+                   [&](const placement::forward_offer &forwarded) {
+                       const std::size_t to = indexOf(forwarded.to);
+                       m_events.after(hopMillis, [this, to, offer = forwarded.offer]() {
                            ++m_result.outcomes[offer.id.value()].offers;
-                           place(to, offer);
+                           runPlacement(to, offer);
                        });
                    },
                    [&](const placement::refuse_flow &refused) {
                        refuse(index, static_cast<std::size_t>(refused.id.value()), refused.reason);
                    },
-                   [&](const placement::request_work &asked) {
-                       const std::size_t to = indexOf(asked.to);
+                   [&](const placement::request_work &request) {
+                       const std::size_t to = indexOf(request.to);
                        m_events.after(hopMillis, [this, index, to]() {
-                           place(to, placement::work_requested {nodeOf(index)});
+                           runPlacement(to, placement::work_requested {nodeOf(index)});
                        });
                    },
-                   [&](const placement::release_work &given) { give(index, indexOf(given.to)); },
-                   [&](const placement::send_report &sent) { report(index, sent); },
+                   [&](const placement::release_work &released) {
+                       releaseWork(index, indexOf(released.to));
+                   },
+                   [&](const placement::send_report &sent) { sendReport(index, sent); },
                },
                action);
 }
 
-void real_cluster::give(std::size_t index, std::size_t to)
+void real_cluster::releaseWork(std::size_t index, std::size_t to)
 {
-    m_agents[index].wanting = to;
-    admit(index, admission::work_wanted {});
+    m_agents[index].requester = to;
+    runAdmission(index, admission::work_wanted {});
 }
 
-void real_cluster::report(std::size_t index, const placement::send_report &sent)
+void real_cluster::sendReport(std::size_t index, const placement::send_report &sent)
 {
-    constexpr std::int64_t pauseEvery = 8000;
+    constexpr std::int64_t pauseInterval = 8000;
     constexpr std::int64_t pauseLength = 3000;
-    const bool paused = m_given.reportPauses && index < 3
-        && (m_events.now() + static_cast<std::int64_t>(index) * pauseLength) % pauseEvery
+    const bool paused = m_scenario.reportPauses && index < 3
+        && (m_events.now() + static_cast<std::int64_t>(index) * pauseLength) % pauseInterval
             < pauseLength;
-    const bool lost = std::uniform_real_distribution<double>()(m_random) < m_given.reportLoss;
+    const bool lost = std::uniform_real_distribution<double>()(m_random) < m_scenario.reportLoss;
     if (paused || lost)
         return;
     const std::size_t to = indexOf(sent.to);
-    m_events.after(hopMillis, [this, to, told = sent.report]() { place(to, told); });
+    m_events.after(hopMillis, [this, to, message = sent.report]() { runPlacement(to, message); });
 }
 
-void real_cluster::take(std::size_t index, std::size_t work)
+void real_cluster::acceptFlow(std::size_t index, std::size_t work)
 {
     ++m_agents[index].flows;
     const work_item &item = m_result.arrivals[work];
     if (item.isFeed()) {
-        closeLater(index, work);
-        countLoad(index);
+        scheduleClose(index, work);
+        updateLoad(index);
         return;
     }
-    admit(index,
-          admission::work_arrived {admission::work_id(work),
-                                   base::clock_time::ofMillis(item.deadline())});
+    runAdmission(index,
+                 admission::work_arrived {admission::work_id(work),
+                                          base::clock_time::ofMillis(item.deadline())});
 }
 
-void real_cluster::admit(std::size_t index, const admission::admission_message &message)
+void real_cluster::runAdmission(std::size_t index, const admission::admission_message &message)
 {
-    agent &each = m_agents[index];
+    agent &current = m_agents[index];
     base::step<admission::admission_state, admission::admission_action> next
-        = admission::decide(std::move(each.slots), message, clock());
-    each.slots = std::move(next.state);
+        = admission::decide(std::move(current.slots), message, clock());
+    current.slots = std::move(next.state);
     for (const admission::admission_action &action : next.actions)
         carryOut(index, action);
-    countLoad(index);
+    updateLoad(index);
 }
 
 void real_cluster::carryOut(std::size_t index, const admission::admission_action &action)
 {
     std::visit(base::overloaded {
-                   [&](const admission::hand_over &given) {
-                       start(index, static_cast<std::size_t>(given.id.value()));
+                   [&](const admission::hand_over &handed) {
+                       start(index, static_cast<std::size_t>(handed.id.value()));
                    },
                    [&](const admission::move_work &moved) {
                        const std::size_t work = static_cast<std::size_t>(moved.id.value());
-                       const std::size_t to = m_agents[index].wanting;
+                       const std::size_t to = m_agents[index].requester;
                        --m_agents[index].flows;
-                       m_events.after(hopMillis, [this, to, work]() { take(to, work); });
+                       m_events.after(hopMillis, [this, to, work]() { acceptFlow(to, work); });
                    },
                    [&](const admission::refuse_work &refused) {
                        const std::size_t work = static_cast<std::size_t>(refused.id.value());
-                       closeLater(index, work);
+                       scheduleClose(index, work);
                        refuse(index, work, refused.reason);
                    },
                    [](const auto &) {},
@@ -274,13 +279,13 @@
 
 void real_cluster::start(std::size_t index, std::size_t work)
 {
-    outcome &known = m_result.outcomes[work];
-    ++known.runs;
-    known.startedAt = m_events.now();
-    if (known.lastToldNotRun && known.replies >= known.arrivals)
-        known.falselyNotRun = true;
+    outcome &record = m_result.outcomes[work];
+    ++record.runs;
+    record.startedAt = m_events.now();
+    if (record.lastReplyNotRun && record.replies >= record.arrivals)
+        record.wronglyReportedNotRun = true;
     const std::uint32_t incarnation = m_agents[index].incarnation;
-    m_events.after(m_result.arrivals[work].service, [this, index, work, incarnation]() {
+    m_events.after(m_result.arrivals[work].serviceTime, [this, index, work, incarnation]() {
         if (m_agents[index].incarnation == incarnation)
             finish(index, work);
     });
@@ -288,100 +293,101 @@
 
 void real_cluster::finish(std::size_t index, std::size_t work)
 {
-    if (m_given.callerFaults)
+    if (m_scenario.callerFaults)
         send(directorOf(work),
              requests::owner_answered {identityOf(work), nodeOf(index),
                                        std::make_shared<const std::string>()});
     else
         m_result.outcomes[work].answeredAt = m_events.now();
-    closeLater(index, work);
-    admit(index, admission::work_ended {admission::work_id(work)});
+    scheduleClose(index, work);
+    runAdmission(index, admission::work_ended {admission::work_id(work)});
 }
 
 void real_cluster::refuse(std::size_t index, std::size_t work, base::error_code reason)
 {
-    if (m_given.callerFaults)
+    if (m_scenario.callerFaults)
         send(directorOf(work), requests::owner_refused {identityOf(work), nodeOf(index), reason});
     else
-        m_result.outcomes[work].toldNotRunAt = m_events.now();
+        m_result.outcomes[work].refusedAt = m_events.now();
 }
 
-void real_cluster::reply(std::size_t work, const requests::request_outcome &outcome)
+void real_cluster::handleReply(std::size_t work, const requests::request_outcome &outcome)
 {
-    crest::outcome &known = m_result.outcomes[work];
-    ++known.replies;
+    crest::outcome &record = m_result.outcomes[work];
+    ++record.replies;
     if (std::holds_alternative<requests::answer_bytes>(outcome))
-        known.answeredAt = m_events.now();
-    known.lastToldNotRun = std::holds_alternative<requests::not_run>(outcome);
-    if (!known.lastToldNotRun)
+        record.answeredAt = m_events.now();
+    record.lastReplyNotRun = std::holds_alternative<requests::not_run>(outcome);
+    if (!record.lastReplyNotRun)
         return;
-    known.toldNotRunAt = m_events.now();
-    known.falselyNotRun = known.falselyNotRun || known.runs > 0;
+    record.refusedAt = m_events.now();
+    record.wronglyReportedNotRun = record.wronglyReportedNotRun || record.runs > 0;
 }
 
-void real_cluster::closeLater(std::size_t index, std::size_t work)
+void real_cluster::scheduleClose(std::size_t index, std::size_t work)
 {
     const std::uint32_t incarnation = m_agents[index].incarnation;
-    m_events.after(m_result.arrivals[work].lingers, [this, index, incarnation]() {
+    m_events.after(m_result.arrivals[work].lingerTime, [this, index, incarnation]() {
         if (m_agents[index].incarnation != incarnation)
             return;
         --m_agents[index].flows;
-        countLoad(index);
+        updateLoad(index);
     });
 }
 
-void real_cluster::countLoad(std::size_t index)
+void real_cluster::updateLoad(std::size_t index)
 {
-    const agent &each = m_agents[index];
-    place(index,
-          placement::own_load_changed {
-              placement::server_load {admission::countsOf(each.slots, clock()), each.flows}});
+    const agent &current = m_agents[index];
+    runPlacement(index,
+                 placement::own_load_changed {placement::server_load {
+                     admission::countsOf(current.slots, clock()), current.flows}});
 }
 
 void real_cluster::tick()
 {
-    const std::size_t draining = drainingAt(m_given, m_events.now());
+    const std::size_t draining = drainingAt(m_scenario, m_events.now());
     for (std::size_t index = 0; index < m_agents.size(); ++index) {
-        agent &each = m_agents[index];
-        if (each.draining != (index == draining)) {
-            each.draining = index == draining;
-            admit(index, admission::drain_changed {each.draining});
+        agent &current = m_agents[index];
+        if (current.draining != (index == draining)) {
+            current.draining = index == draining;
+            runAdmission(index, admission::drain_changed {current.draining});
         }
-        admit(index, admission::admission_tick {});
-        if (m_given.callerFaults)
-            direct(index, requests::requests_tick {});
+        runAdmission(index, admission::admission_tick {});
+        if (m_scenario.callerFaults)
+            runDirector(index, requests::requests_tick {});
     }
-    if (m_events.now() < m_given.duration + 30'000)
-        m_events.after(tickEvery, [this]() { tick(); });
+    if (m_events.now() < m_scenario.duration + 30'000)
+        m_events.after(tickInterval, [this]() { tick(); });
 }
 
 void real_cluster::sample()
 {
     std::vector<double> busy;
     std::vector<double> flows;
-    for (const agent &each : m_agents) {
-        busy.push_back(static_cast<double>(each.slots.running.size()));
-        flows.push_back(each.flows);
+    for (const agent &current : m_agents) {
+        busy.push_back(static_cast<double>(current.slots.running.size()));
+        flows.push_back(current.flows);
     }
-    const std::size_t draining = drainingAt(m_given, m_events.now());
+    const std::size_t draining = drainingAt(m_scenario, m_events.now());
     m_busy.add(busy, draining);
     m_flows.add(flows, draining);
-    if (m_events.now() < m_given.duration - sampleEvery)
-        m_events.after(sampleEvery, [this]() { sample(); });
+    if (m_events.now() < m_scenario.duration - sampleInterval)
+        m_events.after(sampleInterval, [this]() { sample(); });
 }
 
-// The agent restarts with its server; the directors hear of it after a while. Its own records are
-// taken to be with its backup, which this model does not move.
-void real_cluster::loseAgent(std::size_t index)
+// The agent restarts together with its server, and the directors are notified after restartMillis.
+// Its records as a director are kept: they stand for the copies on its backup, and this model does
+// not move them there.
+void real_cluster::failAgent(std::size_t index)
 {
-    agent &each = m_agents[index];
-    ++each.incarnation;
-    each.flows = 0;
-    each.slots = admission::admission_state(m_given.limits);
-    admit(index, admission::server_restarted {});
-    m_events.after(restartTime, [this, index]() {
+    agent &current = m_agents[index];
+    ++current.incarnation;
+    current.flows = 0;
+    current.slots = admission::admission_state(m_scenario.limits);
+    runAdmission(index, admission::server_restarted {});
+    m_events.after(restartMillis, [this, index]() {
         for (std::size_t director = 0; director < m_agents.size(); ++director)
-            direct(director, requests::owner_lost {nodeOf(index)});
+            runDirector(director, requests::owner_lost {nodeOf(index)});
     });
 }
 
--- a/tools/measurements/crest/scenario.cpp
+++ b/tools/measurements/crest/scenario.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-constexpr std::int64_t crestEvery = 40'000;
-constexpr std::int64_t crestStart = 13'000;
-constexpr std::int64_t climb = 2'000;
-constexpr std::int64_t crestLength = 10'000;
-constexpr std::int64_t drainEvery = 60'000;
+constexpr std::int64_t peakInterval = 40'000;
+constexpr std::int64_t peakStart = 13'000;
+constexpr std::int64_t rampLength = 2'000;
+constexpr std::int64_t peakLength = 10'000;
+constexpr std::int64_t drainInterval = 60'000;
 constexpr std::int64_t drainLength = 20'000;
 
 std::int64_t millisOf(double value)
@@ -40,48 +40,48 @@
 {
     const bool isLong = random.uniform() < longShare;
     const double mean = isLong ? shortMeanMillis * longFactor : shortMeanMillis;
-    const std::int64_t service = millisOf(random.exponential(mean));
-    return work_item {now, service, millisOf(random.exponential(2000)), isLong, random.hash()};
+    const std::int64_t serviceTime = millisOf(random.exponential(mean));
+    return work_item {now, serviceTime, millisOf(random.exponential(2000)), isLong, random.hash()};
 }
 
 } // namespace
 
-double demandAt(const scenario &given, std::int64_t now)
+double demandAt(const scenario &parameters, std::int64_t now)
 {
-    const std::int64_t phase = now % crestEvery - crestStart;
-    const double up = static_cast<double>(phase) / climb;
-    const double down = static_cast<double>(2 * climb + crestLength - phase) / climb;
+    const std::int64_t phase = now % peakInterval - peakStart;
+    const double up = static_cast<double>(phase) / rampLength;
+    const double down = static_cast<double>(2 * rampLength + peakLength - phase) / rampLength;
     const double share = std::clamp(std::min(up, down), 0.0, 1.0);
-    return given.load + (given.crestLoad - given.load) * share;
+    return parameters.load + (parameters.peakLoad - parameters.load) * share;
 }
 
-std::vector<work_item> arrivalsOf(const scenario &given)
+std::vector<work_item> arrivalsOf(const scenario &parameters)
 {
-    generator random(given.seed);
-    const double servers = static_cast<double>(given.servers);
-    const double fullRate = servers * given.limits.slots / meanMillis;
-    const double peak = fullRate * std::max(given.load, given.crestLoad);
-    const double feedRate = given.feedRate * servers / 1000;
+    generator random(parameters.seed);
+    const double servers = static_cast<double>(parameters.servers);
+    const double fullRate = servers * parameters.limits.slots / meanMillis;
+    const double maxRate = fullRate * std::max(parameters.load, parameters.peakLoad);
+    const double feedRate = parameters.feedRate * servers / 1000;
     std::vector<work_item> arrivals;
     double now = 0;
-    while (now < static_cast<double>(given.duration)) {
-        now += random.exponential(1 / (peak + feedRate));
+    while (now < static_cast<double>(parameters.duration)) {
+        now += random.exponential(1 / (maxRate + feedRate));
         const std::int64_t at = static_cast<std::int64_t>(now);
-        const double pick = random.uniform() * (peak + feedRate);
-        if (pick < fullRate * demandAt(given, at))
+        const double drawn = random.uniform() * (maxRate + feedRate);
+        if (drawn < fullRate * demandAt(parameters, at))
             arrivals.push_back(workAt(random, at));
-        else if (pick >= peak)
+        else if (drawn >= maxRate)
             arrivals.push_back(
                 work_item {at, 0, millisOf(random.exponential(60'000)), false, random.hash()});
     }
     return arrivals;
 }
 
-std::size_t drainingAt(const scenario &given, std::int64_t now)
+std::size_t drainingAt(const scenario &parameters, std::int64_t now)
 {
-    if (!given.drains || now % drainEvery < drainEvery - drainLength)
-        return given.servers;
-    return static_cast<std::size_t>(now / drainEvery) % given.servers;
+    if (!parameters.drains || now % drainInterval < drainInterval - drainLength)
+        return parameters.servers;
+    return static_cast<std::size_t>(now / drainInterval) % parameters.servers;
 }
 
 } // namespace lycheeshunt::crest
--- a/tools/measurements/crest/scenario.h
+++ b/tools/measurements/crest/scenario.h
@@ -1,5 +1,5 @@
-// What a run of the model is given: sizes, demand and faults. The same scenario gives every policy
-// the same arrivals.
+// Parameters of a simulation run: cluster size, demand and faults. All policies get the same
+// arrivals for the same scenario.
 
 #pragma once
 
@@ -15,15 +15,17 @@
 {
     const std::size_t servers = 7;
     const std::int64_t duration = 600'000;
-    // Demand as a share of capacity, before and during the crest.
+    // Demand as a share of capacity, outside and at the peak.
     const double load = 0.7;
-    const double crestLoad = 0.7;
-    // Feeds opened a second for each server, each open for a minute in the mean.
+    const double peakLoad = 0.7;
+    // Feeds (long-lived flows) opened per second and server; each stays open for a minute on
+    // average.
     const double feedRate = 0;
     const bool drains = false;
-    // Resends, cancellations and the loss of an agent.
+    // Callers resend and cancel requests, and one agent fails.
     const bool callerFaults = false;
-    // Share of load reports lost, and whether the reports of server 0 pause now and then.
+    // Share of load reports lost, and whether the reports of servers 0 to 2 pause for 3 s in every
+    // 8 s.
     const double reportLoss = 0;
     const bool reportPauses = false;
     const std::uint32_t seed = 1;
@@ -37,13 +39,13 @@
 constexpr double meanMillis = shortMeanMillis * (1 - longShare + longShare * longFactor);
 constexpr std::int64_t hopMillis = 1;
 
-// Demand at an instant: the crest climbs within 2 s, lasts 10 s and falls within 2 s, in the middle
-// of every 40 s.
-double demandAt(const scenario &given, std::int64_t now);
+// Demand at a time, as a share of capacity. In the middle of every 40 s it rises to the peak within
+// 2 s, stays there for 10 s and falls within 2 s.
+double demandAt(const scenario &parameters, std::int64_t now);
 
-std::vector<work_item> arrivalsOf(const scenario &given);
+std::vector<work_item> arrivalsOf(const scenario &parameters);
 
-// The server that is draining at an instant, or the number of servers when none is.
-std::size_t drainingAt(const scenario &given, std::int64_t now);
+// Index of the server that is draining at a time, or the number of servers when none is.
+std::size_t drainingAt(const scenario &parameters, std::int64_t now);
 
 } // namespace lycheeshunt::crest
