tools: plain terms for the other measurements and the stand-ins

Comments say what is measured and over what; names of figures, units, flags and printed JSON are unchanged.

--- a/tools/measurements/measurement.h
+++ b/tools/measurements/measurement.h
@@ -1,4 +1,4 @@
-// Prints one measured figure as a JSON object on a line of its own.
+// Prints a measured figure as a JSON object on a line of its own.
 
 #pragma once
 
@@ -7,7 +7,8 @@
 
 namespace lycheeshunt::measurements {
 
-// `bound` and `baseline` are JSON: a number, or null where there is none.
+// `bound` and `baseline` are JSON text: a number, or null for none. A baseline may also be an
+// object of several numbers.
 inline void report(const std::string &name, double value, const std::string &unit,
                    const std::string &bound = "null", const std::string &baseline = "null")
 {
--- a/tools/measurements/packets.cpp
+++ b/tools/measurements/packets.cpp
@@ -1,5 +1,5 @@
-// Measures an entry: packets a second over loopback against a bare forwarder of the same sockets,
-// what a routing decision costs, and what a service's table costs in time and memory.
+// Measures an entry: packets per second over loopback compared with a forwarder that makes no
+// routing decision, the time of one decision, and the build time and memory of a service's table.
 
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/packets/ip_packet.h"
@@ -28,7 +28,7 @@
 constexpr std::uint32_t buckets = 512;
 constexpr std::size_t payloadBytes = 200;
 
-double seconds()
+double nowSeconds()
 {
     return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch())
         .count();
@@ -36,13 +36,14 @@
 
 double cpuSeconds(clockid_t clock)
 {
-    timespec spent {};
-    clock_gettime(clock, &spent);
-    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) * 1e-9;
+    timespec cpuTime {};
+    clock_gettime(clock, &cpuTime);
+    return static_cast<double>(cpuTime.tv_sec) + static_cast<double>(cpuTime.tv_nsec) * 1e-9;
 }
 
-// Processor time of all threads but this one: that of the forwarder under load, as the others wait.
-double otherThreadsSeconds()
+// CPU time of all threads except the calling one. Under load this is the forwarding thread; the
+// others wait.
+double otherThreadsCpuSeconds()
 {
     return cpuSeconds(CLOCK_PROCESS_CPUTIME_ID) - cpuSeconds(CLOCK_THREAD_CPUTIME_ID);
 }
@@ -83,7 +84,8 @@
         .withBatch(base::generation(2), {std::move(members), {}});
 }
 
-// The same buffers and system calls as an entry's, but each packet goes to one fixed place.
+// Forwards with the same buffers and system calls as an entry, but sends every packet to one fixed
+// address.
 class bare_forwarder
 {
 public:
@@ -128,7 +130,7 @@
     return base::takeValue(base::openDatagramSocket(anyLoopback));
 }
 
-std::size_t drain(const base::file_descriptor &sink, packet_batch &batch)
+std::size_t receiveAll(const base::file_descriptor &sink, packet_batch &batch)
 {
     std::size_t total = 0;
     while (const std::size_t count = batch.receive(sink.get()))
@@ -136,42 +138,43 @@
     return total;
 }
 
-// Sends windows of packets to a forwarder and waits until each window has come out at the sink.
-// Returns packets for each second that the forwarder's thread spent on a core.
+// Sends windows of packets through a forwarder to the sink and waits until each window has been
+// received or no packet has arrived for 50 ms. Returns the number of packets received per second of
+// CPU time of the forwarder's thread.
 double packetsPerSecond(const base::endpoint &forwarder, const base::file_descriptor &sink)
 {
     constexpr std::size_t window = 2048;
-    constexpr double span = 1.0;
+    constexpr double durationSeconds = 1.0;
     constexpr int lossWaitMillis = 50;
     const base::file_descriptor source = openSocket();
     const std::unique_ptr<packet_batch> batch = std::make_unique<packet_batch>();
     std::vector<std::string> packets;
     for (std::uint32_t i = 0; i < window; ++i)
         packets.push_back(callerPacket(i));
-    std::vector<iovec> parts;
-    parts.reserve(window);
+    std::vector<iovec> buffers;
+    buffers.reserve(window);
     std::vector<mmsghdr> messages(window);
     sockaddr_in to = base::toSocketAddress(forwarder);
     for (std::string &packet : packets)
-        parts.push_back(iovec {packet.data(), packet.size()});
+        buffers.push_back(iovec {packet.data(), packet.size()});
     for (std::size_t i = 0; i < window; ++i)
-        messages[i].msg_hdr = msghdr {&to, sizeof to, &parts[i], 1, nullptr, 0, 0};
+        messages[i].msg_hdr = msghdr {&to, sizeof to, &buffers[i], 1, nullptr, 0, 0};
     std::size_t received = 0;
-    const double spentBefore = otherThreadsSeconds();
-    const double start = seconds();
-    while (seconds() - start < span) {
+    const double cpuBefore = otherThreadsCpuSeconds();
+    const double start = nowSeconds();
+    while (nowSeconds() - start < durationSeconds) {
         for (std::size_t sent = 0; sent < window; sent += packet_batch::capacity)
             ::sendmmsg(source.get(), &messages[sent], packet_batch::capacity, 0);
-        std::size_t got = 0;
-        while (got < window) {
+        std::size_t receivedInWindow = 0;
+        while (receivedInWindow < window) {
             pollfd watched {sink.get(), POLLIN, 0};
             if (::poll(&watched, 1, lossWaitMillis) <= 0)
                 break;
-            got += drain(sink, *batch);
+            receivedInWindow += receiveAll(sink, *batch);
         }
-        received += got;
+        received += receivedInWindow;
     }
-    return static_cast<double>(received) / (otherThreadsSeconds() - spentBefore);
+    return static_cast<double>(received) / (otherThreadsCpuSeconds() - cpuBefore);
 }
 
 double median(std::vector<double> values)
@@ -208,42 +211,42 @@
 {
     for (const std::size_t servers : {10U, 100U, 1000U}) {
         const dissemination::cluster_view view = viewOf(servers, anyLoopback);
-        const double start = seconds();
+        const double start = nowSeconds();
         const routing::routing_table table(view);
-        const double built = seconds() - start;
+        const double buildSeconds = nowSeconds() - start;
         const std::string suffix = "." + std::to_string(servers) + "_servers";
-        measurements::report("entry.table_build" + suffix, built * 1e3, "ms");
+        measurements::report("entry.table_build" + suffix, buildSeconds * 1e3, "ms");
         measurements::report("entry.service_memory" + suffix,
                              static_cast<double>(table.memoryBytesOf(base::serviceIdOf("logbook"))),
                              "byte");
     }
 }
 
-// Reads and routes one packet after another, for a count of instructions by callgrind.
-std::uint64_t routeOnly(std::size_t packets)
+// Parses and routes packets one by one; callgrind counts the instructions of this function.
+std::uint64_t routePackets(std::size_t packets)
 {
     const routing::routing_table table(viewOf(7, anyLoopback));
     std::vector<std::string> samples;
     for (std::uint32_t i = 0; i < 64; ++i)
         samples.push_back(callerPacket(i));
-    std::uint64_t sum = 0;
+    std::uint64_t checksum = 0;
     for (std::size_t i = 0; i < packets; ++i) {
         const base::result<packets::ip_summary> summary
             = packets::summarize(samples[i % samples.size()], packets::direction::fromCaller);
         const routing::routing_outcome outcome = table.routeOf(base::valueOf(summary).key);
-        sum += std::get<routing::route>(outcome).to.node.value();
+        checksum += std::get<routing::route>(outcome).to.node.value();
     }
-    return sum;
+    return checksum;
 }
 
 void measureDecision()
 {
     constexpr std::size_t packets = 2'000'000;
-    const double start = seconds();
-    const std::uint64_t sum = routeOnly(packets);
-    const double spent = seconds() - start;
-    measurements::report(sum != 0 ? "entry.decision_time" : "entry.decision_time_void",
-                         spent / packets * 1e9, "ns");
+    const double start = nowSeconds();
+    const std::uint64_t checksum = routePackets(packets);
+    const double elapsed = nowSeconds() - start;
+    measurements::report(checksum != 0 ? "entry.decision_time" : "entry.decision_time_void",
+                         elapsed / packets * 1e9, "ns");
 }
 
 } // namespace
@@ -255,7 +258,7 @@
     app.add_option("--routing-only", routingOnly, "only read and route this many packets");
     CLI11_PARSE(app, argc, argv);
     if (routingOnly > 0)
-        return routeOnly(routingOnly) != 0 ? 0 : 1;
+        return routePackets(routingOnly) != 0 ? 0 : 1;
     measureTables();
     measureDecision();
     measureForwarding();
--- a/tools/measurements/slopes.cpp
+++ b/tools/measurements/slopes.cpp
@@ -1,5 +1,5 @@
-// Measures how memory, processor time and bytes grow with members, services and streams, each at
-// three sizes or more, for docs/CAPACITY.md. One JSON object a line.
+// Measures how memory, CPU time and traffic grow with the number of members, services and streams,
+// each at three sizes or more, for docs/CAPACITY.md. Prints one JSON object per line.
 
 #include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
@@ -20,7 +20,7 @@
 using measurements::processorMicros;
 using measurements::report;
 
-constexpr std::uint32_t serversAService = 9;
+constexpr std::uint32_t serversPerService = 9;
 
 tickets::service_definition serviceAt(std::uint32_t index)
 {
@@ -34,7 +34,7 @@
 membership::member agentAt(std::uint32_t index)
 {
     constexpr std::uint32_t network = 0x0a000000;
-    const std::uint32_t service = index / serversAService;
+    const std::uint32_t service = index / serversPerService;
     return membership::member {"agent-" + std::to_string(index),
                                "zone-" + std::to_string(index % 23),
                                membership::member_role::agent,
@@ -50,7 +50,7 @@
     std::vector<membership::member> members;
     for (std::uint32_t i = 0; i < services; ++i)
         changes.emplace_back(serviceAt(i));
-    for (std::uint32_t i = 0; i < services * serversAService; ++i)
+    for (std::uint32_t i = 0; i < services * serversPerService; ++i)
         members.push_back(agentAt(i));
     const dissemination::cluster_view empty {};
     return std::make_shared<const dissemination::cluster_view>(
@@ -62,53 +62,53 @@
 {
     for (const std::uint32_t services : {100U, 400U, 1600U, 4900U}) {
         const std::string size = std::to_string(services) + "_services";
-        const double before = heapBytes();
+        const double heapBefore = heapBytes();
         const dissemination::shared_view view = viewOf(services);
-        const double held = heapBytes();
-        report("view_bytes_at_" + size, held - before, "bytes");
+        const double heapWithView = heapBytes();
+        report("view_bytes_at_" + size, heapWithView - heapBefore, "bytes");
         report(
             "view_snapshot_bytes_at_" + size,
             static_cast<double>(measurements::snapshotBytes(*view, dissemination::view_scope {})),
             "bytes");
         double start = processorMicros();
-        const dissemination::cluster_view next
+        const dissemination::cluster_view updated
             = view->withBatch(base::generation(3), {{agentAt(0)}, {}});
         report("view_apply_one_member_at_" + size, processorMicros() - start, "us");
-        const double beforeTable = heapBytes();
+        const double heapBeforeTable = heapBytes();
         start = processorMicros();
-        const routing::routing_table table(next);
+        const routing::routing_table table(updated);
         report("routing_table_build_at_" + size, processorMicros() - start, "us");
-        report("routing_table_bytes_at_" + size, heapBytes() - beforeTable, "bytes");
-        const dissemination::cluster_view changed
-            = next.withBatch(base::generation(4), {{}, {agentAt(0).id()}});
+        report("routing_table_bytes_at_" + size, heapBytes() - heapBeforeTable, "bytes");
+        const dissemination::cluster_view shrunk
+            = updated.withBatch(base::generation(4), {{}, {agentAt(0).id()}});
         start = processorMicros();
-        const routing::routing_table newer(changed, table);
+        const routing::routing_table rebuilt(shrunk, table);
         report("routing_table_rebuild_after_one_leaves_at_" + size, processorMicros() - start,
                "us");
     }
 }
 
-// Counts down; lets the main thread wait without polling.
+// A latch that lets the main thread wait for a number of events without polling.
 class countdown
 {
 public:
-    explicit countdown(std::size_t count) : m_left(count) { }
+    explicit countdown(std::size_t count) : m_remaining(count) { }
 
-    void arrive()
+    void countDown()
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        --m_left;
+        --m_remaining;
         m_changed.notify_all();
     }
 
     void wait()
     {
         std::unique_lock<std::mutex> lock(m_mutex);
-        m_changed.wait(lock, [this]() { return m_left == 0; });
+        m_changed.wait(lock, [this]() { return m_remaining == 0; });
     }
 
-    // Waits for the span whatever is counted.
-    void pass(base::clock_time span)
+    // Waits for the whole span, regardless of the count.
+    void sleepFor(base::clock_time span)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         m_changed.wait_for(lock, std::chrono::milliseconds(span.millis()), []() { return false; });
@@ -117,10 +117,10 @@
 private:
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::size_t m_left;
+    std::size_t m_remaining;
 };
 
-// Idle streams: both ends are in this process, so a figure a stream is that of its two ends.
+// Measures idle streams. Both ends run in this process, so a figure per stream covers its two ends.
 void measureStreams()
 {
     constexpr base::clock_time span = base::clock_time::ofSeconds(4);
@@ -136,25 +136,25 @@
                 std::vector<base::endpoint> {server->local()}, streams::stream_timing {}, i,
                 [&opened](const streams::stream_event &event) {
                     if (std::holds_alternative<streams::stream_opened>(event))
-                        opened.arrive();
+                        opened.countDown();
                 }));
         opened.wait();
-        std::uint64_t carriedBefore = 0;
-        opened.pass(base::clock_time::ofSeconds(2));
+        std::uint64_t bytesBefore = 0;
+        opened.sleepFor(base::clock_time::ofSeconds(2));
         for (const std::unique_ptr<streams::stream_client> &client : clients)
-            carriedBefore += client->bytesCarried();
-        const double processorBefore = processorMicros();
-        opened.pass(span);
+            bytesBefore += client->bytesCarried();
+        const double cpuBefore = processorMicros();
+        opened.sleepFor(span);
         const double seconds = static_cast<double>(span.millis()) / 1000;
         const double streams = static_cast<double>(count);
-        std::uint64_t carried = 0;
+        std::uint64_t bytesCarried = 0;
         for (const std::unique_ptr<streams::stream_client> &client : clients)
-            carried += client->bytesCarried();
+            bytesCarried += client->bytesCarried();
         const std::string size = std::to_string(count) + "_streams";
         report("idle_stream_both_ends_processor_at_" + size,
-               (processorMicros() - processorBefore) / seconds / streams, "us/s a stream");
+               (processorMicros() - cpuBefore) / seconds / streams, "us/s a stream");
         report("idle_stream_bytes_at_" + size,
-               static_cast<double>(carried - carriedBefore) / seconds / streams,
+               static_cast<double>(bytesCarried - bytesBefore) / seconds / streams,
                "TCP payload bytes/s a stream");
         report("stream_both_ends_heap_at_" + size, (heapBytes() - heapBefore) / streams,
                "bytes a stream");
--- a/tools/measurements/snapshot_size.h
+++ b/tools/measurements/snapshot_size.h
@@ -1,4 +1,4 @@
-// Bytes of a whole snapshot, over all its pieces.
+// Encoded size of a full snapshot: the sum of the sizes of all its pieces.
 
 #pragma once
 
@@ -17,13 +17,13 @@
     std::string name;
     while (section != dissemination::snapshot_section::end) {
         const dissemination::snapshot_cursor cursor {section, key, name};
-        const dissemination::snapshot_part cut = dissemination::partAfter(view, scope, cursor);
-        const dissemination::snapshot_piece piece {view.at, view.at,  dissemination::view_digest(),
-                                                   cursor,  cut.next, cut.part};
+        const dissemination::snapshot_part content = dissemination::partAfter(view, scope, cursor);
+        const dissemination::snapshot_piece piece {
+            view.at, view.at, dissemination::view_digest(), cursor, content.next, content.part};
         bytes += dissemination::encodeControlMessage(piece).size();
-        section = cut.next.section;
-        key = cut.next.key;
-        name = cut.next.name;
+        section = content.next.section;
+        key = content.next.key;
+        name = content.next.name;
     }
     return bytes;
 }
--- a/tools/standin/callers.cpp
+++ b/tools/standin/callers.cpp
@@ -1,6 +1,6 @@
-// Stand-in for callers and the fabric: opens feeds and short flows to each service, sends every
-// packet through an entry chosen at random, and counts what became of the flows. The last line of
-// its output is one JSON object.
+// Simulates callers and the fabric: opens feeds (flows that stay open) and short flows to each
+// service, sends every packet through an entry chosen at random, and counts the outcomes of the
+// flows. The last line of its output is a JSON object with the counts.
 
 #include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/base/socket.h"
@@ -25,28 +25,28 @@
 using namespace lycheeshunt;
 using base::clock_time;
 
-constexpr clock_time resendAfter = clock_time::ofMillis(200);
-constexpr clock_time giveUpAfter = clock_time::ofSeconds(6);
-constexpr clock_time feedPause = clock_time::ofMillis(100);
-constexpr clock_time entryDownSpan = clock_time::ofMillis(500);
+constexpr clock_time retransmitTimeout = clock_time::ofMillis(200);
+constexpr clock_time exchangeTimeout = clock_time::ofSeconds(6);
+constexpr clock_time feedRequestInterval = clock_time::ofMillis(100);
+constexpr clock_time entryRetryDelay = clock_time::ofMillis(500);
 constexpr int shortFlowRequests = 3;
 
 volatile std::sig_atomic_t stopRequested = 0;
 
-enum class phase { opening, waiting, idle, closing, ended };
+enum class flow_phase { opening, waiting, idle, closing, ended };
 
 struct caller_flow
 {
     base::flow_key key;
     std::string service;
     bool isFeed;
-    phase at;
-    std::uint32_t next;
-    std::uint32_t acknowledged;
+    flow_phase phase;
+    std::uint32_t nextSequence;
+    std::uint32_t acknowledgedSequence;
     int requests;
     std::string expectedBody;
     std::string lastPacket;
-    clock_time startedAt;
+    clock_time exchangeStartedAt;
     clock_time sentAt;
 };
 
@@ -61,7 +61,8 @@
     std::uint64_t answers = 0;
 };
 
-// Spreads packets over the entries; one that refuses is left out for a while.
+// Sends each packet to a random entry. An entry whose socket reports a send error is skipped for
+// entryRetryDelay.
 class fabric
 {
 public:
@@ -71,8 +72,8 @@
             base::result<base::file_descriptor> socket
                 = base::openDatagramSocket(base::endpoint {INADDR_LOOPBACK, 0});
             const sockaddr_in raw = base::toSocketAddress(entry);
-            m_links.push_back({base::takeValue(std::move(socket)), clock_time()});
-            if (::connect(m_links.back().socket.get(), reinterpret_cast<const sockaddr *>(&raw),
+            m_entries.push_back({base::takeValue(std::move(socket)), clock_time()});
+            if (::connect(m_entries.back().socket.get(), reinterpret_cast<const sockaddr *>(&raw),
                           sizeof raw)
                 != 0)
                 throw std::runtime_error("can't connect to " + entry.text());
@@ -81,32 +82,32 @@
 
     void send(const std::string &packet, clock_time now)
     {
-        const std::size_t start = m_random() % m_links.size();
-        for (std::size_t i = 0; i < m_links.size(); ++i) {
-            link &chosen = m_links[(start + i) % m_links.size()];
-            if (now < chosen.downUntil)
+        const std::size_t start = m_random() % m_entries.size();
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+            entry_link &candidate = m_entries[(start + i) % m_entries.size()];
+            if (now < candidate.downUntil)
                 continue;
-            if (::send(chosen.socket.get(), packet.data(), packet.size(), MSG_NOSIGNAL) >= 0)
+            if (::send(candidate.socket.get(), packet.data(), packet.size(), MSG_NOSIGNAL) >= 0)
                 return;
-            chosen.downUntil = now + entryDownSpan;
+            candidate.downUntil = now + entryRetryDelay;
         }
     }
 
 private:
-    struct link
+    struct entry_link
     {
         base::file_descriptor socket;
         clock_time downUntil;
     };
 
-    std::vector<link> m_links;
+    std::vector<entry_link> m_entries;
     std::mt19937_64 m_random;
 };
 
-class callers
+class caller_simulator
 {
 public:
-    callers(const std::vector<base::endpoint> &entries, std::uint64_t seed)
+    caller_simulator(const std::vector<base::endpoint> &entries, std::uint64_t seed)
         : m_fabric(entries, seed)
     {
     }
@@ -120,9 +121,9 @@
         const base::endpoint from {callerNetwork + 1 + static_cast<std::uint32_t>(index / 60000),
                                    static_cast<std::uint16_t>(firstPort + index % 60000)};
         const base::flow_key key {from, address, IPPROTO_TCP};
-        caller_flow flow {key, service, isFeed, phase::opening, 100, 0, 0, {}, {}, now, now};
-        flow.lastPacket = packet(flow, Tins::TCP::SYN, {});
-        flow.next += 1;
+        caller_flow flow {key, service, isFeed, flow_phase::opening, 100, 0, 0, {}, {}, now, now};
+        flow.lastPacket = buildPacket(flow, Tins::TCP::SYN, {});
+        flow.nextSequence += 1;
         m_fabric.send(flow.lastPacket, now);
         m_flows.emplace(key, std::move(flow));
     }
@@ -134,40 +135,41 @@
         if (!base::isOk(summary))
             return;
         const auto found = m_flows.find(base::valueOf(summary).key);
-        if (found == m_flows.end() || found->second.at == phase::ended)
+        if (found == m_flows.end() || found->second.phase == flow_phase::ended)
             return;
         const Tins::IP ip(reinterpret_cast<const std::uint8_t *>(bytes.data()),
                           static_cast<std::uint32_t>(bytes.size()));
-        advance(found->second, ip, now);
+        handleSegment(found->second, ip, now);
     }
 
     void tick(clock_time now)
     {
         for (auto it = m_flows.begin(); it != m_flows.end();) {
             caller_flow &flow = it->second;
-            if (flow.at == phase::ended) {
+            if (flow.phase == flow_phase::ended) {
                 it = m_flows.erase(it);
                 continue;
             }
-            if (flow.at == phase::idle && now - flow.sentAt >= feedPause)
+            if (flow.phase == flow_phase::idle && now - flow.sentAt >= feedRequestInterval)
                 request(flow, now);
-            else if (flow.at != phase::idle && now - flow.startedAt >= giveUpAfter)
-                end(flow, m_counters.broken);
-            else if (flow.at != phase::idle && now - flow.sentAt >= resendAfter)
+            else if (flow.phase != flow_phase::idle
+                     && now - flow.exchangeStartedAt >= exchangeTimeout)
+                finish(flow, m_counters.broken);
+            else if (flow.phase != flow_phase::idle && now - flow.sentAt >= retransmitTimeout)
                 send(flow, now);
             ++it;
         }
     }
 
     std::size_t openFlows() const { return m_flows.size(); }
-    const counters &counted() const { return m_counters; }
+    const counters &counts() const { return m_counters; }
 
 private:
-    static std::string packet(const caller_flow &flow, int flags, const std::string &payload)
+    static std::string buildPacket(const caller_flow &flow, int flags, const std::string &payload)
     {
         Tins::TCP tcp(flow.key.service.port, flow.key.caller.port);
-        tcp.seq(flow.next);
-        tcp.ack_seq(flow.acknowledged);
+        tcp.seq(flow.nextSequence);
+        tcp.ack_seq(flow.acknowledgedSequence);
         tcp.flags(static_cast<Tins::small_uint<12>>(flags));
         Tins::IP ip = Tins::IP(Tins::IPv4Address(htonl(flow.key.service.address)),
                                Tins::IPv4Address(htonl(flow.key.caller.address)))
@@ -184,13 +186,13 @@
         m_fabric.send(flow.lastPacket, now);
     }
 
-    void begin(caller_flow &flow, phase next, std::string packetBytes, std::uint32_t consumed,
-               clock_time now)
+    void startExchange(caller_flow &flow, flow_phase newPhase, std::string packet,
+                       std::uint32_t consumed, clock_time now)
     {
-        flow.at = next;
-        flow.lastPacket = std::move(packetBytes);
-        flow.next += consumed;
-        flow.startedAt = now;
+        flow.phase = newPhase;
+        flow.lastPacket = std::move(packet);
+        flow.nextSequence += consumed;
+        flow.exchangeStartedAt = now;
         send(flow, now);
     }
 
@@ -199,55 +201,58 @@
         ++flow.requests;
         flow.expectedBody = std::to_string(flow.key.caller.address) + ":"
             + std::to_string(flow.key.caller.port) + "#" + std::to_string(flow.requests);
-        begin(flow, phase::waiting,
-              packet(flow, Tins::TCP::PSH | Tins::TCP::ACK, flow.expectedBody),
-              static_cast<std::uint32_t>(flow.expectedBody.size()), now);
+        startExchange(flow, flow_phase::waiting,
+                      buildPacket(flow, Tins::TCP::PSH | Tins::TCP::ACK, flow.expectedBody),
+                      static_cast<std::uint32_t>(flow.expectedBody.size()), now);
     }
 
-    void advance(caller_flow &flow, const Tins::IP &ip, clock_time now)
+    void handleSegment(caller_flow &flow, const Tins::IP &ip, clock_time now)
     {
         const Tins::TCP &segment = ip.rfind_pdu<Tins::TCP>();
         if (segment.get_flag(Tins::TCP::RST)) {
-            end(flow, flow.at == phase::opening ? m_counters.refused : m_counters.broken);
+            finish(flow,
+                   flow.phase == flow_phase::opening ? m_counters.refused : m_counters.broken);
             return;
         }
-        if (segment.ack_seq() != flow.next)
+        if (segment.ack_seq() != flow.nextSequence)
             return;
-        if (flow.at == phase::opening && segment.get_flag(Tins::TCP::SYN)) {
-            flow.acknowledged = segment.seq() + 1;
+        if (flow.phase == flow_phase::opening && segment.get_flag(Tins::TCP::SYN)) {
+            flow.acknowledgedSequence = segment.seq() + 1;
             request(flow, now);
-        } else if (flow.at == phase::waiting) {
-            takeAnswer(flow, ip, segment, now);
-        } else if (flow.at == phase::closing) {
-            end(flow, m_counters.completed);
+        } else if (flow.phase == flow_phase::waiting) {
+            handleAnswer(flow, ip, segment, now);
+        } else if (flow.phase == flow_phase::closing) {
+            finish(flow, m_counters.completed);
         }
     }
 
-    void takeAnswer(caller_flow &flow, const Tins::IP &ip, const Tins::TCP &segment, clock_time now)
+    void handleAnswer(caller_flow &flow, const Tins::IP &ip, const Tins::TCP &segment,
+                      clock_time now)
     {
         const Tins::RawPDU *body = ip.find_pdu<Tins::RawPDU>();
         if (body == nullptr)
             return;
         const std::string text(body->payload().begin(), body->payload().end());
-        flow.acknowledged = segment.seq() + static_cast<std::uint32_t>(text.size());
+        flow.acknowledgedSequence = segment.seq() + static_cast<std::uint32_t>(text.size());
         ++m_counters.answers;
         if (text.substr(0, text.find('|')) != flow.service)
             ++m_counters.wrongService;
         if (text.substr(text.rfind('|') + 1) != flow.expectedBody)
             ++m_counters.wrongAnswer;
         if (flow.isFeed) {
-            flow.at = phase::idle;
+            flow.phase = flow_phase::idle;
             flow.sentAt = now;
         } else if (flow.requests < shortFlowRequests) {
             request(flow, now);
         } else {
-            begin(flow, phase::closing, packet(flow, Tins::TCP::FIN | Tins::TCP::ACK, {}), 1, now);
+            startExchange(flow, flow_phase::closing,
+                          buildPacket(flow, Tins::TCP::FIN | Tins::TCP::ACK, {}), 1, now);
         }
     }
 
-    static void end(caller_flow &flow, std::uint64_t &counter)
+    static void finish(caller_flow &flow, std::uint64_t &counter)
     {
-        flow.at = phase::ended;
+        flow.phase = flow_phase::ended;
         ++counter;
     }
 
@@ -256,41 +261,41 @@
     counters m_counters;
 };
 
-struct called_service
+struct target_service
 {
     std::string name;
     base::endpoint address;
 };
 
-struct load
+struct load_options
 {
-    std::vector<called_service> services;
+    std::vector<target_service> services;
     int feeds = 20;
     int shortPerSecond = 50;
     int seconds = 10;
 };
 
-void run(callers &all, int descriptor, const load &load)
+void run(caller_simulator &simulator, int descriptor, const load_options &options)
 {
     const clock_time start = clock_time::steady();
-    const clock_time end = start + clock_time::ofSeconds(load.seconds);
-    for (const called_service &service : load.services) {
-        for (int i = 0; i < load.feeds; ++i)
-            all.open(service.name, service.address, true, start);
+    const clock_time deadline = start + clock_time::ofSeconds(options.seconds);
+    for (const target_service &service : options.services) {
+        for (int i = 0; i < options.feeds; ++i)
+            simulator.open(service.name, service.address, true, start);
     }
     constexpr int pollMillis = 10;
     std::int64_t opened = 0;
-    for (clock_time now = start; now < end && stopRequested == 0; now = clock_time::steady()) {
-        const std::int64_t due = (now - start).millis() * load.shortPerSecond / 1000;
-        for (; opened < due; ++opened) {
-            const called_service &service = load.services[opened % load.services.size()];
-            all.open(service.name, service.address, false, now);
+    for (clock_time now = start; now < deadline && stopRequested == 0; now = clock_time::steady()) {
+        const std::int64_t dueFlows = (now - start).millis() * options.shortPerSecond / 1000;
+        for (; opened < dueFlows; ++opened) {
+            const target_service &service = options.services[opened % options.services.size()];
+            simulator.open(service.name, service.address, false, now);
         }
         pollfd watched {descriptor, POLLIN, 0};
         ::poll(&watched, 1, pollMillis);
         while (const std::optional<std::string> bytes = packets::receiveDatagram(descriptor))
-            all.receive(*bytes, clock_time::steady());
-        all.tick(clock_time::steady());
+            simulator.receive(*bytes, clock_time::steady());
+        simulator.tick(clock_time::steady());
     }
 }
 
@@ -303,14 +308,14 @@
     std::vector<std::string> serviceTexts;
     std::string local;
     std::uint64_t seed = 1;
-    load wanted;
+    load_options options;
     app.add_option("--entry", entryTexts, "an entry's packet address; repeat it")->required();
     app.add_option("--service", serviceTexts, "name=a.b.c.d:port; repeat it")->required();
     app.add_option("--local", local, "takes packets to callers here")->required();
     app.add_option("--seed", seed);
-    app.add_option("--feeds", wanted.feeds, "feeds a service");
-    app.add_option("--short", wanted.shortPerSecond, "short flows a second");
-    app.add_option("--seconds", wanted.seconds);
+    app.add_option("--feeds", options.feeds, "feeds a service");
+    app.add_option("--short", options.shortPerSecond, "short flows a second");
+    app.add_option("--seconds", options.seconds);
     CLI11_PARSE(app, argc, argv);
 
     std::vector<base::endpoint> entries;
@@ -319,7 +324,7 @@
         entries.push_back(std::get<base::endpoint>(base::parseEndpoint(text)));
     for (const std::string &text : serviceTexts) {
         const std::size_t split = text.find('=');
-        wanted.services.push_back(
+        options.services.push_back(
             {text.substr(0, split),
              std::get<base::endpoint>(base::parseEndpoint(text.substr(split + 1)))});
     }
@@ -330,13 +335,13 @@
         return 3;
     }
     std::signal(SIGTERM, [](int) { stopRequested = 1; });
-    callers all(entries, seed);
-    run(all, base::valueOf(socket).get(), wanted);
-    const counters &total = all.counted();
+    caller_simulator simulator(entries, seed);
+    run(simulator, base::valueOf(socket).get(), options);
+    const counters &total = simulator.counts();
     std::cout << "{\"flows\":" << total.flows << ",\"completed\":" << total.completed
               << ",\"broken\":" << total.broken << ",\"refused\":" << total.refused
               << ",\"wrong_service\":" << total.wrongService
               << ",\"wrong_answer\":" << total.wrongAnswer << ",\"answers\":" << total.answers
-              << ",\"open\":" << all.openFlows() << "}" << std::endl;
+              << ",\"open\":" << simulator.openFlows() << "}" << std::endl;
     return total.broken == 0 && total.wrongService == 0 && total.wrongAnswer == 0 ? 0 : 1;
 }
--- a/tools/test_main.cpp
+++ b/tools/test_main.cpp
@@ -1,4 +1,4 @@
-// Runs the tests of one slice.
+// Entry point of the test program of a slice.
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
@@ -6,10 +6,10 @@
 int main(int argc, char **argv)
 {
 #ifdef LYCHEESHUNT_HTTP_THREADS
-    // Threads of the HTTP library outlive a test, which the count of memory takes for a leak.
+    // Threads of the HTTP library outlive a test; the leak detector would report their memory.
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
 #else
-    // Tests run threads; by default the count of memory is kept without a lock.
+    // Tests start threads, and the leak detector takes no lock by default.
     MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
 #endif
     return RUN_ALL_TESTS(argc, argv);
