--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -1,6 +1,6 @@
-# Functions that run a small system on loopback, for tools/demo and tools/measure. Sourced, not run.
-# Before it, set `controls` to the number of control processes (1 or 3). Everything that was started
-# is stopped, and its files removed, when the sourcing script ends.
+# Functions that run a small cluster on loopback, for tools/demo and tools/measure. Source this file
+# after setting `controls` to the number of control processes (1 or 3). When the sourcing script
+# exits, all started processes are stopped and their files are removed.
 
 bin="$PWD/build"
 work="$(mktemp -d)"
@@ -13,10 +13,10 @@
 }
 trap finish EXIT
 
-# Ports: 2 callers, 1x entries, 10x to 39x agents and backend servers, 40x streams and 41x API of
-# control processes.
+# Offsets from the base port: 2 callers; 1x entries; 10x to 39x agents and backend servers; 40x
+# streams and 41x API of control processes.
 port() { echo "127.0.0.1:$((base + $1))"; }
-start() { # name, program and its arguments
+start() { # name, program, arguments
     local name="$1"
     shift
     "$@" >"$work/$name.out" 2>"$work/$name.log" &
@@ -59,7 +59,8 @@
     } >"$work/$name.toml"
     start "$name" "$bin/lycheeshuntd" --config "$work/$name.toml"
 }
-# Asks each control VM in turn until one does what is asked; only the leader takes tickets.
+# Sends the command to each control process in turn until one succeeds; only the leader accepts
+# tickets.
 ctl() {
     local n
     for n in $(seq "$controls"); do
@@ -67,7 +68,7 @@
     done
     return 1
 }
-awaitServing() { # number of members
+awaitServing() { # expected number of members
     for _ in $(seq 400); do
         if ctl --json status 2>/dev/null | grep -o '"state":"serving"' | wc -l | grep -qx "$1"; then
             return 0
@@ -78,13 +79,13 @@
     return 1
 }
 nowMillis() { date +%s%3N; }
-submit() { # number, changes as JSON: prints the milliseconds until it is in force everywhere
+submit() { # number, changes as JSON; prints the milliseconds until the ticket is in force everywhere
     local began
     began=$(nowMillis)
     printf '{"number": %s, "author": "demo", "changes": [%s]}' "$1" "$2" >"$work/ticket.json"
     ctl ticket submit "$work/ticket.json" --wait >&2
     echo $(($(nowMillis) - began))
 }
-service() { # name address-number
+service() { # name, last octet of the address
     printf '{"service": {"name": "%s", "addresses": ["tcp:192.0.2.%s:443"]}}' "$1" "$2"
 }
