Reword comments and private names of base/

The comments used everyday words for common terms ("stands still", "nobody waits for the reader"); they now name blocking, retransmission, expiry and rate limits. No renamed identifier is used outside base/: the line writer's offer is tryWrite, the log budget's admit is tryAcquire.

--- a/lycheeshunt/base/clock_time.h
+++ b/lycheeshunt/base/clock_time.h
@@ -1,8 +1,8 @@
-// A count of milliseconds, used both for instants and for spans of time.
+// A number of milliseconds, used both for points in time and for durations.
 //
 //     const clock_time deadline = clock_time::steady() + clock_time::ofSeconds(4);
 //
-// Decisions never read a clock: the thread that runs them passes the instant in.
+// Decisions never read a clock: the thread that runs them passes the current time in.
 
 #pragma once
 
@@ -22,10 +22,11 @@
         return clock_time(seconds * millisPerSecond);
     }
 
-    // Monotonic time since an unspecified start. Use it for every timeout.
+    // Monotonic time since an unspecified epoch. Use it for every timeout.
     static clock_time steady();
 
-    // Time since 1970-01-01 UTC. It may step; use it only for what people read.
+    // Time since 1970-01-01 UTC. It may jump in either direction; use it only for text that people
+    // read.
     static clock_time wall();
 
     constexpr std::int64_t millis() const { return m_millis; }
--- a/lycheeshunt/base/codec.h
+++ b/lycheeshunt/base/codec.h
@@ -1,5 +1,5 @@
-// Field packing for messages between the system's own processes, by MessagePack. Slices keep
-// their codecs apart from their decisions and build their value types from these tuples.
+// Encodes the fields of messages between the system's own processes as MessagePack. Each slice
+// keeps its codec separate from its decisions and builds its value types from these tuples.
 //
 //     const std::string bytes = packFields(std::make_tuple(version, number));
 //     const result<std::tuple<int, long>> fields = unpackFields<std::tuple<int, long>>(bytes);
@@ -23,7 +23,7 @@
     return std::string(buffer.data(), buffer.size());
 }
 
-// Bounds what a hostile message may make the decoder allocate.
+// Bounds the memory that the decoder allocates for a hostile message.
 inline msgpack::unpack_limit unpackLimit()
 {
     constexpr std::size_t maxItems = 200'000;
@@ -32,7 +32,7 @@
     return msgpack::unpack_limit(maxItems, maxItems, maxBytes, maxBytes, maxBytes, maxDepth);
 }
 
-// Any fault in the bytes is messageMalformed; bytes after the tuple are one too.
+// Returns messageMalformed for invalid bytes and for bytes that follow the tuple.
 template <typename tuple_type>
 result<tuple_type> unpackFields(std::string_view bytes)
 {
--- a/lycheeshunt/base/duty.h
+++ b/lycheeshunt/base/duty.h
@@ -1,12 +1,14 @@
-// The thread of one duty: takes messages from its bounded ring one by one and handles them. With
-// a tick, that message is handled too at every interval, also while no other message comes.
+// The thread of one duty: pops messages from its bounded ring and handles them one at a time. With
+// a tick message, the handler is also called with it once per interval, even if no other message
+// arrives.
 //
 //     duty<ticket_message> tickets(capacity, [&](const ticket_message &message, clock_time now) {
 //         ...
 //     });
 //     tickets.inbox().push(message);
 //
-// The handler runs on the duty's thread alone, so what it captures needs no lock.
+// The handler runs only on the duty's thread, so state that only the handler accesses needs no
+// lock.
 
 #pragma once
 
@@ -28,8 +30,8 @@
     {
     }
 
-    duty(std::size_t capacity, clock_time tickEvery, message_type tick, handler handle)
-        : m_handle(std::move(handle)), m_tickEvery(tickEvery), m_tick(std::move(tick)),
+    duty(std::size_t capacity, clock_time tickInterval, message_type tick, handler handle)
+        : m_handle(std::move(handle)), m_tickInterval(tickInterval), m_tick(std::move(tick)),
           m_inbox(capacity), m_thread([this]() { runTicking(); })
     {
     }
@@ -41,8 +43,8 @@
 
     ring<message_type> &inbox() { return m_inbox; }
 
-    // Ends the thread; messages left in the ring are discarded, later ones refused. Call it before
-    // destroying anything that the handler uses. May be called again, from one thread.
+    // Stops and joins the thread. Messages left in the ring are discarded, later ones are rejected.
+    // Call it before destroying anything that the handler uses. Idempotent; not thread-safe.
     void stop()
     {
         m_inbox.close();
@@ -61,23 +63,23 @@
 
     void runTicking()
     {
-        clock_time nextTick = clock_time::steady() + m_tickEvery;
+        clock_time nextTick = clock_time::steady() + m_tickInterval;
         while (!m_inbox.isClosed()) {
-            const clock_time wait = nextTick - clock_time::steady();
+            const clock_time remaining = nextTick - clock_time::steady();
             const std::optional<message_type> message
-                = m_inbox.popFor(std::max(wait, clock_time()));
+                = m_inbox.popFor(std::max(remaining, clock_time()));
             const clock_time now = clock_time::steady();
             if (message)
                 m_handle(*message, now);
             if (now >= nextTick) {
-                nextTick = now + m_tickEvery;
+                nextTick = now + m_tickInterval;
                 m_handle(*m_tick, now);
             }
         }
     }
 
     const handler m_handle;
-    const clock_time m_tickEvery;
+    const clock_time m_tickInterval;
     const std::optional<message_type> m_tick;
     ring<message_type> m_inbox;
     std::thread m_thread;
--- a/lycheeshunt/base/early_packets.h
+++ b/lycheeshunt/base/early_packets.h
@@ -1,6 +1,6 @@
-// Packets that came before their receiver knew where anything goes, as after a restart of every
-// process. A caller repeats a packet only after ever longer pauses, so that the next copy may come
-// too late. Bounded; a packet that comes again is kept once.
+// Bounded buffer of packets that arrived before the receiver had its routing tables, as after a
+// restart of every process. Buffering matters because a caller retransmits with increasing
+// intervals, so that its next copy may arrive too late. A retransmitted packet is stored once.
 //
 //     early.put(key, packet, now);
 //     for (const std::string &packet : early.take(now)) ...
@@ -23,47 +23,48 @@
 class early_packets
 {
 public:
-    // With packets of 1,200 bytes, 640 KB at most.
+    // Bounds the memory to 640 KB with packets of 1,200 bytes.
     static constexpr std::size_t maxPackets = 512;
-    // A caller sends this many packets before it needs an answer.
+    // The number of packets that a caller sends before it needs a reply.
     static constexpr std::size_t maxPacketsOfFlow = 16;
-    // The longest pause before a caller repeats a packet.
+    // Retention period: the longest interval before a caller retransmits a packet.
     static constexpr clock_time keptFor = clock_time::ofMillis(1600);
 
     bool isEmpty() const { return m_count == 0; }
     bool holds(const flow_key &key) const { return m_flows.find(key) != m_flows.end(); }
 
-    // False when there is no room.
+    // Returns false when there is no room.
     bool put(const flow_key &key, const packet_type &packet, clock_time now)
     {
         if (m_count >= maxPackets)
-            dropOld(now);
-        std::vector<held_packet> &held = m_flows[key];
-        const auto known = std::find_if(held.begin(), held.end(), [&](const held_packet &each) {
-            return each.packet == packet;
-        });
-        if (known != held.end()) {
-            known->at = now;
+            evictExpired(now);
+        std::vector<buffered_packet> &buffered = m_flows[key];
+        const auto duplicate
+            = std::find_if(buffered.begin(), buffered.end(),
+                           [&](const buffered_packet &each) { return each.packet == packet; });
+        if (duplicate != buffered.end()) {
+            duplicate->receivedAt = now;
             return true;
         }
-        const bool hasRoom = m_count < maxPackets && held.size() < maxPacketsOfFlow;
+        const bool hasRoom = m_count < maxPackets && buffered.size() < maxPacketsOfFlow;
         if (hasRoom) {
-            held.push_back(held_packet {packet, now});
+            buffered.push_back(buffered_packet {packet, now});
             ++m_count;
-        } else if (held.empty()) {
+        } else if (buffered.empty()) {
             m_flows.erase(key);
         }
         return hasRoom;
     }
 
-    // All that are not too old, those of one flow in the order in which they came.
+    // Removes all packets and returns those that have not expired; packets of one flow are in order
+    // of arrival.
     std::vector<packet_type> take(clock_time now)
     {
-        dropOld(now);
+        evictExpired(now);
         std::vector<packet_type> taken;
         for (auto it = m_flows.begin(); it != m_flows.end(); ++it) {
-            for (const held_packet &held : it->second)
-                taken.push_back(held.packet);
+            for (const buffered_packet &buffered : it->second)
+                taken.push_back(buffered.packet);
         }
         m_flows.clear();
         m_count = 0;
@@ -71,28 +72,28 @@
     }
 
 private:
-    struct held_packet
+    struct buffered_packet
     {
         packet_type packet;
-        clock_time at;
+        clock_time receivedAt;
     };
 
-    void dropOld(clock_time now)
+    void evictExpired(clock_time now)
     {
         m_count = 0;
         for (auto it = m_flows.begin(); it != m_flows.end();) {
-            std::vector<held_packet> kept;
-            for (held_packet &held : it->second) {
-                if (now - held.at < keptFor)
-                    kept.push_back(std::move(held));
+            std::vector<buffered_packet> unexpired;
+            for (buffered_packet &buffered : it->second) {
+                if (now - buffered.receivedAt < keptFor)
+                    unexpired.push_back(std::move(buffered));
             }
-            m_count += kept.size();
-            it->second.swap(kept);
+            m_count += unexpired.size();
+            it->second.swap(unexpired);
             it = it->second.empty() ? m_flows.erase(it) : std::next(it);
         }
     }
 
-    std::unordered_map<flow_key, std::vector<held_packet>> m_flows;
+    std::unordered_map<flow_key, std::vector<buffered_packet>> m_flows;
     std::size_t m_count = 0;
 };
 
--- a/lycheeshunt/base/early_packets_test.cpp
+++ b/lycheeshunt/base/early_packets_test.cpp
@@ -21,7 +21,7 @@
     base::early_packets<std::string> early;
 };
 
-TEST(early_packets, packetsOfOneFlowComeBackInTheirOrder)
+TEST(early_packets, packetsOfOneFlowAreReturnedInOrder)
 {
     early.put(flowOf(1), "first", start);
     early.put(flowOf(1), "second", start);
@@ -30,15 +30,15 @@
     CHECK(early.isEmpty());
 }
 
-TEST(early_packets, aRepeatedPacketIsKeptOnce)
+TEST(early_packets, aRetransmittedPacketIsStoredOnce)
 {
     early.put(flowOf(1), "data", start);
     early.put(flowOf(1), "data", start + base::clock_time::ofMillis(200));
     LONGS_EQUAL(1, early.take(start).size());
 }
 
-// Its caller has sent it again by then, or has gone.
-TEST(early_packets, anOldPacketIsDropped)
+// By then the caller has retransmitted the packet or closed the flow.
+TEST(early_packets, anExpiredPacketIsDropped)
 {
     early.put(flowOf(1), "old", start);
     early.put(flowOf(2), "new", start + base::early_packets<std::string>::keptFor);
@@ -49,24 +49,24 @@
 
 TEST(early_packets, theTableIsBounded)
 {
-    std::size_t kept = 0;
+    std::size_t stored = 0;
     for (std::uint16_t port = 0; port < 2000; ++port)
-        kept += early.put(flowOf(port), "data", start) ? 1 : 0;
-    LONGS_EQUAL(base::early_packets<std::string>::maxPackets, kept);
-    LONGS_EQUAL(kept, early.take(start).size());
+        stored += early.put(flowOf(port), "data", start) ? 1 : 0;
+    LONGS_EQUAL(base::early_packets<std::string>::maxPackets, stored);
+    LONGS_EQUAL(stored, early.take(start).size());
 }
 
-TEST(early_packets, oneFlowCannotTakeAllTheRoom)
+TEST(early_packets, oneFlowCannotFillTheTable)
 {
-    std::size_t kept = 0;
+    std::size_t stored = 0;
     for (int i = 0; i < 100; ++i)
-        kept += early.put(flowOf(1), std::to_string(i), start) ? 1 : 0;
-    LONGS_EQUAL(base::early_packets<std::string>::maxPacketsOfFlow, kept);
+        stored += early.put(flowOf(1), std::to_string(i), start) ? 1 : 0;
+    LONGS_EQUAL(base::early_packets<std::string>::maxPacketsOfFlow, stored);
     CHECK(early.put(flowOf(2), "other", start));
 }
 
-// An old packet makes room for a new one.
-TEST(early_packets, roomComesBackWithTime)
+// Expired packets are evicted to make room for new ones.
+TEST(early_packets, expiredPacketsMakeRoomForNewOnes)
 {
     for (std::uint16_t port = 0; port < 2000; ++port)
         early.put(flowOf(port), "data", start);
--- a/lycheeshunt/base/endpoint.h
+++ b/lycheeshunt/base/endpoint.h
@@ -23,7 +23,7 @@
     std::strong_ordering operator<=>(const endpoint &) const = default;
 };
 
-// Accepts "a.b.c.d:port"; anything else is settingsBadValue.
+// Parses "a.b.c.d:port". Returns settingsBadValue for any other text.
 result<endpoint> parseEndpoint(std::string_view text);
 
 } // namespace lycheeshunt::base
--- a/lycheeshunt/base/endpoint_fields.h
+++ b/lycheeshunt/base/endpoint_fields.h
@@ -1,4 +1,4 @@
-// An address as fields of a message.
+// Converts an endpoint to and from the fields of a message.
 
 #pragma once
 
--- a/lycheeshunt/base/error.h
+++ b/lycheeshunt/base/error.h
@@ -1,4 +1,4 @@
-// A failure: its numbered code and what it was about.
+// A failure: its numbered code and a detail such as the name or value concerned.
 
 #pragma once
 
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -1,5 +1,5 @@
-// The numbered result codes. docs/ERRORS.md lists them; a test compares the two.
-// Each slice has a hundred numbers of its own.
+// The numbered error codes. docs/ERRORS.md lists them, and a test checks that both agree.
+// Each slice has a range of 100 numbers.
 
 #pragma once
 
@@ -78,10 +78,10 @@
     socketFailed = 1001,
 };
 
-// One line for people, without a full stop.
+// Returns a one-line description for people, without a full stop.
 std::string_view describe(error_code code);
 
-// Every code, ascending.
+// Returns every code in ascending order.
 std::span<const error_code> allErrorCodes();
 
 } // namespace lycheeshunt::base
--- a/lycheeshunt/base/error_code_test.cpp
+++ b/lycheeshunt/base/error_code_test.cpp
@@ -25,10 +25,10 @@
         if (std::regex_match(line, match, row))
             documented[static_cast<unsigned>(std::stoul(match[1]))] = match[2];
     }
-    std::map<unsigned, std::string> known;
+    std::map<unsigned, std::string> defined;
     for (const error_code code : allErrorCodes())
-        known[static_cast<unsigned>(code)] = std::string(describe(code));
-    for (auto it = known.begin(); it != known.end(); ++it)
+        defined[static_cast<unsigned>(code)] = std::string(describe(code));
+    for (auto it = defined.begin(); it != defined.end(); ++it)
         STRCMP_EQUAL(it->second.c_str(), documented[it->first].c_str());
-    LONGS_EQUAL(known.size(), documented.size());
+    LONGS_EQUAL(defined.size(), documented.size());
 }
--- a/lycheeshunt/base/file_descriptor.h
+++ b/lycheeshunt/base/file_descriptor.h
@@ -1,4 +1,4 @@
-// Owns one open descriptor and closes it.
+// Owns one open file descriptor and closes it on destruction.
 
 #pragma once
 
--- a/lycheeshunt/base/flow_key.h
+++ b/lycheeshunt/base/flow_key.h
@@ -1,4 +1,4 @@
-// What tells one flow from another: both ends and the IP protocol number.
+// Identifies a flow by both endpoints and the IP protocol number.
 
 #pragma once
 
@@ -22,7 +22,7 @@
     std::strong_ordering operator<=>(const flow_key &) const = default;
 };
 
-// The same on every node, so that all agree on the flow's bucket.
+// The hash is equal on every node, so that all nodes map a flow to the same bucket.
 std::uint64_t hashOf(const flow_key &key);
 
 } // namespace lycheeshunt::base
--- a/lycheeshunt/base/identifiers.cpp
+++ b/lycheeshunt/base/identifiers.cpp
@@ -5,7 +5,7 @@
 namespace lycheeshunt::base {
 
 namespace {
-// Distinct seeds keep a node and a service of the same name apart.
+// Distinct seeds give a node and a service of the same name different identifiers.
 constexpr std::uint64_t nodeSeed = 1;
 constexpr std::uint64_t serviceSeed = 2;
 } // namespace
--- a/lycheeshunt/base/line_writer.cpp
+++ b/lycheeshunt/base/line_writer.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-// How often a reader that takes nothing is tried again.
-constexpr int retryMillis = 20;
+// Interval between write attempts while the reader does not read.
+constexpr int retryIntervalMillis = 20;
 
-// Else a write could hold up the end of the process.
-int nonBlocking(int descriptor)
+// A blocking write could delay the exit of the process indefinitely.
+int makeNonBlocking(int descriptor)
 {
     ::fcntl(descriptor, F_SETFL, ::fcntl(descriptor, F_GETFL) | O_NONBLOCK);
     return descriptor;
@@ -23,7 +23,7 @@
 } // namespace
 
 line_writer::line_writer(int descriptor, std::size_t capacity)
-    : m_descriptor(nonBlocking(descriptor)), m_lines(capacity), m_thread([this]() { run(); })
+    : m_descriptor(makeNonBlocking(descriptor)), m_lines(capacity), m_thread([this]() { run(); })
 {
 }
 
@@ -35,21 +35,22 @@
 
 void line_writer::run()
 {
-    std::uint64_t told = 0;
+    std::uint64_t reported = 0;
     while (std::optional<std::string> line = m_lines.pop()) {
-        const std::uint64_t lost = m_lines.dropped();
-        if (lost != told && !m_lines.isClosed())
-            line->append("part=log event=dropped lines=" + std::to_string(lost - told) + "\n");
-        told = lost;
-        if (!writeWhole(*line))
+        const std::uint64_t droppedLines = m_lines.dropped();
+        if (droppedLines != reported && !m_lines.isClosed())
+            line->append("part=log event=dropped lines=" + std::to_string(droppedLines - reported)
+                         + "\n");
+        reported = droppedLines;
+        if (!writeAll(*line))
             return;
     }
 }
 
-bool line_writer::writeWhole(std::string_view bytes)
+bool line_writer::writeAll(std::string_view bytes)
 {
     while (!bytes.empty()) {
-        const bool isEnding = m_lines.isClosed();
+        const bool isClosing = m_lines.isClosed();
         const ssize_t written = ::write(m_descriptor, bytes.data(), bytes.size());
         if (written > 0) {
             bytes.remove_prefix(static_cast<std::size_t>(written));
@@ -57,11 +58,11 @@
         }
         if (written < 0 && errno != EINTR && errno != EAGAIN)
             return false;
-        if (isEnding)
+        if (isClosing)
             return false;
-        // A pipe may be called writable while it has no room for a whole line, so time is waited
-        // for and not the descriptor.
-        ::poll(nullptr, 0, retryMillis);
+        // poll() may report a pipe as writable while it has no room for a complete line, so the
+        // retry waits for a fixed interval instead of for the descriptor.
+        ::poll(nullptr, 0, retryIntervalMillis);
     }
     return true;
 }
--- a/lycheeshunt/base/log.cpp
+++ b/lycheeshunt/base/log.cpp
@@ -25,19 +25,19 @@
 
 using boost::log::trivial::severity_level;
 
-// Some 200 KB of lines; more than a second of every budget.
-constexpr std::size_t queuedLines = 1024;
-constexpr std::uint32_t linesPerSecondOfKind = 20;
+// About 200 KB of lines; more than all kinds of line together may write in one second.
+constexpr std::size_t queueCapacityLines = 1024;
+constexpr std::uint32_t maxLinesPerSecondPerKind = 20;
 
-// Queues formatted lines for the writer.
+// Passes formatted lines to the writer thread without blocking.
 class queueing_backend : public boost::log::sinks::basic_formatted_sink_backend<char>
 {
 public:
-    queueing_backend() : m_writer(STDOUT_FILENO, queuedLines) { }
+    queueing_backend() : m_writer(STDOUT_FILENO, queueCapacityLines) { }
 
     void consume(const boost::log::record_view &, const std::string &line)
     {
-        m_writer.offer(line + "\n");
+        m_writer.tryWrite(line + "\n");
     }
 
     std::uint64_t dropped() const { return m_writer.dropped(); }
@@ -56,7 +56,7 @@
 
 log_budget &budget()
 {
-    static log_budget shared(linesPerSecondOfKind);
+    static log_budget shared(maxLinesPerSecondPerKind);
     return shared;
 }
 
@@ -66,13 +66,13 @@
     if (!installedSink())
         return;
     const std::string kind = std::string(part) + " " + std::string(event);
-    const std::optional<std::uint64_t> omitted = budget().admit(kind, clock_time::steady());
+    const std::optional<std::uint64_t> omitted = budget().tryAcquire(kind, clock_time::steady());
     if (!omitted)
         return;
     boost::log::sources::severity_logger_mt<severity_level> &logger
         = boost::log::trivial::logger::get();
-    const std::string left = *omitted == 0 ? "" : " omitted=" + std::to_string(*omitted);
-    BOOST_LOG_SEV(logger, level) << "part=" << part << " event=" << event << fields << left;
+    const std::string omittedField = *omitted == 0 ? "" : " omitted=" + std::to_string(*omitted);
+    BOOST_LOG_SEV(logger, level) << "part=" << part << " event=" << event << fields << omittedField;
 }
 
 // "2026-05-11 07:21:22.845123", in UTC.
@@ -90,8 +90,8 @@
     return text;
 }
 
-// Written out here, since the library's parser of format strings takes longer to load than all the
-// rest of the log.
+// Formats by hand because initializing the library's format-string parser takes longer than the
+// rest of the log's start.
 void formatLine(const boost::log::record_view &record, boost::log::formatting_ostream &line)
 {
     line << "time=" << wallTime()
@@ -100,12 +100,12 @@
          << record[boost::log::expressions::smessage];
 }
 
-// Quoted, since it has spaces.
+// Quotes the sentence, since it contains spaces; replaces quotes and line breaks in it.
 std::string quoted(std::string_view sentence)
 {
     std::string text = " text=\"";
-    for (const char letter : sentence)
-        text += letter == '"' || letter == '\n' ? '\'' : letter;
+    for (const char character : sentence)
+        text += character == '"' || character == '\n' ? '\'' : character;
     return text + "\"";
 }
 
--- a/lycheeshunt/base/log.h
+++ b/lycheeshunt/base/log.h
@@ -1,13 +1,13 @@
-// Structured log lines by Boost.Log, one for each decision, on standard output:
+// Writes structured log lines, one for each decision, to standard output with Boost.Log:
 //
 //     time=... process=entry-1 level=info part=flows event=opened flow=... owner=...
 //
 //     logEvent("flows", "opened", {{"flow", key.text()}, {"entry", entry.text()}});
-//     logInfo("daemon", "started");           // the same with a sentence in place of fields
+//     logInfo("daemon", "started");           // a sentence instead of fields
 //
-// Thread-safe, and never waits: a thread of its own writes what is queued. Each kind of line (part
-// and event) has a budget a second; the next line of the kind tells how many were left out. Never
-// pass a token or a payload.
+// Thread-safe and non-blocking: a dedicated thread writes the queued lines. Each kind of line (part
+// and event) is limited to a number of lines per second; the next line of that kind reports how
+// many were omitted. Never pass a token or a payload.
 
 #pragma once
 
@@ -19,9 +19,9 @@
 
 namespace lycheeshunt::base {
 
-// Before this nothing is written.
+// Lines logged before this call are discarded.
 void startLog(std::string_view processName);
-// Writes what is queued. Call it last.
+// Writes the queued lines. No line is written after this call.
 void stopLog();
 
 void logEvent(std::string_view part, std::string_view event,
@@ -30,7 +30,7 @@
 void logWarning(std::string_view part, std::string_view sentence);
 void logError(std::string_view part, std::string_view sentence);
 
-// Lines that found the queue full, since the start.
+// Number of lines dropped since startLog() because the queue was full.
 std::uint64_t logLinesDropped();
 
 } // namespace lycheeshunt::base
--- a/lycheeshunt/base/log_budget.cpp
+++ b/lycheeshunt/base/log_budget.cpp
@@ -4,20 +4,20 @@
 
 namespace lycheeshunt::base {
 
-std::optional<std::uint64_t> log_budget::admit(const std::string &kind, clock_time now)
+std::optional<std::uint64_t> log_budget::tryAcquire(const std::string &kind, clock_time now)
 {
     const std::lock_guard<std::mutex> lock(m_lock);
-    usage &used = m_kinds[kind];
-    if (now - used.since >= clock_time::ofSeconds(1)) {
-        used.since = now;
-        used.written = 0;
+    usage &current = m_kinds[kind];
+    if (now - current.windowStart >= clock_time::ofSeconds(1)) {
+        current.windowStart = now;
+        current.written = 0;
     }
-    if (used.written >= m_linesPerSecond) {
-        ++used.omitted;
+    if (current.written >= m_linesPerSecond) {
+        ++current.omitted;
         return std::nullopt;
     }
-    ++used.written;
-    return std::exchange(used.omitted, 0);
+    ++current.written;
+    return std::exchange(current.omitted, 0);
 }
 
 } // namespace lycheeshunt::base
--- a/lycheeshunt/base/log_budget.h
+++ b/lycheeshunt/base/log_budget.h
@@ -1,7 +1,7 @@
-// Bounds how many lines of each kind are written in a second, so that a storm of decisions makes no
-// storm of lines.
+// Rate limiter for log lines: bounds the lines of each kind per second, so that a burst of
+// decisions does not flood the log.
 //
-//     if (const std::optional<std::uint64_t> omitted = budget.admit(kind, now)) ...
+//     if (const std::optional<std::uint64_t> omitted = budget.tryAcquire(kind, now)) ...
 //
 // Thread-safe.
 
@@ -22,14 +22,14 @@
 public:
     explicit log_budget(std::uint32_t linesPerSecond) : m_linesPerSecond(linesPerSecond) { }
 
-    // Nothing when the second's lines of this kind are used up; else how many were left out since
-    // the last line of the kind.
-    std::optional<std::uint64_t> admit(const std::string &kind, clock_time now);
+    // Returns nothing when this kind has reached its limit for the current second. Otherwise counts
+    // one line and returns how many were omitted since the previous line of this kind.
+    std::optional<std::uint64_t> tryAcquire(const std::string &kind, clock_time now);
 
 private:
     struct usage
     {
-        clock_time since;
+        clock_time windowStart;
         std::uint32_t written = 0;
         std::uint64_t omitted = 0;
     };
--- a/lycheeshunt/base/log_field.h
+++ b/lycheeshunt/base/log_field.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::base {
 
-// One input or outcome of a decision, as it stands in a log line.
+// One input or outcome of a decision, written as name=value in a log line.
 struct log_field
 {
     const std::string name;
--- a/lycheeshunt/base/log_test.cpp
+++ b/lycheeshunt/base/log_test.cpp
@@ -1,4 +1,4 @@
-// The log's bounds: a budget for each kind of line, and nobody who waits for the reader.
+// Limits of the log: lines per second of each kind, and producers that never block on the reader.
 
 #include "lycheeshunt/base/line_writer.h"
 #include "lycheeshunt/base/log_budget.h"
@@ -12,47 +12,47 @@
 
 TEST_GROUP(log) {};
 
-TEST(log, aKindThatIsOverItsBudgetIsLeftOutAndCounted)
+TEST(log, linesOverTheBudgetOfTheirKindAreOmittedAndCounted)
 {
     log_budget budget(3);
     for (int i = 0; i < 3; ++i)
-        CHECK_EQUAL(0U, *budget.admit("flows opened", clock_time::ofMillis(5000)));
+        CHECK_EQUAL(0U, *budget.tryAcquire("flows opened", clock_time::ofMillis(5000)));
     for (int i = 0; i < 7; ++i)
-        CHECK_FALSE(budget.admit("flows opened", clock_time::ofMillis(5900)).has_value());
-    CHECK(budget.admit("flows reset", clock_time::ofMillis(5900)).has_value());
-    CHECK_EQUAL(7U, *budget.admit("flows opened", clock_time::ofMillis(6000)));
-    CHECK_EQUAL(0U, *budget.admit("flows opened", clock_time::ofMillis(6001)));
+        CHECK_FALSE(budget.tryAcquire("flows opened", clock_time::ofMillis(5900)).has_value());
+    CHECK(budget.tryAcquire("flows reset", clock_time::ofMillis(5900)).has_value());
+    CHECK_EQUAL(7U, *budget.tryAcquire("flows opened", clock_time::ofMillis(6000)));
+    CHECK_EQUAL(0U, *budget.tryAcquire("flows opened", clock_time::ofMillis(6001)));
 }
 
-TEST(log, aReaderThatStandsStillHoldsNobodyUp)
+TEST(log, aStalledReaderDoesNotBlockProducers)
 {
     int ends[2] = {};
     CHECK_EQUAL(0, ::pipe(ends));
     constexpr std::size_t capacity = 64;
-    constexpr std::size_t offered = 20'000;
+    constexpr std::size_t lineCount = 20'000;
     std::uint64_t dropped = 0;
     const clock_time before = clock_time::steady();
     {
         line_writer writer(ends[1], capacity);
-        for (std::size_t i = 0; i < offered; ++i)
-            writer.offer(std::string(200, 'x') + "\n");
+        for (std::size_t i = 0; i < lineCount; ++i)
+            writer.tryWrite(std::string(200, 'x') + "\n");
         dropped = writer.dropped();
     }
-    // Nobody ever read; the offers went on and the writer ended all the same.
+    // Nothing was read, yet no write blocked and the writer's thread ended.
     CHECK(dropped > 0);
     CHECK(clock_time::steady() - before < clock_time::ofSeconds(10));
     ::close(ends[0]);
     ::close(ends[1]);
 }
 
-TEST(log, linesArriveWholeAndInOrder)
+TEST(log, linesArriveCompleteAndInOrder)
 {
     int ends[2] = {};
     CHECK_EQUAL(0, ::pipe(ends));
     {
         line_writer writer(ends[1], 16);
-        CHECK(writer.offer("first\n"));
-        CHECK(writer.offer("second\n"));
+        CHECK(writer.tryWrite("first\n"));
+        CHECK(writer.tryWrite("second\n"));
     }
     ::close(ends[1]);
     char text[64] = {};
--- a/lycheeshunt/base/overloaded.h
+++ b/lycheeshunt/base/overloaded.h
@@ -1,4 +1,4 @@
-// Builds one visitor for std::visit out of several lambdas.
+// Combines several lambdas into one visitor for std::visit.
 //
 //     std::visit(overloaded {[](const offer &o) { ... }, [](const refusal &r) { ... }}, message);
 
--- a/lycheeshunt/base/packet_bytes.h
+++ b/lycheeshunt/base/packet_bytes.h
@@ -1,4 +1,4 @@
-// The bytes of one IP packet. Immutable; copies share the bytes.
+// The bytes of one IP packet. Immutable; copies share one buffer.
 
 #pragma once
 
--- a/lycheeshunt/base/request_id.h
+++ b/lycheeshunt/base/request_id.h
@@ -1,4 +1,4 @@
-// Number of one operator request within a control process.
+// Identifies an operator request within a control process.
 
 #pragma once
 
--- a/lycheeshunt/base/result.h
+++ b/lycheeshunt/base/result.h
@@ -1,4 +1,4 @@
-// A value or the error that kept it from being made.
+// A value, or the error that prevented its computation.
 //
 //     const result<ticket> parsed = parseTicket(body);
 //     if (const error *failure = errorOf(parsed))
@@ -17,7 +17,7 @@
 template <typename T>
 using result = std::variant<T, error>;
 
-// The error, or null when the result holds a value.
+// Returns the error, or null when the result holds a value.
 template <typename T>
 const error *errorOf(const result<T> &outcome)
 {
--- a/lycheeshunt/base/ring.h
+++ b/lycheeshunt/base/ring.h
@@ -1,12 +1,13 @@
-// The bounded queue that joins two threads. Nothing spins: a waiting side sleeps until the other
-// side moves, and a thread that also waits on sockets polls descriptor().
+// A bounded queue between threads. No thread spins: a waiting thread sleeps until an item or a free
+// place is available, and a thread that also waits on sockets polls descriptor().
 //
 //     ring<control_message> inbox(256);
-//     inbox.push(message);                        // control: waits while the ring is full
+//     inbox.push(message);                        // control: blocks while the ring is full
 //     if (!packets.tryPush(packet)) ...           // data: dropped and counted when full
 //     while (std::optional<control_message> next = inbox.pop()) ...
 //
-// Thread-safe for any number of producers and consumers. T needs only to be constructible from T.
+// Thread-safe for any number of producers and consumers. T needs only to be move-constructible or
+// copy-constructible; assignment is not required.
 
 #pragma once
 
@@ -52,7 +53,7 @@
         return true;
     }
 
-    // Waits for room. Returns false when the ring is closed.
+    // Blocks until there is room. Returns false when the ring is closed.
     bool push(T value)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
@@ -63,7 +64,7 @@
         return true;
     }
 
-    // Waits for an item. Returns nothing once the ring is closed and empty.
+    // Blocks until there is an item. Returns nothing once the ring is closed and empty.
     std::optional<T> pop()
     {
         std::unique_lock<std::mutex> lock(m_mutex);
@@ -71,11 +72,11 @@
         return takeFront();
     }
 
-    // As pop(), but gives up after the span.
-    std::optional<T> popFor(clock_time span)
+    // Like pop(), but also returns nothing when no item arrives within the timeout.
+    std::optional<T> popFor(clock_time timeout)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
-        m_hasItems.wait_for(lock, std::chrono::milliseconds(span.millis()),
+        m_hasItems.wait_for(lock, std::chrono::milliseconds(timeout.millis()),
                             [this]() { return m_closed || !m_items.empty(); });
         return takeFront();
     }
@@ -86,12 +87,13 @@
         return takeFront();
     }
 
-    // Lets consumers take what is left, then ends them; producers are refused.
+    // Rejects further pushes and wakes all waiting threads. Consumers can still pop the remaining
+    // items.
     void close()
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_closed = true;
-        signal();
+        setReadable();
         m_hasItems.notify_all();
         m_hasRoom.notify_all();
     }
@@ -114,7 +116,7 @@
         return m_dropped;
     }
 
-    // Readable while the ring holds an item or is closed.
+    // An event descriptor that is readable while the ring holds an item or is closed.
     int descriptor() const { return m_descriptor; }
 
 private:
@@ -122,7 +124,7 @@
     {
         m_items.emplace_back(std::move(value));
         if (m_items.size() == 1)
-            signal();
+            setReadable();
         m_hasItems.notify_one();
     }
 
@@ -133,14 +135,14 @@
         std::optional<T> value(std::move(m_items.front()));
         m_items.pop_front();
         if (m_items.empty() && !m_closed)
-            unsignal();
+            clearReadable();
         m_hasRoom.notify_one();
         return value;
     }
 
-    void signal() const { eventfd_write(m_descriptor, 1); }
+    void setReadable() const { eventfd_write(m_descriptor, 1); }
 
-    void unsignal() const
+    void clearReadable() const
     {
         eventfd_t ignored = 0;
         eventfd_read(m_descriptor, &ignored);
--- a/lycheeshunt/base/ring_test.cpp
+++ b/lycheeshunt/base/ring_test.cpp
@@ -30,7 +30,7 @@
     CHECK_FALSE(numbers.tryPop().has_value());
 }
 
-TEST(ring, countsWhatItDropsWhenFull)
+TEST(ring, countsDroppedItemsWhenFull)
 {
     ring<int> numbers(1);
     CHECK(numbers.tryPush(1));
@@ -51,7 +51,7 @@
     CHECK_FALSE(isReadable(numbers.descriptor()));
 }
 
-TEST(ring, closingEndsAWaitingProducer)
+TEST(ring, closingWakesAWaitingProducer)
 {
     ring<int> numbers(1);
     numbers.push(1);
@@ -65,7 +65,7 @@
     CHECK(isReadable(numbers.descriptor()));
 }
 
-TEST(ring, aWaitingProducerGoesOnWhenThereIsRoom)
+TEST(ring, aWaitingProducerContinuesWhenThereIsRoom)
 {
     ring<int> numbers(1);
     numbers.push(1);
--- a/lycheeshunt/base/socket.cpp
+++ b/lycheeshunt/base/socket.cpp
@@ -14,10 +14,10 @@
 constexpr int listenBacklog = 1024;
 constexpr int datagramBufferBytes = 4 * 1024 * 1024;
 
-error socketError(const char *what, const endpoint &where)
+error socketError(const char *operation, const endpoint &where)
 {
     return error {error_code::socketFailed,
-                  std::string(what) + " " + where.text() + ": " + std::strerror(errno)};
+                  std::string(operation) + " " + where.text() + ": " + std::strerror(errno)};
 }
 
 void setOption(const file_descriptor &socket, int level, int name, int value)
@@ -87,9 +87,9 @@
         return socketError("socket for", remote);
     setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
     const sockaddr_in address = toSocketAddress(remote);
-    const int outcome
+    const int status
         = ::connect(socket.get(), reinterpret_cast<const sockaddr *>(&address), sizeof address);
-    if (outcome != 0 && errno != EINPROGRESS)
+    if (status != 0 && errno != EINPROGRESS)
         return socketError("connect to", remote);
     return socket;
 }
--- a/lycheeshunt/base/socket.h
+++ b/lycheeshunt/base/socket.h
@@ -1,4 +1,4 @@
-// Opens the sockets that the slices use. All are non-blocking.
+// Opens the non-blocking sockets that the slices use.
 
 #pragma once
 
@@ -12,10 +12,10 @@
 result<file_descriptor> openDatagramSocket(const endpoint &local);
 result<file_descriptor> openListener(const endpoint &local);
 
-// Starts a connection; the socket becomes writable once it is made or has failed.
+// Starts a TCP connection; the socket becomes writable once it is established or has failed.
 result<file_descriptor> startConnection(const endpoint &remote);
 
-// Where the socket is bound; tells the port that the system chose for port 0.
+// Returns the address that the socket is bound to, with the actual port if it was bound to port 0.
 endpoint localEndpoint(const file_descriptor &socket);
 
 sockaddr_in toSocketAddress(const endpoint &where);
--- a/lycheeshunt/base/step.h
+++ b/lycheeshunt/base/step.h
@@ -1,5 +1,5 @@
-// What every decision returns: the next state of its slice and the actions to carry out.
-// State is moved in and moved out, so that a step costs no copy of the tables it holds.
+// The result of a decision: the next state of its slice and the actions to carry out.
+// State is moved into and out of the decision, so that a step does not copy the slice's tables.
 
 #pragma once
 
--- a/lycheeshunt/base/strong_number.h
+++ b/lycheeshunt/base/strong_number.h
@@ -1,4 +1,4 @@
-// A number that does not mix with numbers of another meaning.
+// A number type that does not convert to or from number types of other meanings.
 //
 //     using bucket = strong_number<struct bucket_tag, std::uint16_t>;
 
