--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -3,7 +3,7 @@
 #include "lycheeshunt/streams/stream_server.h"
 
 #include "lycheeshunt/base/socket.h"
-#include "lycheeshunt/streams/internal/frame_text.h"
+#include "lycheeshunt/streams/internal/frame_codec.h"
 
 #include <netinet/in.h>
 #include <poll.h>
