--- a/lycheeshunt/http/http_answer.h
+++ b/lycheeshunt/http/http_answer.h
@@ -6,13 +6,13 @@
 
 namespace lycheeshunt::http {
 
-// The answer to one HTTP request; the body is JSON.
+// The response to an HTTP request; the body is JSON.
 struct http_answer
 {
     const base::request_id request;
     const int status = 0;
     const std::string body = {};
-    // Where to ask instead; only with a status that redirects.
+    // The value of the Location header; set only with a redirecting status.
     const std::string location = {};
 
     bool operator==(const http_answer &) const = default;
--- a/lycheeshunt/http/http_call.h
+++ b/lycheeshunt/http/http_call.h
@@ -6,16 +6,16 @@
 
 namespace lycheeshunt::http {
 
-// An HTTP request that has come whole, within the listener's bounds.
+// An HTTP request that was received completely and is within the listener's limits.
 struct http_call
 {
     const base::request_id request;
     const std::string method;
     const std::string path;
     const std::string body = {};
-    // What follows the question mark of the request's address.
+    // The part of the request's URI after the question mark.
     const std::string query = {};
-    // The Authorization header.
+    // The value of the Authorization header, or empty.
     const std::string authorization = {};
 
     bool operator==(const http_call &) const = default;
--- a/lycheeshunt/http/http_listener.cpp
+++ b/lycheeshunt/http/http_listener.cpp
@@ -13,9 +13,10 @@
 
 using web::http::http_request;
 
-constexpr std::size_t maxUnderWay = 64;
+constexpr std::size_t maxPendingRequests = 64;
 
-void refuse(const http_request &request, web::http::status_code status, base::error_code code)
+void replyWithError(const http_request &request, web::http::status_code status,
+                    base::error_code code)
 {
     const base::error failure {code, ""};
     request.reply(status,
@@ -38,60 +39,62 @@
     {
     }
 
-    void take(http_request request)
+    void handle(http_request request)
     {
         if (request.headers().content_length() > maxBodyBytes) {
-            refuse(request, web::http::status_codes::RequestEntityTooLarge,
-                   base::error_code::bodyTooLarge);
+            replyWithError(request, web::http::status_codes::RequestEntityTooLarge,
+                           base::error_code::bodyTooLarge);
             return;
         }
         request.extract_utf8string(true).then([this, request](const pplx::task<std::string> &body) {
             try {
-                // A body in chunks does not tell its length beforehand.
+                // A chunked body has no Content-Length, so that its size is known only after it is
+                // read.
                 if (body.get().size() > maxBodyBytes)
-                    refuse(request, web::http::status_codes::RequestEntityTooLarge,
-                           base::error_code::bodyTooLarge);
+                    replyWithError(request, web::http::status_codes::RequestEntityTooLarge,
+                                   base::error_code::bodyTooLarge);
                 else
-                    pass(request, body.get());
+                    dispatch(request, body.get());
             } catch (const std::exception &) {
-                refuse(request, web::http::status_codes::BadRequest,
-                       base::error_code::requestMalformed);
+                replyWithError(request, web::http::status_codes::BadRequest,
+                               base::error_code::requestMalformed);
             }
         });
     }
 
-    void pass(const http_request &request, const std::string &body)
+    void dispatch(const http_request &request, const std::string &body)
     {
-        const base::request_id id = remember(request);
-        const web::uri address = request.relative_uri();
+        const base::request_id id = addPending(request);
+        const web::uri requestUri = request.relative_uri();
         std::string authorization;
         request.headers().match("Authorization", authorization);
-        const http_call call {id,   request.method(), address.path(),
-                              body, address.query(),  authorization};
+        const http_call call {id,   request.method(),   requestUri.path(),
+                              body, requestUri.query(), authorization};
         if (id != base::request_id() && sink(call))
             return;
-        forget(id);
-        refuse(request, web::http::status_codes::ServiceUnavailable, base::error_code::tooBusy);
+        removePending(id);
+        replyWithError(request, web::http::status_codes::ServiceUnavailable,
+                       base::error_code::tooBusy);
     }
 
-    base::request_id remember(const http_request &request)
+    base::request_id addPending(const http_request &request)
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        if (underWay.size() >= maxUnderWay)
+        if (pendingRequests.size() >= maxPendingRequests)
             return base::request_id();
         const base::request_id id(++lastRequest);
-        underWay.emplace(id, request);
+        pendingRequests.emplace(id, request);
         return id;
     }
 
-    std::optional<http_request> forget(base::request_id id)
+    std::optional<http_request> removePending(base::request_id id)
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        const auto found = underWay.find(id);
-        if (found == underWay.end())
+        const auto found = pendingRequests.find(id);
+        if (found == pendingRequests.end())
             return std::nullopt;
         std::optional<http_request> request = found->second;
-        underWay.erase(found);
+        pendingRequests.erase(found);
         return request;
     }
 
@@ -99,7 +102,7 @@
     const call_sink sink;
     std::mutex mutex;
     std::uint64_t lastRequest = 0;
-    std::map<base::request_id, http_request> underWay;
+    std::map<base::request_id, http_request> pendingRequests;
     web::http::experimental::listener::http_listener listener;
 };
 
@@ -107,35 +110,36 @@
 http_listener::open(const base::endpoint &local, std::size_t maxBodyBytes, call_sink sink)
 {
     try {
-        std::unique_ptr<implementation> hidden
+        std::unique_ptr<implementation> state
             = std::make_unique<implementation>(local, maxBodyBytes, std::move(sink));
-        implementation *raw = hidden.get();
-        hidden->listener.support([raw](const http_request &request) { raw->take(request); });
-        hidden->listener.open().wait();
-        return std::unique_ptr<http_listener>(new http_listener(std::move(hidden)));
+        implementation *raw = state.get();
+        state->listener.support([raw](const http_request &request) { raw->handle(request); });
+        state->listener.open().wait();
+        return std::unique_ptr<http_listener>(new http_listener(std::move(state)));
     } catch (const std::exception &failure) {
         return base::error {base::error_code::socketFailed,
                             "listen on " + local.text() + ": " + failure.what()};
     }
 }
 
-http_listener::http_listener(std::unique_ptr<implementation> hidden) : m_hidden(std::move(hidden))
+http_listener::http_listener(std::unique_ptr<implementation> state)
+    : m_implementation(std::move(state))
 {
 }
 
 http_listener::~http_listener()
 {
     try {
-        m_hidden->listener.close().wait();
+        m_implementation->listener.close().wait();
     } catch (const std::exception &) {
-        // The process is stopping; a listener that fails to close changes nothing.
+        // The process is stopping, so a failure to close the listener has no effect.
         return;
     }
 }
 
 void http_listener::answer(const http_answer &answer)
 {
-    const std::optional<http_request> request = m_hidden->forget(answer.request);
+    const std::optional<http_request> request = m_implementation->removePending(answer.request);
     if (!request)
         return;
     web::http::http_response response(static_cast<web::http::status_code>(answer.status));
--- a/lycheeshunt/http/http_listener.h
+++ b/lycheeshunt/http/http_listener.h
@@ -1,5 +1,5 @@
-// Takes HTTP requests on one address, by cpprestsdk, whose threads only pass them on. Bounds the
-// size of a body and the requests under way.
+// Receives HTTP requests on one address with cpprestsdk, whose threads only forward them to the
+// sink. Limits the size of a body and the number of pending requests.
 //
 //     result<std::unique_ptr<http_listener>> api
 //         = http_listener::open(local, maxBodyBytes, [&](const http_call &call) { ... });
@@ -16,13 +16,15 @@
 
 namespace lycheeshunt::http {
 
-// The library's threads in this process; call it once, before the first listener opens.
+// Sets the number of the library's threads in this process. Call it once, before the first listener
+// opens.
 void useThreads(std::size_t count);
 
 class http_listener
 {
 public:
-    // Called on the library's threads; must not wait. False refuses the request as too busy.
+    // Called on the library's threads; must not block. Returns false to reject the request as
+    // tooBusy.
     using call_sink = std::function<bool(const http_call &)>;
 
     static base::result<std::unique_ptr<http_listener>>
@@ -32,15 +34,15 @@
     http_listener(const http_listener &) = delete;
     http_listener &operator=(const http_listener &) = delete;
 
-    // Thread-safe. An answer to an unknown request is discarded.
+    // Sends the response. Thread-safe. A response to an unknown request is discarded.
     void answer(const http_answer &answer);
 
 private:
     struct implementation;
 
-    explicit http_listener(std::unique_ptr<implementation> hidden);
+    explicit http_listener(std::unique_ptr<implementation> state);
 
-    std::unique_ptr<implementation> m_hidden;
+    std::unique_ptr<implementation> m_implementation;
 };
 
 } // namespace lycheeshunt::http
--- a/lycheeshunt/metrics/counter_value.h
+++ b/lycheeshunt/metrics/counter_value.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::metrics {
 
-// A count since the start of the process; it only grows.
+// A count since the start of the process; it never decreases.
 struct counter_value
 {
     const std::uint64_t count = 0;
--- a/lycheeshunt/metrics/distribution.cpp
+++ b/lycheeshunt/metrics/distribution.cpp
@@ -14,7 +14,7 @@
     m_sum += value;
 }
 
-// The library's lowest bin, below the first bound, is index -1 and the highest is the overflow.
+// In Boost.Histogram, index -1 is the underflow bin and index size() is the overflow bin.
 histogram_value distribution::value() const
 {
     std::vector<std::uint64_t> counts;
--- a/lycheeshunt/metrics/distribution.h
+++ b/lycheeshunt/metrics/distribution.h
@@ -1,4 +1,4 @@
-// Gathers values of one kind into a histogram. Not thread-safe: the duty that keeps it uses it.
+// Accumulates values in a histogram. Not thread-safe: only the owning duty uses it.
 //
 //     distribution waits({1, 10, 100, 1000});
 //     waits.record(waitMillis);
@@ -17,7 +17,7 @@
 class distribution
 {
 public:
-    // Precondition: at least two bounds, ascending.
+    // Precondition: at least two bounds, in ascending order.
     explicit distribution(std::vector<double> bounds);
 
     void record(double value);
--- a/lycheeshunt/metrics/exposition.cpp
+++ b/lycheeshunt/metrics/exposition.cpp
@@ -36,7 +36,7 @@
     return out;
 }
 
-// "{duty="flows",code="302"}", with `extra` (already formatted) at the end when not empty.
+// Formats labels as {duty="flows",code="302"}. A non-empty `extra` is appended as it is.
 std::string labelText(const std::vector<label> &labels, const std::string &extra)
 {
     std::string text;
@@ -47,7 +47,7 @@
     return text.empty() ? text : "{" + text + "}";
 }
 
-std::string heading(const sample &sample)
+std::string metadataLines(const sample &sample)
 {
     const std::string name = prefix + sample.name;
     std::ostringstream text;
@@ -78,8 +78,8 @@
 {
     const std::string name = prefix + sample.name;
     std::vector<label> labels {label {"duty", duty}};
-    for (const label &own : sample.labels)
-        labels.push_back(own);
+    for (const label &sampleLabel : sample.labels)
+        labels.push_back(sampleLabel);
     std::visit(base::overloaded {
                    [&](const counter_value &value) {
                        out << name << labelText(labels, "") << " " << value.count << "\n";
@@ -96,19 +96,19 @@
 
 std::string expositionText(const std::map<std::string, report> &reports)
 {
-    std::map<std::string, std::string> bodies;
-    std::map<std::string, std::string> headings;
+    std::map<std::string, std::string> sampleLines;
+    std::map<std::string, std::string> metadata;
     for (auto it = reports.begin(); it != reports.end(); ++it) {
         for (const sample &sample : it->second.samples) {
             std::ostringstream body;
             writeSample(body, it->first, sample);
-            bodies[sample.name] += body.str();
-            headings.emplace(sample.name, heading(sample));
+            sampleLines[sample.name] += body.str();
+            metadata.emplace(sample.name, metadataLines(sample));
         }
     }
     std::string text;
-    for (auto it = bodies.begin(); it != bodies.end(); ++it)
-        text += headings.at(it->first) + it->second;
+    for (auto it = sampleLines.begin(); it != sampleLines.end(); ++it)
+        text += metadata.at(it->first) + it->second;
     return text;
 }
 
--- a/lycheeshunt/metrics/exposition.h
+++ b/lycheeshunt/metrics/exposition.h
@@ -1,4 +1,4 @@
-// The text exposition format that scrapers of metrics read.
+// Formats metrics in the text exposition format that scrapers read.
 //
 //     # HELP lycheeshunt_flows_owned Flows that this agent owns.
 //     # TYPE lycheeshunt_flows_owned gauge
@@ -13,8 +13,8 @@
 
 struct report;
 
-// The latest report of each duty, in the order of their names. Samples of one metric stand
-// together under one heading, whichever duty they come from.
+// Formats the latest report of each duty; the keys are the names of the duties. Samples of one
+// metric are grouped below one pair of HELP and TYPE lines, even when several duties report them.
 std::string expositionText(const std::map<std::string, report> &reports);
 
 } // namespace lycheeshunt::metrics
--- a/lycheeshunt/metrics/gauge_value.h
+++ b/lycheeshunt/metrics/gauge_value.h
@@ -2,7 +2,7 @@
 
 namespace lycheeshunt::metrics {
 
-// A reading that may rise and fall.
+// A value that may increase and decrease.
 struct gauge_value
 {
     const double reading = 0;
--- a/lycheeshunt/metrics/histogram_value.h
+++ b/lycheeshunt/metrics/histogram_value.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::metrics {
 
-// What a histogram held: upper bounds ascending, and one count for each bound and one more for
-// what lies above the last.
+// The contents of a histogram: ascending upper bounds, one count for each bound, and one more count
+// for the values above the last bound.
 struct histogram_value
 {
     const std::vector<double> bounds = {};
--- a/lycheeshunt/metrics/label.h
+++ b/lycheeshunt/metrics/label.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::metrics {
 
-// Tells samples of one metric apart.
+// Distinguishes samples of the same metric.
 struct label
 {
     const std::string name;
--- a/lycheeshunt/metrics/metrics_duty.cpp
+++ b/lycheeshunt/metrics/metrics_duty.cpp
@@ -19,7 +19,7 @@
 void metrics_duty::handle(const metrics_message &message)
 {
     std::visit(base::overloaded {
-                   [this](const report &latest) { keep(latest); },
+                   [this](const report &latest) { storeReport(latest); },
                    [this](const scrape_request &request) {
                        collect();
                        request.answer->tryPush(expositionText(m_reports));
@@ -28,7 +28,7 @@
                message);
 }
 
-void metrics_duty::keep(const report &latest)
+void metrics_duty::storeReport(const report &latest)
 {
     m_reports.erase(latest.duty);
     m_reports.emplace(latest.duty, latest);
@@ -36,8 +36,8 @@
 
 void metrics_duty::collect()
 {
-    for (const collector &next : m_collectors)
-        keep(next());
+    for (const collector &collectReport : m_collectors)
+        storeReport(collectReport());
 }
 
 } // namespace lycheeshunt::metrics
--- a/lycheeshunt/metrics/metrics_duty.h
+++ b/lycheeshunt/metrics/metrics_duty.h
@@ -1,5 +1,5 @@
-// The metrics thread of a process: holds the latest report of each duty and writes them as text
-// when asked. Counters that threads keep for anyone to read are collected by functions.
+// The metrics thread of a process: stores the latest report of each duty and formats all of them on
+// a scrape request. Thread-safe counters are read by collector functions at each scrape.
 //
 //     metrics_duty metrics({[&]() { return report {"entry", {...}}; }});
 //     metrics.inbox().tryPush(report {...});
@@ -29,7 +29,7 @@
 
 private:
     void handle(const metrics_message &message);
-    void keep(const report &latest);
+    void storeReport(const report &latest);
     void collect();
 
     const std::vector<collector> m_collectors;
--- a/lycheeshunt/metrics/metrics_test.cpp
+++ b/lycheeshunt/metrics/metrics_test.cpp
@@ -9,7 +9,7 @@
 
 TEST_GROUP(metrics) {};
 
-TEST(metrics, samplesOfOneMetricStandUnderOneHeading)
+TEST(metrics, samplesOfOneMetricShareTheirHelpAndTypeLines)
 {
     const std::map<std::string, report> reports {
         {"admission", report {"admission", {sample {"ring_depth", "Items.", gauge_value {2}}}}},
@@ -46,7 +46,7 @@
                  expositionText(reports).c_str());
 }
 
-TEST(metrics, aScrapeSeesTheLatestReportOfEachDuty)
+TEST(metrics, aScrapeReturnsTheLatestReportOfEachDuty)
 {
     metrics_duty duty({[]() {
         return report {"collected", {sample {"x", "X.", counter_value {7}}}};
--- a/lycheeshunt/metrics/report.h
+++ b/lycheeshunt/metrics/report.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::metrics {
 
-// All metrics of one duty at one moment; replaces the duty's report before.
+// All samples of one duty at one point in time; replaces the duty's previous report.
 struct report
 {
     const std::string duty;
--- a/lycheeshunt/metrics/ring_sample.h
+++ b/lycheeshunt/metrics/ring_sample.h
@@ -1,4 +1,4 @@
-// Samples that every ring has.
+// Samples that are reported for every ring.
 
 #pragma once
 
@@ -10,7 +10,8 @@
 
 namespace lycheeshunt::metrics {
 
-// Depth and drops of a ring, labelled with its name. Thread-safe, as the ring is.
+// Appends the depth and the number of dropped items of a ring, labelled with its name. Safe to call
+// while other threads use the ring.
 template <typename T>
 void addRing(std::vector<sample> &samples, const std::string &name, const base::ring<T> &ring)
 {
--- a/lycheeshunt/metrics/sample.h
+++ b/lycheeshunt/metrics/sample.h
@@ -13,7 +13,8 @@
 
 using sample_value = std::variant<counter_value, gauge_value, histogram_value>;
 
-// One metric of one duty at one moment. The name carries its unit, as in `queue_wait_ms`.
+// The value of one metric of one duty at one point in time. The name includes its unit, as in
+// `queue_wait_ms`.
 struct sample
 {
     const std::string name;
--- a/lycheeshunt/metrics/scrape_request.h
+++ b/lycheeshunt/metrics/scrape_request.h
@@ -10,7 +10,7 @@
 
 namespace lycheeshunt::metrics {
 
-// Asks for all metrics as text; the answer goes into the ring.
+// Requests all metrics as text; the metrics duty pushes the text to the ring.
 struct scrape_request
 {
     const std::shared_ptr<base::ring<std::string>> answer;
--- a/lycheeshunt/metrics/scrape_server.cpp
+++ b/lycheeshunt/metrics/scrape_server.cpp
@@ -8,9 +8,9 @@
 
 using web::http::http_request;
 
-constexpr base::clock_time answerSpan = base::clock_time::ofSeconds(1);
+constexpr base::clock_time scrapeTimeout = base::clock_time::ofSeconds(1);
 
-void answer(const http_request &request, base::ring<metrics_message> &inbox)
+void handleScrape(const http_request &request, base::ring<metrics_message> &inbox)
 {
     if (request.relative_uri().path() != "/metrics") {
         const base::error unknown {base::error_code::noSuchResource, request.relative_uri().path()};
@@ -21,7 +21,7 @@
         = std::make_shared<base::ring<std::string>>(1);
     std::optional<std::string> body;
     if (inbox.tryPush(scrape_request {text}))
-        body = text->popFor(answerSpan);
+        body = text->popFor(scrapeTimeout);
     if (body) {
         request.reply(web::http::status_codes::OK, *body, "text/plain; version=0.0.4");
         return;
@@ -43,27 +43,29 @@
                                                                  base::ring<metrics_message> &inbox)
 {
     try {
-        std::unique_ptr<implementation> hidden = std::make_unique<implementation>(local);
-        hidden->listener.support(web::http::methods::GET,
-                                 [&inbox](const http_request &request) { answer(request, inbox); });
-        hidden->listener.open().wait();
-        return std::unique_ptr<scrape_server>(new scrape_server(std::move(hidden)));
+        std::unique_ptr<implementation> state = std::make_unique<implementation>(local);
+        state->listener.support(web::http::methods::GET, [&inbox](const http_request &request) {
+            handleScrape(request, inbox);
+        });
+        state->listener.open().wait();
+        return std::unique_ptr<scrape_server>(new scrape_server(std::move(state)));
     } catch (const std::exception &failure) {
         return base::error {base::error_code::socketFailed,
                             "listen on " + local.text() + ": " + failure.what()};
     }
 }
 
-scrape_server::scrape_server(std::unique_ptr<implementation> hidden) : m_hidden(std::move(hidden))
+scrape_server::scrape_server(std::unique_ptr<implementation> state)
+    : m_implementation(std::move(state))
 {
 }
 
 scrape_server::~scrape_server()
 {
     try {
-        m_hidden->listener.close().wait();
+        m_implementation->listener.close().wait();
     } catch (const std::exception &) {
-        // The process is stopping; a listener that fails to close changes nothing.
+        // The process is stopping, so a failure to close the listener has no effect.
         return;
     }
 }
--- a/lycheeshunt/metrics/scrape_server.h
+++ b/lycheeshunt/metrics/scrape_server.h
@@ -1,4 +1,5 @@
-// Answers GET /metrics on its own address, by cpprestsdk; anything else is refused by code.
+// Serves GET /metrics on its own address with cpprestsdk. A GET of any other path returns 404 with
+// an error code.
 //
 //     result<std::unique_ptr<scrape_server>> server = scrape_server::open(local, metrics.inbox());
 
@@ -26,9 +27,9 @@
 private:
     struct implementation;
 
-    explicit scrape_server(std::unique_ptr<implementation> hidden);
+    explicit scrape_server(std::unique_ptr<implementation> state);
 
-    std::unique_ptr<implementation> m_hidden;
+    std::unique_ptr<implementation> m_implementation;
 };
 
 } // namespace lycheeshunt::metrics
--- a/lycheeshunt/metrics/span_histogram.cpp
+++ b/lycheeshunt/metrics/span_histogram.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-// Milliseconds, each bound about twice the one before: from a sync to the longest request.
+// Milliseconds. Each bound is about twice the previous one; the range covers a disk sync and the
+// longest request.
 const std::vector<double> bounds {1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000};
 
 } // namespace
--- a/lycheeshunt/metrics/span_histogram.h
+++ b/lycheeshunt/metrics/span_histogram.h
@@ -1,5 +1,5 @@
-// Gathers spans of time of one kind, in milliseconds. Thread-safe: one thread records, another asks
-// for the sample.
+// Accumulates durations in a histogram, in milliseconds. Thread-safe: one thread may record while
+// another reads the sample.
 //
 //     span_histogram writes("storage_write_ms", "Time that a synced write took.");
 //     writes.record(base::clock_time::steady() - begun);
--- a/lycheeshunt/streams/channel.h
+++ b/lycheeshunt/streams/channel.h
@@ -1,4 +1,4 @@
-// The duty that a frame on a stream belongs to. The first byte of every frame.
+// Identifies the duty that handles a frame. It is the first byte of the content of every frame.
 
 #pragma once
 
--- a/lycheeshunt/streams/connection_id.h
+++ b/lycheeshunt/streams/connection_id.h
@@ -1,4 +1,4 @@
-// Number of one connection within its process; never used again.
+// Identifies a connection within its process; never reused.
 
 #pragma once
 
--- a/lycheeshunt/streams/internal/frame_codec.h
+++ b/lycheeshunt/streams/internal/frame_codec.h
@@ -1,4 +1,4 @@
-// A stream frame as bytes: the channel number, then the message.
+// Encodes a stream frame: one byte for the channel, then the message.
 
 #pragma once
 
@@ -9,18 +9,19 @@
 
 namespace lycheeshunt::streams::internal {
 
-inline std::string frameText(const stream_frame &frame)
+inline std::string encodeFrame(const stream_frame &frame)
 {
-    std::string text(1, static_cast<char>(frame.channel));
-    text += frame.bytes;
-    return text;
+    std::string content(1, static_cast<char>(frame.channel));
+    content += frame.bytes;
+    return content;
 }
 
-// Precondition: text is not empty, which h2_connection sees to.
-inline stream_frame frameFromText(connection_id connection, std::string_view text)
+// Precondition: the content is not empty; h2_connection closes a connection that sends an empty
+// frame.
+inline stream_frame decodeFrame(connection_id connection, std::string_view content)
 {
-    return stream_frame {connection, static_cast<channel>(text.front()),
-                         std::string(text.substr(1))};
+    return stream_frame {connection, static_cast<channel>(content.front()),
+                         std::string(content.substr(1))};
 }
 
 } // namespace lycheeshunt::streams::internal
--- a/lycheeshunt/streams/internal/h2_connection.cpp
+++ b/lycheeshunt/streams/internal/h2_connection.cpp
@@ -26,7 +26,7 @@
     return field;
 }
 
-std::size_t lengthAt(std::string_view bytes)
+std::size_t decodeLength(std::string_view bytes)
 {
     std::size_t length = 0;
     for (std::size_t i = 0; i < lengthBytes; ++i)
@@ -44,36 +44,36 @@
 
 struct h2_connection::callbacks
 {
-    static ssize_t readOutbox(nghttp2_session *, std::int32_t, std::uint8_t *buffer,
-                              std::size_t capacity, std::uint32_t *, nghttp2_data_source *source,
-                              void *)
+    static ssize_t readSendBuffer(nghttp2_session *, std::int32_t, std::uint8_t *buffer,
+                                  std::size_t capacity, std::uint32_t *,
+                                  nghttp2_data_source *source, void *)
     {
         h2_connection &self = *static_cast<h2_connection *>(source->ptr);
         const std::size_t count = std::min(capacity, self.queuedBytes());
         if (count == 0) {
-            self.m_deferred = true;
+            self.m_sendDeferred = true;
             return NGHTTP2_ERR_DEFERRED;
         }
-        std::memcpy(buffer, self.m_outbox.data() + self.m_outboxOffset, count);
-        self.m_outboxOffset += count;
-        if (self.m_outboxOffset == self.m_outbox.size()) {
-            self.m_outbox.clear();
-            self.m_outboxOffset = 0;
+        std::memcpy(buffer, self.m_sendBuffer.data() + self.m_sendBufferOffset, count);
+        self.m_sendBufferOffset += count;
+        if (self.m_sendBufferOffset == self.m_sendBuffer.size()) {
+            self.m_sendBuffer.clear();
+            self.m_sendBufferOffset = 0;
         }
         return static_cast<ssize_t>(count);
     }
 
     static int onData(nghttp2_session *, std::uint8_t, std::int32_t, const std::uint8_t *data,
-                      std::size_t length, void *user)
+                      std::size_t length, void *userData)
     {
-        h2_connection &self = *static_cast<h2_connection *>(user);
-        self.m_inbox.append(reinterpret_cast<const char *>(data), length);
+        h2_connection &self = *static_cast<h2_connection *>(userData);
+        self.m_receiveBuffer.append(reinterpret_cast<const char *>(data), length);
         return 0;
     }
 
-    static int onFrame(nghttp2_session *session, const nghttp2_frame *frame, void *user)
+    static int onFrame(nghttp2_session *session, const nghttp2_frame *frame, void *userData)
     {
-        h2_connection &self = *static_cast<h2_connection *>(user);
+        h2_connection &self = *static_cast<h2_connection *>(userData);
         const bool isRequest
             = frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST;
         if (!isRequest || self.m_streamId >= 0)
@@ -82,21 +82,21 @@
         const nghttp2_nv fields[] = {headerField(":status", "200")};
         nghttp2_data_provider provider {};
         provider.source.ptr = &self;
-        provider.read_callback = readOutbox;
+        provider.read_callback = readSendBuffer;
         nghttp2_submit_response(session, self.m_streamId, fields, std::size(fields), &provider);
         return 0;
     }
 
-    static int onStreamClose(nghttp2_session *, std::int32_t, std::uint32_t, void *user)
+    static int onStreamClose(nghttp2_session *, std::int32_t, std::uint32_t, void *userData)
     {
-        static_cast<h2_connection *>(user)->m_streamEnded = true;
+        static_cast<h2_connection *>(userData)->m_streamEnded = true;
         return 0;
     }
 };
 
 h2_connection::h2_connection(base::file_descriptor socket, connection_side side,
                              base::clock_time now)
-    : m_socket(std::move(socket)), m_lastHeard(now)
+    : m_socket(std::move(socket)), m_lastReceived(now)
 {
     nghttp2_session_callbacks *table = nullptr;
     nghttp2_session_callbacks_new(&table);
@@ -130,7 +130,7 @@
            headerField(":authority", "lycheeshunt"), headerField(":path", "/v1/link")};
     nghttp2_data_provider provider {};
     provider.source.ptr = this;
-    provider.read_callback = callbacks::readOutbox;
+    provider.read_callback = callbacks::readSendBuffer;
     m_streamId
         = nghttp2_submit_request(m_session, nullptr, fields, std::size(fields), &provider, nullptr);
 }
@@ -150,36 +150,36 @@
             alive = false;
             break;
         }
-        m_lastHeard = now;
+        m_lastReceived = now;
         m_bytesReceived += static_cast<std::uint64_t>(count);
-        const ssize_t used = nghttp2_session_mem_recv(
+        const ssize_t consumed = nghttp2_session_mem_recv(
             m_session, reinterpret_cast<const std::uint8_t *>(chunk.data()),
             static_cast<std::size_t>(count));
-        alive = used == count && !m_streamEnded && takeFrames(frames);
+        alive = consumed == count && !m_streamEnded && extractFrames(frames);
     }
     return frames;
 }
 
-bool h2_connection::takeFrames(std::vector<std::string> &frames)
+bool h2_connection::extractFrames(std::vector<std::string> &frames)
 {
     std::size_t offset = 0;
-    while (m_inbox.size() - offset >= lengthBytes) {
-        const std::size_t length = lengthAt(std::string_view(m_inbox).substr(offset));
+    while (m_receiveBuffer.size() - offset >= lengthBytes) {
+        const std::size_t length = decodeLength(std::string_view(m_receiveBuffer).substr(offset));
         if (length == 0 || length > maxFrameBytes)
             return false;
-        if (m_inbox.size() - offset - lengthBytes < length)
+        if (m_receiveBuffer.size() - offset - lengthBytes < length)
             break;
-        frames.push_back(m_inbox.substr(offset + lengthBytes, length));
+        frames.push_back(m_receiveBuffer.substr(offset + lengthBytes, length));
         offset += lengthBytes + length;
     }
-    m_inbox.erase(0, offset);
+    m_receiveBuffer.erase(0, offset);
     return true;
 }
 
 bool h2_connection::flush()
 {
     while (true) {
-        if (!wantsWrite()) {
+        if (!hasUnsentBytes()) {
             const std::uint8_t *data = nullptr;
             const ssize_t count = nghttp2_session_mem_send(m_session, &data);
             if (count < 0)
@@ -200,10 +200,10 @@
 
 void h2_connection::sendFrame(std::string_view bytes)
 {
-    appendLength(m_outbox, bytes.size());
-    m_outbox.append(bytes);
-    if (m_deferred && m_streamId >= 0) {
-        m_deferred = false;
+    appendLength(m_sendBuffer, bytes.size());
+    m_sendBuffer.append(bytes);
+    if (m_sendDeferred && m_streamId >= 0) {
+        m_sendDeferred = false;
         nghttp2_session_resume_data(m_session, m_streamId);
     }
 }
@@ -213,7 +213,7 @@
     nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
 }
 
-void h2_connection::endSending()
+void h2_connection::shutdownSending()
 {
     ::shutdown(m_socket.get(), SHUT_WR);
 }
--- a/lycheeshunt/streams/internal/h2_connection.h
+++ b/lycheeshunt/streams/internal/h2_connection.h
@@ -1,6 +1,6 @@
 // One TCP connection that carries one HTTP/2 stream of framed messages in each direction.
 // A frame is a length of four bytes, most significant first, then that many bytes.
-// Not thread-safe: the owning stream thread alone uses it.
+// Not thread-safe: only the stream thread that owns it uses it.
 
 #pragma once
 
@@ -28,47 +28,48 @@
     h2_connection &operator=(const h2_connection &) = delete;
 
     int descriptor() const { return m_socket.get(); }
-    base::clock_time lastHeard() const { return m_lastHeard; }
+    base::clock_time lastReceived() const { return m_lastReceived; }
     bool isEstablished() const { return m_streamId >= 0; }
 
-    // Reads what has come and returns the whole frames in it; a false `alive` means that the
-    // connection is over.
+    // Reads the available bytes and returns the complete frames. Sets `alive` to false when the
+    // connection has ended or the peer violated the protocol.
     std::vector<std::string> receive(base::clock_time now, bool &alive);
 
-    // Writes what can be written now; false when the connection is over.
+    // Writes as much as the socket accepts without blocking. Returns false when the connection has
+    // failed.
     bool flush();
 
-    // True while bytes wait for the socket to become writable.
-    bool wantsWrite() const { return m_unsentOffset < m_unsent.size(); }
+    // True while encoded bytes wait for the socket to become writable.
+    bool hasUnsentBytes() const { return m_unsentOffset < m_unsent.size(); }
 
-    // Bytes queued by sendFrame that HTTP/2 has not taken yet.
-    std::size_t queuedBytes() const { return m_outbox.size() - m_outboxOffset; }
+    // Bytes queued by sendFrame that have not been passed to the HTTP/2 session.
+    std::size_t queuedBytes() const { return m_sendBuffer.size() - m_sendBufferOffset; }
 
-    // Bytes of TCP payload in each direction since the connection began.
+    // Bytes of TCP payload in each direction since the connection was opened.
     std::uint64_t bytesReceived() const { return m_bytesReceived; }
     std::uint64_t bytesSent() const { return m_bytesSent; }
 
     void sendFrame(std::string_view bytes);
     void sendPing();
 
-    // Ends this side; what was sent before still arrives.
-    void endSending();
+    // Shuts down the sending side of the socket; bytes written before are still delivered.
+    void shutdownSending();
 
 private:
     struct callbacks;
 
     void openRequest();
-    bool takeFrames(std::vector<std::string> &frames);
+    bool extractFrames(std::vector<std::string> &frames);
 
     base::file_descriptor m_socket;
     nghttp2_session *m_session = nullptr;
-    base::clock_time m_lastHeard;
+    base::clock_time m_lastReceived;
     std::int32_t m_streamId = -1;
     bool m_streamEnded = false;
-    bool m_deferred = false;
-    std::string m_inbox;
-    std::string m_outbox;
-    std::size_t m_outboxOffset = 0;
+    bool m_sendDeferred = false;
+    std::string m_receiveBuffer;
+    std::string m_sendBuffer;
+    std::size_t m_sendBufferOffset = 0;
     std::string m_unsent;
     std::size_t m_unsentOffset = 0;
     std::uint64_t m_bytesReceived = 0;
--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t outgoingFrames = 4096;
+constexpr std::size_t maxOutgoingFrames = 4096;
 
 bool isConnected(int descriptor)
 {
@@ -29,7 +29,7 @@
 stream_client::stream_client(std::vector<base::endpoint> servers, const stream_timing &timing,
                              std::uint64_t seed, stream_sink sink)
     : m_servers(std::move(servers)), m_timing(timing), m_sink(std::move(sink)),
-      m_outgoing(outgoingFrames), m_random(seed), m_nextServer(m_random() % m_servers.size()),
+      m_outgoing(maxOutgoingFrames), m_random(seed), m_nextServer(m_random() % m_servers.size()),
       m_thread([this]() { run(); })
 {
 }
@@ -54,13 +54,13 @@
     }
 }
 
-void stream_client::useServers(std::vector<base::endpoint> servers, bool startsAfresh)
+void stream_client::useServers(std::vector<base::endpoint> servers, bool startsAtFirst)
 {
     const std::lock_guard<std::mutex> lock(m_serversLock);
     m_servers = std::move(servers);
     m_nextServer = 0;
-    m_isDirected = startsAfresh;
-    if (startsAfresh || !m_lastServer)
+    m_isRedirected = startsAtFirst;
+    if (startsAtFirst || !m_lastServer)
         return;
     const auto last = std::find(m_servers.begin(), m_servers.end(), *m_lastServer);
     if (last != m_servers.end())
@@ -79,14 +79,14 @@
     return m_servers[chosen];
 }
 
-// Wakes for a stop too. Frames that were queued for the connection before are discarded.
+// Also returns when the client stops. Discards frames queued for the previous connection.
 bool stream_client::awaitConnected(int descriptor)
 {
-    const base::clock_time until = base::clock_time::steady() + m_timing.connectLimit;
+    const base::clock_time deadline = base::clock_time::steady() + m_timing.connectTimeout;
     base::clock_time now = base::clock_time::steady();
-    while (now < until && !m_outgoing.isClosed()) {
+    while (now < deadline && !m_outgoing.isClosed()) {
         pollfd watched[] = {{descriptor, POLLOUT, 0}, {m_outgoing.descriptor(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), static_cast<int>((until - now).millis()));
+        ::poll(watched, std::size(watched), static_cast<int>((deadline - now).millis()));
         if (watched[0].revents != 0)
             return (watched[0].revents & POLLOUT) != 0 && isConnected(descriptor);
         m_outgoing.tryPop();
@@ -110,43 +110,44 @@
 void stream_client::serve(internal::h2_connection &connection, connection_id id)
 {
     base::clock_time lastPing = base::clock_time::steady();
-    const std::uint64_t carriedBefore = m_bytesCarried;
+    const std::uint64_t bytesCarriedBefore = m_bytesCarried;
     bool alive = connection.flush();
     while (alive && !m_outgoing.isClosed()) {
-        const short interest = connection.wantsWrite() ? POLLIN | POLLOUT : POLLIN;
+        const short interest = connection.hasUnsentBytes() ? POLLIN | POLLOUT : POLLIN;
         pollfd watched[]
             = {{connection.descriptor(), interest, 0}, {m_outgoing.descriptor(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), static_cast<int>(m_timing.pingEvery.millis()));
+        ::poll(watched, std::size(watched), static_cast<int>(m_timing.pingInterval.millis()));
         const base::clock_time now = base::clock_time::steady();
         if ((watched[0].revents & ~POLLOUT) != 0) {
             const std::vector<std::string> frames = connection.receive(now, alive);
-            for (const std::string &text : frames)
-                m_sink(internal::frameFromText(id, text));
+            for (const std::string &content : frames)
+                m_sink(internal::decodeFrame(id, content));
         }
-        if (now - lastPing >= m_timing.pingEvery) {
+        if (now - lastPing >= m_timing.pingInterval) {
             lastPing = now;
             connection.sendPing();
         }
-        const base::clock_time limit
-            = connection.bytesReceived() > 0 ? m_timing.silenceLimit : m_timing.firstWordLimit;
-        alive = alive && sendQueued(connection, id) && now - connection.lastHeard() <= limit;
-        m_bytesCarried = carriedBefore + connection.bytesReceived() + connection.bytesSent();
+        const base::clock_time timeout
+            = connection.bytesReceived() > 0 ? m_timing.idleTimeout : m_timing.firstReceiveTimeout;
+        alive = alive && sendQueued(connection, id) && now - connection.lastReceived() <= timeout;
+        m_bytesCarried = bytesCarriedBefore + connection.bytesReceived() + connection.bytesSent();
     }
     if (alive)
-        finish(connection, id);
+        closeGracefully(connection, id);
 }
 
-// A stop sends what was queued before it. Closing at once, with bytes of the server still unread,
-// would reset the connection and lose what is under way, so the server's end is waited for.
-void stream_client::finish(internal::h2_connection &connection, connection_id id)
+// Sends the frames that were queued before the stop, then waits until the server closes the
+// connection. Closing the socket with unread bytes from the server would reset the connection and
+// lose the data in flight.
+void stream_client::closeGracefully(internal::h2_connection &connection, connection_id id)
 {
     bool alive = sendQueued(connection, id);
-    connection.endSending();
-    const base::clock_time until = base::clock_time::steady() + m_timing.reconnectWait;
+    connection.shutdownSending();
+    const base::clock_time deadline = base::clock_time::steady() + m_timing.reconnectDelay;
     base::clock_time now = base::clock_time::steady();
-    while (alive && now < until) {
+    while (alive && now < deadline) {
         pollfd watched {connection.descriptor(), POLLIN, 0};
-        ::poll(&watched, 1, static_cast<int>((until - now).millis()));
+        ::poll(&watched, 1, static_cast<int>((deadline - now).millis()));
         now = base::clock_time::steady();
         connection.receive(now, alive);
     }
@@ -156,23 +157,25 @@
 {
     while (const std::optional<stream_frame> frame = m_outgoing.tryPop()) {
         if (frame->connection == id)
-            connection.sendFrame(internal::frameText(*frame));
+            connection.sendFrame(internal::encodeFrame(*frame));
     }
     return connection.flush();
 }
 
-// Waits on the ring, not on a timer alone, so that a stop is not held up.
+// Waits on the ring instead of sleeping, so that closing the ring ends the wait at once.
 void stream_client::waitBeforeRetry()
 {
-    const std::int64_t half = m_timing.reconnectWait.millis() / 2;
-    const bool isDirected = m_isDirected.exchange(false);
-    const std::int64_t most = isDirected ? m_timing.directedWait.millis() : half;
-    const std::int64_t drawn = std::uniform_int_distribution<std::int64_t>(0, most)(m_random);
-    const base::clock_time until = base::clock_time::steady()
-        + base::clock_time::ofMillis(isDirected ? drawn : half + drawn);
+    const std::int64_t halfMillis = m_timing.reconnectDelay.millis() / 2;
+    const bool isRedirected = m_isRedirected.exchange(false);
+    const std::int64_t maxRandomMillis
+        = isRedirected ? m_timing.redirectDelay.millis() : halfMillis;
+    const std::int64_t randomMillis
+        = std::uniform_int_distribution<std::int64_t>(0, maxRandomMillis)(m_random);
+    const base::clock_time deadline = base::clock_time::steady()
+        + base::clock_time::ofMillis(isRedirected ? randomMillis : halfMillis + randomMillis);
     base::clock_time now = base::clock_time::steady();
-    while (now < until && !m_outgoing.isClosed()) {
-        m_outgoing.popFor(until - now);
+    while (now < deadline && !m_outgoing.isClosed()) {
+        m_outgoing.popFor(deadline - now);
         now = base::clock_time::steady();
     }
 }
--- a/lycheeshunt/streams/stream_client.h
+++ b/lycheeshunt/streams/stream_client.h
@@ -1,11 +1,12 @@
-// Keeps one long-lived stream to one of several servers, on a thread of its own.
+// Maintains one long-lived stream to one of several servers, on a dedicated thread.
 //
 //     stream_client client({first, second}, {}, seed, sink);
 //     client.outgoing().push(stream_frame {connection, channel::membership, bytes});
 //
-// The sink hears of each opening, frame and closing. When a server is lost or silent the next
-// one is tried after a jittered wait. Frames for a connection that is gone are discarded; those
-// queued before the client is destroyed are still sent where the socket takes them.
+// The sink receives an event for each opened connection, received frame and closed connection. When
+// a connection fails or times out, the client tries the next server after a jittered delay. Frames
+// for a closed connection are discarded. Frames queued before the client is destroyed are still
+// sent as far as the socket accepts them without blocking.
 
 #pragma once
 
@@ -41,11 +42,12 @@
 
     base::ring<stream_frame> &outgoing() { return m_outgoing; }
 
-    // Tries these from now on; the present connection stays. The next attempt goes to the first one
-    // or, without `startsAfresh`, to the one after the last that was tried. Thread-safe.
-    void useServers(std::vector<base::endpoint> servers, bool startsAfresh);
+    // Replaces the servers for later attempts; the current connection stays open. The next attempt
+    // goes to the first server or, without `startsAtFirst`, to the one after the server tried last.
+    // Thread-safe.
+    void useServers(std::vector<base::endpoint> servers, bool startsAtFirst);
 
-    // Bytes of TCP payload in both directions since the client began. Thread-safe.
+    // Bytes of TCP payload in both directions since the client was created. Thread-safe.
     std::uint64_t bytesCarried() const { return m_bytesCarried; }
 
 private:
@@ -54,7 +56,7 @@
     base::endpoint nextServer();
     bool awaitConnected(int descriptor);
     void serve(internal::h2_connection &connection, connection_id id);
-    void finish(internal::h2_connection &connection, connection_id id);
+    void closeGracefully(internal::h2_connection &connection, connection_id id);
     bool sendQueued(internal::h2_connection &connection, connection_id id);
     void waitBeforeRetry();
 
@@ -65,9 +67,9 @@
     base::ring<stream_frame> m_outgoing;
     std::mt19937_64 m_random;
     std::size_t m_nextServer = 0;
-    // The next server was named as the one to go to.
-    std::atomic<bool> m_isDirected = false;
-    // Another one is tried before it is tried again.
+    // The next attempt goes to a server that another server referred the client to.
+    std::atomic<bool> m_isRedirected = false;
+    // The server tried last. Another one is tried before it is tried again.
     std::optional<base::endpoint> m_lastServer;
     std::uint64_t m_nextConnection = 1;
     std::atomic<std::uint64_t> m_bytesCarried = 0;
--- a/lycheeshunt/streams/stream_closed.h
+++ b/lycheeshunt/streams/stream_closed.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::streams {
 
-// A connection ended, by either side or by its silence.
+// A connection was closed by either side or timed out.
 struct stream_closed
 {
     const connection_id connection;
--- a/lycheeshunt/streams/stream_event.h
+++ b/lycheeshunt/streams/stream_event.h
@@ -11,7 +11,7 @@
 
 using stream_event = std::variant<stream_opened, stream_frame, stream_closed>;
 
-// Called on the stream thread; usually pushes to the ring of the duty concerned.
+// Called on the stream thread; usually pushes the event to the ring of the duty that handles it.
 using stream_sink = std::function<void(const stream_event &)>;
 
 } // namespace lycheeshunt::streams
--- a/lycheeshunt/streams/stream_frame.h
+++ b/lycheeshunt/streams/stream_frame.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::streams {
 
-// One whole message, received or to be sent.
+// One complete message, received or to be sent.
 struct stream_frame
 {
     const connection_id connection;
--- a/lycheeshunt/streams/stream_opened.h
+++ b/lycheeshunt/streams/stream_opened.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::streams {
 
-// A connection is up; frames may be sent.
+// A connection was opened; frames may be sent on it.
 struct stream_opened
 {
     const connection_id connection;
--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -14,8 +14,8 @@
 namespace lycheeshunt::streams {
 
 namespace {
-constexpr std::size_t outgoingFrames = 4096;
-// A receiver that leaves this much unread is cut off; it comes back and starts afresh.
+constexpr std::size_t maxOutgoingFrames = 4096;
+// A client that leaves this much unread is disconnected; it reconnects with an empty queue.
 constexpr std::size_t maxQueuedBytes = 16 * 1024 * 1024;
 } // namespace
 
@@ -32,7 +32,7 @@
 stream_server::stream_server(base::file_descriptor listener, const stream_timing &timing,
                              stream_sink sink)
     : m_listener(std::move(listener)), m_timing(timing), m_sink(std::move(sink)),
-      m_outgoing(outgoingFrames), m_thread([this]() { run(); })
+      m_outgoing(maxOutgoingFrames), m_thread([this]() { run(); })
 {
 }
 
@@ -55,11 +55,11 @@
         watched.assign({{m_listener.get(), POLLIN, 0}, {m_outgoing.descriptor(), POLLIN, 0}});
         ids.clear();
         for (auto it = m_connections.begin(); it != m_connections.end(); ++it) {
-            const short interest = it->second->wantsWrite() ? POLLIN | POLLOUT : POLLIN;
+            const short interest = it->second->hasUnsentBytes() ? POLLIN | POLLOUT : POLLIN;
             watched.push_back({it->second->descriptor(), interest, 0});
             ids.push_back(it->first);
         }
-        ::poll(watched.data(), watched.size(), static_cast<int>(m_timing.pingEvery.millis()));
+        ::poll(watched.data(), watched.size(), static_cast<int>(m_timing.pingInterval.millis()));
         const base::clock_time now = base::clock_time::steady();
         if (watched[0].revents != 0)
             acceptAll(now);
@@ -69,8 +69,8 @@
             if (watched[i + 2].revents != 0)
                 serve(ids[i], watched[i + 2].revents, now);
         }
-        if (now - m_lastCheck >= m_timing.pingEvery)
-            checkSilence(now);
+        if (now - m_lastIdleCheck >= m_timing.pingInterval)
+            closeIdleConnections(now);
     }
 }
 
@@ -101,36 +101,36 @@
             closeConnection(frame->connection);
             continue;
         }
-        found->second->sendFrame(internal::frameText(*frame));
+        found->second->sendFrame(internal::encodeFrame(*frame));
         if (found->second->queuedBytes() > maxQueuedBytes || !found->second->flush())
             closeConnection(frame->connection);
     }
 }
 
-void stream_server::serve(connection_id id, short ready, base::clock_time now)
+void stream_server::serve(connection_id id, short readyEvents, base::clock_time now)
 {
     const auto found = m_connections.find(id);
     if (found == m_connections.end())
         return;
     bool alive = true;
-    if ((ready & ~POLLOUT) != 0) {
+    if ((readyEvents & ~POLLOUT) != 0) {
         const std::vector<std::string> frames = found->second->receive(now, alive);
-        for (const std::string &text : frames)
-            m_sink(internal::frameFromText(id, text));
+        for (const std::string &content : frames)
+            m_sink(internal::decodeFrame(id, content));
     }
     if (!alive || !found->second->flush())
         closeConnection(id);
 }
 
-void stream_server::checkSilence(base::clock_time now)
+void stream_server::closeIdleConnections(base::clock_time now)
 {
-    m_lastCheck = now;
-    std::vector<connection_id> silent;
+    m_lastIdleCheck = now;
+    std::vector<connection_id> idle;
     for (auto it = m_connections.begin(); it != m_connections.end(); ++it) {
-        if (now - it->second->lastHeard() > m_timing.silenceLimit)
-            silent.push_back(it->first);
+        if (now - it->second->lastReceived() > m_timing.idleTimeout)
+            idle.push_back(it->first);
     }
-    for (const connection_id &id : silent)
+    for (const connection_id &id : idle)
         closeConnection(id);
 }
 
--- a/lycheeshunt/streams/stream_server.h
+++ b/lycheeshunt/streams/stream_server.h
@@ -1,11 +1,12 @@
-// Accepts long-lived streams from other processes of the system, on a thread of its own.
+// Accepts long-lived streams from other processes of the system, on a dedicated thread.
 //
 //     result<std::unique_ptr<stream_server>> opened = stream_server::listen(local, {}, sink);
 //     valueOf(opened)->outgoing().push(stream_frame {connection, channel::membership, bytes});
 //
-// Events go to the sink; frames to send are taken from the ring outgoing(). The client alone sends
-// heartbeats, which the library answers, so that each side hears of the other at half the bytes; a
-// connection that stays silent beyond the limit is closed.
+// Events go to the sink; frames to send are popped from the ring outgoing(). Only the client sends
+// heartbeats (HTTP/2 pings), which the HTTP/2 library acknowledges: each side hears from the other
+// at half the bytes of heartbeats in both directions. A connection that receives nothing within the
+// idle timeout is closed.
 
 #pragma once
 
@@ -39,10 +40,10 @@
     stream_server &operator=(const stream_server &) = delete;
 
     base::endpoint local() const;
-    // A frame without bytes asks for its connection to be closed.
-    // Connections taken since the start. Thread-safe.
+    // Number of connections accepted since the server was created. Thread-safe.
     std::uint64_t accepted() const { return m_accepted; }
 
+    // A frame without bytes closes its connection.
     base::ring<stream_frame> &outgoing() { return m_outgoing; }
 
 private:
@@ -51,8 +52,8 @@
     void run();
     void acceptAll(base::clock_time now);
     void sendQueued();
-    void serve(connection_id id, short ready, base::clock_time now);
-    void checkSilence(base::clock_time now);
+    void serve(connection_id id, short readyEvents, base::clock_time now);
+    void closeIdleConnections(base::clock_time now);
     void closeConnection(connection_id id);
 
     base::file_descriptor m_listener;
@@ -61,7 +62,7 @@
     base::ring<stream_frame> m_outgoing;
     std::map<connection_id, std::unique_ptr<internal::h2_connection>> m_connections;
     std::uint64_t m_nextConnection = 1;
-    base::clock_time m_lastCheck;
+    base::clock_time m_lastIdleCheck;
     std::atomic<std::uint64_t> m_accepted = 0;
     std::thread m_thread;
 };
--- a/lycheeshunt/streams/stream_test.cpp
+++ b/lycheeshunt/streams/stream_test.cpp
@@ -1,4 +1,5 @@
-// Contract of a stream: frames whole and in order both ways, a silent server is left for another.
+// Contract of a stream: frames arrive complete and in order in both directions, and a client leaves
+// an unresponsive server for another one.
 
 #include "lycheeshunt/streams/stream_client.h"
 #include "lycheeshunt/streams/stream_server.h"
@@ -15,7 +16,7 @@
 const base::endpoint anyPort {0x7f000001, 0};
 constexpr std::size_t eventCapacity = 256;
 
-// Takes events until one of the wanted kind comes.
+// Pops events until one of the wanted type arrives.
 template <typename wanted>
 wanted await(base::ring<stream_event> &events)
 {
@@ -40,7 +41,7 @@
     }
 };
 
-TEST(streams, framesArriveWholeAndInOrderBothWays)
+TEST(streams, framesArriveCompleteAndInOrderInBothDirections)
 {
     const std::unique_ptr<stream_server> server = listen();
     stream_client client({server->local()}, {}, 1,
@@ -60,7 +61,7 @@
     CHECK(client.bytesCarried() > large.size());
 }
 
-TEST(streams, aFrameWithoutBytesClosesItsConnectionAndTheClientComesBack)
+TEST(streams, aFrameWithoutBytesClosesItsConnectionAndTheClientReconnects)
 {
     const std::unique_ptr<stream_server> server = listen();
     stream_client client({server->local()}, {}, 1,
@@ -71,7 +72,7 @@
     CHECK(await<stream_opened>(serverEvents).connection != connection);
 }
 
-TEST(streams, aStopStillSendsWhatWasQueued)
+TEST(streams, aStoppedClientSendsItsQueuedFrames)
 {
     const std::unique_ptr<stream_server> server = listen();
     std::unique_ptr<stream_client> client = std::make_unique<stream_client>(
@@ -83,56 +84,59 @@
     STRCMP_EQUAL("last", await<stream_frame>(serverEvents).bytes.c_str());
 }
 
-TEST(streams, aServerThatStaysSilentIsLeftForAnother)
+TEST(streams, anUnresponsiveServerIsReplacedByAnother)
 {
-    // Accepts connections in its backlog and never says a word.
+    // Accepts connections in its listen backlog and never sends a byte.
     const base::file_descriptor silent = base::takeValue(base::openListener(anyPort));
     const std::unique_ptr<stream_server> server = listen();
-    const stream_timing quick {base::clock_time::ofMillis(20), base::clock_time::ofMillis(60),
-                               base::clock_time::ofMillis(10)};
-    stream_client client({base::localEndpoint(silent), server->local()}, quick, 1,
+    const stream_timing shortTiming {base::clock_time::ofMillis(20), base::clock_time::ofMillis(60),
+                                     base::clock_time::ofMillis(10)};
+    stream_client client({base::localEndpoint(silent), server->local()}, shortTiming, 1,
                          [this](const stream_event &event) { clientEvents.push(event); });
     const connection_id left = await<stream_closed>(clientEvents).connection;
     CHECK(await<stream_opened>(clientEvents).connection > left);
     await<stream_opened>(serverEvents);
 }
 
-// A VM that stands still: its system takes connections, and its process says nothing.
-TEST(streams, aServerThatTookTheConnectionAndNeverSpokeIsNotTriedAgainAtOnce)
+// A VM whose process is stopped: its operating system accepts connections, and its process sends
+// nothing.
+TEST(streams, aServerThatAcceptedAndSentNothingIsNotRetriedAtOnce)
 {
-    const base::file_descriptor frozen = base::takeValue(base::openListener(anyPort));
+    const base::file_descriptor stopped = base::takeValue(base::openListener(anyPort));
     const std::unique_ptr<stream_server> server = listen();
-    const stream_timing quick {base::clock_time::ofMillis(20), base::clock_time::ofMillis(5000),
-                               base::clock_time::ofMillis(60), base::clock_time::ofMillis(60),
-                               base::clock_time::ofMillis(10)};
-    const base::endpoint still = base::localEndpoint(frozen);
-    stream_client client({still}, quick, 1,
+    const stream_timing shortTiming {base::clock_time::ofMillis(20),
+                                     base::clock_time::ofMillis(5000),
+                                     base::clock_time::ofMillis(60), base::clock_time::ofMillis(60),
+                                     base::clock_time::ofMillis(10)};
+    const base::endpoint stoppedEndpoint = base::localEndpoint(stopped);
+    stream_client client({stoppedEndpoint}, shortTiming, 1,
                          [this](const stream_event &event) { clientEvents.push(event); });
     await<stream_opened>(clientEvents);
-    // The directory names it first, as the leader that it was.
-    client.useServers({still, server->local()}, true);
+    // The list of servers begins with it, because it was the leader before it stopped.
+    client.useServers({stoppedEndpoint, server->local()}, true);
     await<stream_closed>(clientEvents);
     await<stream_opened>(serverEvents);
 }
 
-// Two servers that send the client away, as control VMs that are cut off from the others do.
-TEST(streams, theSearchGoesOnWhenNoServerIsKnownToLead)
+// Servers that close the connection, as control VMs do that are partitioned from the others.
+TEST(streams, everyServerIsTriedWhenNoLeaderIsKnown)
 {
     const std::unique_ptr<stream_server> first = listen();
     const std::unique_ptr<stream_server> second = listen();
     const std::unique_ptr<stream_server> third = listen();
-    const stream_timing quick {base::clock_time::ofMillis(20), base::clock_time::ofMillis(500),
-                               base::clock_time::ofMillis(500), base::clock_time::ofMillis(500),
-                               base::clock_time::ofMillis(10)};
+    const stream_timing shortTiming {
+        base::clock_time::ofMillis(20), base::clock_time::ofMillis(500),
+        base::clock_time::ofMillis(500), base::clock_time::ofMillis(500),
+        base::clock_time::ofMillis(10)};
     const std::vector<base::endpoint> all {first->local(), second->local(), third->local()};
-    stream_client client(all, quick, 1,
+    stream_client client(all, shortTiming, 1,
                          [this](const stream_event &event) { clientEvents.push(event); });
     for (int i = 0; i < 3; ++i) {
-        const connection_id at = await<stream_opened>(serverEvents).connection;
-        // Whichever it was says who else there is and closes.
+        const connection_id connection = await<stream_opened>(serverEvents).connection;
+        // The server that accepted the connection sends the list of servers and closes it.
         client.useServers(std::vector<base::endpoint>(all), false);
         for (const std::unique_ptr<stream_server> *each : {&first, &second, &third})
-            (*each)->outgoing().tryPush(stream_frame {at, channel::dissemination, {}});
+            (*each)->outgoing().tryPush(stream_frame {connection, channel::dissemination, {}});
         await<stream_closed>(clientEvents);
     }
     CHECK_EQUAL(1U, first->accepted());
@@ -140,36 +144,37 @@
     CHECK_EQUAL(1U, third->accepted());
 }
 
-// A node that is sent to the leader is there at once; the wait before any other attempt is longer
-// than this test may take.
-TEST(streams, aServerThatWasNamedIsTriedWithoutTheWaitOfARetry)
+// A node that is redirected to the leader connects without the reconnect delay, which is longer
+// here than this test may take.
+TEST(streams, aRedirectedClientConnectsWithoutTheReconnectDelay)
 {
     const std::unique_ptr<stream_server> first = listen();
     const std::unique_ptr<stream_server> second = listen();
-    const stream_timing patient {base::clock_time::ofMillis(20),   base::clock_time::ofMillis(5000),
-                                 base::clock_time::ofMillis(5000), base::clock_time::ofMillis(5000),
-                                 base::clock_time::ofSeconds(600), base::clock_time::ofMillis(10)};
-    stream_client client({first->local()}, patient, 1,
+    const stream_timing longReconnect {
+        base::clock_time::ofMillis(20),   base::clock_time::ofMillis(5000),
+        base::clock_time::ofMillis(5000), base::clock_time::ofMillis(5000),
+        base::clock_time::ofSeconds(600), base::clock_time::ofMillis(10)};
+    stream_client client({first->local()}, longReconnect, 1,
                          [this](const stream_event &event) { clientEvents.push(event); });
-    const connection_id at = await<stream_opened>(serverEvents).connection;
+    const connection_id connection = await<stream_opened>(serverEvents).connection;
     client.useServers({second->local(), first->local()}, true);
-    first->outgoing().tryPush(stream_frame {at, channel::dissemination, {}});
+    first->outgoing().tryPush(stream_frame {connection, channel::dissemination, {}});
     await<stream_closed>(clientEvents);
     await<stream_opened>(serverEvents);
     CHECK_EQUAL(1U, second->accepted());
 }
 
-TEST(streams, aClosedServerIsReportedAndTheClientComesBack)
+TEST(streams, aClosedServerIsReportedAndTheClientReconnects)
 {
     std::unique_ptr<stream_server> server = listen();
-    const base::endpoint where = server->local();
-    stream_client client({where}, {}, 1,
+    const base::endpoint local = server->local();
+    stream_client client({local}, {}, 1,
                          [this](const stream_event &event) { clientEvents.push(event); });
     const connection_id before = await<stream_opened>(clientEvents).connection;
     await<stream_opened>(serverEvents);
     server.reset();
     CHECK(await<stream_closed>(clientEvents).connection == before);
     server = base::takeValue(stream_server::listen(
-        where, {}, [this](const stream_event &event) { serverEvents.push(event); }));
+        local, {}, [this](const stream_event &event) { serverEvents.push(event); }));
     CHECK(await<stream_opened>(clientEvents).connection != before);
 }
