--- a/tools/measurements/crest/real_cluster.cpp
+++ b/tools/measurements/crest/real_cluster.cpp
@@ -137,7 +137,7 @@
             },
             [&](const requests::copy_to_backup &copy) {
                 m_events.after(2 * hopMillis, [this, index, identity = copy.identity]() {
-                    runDirector(index, requests::backup_copied {identity});
+                    runDirector(index, requests::copy_acknowledged {identity});
                 });
             },
             [&](const requests::permit_start &permit) {
@@ -213,7 +213,7 @@
 void real_cluster::releaseWork(std::size_t index, std::size_t to)
 {
     m_agents[index].requester = to;
-    runAdmission(index, admission::work_wanted {});
+    runAdmission(index, admission::queued_work_requested {});
 }
 
 void real_cluster::sendReport(std::size_t index, const placement::send_report &sent)
@@ -258,7 +258,7 @@
 void real_cluster::carryOut(std::size_t index, const admission::admission_action &action)
 {
     std::visit(base::overloaded {
-                   [&](const admission::hand_over &handed) {
+                   [&](const admission::dispatch_work &handed) {
                        start(index, static_cast<std::size_t>(handed.id.value()));
                    },
                    [&](const admission::transfer_work &moved) {
@@ -387,7 +387,7 @@
     runAdmission(index, admission::server_restarted {});
     m_events.after(restartMillis, [this, index]() {
         for (std::size_t director = 0; director < m_agents.size(); ++director)
-            runDirector(director, requests::owner_lost {nodeOf(index)});
+            runDirector(director, requests::owner_terminated {nodeOf(index)});
     });
 }
 
