--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -137,8 +137,8 @@
 }
 
 // Sends the frames that were queued before the stop, then waits until the server closes the
-// connection. Closing the socket with unread bytes from the server would reset the connection and
-// lose the data in flight.
+// connection, at most for the reconnect delay. Closing the socket with unread bytes from the server
+// would reset the connection and lose the data in flight.
 void stream_client::closeGracefully(internal::h2_connection &connection, connection_id id)
 {
     bool alive = sendQueued(connection, id);
