--- a/lycheeshunt/operators/operator_message.h
+++ b/lycheeshunt/operators/operator_message.h
@@ -4,7 +4,7 @@
 #include "lycheeshunt/dissemination/in_force_query.h"
 #include "lycheeshunt/operators/http_arrived.h"
 #include "lycheeshunt/operators/http_reply.h"
-#include "lycheeshunt/tickets/show_ticket.h"
+#include "lycheeshunt/tickets/get_ticket.h"
 #include "lycheeshunt/tickets/submit_ticket.h"
 #include "lycheeshunt/tickets/ticket_answer.h"
 
--- a/lycheeshunt/states/state_answer.h
+++ b/lycheeshunt/states/state_answer.h
@@ -2,9 +2,9 @@
 
 #include "lycheeshunt/base/error.h"
 #include "lycheeshunt/base/request_id.h"
-#include "lycheeshunt/states/ask_leader.h"
+#include "lycheeshunt/states/redirect_to_leader.h"
 #include "lycheeshunt/states/state_accepted.h"
-#include "lycheeshunt/states/state_shown.h"
+#include "lycheeshunt/states/state_contents.h"
 
 #include <variant>
 
--- a/lycheeshunt/states/state_message.h
+++ b/lycheeshunt/states/state_message.h
@@ -3,11 +3,11 @@
 #include "lycheeshunt/states/confirm_read.h"
 #include "lycheeshunt/states/leadership_update.h"
 #include "lycheeshunt/states/propose_state.h"
-#include "lycheeshunt/states/read_settled.h"
-#include "lycheeshunt/states/show_state.h"
+#include "lycheeshunt/states/read_outcome.h"
+#include "lycheeshunt/states/get_state.h"
 #include "lycheeshunt/states/state_answer.h"
 #include "lycheeshunt/states/state_committed.h"
-#include "lycheeshunt/states/state_withdrawn.h"
+#include "lycheeshunt/states/state_proposal_rejected.h"
 #include "lycheeshunt/states/submit_state.h"
 
 #include <variant>
--- a/lycheeshunt/states/states_state.h
+++ b/lycheeshunt/states/states_state.h
@@ -2,7 +2,7 @@
 
 #include "lycheeshunt/states/leadership_update.h"
 #include "lycheeshunt/states/pending_state.h"
-#include "lycheeshunt/states/show_state.h"
+#include "lycheeshunt/states/get_state.h"
 
 #include <map>
 #include <memory>
