Name reads and rejected proposals by the terms of the field

The names of messages between the tickets, states and replication duties were figurative; they now name the request or the outcome.

rename: read_settled read_outcome rename: awaited_read pending_read rename: state_shown state_contents rename: show_state get_state rename: show_ticket get_ticket rename: ask_leader redirect_to_leader rename: proposal_withdrawn proposal_rejected rename: state_withdrawn state_proposal_rejected

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -173,7 +173,7 @@
                     [this](const tickets::submit_ticket &submit) {
                         m_tickets->inbox().push(submit);
                     },
-                    [this](const tickets::show_ticket &show) { m_tickets->inbox().push(show); },
+                    [this](const tickets::get_ticket &show) { m_tickets->inbox().push(show); },
                     [this](const dissemination::in_force_query &query) {
                         m_publisher->inbox().push(query);
                     },
@@ -289,10 +289,11 @@
             },
             [this](const replication::proposal_refused &refused) {
                 if (refused.kind == replication::entry_kind::state)
-                    m_states->inbox().push(states::state_withdrawn {refused.token, refused.reason});
+                    m_states->inbox().push(
+                        states::state_proposal_rejected {refused.token, refused.reason});
                 if (refused.kind == replication::entry_kind::ticket)
                     m_tickets->inbox().push(
-                        tickets::proposal_withdrawn {refused.token, refused.reason});
+                        tickets::proposal_rejected {refused.token, refused.reason});
             },
             [this](const replication::read_confirmed &read) {
                 settleRead(read.request, std::nullopt);
@@ -327,10 +328,10 @@
                                  const std::optional<base::error> &failure)
 {
     if ((request.value() & stateReadBit) == 0)
-        m_tickets->inbox().push(tickets::read_settled {request, failure});
+        m_tickets->inbox().push(tickets::read_outcome {request, failure});
     else
         m_states->inbox().push(
-            states::read_settled {base::request_id(request.value() & ~stateReadBit), failure});
+            states::read_outcome {base::request_id(request.value() & ~stateReadBit), failure});
 }
 
 void control_process::publishLeadership(const replication::leadership &leadership)
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -71,7 +71,7 @@
     // What the process counts. Thread-safe.
     metrics::report metrics() const;
 
-    // Takes submit_state and show_state of a front end for operators.
+    // Takes submit_state and get_state of a front end for operators.
     base::ring<states::state_message> &states() { return m_states->inbox(); }
 
 private:
--- a/lycheeshunt/daemon/internal/control_log.cpp
+++ b/lycheeshunt/daemon/internal/control_log.cpp
@@ -53,8 +53,8 @@
 {
     return std::visit(base::overloaded {
                           [](const states::state_accepted &) { return "accepted"; },
-                          [](const states::state_shown &) { return "shown"; },
-                          [](const states::ask_leader &) { return "sent_to_leader"; },
+                          [](const states::state_contents &) { return "shown"; },
+                          [](const states::redirect_to_leader &) { return "sent_to_leader"; },
                           [](const base::error &) { return "not_known"; },
                       },
                       outcome);
--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -99,7 +99,7 @@
     if (!isNumber(std::string_view(arrived.path).substr(ticketsPath.size() + 1), number))
         return refuse(arrived.request, {base::error_code::requestMalformed, "ticket number"});
     state.waiting.emplace(arrived.request, pending_request {request_kind::ticket, wait});
-    return tickets::show_ticket {arrived.request, base::ticket_number(number)};
+    return tickets::get_ticket {arrived.request, base::ticket_number(number)};
 }
 
 operator_action askForView(operator_state &state, const http_arrived &arrived, request_kind kind)
--- a/lycheeshunt/operators/operator_message.h
+++ b/lycheeshunt/operators/operator_message.h
@@ -14,7 +14,7 @@
 
 using operator_message
     = std::variant<http_arrived, tickets::ticket_answer, dissemination::in_force_answer>;
-using operator_action = std::variant<tickets::submit_ticket, tickets::show_ticket,
+using operator_action = std::variant<tickets::submit_ticket, tickets::get_ticket,
                                      dissemination::in_force_query, http_reply>;
 
 } // namespace lycheeshunt::operators
--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -21,7 +21,7 @@
 state_outcome elsewhere(const states_state &state)
 {
     if (state.leadership->leaderApi.port != 0)
-        return ask_leader {state.leadership->leaderApi};
+        return redirect_to_leader {state.leadership->leaderApi};
     return base::error {base::error_code::quorumLost, "no leader is known"};
 }
 
@@ -55,7 +55,7 @@
     state.pending.emplace(version, joined);
 }
 
-void show(states_state &state, const show_state &message, action_list &actions)
+void show(states_state &state, const get_state &message, action_list &actions)
 {
     if (!state.leadership->isLeader) {
         answer(actions, message.request, elsewhere(state));
@@ -76,7 +76,7 @@
     }
 }
 
-void withdraw(states_state &state, const state_withdrawn &message, action_list &actions)
+void withdraw(states_state &state, const state_proposal_rejected &message, action_list &actions)
 {
     const auto found = std::find_if(state.pending.begin(), state.pending.end(),
                                     [&](const std::pair<const std::uint64_t, pending_state> &row) {
@@ -89,17 +89,17 @@
     state.pending.erase(found);
 }
 
-void settleRead(states_state &state, const read_settled &message, action_list &actions)
+void settleRead(states_state &state, const read_outcome &message, action_list &actions)
 {
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
         return;
-    const awaited_read awaited = found->second;
+    const pending_read awaited = found->second;
     state.reads.erase(found);
     if (message.failure)
         answer(actions, message.request, *message.failure);
-    else if (std::holds_alternative<show_state>(awaited))
-        answer(actions, message.request, state_shown {state.current});
+    else if (std::holds_alternative<get_state>(awaited))
+        answer(actions, message.request, state_contents {state.current});
     else
         answer(actions, message.request, state_accepted {});
 }
@@ -160,10 +160,10 @@
     action_list actions;
     std::visit(base::overloaded {
                    [&](const submit_state &m) { submit(state, m, actions); },
-                   [&](const show_state &m) { show(state, m, actions); },
+                   [&](const get_state &m) { show(state, m, actions); },
                    [&](const state_committed &m) { commit(state, m, actions); },
-                   [&](const state_withdrawn &m) { withdraw(state, m, actions); },
-                   [&](const read_settled &m) { settleRead(state, m, actions); },
+                   [&](const state_proposal_rejected &m) { withdraw(state, m, actions); },
+                   [&](const read_outcome &m) { settleRead(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -97,7 +97,7 @@
         give(submit_state {requestOf(20), stateOf(version, inspect, "{\"other\":1}")});
         CHECK(all<propose_state>().empty());
         CHECK_EQUAL(1U, all<confirm_read>().size());
-        give(read_settled {requestOf(20)});
+        give(read_outcome {requestOf(20)});
         CHECK(isAccepted(20));
         CHECK(*state.current == *stateOf(7, logbook));
     }
@@ -135,28 +135,28 @@
 TEST(states, aVmThatDoesNotLeadSendsOperatorsToTheOneThatDoes)
 {
     give(leadership_update {false, leaderApi});
-    for (const state_message &message : {state_message(show_state {requestOf(1)}),
+    for (const state_message &message : {state_message(get_state {requestOf(1)}),
                                          state_message(submit_state {requestOf(1), stateOf(1)})}) {
         give(message);
         const state_outcome outcome = all<state_answer>().front().outcome;
-        CHECK(std::get<ask_leader>(outcome).api == leaderApi);
+        CHECK(std::get<redirect_to_leader>(outcome).api == leaderApi);
     }
     give(leadership_update {false, {}});
-    give(show_state {requestOf(2)});
+    give(get_state {requestOf(2)});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
 }
 
 TEST(states, aReadThatNoQuorumConfirmsIsRefused)
 {
     put(3);
-    give(show_state {requestOf(8)});
+    give(get_state {requestOf(8)});
     CHECK(all<state_answer>().empty());
-    give(read_settled {requestOf(8), base::error {base::error_code::quorumLost, ""}});
+    give(read_outcome {requestOf(8), base::error {base::error_code::quorumLost, ""}});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
-    give(show_state {requestOf(9)});
-    give(read_settled {requestOf(9)});
+    give(get_state {requestOf(9)});
+    give(read_outcome {requestOf(9)});
     const state_outcome outcome = all<state_answer>().front().outcome;
-    CHECK_EQUAL(3U, std::get<state_shown>(outcome).state->version);
+    CHECK_EQUAL(3U, std::get<state_contents>(outcome).state->version);
 }
 
 TEST(states, whenLeadershipEndsNobodyIsToldThatAStateWasAccepted)
@@ -174,8 +174,8 @@
 TEST(states, aWithdrawnProposalMayBeSentAgain)
 {
     give(submit_state {requestOf(1), stateOf(5)});
-    give(state_withdrawn {all<propose_state>().front().token,
-                          base::error {base::error_code::tooBusy, ""}});
+    give(state_proposal_rejected {all<propose_state>().front().token,
+                                  base::error {base::error_code::tooBusy, ""}});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
     put(5);
 }
--- a/lycheeshunt/states/get_state.h
+++ b/lycheeshunt/states/get_state.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::states {
 
 // An operator asks for the desired state in force.
-struct show_state
+struct get_state
 {
     const base::request_id request;
 
-    bool operator==(const show_state &) const = default;
+    bool operator==(const get_state &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/read_outcome.h
+++ b/lycheeshunt/states/read_outcome.h
@@ -8,12 +8,12 @@
 namespace lycheeshunt::states {
 
 // Whether this VM is known to be current for the request.
-struct read_settled
+struct read_outcome
 {
     const base::request_id request;
     const std::optional<base::error> failure = {};
 
-    bool operator==(const read_settled &) const = default;
+    bool operator==(const read_outcome &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/redirect_to_leader.h
+++ b/lycheeshunt/states/redirect_to_leader.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::states {
 
 // Another VM leads: ask there.
-struct ask_leader
+struct redirect_to_leader
 {
     const base::endpoint api;
 
-    bool operator==(const ask_leader &) const = default;
+    bool operator==(const redirect_to_leader &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_answer.h
+++ b/lycheeshunt/states/state_answer.h
@@ -10,9 +10,9 @@
 
 namespace lycheeshunt::states {
 
-using state_outcome = std::variant<state_accepted, state_shown, ask_leader, base::error>;
+using state_outcome = std::variant<state_accepted, state_contents, redirect_to_leader, base::error>;
 
-// The answer to submit_state or show_state. An error says that the outcome is not known.
+// The answer to submit_state or get_state. An error says that the outcome is not known.
 struct state_answer
 {
     const base::request_id request;
--- a/lycheeshunt/states/state_contents.h
+++ b/lycheeshunt/states/state_contents.h
@@ -5,11 +5,11 @@
 namespace lycheeshunt::states {
 
 // The desired state in force; null before the first.
-struct state_shown
+struct state_contents
 {
     const shared_state state;
 
-    bool operator==(const state_shown &) const = default;
+    bool operator==(const state_contents &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_duty.cpp
+++ b/lycheeshunt/states/state_duty.cpp
@@ -22,7 +22,7 @@
     const base::clock_time now = base::clock_time::steady();
     if (const submit_state *submitted = std::get_if<submit_state>(&message))
         m_askedAt.emplace(submitted->request, now);
-    else if (const show_state *shown = std::get_if<show_state>(&message))
+    else if (const get_state *shown = std::get_if<get_state>(&message))
         m_askedAt.emplace(shown->request, now);
 }
 
@@ -52,9 +52,9 @@
 {
     const base::error busy {base::error_code::tooBusy, "replication"};
     if (const propose_state *proposed = std::get_if<propose_state>(&action))
-        handle(state_withdrawn {proposed->token, busy});
+        handle(state_proposal_rejected {proposed->token, busy});
     else if (const confirm_read *read = std::get_if<confirm_read>(&action))
-        handle(read_settled {read->request, busy});
+        handle(read_outcome {read->request, busy});
 }
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_message.h
+++ b/lycheeshunt/states/state_message.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "lycheeshunt/states/confirm_read.h"
+#include "lycheeshunt/states/get_state.h"
 #include "lycheeshunt/states/leadership_update.h"
 #include "lycheeshunt/states/propose_state.h"
 #include "lycheeshunt/states/read_outcome.h"
-#include "lycheeshunt/states/get_state.h"
 #include "lycheeshunt/states/state_answer.h"
 #include "lycheeshunt/states/state_committed.h"
 #include "lycheeshunt/states/state_proposal_rejected.h"
@@ -14,8 +14,8 @@
 
 namespace lycheeshunt::states {
 
-using state_message = std::variant<submit_state, show_state, state_committed, state_withdrawn,
-                                   read_settled, leadership_update>;
+using state_message = std::variant<submit_state, get_state, state_committed,
+                                   state_proposal_rejected, read_outcome, leadership_update>;
 using state_action = std::variant<propose_state, state_answer, confirm_read>;
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_proposal_rejected.h
+++ b/lycheeshunt/states/state_proposal_rejected.h
@@ -7,12 +7,12 @@
 namespace lycheeshunt::states {
 
 // A proposal did not get into the log, or nobody knows whether it did.
-struct state_withdrawn
+struct state_proposal_rejected
 {
     const std::uint64_t token = 0;
     const base::error reason;
 
-    bool operator==(const state_withdrawn &) const = default;
+    bool operator==(const state_proposal_rejected &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/states_state.h
+++ b/lycheeshunt/states/states_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "lycheeshunt/states/get_state.h"
 #include "lycheeshunt/states/leadership_update.h"
 #include "lycheeshunt/states/pending_state.h"
-#include "lycheeshunt/states/get_state.h"
 
 #include <map>
 #include <memory>
@@ -11,14 +11,14 @@
 namespace lycheeshunt::states {
 
 // What a reader waits for: the state in force, or that one is not above it (its version).
-using awaited_read = std::variant<show_state, std::uint64_t>;
+using pending_read = std::variant<get_state, std::uint64_t>;
 
 struct states_state
 {
     // Null before the first.
     shared_state current;
     std::map<std::uint64_t, pending_state> pending;
-    std::map<base::request_id, awaited_read> reads;
+    std::map<base::request_id, pending_read> reads;
     std::uint64_t lastToken = 0;
     std::shared_ptr<const leadership_update> leadership
         = std::make_shared<const leadership_update>();
--- a/lycheeshunt/tickets/confirm_read.h
+++ b/lycheeshunt/tickets/confirm_read.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::tickets {
 
-// Find out whether what this VM knows is current; read_settled is the answer.
+// Find out whether what this VM knows is current; read_outcome is the answer.
 struct confirm_read
 {
     const base::request_id request;
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -105,7 +105,7 @@
     actions.emplace_back(confirm_read {message.request});
 }
 
-void show(ticket_state &state, const show_ticket &message, action_list &actions)
+void show(ticket_state &state, const get_ticket &message, action_list &actions)
 {
     state.reads.emplace(message.request, message.number);
     actions.emplace_back(confirm_read {message.request});
@@ -134,12 +134,12 @@
         actions.emplace_back(ticket_answer {request, ticket_refusal {std::move(faults)}});
 }
 
-void settleRead(ticket_state &state, const read_settled &message, action_list &actions)
+void settleRead(ticket_state &state, const read_outcome &message, action_list &actions)
 {
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
         return;
-    const awaited_read awaited = found->second;
+    const pending_read awaited = found->second;
     state.reads.erase(found);
     if (message.failure) {
         refuse(message.request, *message.failure, actions);
@@ -197,7 +197,7 @@
     answerPending(state, record.ticket, faults, actions);
 }
 
-void withdraw(ticket_state &state, const proposal_withdrawn &message, action_list &actions)
+void withdraw(ticket_state &state, const proposal_rejected &message, action_list &actions)
 {
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
         if (it->second.token != message.token)
@@ -230,11 +230,11 @@
     action_list actions;
     std::visit(base::overloaded {
                    [&](const submit_ticket &m) { submit(state, m, actions); },
-                   [&](const show_ticket &m) { show(state, m, actions); },
+                   [&](const get_ticket &m) { show(state, m, actions); },
                    [&](const ticket_committed &m) { commit(state, m, actions); },
                    [&](const other_committed &m) { actions.emplace_back(m); },
-                   [&](const proposal_withdrawn &m) { withdraw(state, m, actions); },
-                   [&](const read_settled &m) { settleRead(state, m, actions); },
+                   [&](const proposal_rejected &m) { withdraw(state, m, actions); },
+                   [&](const read_outcome &m) { settleRead(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
--- a/lycheeshunt/tickets/decision_test.cpp
+++ b/lycheeshunt/tickets/decision_test.cpp
@@ -74,7 +74,7 @@
     const std::vector<ticket_action> asked = run(submit_ticket {base::request_id(1), bad});
     const ticket_action expected = confirm_read {base::request_id(1)};
     CHECK(asked.at(0) == expected);
-    const std::vector<ticket_action> answers = run(read_settled {base::request_id(1)});
+    const std::vector<ticket_action> answers = run(read_outcome {base::request_id(1)});
     LONGS_EQUAL(4, refusalIn(answers)->faults.size());
     CHECK(state == before);
 }
@@ -106,7 +106,7 @@
     CHECK(run(ticket_committed {ticket_record {late, base::generation(3), {}}}).empty());
     CHECK(state == before);
     run(submit_ticket {base::request_id(1), late});
-    const std::vector<ticket_action> answers = run(read_settled {base::request_id(1)});
+    const std::vector<ticket_action> answers = run(read_outcome {base::request_id(1)});
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketOutOfOrder);
     // A gap is no fault, and a ticket that touches other objects may come late.
     CHECK(std::holds_alternative<propose_ticket>(
@@ -159,8 +159,8 @@
     run(leadership_update {reason});
     run(leadership_update {});
     run(submit_ticket {base::request_id(2), wanted});
-    CHECK(run(proposal_withdrawn {1, reason}).empty());
-    LONGS_EQUAL(1, run(proposal_withdrawn {2, reason}).size());
+    CHECK(run(proposal_rejected {1, reason}).empty());
+    LONGS_EQUAL(1, run(proposal_rejected {2, reason}).size());
     CHECK(state.pending.empty());
 }
 
@@ -171,9 +171,9 @@
     for (const std::optional<base::error> &failure :
          {std::optional<base::error>(), std::optional<base::error>(reason)}) {
         const std::vector<ticket_action> asked
-            = run(show_ticket {base::request_id(1), base::ticket_number(1)});
+            = run(get_ticket {base::request_id(1), base::ticket_number(1)});
         CHECK(std::holds_alternative<confirm_read>(asked.at(0)));
-        const std::vector<ticket_action> answers = run(read_settled {base::request_id(1), failure});
+        const std::vector<ticket_action> answers = run(read_outcome {base::request_id(1), failure});
         CHECK((refusalIn(answers) != nullptr) == failure.has_value());
     }
     CHECK(state.reads.empty());
--- a/lycheeshunt/tickets/get_ticket.h
+++ b/lycheeshunt/tickets/get_ticket.h
@@ -6,12 +6,12 @@
 namespace lycheeshunt::tickets {
 
 // An operator asks for what is known of a ticket.
-struct show_ticket
+struct get_ticket
 {
     const base::request_id request;
     const base::ticket_number number;
 
-    bool operator==(const show_ticket &) const = default;
+    bool operator==(const get_ticket &) const = default;
 };
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/read_outcome.h
+++ b/lycheeshunt/tickets/read_outcome.h
@@ -8,12 +8,12 @@
 namespace lycheeshunt::tickets {
 
 // Answers confirm_read: without a failure, what this VM knows was current after the question.
-struct read_settled
+struct read_outcome
 {
     const base::request_id request;
     const std::optional<base::error> failure = {};
 
-    bool operator==(const read_settled &) const = default;
+    bool operator==(const read_outcome &) const = default;
 };
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/ticket_answer.h
+++ b/lycheeshunt/tickets/ticket_answer.h
@@ -10,7 +10,7 @@
 
 using ticket_outcome = std::variant<ticket_record, ticket_refusal>;
 
-// The answer to submit_ticket or show_ticket.
+// The answer to submit_ticket or get_ticket.
 struct ticket_answer
 {
     const base::request_id request;
--- a/lycheeshunt/tickets/ticket_duty.cpp
+++ b/lycheeshunt/tickets/ticket_duty.cpp
@@ -29,9 +29,9 @@
 {
     const base::error busy {base::error_code::tooBusy, "replication"};
     if (const propose_ticket *proposed = std::get_if<propose_ticket>(&action))
-        handle(proposal_withdrawn {proposed->token, busy});
+        handle(proposal_rejected {proposed->token, busy});
     else if (const confirm_read *read = std::get_if<confirm_read>(&action))
-        handle(read_settled {read->request, busy});
+        handle(read_outcome {read->request, busy});
 }
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/ticket_state.h
+++ b/lycheeshunt/tickets/ticket_state.h
@@ -11,7 +11,7 @@
 
 // What waits until this VM is known to be current: a question about a ticket, or a submitted
 // ticket that has faults by what this VM knows.
-using awaited_read = std::variant<base::ticket_number, ticket>;
+using pending_read = std::variant<base::ticket_number, ticket>;
 
 // All accepted tickets and what they amount to, and who waits for an answer. The first three
 // members are the same on every control VM that has applied the same log.
@@ -23,7 +23,7 @@
     std::map<std::string, base::ticket_number> touched;
 
     std::map<base::ticket_number, pending_ticket> pending;
-    std::map<base::request_id, awaited_read> reads;
+    std::map<base::request_id, pending_read> reads;
     std::uint64_t lastToken = 0;
     // Why this VM can't propose; empty while it leads.
     std::vector<base::error> refusal
