Reword the comments of tickets, states and operators

Comments said in figures what is queued, retried or rejected; they now use the terms of the field and name the reason. Local names follow: lastChangedBy, objectKeyOf, successorOf, rejectUndelivered, rejectUnknownFields.

--- a/lycheeshunt/operators/api_server.h
+++ b/lycheeshunt/operators/api_server.h
@@ -1,5 +1,5 @@
 // The HTTP listener for operators, by cpprestsdk. Requests go to the operator duty's ring; its
-// replies come back through reply(). Bounds body size and the requests under way.
+// replies come back through reply(). Limits the body size and the in-flight requests.
 //
 //     result<std::unique_ptr<api_server>> api = api_server::open(local, operators.inbox());
 
--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -73,7 +73,7 @@
     return base::clock_time::ofMillis(static_cast<std::int64_t>(millis));
 }
 
-// Takes as long whichever byte differs.
+// Constant-time comparison: its duration does not depend on which byte differs.
 bool isAuthorized(const operator_state &state, const http_arrived &arrived)
 {
     const std::string wanted = "Bearer " + state.token;
--- a/lycheeshunt/operators/json.cpp
+++ b/lycheeshunt/operators/json.cpp
@@ -43,7 +43,7 @@
     return field.as_number().to_uint32();
 }
 
-void refuseOthers(const value &object, const std::set<std::string> &known)
+void rejectUnknownFields(const value &object, const std::set<std::string> &known)
 {
     const web::json::object &fields = object.as_object();
     for (auto it = fields.begin(); it != fields.end(); ++it) {
@@ -70,9 +70,9 @@
 tickets::service_limits limitsFrom(const value &json)
 {
     const tickets::service_limits usual;
-    refuseOthers(json,
-                 {"slots", "connections", "queue_length", "queue_wait_ms", "long_work_age_ms",
-                  "short_only_slots"});
+    rejectUnknownFields(json,
+                        {"slots", "connections", "queue_length", "queue_wait_ms",
+                         "long_work_age_ms", "short_only_slots"});
     return tickets::service_limits {
         numberOr(json, "slots", usual.slots),
         numberOr(json, "connections", usual.connections),
@@ -87,7 +87,7 @@
 tickets::ticket_change serviceFrom(const value &json)
 {
     const tickets::service_definition usual;
-    refuseOthers(json, {"name", "addresses", "limits", "buckets"});
+    rejectUnknownFields(json, {"name", "addresses", "limits", "buckets"});
     std::vector<tickets::service_address> addresses;
     for (const value &raw : member(json, "addresses").as_array())
         addresses.push_back(addressFrom(raw));
@@ -108,7 +108,7 @@
     if (!json.has_field("drain"))
         throw malformed_ticket("a change must be one of service, remove_service, drain");
     const value &drain = json.at("drain");
-    refuseOthers(drain, {"node", "draining"});
+    rejectUnknownFields(drain, {"node", "draining"});
     return tickets::drain_order {textOf(drain, "node"),
                                  !drain.has_field("draining") || drain.at("draining").as_bool()};
 }
@@ -122,7 +122,7 @@
     return value::array(all);
 }
 
-// The lists are bounded; the counts are whole.
+// The lists are truncated to a limit; the counts are complete.
 void addLaggards(value &json, const dissemination::in_force_answer &force)
 {
     json["behind"] = namesJson(force.behind);
@@ -157,7 +157,7 @@
 {
     try {
         const value json = value::parse(text);
-        refuseOthers(json, {"number", "author", "changes"});
+        rejectUnknownFields(json, {"number", "author", "changes"});
         const value &number = member(json, "number");
         if (!number.is_integer() || !number.as_number().is_uint64())
             throw malformed_ticket("number must be a whole number");
--- a/lycheeshunt/operators/pending_request.h
+++ b/lycheeshunt/operators/pending_request.h
@@ -9,7 +9,7 @@
 
 enum class request_kind : std::uint8_t { ticket, status, servers };
 
-// A request under way. One about a ticket may wait for it to be in force.
+// An in-flight request. One about a ticket may wait for it to be in force.
 struct pending_request
 {
     const request_kind kind = request_kind::ticket;
--- a/lycheeshunt/operators/token_file.h
+++ b/lycheeshunt/operators/token_file.h
@@ -1,4 +1,5 @@
-// The secret that operators must show to change anything, kept in a file that nobody else may read.
+// The secret that operators must present to change anything, kept in a file that nobody else may
+// read.
 //
 //     const base::result<std::string> token = readToken("/etc/lycheeshunt/token");
 
--- a/lycheeshunt/states/codec.h
+++ b/lycheeshunt/states/codec.h
@@ -10,9 +10,10 @@
 namespace lycheeshunt::states {
 
 std::string encodeState(const desired_state &state);
-// Anything but whole bytes of encodeState is messageMalformed or messageTooLarge.
+// Fails with messageMalformed or messageTooLarge unless the bytes are complete output of
+// encodeState.
 base::result<shared_state> decodeState(std::string_view bytes);
-// Costs no decompression.
+// Reads the version without decompressing the state.
 base::result<std::uint64_t> versionOf(std::string_view bytes);
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/confirm_read.h
+++ b/lycheeshunt/states/confirm_read.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::states {
 
-// Find out whether this VM is current.
+// Requests a check that this VM has applied every entry committed so far; read_outcome is the
+// reply.
 struct confirm_read
 {
     const base::request_id request;
--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -41,13 +41,14 @@
     if (proposed == state.pending.end()) {
         const shared_state latest
             = state.pending.empty() ? state.current : state.pending.rbegin()->second.state;
-        const shared_state next = succeeding(latest, message.state);
+        const shared_state next = successorOf(latest, message.state);
         const std::uint64_t token = ++state.lastToken;
         state.pending.emplace(version, pending_state {next, token, {message.request}});
         actions.emplace_back(propose_state {next, token});
         return;
     }
-    // Whatever becomes of the first of this number, the second changes nothing after it.
+    // Once the first state of this version is committed, a second one changes nothing, so the
+    // request joins the pending proposal.
     std::vector<base::request_id> waiting = proposed->second.waiting;
     waiting.push_back(message.request);
     const pending_state joined {proposed->second.state, proposed->second.token, std::move(waiting)};
@@ -89,7 +90,7 @@
     state.pending.erase(found);
 }
 
-void settleRead(states_state &state, const read_outcome &message, action_list &actions)
+void handleReadOutcome(states_state &state, const read_outcome &message, action_list &actions)
 {
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
@@ -139,7 +140,7 @@
 
 } // namespace
 
-shared_state succeeding(const shared_state &present, const shared_state &sent)
+shared_state successorOf(const shared_state &present, const shared_state &sent)
 {
     if (!present)
         return sent;
@@ -163,7 +164,7 @@
                    [&](const get_state &m) { show(state, m, actions); },
                    [&](const state_committed &m) { commit(state, m, actions); },
                    [&](const state_proposal_rejected &m) { withdraw(state, m, actions); },
-                   [&](const read_outcome &m) { settleRead(state, m, actions); },
+                   [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
--- a/lycheeshunt/states/decision.h
+++ b/lycheeshunt/states/decision.h
@@ -1,6 +1,6 @@
-// Decides which desired state is in force and what operators are told. The highest number wins; a
-// state whose number is not above the one in force changes nothing and is accepted all the same,
-// so that an operator may send the same again without harm.
+// Decides which desired state is in force and how operators' requests are answered. The highest
+// number wins; a state whose number is not above the one in force changes nothing and is still
+// accepted, so that operators can retry safely.
 //
 //     step<states_state, state_action> next = decide(std::move(state), message);
 
@@ -14,8 +14,8 @@
 
 base::step<states_state, state_action> decide(states_state state, const state_message &message);
 
-// A state as it follows the present one (null before the first): each route keeps the services that
-// had a share before.
-shared_state succeeding(const shared_state &present, const shared_state &sent);
+// The sent state with each route's former services taken from the present state (null before the
+// first), so that open flows stay with the services they started on.
+shared_state successorOf(const shared_state &present, const shared_state &sent);
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -1,4 +1,4 @@
-// Cases of desired states that race, repeat and come late, driven without sockets or a log.
+// Desired states that race, are retried or arrive late, driven without sockets or a log.
 
 #include "lycheeshunt/states/decision.h"
 
@@ -165,7 +165,7 @@
     const propose_state proposed = all<propose_state>().front();
     give(leadership_update {false, leaderApi});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
-    // It may be committed all the same; nobody waits for it any more.
+    // It may still be committed; no request waits for it any more.
     give(state_committed {proposed.state});
     CHECK(all<state_answer>().empty());
     CHECK_EQUAL(5U, state.currentVersion());
--- a/lycheeshunt/states/desired_state.h
+++ b/lycheeshunt/states/desired_state.h
@@ -10,11 +10,12 @@
 
 namespace lycheeshunt::states {
 
-// Everything that operators want, under one number. The one with the highest number is in force.
+// The complete configuration that operators request, under one version. The highest version is in
+// force.
 struct desired_state
 {
     const std::uint64_t version = 0;
-    // As the operator sent it, to be read back.
+    // The operator's document, returned unchanged by a read.
     const std::string document = {};
     const std::vector<tickets::service_definition> services = {};
     const std::vector<tickets::address_route> routes = {};
--- a/lycheeshunt/states/get_state.h
+++ b/lycheeshunt/states/get_state.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::states {
 
-// An operator asks for the desired state in force.
+// An operator reads the desired state in force.
 struct get_state
 {
     const base::request_id request;
--- a/lycheeshunt/states/pending_state.h
+++ b/lycheeshunt/states/pending_state.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::states {
 
-// A proposal under way and who waits for it.
+// An in-flight proposal and the requests that wait for its outcome.
 struct pending_state
 {
     const shared_state state;
--- a/lycheeshunt/states/propose_state.h
+++ b/lycheeshunt/states/propose_state.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::states {
 
-// Put this into the log.
+// Appends the state to the log.
 struct propose_state
 {
     const shared_state state;
--- a/lycheeshunt/states/redirect_to_leader.h
+++ b/lycheeshunt/states/redirect_to_leader.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::states {
 
-// Another VM leads: ask there.
+// Another VM leads; the request has to be sent to its API.
 struct redirect_to_leader
 {
     const base::endpoint api;
--- a/lycheeshunt/states/state_answer.h
+++ b/lycheeshunt/states/state_answer.h
@@ -12,7 +12,7 @@
 
 using state_outcome = std::variant<state_accepted, state_contents, redirect_to_leader, base::error>;
 
-// The answer to submit_state or get_state. An error says that the outcome is not known.
+// The answer to submit_state or get_state. An error means that the outcome is unknown.
 struct state_answer
 {
     const base::request_id request;
--- a/lycheeshunt/states/state_duty.cpp
+++ b/lycheeshunt/states/state_duty.cpp
@@ -21,18 +21,18 @@
 {
     const base::clock_time now = base::clock_time::steady();
     if (const submit_state *submitted = std::get_if<submit_state>(&message))
-        m_askedAt.emplace(submitted->request, now);
+        m_requestedAt.emplace(submitted->request, now);
     else if (const get_state *shown = std::get_if<get_state>(&message))
-        m_askedAt.emplace(shown->request, now);
+        m_requestedAt.emplace(shown->request, now);
 }
 
 void state_duty::noteAnswer(base::request_id request)
 {
-    const auto asked = m_askedAt.find(request);
-    if (asked == m_askedAt.end())
+    const auto asked = m_requestedAt.find(request);
+    if (asked == m_requestedAt.end())
         return;
     m_answers.record(base::clock_time::steady() - asked->second);
-    m_askedAt.erase(asked);
+    m_requestedAt.erase(asked);
 }
 
 void state_duty::handle(const state_message &message)
@@ -44,11 +44,11 @@
         if (const state_answer *answer = std::get_if<state_answer>(&action))
             noteAnswer(answer->request);
         if (!m_sink(action))
-            giveUp(action);
+            rejectUndelivered(action);
     }
 }
 
-void state_duty::giveUp(const state_action &action)
+void state_duty::rejectUndelivered(const state_action &action)
 {
     const base::error busy {base::error_code::tooBusy, "replication"};
     if (const propose_state *proposed = std::get_if<propose_state>(&action))
--- a/lycheeshunt/states/state_duty.h
+++ b/lycheeshunt/states/state_duty.h
@@ -1,4 +1,4 @@
-// The thread of a control process that keeps the desired state.
+// The thread of a control process that manages the desired state.
 
 #pragma once
 
@@ -14,8 +14,8 @@
 class state_duty
 {
 public:
-    // Called on the duty's thread for every action. Returns false when a proposal or a question
-    // can't be taken now; those who wait for it are then told so.
+    // Called on the duty's thread for every action. Returns false when a proposal or a read
+    // can't be queued now; the requests that wait for it then fail with tooBusy.
     using action_sink = std::function<bool(const state_action &)>;
 
     explicit state_duty(action_sink sink);
@@ -29,10 +29,10 @@
     void handle(const state_message &message);
     void noteRequest(const state_message &message);
     void noteAnswer(base::request_id request);
-    void giveUp(const state_action &action);
+    void rejectUndelivered(const state_action &action);
 
     states_state m_state;
-    std::map<base::request_id, base::clock_time> m_askedAt;
+    std::map<base::request_id, base::clock_time> m_requestedAt;
     metrics::span_histogram m_answers {"state_answer_ms",
                                        "From an operator's request to its answer."};
     const action_sink m_sink;
--- a/lycheeshunt/states/state_proposal_rejected.h
+++ b/lycheeshunt/states/state_proposal_rejected.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::states {
 
-// A proposal did not get into the log, or nobody knows whether it did.
+// A proposal was not appended to the log, or its outcome is unknown.
 struct state_proposal_rejected
 {
     const std::uint64_t token = 0;
--- a/lycheeshunt/states/states_state.h
+++ b/lycheeshunt/states/states_state.h
@@ -10,7 +10,8 @@
 
 namespace lycheeshunt::states {
 
-// What a reader waits for: the state in force, or that one is not above it (its version).
+// A read that waits until this VM is known to be current: of the state in force, or of whether a
+// submitted version is still not above it.
 using pending_read = std::variant<get_state, std::uint64_t>;
 
 struct states_state
--- a/lycheeshunt/states/submit_state.h
+++ b/lycheeshunt/states/submit_state.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::states {
 
-// An operator sends a whole desired state that has been found valid.
+// An operator submits a complete desired state that has passed validation.
 struct submit_state
 {
     const base::request_id request;
--- a/lycheeshunt/tickets/address_route.h
+++ b/lycheeshunt/tickets/address_route.h
@@ -18,10 +18,10 @@
     // Services that had a share before, the latest first: open flows stay with them.
     const std::vector<base::service_id> former = {};
     const request_kind kind = request_kind::nonIdempotent;
-    // Callers give up after this.
+    // Callers time out after this.
     const base::clock_time timeout = {};
     const base::clock_time targetLatency = {};
-    // 0 goes first.
+    // 0 is the highest priority.
     const std::uint32_t priority = 0;
 
     bool hasShare(base::service_id service) const
--- a/lycheeshunt/tickets/confirm_read.h
+++ b/lycheeshunt/tickets/confirm_read.h
@@ -4,7 +4,8 @@
 
 namespace lycheeshunt::tickets {
 
-// Find out whether what this VM knows is current; read_outcome is the answer.
+// Requests a check that this VM has applied every entry committed so far; read_outcome is the
+// reply.
 struct confirm_read
 {
     const base::request_id request;
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -50,7 +50,7 @@
     actions.emplace_back(ticket_answer {request, ticket_refusal {{fault}}});
 }
 
-// Records never change, so they may be told by any control VM at any time.
+// Records never change, so any control VM may answer from them at any time.
 bool answerFromRecord(const ticket_state &state, base::request_id request, const ticket &wanted,
                       action_list &actions)
 {
@@ -64,7 +64,8 @@
     return true;
 }
 
-// A submitted ticket joins one of its number that is under way, or is refused by it.
+// A submitted ticket joins the pending proposal of its number, or is rejected if it differs from
+// it.
 bool joinPending(ticket_state &state, base::request_id request, const ticket &wanted,
                  action_list &actions)
 {
@@ -100,7 +101,8 @@
         propose(state, message.request, wanted, actions);
         return;
     }
-    // The faults may be those of a VM that has missed something.
+    // The errors may come from a stale state of this VM, so check that it is current before
+    // answering.
     state.reads.emplace(message.request, wanted);
     actions.emplace_back(confirm_read {message.request});
 }
@@ -111,8 +113,8 @@
     actions.emplace_back(confirm_read {message.request});
 }
 
-void answerShow(const ticket_state &state, base::request_id request, base::ticket_number number,
-                action_list &actions)
+void answerGet(const ticket_state &state, base::request_id request, base::ticket_number number,
+               action_list &actions)
 {
     const auto known = state.records.find(number);
     if (known != state.records.end())
@@ -134,7 +136,7 @@
         actions.emplace_back(ticket_answer {request, ticket_refusal {std::move(faults)}});
 }
 
-void settleRead(ticket_state &state, const read_outcome &message, action_list &actions)
+void handleReadOutcome(ticket_state &state, const read_outcome &message, action_list &actions)
 {
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
@@ -148,7 +150,7 @@
     std::visit(
         base::overloaded {
             [&](const base::ticket_number &number) {
-                answerShow(state, message.request, number, actions);
+                answerGet(state, message.request, number, actions);
             },
             [&](const ticket &wanted) { answerSubmit(state, message.request, wanted, actions); },
         },
@@ -172,7 +174,7 @@
     const auto proposed = state.pending.find(committed.number);
     if (proposed == state.pending.end())
         return;
-    // A refused ticket of other content leaves the number free for the one that waits.
+    // A rejected ticket of other content leaves the number free for the pending one.
     const bool isOther = proposed->second.ticket != committed;
     if (isOther && state.records.count(committed.number) == 0)
         return;
@@ -214,7 +216,7 @@
     state.refusal.clear();
     if (message.refusal)
         state.refusal.push_back(*message.refusal);
-    // Of an earlier leadership of this VM, or of one that has just ended.
+    // The pending proposals belong to an earlier leadership of this VM; their outcome is unknown.
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
         for (const base::request_id &request : it->second.waiting)
             refuse(request, {base::error_code::ticketOutcomeUnknown, numberText(it->first)},
@@ -234,7 +236,7 @@
                    [&](const ticket_committed &m) { commit(state, m, actions); },
                    [&](const other_committed &m) { actions.emplace_back(m); },
                    [&](const proposal_rejected &m) { withdraw(state, m, actions); },
-                   [&](const read_outcome &m) { settleRead(state, m, actions); },
+                   [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
--- a/lycheeshunt/tickets/decision.h
+++ b/lycheeshunt/tickets/decision.h
@@ -1,8 +1,8 @@
-// Decides what becomes of each ticket: one outcome a number, whatever is sent again.
+// Decides the outcome of each ticket: one outcome per number, also when it is retried.
 //
 //     step<ticket_state, ticket_action> next = decide(std::move(state), message);
 //
-// A ticket is checked when it is submitted, so that its operator hears of every fault at once, and
+// A ticket is checked when it is submitted, so that its operator gets every error at once, and
 // again when the log has committed it, since another may have been committed in between. Only the
 // second check decides, and it comes out the same on every control VM.
 
--- a/lycheeshunt/tickets/decision_test.cpp
+++ b/lycheeshunt/tickets/decision_test.cpp
@@ -101,14 +101,14 @@
     run(ticket_committed {ticket_record {later, base::generation(1), {}}});
     run(ticket_committed {ticket_record {removal, base::generation(2), {}}});
     const ticket_state before = state;
-    // Committed, since it was proposed before the others came.
+    // Committed, since it was proposed before the others arrived.
     const ticket late = ticketOf(8, "logbook");
     CHECK(run(ticket_committed {ticket_record {late, base::generation(3), {}}}).empty());
     CHECK(state == before);
     run(submit_ticket {base::request_id(1), late});
     const std::vector<ticket_action> answers = run(read_outcome {base::request_id(1)});
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketOutOfOrder);
-    // A gap is no fault, and a ticket that touches other objects may come late.
+    // A gap is no error, and a ticket that changes other objects may arrive late.
     CHECK(std::holds_alternative<propose_ticket>(
         run(submit_ticket {base::request_id(2), ticketOf(3, "inspect")}).at(0)));
     CHECK(std::holds_alternative<propose_ticket>(
@@ -143,7 +143,7 @@
     LONGS_EQUAL(2, answers.size());
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketOutcomeUnknown);
     CHECK(state.pending.empty());
-    // Not proposed by a VM that does not lead; known all the same once it is committed.
+    // Not proposed by a VM that does not lead; recorded once it is committed.
     CHECK(refusalIn(run(submit_ticket {base::request_id(3), wanted}))->faults.at(0) == reason);
     const ticket_record record {wanted, base::generation(5), base::clock_time::ofSeconds(9)};
     run(ticket_committed {record});
--- a/lycheeshunt/tickets/get_ticket.h
+++ b/lycheeshunt/tickets/get_ticket.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::tickets {
 
-// An operator asks for what is known of a ticket.
+// An operator reads a ticket.
 struct get_ticket
 {
     const base::request_id request;
--- a/lycheeshunt/tickets/leadership_update.h
+++ b/lycheeshunt/tickets/leadership_update.h
@@ -6,8 +6,8 @@
 
 namespace lycheeshunt::tickets {
 
-// Whether this VM may propose tickets, and if not, what to tell operators. Proposals made before
-// an end of leadership may still be committed by the next leader, or be lost.
+// Whether this VM may propose tickets, and if not, the error for operators. Proposals made before
+// the end of a leadership may still be committed by the next leader, or be lost.
 struct leadership_update
 {
     const std::optional<base::error> refusal = {};
--- a/lycheeshunt/tickets/other_committed.h
+++ b/lycheeshunt/tickets/other_committed.h
@@ -6,15 +6,15 @@
 
 namespace lycheeshunt::tickets {
 
-// Committed entries that are no tickets. They pass through here, in and out, so that those who
-// apply entries get all of them in the order of the log.
+// A committed entry that is not a ticket. It passes through this duty unchanged, so that entries
+// are applied in log order.
 struct other_committed
 {
     const base::generation at;
-    // A membership batch and a desired state, encoded; at least one of them is there.
+    // A membership batch and a desired state, encoded; at least one is present.
     const std::string batch = {};
     const std::string state = {};
-    // Stands for several entries: what they amount to is told, not each of them.
+    // Replaces several entries by their combined result.
     const bool isMerged = false;
 
     bool operator==(const other_committed &) const = default;
--- a/lycheeshunt/tickets/pending_ticket.h
+++ b/lycheeshunt/tickets/pending_ticket.h
@@ -8,7 +8,7 @@
 
 namespace lycheeshunt::tickets {
 
-// A proposed ticket and everyone who waits to hear of it.
+// An in-flight ticket proposal and the requests that wait for its outcome.
 struct pending_ticket
 {
     const tickets::ticket ticket;
--- a/lycheeshunt/tickets/proposal_rejected.h
+++ b/lycheeshunt/tickets/proposal_rejected.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::tickets {
 
-// The proposal with this token did not get into the log.
+// The proposal with this token was not appended to the log.
 struct proposal_rejected
 {
     const std::uint64_t token = 0;
--- a/lycheeshunt/tickets/propose_ticket.h
+++ b/lycheeshunt/tickets/propose_ticket.h
@@ -6,11 +6,11 @@
 
 namespace lycheeshunt::tickets {
 
-// Put a valid ticket into the log.
+// Appends a valid ticket to the log.
 struct propose_ticket
 {
     const tickets::ticket ticket;
-    // Names this proposal among all of this process.
+    // Identifies the proposal within this process.
     const std::uint64_t token = 0;
 
     bool operator==(const propose_ticket &) const = default;
--- a/lycheeshunt/tickets/read_outcome.h
+++ b/lycheeshunt/tickets/read_outcome.h
@@ -7,7 +7,8 @@
 
 namespace lycheeshunt::tickets {
 
-// Answers confirm_read: without a failure, what this VM knows was current after the question.
+// Reply to confirm_read. Without a failure, this VM's state was current at some time after the
+// request.
 struct read_outcome
 {
     const base::request_id request;
--- a/lycheeshunt/tickets/request_kind.h
+++ b/lycheeshunt/tickets/request_kind.h
@@ -4,10 +4,10 @@
 
 namespace lycheeshunt::tickets {
 
-// What callers may do with a request that failed.
+// Whether callers may retry a failed request.
 enum class request_kind : std::uint8_t {
-    idempotent = 1, // send it again after any failure
-    nonIdempotent = 2, // send it again only if it certainly has not run
+    idempotent = 1, // may be retried after any failure
+    nonIdempotent = 2, // may be retried only if it certainly has not run
     upload = 3, // as nonIdempotent, with a large body
 };
 
--- a/lycheeshunt/tickets/service_definition.h
+++ b/lycheeshunt/tickets/service_definition.h
@@ -9,13 +9,13 @@
 
 namespace lycheeshunt::tickets {
 
-// The whole state of one service, as a ticket gives it.
+// The complete definition of one service in a ticket.
 struct service_definition
 {
     const std::string name = {};
     const std::vector<service_address> addresses = {};
     const service_limits limits = {};
-    // Fixed for the life of a service: changing it would move every flow.
+    // Fixed while a service exists: changing it would move every flow.
     const std::uint32_t buckets = 512;
 
     base::service_id id() const { return base::serviceIdOf(name); }
--- a/lycheeshunt/tickets/service_limits.h
+++ b/lycheeshunt/tickets/service_limits.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::tickets {
 
-// What each backend server of a service may be given.
+// Limits of the work that each backend server of a service gets.
 struct service_limits
 {
     const std::uint32_t slots = 7;
@@ -18,7 +18,7 @@
     // Slots that long work may not take while short work waits.
     const std::uint32_t shortOnlySlots = 2;
 
-    // An open flow without a packet for this long is forgotten. RFC 5382 asks for 2 h 4 min.
+    // An open flow without a packet for this long is evicted. RFC 5382 asks for 2 h 4 min.
     const base::clock_time idleTimeout = base::clock_time::ofSeconds(7440);
 
     bool operator==(const service_limits &) const = default;
--- a/lycheeshunt/tickets/service_removal.h
+++ b/lycheeshunt/tickets/service_removal.h
@@ -4,7 +4,7 @@
 
 namespace lycheeshunt::tickets {
 
-// Takes a service and its addresses away.
+// Removes a service and its addresses.
 struct service_removal
 {
     const std::string name;
--- a/lycheeshunt/tickets/submit_ticket.h
+++ b/lycheeshunt/tickets/submit_ticket.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::tickets {
 
-// An operator asks for a ticket to be accepted.
+// An operator submits a ticket.
 struct submit_ticket
 {
     const base::request_id request;
--- a/lycheeshunt/tickets/ticket.h
+++ b/lycheeshunt/tickets/ticket.h
@@ -13,7 +13,7 @@
 
 using ticket_change = std::variant<service_definition, service_removal, drain_order>;
 
-// A numbered change: the whole new state of everything it touches.
+// A numbered change: the complete new state of every object it changes.
 struct ticket
 {
     const base::ticket_number number;
--- a/lycheeshunt/tickets/ticket_duty.cpp
+++ b/lycheeshunt/tickets/ticket_duty.cpp
@@ -21,11 +21,11 @@
     m_state = std::move(next.state);
     for (const ticket_action &action : next.actions) {
         if (!m_sink(action))
-            giveUp(action);
+            rejectUndelivered(action);
     }
 }
 
-void ticket_duty::giveUp(const ticket_action &action)
+void ticket_duty::rejectUndelivered(const ticket_action &action)
 {
     const base::error busy {base::error_code::tooBusy, "replication"};
     if (const propose_ticket *proposed = std::get_if<propose_ticket>(&action))
--- a/lycheeshunt/tickets/ticket_duty.h
+++ b/lycheeshunt/tickets/ticket_duty.h
@@ -12,7 +12,7 @@
 {
 public:
     // Called on the ticket thread for every action. Returns false when a proposal or a
-    // question can't be taken now; those who wait for it are then told so.
+    // question can't be queued now; the requests that wait for it then fail with tooBusy.
     using action_sink = std::function<bool(const ticket_action &)>;
 
     explicit ticket_duty(action_sink sink);
@@ -22,8 +22,8 @@
 
 private:
     void handle(const ticket_message &message);
-    // Lets the decision know of an action that could not be taken.
-    void giveUp(const ticket_action &action);
+    // Rejects the requests behind an action that could not be queued.
+    void rejectUndelivered(const ticket_action &action);
 
     ticket_state m_state;
     const action_sink m_sink;
--- a/lycheeshunt/tickets/ticket_record.h
+++ b/lycheeshunt/tickets/ticket_record.h
@@ -5,7 +5,7 @@
 
 namespace lycheeshunt::tickets {
 
-// An accepted ticket: the generation it made and when.
+// An accepted ticket, its generation and the time of acceptance.
 struct ticket_record
 {
     const tickets::ticket ticket;
--- a/lycheeshunt/tickets/ticket_refusal.h
+++ b/lycheeshunt/tickets/ticket_refusal.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::tickets {
 
-// Every fault of a ticket that was not accepted, or of a question about one.
+// All errors of a rejected ticket, or of a read of a ticket.
 struct ticket_refusal
 {
     const std::vector<base::error> faults;
--- a/lycheeshunt/tickets/ticket_state.h
+++ b/lycheeshunt/tickets/ticket_state.h
@@ -9,18 +9,18 @@
 
 namespace lycheeshunt::tickets {
 
-// What waits until this VM is known to be current: a question about a ticket, or a submitted
-// ticket that has faults by what this VM knows.
+// A request that waits until this VM is known to be current: a read of a ticket, or a submitted
+// ticket that is invalid against this VM's state.
 using pending_read = std::variant<base::ticket_number, ticket>;
 
-// All accepted tickets and what they amount to, and who waits for an answer. The first three
-// members are the same on every control VM that has applied the same log.
+// All accepted tickets, the services they define, and the requests that wait for an answer. The
+// first three members are the same on every control VM that has applied the same log.
 struct ticket_state
 {
     std::map<base::ticket_number, ticket_record> records;
     std::map<std::string, service_definition> services;
-    // The last ticket that touched each object, also of objects that are gone.
-    std::map<std::string, base::ticket_number> touched;
+    // The last ticket that changed each object, also of removed objects.
+    std::map<std::string, base::ticket_number> lastChangedBy;
 
     std::map<base::ticket_number, pending_ticket> pending;
     std::map<base::request_id, pending_read> reads;
--- a/lycheeshunt/tickets/validation.cpp
+++ b/lycheeshunt/tickets/validation.cpp
@@ -108,14 +108,14 @@
                 if (earlier.count(removal.name) == 0)
                     faults.push_back({base::error_code::ticketServiceUnknown, removal.name});
             },
-            // A node that nobody knows may be drained: it may be away just now, and what
-            // is valid must not depend on that.
+            // An unknown node may be drained: it may be unreachable at present, and validity
+            // must not depend on that.
             [&](const drain_order &order) { checkName(order.node, "node", faults); },
         },
         change);
 }
 
-// Across services; what a service says twice by itself is a duplicate.
+// Addresses shared by several services; one repeated within a service is a duplicate.
 void checkClashes(const services_by_name &services, fault_list &faults)
 {
     std::map<service_address, std::string> holders;
@@ -147,11 +147,11 @@
 {
     std::set<std::string> seen;
     for (const ticket_change &change : ticket.changes) {
-        const std::string object = objectOf(change);
+        const std::string object = objectKeyOf(change);
         if (!seen.insert(object).second)
             duplicate(faults, object);
-        const auto last = state.touched.find(object);
-        if (last != state.touched.end() && last->second >= ticket.number)
+        const auto last = state.lastChangedBy.find(object);
+        if (last != state.lastChangedBy.end() && last->second >= ticket.number)
             faults.push_back(
                 {base::error_code::ticketOutOfOrder,
                  object + " was changed by ticket " + std::to_string(last->second.value())});
@@ -171,7 +171,7 @@
 
 } // namespace
 
-std::string objectOf(const ticket_change &change)
+std::string objectKeyOf(const ticket_change &change)
 {
     return std::visit(
         base::overloaded {
@@ -205,7 +205,7 @@
 {
     for (const ticket_change &change : ticket.changes) {
         applyChange(state.services, change);
-        state.touched[objectOf(change)] = ticket.number;
+        state.lastChangedBy[objectKeyOf(change)] = ticket.number;
     }
 }
 
