Name the local terms of tickets and states decisions and their tests

The state's member for the error while another VM leads is notLeaderError; local names say existing, pending and requested where they said held, awaited and asked. Test names use the same terms; no check changed.

--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -18,7 +18,7 @@
     actions.emplace_back(state_answer {request, std::move(outcome)});
 }
 
-state_outcome elsewhere(const states_state &state)
+state_outcome notLeaderOutcome(const states_state &state)
 {
     if (state.leadership->leaderApi.port != 0)
         return redirect_to_leader {state.leadership->leaderApi};
@@ -28,7 +28,7 @@
 void submit(states_state &state, const submit_state &message, action_list &actions)
 {
     if (!state.leadership->isLeader) {
-        answer(actions, message.request, elsewhere(state));
+        answer(actions, message.request, notLeaderOutcome(state));
         return;
     }
     const std::uint64_t version = message.state->version;
@@ -56,10 +56,10 @@
     state.pending.emplace(version, joined);
 }
 
-void show(states_state &state, const get_state &message, action_list &actions)
+void getState(states_state &state, const get_state &message, action_list &actions)
 {
     if (!state.leadership->isLeader) {
-        answer(actions, message.request, elsewhere(state));
+        answer(actions, message.request, notLeaderOutcome(state));
         return;
     }
     state.reads.emplace(message.request, message);
@@ -77,7 +77,8 @@
     }
 }
 
-void withdraw(states_state &state, const state_proposal_rejected &message, action_list &actions)
+void rejectProposal(states_state &state, const state_proposal_rejected &message,
+                    action_list &actions)
 {
     const auto found = std::find_if(state.pending.begin(), state.pending.end(),
                                     [&](const std::pair<const std::uint64_t, pending_state> &row) {
@@ -95,11 +96,11 @@
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
         return;
-    const pending_read awaited = found->second;
+    const pending_read pending = found->second;
     state.reads.erase(found);
     if (message.failure)
         answer(actions, message.request, *message.failure);
-    else if (std::holds_alternative<get_state>(awaited))
+    else if (std::holds_alternative<get_state>(pending))
         answer(actions, message.request, state_contents {state.current});
     else
         answer(actions, message.request, state_accepted {});
@@ -161,9 +162,9 @@
     action_list actions;
     std::visit(base::overloaded {
                    [&](const submit_state &m) { submit(state, m, actions); },
-                   [&](const get_state &m) { show(state, m, actions); },
+                   [&](const get_state &m) { getState(state, m, actions); },
                    [&](const state_committed &m) { commit(state, m, actions); },
-                   [&](const state_proposal_rejected &m) { withdraw(state, m, actions); },
+                   [&](const state_proposal_rejected &m) { rejectProposal(state, m, actions); },
                    [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -81,7 +81,7 @@
     }
 };
 
-TEST(states, aStateIsAnsweredOnceTheLogHasIt)
+TEST(states, aStateIsAcceptedOnceItIsCommitted)
 {
     give(submit_state {requestOf(1), stateOf(4)});
     CHECK(all<state_answer>().empty());
@@ -90,7 +90,7 @@
     CHECK_EQUAL(4U, state.currentVersion());
 }
 
-TEST(states, oneThatIsNotHigherIsAcceptedAfterAConfirmedReadAndChangesNothing)
+TEST(states, aVersionThatIsNotHigherIsAcceptedAfterAConfirmedReadAndChangesNothing)
 {
     put(7, logbook);
     for (const std::uint64_t version : {7U, 3U}) {
@@ -159,7 +159,7 @@
     CHECK_EQUAL(3U, std::get<state_contents>(outcome).state->version);
 }
 
-TEST(states, whenLeadershipEndsNobodyIsToldThatAStateWasAccepted)
+TEST(states, theEndOfLeadershipNeverReportsAStateAsAccepted)
 {
     give(submit_state {requestOf(1), stateOf(5)});
     const propose_state proposed = all<propose_state>().front();
@@ -171,7 +171,7 @@
     CHECK_EQUAL(5U, state.currentVersion());
 }
 
-TEST(states, aWithdrawnProposalMayBeSentAgain)
+TEST(states, aRejectedProposalMayBeRetried)
 {
     give(submit_state {requestOf(1), stateOf(5)});
     give(state_proposal_rejected {all<propose_state>().front().token,
@@ -180,7 +180,7 @@
     put(5);
 }
 
-TEST(states, aRouteKeepsTheServicesThatItLeft)
+TEST(states, aRouteKeepsItsFormerServices)
 {
     put(1, logbook);
     put(2, inspect);
@@ -191,7 +191,7 @@
     CHECK(state.current->routes.front().former == std::vector<base::service_id> {inspect});
 }
 
-TEST(states, encodedStatesComeBackWhole)
+TEST(states, encodedStatesDecodeToTheSameState)
 {
     const std::string document(100'000, 'x');
     const desired_state sent = *stateOf(77, inspect, document);
--- a/lycheeshunt/states/state_duty.cpp
+++ b/lycheeshunt/states/state_duty.cpp
@@ -22,17 +22,17 @@
     const base::clock_time now = base::clock_time::steady();
     if (const submit_state *submitted = std::get_if<submit_state>(&message))
         m_requestedAt.emplace(submitted->request, now);
-    else if (const get_state *shown = std::get_if<get_state>(&message))
-        m_requestedAt.emplace(shown->request, now);
+    else if (const get_state *read = std::get_if<get_state>(&message))
+        m_requestedAt.emplace(read->request, now);
 }
 
 void state_duty::noteAnswer(base::request_id request)
 {
-    const auto asked = m_requestedAt.find(request);
-    if (asked == m_requestedAt.end())
+    const auto requested = m_requestedAt.find(request);
+    if (requested == m_requestedAt.end())
         return;
-    m_answers.record(base::clock_time::steady() - asked->second);
-    m_requestedAt.erase(asked);
+    m_answers.record(base::clock_time::steady() - requested->second);
+    m_requestedAt.erase(requested);
 }
 
 void state_duty::handle(const state_message &message)
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -29,20 +29,20 @@
     return std::string(text, std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts));
 }
 
-base::error takenBy(const ticket_record &held, const ticket &other)
+base::error numberTaken(const ticket_record &existing, const ticket &other)
 {
     return base::error {base::error_code::ticketNumberTaken,
-                        numberText(other.number) + " is held by " + held.ticket.author + " since "
-                            + timeText(held.acceptedAt) + " and differs in "
-                            + firstDifference(held.ticket, other)};
+                        numberText(other.number) + " is held by " + existing.ticket.author
+                            + " since " + timeText(existing.acceptedAt) + " and differs in "
+                            + firstDifference(existing.ticket, other)};
 }
 
-base::error takenBy(const pending_ticket &held, const ticket &other)
+base::error numberTaken(const pending_ticket &existing, const ticket &other)
 {
     return base::error {base::error_code::ticketNumberTaken,
-                        numberText(other.number) + " of " + held.ticket.author
+                        numberText(other.number) + " of " + existing.ticket.author
                             + " is being accepted and differs in "
-                            + firstDifference(held.ticket, other)};
+                            + firstDifference(existing.ticket, other)};
 }
 
 void refuse(base::request_id request, const base::error &fault, action_list &actions)
@@ -60,7 +60,7 @@
     if (known->second.ticket == wanted)
         actions.emplace_back(ticket_answer {request, known->second});
     else
-        refuse(request, takenBy(known->second, wanted), actions);
+        refuse(request, numberTaken(known->second, wanted), actions);
     return true;
 }
 
@@ -75,7 +75,7 @@
     if (proposed->second.ticket == wanted)
         proposed->second.waiting.push_back(request);
     else
-        refuse(request, takenBy(proposed->second, wanted), actions);
+        refuse(request, numberTaken(proposed->second, wanted), actions);
     return true;
 }
 
@@ -93,8 +93,8 @@
     if (answerFromRecord(state, message.request, wanted, actions)
         || joinPending(state, message.request, wanted, actions))
         return;
-    if (!state.refusal.empty()) {
-        refuse(message.request, state.refusal.front(), actions);
+    if (!state.notLeaderError.empty()) {
+        refuse(message.request, state.notLeaderError.front(), actions);
         return;
     }
     if (faultsOf(wanted, state).empty()) {
@@ -107,7 +107,7 @@
     actions.emplace_back(confirm_read {message.request});
 }
 
-void show(ticket_state &state, const get_ticket &message, action_list &actions)
+void getTicket(ticket_state &state, const get_ticket &message, action_list &actions)
 {
     state.reads.emplace(message.request, message.number);
     actions.emplace_back(confirm_read {message.request});
@@ -141,7 +141,7 @@
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
         return;
-    const pending_read awaited = found->second;
+    const pending_read pending = found->second;
     state.reads.erase(found);
     if (message.failure) {
         refuse(message.request, *message.failure, actions);
@@ -154,7 +154,7 @@
             },
             [&](const ticket &wanted) { answerSubmit(state, message.request, wanted, actions); },
         },
-        awaited);
+        pending);
 }
 
 ticket_outcome outcomeFor(const ticket_state &state, const ticket &wanted,
@@ -165,7 +165,7 @@
         return ticket_refusal {faults};
     if (known->second.ticket == wanted)
         return known->second;
-    return ticket_refusal {{takenBy(known->second, wanted)}};
+    return ticket_refusal {{numberTaken(known->second, wanted)}};
 }
 
 void answerPending(ticket_state &state, const ticket &committed,
@@ -199,7 +199,7 @@
     answerPending(state, record.ticket, faults, actions);
 }
 
-void withdraw(ticket_state &state, const proposal_rejected &message, action_list &actions)
+void rejectProposal(ticket_state &state, const proposal_rejected &message, action_list &actions)
 {
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
         if (it->second.token != message.token)
@@ -213,10 +213,11 @@
 
 void changeLeadership(ticket_state &state, const leadership_update &message, action_list &actions)
 {
-    state.refusal.clear();
-    if (message.refusal)
-        state.refusal.push_back(*message.refusal);
-    // The pending proposals belong to an earlier leadership of this VM; their outcome is unknown.
+    state.notLeaderError.clear();
+    if (message.notLeaderError)
+        state.notLeaderError.push_back(*message.notLeaderError);
+    // These proposals were made in a leadership of this VM that has ended; their outcome is
+    // unknown.
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
         for (const base::request_id &request : it->second.waiting)
             refuse(request, {base::error_code::ticketOutcomeUnknown, numberText(it->first)},
@@ -232,10 +233,10 @@
     action_list actions;
     std::visit(base::overloaded {
                    [&](const submit_ticket &m) { submit(state, m, actions); },
-                   [&](const get_ticket &m) { show(state, m, actions); },
+                   [&](const get_ticket &m) { getTicket(state, m, actions); },
                    [&](const ticket_committed &m) { commit(state, m, actions); },
                    [&](const other_committed &m) { actions.emplace_back(m); },
-                   [&](const proposal_rejected &m) { withdraw(state, m, actions); },
+                   [&](const proposal_rejected &m) { rejectProposal(state, m, actions); },
                    [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
--- a/lycheeshunt/tickets/decision_test.cpp
+++ b/lycheeshunt/tickets/decision_test.cpp
@@ -41,7 +41,7 @@
     }
 };
 
-TEST(ticket_decision, aTicketSentAgainGetsTheFirstAnswer)
+TEST(ticket_decision, aRetriedTicketGetsTheFirstAnswer)
 {
     const ticket wanted = ticketOf(1, "logbook");
     CHECK(std::holds_alternative<propose_ticket>(
@@ -66,7 +66,7 @@
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketNumberTaken);
 }
 
-TEST(ticket_decision, everyFaultIsNamedAndNothingChanges)
+TEST(ticket_decision, everyErrorIsReportedAndNothingChanges)
 {
     const ticket_state before = state;
     const service_definition nameless {"", {}, service_limits {0}, 0};
@@ -133,7 +133,7 @@
     CHECK(state.pending.empty());
 }
 
-TEST(ticket_decision, theEndOfLeadershipAnswersEveryoneWhoWaits)
+TEST(ticket_decision, theEndOfLeadershipAnswersAllPendingRequests)
 {
     const base::error reason {base::error_code::notLeader, "the leader is control-2"};
     const ticket wanted = ticketOf(1, "logbook");
@@ -164,7 +164,7 @@
     CHECK(state.pending.empty());
 }
 
-TEST(ticket_decision, nothingIsShownAsCurrentUnlessItIs)
+TEST(ticket_decision, aReadIsAnsweredOnlyWhenThisVmIsCurrent)
 {
     const base::error reason {base::error_code::quorumLost, "leadership ended"};
     run(ticket_committed {ticket_record {ticketOf(1, "logbook"), base::generation(1), {}}});
--- a/lycheeshunt/tickets/difference.cpp
+++ b/lycheeshunt/tickets/difference.cpp
@@ -7,31 +7,31 @@
 
 namespace {
 
-std::string limitsDifference(const service_limits &held, const service_limits &other)
+std::string limitsDifference(const service_limits &existing, const service_limits &other)
 {
-    if (held.slots != other.slots)
+    if (existing.slots != other.slots)
         return "slots";
-    if (held.connections != other.connections)
+    if (existing.connections != other.connections)
         return "connections";
-    if (held.queueLength != other.queueLength)
+    if (existing.queueLength != other.queueLength)
         return "queue_length";
-    if (held.queueWait != other.queueWait)
+    if (existing.queueWait != other.queueWait)
         return "queue_wait_ms";
-    return held.longWorkAge != other.longWorkAge ? "long_work_age_ms" : "short_only_slots";
+    return existing.longWorkAge != other.longWorkAge ? "long_work_age_ms" : "short_only_slots";
 }
 
-std::string serviceDifference(const service_definition &held, const service_definition &other)
+std::string serviceDifference(const service_definition &existing, const service_definition &other)
 {
-    if (held.name != other.name)
+    if (existing.name != other.name)
         return "service.name";
-    if (held.addresses != other.addresses)
+    if (existing.addresses != other.addresses)
         return "service.addresses";
-    if (held.limits != other.limits)
-        return "service.limits." + limitsDifference(held.limits, other.limits);
+    if (existing.limits != other.limits)
+        return "service.limits." + limitsDifference(existing.limits, other.limits);
     return "service.buckets";
 }
 
-std::string changeDifference(const ticket_change &held, const ticket_change &other)
+std::string changeDifference(const ticket_change &existing, const ticket_change &other)
 {
     return std::visit(base::overloaded {
                           [](const service_definition &one, const service_definition &two) {
@@ -46,20 +46,20 @@
                           },
                           [](const auto &, const auto &) { return std::string("kind"); },
                       },
-                      held, other);
+                      existing, other);
 }
 
 } // namespace
 
-std::string firstDifference(const ticket &held, const ticket &other)
+std::string firstDifference(const ticket &existing, const ticket &other)
 {
-    if (held.author != other.author)
+    if (existing.author != other.author)
         return "author";
-    const std::size_t common = std::min(held.changes.size(), other.changes.size());
+    const std::size_t common = std::min(existing.changes.size(), other.changes.size());
     for (std::size_t i = 0; i < common; ++i) {
-        if (held.changes[i] != other.changes[i])
+        if (existing.changes[i] != other.changes[i])
             return "changes[" + std::to_string(i) + "]."
-                + changeDifference(held.changes[i], other.changes[i]);
+                + changeDifference(existing.changes[i], other.changes[i]);
     }
     return "changes[" + std::to_string(common) + "]";
 }
--- a/lycheeshunt/tickets/difference.h
+++ b/lycheeshunt/tickets/difference.h
@@ -8,6 +8,6 @@
 
 // The first field in which two tickets of one number differ, such as "changes[0].limits.slots".
 // Precondition: they differ.
-std::string firstDifference(const ticket &held, const ticket &other);
+std::string firstDifference(const ticket &existing, const ticket &other);
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/leadership_update.h
+++ b/lycheeshunt/tickets/leadership_update.h
@@ -10,7 +10,7 @@
 // the end of a leadership may still be committed by the next leader, or be lost.
 struct leadership_update
 {
-    const std::optional<base::error> refusal = {};
+    const std::optional<base::error> notLeaderError = {};
 
     bool operator==(const leadership_update &) const = default;
 };
--- a/lycheeshunt/tickets/ticket_state.h
+++ b/lycheeshunt/tickets/ticket_state.h
@@ -26,7 +26,7 @@
     std::map<base::request_id, pending_read> reads;
     std::uint64_t lastToken = 0;
     // Why this VM can't propose; empty while it leads.
-    std::vector<base::error> refusal
+    std::vector<base::error> notLeaderError
         = {base::error {base::error_code::quorumLost, "no leader is known"}};
 
     bool operator==(const ticket_state &) const = default;
