--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -57,7 +57,7 @@
     return parsed.ec == std::errc() && parsed.ptr == last;
 }
 
-// The only query is wait_ms=N.
+// The only query parameter is wait_ms=N.
 base::result<base::clock_time> waitOf(const http_arrived &arrived)
 {
     if (arrived.query.empty())
@@ -93,7 +93,7 @@
     return tickets::submit_ticket {arrived.request, base::valueOf(ticket)};
 }
 
-operator_action show(operator_state &state, const http_arrived &arrived, base::clock_time wait)
+operator_action getTicket(operator_state &state, const http_arrived &arrived, base::clock_time wait)
 {
     std::uint64_t number = 0;
     if (!isNumber(std::string_view(arrived.path).substr(ticketsPath.size() + 1), number))
@@ -102,13 +102,13 @@
     return tickets::get_ticket {arrived.request, base::ticket_number(number)};
 }
 
-operator_action askForView(operator_state &state, const http_arrived &arrived, request_kind kind)
+operator_action queryView(operator_state &state, const http_arrived &arrived, request_kind kind)
 {
     state.waiting.emplace(arrived.request, pending_request {kind});
     return dissemination::in_force_query {arrived.request, base::generation()};
 }
 
-operator_action arrive(operator_state &state, const http_arrived &arrived)
+operator_action handleRequest(operator_state &state, const http_arrived &arrived)
 {
     const base::result<base::clock_time> wait = waitOf(arrived);
     if (const base::error *failure = base::errorOf(wait))
@@ -116,11 +116,11 @@
     if (arrived.method == "POST" && arrived.path == ticketsPath)
         return submit(state, arrived, base::valueOf(wait));
     if (arrived.method == "GET" && arrived.path.rfind(ticketsPath + "/", 0) == 0)
-        return show(state, arrived, base::valueOf(wait));
+        return getTicket(state, arrived, base::valueOf(wait));
     if (arrived.method == "GET" && arrived.path == "/v1/status")
-        return askForView(state, arrived, request_kind::status);
+        return queryView(state, arrived, request_kind::status);
     if (arrived.method == "GET" && arrived.path == "/v1/servers")
-        return askForView(state, arrived, request_kind::servers);
+        return queryView(state, arrived, request_kind::servers);
     return refuse(arrived.request,
                   {base::error_code::noSuchResource, arrived.method + " " + arrived.path});
 }
@@ -162,7 +162,7 @@
 {
     operator_action action = std::visit(
         base::overloaded {
-            [&](const http_arrived &arrived) { return arrive(state, arrived); },
+            [&](const http_arrived &arrived) { return handleRequest(state, arrived); },
             [&](const tickets::ticket_answer &answer) { return takeOutcome(state, answer); },
             [&](const dissemination::in_force_answer &force) { return takeForce(state, force); },
         },
--- a/lycheeshunt/operators/decision_test.cpp
+++ b/lycheeshunt/operators/decision_test.cpp
@@ -83,7 +83,7 @@
     }
 }
 
-TEST(operator_decision, anAcceptedTicketIsWaitedForAsLongAsTheOperatorSaid)
+TEST(operator_decision, anAcceptedTicketIsAwaitedForTheRequestedTime)
 {
     const operator_action submitted
         = run(requestOf("POST", "/v1/tickets", goodTicket, "wait_ms=2500"));
@@ -104,7 +104,7 @@
     CHECK(state.waiting.empty());
 }
 
-TEST(operator_decision, aRefusedTicketIsAnsweredWithEveryFault)
+TEST(operator_decision, aRejectedTicketIsAnsweredWithEveryError)
 {
     run(requestOf("POST", "/v1/tickets", goodTicket));
     const tickets::ticket_refusal refusal {
@@ -116,7 +116,7 @@
     CHECK(state.waiting.empty());
 }
 
-TEST(operator_decision, aTokenFileThatOthersMayReadIsRefused)
+TEST(operator_decision, aTokenFileThatOthersMayReadIsRejected)
 {
     char path[] = "/tmp/lycheeshunt-token-XXXXXX";
     const int descriptor = ::mkstemp(path);
--- a/lycheeshunt/tickets/ticket_duty.h
+++ b/lycheeshunt/tickets/ticket_duty.h
@@ -12,7 +12,7 @@
 {
 public:
     // Called on the ticket thread for every action. Returns false when a proposal or a
-    // question can't be queued now; the requests that wait for it then fail with tooBusy.
+    // read can't be queued now; the requests that wait for it then fail with tooBusy.
     using action_sink = std::function<bool(const ticket_action &)>;
 
     explicit ticket_duty(action_sink sink);
