--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -125,7 +125,7 @@
                   {base::error_code::noSuchResource, arrived.method + " " + arrived.path});
 }
 
-operator_action takeOutcome(operator_state &state, const tickets::ticket_answer &answer)
+operator_action handleTicketAnswer(operator_state &state, const tickets::ticket_answer &answer)
 {
     const auto found = state.waiting.find(answer.request);
     const base::clock_time wait
@@ -147,7 +147,8 @@
     return pending.kind == request_kind::servers ? serversJson(*force.view) : statusJson(force);
 }
 
-operator_action takeForce(operator_state &state, const dissemination::in_force_answer &force)
+operator_action handleInForceAnswer(operator_state &state,
+                                    const dissemination::in_force_answer &force)
 {
     const auto found = state.waiting.find(force.request);
     const std::string body
@@ -163,8 +164,10 @@
     operator_action action = std::visit(
         base::overloaded {
             [&](const http_arrived &arrived) { return handleRequest(state, arrived); },
-            [&](const tickets::ticket_answer &answer) { return takeOutcome(state, answer); },
-            [&](const dissemination::in_force_answer &force) { return takeForce(state, force); },
+            [&](const tickets::ticket_answer &answer) { return handleTicketAnswer(state, answer); },
+            [&](const dissemination::in_force_answer &force) {
+                return handleInForceAnswer(state, force);
+            },
         },
         message);
     return operator_step {std::move(state), {std::move(action)}};
