--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -57,7 +57,7 @@
     return parsed.ec == std::errc() && parsed.ptr == last;
 }
 
-// The only query is wait_ms=N.
+// The only query parameter is wait_ms=N.
 base::result<base::clock_time> waitOf(const http_arrived &arrived)
 {
     if (arrived.query.empty())
@@ -73,7 +73,7 @@
     return base::clock_time::ofMillis(static_cast<std::int64_t>(millis));
 }
 
-// Takes as long whichever byte differs.
+// Constant-time comparison: its duration does not depend on which byte differs.
 bool isAuthorized(const operator_state &state, const http_arrived &arrived)
 {
     const std::string wanted = "Bearer " + state.token;
@@ -93,22 +93,22 @@
     return tickets::submit_ticket {arrived.request, base::valueOf(ticket)};
 }
 
-operator_action show(operator_state &state, const http_arrived &arrived, base::clock_time wait)
+operator_action getTicket(operator_state &state, const http_arrived &arrived, base::clock_time wait)
 {
     std::uint64_t number = 0;
     if (!isNumber(std::string_view(arrived.path).substr(ticketsPath.size() + 1), number))
         return refuse(arrived.request, {base::error_code::requestMalformed, "ticket number"});
     state.waiting.emplace(arrived.request, pending_request {request_kind::ticket, wait});
-    return tickets::show_ticket {arrived.request, base::ticket_number(number)};
+    return tickets::get_ticket {arrived.request, base::ticket_number(number)};
 }
 
-operator_action askForView(operator_state &state, const http_arrived &arrived, request_kind kind)
+operator_action queryView(operator_state &state, const http_arrived &arrived, request_kind kind)
 {
     state.waiting.emplace(arrived.request, pending_request {kind});
     return dissemination::in_force_query {arrived.request, base::generation()};
 }
 
-operator_action arrive(operator_state &state, const http_arrived &arrived)
+operator_action handleRequest(operator_state &state, const http_arrived &arrived)
 {
     const base::result<base::clock_time> wait = waitOf(arrived);
     if (const base::error *failure = base::errorOf(wait))
@@ -116,16 +116,16 @@
     if (arrived.method == "POST" && arrived.path == ticketsPath)
         return submit(state, arrived, base::valueOf(wait));
     if (arrived.method == "GET" && arrived.path.rfind(ticketsPath + "/", 0) == 0)
-        return show(state, arrived, base::valueOf(wait));
+        return getTicket(state, arrived, base::valueOf(wait));
     if (arrived.method == "GET" && arrived.path == "/v1/status")
-        return askForView(state, arrived, request_kind::status);
+        return queryView(state, arrived, request_kind::status);
     if (arrived.method == "GET" && arrived.path == "/v1/servers")
-        return askForView(state, arrived, request_kind::servers);
+        return queryView(state, arrived, request_kind::servers);
     return refuse(arrived.request,
                   {base::error_code::noSuchResource, arrived.method + " " + arrived.path});
 }
 
-operator_action takeOutcome(operator_state &state, const tickets::ticket_answer &answer)
+operator_action handleTicketAnswer(operator_state &state, const tickets::ticket_answer &answer)
 {
     const auto found = state.waiting.find(answer.request);
     const base::clock_time wait
@@ -147,7 +147,8 @@
     return pending.kind == request_kind::servers ? serversJson(*force.view) : statusJson(force);
 }
 
-operator_action takeForce(operator_state &state, const dissemination::in_force_answer &force)
+operator_action handleInForceAnswer(operator_state &state,
+                                    const dissemination::in_force_answer &force)
 {
     const auto found = state.waiting.find(force.request);
     const std::string body
@@ -162,9 +163,11 @@
 {
     operator_action action = std::visit(
         base::overloaded {
-            [&](const http_arrived &arrived) { return arrive(state, arrived); },
-            [&](const tickets::ticket_answer &answer) { return takeOutcome(state, answer); },
-            [&](const dissemination::in_force_answer &force) { return takeForce(state, force); },
+            [&](const http_arrived &arrived) { return handleRequest(state, arrived); },
+            [&](const tickets::ticket_answer &answer) { return handleTicketAnswer(state, answer); },
+            [&](const dissemination::in_force_answer &force) {
+                return handleInForceAnswer(state, force);
+            },
         },
         message);
     return operator_step {std::move(state), {std::move(action)}};
--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -18,17 +18,17 @@
     actions.emplace_back(state_answer {request, std::move(outcome)});
 }
 
-state_outcome elsewhere(const states_state &state)
+state_outcome notLeaderOutcome(const states_state &state)
 {
     if (state.leadership->leaderApi.port != 0)
-        return ask_leader {state.leadership->leaderApi};
+        return redirect_to_leader {state.leadership->leaderApi};
     return base::error {base::error_code::quorumLost, "no leader is known"};
 }
 
 void submit(states_state &state, const submit_state &message, action_list &actions)
 {
     if (!state.leadership->isLeader) {
-        answer(actions, message.request, elsewhere(state));
+        answer(actions, message.request, notLeaderOutcome(state));
         return;
     }
     const std::uint64_t version = message.state->version;
@@ -41,13 +41,14 @@
     if (proposed == state.pending.end()) {
         const shared_state latest
             = state.pending.empty() ? state.current : state.pending.rbegin()->second.state;
-        const shared_state next = succeeding(latest, message.state);
+        const shared_state next = successorOf(latest, message.state);
         const std::uint64_t token = ++state.lastToken;
         state.pending.emplace(version, pending_state {next, token, {message.request}});
         actions.emplace_back(propose_state {next, token});
         return;
     }
-    // Whatever becomes of the first of this number, the second changes nothing after it.
+    // Once the first state of this version is committed, a second one changes nothing, so the
+    // request joins the pending proposal.
     std::vector<base::request_id> waiting = proposed->second.waiting;
     waiting.push_back(message.request);
     const pending_state joined {proposed->second.state, proposed->second.token, std::move(waiting)};
@@ -55,10 +56,10 @@
     state.pending.emplace(version, joined);
 }
 
-void show(states_state &state, const show_state &message, action_list &actions)
+void getState(states_state &state, const get_state &message, action_list &actions)
 {
     if (!state.leadership->isLeader) {
-        answer(actions, message.request, elsewhere(state));
+        answer(actions, message.request, notLeaderOutcome(state));
         return;
     }
     state.reads.emplace(message.request, message);
@@ -76,7 +77,8 @@
     }
 }
 
-void withdraw(states_state &state, const state_withdrawn &message, action_list &actions)
+void rejectProposal(states_state &state, const state_proposal_rejected &message,
+                    action_list &actions)
 {
     const auto found = std::find_if(state.pending.begin(), state.pending.end(),
                                     [&](const std::pair<const std::uint64_t, pending_state> &row) {
@@ -89,17 +91,17 @@
     state.pending.erase(found);
 }
 
-void settleRead(states_state &state, const read_settled &message, action_list &actions)
+void handleReadOutcome(states_state &state, const read_outcome &message, action_list &actions)
 {
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
         return;
-    const awaited_read awaited = found->second;
+    const pending_read pending = found->second;
     state.reads.erase(found);
     if (message.failure)
         answer(actions, message.request, *message.failure);
-    else if (std::holds_alternative<show_state>(awaited))
-        answer(actions, message.request, state_shown {state.current});
+    else if (std::holds_alternative<get_state>(pending))
+        answer(actions, message.request, state_contents {state.current});
     else
         answer(actions, message.request, state_accepted {});
 }
@@ -139,7 +141,7 @@
 
 } // namespace
 
-shared_state succeeding(const shared_state &present, const shared_state &sent)
+shared_state successorOf(const shared_state &present, const shared_state &sent)
 {
     if (!present)
         return sent;
@@ -160,10 +162,10 @@
     action_list actions;
     std::visit(base::overloaded {
                    [&](const submit_state &m) { submit(state, m, actions); },
-                   [&](const show_state &m) { show(state, m, actions); },
+                   [&](const get_state &m) { getState(state, m, actions); },
                    [&](const state_committed &m) { commit(state, m, actions); },
-                   [&](const state_withdrawn &m) { withdraw(state, m, actions); },
-                   [&](const read_settled &m) { settleRead(state, m, actions); },
+                   [&](const state_proposal_rejected &m) { rejectProposal(state, m, actions); },
+                   [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -1,4 +1,4 @@
-// Cases of desired states that race, repeat and come late, driven without sockets or a log.
+// Desired states that race, are retried or arrive late, driven without sockets or a log.
 
 #include "lycheeshunt/states/decision.h"
 
@@ -81,7 +81,7 @@
     }
 };
 
-TEST(states, aStateIsAnsweredOnceTheLogHasIt)
+TEST(states, aStateIsAcceptedOnceItIsCommitted)
 {
     give(submit_state {requestOf(1), stateOf(4)});
     CHECK(all<state_answer>().empty());
@@ -90,14 +90,14 @@
     CHECK_EQUAL(4U, state.currentVersion());
 }
 
-TEST(states, oneThatIsNotHigherIsAcceptedAfterAConfirmedReadAndChangesNothing)
+TEST(states, aVersionThatIsNotHigherIsAcceptedAfterAConfirmedReadAndChangesNothing)
 {
     put(7, logbook);
     for (const std::uint64_t version : {7U, 3U}) {
         give(submit_state {requestOf(20), stateOf(version, inspect, "{\"other\":1}")});
         CHECK(all<propose_state>().empty());
         CHECK_EQUAL(1U, all<confirm_read>().size());
-        give(read_settled {requestOf(20)});
+        give(read_outcome {requestOf(20)});
         CHECK(isAccepted(20));
         CHECK(*state.current == *stateOf(7, logbook));
     }
@@ -135,52 +135,52 @@
 TEST(states, aVmThatDoesNotLeadSendsOperatorsToTheOneThatDoes)
 {
     give(leadership_update {false, leaderApi});
-    for (const state_message &message : {state_message(show_state {requestOf(1)}),
+    for (const state_message &message : {state_message(get_state {requestOf(1)}),
                                          state_message(submit_state {requestOf(1), stateOf(1)})}) {
         give(message);
         const state_outcome outcome = all<state_answer>().front().outcome;
-        CHECK(std::get<ask_leader>(outcome).api == leaderApi);
+        CHECK(std::get<redirect_to_leader>(outcome).api == leaderApi);
     }
     give(leadership_update {false, {}});
-    give(show_state {requestOf(2)});
+    give(get_state {requestOf(2)});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
 }
 
 TEST(states, aReadThatNoQuorumConfirmsIsRefused)
 {
     put(3);
-    give(show_state {requestOf(8)});
+    give(get_state {requestOf(8)});
     CHECK(all<state_answer>().empty());
-    give(read_settled {requestOf(8), base::error {base::error_code::quorumLost, ""}});
+    give(read_outcome {requestOf(8), base::error {base::error_code::quorumLost, ""}});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
-    give(show_state {requestOf(9)});
-    give(read_settled {requestOf(9)});
+    give(get_state {requestOf(9)});
+    give(read_outcome {requestOf(9)});
     const state_outcome outcome = all<state_answer>().front().outcome;
-    CHECK_EQUAL(3U, std::get<state_shown>(outcome).state->version);
+    CHECK_EQUAL(3U, std::get<state_contents>(outcome).state->version);
 }
 
-TEST(states, whenLeadershipEndsNobodyIsToldThatAStateWasAccepted)
+TEST(states, theEndOfLeadershipNeverReportsAStateAsAccepted)
 {
     give(submit_state {requestOf(1), stateOf(5)});
     const propose_state proposed = all<propose_state>().front();
     give(leadership_update {false, leaderApi});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
-    // It may be committed all the same; nobody waits for it any more.
+    // It may still be committed; no request waits for it any more.
     give(state_committed {proposed.state});
     CHECK(all<state_answer>().empty());
     CHECK_EQUAL(5U, state.currentVersion());
 }
 
-TEST(states, aWithdrawnProposalMayBeSentAgain)
+TEST(states, aRejectedProposalMayBeRetried)
 {
     give(submit_state {requestOf(1), stateOf(5)});
-    give(state_withdrawn {all<propose_state>().front().token,
-                          base::error {base::error_code::tooBusy, ""}});
+    give(state_proposal_rejected {all<propose_state>().front().token,
+                                  base::error {base::error_code::tooBusy, ""}});
     CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
     put(5);
 }
 
-TEST(states, aRouteKeepsTheServicesThatItLeft)
+TEST(states, aRouteKeepsItsFormerServices)
 {
     put(1, logbook);
     put(2, inspect);
@@ -191,7 +191,7 @@
     CHECK(state.current->routes.front().former == std::vector<base::service_id> {inspect});
 }
 
-TEST(states, encodedStatesComeBackWhole)
+TEST(states, encodedStatesDecodeToTheSameState)
 {
     const std::string document(100'000, 'x');
     const desired_state sent = *stateOf(77, inspect, document);
--- a/lycheeshunt/states/show_state.h
+++ b/lycheeshunt/states/get_state.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::states {
 
-// An operator asks for the desired state in force.
-struct show_state
+// An operator reads the desired state in force.
+struct get_state
 {
     const base::request_id request;
 
-    bool operator==(const show_state &) const = default;
+    bool operator==(const get_state &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/ask_leader.h
+++ b/lycheeshunt/states/redirect_to_leader.h
@@ -4,12 +4,12 @@
 
 namespace lycheeshunt::states {
 
-// Another VM leads: ask there.
-struct ask_leader
+// Another VM leads; the request has to be sent to its API.
+struct redirect_to_leader
 {
     const base::endpoint api;
 
-    bool operator==(const ask_leader &) const = default;
+    bool operator==(const redirect_to_leader &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_answer.h
+++ b/lycheeshunt/states/state_answer.h
@@ -2,17 +2,17 @@
 
 #include "lycheeshunt/base/error.h"
 #include "lycheeshunt/base/request_id.h"
-#include "lycheeshunt/states/ask_leader.h"
+#include "lycheeshunt/states/redirect_to_leader.h"
 #include "lycheeshunt/states/state_accepted.h"
-#include "lycheeshunt/states/state_shown.h"
+#include "lycheeshunt/states/state_contents.h"
 
 #include <variant>
 
 namespace lycheeshunt::states {
 
-using state_outcome = std::variant<state_accepted, state_shown, ask_leader, base::error>;
+using state_outcome = std::variant<state_accepted, state_contents, redirect_to_leader, base::error>;
 
-// The answer to submit_state or show_state. An error says that the outcome is not known.
+// The answer to submit_state or get_state. An error means that the outcome is unknown.
 struct state_answer
 {
     const base::request_id request;
--- a/lycheeshunt/states/state_duty.cpp
+++ b/lycheeshunt/states/state_duty.cpp
@@ -21,18 +21,18 @@
 {
     const base::clock_time now = base::clock_time::steady();
     if (const submit_state *submitted = std::get_if<submit_state>(&message))
-        m_askedAt.emplace(submitted->request, now);
-    else if (const show_state *shown = std::get_if<show_state>(&message))
-        m_askedAt.emplace(shown->request, now);
+        m_requestedAt.emplace(submitted->request, now);
+    else if (const get_state *read = std::get_if<get_state>(&message))
+        m_requestedAt.emplace(read->request, now);
 }
 
 void state_duty::noteAnswer(base::request_id request)
 {
-    const auto asked = m_askedAt.find(request);
-    if (asked == m_askedAt.end())
+    const auto requested = m_requestedAt.find(request);
+    if (requested == m_requestedAt.end())
         return;
-    m_answers.record(base::clock_time::steady() - asked->second);
-    m_askedAt.erase(asked);
+    m_answers.record(base::clock_time::steady() - requested->second);
+    m_requestedAt.erase(requested);
 }
 
 void state_duty::handle(const state_message &message)
@@ -44,17 +44,17 @@
         if (const state_answer *answer = std::get_if<state_answer>(&action))
             noteAnswer(answer->request);
         if (!m_sink(action))
-            giveUp(action);
+            rejectUndelivered(action);
     }
 }
 
-void state_duty::giveUp(const state_action &action)
+void state_duty::rejectUndelivered(const state_action &action)
 {
     const base::error busy {base::error_code::tooBusy, "replication"};
     if (const propose_state *proposed = std::get_if<propose_state>(&action))
-        handle(state_withdrawn {proposed->token, busy});
+        handle(state_proposal_rejected {proposed->token, busy});
     else if (const confirm_read *read = std::get_if<confirm_read>(&action))
-        handle(read_settled {read->request, busy});
+        handle(read_outcome {read->request, busy});
 }
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_withdrawn.h
+++ b/lycheeshunt/states/state_proposal_rejected.h
@@ -6,13 +6,13 @@
 
 namespace lycheeshunt::states {
 
-// A proposal did not get into the log, or nobody knows whether it did.
-struct state_withdrawn
+// A proposal was not appended to the log, or its outcome is unknown.
+struct state_proposal_rejected
 {
     const std::uint64_t token = 0;
     const base::error reason;
 
-    bool operator==(const state_withdrawn &) const = default;
+    bool operator==(const state_proposal_rejected &) const = default;
 };
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -29,20 +29,20 @@
     return std::string(text, std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts));
 }
 
-base::error takenBy(const ticket_record &held, const ticket &other)
+base::error numberTaken(const ticket_record &existing, const ticket &other)
 {
     return base::error {base::error_code::ticketNumberTaken,
-                        numberText(other.number) + " is held by " + held.ticket.author + " since "
-                            + timeText(held.acceptedAt) + " and differs in "
-                            + firstDifference(held.ticket, other)};
+                        numberText(other.number) + " is held by " + existing.ticket.author
+                            + " since " + timeText(existing.acceptedAt) + " and differs in "
+                            + firstDifference(existing.ticket, other)};
 }
 
-base::error takenBy(const pending_ticket &held, const ticket &other)
+base::error numberTaken(const pending_ticket &existing, const ticket &other)
 {
     return base::error {base::error_code::ticketNumberTaken,
-                        numberText(other.number) + " of " + held.ticket.author
+                        numberText(other.number) + " of " + existing.ticket.author
                             + " is being accepted and differs in "
-                            + firstDifference(held.ticket, other)};
+                            + firstDifference(existing.ticket, other)};
 }
 
 void refuse(base::request_id request, const base::error &fault, action_list &actions)
@@ -50,7 +50,7 @@
     actions.emplace_back(ticket_answer {request, ticket_refusal {{fault}}});
 }
 
-// Records never change, so they may be told by any control VM at any time.
+// Records never change, so any control VM may answer from them at any time.
 bool answerFromRecord(const ticket_state &state, base::request_id request, const ticket &wanted,
                       action_list &actions)
 {
@@ -60,11 +60,12 @@
     if (known->second.ticket == wanted)
         actions.emplace_back(ticket_answer {request, known->second});
     else
-        refuse(request, takenBy(known->second, wanted), actions);
+        refuse(request, numberTaken(known->second, wanted), actions);
     return true;
 }
 
-// A submitted ticket joins one of its number that is under way, or is refused by it.
+// A submitted ticket joins the pending proposal of its number, or is rejected if it differs from
+// it.
 bool joinPending(ticket_state &state, base::request_id request, const ticket &wanted,
                  action_list &actions)
 {
@@ -74,7 +75,7 @@
     if (proposed->second.ticket == wanted)
         proposed->second.waiting.push_back(request);
     else
-        refuse(request, takenBy(proposed->second, wanted), actions);
+        refuse(request, numberTaken(proposed->second, wanted), actions);
     return true;
 }
 
@@ -92,27 +93,28 @@
     if (answerFromRecord(state, message.request, wanted, actions)
         || joinPending(state, message.request, wanted, actions))
         return;
-    if (!state.refusal.empty()) {
-        refuse(message.request, state.refusal.front(), actions);
+    if (!state.notLeaderError.empty()) {
+        refuse(message.request, state.notLeaderError.front(), actions);
         return;
     }
     if (faultsOf(wanted, state).empty()) {
         propose(state, message.request, wanted, actions);
         return;
     }
-    // The faults may be those of a VM that has missed something.
+    // The errors may come from a stale state of this VM, so check that it is current before
+    // answering.
     state.reads.emplace(message.request, wanted);
     actions.emplace_back(confirm_read {message.request});
 }
 
-void show(ticket_state &state, const show_ticket &message, action_list &actions)
+void getTicket(ticket_state &state, const get_ticket &message, action_list &actions)
 {
     state.reads.emplace(message.request, message.number);
     actions.emplace_back(confirm_read {message.request});
 }
 
-void answerShow(const ticket_state &state, base::request_id request, base::ticket_number number,
-                action_list &actions)
+void answerGet(const ticket_state &state, base::request_id request, base::ticket_number number,
+               action_list &actions)
 {
     const auto known = state.records.find(number);
     if (known != state.records.end())
@@ -134,12 +136,12 @@
         actions.emplace_back(ticket_answer {request, ticket_refusal {std::move(faults)}});
 }
 
-void settleRead(ticket_state &state, const read_settled &message, action_list &actions)
+void handleReadOutcome(ticket_state &state, const read_outcome &message, action_list &actions)
 {
     const auto found = state.reads.find(message.request);
     if (found == state.reads.end())
         return;
-    const awaited_read awaited = found->second;
+    const pending_read pending = found->second;
     state.reads.erase(found);
     if (message.failure) {
         refuse(message.request, *message.failure, actions);
@@ -148,11 +150,11 @@
     std::visit(
         base::overloaded {
             [&](const base::ticket_number &number) {
-                answerShow(state, message.request, number, actions);
+                answerGet(state, message.request, number, actions);
             },
             [&](const ticket &wanted) { answerSubmit(state, message.request, wanted, actions); },
         },
-        awaited);
+        pending);
 }
 
 ticket_outcome outcomeFor(const ticket_state &state, const ticket &wanted,
@@ -163,7 +165,7 @@
         return ticket_refusal {faults};
     if (known->second.ticket == wanted)
         return known->second;
-    return ticket_refusal {{takenBy(known->second, wanted)}};
+    return ticket_refusal {{numberTaken(known->second, wanted)}};
 }
 
 void answerPending(ticket_state &state, const ticket &committed,
@@ -172,7 +174,7 @@
     const auto proposed = state.pending.find(committed.number);
     if (proposed == state.pending.end())
         return;
-    // A refused ticket of other content leaves the number free for the one that waits.
+    // A rejected ticket of other content leaves the number free for the pending one.
     const bool isOther = proposed->second.ticket != committed;
     if (isOther && state.records.count(committed.number) == 0)
         return;
@@ -197,7 +199,7 @@
     answerPending(state, record.ticket, faults, actions);
 }
 
-void withdraw(ticket_state &state, const proposal_withdrawn &message, action_list &actions)
+void rejectProposal(ticket_state &state, const proposal_rejected &message, action_list &actions)
 {
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
         if (it->second.token != message.token)
@@ -211,10 +213,11 @@
 
 void changeLeadership(ticket_state &state, const leadership_update &message, action_list &actions)
 {
-    state.refusal.clear();
-    if (message.refusal)
-        state.refusal.push_back(*message.refusal);
-    // Of an earlier leadership of this VM, or of one that has just ended.
+    state.notLeaderError.clear();
+    if (message.notLeaderError)
+        state.notLeaderError.push_back(*message.notLeaderError);
+    // These proposals were made in a leadership of this VM that has ended; their outcome is
+    // unknown.
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
         for (const base::request_id &request : it->second.waiting)
             refuse(request, {base::error_code::ticketOutcomeUnknown, numberText(it->first)},
@@ -230,11 +233,11 @@
     action_list actions;
     std::visit(base::overloaded {
                    [&](const submit_ticket &m) { submit(state, m, actions); },
-                   [&](const show_ticket &m) { show(state, m, actions); },
+                   [&](const get_ticket &m) { getTicket(state, m, actions); },
                    [&](const ticket_committed &m) { commit(state, m, actions); },
                    [&](const other_committed &m) { actions.emplace_back(m); },
-                   [&](const proposal_withdrawn &m) { withdraw(state, m, actions); },
-                   [&](const read_settled &m) { settleRead(state, m, actions); },
+                   [&](const proposal_rejected &m) { rejectProposal(state, m, actions); },
+                   [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                    [&](const leadership_update &m) { changeLeadership(state, m, actions); },
                },
                message);
--- a/lycheeshunt/tickets/decision_test.cpp
+++ b/lycheeshunt/tickets/decision_test.cpp
@@ -41,7 +41,7 @@
     }
 };
 
-TEST(ticket_decision, aTicketSentAgainGetsTheFirstAnswer)
+TEST(ticket_decision, aRetriedTicketGetsTheFirstAnswer)
 {
     const ticket wanted = ticketOf(1, "logbook");
     CHECK(std::holds_alternative<propose_ticket>(
@@ -66,7 +66,7 @@
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketNumberTaken);
 }
 
-TEST(ticket_decision, everyFaultIsNamedAndNothingChanges)
+TEST(ticket_decision, everyErrorIsReportedAndNothingChanges)
 {
     const ticket_state before = state;
     const service_definition nameless {"", {}, service_limits {0}, 0};
@@ -74,7 +74,7 @@
     const std::vector<ticket_action> asked = run(submit_ticket {base::request_id(1), bad});
     const ticket_action expected = confirm_read {base::request_id(1)};
     CHECK(asked.at(0) == expected);
-    const std::vector<ticket_action> answers = run(read_settled {base::request_id(1)});
+    const std::vector<ticket_action> answers = run(read_outcome {base::request_id(1)});
     LONGS_EQUAL(4, refusalIn(answers)->faults.size());
     CHECK(state == before);
 }
@@ -101,14 +101,14 @@
     run(ticket_committed {ticket_record {later, base::generation(1), {}}});
     run(ticket_committed {ticket_record {removal, base::generation(2), {}}});
     const ticket_state before = state;
-    // Committed, since it was proposed before the others came.
+    // Committed, since it was proposed before the others arrived.
     const ticket late = ticketOf(8, "logbook");
     CHECK(run(ticket_committed {ticket_record {late, base::generation(3), {}}}).empty());
     CHECK(state == before);
     run(submit_ticket {base::request_id(1), late});
-    const std::vector<ticket_action> answers = run(read_settled {base::request_id(1)});
+    const std::vector<ticket_action> answers = run(read_outcome {base::request_id(1)});
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketOutOfOrder);
-    // A gap is no fault, and a ticket that touches other objects may come late.
+    // A gap is no error, and a ticket that changes other objects may arrive late.
     CHECK(std::holds_alternative<propose_ticket>(
         run(submit_ticket {base::request_id(2), ticketOf(3, "inspect")}).at(0)));
     CHECK(std::holds_alternative<propose_ticket>(
@@ -133,7 +133,7 @@
     CHECK(state.pending.empty());
 }
 
-TEST(ticket_decision, theEndOfLeadershipAnswersEveryoneWhoWaits)
+TEST(ticket_decision, theEndOfLeadershipAnswersAllPendingRequests)
 {
     const base::error reason {base::error_code::notLeader, "the leader is control-2"};
     const ticket wanted = ticketOf(1, "logbook");
@@ -143,7 +143,7 @@
     LONGS_EQUAL(2, answers.size());
     CHECK(refusalIn(answers)->faults.at(0).code == base::error_code::ticketOutcomeUnknown);
     CHECK(state.pending.empty());
-    // Not proposed by a VM that does not lead; known all the same once it is committed.
+    // Not proposed by a VM that does not lead; recorded once it is committed.
     CHECK(refusalIn(run(submit_ticket {base::request_id(3), wanted}))->faults.at(0) == reason);
     const ticket_record record {wanted, base::generation(5), base::clock_time::ofSeconds(9)};
     run(ticket_committed {record});
@@ -159,21 +159,21 @@
     run(leadership_update {reason});
     run(leadership_update {});
     run(submit_ticket {base::request_id(2), wanted});
-    CHECK(run(proposal_withdrawn {1, reason}).empty());
-    LONGS_EQUAL(1, run(proposal_withdrawn {2, reason}).size());
+    CHECK(run(proposal_rejected {1, reason}).empty());
+    LONGS_EQUAL(1, run(proposal_rejected {2, reason}).size());
     CHECK(state.pending.empty());
 }
 
-TEST(ticket_decision, nothingIsShownAsCurrentUnlessItIs)
+TEST(ticket_decision, aReadIsAnsweredOnlyWhenThisVmIsCurrent)
 {
     const base::error reason {base::error_code::quorumLost, "leadership ended"};
     run(ticket_committed {ticket_record {ticketOf(1, "logbook"), base::generation(1), {}}});
     for (const std::optional<base::error> &failure :
          {std::optional<base::error>(), std::optional<base::error>(reason)}) {
         const std::vector<ticket_action> asked
-            = run(show_ticket {base::request_id(1), base::ticket_number(1)});
+            = run(get_ticket {base::request_id(1), base::ticket_number(1)});
         CHECK(std::holds_alternative<confirm_read>(asked.at(0)));
-        const std::vector<ticket_action> answers = run(read_settled {base::request_id(1), failure});
+        const std::vector<ticket_action> answers = run(read_outcome {base::request_id(1), failure});
         CHECK((refusalIn(answers) != nullptr) == failure.has_value());
     }
     CHECK(state.reads.empty());
--- a/lycheeshunt/tickets/proposal_withdrawn.h
+++ b/lycheeshunt/tickets/proposal_rejected.h
@@ -6,13 +6,13 @@
 
 namespace lycheeshunt::tickets {
 
-// The proposal with this token did not get into the log.
-struct proposal_withdrawn
+// The proposal with this token was not appended to the log.
+struct proposal_rejected
 {
     const std::uint64_t token = 0;
     const base::error reason;
 
-    bool operator==(const proposal_withdrawn &) const = default;
+    bool operator==(const proposal_rejected &) const = default;
 };
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/read_settled.h
+++ b/lycheeshunt/tickets/read_outcome.h
@@ -7,13 +7,14 @@
 
 namespace lycheeshunt::tickets {
 
-// Answers confirm_read: without a failure, what this VM knows was current after the question.
-struct read_settled
+// Reply to confirm_read. Without a failure, this VM's state was current at some time after the
+// request.
+struct read_outcome
 {
     const base::request_id request;
     const std::optional<base::error> failure = {};
 
-    bool operator==(const read_settled &) const = default;
+    bool operator==(const read_outcome &) const = default;
 };
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/ticket_duty.cpp
+++ b/lycheeshunt/tickets/ticket_duty.cpp
@@ -21,17 +21,17 @@
     m_state = std::move(next.state);
     for (const ticket_action &action : next.actions) {
         if (!m_sink(action))
-            giveUp(action);
+            rejectUndelivered(action);
     }
 }
 
-void ticket_duty::giveUp(const ticket_action &action)
+void ticket_duty::rejectUndelivered(const ticket_action &action)
 {
     const base::error busy {base::error_code::tooBusy, "replication"};
     if (const propose_ticket *proposed = std::get_if<propose_ticket>(&action))
-        handle(proposal_withdrawn {proposed->token, busy});
+        handle(proposal_rejected {proposed->token, busy});
     else if (const confirm_read *read = std::get_if<confirm_read>(&action))
-        handle(read_settled {read->request, busy});
+        handle(read_outcome {read->request, busy});
 }
 
 } // namespace lycheeshunt::tickets
