--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -2,7 +2,7 @@
 
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
-#include "lycheeshunt/daemon/internal/self.h"
+#include "lycheeshunt/daemon/internal/incarnation.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/dissemination/follower.h"
 #include "lycheeshunt/flows/agent_port.h"
--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -1,6 +1,6 @@
 #include "lycheeshunt/daemon/entry_process.h"
 
-#include "lycheeshunt/daemon/internal/self.h"
+#include "lycheeshunt/daemon/internal/incarnation.h"
 #include "lycheeshunt/dissemination/follower.h"
 #include "lycheeshunt/metrics/ring_sample.h"
 #include "lycheeshunt/routing/entry_port.h"
