Reword the daemon slice

Comments told of duties that live by the log, of nodes that are kept or sent away, and of what a process has come to believe. They now name the action: dispatch, merge, hold, redirect. Handlers of messages are handle*, and the sets of removed members and of current addresses are named for what they are.

Log texts: the committed desired state or membership batch can't be decoded, and a peer message refused, now name the object. Test titles of log_compaction, node_hold and settings_watch are reworded with the same checks.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -25,7 +25,7 @@
                                    internal::newIncarnation(),
                                    own.sockets.packets,
                                    membership::member_phase::serving};
-    // No message reaches the flow thread before the port is open, so the sink finds it there.
+    // No message reaches the flow thread before the port is open, so the sink never finds it null.
     process->m_flows = std::make_unique<flows::flow_duty>(
         flows::agent_identity {self.id(), self.service, self.incarnation, self.packets,
                                self.availabilityZone, listens},
@@ -39,8 +39,8 @@
         process->m_servers = std::make_unique<servers::server_duty>(
             self.incarnation, [raw, self, confirm](const servers::server_action &action) {
                 std::visit(base::overloaded {
-                               [&](const servers::server_status &standing) {
-                                   raw->takeStanding(self, standing);
+                               [&](const servers::server_status &status) {
+                                   raw->handleServerStatus(self, status);
                                },
                                [&](const servers::confirm_announcement &announcement) {
                                    confirm(announcement.request);
@@ -52,7 +52,7 @@
         settings.control, self, self.incarnation.value(),
         [raw, self, name = own.service](const dissemination::shared_view &view) {
             raw->m_flows->inbox().push(flows::view_update {view});
-            raw->recallServer(*view, self, name);
+            raw->restoreServer(*view, self, name);
         },
         [raw](base::incarnation incarnation) {
             if (raw->m_servers)
@@ -62,45 +62,43 @@
     return process;
 }
 
-void agent_process::recallServer(const dissemination::cluster_view &view,
-                                 const membership::member &self, const std::string &service)
+void agent_process::restoreServer(const dissemination::cluster_view &view,
+                                  const membership::member &self, const std::string &service)
 {
     const auto known = view.members.find(self.id());
     const auto definition = view.services.find(self.service);
-    const bool wasServing = m_servers && !m_isRecalled && known != view.members.end()
+    const bool wasServing = m_servers && !m_isRestoreChecked && known != view.members.end()
         && definition != view.services.end() && known->second.service == self.service
         && !view.isDraining(known->second);
-    m_isRecalled = true;
+    m_isRestoreChecked = true;
     if (wasServing)
         m_servers->inbox().tryPush(servers::server_restored {service, known->second.incarnation,
                                                              definition->second.limits.slots});
 }
 
-// What takes effect here at once is told to the others afterwards; until they know, this agent
-// refuses or passes on what they send.
-void agent_process::takeStanding(const membership::member &self,
-                                 const servers::server_status &standing)
+// The status takes effect here at once and is published to the other VMs afterwards; until they
+// have it, this agent refuses or forwards the packets that they send.
+void agent_process::handleServerStatus(const membership::member &self,
+                                       const servers::server_status &status)
 {
-    const base::service_id service = base::serviceIdOf(standing.service);
-    m_isAccepting = standing.isAccepting;
-    m_port->setIncarnation(standing.incarnation);
-    m_flows->inbox().push(flows::server_changed {service, standing.incarnation,
-                                                 standing.isAccepting, standing.slots,
-                                                 standing.startedBeforeAgent});
-    const membership::member_phase phase = standing.isAccepting
-        ? membership::member_phase::serving
-        : membership::member_phase::draining;
+    const base::service_id service = base::serviceIdOf(status.service);
+    m_isAccepting = status.isAccepting;
+    m_port->setIncarnation(status.incarnation);
+    m_flows->inbox().push(flows::server_changed {service, status.incarnation, status.isAccepting,
+                                                 status.slots, status.startedBeforeAgent});
+    const membership::member_phase phase = status.isAccepting ? membership::member_phase::serving
+                                                              : membership::member_phase::draining;
     if (m_follower)
         m_follower->changeSelf(dissemination::self_changed {
             membership::member {self.name, self.availabilityZone, self.role, service,
-                                standing.incarnation, self.packets, phase},
-            !standing.isServerStopping});
+                                status.incarnation, self.packets, phase},
+            !status.isServerStopping});
     base::logInfo("servers",
-                  "server of " + standing.service
-                      + (standing.isAccepting            ? " serves"
-                             : standing.isServerStopping ? " has left"
-                                                         : " drains")
-                      + ", incarnation " + std::to_string(standing.incarnation.value()));
+                  "server of " + status.service
+                      + (status.isAccepting            ? " serves"
+                             : status.isServerStopping ? " has left"
+                                                       : " drains")
+                      + ", incarnation " + std::to_string(status.incarnation.value()));
 }
 
 agent_process::agent_process() = default;
--- a/lycheeshunt/daemon/agent_process.h
+++ b/lycheeshunt/daemon/agent_process.h
@@ -1,4 +1,4 @@
-// An agent: a packet thread, a flow thread, and a follower that keeps its view new.
+// An agent process: a packet thread, a flow thread, and a follower that keeps its view up to date.
 
 #pragma once
 
@@ -31,8 +31,9 @@
 class agent_process
 {
 public:
-    // Called on the thread that listens to the backend server. With it, the agent serves only once
-    // its server has announced itself, and takes it that the server returns what it does not hold.
+    // Called on the thread of the server duty. With it, the agent serves only once its backend
+    // server has announced itself, and assumes that the server returns packets of flows that it
+    // does not have.
     using confirm_sink = std::function<void(base::request_id)>;
 
     static base::result<std::unique_ptr<agent_process>>
@@ -43,29 +44,29 @@
     agent_process(const agent_process &) = delete;
     agent_process &operator=(const agent_process &) = delete;
 
-    // Looks for control at these addresses too. Thread-safe.
+    // Adds addresses of control processes to connect to. Thread-safe.
     void useControl(const std::vector<base::endpoint> &seeds);
-    // What the process counts. Thread-safe.
+    // The process's metrics. Thread-safe.
     metrics::report metrics() const;
     // The backend server's announcements.
     base::ring<servers::server_message> &announcements() { return m_servers->inbox(); }
-    // Whether the backend server takes new flows. Thread-safe.
+    // Whether the backend server accepts new flows. Thread-safe.
     bool isReady() const { return m_isAccepting; }
 
 private:
     agent_process();
 
-    void recallServer(const dissemination::cluster_view &view, const membership::member &self,
-                      const std::string &service);
-    void takeStanding(const membership::member &self, const servers::server_status &standing);
+    void restoreServer(const dissemination::cluster_view &view, const membership::member &self,
+                       const std::string &service);
+    void handleServerStatus(const membership::member &self, const servers::server_status &status);
 
-    // Belongs to the follower's thread: only the first view tells of an earlier incarnation.
-    bool m_isRecalled = false;
+    // Accessed by the follower's thread only: only the first view can show an earlier incarnation.
+    bool m_isRestoreChecked = false;
     std::atomic<bool> m_isAccepting = false;
     std::unique_ptr<flows::flow_duty> m_flows;
     std::unique_ptr<flows::agent_port> m_port;
     std::unique_ptr<dissemination::follower> m_follower;
-    // Null where the backend server announces nothing.
+    // Null where the backend server sends no announcements.
     std::unique_ptr<servers::server_duty> m_servers;
 };
 
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -43,8 +43,8 @@
                                               replication::storage_id(randomNumber()));
 }
 
-// What operators are told by a control VM that does not lead.
-std::optional<base::error> refusalBy(const replication::leadership &leadership)
+// The error that a control VM that does not lead returns to operators.
+std::optional<base::error> leadershipError(const replication::leadership &leadership)
 {
     if (leadership.isLeader)
         return std::nullopt;
@@ -79,7 +79,7 @@
     process->startReplication(settings, own, base::takeValue(std::move(storage)));
     base::result<std::unique_ptr<streams::stream_server>> streams = streams::stream_server::listen(
         own.streams, streams::stream_timing {},
-        [raw](const streams::stream_event &event) { raw->takeStreamEvent(event); });
+        [raw](const streams::stream_event &event) { raw->handleStreamEvent(event); });
     if (const base::error *failure = base::errorOf(streams))
         return *failure;
     process->m_streams = base::takeValue(std::move(streams));
@@ -183,7 +183,7 @@
         });
 }
 
-// Reads of desired states and of tickets are told apart by the highest bit of their number.
+// The highest bit of a read's number is set for reads of desired states, clear for tickets.
 constexpr std::uint64_t stateReadBit = std::uint64_t(1) << 63;
 
 bool control_process::carryOutState(const states::state_action &action)
@@ -251,7 +251,7 @@
                 m_links->sendToAddress(greeting);
             },
             [this](const replication::set_peer_address &located) { m_links->setAddress(located); },
-            [this](const replication::replication_notice &notice) { takeNotice(notice); },
+            [this](const replication::replication_notice &notice) { handleNotice(notice); },
             [this](const std::vector<replication::log_entry> &entries) {
                 return m_log->compact(entries);
             },
@@ -265,18 +265,19 @@
         {replication::proposal {kind, std::move(payload), token, base::clock_time::wall()}}});
 }
 
-void control_process::takeNotice(const replication::replication_notice &notice)
+void control_process::handleNotice(const replication::replication_notice &notice)
 {
     std::visit(
         base::overloaded {
             [this](const replication::commit_entries &committed) {
-                m_log->take(committed.entries);
+                m_log->deliver(committed.entries);
             },
             [this](const replication::state_restored &restored) { m_log->restore(restored); },
             [this](const replication::leadership_changed &changed) {
                 m_isLeading = changed.leadership.isLeader;
                 publishLeadership(changed.leadership);
-                m_tickets->inbox().push(tickets::leadership_update {refusalBy(changed.leadership)});
+                m_tickets->inbox().push(
+                    tickets::leadership_update {leadershipError(changed.leadership)});
                 m_membership->inbox().push(
                     membership::leadership_changed {changed.leadership.isLeader});
             },
@@ -295,19 +296,19 @@
                         tickets::proposal_withdrawn {refused.token, refused.reason});
             },
             [this](const replication::read_confirmed &read) {
-                settleRead(read.request, std::nullopt);
+                completeRead(read.request, std::nullopt);
             },
             [this](const replication::read_refused &read) {
-                settleRead(read.request, read.reason);
+                completeRead(read.request, read.reason);
             },
         },
         notice);
 }
 
-// Sends a node to the leader, at once or as soon as one is known.
-void control_process::sendAway(streams::connection_id connection)
+// Redirects a node to the leader, at once or as soon as a leader is known.
+void control_process::redirectNode(streams::connection_id connection)
 {
-    if (m_directory.holds(connection, base::clock_time::steady() - m_startedAt))
+    if (m_directory.holdUntilLeader(connection, base::clock_time::steady() - m_startedAt))
         return;
     sendDirectory(connection);
     m_streams->outgoing().tryPush(
@@ -316,15 +317,15 @@
 
 void control_process::sendDirectory(streams::connection_id connection)
 {
-    const std::shared_ptr<const dissemination::control_directory> known = m_directory.known();
+    const std::shared_ptr<const dissemination::control_directory> known = m_directory.current();
     if (known)
         m_streams->outgoing().tryPush(
             streams::stream_frame {connection, streams::channel::dissemination,
                                    dissemination::encodeControlMessage(*known)});
 }
 
-void control_process::settleRead(base::request_id request,
-                                 const std::optional<base::error> &failure)
+void control_process::completeRead(base::request_id request,
+                                   const std::optional<base::error> &failure)
 {
     if ((request.value() & stateReadBit) == 0)
         m_tickets->inbox().push(tickets::read_settled {request, failure});
@@ -342,10 +343,10 @@
     if (leadership.leaderName.empty())
         return;
     for (const streams::connection_id &connection : m_directory.release())
-        sendAway(connection);
+        redirectNode(connection);
 }
 
-void control_process::takeStreamEvent(const streams::stream_event &event)
+void control_process::handleStreamEvent(const streams::stream_event &event)
 {
     m_started.wait();
     std::visit(
@@ -357,20 +358,20 @@
                 m_directory.forget(closed.connection);
                 m_publisher->inbox().push(dissemination::subscriber_closed {closed.connection});
             },
-            [this](const streams::stream_frame &frame) { takeFrame(frame); },
+            [this](const streams::stream_frame &frame) { handleFrame(frame); },
         },
         event);
 }
 
-void control_process::takeFrame(const streams::stream_frame &frame)
+void control_process::handleFrame(const streams::stream_frame &frame)
 {
     if (frame.channel != streams::channel::replication && !m_isLeading) {
-        // Membership and acknowledgements count at the leader only: the node goes there.
-        sendAway(frame.connection);
+        // Only the leader handles membership and acknowledgements, so the node is redirected to it.
+        redirectNode(frame.connection);
         return;
     }
     if (frame.channel == streams::channel::membership) {
-        takeMemberFrame(frame);
+        handleMemberFrame(frame);
     } else if (frame.channel == streams::channel::dissemination) {
         const base::result<dissemination::node_message> message
             = dissemination::decodeNodeMessage(frame.bytes);
@@ -385,7 +386,7 @@
         const base::result<replication::peer_envelope> envelope
             = replication::decodeEnvelope(frame.bytes);
         if (const base::error *failure = base::errorOf(envelope))
-            base::logWarning("replication", "message refused: " + failure->text());
+            base::logWarning("replication", "peer message refused: " + failure->text());
         else
             m_replication->inbox().push(base::valueOf(envelope));
     }
@@ -409,7 +410,7 @@
     return metrics::report {"control", std::move(samples)};
 }
 
-void control_process::takeMemberFrame(const streams::stream_frame &frame)
+void control_process::handleMemberFrame(const streams::stream_frame &frame)
 {
     const base::result<membership::member_frame> decoded = membership::decodeFrame(frame.bytes);
     if (!base::isOk(decoded))
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -1,7 +1,7 @@
-// A control process: the replicated log and the duties that live by it, joined by rings.
+// A control process: the replicated log and the duties that apply it, joined by rings.
 //
-// Committed entries are pushed (and waited for) from the replication thread to the others; what
-// goes the other way is offered with tryPush, so that no two threads wait for each other.
+// The replication thread pushes committed entries to the other threads and blocks while a ring is
+// full; messages in the other direction use tryPush, so that no two threads wait for each other.
 
 #pragma once
 
@@ -55,7 +55,7 @@
 class control_process
 {
 public:
-    // Told what became of desired states; called on the state thread.
+    // Receives the outcomes of requests for desired states; called on the state thread.
     using state_sink = std::function<void(const states::state_answer &)>;
 
     static base::result<std::unique_ptr<control_process>>
@@ -66,12 +66,12 @@
     control_process(const control_process &) = delete;
     control_process &operator=(const control_process &) = delete;
 
-    // Greets the control VMs at these addresses too. Thread-safe.
+    // Adds addresses of control VMs to contact. Thread-safe.
     void useControl(const std::vector<base::endpoint> &seeds);
-    // What the process counts. Thread-safe.
+    // The process's metrics. Thread-safe.
     metrics::report metrics() const;
 
-    // Takes submit_state and show_state of a front end for operators.
+    // Receives submit_state and show_state from an operators' front end.
     base::ring<states::state_message> &states() { return m_states->inbox(); }
 
 private:
@@ -80,22 +80,22 @@
     bool carryOutState(const states::state_action &action);
     void publishLeadership(const replication::leadership &leadership);
     void sendDirectory(streams::connection_id connection);
-    void sendAway(streams::connection_id connection);
+    void redirectNode(streams::connection_id connection);
     void startDuties();
     void startOperators(const std::string &token);
     void startReplication(const settings::node_settings &settings,
                           const settings::control_settings &own,
                           replication::replica_storage storage);
-    // Offers a proposal; false when replication can't take it now.
+    // Returns false when the ring of replication is full.
     bool propose(replication::entry_kind kind, std::string payload, std::uint64_t token);
-    void takeNotice(const replication::replication_notice &notice);
-    void settleRead(base::request_id request, const std::optional<base::error> &failure);
-    void takeStreamEvent(const streams::stream_event &event);
-    void takeFrame(const streams::stream_frame &frame);
-    void takeMemberFrame(const streams::stream_frame &frame);
+    void handleNotice(const replication::replication_notice &notice);
+    void completeRead(base::request_id request, const std::optional<base::error> &failure);
+    void handleStreamEvent(const streams::stream_event &event);
+    void handleFrame(const streams::stream_frame &frame);
+    void handleMemberFrame(const streams::stream_frame &frame);
 
     std::atomic<bool> m_isLeading = false;
-    // Holds back the stream thread until m_streams is set.
+    // Blocks the stream thread until m_streams is set.
     std::latch m_started {1};
     std::unique_ptr<tickets::ticket_duty> m_tickets;
     std::unique_ptr<states::state_duty> m_states;
@@ -105,7 +105,7 @@
     std::unique_ptr<operators::operator_duty> m_operators;
     const base::clock_time m_startedAt = base::clock_time::steady();
     internal::node_directory m_directory;
-    // These belong to the replication thread.
+    // Accessed by the replication thread only.
     std::shared_ptr<const replication::configuration> m_members;
     std::shared_ptr<const replication::leadership> m_leadership;
     std::unique_ptr<internal::committed_log> m_log;
--- a/lycheeshunt/daemon/entry_process.h
+++ b/lycheeshunt/daemon/entry_process.h
@@ -1,5 +1,5 @@
-// An entry: a packet thread that routes, one that watches the agents, and a follower that keeps
-// the table new.
+// An entry process: a packet thread that routes, a thread that monitors the agents' liveness, and a
+// follower that keeps the routing table up to date.
 
 #pragma once
 
@@ -34,9 +34,9 @@
     entry_process(const entry_process &) = delete;
     entry_process &operator=(const entry_process &) = delete;
 
-    // Looks for control at these addresses too. Thread-safe.
+    // Adds addresses of control processes to connect to. Thread-safe.
     void useControl(const std::vector<base::endpoint> &seeds);
-    // What the process counts. Thread-safe.
+    // The process's metrics. Thread-safe.
     metrics::report metrics() const;
     // Whether callers' packets can be routed. Thread-safe.
     bool isReady() const;
--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-// More entries at once come only from a restart or a long silence.
+// Batches of this size or more arrive only after a restart or a long disconnection.
 constexpr std::size_t catchUpEntries = 8;
 
 states::shared_state stateFrom(const std::string &payload)
@@ -27,7 +27,7 @@
         return {};
     const base::result<states::shared_state> state = states::decodeState(payload);
     if (const base::error *failure = base::errorOf(state)) {
-        base::logError("states", "committed state can't be read: " + failure->text());
+        base::logError("states", "committed desired state can't be decoded: " + failure->text());
         return {};
     }
     return base::valueOf(state);
@@ -39,7 +39,8 @@
         return std::nullopt;
     const base::result<membership::membership_batch> batch = membership::decodeBatch(payload);
     if (const base::error *failure = base::errorOf(batch)) {
-        base::logError("membership", "committed batch can't be read: " + failure->text());
+        base::logError("membership",
+                       "committed membership batch can't be decoded: " + failure->text());
         return std::nullopt;
     }
     return base::valueOf(batch);
@@ -52,23 +53,23 @@
 
 } // namespace
 
-void committed_log::take(const std::vector<replication::log_entry> &entries)
+void committed_log::deliver(const std::vector<replication::log_entry> &entries)
 {
-    // Tickets are applied one by one: each number has an answer of its own.
+    // Tickets are applied one by one: each number has its own answer.
     if (entries.size() < catchUpEntries || std::any_of(entries.begin(), entries.end(), isTicket)) {
         for (const replication::log_entry &entry : entries)
-            takeEntry(entry);
+            deliverEntry(entry);
         return;
     }
-    std::vector<replication::log_entry> news;
+    std::vector<replication::log_entry> newEntries;
     for (const replication::log_entry &entry : entries) {
-        if (entry.index <= m_appliedTo)
+        if (entry.index <= m_deliveredTo)
             continue;
-        m_appliedTo = entry.index;
-        m_compaction.follow(entry);
-        news.push_back(entry);
+        m_deliveredTo = entry.index;
+        m_compaction.trackMembers(entry);
+        newEntries.push_back(entry);
     }
-    const tickets::other_committed merged = log_compaction::merge(news);
+    const tickets::other_committed merged = log_compaction::merge(newEntries);
     if (merged.at != base::generation())
         m_followers.tickets.inbox().push(merged);
 }
@@ -76,8 +77,8 @@
 void committed_log::restore(const replication::state_restored &restored)
 {
     for (const replication::log_entry &entry : restored.entries)
-        takeEntry(m_compaction.completed(entry));
-    m_appliedTo = std::max(m_appliedTo, restored.at);
+        deliverEntry(m_compaction.withRemovals(entry));
+    m_deliveredTo = std::max(m_deliveredTo, restored.at);
 }
 
 std::vector<replication::log_entry>
@@ -86,13 +87,13 @@
     return m_compaction.compact(entries);
 }
 
-void committed_log::takeEntry(const replication::log_entry &entry)
+void committed_log::deliverEntry(const replication::log_entry &entry)
 {
-    // What a VM applies again after its disk had failed is known already.
-    if (entry.index <= m_appliedTo)
+    // A VM whose disk failed replays entries that have been delivered already.
+    if (entry.index <= m_deliveredTo)
         return;
-    m_appliedTo = entry.index;
-    m_compaction.follow(entry);
+    m_deliveredTo = entry.index;
+    m_compaction.trackMembers(entry);
     if (isTicket(entry)) {
         const base::result<tickets::ticket> ticket = tickets::decodeTicket(entry.payload);
         if (const tickets::ticket *known = std::get_if<tickets::ticket>(&ticket))
--- a/lycheeshunt/daemon/internal/committed_log.h
+++ b/lycheeshunt/daemon/internal/committed_log.h
@@ -1,9 +1,9 @@
-// Hands what the replicated log has committed to the duties that live by it, in the order of the
-// log. A VM that has much to catch up with hears what the entries amount to, not each of them.
+// Dispatches committed entries of the replicated log to the duties that apply them, in log order.
+// For a VM that has a long backlog, entries without a ticket are merged into one update.
 //
 //     committed_log log({tickets, states, membership, publisher});
-//     log.take(entries);     // on the replication thread
-//     log.apply(other);      // on the ticket thread, for each other_committed that comes back
+//     log.deliver(entries);     // on the replication thread
+//     log.apply(other);      // on the ticket thread, for each other_committed that it returns
 
 #pragma once
 
@@ -31,7 +31,7 @@
 
 namespace lycheeshunt::daemon::internal {
 
-// They outlive the log.
+// The duties that receive committed entries. They must outlive the committed_log.
 struct log_followers
 {
     tickets::ticket_duty &tickets;
@@ -45,22 +45,22 @@
 public:
     explicit committed_log(const log_followers &followers) : m_followers(followers) { }
 
-    void take(const std::vector<replication::log_entry> &entries);
-    // Of a snapshot.
+    void deliver(const std::vector<replication::log_entry> &entries);
+    // Replaces the state by that of a snapshot.
     void restore(const replication::state_restored &restored);
     std::vector<replication::log_entry>
     compact(const std::vector<replication::log_entry> &entries) const;
 
-    // Always true: the entry has been taken.
+    // Always true: the duties' rings are waited for, so that the entry is always accepted.
     bool apply(const tickets::other_committed &other);
 
 private:
-    void takeEntry(const replication::log_entry &entry);
+    void deliverEntry(const replication::log_entry &entry);
 
     const log_followers m_followers;
-    // These belong to the replication thread.
+    // Accessed by the replication thread only.
     log_compaction m_compaction;
-    base::generation m_appliedTo;
+    base::generation m_deliveredTo;
 };
 
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/daemon/internal/control_log.h
+++ b/lycheeshunt/daemon/internal/control_log.h
@@ -1,4 +1,4 @@
-// Log lines of a control process about what it has come to believe.
+// Log lines of a control process about membership and committed batches, and the names of outcomes.
 
 #pragma once
 
--- a/lycheeshunt/daemon/internal/incarnation.h
+++ b/lycheeshunt/daemon/internal/incarnation.h
@@ -1,4 +1,4 @@
-// The number of this incarnation of the process.
+// Creates the incarnation number of a process at its start.
 
 #pragma once
 
@@ -7,8 +7,8 @@
 
 namespace lycheeshunt::daemon::internal {
 
-// Greater at each later start of the VM's process, as long as the VM's clock does not step back
-// over the time between two starts.
+// Increases with each start of the VM's process, unless the VM's clock is set back by more than the
+// time between two starts.
 inline base::incarnation newIncarnation()
 {
     return base::incarnation(static_cast<std::uint64_t>(base::clock_time::wall().millis()));
--- a/lycheeshunt/daemon/internal/log_compaction.cpp
+++ b/lycheeshunt/daemon/internal/log_compaction.cpp
@@ -29,7 +29,7 @@
                                    membership::encodeBatch(batch)};
 }
 
-// The first of the highest version: a later one of the same version changed nothing.
+// The first entry of the highest version: a later one of the same version changed nothing.
 const replication::log_entry *highestState(const std::vector<replication::log_entry> &entries)
 {
     const replication::log_entry *highest = nullptr;
@@ -46,24 +46,24 @@
     return highest;
 }
 
-// Membership as several batches leave it.
+// Merges consecutive membership batches into their combined effect.
 class batch_merger
 {
 public:
-    // Whether the entry is a batch.
+    // Returns whether the entry is a batch.
     bool add(const replication::log_entry &entry)
     {
         const std::optional<membership::membership_batch> batch = batchOf(entry);
         if (!batch)
             return false;
         for (const membership::member &member : batch->updated) {
-            m_gone.erase(member.id());
+            m_removed.erase(member.id());
             m_present.erase(member.id());
             m_present.emplace(member.id(), member);
         }
         for (const base::node_id &id : batch->removed) {
             m_present.erase(id);
-            m_gone.insert(id);
+            m_removed.insert(id);
         }
         return true;
     }
@@ -75,16 +75,16 @@
             members.push_back(it->second);
         return members;
     }
-    std::vector<base::node_id> gone() const { return {m_gone.begin(), m_gone.end()}; }
+    std::vector<base::node_id> removed() const { return {m_removed.begin(), m_removed.end()}; }
 
 private:
     std::map<base::node_id, membership::member> m_present;
-    std::set<base::node_id> m_gone;
+    std::set<base::node_id> m_removed;
 };
 
 } // namespace
 
-void log_compaction::follow(const replication::log_entry &entry)
+void log_compaction::trackMembers(const replication::log_entry &entry)
 {
     const std::optional<membership::membership_batch> batch = batchOf(entry);
     if (!batch)
@@ -111,7 +111,7 @@
     if (lastBatch == nullptr)
         return kept;
     const std::vector<membership::member> present = members.present();
-    // In its place in the order of the log.
+    // The merged batch takes the place of the last batch in log order.
     std::vector<replication::log_entry> ordered;
     bool isPlaced = false;
     for (const replication::log_entry &entry : kept) {
@@ -134,21 +134,21 @@
         if (members.add(entry) || entry.kind == replication::entry_kind::state)
             at = entry.index;
     }
-    const membership::membership_batch batch {members.present(), members.gone()};
+    const membership::membership_batch batch {members.present(), members.removed()};
     const replication::log_entry *state = highestState(entries);
     return tickets::other_committed {at, batch.isEmpty() ? "" : membership::encodeBatch(batch),
                                      state == nullptr ? "" : state->payload, true};
 }
 
-replication::log_entry log_compaction::completed(const replication::log_entry &entry) const
+replication::log_entry log_compaction::withRemovals(const replication::log_entry &entry) const
 {
     const std::optional<membership::membership_batch> batch = batchOf(entry);
     if (!batch)
         return entry;
-    std::set<base::node_id> gone = m_members;
+    std::set<base::node_id> removed = m_members;
     for (const membership::member &member : batch->updated)
-        gone.erase(member.id());
-    return withBatch(entry, {batch->updated, {gone.begin(), gone.end()}});
+        removed.erase(member.id());
+    return withBatch(entry, {batch->updated, {removed.begin(), removed.end()}});
 }
 
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/daemon/internal/log_compaction.h
+++ b/lycheeshunt/daemon/internal/log_compaction.h
@@ -1,9 +1,9 @@
-// What a control process knows of the entries' meaning to keep its snapshots small: every ticket
-// stays, since its number must be answered for ever; of the desired states the highest stays, and
-// membership batches become one.
+// Compacts log entries by their meaning to keep a control process's snapshots small: every ticket
+// is kept, since queries for its number must be answered for ever; of the desired states only the
+// one of the highest version is kept, and membership batches are merged into one.
 //
 //     log_compaction compaction;
-//     compaction.follow(entry);                        // for each committed entry
+//     compaction.trackMembers(entry);                        // for each committed entry
 //     std::vector<log_entry> kept = compaction.compact(entries);
 //
 // Not thread-safe: the replication thread alone uses it.
@@ -25,17 +25,18 @@
 class log_compaction
 {
 public:
-    // Keeps count of who is a member now.
-    void follow(const replication::log_entry &entry);
+    // Updates the set of current members by a committed entry.
+    void trackMembers(const replication::log_entry &entry);
 
     std::vector<replication::log_entry>
     compact(const std::vector<replication::log_entry> &entries) const;
 
-    // What entries without a ticket amount to, for a VM that has many to catch up with.
+    // Merges entries without a ticket into one update, for a VM that has a long backlog.
     static tickets::other_committed merge(const std::vector<replication::log_entry> &entries);
 
-    // A batch out of a snapshot names all members; those known here and not in it are gone.
-    replication::log_entry completed(const replication::log_entry &entry) const;
+    // A batch in a snapshot lists all members: adds those that are members here and are not listed
+    // as removed.
+    replication::log_entry withRemovals(const replication::log_entry &entry) const;
 
 private:
     std::set<base::node_id> m_members;
--- a/lycheeshunt/daemon/internal/metrics_endpoint.h
+++ b/lycheeshunt/daemon/internal/metrics_endpoint.h
@@ -1,4 +1,4 @@
-// The metrics thread and, where the settings ask for one, the address that scrapers read.
+// The metrics thread and, where the settings give an address, the HTTP server for scrapers.
 
 #pragma once
 
@@ -15,7 +15,7 @@
 class metrics_endpoint
 {
 public:
-    // What the collectors read must outlive the endpoint.
+    // The objects that the collectors read must outlive the endpoint.
     static base::result<std::unique_ptr<metrics_endpoint>>
     open(const std::optional<base::endpoint> &listen,
          std::vector<metrics::metrics_duty::collector> collectors);
--- a/lycheeshunt/daemon/internal/node_directory.cpp
+++ b/lycheeshunt/daemon/internal/node_directory.cpp
@@ -20,19 +20,19 @@
     const dissemination::control_directory directory {
         leading == nullptr ? base::endpoint {} : leading->streams, std::move(streams)};
     const std::lock_guard<std::mutex> lock(m_lock);
-    m_known = std::make_shared<const dissemination::control_directory>(directory);
+    m_current = std::make_shared<const dissemination::control_directory>(directory);
 }
 
-std::shared_ptr<const dissemination::control_directory> node_directory::known() const
+std::shared_ptr<const dissemination::control_directory> node_directory::current() const
 {
     const std::lock_guard<std::mutex> lock(m_lock);
-    return m_known;
+    return m_current;
 }
 
-bool node_directory::holds(streams::connection_id connection, base::clock_time uptime)
+bool node_directory::holdUntilLeader(streams::connection_id connection, base::clock_time uptime)
 {
     const std::lock_guard<std::mutex> lock(m_lock);
-    if (!m_known || !holdsNode(*m_known, uptime))
+    if (!m_current || !shouldHoldNode(*m_current, uptime))
         return false;
     m_waiting.insert(connection);
     return true;
--- a/lycheeshunt/daemon/internal/node_directory.h
+++ b/lycheeshunt/daemon/internal/node_directory.h
@@ -1,4 +1,4 @@
-// What nodes are told of the control group, and the nodes that wait to be told who leads.
+// The control group's addresses as sent to nodes, and the nodes that wait for a leader's address.
 //
 // Thread-safe: the replication thread sets it, the stream thread reads it.
 
@@ -24,18 +24,18 @@
 {
 public:
     void set(const replication::configuration &members, const replication::leadership &leadership);
-    // Null until the group's members are known.
-    std::shared_ptr<const dissemination::control_directory> known() const;
+    // Null until the addresses of all members are known.
+    std::shared_ptr<const dissemination::control_directory> current() const;
 
-    // Whether the node is to wait here for a leader; it is then remembered until release().
-    bool holds(streams::connection_id connection, base::clock_time uptime);
-    // The nodes that waited.
+    // Returns whether the node is to wait here for a leader; if so, it is stored until release().
+    bool holdUntilLeader(streams::connection_id connection, base::clock_time uptime);
+    // Removes and returns the nodes that wait.
     std::set<streams::connection_id> release();
     void forget(streams::connection_id connection);
 
 private:
     mutable std::mutex m_lock;
-    std::shared_ptr<const dissemination::control_directory> m_known;
+    std::shared_ptr<const dissemination::control_directory> m_current;
     std::set<streams::connection_id> m_waiting;
 };
 
--- a/lycheeshunt/daemon/internal/node_hold.h
+++ b/lycheeshunt/daemon/internal/node_hold.h
@@ -1,5 +1,5 @@
-// Whether a control VM that does not lead keeps a node until it can name the leader, or sends it
-// away to look elsewhere.
+// Decides whether a control VM that does not lead holds a node's connection until the leader is
+// known, or redirects the node at once.
 
 #pragma once
 
@@ -8,13 +8,15 @@
 
 namespace lycheeshunt::daemon::internal {
 
-// Where every VM has just started, an election ends within this and nodes need not go round. Later
-// a VM without a leader may be cut off, and its nodes must look elsewhere.
-constexpr base::clock_time holdNodesFor = base::clock_time::ofMillis(1500);
+// When all VMs have just started, an election ends within this time, and nodes need not try one
+// control VM after another. Later, a VM without a leader may be partitioned from the others, and
+// its nodes must try other VMs.
+constexpr base::clock_time nodeHoldTime = base::clock_time::ofMillis(1500);
 
-inline bool holdsNode(const dissemination::control_directory &directory, base::clock_time uptime)
+inline bool shouldHoldNode(const dissemination::control_directory &directory,
+                           base::clock_time uptime)
 {
-    return directory.leader.port == 0 && uptime < holdNodesFor;
+    return directory.leader.port == 0 && uptime < nodeHoldTime;
 }
 
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/daemon/log_compaction_test.cpp
+++ b/lycheeshunt/daemon/log_compaction_test.cpp
@@ -1,4 +1,4 @@
-// What many entries of the log amount to, for a VM that has to catch up with them.
+// Merging of log entries for a VM that has a long backlog.
 
 #include "lycheeshunt/daemon/internal/log_compaction.h"
 
@@ -50,7 +50,7 @@
 
 TEST_GROUP(log_compaction) {};
 
-TEST(log_compaction, theHighestStateIsAllThatIsLeftOfStates)
+TEST(log_compaction, onlyTheHighestStateIsKept)
 {
     const tickets::other_committed merged
         = log_compaction::merge({stateEntry(1, 5), stateEntry(2, 9), stateEntry(3, 7)});
@@ -60,7 +60,7 @@
     CHECK(merged.batch.empty());
 }
 
-TEST(log_compaction, ofAMemberTheLatestIncarnationIsLeft)
+TEST(log_compaction, onlyTheLatestIncarnationOfAMemberIsKept)
 {
     const tickets::other_committed merged
         = log_compaction::merge({batchEntry(1, {{memberOf("n1", 1), memberOf("n2", 1)}, {}}),
@@ -71,8 +71,8 @@
         LONGS_EQUAL(member.name == "n1" ? 2 : 1, member.incarnation.value());
 }
 
-// It may have been a member before the first of the entries.
-TEST(log_compaction, aMemberThatLeftIsToldAsGone)
+// It may have been a member before the first of these entries.
+TEST(log_compaction, aMemberThatLeftIsReportedAsRemoved)
 {
     const membership::member left = memberOf("n1", 1);
     const tickets::other_committed merged
@@ -83,7 +83,7 @@
     CHECK(merged.at == base::generation(4));
 }
 
-TEST(log_compaction, aMemberThatCameBackIsNotGone)
+TEST(log_compaction, aMemberThatRejoinedIsNotReportedAsRemoved)
 {
     const membership::member back = memberOf("n1", 2);
     const tickets::other_committed merged
@@ -93,7 +93,7 @@
     LONGS_EQUAL(0, batch.removed.size());
 }
 
-TEST(log_compaction, entriesWithoutEffectComeToNothing)
+TEST(log_compaction, entriesWithoutEffectMergeToNothing)
 {
     const tickets::other_committed merged
         = log_compaction::merge({entryOf(1, replication::entry_kind::none, "")});
--- a/lycheeshunt/daemon/main.cpp
+++ b/lycheeshunt/daemon/main.cpp
@@ -1,4 +1,4 @@
-// lycheeshuntd: one process of the system, in the role that its settings give it.
+// lycheeshuntd: an entry, agent or control process, as its settings say.
 
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
@@ -20,8 +20,8 @@
 
 enum exit_status : int { success = 0, badSettings = 2, startFailed = 3 };
 
-// How often a changed settings file is looked for.
-constexpr base::clock_time lookEvery = base::clock_time::ofSeconds(5);
+// The interval at which the settings file is checked for changes.
+constexpr base::clock_time settingsPollInterval = base::clock_time::ofSeconds(5);
 
 template <typename process_type>
 int runUntilStopped(const base::result<std::unique_ptr<process_type>> &process,
@@ -41,7 +41,7 @@
     }
     base::logInfo("daemon", "started");
     daemon::settings_watch watch(path, settings);
-    while (signals.wait(lookEvery) != daemon::process_signal::stop)
+    while (signals.wait(settingsPollInterval) != daemon::process_signal::stop)
         watch.poll();
     base::logInfo("daemon", "stopping");
     return success;
--- a/lycheeshunt/daemon/node_hold_test.cpp
+++ b/lycheeshunt/daemon/node_hold_test.cpp
@@ -12,19 +12,19 @@
     const base::clock_time late = base::clock_time::ofSeconds(20);
 };
 
-TEST(node_hold, whereAllHaveJustStartedNodesWaitForTheElection)
+TEST(node_hold, nodesWaitForTheElectionAfterAStart)
 {
-    CHECK(daemon::internal::holdsNode(leaderless, early));
+    CHECK(daemon::internal::shouldHoldNode(leaderless, early));
 }
 
-// A VM that is cut off from the others hears of no leader for as long as the cut lasts.
-TEST(node_hold, aVmThatMayBeCutOffKeepsNobody)
+// A VM that is partitioned from the others finds no leader for as long as the partition lasts.
+TEST(node_hold, aVmThatMayBePartitionedHoldsNoNode)
 {
-    CHECK_FALSE(daemon::internal::holdsNode(leaderless, late));
+    CHECK_FALSE(daemon::internal::shouldHoldNode(leaderless, late));
 }
 
-TEST(node_hold, aNodeIsSentToALeaderThatIsKnown)
+TEST(node_hold, aNodeIsRedirectedToAKnownLeader)
 {
-    CHECK_FALSE(daemon::internal::holdsNode(led, early));
-    CHECK_FALSE(daemon::internal::holdsNode(led, late));
+    CHECK_FALSE(daemon::internal::shouldHoldNode(led, early));
+    CHECK_FALSE(daemon::internal::shouldHoldNode(led, late));
 }
--- a/lycheeshunt/daemon/process_signals.cpp
+++ b/lycheeshunt/daemon/process_signals.cpp
@@ -11,16 +11,16 @@
     sigaddset(&m_signals, SIGINT);
     sigaddset(&m_signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
-    // A peer that closes its end is noticed by the write that fails.
+    // A write to a connection that the peer closed returns an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-process_signal process_signals::wait(base::clock_time span) const
+process_signal process_signals::wait(base::clock_time timeout) const
 {
     constexpr std::int64_t millisPerSecond = 1000;
     constexpr std::int64_t nanosPerMilli = 1'000'000;
-    const timespec limit {span.millis() / millisPerSecond,
-                          span.millis() % millisPerSecond * nanosPerMilli};
+    const timespec limit {timeout.millis() / millisPerSecond,
+                          timeout.millis() % millisPerSecond * nanosPerMilli};
     const int received = ::sigtimedwait(&m_signals, nullptr, &limit);
     if (received == SIGHUP)
         return process_signal::reload;
--- a/lycheeshunt/daemon/process_signals.h
+++ b/lycheeshunt/daemon/process_signals.h
@@ -1,7 +1,7 @@
-// The signals that a process is driven by, taken by one thread alone.
+// Waits for the signals that stop or reload the process, on a single thread.
 //
 //     process_signals signals;                 // first of all, before any thread starts
-//     while (signals.wait(span) != process_signal::stop) ...
+//     while (signals.wait(timeout) != process_signal::stop) ...
 
 #pragma once
 
@@ -16,11 +16,11 @@
 class process_signals
 {
 public:
-    // Blocks the signals in this thread and in those that it starts.
+    // Blocks the signals in this thread and in the threads that it starts.
     process_signals();
 
-    // The next signal, or none after the span.
-    process_signal wait(base::clock_time span) const;
+    // Returns the next signal, or none when the timeout expires.
+    process_signal wait(base::clock_time timeout) const;
 
 private:
     sigset_t m_signals;
--- a/lycheeshunt/daemon/settings_watch.h
+++ b/lycheeshunt/daemon/settings_watch.h
@@ -1,8 +1,8 @@
-// Notices that the settings file has changed, with or without a signal. New settings are taken up
-// whole or not at all.
+// Detects changes of the settings file, with or without a signal. New settings are applied
+// completely or not at all.
 //
 //     settings_watch watch(path, settings);
-//     if (const std::optional<node_settings> changed = watch.poll(isAsked)) ...
+//     if (const std::optional<node_settings> changed = watch.poll()) ...
 
 #pragma once
 
@@ -19,8 +19,8 @@
 public:
     settings_watch(std::string path, const settings::node_settings &current);
 
-    // The new settings when the file holds others than before. A file that can't be used is logged
-    // once, and the present settings stay.
+    // Returns the new settings if they differ from the current ones. An unusable file is logged
+    // once per error, and the current settings stay.
     std::optional<settings::node_settings> poll();
 
 private:
--- a/lycheeshunt/daemon/settings_watch_test.cpp
+++ b/lycheeshunt/daemon/settings_watch_test.cpp
@@ -1,4 +1,4 @@
-// Settings that change while the process runs: taken up whole or not at all.
+// Settings that change while the process runs are applied completely or not at all.
 
 #include "lycheeshunt/daemon/settings_watch.h"
 
@@ -64,13 +64,13 @@
     CHECK_FALSE(watched.poll().has_value());
 }
 
-TEST(settings_watch, aFileThatCanNotBeUsedChangesNothing)
+TEST(settings_watch, anUnusableFileChangesNothing)
 {
     write(settingsWith("127.0.0.1:1"));
     daemon::settings_watch watched = watch();
     write("role = \"entry\"\nunknown_key = 1\n");
     CHECK_FALSE(watched.poll().has_value());
-    // As a writer leaves it that is interrupted.
+    // A file that was cut off in the middle of a write.
     write("role = \"en");
     CHECK_FALSE(watched.poll().has_value());
     std::filesystem::remove(path);
