--- a/lycheeshunt/ctl/control_client.h
+++ b/lycheeshunt/ctl/control_client.h
@@ -1,4 +1,4 @@
-// Sends one request to the first control VM that answers.
+// Sends a request to the control VMs in turn until one replies.
 //
 //     const base::result<http_answer> answer
 //         = control_client(servers, token).get("/v1/status", clock_time());
@@ -17,12 +17,13 @@
 class control_client
 {
 public:
-    // Servers are HOST:PORT. The token is empty where none is needed.
+    // Servers are HOST:PORT. The token is empty if none is needed.
     control_client(std::vector<std::string> servers, std::string token);
 
-    // controlUnreachable when no server answers. The wait is what the server itself may take.
+    // Returns controlUnreachable when no server replies. `wait` is the time that the server may
+    // take on top of the request timeout.
     base::result<http_answer> get(const std::string &path, base::clock_time wait) const;
-    // The next server is tried also when an answer was lost: tickets are idempotent.
+    // Tries the next server even if only the reply was lost: tickets are idempotent.
     base::result<http_answer> post(const std::string &path, const std::string &body,
                                    base::clock_time wait) const;
 
--- a/lycheeshunt/ctl/ctl_test.cpp
+++ b/lycheeshunt/ctl/ctl_test.cpp
@@ -1,4 +1,4 @@
-// The client against the API server of a control process, on ephemeral ports.
+// Tests the client against a control process's API server on ephemeral ports.
 
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/ctl/control_client.h"
@@ -16,7 +16,7 @@
 
 constexpr std::uint32_t loopback = 0x7f000001;
 
-// A port that was free a moment ago.
+// Returns a port that was free when it was checked.
 base::endpoint freePort()
 {
     const base::result<base::file_descriptor> listener
@@ -53,7 +53,7 @@
     CHECK(errors.str().find("E602") != std::string::npos);
 }
 
-TEST(ctl, theApiRefusesByCodeWhatItCantTake)
+TEST(ctl, theApiRefusesInvalidRequestsByCode)
 {
     std::unique_ptr<operators::api_server> api;
     operators::operator_duty duty("secret", [&](const operators::operator_action &action) {
--- a/lycheeshunt/ctl/exit_status.h
+++ b/lycheeshunt/ctl/exit_status.h
@@ -1,4 +1,4 @@
-// How lycheeshuntctl ends; docs/OPERATING.md lists them.
+// Exit statuses of lycheeshuntctl; documented in docs/OPERATING.md.
 
 #pragma once
 
--- a/lycheeshunt/ctl/explain.cpp
+++ b/lycheeshunt/ctl/explain.cpp
@@ -7,16 +7,16 @@
 
 namespace {
 
-// The rest of the line from a field on, so that what a collector put before it does not matter.
-std::string from(const std::string &line, const std::string &field)
+// Returns the line from the given field on: log collectors may put a prefix before it.
+std::string suffixFrom(const std::string &line, const std::string &field)
 {
     const std::size_t start = line.find(field);
     return start == std::string::npos ? std::string() : line.substr(start);
 }
 
-bool speaksOf(const std::string &line, const std::string &caller)
+bool isAboutFlow(const std::string &line, const std::string &caller)
 {
-    const std::string rest = from(line, " flow=" + caller);
+    const std::string rest = suffixFrom(line, " flow=" + caller);
     const std::size_t end = caller.size() + std::string(" flow=").size();
     return !rest.empty() && (rest.size() == end || rest[end] == '>' || rest[end] == ' ');
 }
@@ -37,8 +37,8 @@
     std::uint64_t omitted = 0;
     for (const std::string &line : lines) {
         omitted += line.find(" omitted=") != std::string::npos ? 1 : 0;
-        if (speaksOf(line, caller))
-            found.push_back(from(line, "time="));
+        if (isAboutFlow(line, caller))
+            found.push_back(suffixFrom(line, "time="));
     }
     std::stable_sort(found.begin(), found.end(),
                      [](const std::string &left, const std::string &right) {
--- a/lycheeshunt/ctl/explain.h
+++ b/lycheeshunt/ctl/explain.h
@@ -1,4 +1,5 @@
-// Gathers what the processes' logs say of one flow, in the order of time, and says what is missing.
+// Collects the log lines of one flow from several processes, sorted by time, and reports which
+// expected events are missing.
 
 #pragma once
 
@@ -10,8 +11,8 @@
 
 namespace lycheeshunt::ctl {
 
-// The caller is "address:port"; the whole flow "address:port>address:port" works too. Returns
-// refused when no line speaks of it.
+// The caller is "address:port"; the full flow "address:port>address:port" is accepted too.
+// Returns refused when no line is about it.
 exit_status explainFlow(const std::string &caller, const std::vector<std::string> &lines,
                         std::ostream &out);
 
--- a/lycheeshunt/ctl/explain_test.cpp
+++ b/lycheeshunt/ctl/explain_test.cpp
@@ -17,14 +17,14 @@
                               "event=opened flow=192.0.2.7:40001>198.51.100.1:443 busy=1";
 };
 
-TEST(explain, linesOfOneFlowStandInTheOrderOfTime)
+TEST(explain, linesOfAFlowAreSortedByTime)
 {
     CHECK(ctl::explainFlow("192.0.2.7:4000", {"  9.1 a-1 " + opened, other, steered}, out)
           == ctl::done);
     STRCMP_EQUAL((steered + "\n" + opened + "\n").c_str(), out.str().c_str());
 }
 
-TEST(explain, whatIsMissingIsSaid)
+TEST(explain, missingEventsAreReported)
 {
     CHECK(ctl::explainFlow("192.0.2.7:4000", {steered, other + " omitted=4"}, out) == ctl::done);
     CHECK(out.str().find("missing: no agent opened") != std::string::npos);
--- a/lycheeshunt/ctl/main.cpp
+++ b/lycheeshunt/ctl/main.cpp
@@ -124,10 +124,10 @@
 
 void addWait(CLI::App &command, options &given)
 {
-    constexpr std::int64_t longestWait = 60'000;
+    constexpr std::int64_t maxWaitMillis = 60'000;
     command.add_flag("--wait", given.isWaiting, "wait until it is in force on every VM");
     command.add_option("--wait-ms", given.waitMillis, "longest wait in milliseconds")
-        ->check(CLI::Range(std::int64_t {1}, longestWait));
+        ->check(CLI::Range(std::int64_t {1}, maxWaitMillis));
 }
 
 } // namespace
--- a/lycheeshunt/ctl/report.h
+++ b/lycheeshunt/ctl/report.h
@@ -1,4 +1,4 @@
-// Prints answers of control, as tables for people or as JSON for programs.
+// Prints replies of the control API as tables or as JSON.
 
 #pragma once
 
@@ -13,11 +13,11 @@
 
 enum class report_form : unsigned char { table, json };
 
-// A ticket: notInForce when it was to be waited for and some member has not got it.
+// Prints a ticket; returns notInForce when it must be in force and some member has not applied it.
 exit_status reportTicket(const base::result<http_answer> &answer, report_form form,
                          bool mustBeInForce, std::ostream &out, std::ostream &errors);
 
-// Rows of the list named `list` in the answer.
+// Prints the rows of the list named `list` in the reply.
 exit_status reportMembers(const base::result<http_answer> &answer, report_form form,
                           const std::string &list, std::ostream &out, std::ostream &errors);
 
--- a/lycheeshunt/daemon/settings_watch.cpp
+++ b/lycheeshunt/daemon/settings_watch.cpp
@@ -23,7 +23,7 @@
     if (base::valueOf(read) == *m_current)
         return std::nullopt;
     m_current = std::make_shared<const settings::node_settings>(base::valueOf(read));
-    base::logInfo("settings", "reloaded: control addresses are taken up, the rest at a restart");
+    base::logInfo("settings", "reloaded: control addresses are applied, the rest at a restart");
     return *m_current;
 }
 
--- a/lycheeshunt/settings/agent_settings.h
+++ b/lycheeshunt/settings/agent_settings.h
@@ -7,15 +7,15 @@
 
 namespace lycheeshunt::settings {
 
-// What an agent needs besides the common settings.
+// Settings of an agent besides the common ones.
 struct agent_settings
 {
     const std::string service;
     const flows::agent_sockets sockets;
-    // Bound here: the backend server's announcements (HTTP). Without it the server is taken to be
-    // there as long as the agent is.
+    // Listen address for the backend server's announcements (HTTP). Without it the server is
+    // assumed to run as long as the agent does.
     const std::optional<base::endpoint> announcements = {};
-    // Bound here: whether the agent is ready (HTTP).
+    // Listen address for readiness queries (HTTP).
     const std::optional<base::endpoint> readiness = {};
 
     bool operator==(const agent_settings &) const = default;
--- a/lycheeshunt/settings/control_settings.h
+++ b/lycheeshunt/settings/control_settings.h
@@ -9,26 +9,27 @@
 
 namespace lycheeshunt::settings {
 
-// What a control process needs besides the common settings.
+// Settings of a control process besides the common ones.
 struct control_settings
 {
-    // Bound here: streams from every other process.
+    // Listen address for streams from all other processes.
     const base::endpoint streams;
-    // Bound here: the operators' HTTP API.
+    // Listen address of the operators' HTTP API.
     const base::endpoint api;
-    // Holds the log; must be on a disk that lasts.
+    // Holds the log; must be on persistent storage.
     const std::string dataFolder;
-    // All control VMs, this one included; one entry for a control VM alone.
+    // All control VMs, including this one; a single element for a group of one.
     const std::vector<replication::control_peer> peers = {};
-    // Holds the operators' token; empty only where the API is bound to loopback.
+    // Path of the file with the operators' token; empty only where the API is bound to loopback.
     const std::string tokenFile = {};
-    // Bound here: desired states from operators (HTTP).
+    // Listen address for desired states from operators (HTTP).
     const std::optional<base::endpoint> states = {};
-    // The control addresses of the settings are seeds: they found the group, others join it.
+    // Whether membership is dynamic: the VMs at the control addresses form the group, and others
+    // join it.
     const bool isOpenGroup = false;
-    // Whether this VM may take part in founding a group; false on one that replaces another.
+    // Whether this VM may take part in forming a group; false on a VM that replaces another.
     const bool mayBootstrap = true;
-    // Disks of control VMs that may be lost at once.
+    // The number of control VMs whose disks may be lost at the same time.
     const std::size_t toleratedLosses = 1;
 
     bool operator==(const control_settings &) const = default;
--- a/lycheeshunt/settings/entry_settings.h
+++ b/lycheeshunt/settings/entry_settings.h
@@ -6,16 +6,16 @@
 
 namespace lycheeshunt::settings {
 
-// What an entry needs besides the common settings.
+// Settings of an entry besides the common ones.
 struct entry_settings
 {
-    // Bound here: callers' packets from the fabric.
+    // Listen address for callers' packets from the fabric.
     const base::endpoint packets;
-    // Bound here: what agents say about flows. Without it each packet goes by its director.
+    // Listen address for flow hints from agents. Without it each packet is sent to its director.
     const std::optional<base::endpoint> hints = {};
-    // The fabric takes packets to callers here.
+    // The fabric receives packets for callers at this address.
     const std::optional<base::endpoint> fabric = {};
-    // Bound here: whether the entry is ready for packets (HTTP).
+    // Listen address for readiness queries (HTTP).
     const std::optional<base::endpoint> readiness = {};
 
     bool operator==(const entry_settings &) const = default;
--- a/lycheeshunt/settings/internal/table_reader.cpp
+++ b/lycheeshunt/settings/internal/table_reader.cpp
@@ -19,7 +19,7 @@
     m_fault.emplace(base::error {code, detail});
 }
 
-void table_reader::take(const table_reader &other)
+void table_reader::mergeFault(const table_reader &other)
 {
     if (!m_fault && other.m_fault)
         m_fault.emplace(*other.m_fault);
@@ -27,7 +27,7 @@
 
 const toml::node *table_reader::find(const std::string &key)
 {
-    m_asked.insert(key);
+    m_readKeys.insert(key);
     const toml::node *node = m_table.get(key);
     if (node == nullptr)
         fail(base::error_code::settingsMissingKey, key, "");
@@ -49,13 +49,13 @@
 
 std::string table_reader::optionalText(const std::string &key)
 {
-    m_asked.insert(key);
+    m_readKeys.insert(key);
     return m_table.contains(key) ? text(key) : std::string();
 }
 
 bool table_reader::flag(const std::string &key, bool byDefault)
 {
-    m_asked.insert(key);
+    m_readKeys.insert(key);
     const toml::node *node = m_table.get(key);
     if (node == nullptr)
         return byDefault;
@@ -67,7 +67,7 @@
 
 std::int64_t table_reader::number(const std::string &key, std::int64_t byDefault)
 {
-    m_asked.insert(key);
+    m_readKeys.insert(key);
     const toml::node *node = m_table.get(key);
     if (node == nullptr)
         return byDefault;
@@ -79,7 +79,7 @@
 
 std::optional<base::endpoint> table_reader::optionalEndpoint(const std::string &key)
 {
-    m_asked.insert(key);
+    m_readKeys.insert(key);
     if (!m_table.contains(key))
         return std::nullopt;
     return endpoint(key);
@@ -152,7 +152,7 @@
 {
     for (auto it = m_table.begin(); it != m_table.end(); ++it) {
         const std::string key(it->first.str());
-        if (m_asked.count(key) == 0)
+        if (m_readKeys.count(key) == 0)
             fail(base::error_code::settingsUnknownKey, key, "");
     }
 }
--- a/lycheeshunt/settings/internal/table_reader.h
+++ b/lycheeshunt/settings/internal/table_reader.h
@@ -1,5 +1,5 @@
-// Reads typed values out of one TOML table and remembers which keys were asked for, so that the
-// rest can be refused. The first fault is kept; later reads return defaults.
+// Reads typed values from one TOML table and records which keys were read, so that unknown keys can
+// be refused. Only the first fault is kept; a read that fails returns a default.
 
 #pragma once
 
@@ -29,18 +29,19 @@
     std::optional<base::endpoint> optionalEndpoint(const std::string &key);
     base::endpoint endpoint(const std::string &key);
     std::vector<base::endpoint> endpoints(const std::string &key);
-    // Whether an optional key is there.
+    // Whether the table contains the key.
     bool has(const std::string &key) const { return m_table.contains(key); }
     // The tables of an array of tables.
     std::vector<const toml::table *> tables(const std::string &key);
-    // Null when the key is missing or no table.
+    // Null when the key is missing or not a table.
     const toml::table *subtable(const std::string &key);
 
-    // Reports the first key that nobody asked for.
+    // Reports the first key that was not read.
     void refuseUnknownKeys();
 
     void fail(base::error_code code, const std::string &key, const std::string &what);
-    void take(const table_reader &other);
+    // Copies the other reader's fault unless this one already has one.
+    void mergeFault(const table_reader &other);
     const std::string &path() const { return m_path; }
     const std::optional<base::error> &fault() const { return m_fault; }
 
@@ -50,7 +51,7 @@
 
     const toml::table &m_table;
     const std::string m_path;
-    std::set<std::string> m_asked;
+    std::set<std::string> m_readKeys;
     std::optional<base::error> m_fault;
 };
 
--- a/lycheeshunt/settings/node_settings.h
+++ b/lycheeshunt/settings/node_settings.h
@@ -13,7 +13,7 @@
 
 using role_settings = std::variant<entry_settings, agent_settings, control_settings>;
 
-// The whole of a daemon's settings.
+// All settings of a daemon.
 struct node_settings
 {
     const std::string name;
@@ -21,7 +21,7 @@
     // Stream addresses of the control processes.
     const std::vector<base::endpoint> control;
     const role_settings role;
-    // Bound here when given: metrics for scrapers. Without it nothing listens.
+    // Listen address for metrics scrapers, if any.
     const std::optional<base::endpoint> metrics = {};
 
     bool operator==(const node_settings &) const = default;
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -46,7 +46,7 @@
         table_reader peer(*table, reader.path());
         peers.push_back({peer.text("name"), peer.endpoint("streams")});
         peer.refuseUnknownKeys();
-        reader.take(peer);
+        reader.mergeFault(peer);
         names.insert(peers.back().name);
         addresses.insert(peers.back().streams);
     }
@@ -71,9 +71,9 @@
     if (tokenFile.empty() && api.address >> networkShift != loopbackNetwork)
         reader.fail(base::error_code::settingsMissingKey, "token_file",
                     "needed where the API is not bound to loopback");
-    constexpr std::int64_t mostLosses = 8;
+    constexpr std::int64_t maxToleratedLosses = 8;
     const std::int64_t losses = reader.number("tolerated_losses", 1);
-    if (losses < 0 || losses > mostLosses)
+    if (losses < 0 || losses > maxToleratedLosses)
         reader.fail(base::error_code::settingsBadValue, "tolerated_losses", "must be from 0 to 8");
     const std::string folder = reader.text("data_folder");
     const std::optional<base::endpoint> states = reader.optionalEndpoint("states");
@@ -84,13 +84,13 @@
         states,  isOpenGroup, mayBootstrap, static_cast<std::size_t>(losses)};
 }
 
-// With `control_port`, only the IP addresses of the list count.
+// If `control_port` is set, it replaces the ports of the listed addresses.
 std::vector<base::endpoint> readControlAddresses(table_reader &reader)
 {
-    constexpr std::int64_t lastPort = 65535;
+    constexpr std::int64_t maxPort = 65535;
     std::vector<base::endpoint> listed = reader.endpoints("control_addresses");
     const std::int64_t port = reader.number("control_port", 0);
-    if (port < 0 || port > lastPort)
+    if (port < 0 || port > maxPort)
         reader.fail(base::error_code::settingsBadValue, "control_port", "must be a port");
     if (port == 0)
         return listed;
@@ -112,7 +112,7 @@
     table_reader reader(*metrics, path);
     const base::endpoint listen = reader.endpoint("listen");
     reader.refuseUnknownKeys();
-    top.take(reader);
+    top.mergeFault(reader);
     return listen;
 }
 
@@ -127,7 +127,7 @@
         : role == "agent"                    ? readAgent(reader)
                                              : readControl(reader, self);
     reader.refuseUnknownKeys();
-    top.take(reader);
+    top.mergeFault(reader);
     return settings;
 }
 
--- a/lycheeshunt/settings/settings_file.h
+++ b/lycheeshunt/settings/settings_file.h
@@ -1,5 +1,5 @@
-// Reads a daemon's settings from TOML and checks them whole: unknown keys, wrong types, missing
-// and clashing values are each a numbered error that names file, line and key.
+// Reads a daemon's settings from TOML and validates them: unknown keys, wrong types, missing and
+// conflicting values are each reported as a numbered error that names file, line and key.
 //
 //     const result<node_settings> settings = readSettings("/etc/lycheeshunt/agent.toml");
 
@@ -15,7 +15,7 @@
 
 base::result<node_settings> readSettings(const std::string &path);
 
-// As readSettings, for text already at hand; `path` only names it in errors.
+// Like readSettings, for text in memory; `path` is only used in errors.
 base::result<node_settings> parseSettings(std::string_view text, const std::string &path);
 
 } // namespace lycheeshunt::settings
