--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -71,7 +71,7 @@
     // The process's metrics. Thread-safe.
     metrics::report metrics() const;
 
-    // Receives submit_state and show_state from an operators' front end.
+    // Receives submit_state and get_state from an operators' front end.
     base::ring<states::state_message> &states() { return m_states->inbox(); }
 
 private:
