--- a/lycheeshunt/base/flow_key.cpp
+++ b/lycheeshunt/base/flow_key.cpp
@@ -1,8 +1,8 @@
 #include "lycheeshunt/base/flow_key.h"
 
-#include <xxhash.h>
+#include "lycheeshunt/base/byte_order.h"
 
-#include <cstring>
+#include <xxhash.h>
 
 namespace lycheeshunt::base {
 
@@ -13,12 +13,12 @@
 
 std::uint64_t hashOf(const flow_key &key)
 {
-    unsigned char bytes[keyBytes];
-    std::memcpy(bytes, &key.caller.address, 4);
-    std::memcpy(bytes + 4, &key.service.address, 4);
-    std::memcpy(bytes + 8, &key.caller.port, 2);
-    std::memcpy(bytes + 10, &key.service.port, 2);
-    bytes[12] = key.protocol;
+    char bytes[keyBytes];
+    putLittleEndian(bytes, key.caller.address);
+    putLittleEndian(bytes + 4, key.service.address);
+    putLittleEndian(bytes + 8, key.caller.port);
+    putLittleEndian(bytes + 10, key.service.port);
+    putLittleEndian(bytes + 12, key.protocol);
     return XXH3_64bits_withSeed(bytes, sizeof bytes, flowSeed);
 }
 
--- a/lycheeshunt/replication/internal/record.cpp
+++ b/lycheeshunt/replication/internal/record.cpp
@@ -1,8 +1,9 @@
 #include "lycheeshunt/replication/internal/record.h"
 
+#include "lycheeshunt/base/byte_order.h"
+
 #include <xxhash.h>
 
-#include <cstring>
 #include <optional>
 
 namespace lycheeshunt::replication::internal {
@@ -10,13 +11,15 @@
 namespace {
 
 constexpr std::uint32_t magic = 0x4c534852;
+constexpr std::size_t lengthOffset = 4;
+constexpr std::size_t checksumOffset = 8;
 constexpr std::size_t headerChecksumOffset = 16;
 constexpr std::size_t sectorBytes = 512;
 
 struct record_header
 {
-    std::uint32_t length = 0;
-    std::uint64_t checksum = 0;
+    const std::uint32_t length = 0;
+    const std::uint64_t checksum = 0;
 };
 
 // Empty when the bytes do not hold a complete header with a valid checksum.
@@ -25,16 +28,13 @@
     if (bytes.size() - offset < recordHeaderBytes)
         return std::nullopt;
     const char *start = bytes.data() + offset;
-    std::uint32_t storedMagic = 0;
-    std::uint64_t storedChecksum = 0;
-    record_header header;
-    std::memcpy(&storedMagic, start, sizeof storedMagic);
-    std::memcpy(&header.length, start + 4, sizeof header.length);
-    std::memcpy(&header.checksum, start + 8, sizeof header.checksum);
-    std::memcpy(&storedChecksum, start + headerChecksumOffset, sizeof storedChecksum);
-    if (storedMagic != magic || XXH3_64bits(start, headerChecksumOffset) != storedChecksum)
+    const std::uint64_t checksum
+        = base::littleEndianAt<std::uint64_t>(start + headerChecksumOffset);
+    if (base::littleEndianAt<std::uint32_t>(start) != magic
+        || XXH3_64bits(start, headerChecksumOffset) != checksum)
         return std::nullopt;
-    return header;
+    return record_header {base::littleEndianAt<std::uint32_t>(start + lengthOffset),
+                          base::littleEndianAt<std::uint64_t>(start + checksumOffset)};
 }
 
 bool hasValidBody(std::string_view bytes, std::size_t offset, const record_header &header)
@@ -81,11 +81,11 @@
     const std::uint32_t length = static_cast<std::uint32_t>(body.size());
     const std::uint64_t checksum = XXH3_64bits(body.data(), body.size());
     std::string record(recordHeaderBytes, '\0');
-    std::memcpy(record.data(), &magic, sizeof magic);
-    std::memcpy(record.data() + 4, &length, sizeof length);
-    std::memcpy(record.data() + 8, &checksum, sizeof checksum);
+    base::putLittleEndian(record.data(), magic);
+    base::putLittleEndian(record.data() + lengthOffset, length);
+    base::putLittleEndian(record.data() + checksumOffset, checksum);
     const std::uint64_t headerChecksum = XXH3_64bits(record.data(), headerChecksumOffset);
-    std::memcpy(record.data() + headerChecksumOffset, &headerChecksum, sizeof headerChecksum);
+    base::putLittleEndian(record.data() + headerChecksumOffset, headerChecksum);
     record += body;
     return record;
 }
--- a/lycheeshunt/routing/internal/rendezvous.cpp
+++ b/lycheeshunt/routing/internal/rendezvous.cpp
@@ -1,5 +1,7 @@
 #include "lycheeshunt/routing/internal/rendezvous.h"
 
+#include "lycheeshunt/base/byte_order.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -65,8 +67,9 @@
 
 std::uint64_t rendezvousCost(base::bucket bucket, base::node_id node, std::uint32_t weight)
 {
-    const std::uint64_t value = node.value();
-    const std::uint64_t hash = XXH3_64bits_withSeed(&value, sizeof value, bucket.value());
+    char name[sizeof(std::uint64_t)];
+    base::putLittleEndian(name, node.value());
+    const std::uint64_t hash = XXH3_64bits_withSeed(name, sizeof name, bucket.value());
     const std::uint64_t perWeight = std::max<std::uint64_t>(weightScale / weight, 1);
     return negativeLog(std::max<std::uint64_t>(hash, 1)) * perWeight;
 }
