--- a/lycheeshunt/admission/decision.cpp
+++ b/lycheeshunt/admission/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/admission/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
 #include <algorithm>
@@ -262,22 +263,24 @@
 admission_step decide(admission_state state, const admission_message &message, base::clock_time now)
 {
     action_list actions;
-    expireQueued(state, now, actions);
-    std::visit(base::overloaded {
-                   [&](const work_arrived &work) { handleArrival(state, work, now, actions); },
-                   [&](const work_cancelled &work) { cancelWork(state, work.id, actions); },
-                   [&](const work_ended &ended) { handleEnd(state, ended, now, actions); },
-                   [&](const queued_work_requested &) { transferOldestShort(state, actions); },
-                   [&](const drain_changed &change) { setDraining(state, change.draining); },
-                   [&](const limits_changed &change) { applyLimits(state, change.limits); },
-                   [&](const server_restarted &) { handleRestart(state, actions); },
-                   [](const admission_tick &) {},
-               },
-               message);
-    cancelOverdue(state, now, actions);
-    dispatchQueued(state, now, actions);
-    reportDrained(state, actions);
-    return admission_step {std::move(state), std::move(actions)};
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        expireQueued(state, now, actions);
+        std::visit(base::overloaded {
+                       [&](const work_arrived &work) { handleArrival(state, work, now, actions); },
+                       [&](const work_cancelled &work) { cancelWork(state, work.id, actions); },
+                       [&](const work_ended &ended) { handleEnd(state, ended, now, actions); },
+                       [&](const queued_work_requested &) { transferOldestShort(state, actions); },
+                       [&](const drain_changed &change) { setDraining(state, change.draining); },
+                       [&](const limits_changed &change) { applyLimits(state, change.limits); },
+                       [&](const server_restarted &) { handleRestart(state, actions); },
+                       [](const admission_tick &) {},
+                   },
+                   message);
+        cancelOverdue(state, now, actions);
+        dispatchQueued(state, now, actions);
+        reportDrained(state, actions);
+    });
+    return admission_step {std::move(state), std::move(actions), fault};
 }
 
 slot_counts countsOf(const admission_state &state, base::clock_time now)
--- a/lycheeshunt/base/duty.h
+++ b/lycheeshunt/base/duty.h
@@ -8,10 +8,11 @@
 //     tickets.inbox().push(message);
 //
 // The handler runs only on the duty's thread, so state that only the handler accesses needs no
-// lock.
+// lock. An exception in it ends the handling of that message alone.
 
 #pragma once
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/ring.h"
 
 #include <functional>
@@ -53,11 +54,16 @@
     }
 
 private:
+    void handle(const message_type &message, clock_time now)
+    {
+        runGuarded("duty", [&]() { m_handle(message, now); });
+    }
+
     void run()
     {
         while (!m_inbox.isClosed()) {
             if (const std::optional<message_type> message = m_inbox.pop())
-                m_handle(*message, clock_time::steady());
+                handle(*message, clock_time::steady());
         }
     }
 
@@ -70,10 +76,10 @@
                 = m_inbox.popFor(std::max(remaining, clock_time()));
             const clock_time now = clock_time::steady();
             if (message)
-                m_handle(*message, now);
+                handle(*message, now);
             if (now >= nextTick) {
                 nextTick = now + m_tickInterval;
-                m_handle(*m_tick, now);
+                handle(*m_tick, now);
             }
         }
     }
--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -71,6 +71,7 @@
     {error_code::controlUnreachable, "control VM can't be reached"},
     {error_code::tokenFileUnsafe, "token file missing, empty or open to other users"},
     {error_code::socketFailed, "socket operation failed"},
+    {error_code::unexpectedError, "unexpected error, one message was dropped"},
 };
 
 } // namespace
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -76,6 +76,8 @@
     tokenFileUnsafe = 906,
     // network
     socketFailed = 1001,
+    // any thread
+    unexpectedError = 1002,
 };
 
 // Returns a one-line description for people, without a full stop.
--- a/lycheeshunt/daemon/main.cpp
+++ b/lycheeshunt/daemon/main.cpp
@@ -1,5 +1,6 @@
 // lycheeshuntd: an entry, agent or control process, as its settings say.
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/daemon/agent_process.h"
@@ -87,5 +88,9 @@
         std::cerr << failure->text() << "\n";
         return badSettings;
     }
-    return checkOnly ? success : run(base::valueOf(settings), path);
+    if (checkOnly)
+        return success;
+    int status = startFailed;
+    base::runGuarded("daemon", [&]() { status = run(base::valueOf(settings), path); });
+    return status;
 }
--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/dissemination/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/internal/in_force_report.h"
 #include "lycheeshunt/dissemination/snapshot.h"
@@ -230,47 +231,52 @@
                       base::clock_time now)
 {
     action_list actions;
-    std::visit(
-        base::overloaded {
-            // Nothing is known of the node before its first message.
-            [](const subscriber_opened &) {},
-            [&](const subscriber_closed &closed) { state.subscribers.erase(closed.connection); },
-            [&](const node_message_received &received) {
-                std::visit(base::overloaded {
-                               [&](const view_request &request) {
-                                   handleRequest(state, received.connection, request, now, actions);
-                               },
-                               [&](const acknowledgement &ack) {
-                                   handleAcknowledgement(state, received.connection, ack);
-                               },
-                           },
-                           received.message);
-            },
-            [&](const ticket_applied &applied) {
-                publish(state, applied.at, changeOf(applied.ticket));
-            },
-            [&](const batch_applied &applied) {
-                publish(state, applied.at, changeOf(*state.view, applied.batch));
-            },
-            [&](const state_applied &applied) {
-                // The highest version is in force, regardless of the order in the log.
-                if (applied.state->version <= state.stateVersion)
-                    return;
-                state.stateVersion = applied.state->version;
-                publish(state, applied.at, changeOf(*state.view, *applied.state));
-            },
-            [&](const entries_merged &entries) { publishMerged(state, entries); },
-            [&](const in_force_query &query) {
-                state.pendingQueries.push_back(pending_query {query, now + query.wait});
-                answerPendingQueries(state, now, actions);
-            },
-            [&](const publisher_tick &) {
-                sendDueUpdates(state, now, actions);
-                answerPendingQueries(state, now, actions);
-            },
-        },
-        message);
-    return publisher_step {std::move(state), std::move(actions)};
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(base::overloaded {
+                       // Nothing is known of the node before its first message.
+                       [](const subscriber_opened &) {},
+                       [&](const subscriber_closed &closed) {
+                           state.subscribers.erase(closed.connection);
+                       },
+                       [&](const node_message_received &received) {
+                           std::visit(base::overloaded {
+                                          [&](const view_request &request) {
+                                              handleRequest(state, received.connection, request,
+                                                            now, actions);
+                                          },
+                                          [&](const acknowledgement &ack) {
+                                              handleAcknowledgement(state, received.connection,
+                                                                    ack);
+                                          },
+                                      },
+                                      received.message);
+                       },
+                       [&](const ticket_applied &applied) {
+                           publish(state, applied.at, changeOf(applied.ticket));
+                       },
+                       [&](const batch_applied &applied) {
+                           publish(state, applied.at, changeOf(*state.view, applied.batch));
+                       },
+                       [&](const state_applied &applied) {
+                           // The highest version is in force, regardless of the order in the log.
+                           if (applied.state->version <= state.stateVersion)
+                               return;
+                           state.stateVersion = applied.state->version;
+                           publish(state, applied.at, changeOf(*state.view, *applied.state));
+                       },
+                       [&](const entries_merged &entries) { publishMerged(state, entries); },
+                       [&](const in_force_query &query) {
+                           state.pendingQueries.push_back(pending_query {query, now + query.wait});
+                           answerPendingQueries(state, now, actions);
+                       },
+                       [&](const publisher_tick &) {
+                           sendDueUpdates(state, now, actions);
+                           answerPendingQueries(state, now, actions);
+                       },
+                   },
+                   message);
+    });
+    return publisher_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/dissemination/follower.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/codec.h"
@@ -78,6 +79,7 @@
 {
     base::step<follower_state, follower_action> next = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
+    base::reportFault(logPart, next.fault);
     for (const follower_action &action : next.actions)
         carryOut(action);
 }
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/dissemination/follower_decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
 namespace lycheeshunt::dissemination {
@@ -234,31 +235,34 @@
 follower_step decide(follower_state state, const follower_message &message, base::clock_time now)
 {
     action_list actions;
-    std::visit(base::overloaded {
-                   [&](const link_opened &opened) { handleOpened(state, opened, now, actions); },
-                   [&](const link_closed &closed) {
-                       if (state.connection == closed.connection)
-                           state.connection.reset();
-                   },
-                   [&](const control_message_received &received) {
-                       std::visit(base::overloaded {
-                                      [&](const view_delta &delta) {
-                                          handleDelta(state, delta, now, actions);
-                                      },
-                                      [&](const snapshot_piece &piece) {
-                                          handlePiece(state, piece, now, actions);
-                                      },
-                                      [&](const control_directory &directory) {
-                                          handleDirectory(directory, actions);
-                                      },
-                                  },
-                                  received.message);
-                   },
-                   [&](const self_changed &changed) { changeSelf(state, changed, now, actions); },
-                   [&](const follower_tick &) { handleTick(state, now, actions); },
-               },
-               message);
-    return follower_step {std::move(state), std::move(actions)};
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(
+            base::overloaded {
+                [&](const link_opened &opened) { handleOpened(state, opened, now, actions); },
+                [&](const link_closed &closed) {
+                    if (state.connection == closed.connection)
+                        state.connection.reset();
+                },
+                [&](const control_message_received &received) {
+                    std::visit(base::overloaded {
+                                   [&](const view_delta &delta) {
+                                       handleDelta(state, delta, now, actions);
+                                   },
+                                   [&](const snapshot_piece &piece) {
+                                       handlePiece(state, piece, now, actions);
+                                   },
+                                   [&](const control_directory &directory) {
+                                       handleDirectory(directory, actions);
+                                   },
+                               },
+                               received.message);
+                },
+                [&](const self_changed &changed) { changeSelf(state, changed, now, actions); },
+                [&](const follower_tick &) { handleTick(state, now, actions); },
+            },
+            message);
+    });
+    return follower_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/publisher_duty.cpp
+++ b/lycheeshunt/dissemination/publisher_duty.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/dissemination/publisher_duty.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/dissemination/decision.h"
 
 namespace lycheeshunt::dissemination {
@@ -22,6 +23,7 @@
     base::step<publisher_state, dissemination_action> next
         = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
+    base::reportFault("dissemination", next.fault);
     for (const dissemination_action &action : next.actions)
         m_sink(action);
 }
--- a/lycheeshunt/dissemination/publisher_state.h
+++ b/lycheeshunt/dissemination/publisher_state.h
@@ -8,7 +8,7 @@
 #include "lycheeshunt/dissemination/subscriber.h"
 #include "lycheeshunt/streams/connection_id.h"
 
-#include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <vector>
@@ -20,7 +20,7 @@
 {
     shared_view view = std::make_shared<const cluster_view>(cluster_view {});
     scope_digests digests;
-    std::deque<history_entry> history;
+    std::list<history_entry> history;
     std::size_t historyObjects = 0;
     std::shared_ptr<const snapshot_base> snapshotBase;
     std::map<streams::connection_id, subscriber> subscribers;
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/agent_port.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/flows/codec.h"
@@ -59,11 +60,11 @@
                             {m_actions.descriptor(), POLLIN, 0}};
         ::poll(watched, std::size(watched), noTimeout);
         if (watched[0].revents != 0)
-            receiveFromPeers();
+            base::runGuarded("flows", [this]() { receiveFromPeers(); });
         if (watched[1].revents != 0)
-            receiveFromServer();
+            base::runGuarded("flows", [this]() { receiveFromServer(); });
         while (const std::optional<flow_action> action = m_actions.tryPop())
-            carryOut(*action);
+            base::runGuarded("flows", [&]() { carryOut(*action); });
     }
 }
 
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/flow_placement.h"
@@ -72,29 +73,32 @@
     std::vector<flow_action> actions;
     flow_context context {state, now, actions};
     const bool serverReturns = state.identity->serverReturnsPackets;
-    std::visit(
-        base::overloaded {
-            [&](const forwarded_packet &packet) {
-                if (serverReturns)
-                    internal::handleReturnablePacket(context, packet);
-                else
-                    internal::handlePacket(context, packet);
-            },
-            [&](const server_answer &answer) {
-                if (serverReturns)
-                    internal::handleServerPacket(context, answer);
-                else
-                    internal::handleAnswer(context, answer);
-            },
-            [&](const server_changed &changed) { internal::handleServerChange(context, changed); },
-            [&](const peer_message &peer) { handlePeer(context, peer); },
-            [&](const view_update &update) { internal::handleView(context, update); },
-            [&](const tick &) { handleTick(context); },
-        },
-        message);
-    internal::deliverQueuedRequests(context);
-    internal::publishOwnLoad(context);
-    return base::step<flow_state, flow_action> {std::move(state), std::move(actions)};
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(base::overloaded {
+                       [&](const forwarded_packet &packet) {
+                           if (serverReturns)
+                               internal::handleReturnablePacket(context, packet);
+                           else
+                               internal::handlePacket(context, packet);
+                       },
+                       [&](const server_answer &answer) {
+                           if (serverReturns)
+                               internal::handleServerPacket(context, answer);
+                           else
+                               internal::handleAnswer(context, answer);
+                       },
+                       [&](const server_changed &changed) {
+                           internal::handleServerChange(context, changed);
+                       },
+                       [&](const peer_message &peer) { handlePeer(context, peer); },
+                       [&](const view_update &update) { internal::handleView(context, update); },
+                       [&](const tick &) { handleTick(context); },
+                   },
+                   message);
+        internal::deliverQueuedRequests(context);
+        internal::publishOwnLoad(context);
+    });
+    return base::step<flow_state, flow_action> {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/flow_map.h
+++ b/lycheeshunt/flows/flow_map.h
@@ -1,5 +1,6 @@
 // A hash table from flow keys to immutable values. put() replaces a value in place, without
-// allocation. nextKeys() iterates over the table in small steps, to find expired values.
+// allocation if the value is copied without one. nextKeys() iterates over the table in small steps,
+// to find expired values.
 //
 //     flow_map<owned_flow> owned;
 //     owned.put(key, owned_flow {now, refreshAt, flow_phase::open});
@@ -12,6 +13,7 @@
 #include "lycheeshunt/base/flow_key.h"
 
 #include <memory>
+#include <type_traits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -42,8 +44,16 @@
             m_values.emplace(key, std::move(value));
             return;
         }
-        std::destroy_at(&found->second);
-        std::construct_at(&found->second, std::move(value));
+        if constexpr (std::is_nothrow_move_constructible_v<value_type>) {
+            std::destroy_at(&found->second);
+            std::construct_at(&found->second, std::move(value));
+        } else {
+            // The old value stays whole if the new one can't be copied.
+            container replacement;
+            replacement.emplace(key, std::move(value));
+            m_values.erase(found);
+            m_values.insert(replacement.extract(replacement.begin()));
+        }
     }
 
     void erase(const base::flow_key &key) { m_values.erase(key); }
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -20,7 +20,7 @@
 #include "lycheeshunt/placement/placement_state.h"
 #include "lycheeshunt/routing/bucket_table.h"
 
-#include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <vector>
@@ -49,7 +49,7 @@
 
     flow_map<owned_flow> owned;
     // In the order of removal.
-    std::deque<ended_flow> ended;
+    std::list<ended_flow> ended;
     flow_map<directory_entry> directory;
     flow_map<pending_lookup> lookups;
     std::size_t lookupBytes = 0;
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -8,11 +8,14 @@
 #include "lycheeshunt/placement/decision.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace lycheeshunt::flows::internal {
 
 namespace {
 
+using placement_step = base::step<placement::placement_state, placement::placement_action>;
+
 // Agents report at least every 400 ms; an agent that has missed three reports gets no offers.
 constexpr base::clock_time reportTimeout = base::clock_time::ofMillis(1300);
 
@@ -70,14 +73,21 @@
     }
 }
 
+// Takes the state back. Throws if the decision was cut short.
+void resumePlacement(flow_state &state, placement_step &next)
+{
+    state.placement = std::move(next.state);
+    if (next.fault)
+        throw std::runtime_error("placement: " + next.fault->detail);
+}
+
 void runPlacement(flow_context &context, const placement::placement_message &message)
 {
     flow_state &state = context.state;
     if (!state.placement)
         return;
-    base::step<placement::placement_state, placement::placement_action> next
-        = placement::decide(std::move(*state.placement), message, context.now);
-    state.placement = std::move(next.state);
+    placement_step next = placement::decide(std::move(*state.placement), message, context.now);
+    resumePlacement(state, next);
     for (const placement::placement_action &action : next.actions)
         carryOut(context, action);
 }
@@ -122,10 +132,10 @@
 {
     flow_state &state = context.state;
     publishOwnLoad(context);
-    base::step<placement::placement_state, placement::placement_action> next = placement::decide(
+    placement_step next = placement::decide(
         std::move(*state.placement), placement::flow_offered {placement::offer_id(), packet.agents},
         context.now);
-    state.placement = std::move(next.state);
+    resumePlacement(state, next);
     for (const placement::placement_action &action : next.actions) {
         std::visit(base::overloaded {
                        [&](const placement::accept_flow &) { openTentatively(context, packet); },
--- a/lycheeshunt/flows/registration_queue.h
+++ b/lycheeshunt/flows/registration_queue.h
@@ -3,14 +3,14 @@
 #include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/flows/registered_flow.h"
 
-#include <deque>
+#include <list>
 
 namespace lycheeshunt::flows {
 
 // Flows to register with one agent, sent together, at the latest at dueAt.
 struct registration_queue
 {
-    std::deque<registered_flow> flows;
+    std::list<registered_flow> flows;
     base::clock_time dueAt;
 };
 
--- a/lycheeshunt/membership/decision.cpp
+++ b/lycheeshunt/membership/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/membership/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/membership/internal/batch_builder.h"
 #include "lycheeshunt/membership/internal/lease_updates.h"
@@ -82,18 +83,20 @@
                        base::clock_time now)
 {
     std::vector<membership_action> actions;
-    std::visit(
-        base::overloaded {
-            [&](const member_announced &announced) {
-                internal::handleAnnouncement(state, announced.member, now, actions);
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(
+            base::overloaded {
+                [&](const member_announced &announced) {
+                    internal::handleAnnouncement(state, announced.member, now, actions);
+                },
+                [&](const member_left &left) { internal::handleLeave(state, left, now); },
+                [&](const batch_committed &committed) { applyCommitted(state, committed, now); },
+                [&](const leadership_changed &changed) { handleLeadership(state, changed, now); },
+                [&](const membership_tick &) { proposeChanges(state, now, actions); },
             },
-            [&](const member_left &left) { internal::handleLeave(state, left, now); },
-            [&](const batch_committed &committed) { applyCommitted(state, committed, now); },
-            [&](const leadership_changed &changed) { handleLeadership(state, changed, now); },
-            [&](const membership_tick &) { proposeChanges(state, now, actions); },
-        },
-        message);
-    return membership_step {std::move(state), std::move(actions)};
+            message);
+    });
+    return membership_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::membership
--- a/lycheeshunt/membership/membership_duty.cpp
+++ b/lycheeshunt/membership/membership_duty.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/membership/membership_duty.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/membership/decision.h"
 
 namespace lycheeshunt::membership {
@@ -21,6 +22,7 @@
 {
     base::step<membership_state, membership_action> next = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
+    base::reportFault("membership", next.fault);
     for (const membership_action &action : next.actions)
         m_sink(action);
 }
--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/operators/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/operators/json.h"
 
@@ -161,16 +162,21 @@
 
 operator_step decide(operator_state state, const operator_message &message)
 {
-    operator_action action = std::visit(
-        base::overloaded {
-            [&](const http_arrived &arrived) { return handleRequest(state, arrived); },
-            [&](const tickets::ticket_answer &answer) { return handleTicketAnswer(state, answer); },
-            [&](const dissemination::in_force_answer &force) {
-                return handleInForceAnswer(state, force);
+    std::vector<operator_action> actions;
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        actions.push_back(std::visit(
+            base::overloaded {
+                [&](const http_arrived &arrived) { return handleRequest(state, arrived); },
+                [&](const tickets::ticket_answer &answer) {
+                    return handleTicketAnswer(state, answer);
+                },
+                [&](const dissemination::in_force_answer &force) {
+                    return handleInForceAnswer(state, force);
+                },
             },
-        },
-        message);
-    return operator_step {std::move(state), {std::move(action)}};
+            message));
+    });
+    return operator_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::operators
--- a/lycheeshunt/operators/operator_duty.cpp
+++ b/lycheeshunt/operators/operator_duty.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/operators/operator_duty.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/operators/decision.h"
 
 namespace lycheeshunt::operators {
@@ -20,6 +21,7 @@
 {
     base::step<operator_state, operator_action> next = decide(std::move(m_state), message);
     m_state = std::move(next.state);
+    base::reportFault("operators", next.fault);
     for (const operator_action &action : next.actions)
         m_sink(action);
 }
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/placement/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
 #include <algorithm>
@@ -354,23 +355,25 @@
 placement_step decide(placement_state state, const placement_message &message, base::clock_time now)
 {
     action_list actions;
-    std::visit(base::overloaded {
-                   [&](const load_report &received) {
-                       applyReport(state, received, now);
-                       requestWork(state, now, actions);
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(base::overloaded {
+                       [&](const load_report &received) {
+                           applyReport(state, received, now);
+                           requestWork(state, now, actions);
+                       },
+                       [&](const peers_changed &change) { updatePeers(state, change); },
+                       [&](const own_load_changed &change) {
+                           state.ownLoad = std::make_shared<const server_load>(change.load);
+                           sendReports(state, now, actions);
+                           requestWork(state, now, actions);
+                       },
+                       [&](const work_requested &request) { releaseWork(state, request, actions); },
+                       [&](const flow_offered &offer) { placeFlow(state, offer, now, actions); },
+                       [&](const placement_tick &) { sendReports(state, now, actions); },
                    },
-                   [&](const peers_changed &change) { updatePeers(state, change); },
-                   [&](const own_load_changed &change) {
-                       state.ownLoad = std::make_shared<const server_load>(change.load);
-                       sendReports(state, now, actions);
-                       requestWork(state, now, actions);
-                   },
-                   [&](const work_requested &request) { releaseWork(state, request, actions); },
-                   [&](const flow_offered &offer) { placeFlow(state, offer, now, actions); },
-                   [&](const placement_tick &) { sendReports(state, now, actions); },
-               },
-               message);
-    return placement_step {std::move(state), std::move(actions)};
+                   message);
+    });
+    return placement_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/replication/decision.cpp
+++ b/lycheeshunt/replication/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/replication/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/replication/internal/commit.h"
 #include "lycheeshunt/replication/internal/election.h"
@@ -123,10 +124,12 @@
     const leadership leadershipBefore = leadershipOf(state);
     const configuration membersBefore = state.isFormed() ? state.members() : configuration {};
     const replica_context context {state, actions};
-    if (std::holds_alternative<failed_role>(state.role))
-        dispatchWhileFailed(context, message);
-    else
-        dispatch(context, message);
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        if (std::holds_alternative<failed_role>(state.role))
+            dispatchWhileFailed(context, message);
+        else
+            dispatch(context, message);
+    });
     const leadership leadershipAfter = leadershipOf(state);
     // The actions after the failed write were skipped, perhaps an earlier notice among them.
     const bool isNoticeSkipped = std::holds_alternative<storage_failure>(message);
@@ -134,7 +137,7 @@
         actions.emplace_back(leadership_changed {leadershipAfter});
     if (state.isFormed() && state.members() != membersBefore)
         actions.emplace_back(members_changed {state.members()});
-    return {std::move(state), std::move(actions)};
+    return {std::move(state), std::move(actions), fault};
 }
 
 replica_state startReplica(std::shared_ptr<const replica_settings> settings,
--- a/lycheeshunt/replication/group_test.h
+++ b/lycheeshunt/replication/group_test.h
@@ -10,6 +10,7 @@
 #include "lycheeshunt/replication/decision.h"
 #include "lycheeshunt/replication/replica_storage.h"
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
--- a/lycheeshunt/replication/internal/commit.cpp
+++ b/lycheeshunt/replication/internal/commit.cpp
@@ -36,7 +36,8 @@
     state.latestSnapshot
         = std::make_shared<const snapshot>(snapshot {taken.index, *term, members, taken.entries});
     state.log.dropUpTo(taken.index);
-    while (state.configurations.size() > 1 && state.configurations[1].index <= taken.index)
+    while (state.configurations.size() > 1
+           && std::next(state.configurations.begin())->index <= taken.index)
         state.configurations.pop_front();
     context.actions.emplace_back(persist_snapshot {state.latestSnapshot, false});
 }
--- a/lycheeshunt/replication/replica_log.cpp
+++ b/lycheeshunt/replication/replica_log.cpp
@@ -29,15 +29,13 @@
 
 void replica_log::truncateFrom(base::generation index)
 {
-    while (!m_entries.empty() && m_entries.back().index >= index)
-        m_entries.pop_back();
+    m_entries.erase(m_entries.lower_bound(index), m_entries.end());
 }
 
 void replica_log::dropUpTo(base::generation index)
 {
     m_baseTerm = termAt(index).value_or(m_baseTerm);
-    while (!m_entries.empty() && m_entries.front().index <= index)
-        m_entries.pop_front();
+    m_entries.erase(m_entries.begin(), m_entries.upper_bound(index));
     m_baseIndex = index;
 }
 
--- a/lycheeshunt/replication/replica_log.h
+++ b/lycheeshunt/replication/replica_log.h
@@ -7,7 +7,7 @@
 
 #include "lycheeshunt/replication/log_entry.h"
 
-#include <deque>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -40,7 +40,7 @@
     }
     std::uint64_t lastTerm() const
     {
-        return m_entries.empty() ? m_baseTerm : m_entries.back().term;
+        return m_entries.empty() ? m_baseTerm : m_entries.rbegin()->second.term;
     }
     std::size_t size() const { return m_entries.size(); }
 
@@ -55,9 +55,8 @@
 
     const log_entry *find(base::generation index) const
     {
-        if (index <= m_baseIndex || index > lastIndex())
-            return nullptr;
-        return &m_entries[index.value() - m_baseIndex.value() - 1];
+        const auto found = m_entries.find(index);
+        return found == m_entries.end() ? nullptr : &found->second;
     }
 
     // Entries from the index on, within both limits, but always at least one if there is any.
@@ -67,7 +66,7 @@
     std::vector<log_entry> between(base::generation first, base::generation last) const;
 
     // Precondition: entry.index follows lastIndex().
-    void append(const log_entry &entry) { m_entries.push_back(entry); }
+    void append(const log_entry &entry) { m_entries.emplace(entry.index, entry); }
     void truncateFrom(base::generation index);
     // Precondition: baseIndex() <= index <= lastIndex().
     void dropUpTo(base::generation index);
@@ -77,7 +76,7 @@
 private:
     base::generation m_baseIndex;
     std::uint64_t m_baseTerm = 0;
-    std::deque<log_entry> m_entries;
+    std::map<base::generation, log_entry> m_entries;
 };
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/replication/replica_state.h
+++ b/lycheeshunt/replication/replica_state.h
@@ -11,7 +11,7 @@
 #include "lycheeshunt/replication/replica_settings.h"
 #include "lycheeshunt/replication/snapshot.h"
 
-#include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <random>
@@ -31,7 +31,7 @@
     base::generation commit;
     // The last one, the newest in the log, is in effect whether or not it is committed. Earlier
     // ones are kept for when the log is truncated. Empty while the VM does not belong to a group.
-    std::deque<indexed_configuration> configurations;
+    std::list<indexed_configuration> configurations;
     shared_snapshot latestSnapshot;
 
     replica_role role = follower_role {};
--- a/lycheeshunt/replication/replication_duty.cpp
+++ b/lycheeshunt/replication/replication_duty.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/replication/replication_duty.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/replication/codec.h"
@@ -54,15 +55,18 @@
     base::clock_time nextTick = base::clock_time::steady();
     while (!m_inbox.isClosed()) {
         const base::clock_time wait = nextTick - base::clock_time::steady();
-        if (const std::optional<replica_message> message
-            = m_inbox.popFor(std::max(wait, base::clock_time())))
-            handle(*message);
+        const std::optional<replica_message> message
+            = m_inbox.popFor(std::max(wait, base::clock_time()));
+        if (message)
+            base::runGuarded("replication", [&]() { handle(*message); });
         const base::clock_time now = base::clock_time::steady();
         if (now >= nextTick) {
             nextTick = now + tickInterval;
-            step(replica_tick {});
-            compactIfDue();
-            recoverIfDue(now);
+            base::runGuarded("replication", [&]() {
+                step(replica_tick {});
+                compactIfDue();
+                recoverIfDue(now);
+            });
         }
     }
 }
@@ -95,13 +99,28 @@
     base::step<replica_state, replica_action> next
         = decide(std::move(m_state), message, base::clock_time::steady());
     m_state = std::move(next.state);
-    for (const replica_action &action : next.actions) {
-        if (const std::optional<base::error> failure = perform(action)) {
+    base::reportFault("replication", next.fault);
+    const std::optional<base::error> failure = next.fault ? next.fault : performAll(next.actions);
+    // What the state holds and what the disk holds may differ: this VM begins again from its disk.
+    if (failure && !std::holds_alternative<storage_failure>(message))
+        step(storage_failure {*failure});
+}
+
+std::optional<base::error> replication_duty::performAll(const std::vector<replica_action> &actions)
+{
+    for (const replica_action &action : actions) {
+        std::optional<base::error> failure;
+        const std::optional<base::error> fault = base::faultOf([&]() {
+            if (const std::optional<base::error> failed = perform(action))
+                failure.emplace(*failed);
+        });
+        base::reportFault("replication", fault);
+        if (failure)
             base::logError("replication", "storage failed: " + failure->text());
-            step(storage_failure {*failure});
-            return;
-        }
+        if (fault || failure)
+            return fault ? fault : failure;
     }
+    return std::nullopt;
 }
 
 std::optional<base::error> replication_duty::perform(const replica_action &action)
--- a/lycheeshunt/replication/replication_duty.h
+++ b/lycheeshunt/replication/replication_duty.h
@@ -54,6 +54,8 @@
     // Merges consecutive proposals in the inbox into one step, hence into one sync.
     void handle(const replica_message &message);
     void step(const replica_message &message);
+    // Stops at the first action that fails.
+    std::optional<base::error> performAll(const std::vector<replica_action> &actions);
     std::optional<base::error> perform(const replica_action &action);
     std::optional<base::error> install(const persist_snapshot &action);
     void publish(const replication_notice &notice) const { m_hooks.notify(notice); }
--- a/lycheeshunt/requests/decision.cpp
+++ b/lycheeshunt/requests/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/requests/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
 #include <algorithm>
@@ -343,28 +344,32 @@
 request_step decide(request_state state, const request_message &message, base::clock_time now)
 {
     action_list actions;
-    std::visit(
-        base::overloaded {
-            [&](const request_arrived &request) { handleArrival(state, request, now, actions); },
-            [&](const request_cancelled &request) {
-                handleCancel(state, request.identity, now, actions);
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(
+            base::overloaded {
+                [&](const request_arrived &request) {
+                    handleArrival(state, request, now, actions);
+                },
+                [&](const request_cancelled &request) {
+                    handleCancel(state, request.identity, now, actions);
+                },
+                [&](const start_claimed &request) { handleClaim(state, request, now, actions); },
+                [&](const copy_acknowledged &copied) {
+                    handleCopyAcknowledged(state, copied, actions);
+                },
+                [&](const copy_received &copy) { storeCopy(state, copy, actions); },
+                [&](const owner_answered &answer) { handleAnswer(state, answer, now, actions); },
+                [&](const owner_refused &refusal) { handleRefusal(state, refusal, now, actions); },
+                [&](const owner_failed &failure) { handleFailure(state, failure, now, actions); },
+                [&](const owner_terminated &termination) {
+                    handleOwnerTermination(state, termination.owner, now, actions);
+                },
+                [&](const director_role_assumed &role) { assumeDirectorRole(state, role, now); },
+                [&](const requests_tick &) { processTimers(state, now, actions); },
             },
-            [&](const start_claimed &request) { handleClaim(state, request, now, actions); },
-            [&](const copy_acknowledged &copied) {
-                handleCopyAcknowledged(state, copied, actions);
-            },
-            [&](const copy_received &copy) { storeCopy(state, copy, actions); },
-            [&](const owner_answered &answer) { handleAnswer(state, answer, now, actions); },
-            [&](const owner_refused &refusal) { handleRefusal(state, refusal, now, actions); },
-            [&](const owner_failed &failure) { handleFailure(state, failure, now, actions); },
-            [&](const owner_terminated &termination) {
-                handleOwnerTermination(state, termination.owner, now, actions);
-            },
-            [&](const director_role_assumed &role) { assumeDirectorRole(state, role, now); },
-            [&](const requests_tick &) { processTimers(state, now, actions); },
-        },
-        message);
-    return request_step {std::move(state), std::move(actions)};
+            message);
+    });
+    return request_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::requests
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/routing/entry_port.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/base/socket.h"
@@ -69,11 +70,11 @@
                             {m_hintSocket.get(), POLLIN, 0}};
         ::poll(watched, std::size(watched), pollWithoutTimeout);
         while (const std::optional<entry_update> update = m_updates.tryPop())
-            handleUpdate(*update);
+            base::runGuarded("routing", [&]() { handleUpdate(*update); });
         if (watched[2].revents != 0)
-            receiveHints();
+            base::runGuarded("routing", [this]() { receiveHints(); });
         if (watched[0].revents != 0)
-            routeBatch(*packets);
+            base::runGuarded("routing", [&]() { routeBatch(*packets); });
     }
 }
 
--- a/lycheeshunt/routing/liveness_decision.cpp
+++ b/lycheeshunt/routing/liveness_decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/routing/liveness_decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
 namespace lycheeshunt::routing {
@@ -134,18 +135,20 @@
 liveness_step decide(liveness_state state, const liveness_message &message, base::clock_time now)
 {
     std::vector<liveness_action> actions;
-    std::visit(base::overloaded {
-                   [&](const agents_changed &changed) { handleAgents(state, changed); },
-                   [&](const probe_answered &answer) { handleAnswer(state, answer); },
-                   [&](const agent_unreachable &report) { handleUnreachable(state, report); },
-                   [&](const liveness_tick &) {
-                       expireProbes(state, now);
-                       sendDueProbes(state, now, actions);
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(base::overloaded {
+                       [&](const agents_changed &changed) { handleAgents(state, changed); },
+                       [&](const probe_answered &answer) { handleAnswer(state, answer); },
+                       [&](const agent_unreachable &report) { handleUnreachable(state, report); },
+                       [&](const liveness_tick &) {
+                           expireProbes(state, now);
+                           sendDueProbes(state, now, actions);
+                       },
                    },
-               },
-               message);
-    updateBypass(state, actions);
-    return liveness_step {std::move(state), std::move(actions)};
+                   message);
+        updateBypass(state, actions);
+    });
+    return liveness_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/liveness_port.cpp
+++ b/lycheeshunt/routing/liveness_port.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/routing/liveness_port.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/packets/datagram_io.h"
@@ -52,15 +53,15 @@
         pollfd watched[] = {{m_socket.get(), POLLIN, 0}, {m_agents.descriptor(), POLLIN, 0}};
         ::poll(watched, std::size(watched), static_cast<int>(timeout.millis()));
         if ((watched[0].revents & POLLERR) != 0)
-            receiveErrors();
+            base::runGuarded("routing", [this]() { receiveErrors(); });
         if ((watched[0].revents & POLLIN) != 0)
-            receive();
+            base::runGuarded("routing", [this]() { receive(); });
         while (const std::optional<agents_changed> changed = m_agents.tryPop())
-            handle(*changed);
+            base::runGuarded("routing", [&]() { handle(*changed); });
         const base::clock_time now = base::clock_time::steady();
         if (now >= nextTick) {
             nextTick = now + livenessTickInterval;
-            handle(liveness_tick {});
+            base::runGuarded("routing", [this]() { handle(liveness_tick {}); });
         }
     }
 }
@@ -96,6 +97,7 @@
     base::step<liveness_state, liveness_action> next
         = decide(std::move(m_state), message, base::clock_time::steady());
     m_state = std::move(next.state);
+    base::reportFault("routing", next.fault);
     for (const liveness_action &action : next.actions)
         carryOut(action);
 }
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/servers/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
 #include <algorithm>
@@ -144,24 +145,27 @@
                                                 base::clock_time now)
 {
     action_list actions;
-    std::visit(base::overloaded {
-                   [&](const server_announced &m) { handleAnnouncement(state, m, now, actions); },
-                   [&](const server_stopping &m) { handleStopping(state, m, actions); },
-                   [&](const server_restored &m) { handleRestored(state, m, now, actions); },
-                   [&](const incarnation_changed &taken) {
-                       state.incarnation = std::max(state.incarnation, taken.incarnation);
-                       publishStatus(state, actions);
-                   },
-                   [&](const agent_stopping &) {
-                       state.isAgentStopping = true;
-                       if (state.isRestored)
-                           expireRestored(state, actions);
-                       publishStatus(state, actions);
-                   },
-                   [&](const servers_tick &) { handleTick(state, now, actions); },
-               },
-               message);
-    return {std::move(state), std::move(actions)};
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(
+            base::overloaded {
+                [&](const server_announced &m) { handleAnnouncement(state, m, now, actions); },
+                [&](const server_stopping &m) { handleStopping(state, m, actions); },
+                [&](const server_restored &m) { handleRestored(state, m, now, actions); },
+                [&](const incarnation_changed &taken) {
+                    state.incarnation = std::max(state.incarnation, taken.incarnation);
+                    publishStatus(state, actions);
+                },
+                [&](const agent_stopping &) {
+                    state.isAgentStopping = true;
+                    if (state.isRestored)
+                        expireRestored(state, actions);
+                    publishStatus(state, actions);
+                },
+                [&](const servers_tick &) { handleTick(state, now, actions); },
+            },
+            message);
+    });
+    return {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/server_duty.cpp
+++ b/lycheeshunt/servers/server_duty.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/servers/server_duty.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/servers/decision.h"
 
 namespace lycheeshunt::servers {
@@ -29,6 +30,7 @@
 {
     base::step<servers_state, server_action> next = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
+    base::reportFault("servers", next.fault);
     for (const server_action &action : next.actions)
         m_sink(action);
 }
--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/states/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
 #include <algorithm>
@@ -160,16 +161,18 @@
 base::step<states_state, state_action> decide(states_state state, const state_message &message)
 {
     action_list actions;
-    std::visit(base::overloaded {
-                   [&](const submit_state &m) { submit(state, m, actions); },
-                   [&](const get_state &m) { getState(state, m, actions); },
-                   [&](const state_committed &m) { commit(state, m, actions); },
-                   [&](const state_proposal_rejected &m) { rejectProposal(state, m, actions); },
-                   [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
-                   [&](const leadership_update &m) { changeLeadership(state, m, actions); },
-               },
-               message);
-    return {std::move(state), std::move(actions)};
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(base::overloaded {
+                       [&](const submit_state &m) { submit(state, m, actions); },
+                       [&](const get_state &m) { getState(state, m, actions); },
+                       [&](const state_committed &m) { commit(state, m, actions); },
+                       [&](const state_proposal_rejected &m) { rejectProposal(state, m, actions); },
+                       [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
+                       [&](const leadership_update &m) { changeLeadership(state, m, actions); },
+                   },
+                   message);
+    });
+    return {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::states
--- a/lycheeshunt/states/state_duty.cpp
+++ b/lycheeshunt/states/state_duty.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/states/state_duty.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/states/decision.h"
 
 namespace lycheeshunt::states {
@@ -40,6 +41,7 @@
     noteRequest(message);
     base::step<states_state, state_action> next = decide(std::move(m_state), message);
     m_state = std::move(next.state);
+    base::reportFault("states", next.fault);
     for (const state_action &action : next.actions) {
         if (const state_answer *answer = std::get_if<state_answer>(&action))
             noteAnswer(answer->request);
--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/streams/internal/h2_connection.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/streams/stream_client.h"
 
 #include "lycheeshunt/base/socket.h"
@@ -43,13 +44,15 @@
 void stream_client::run()
 {
     while (!m_outgoing.isClosed()) {
-        const std::unique_ptr<internal::h2_connection> connection = connectNext();
-        if (connection) {
+        base::runGuarded("streams", [this]() {
+            const std::unique_ptr<internal::h2_connection> connection = connectNext();
+            if (!connection)
+                return;
             const connection_id id(m_nextConnection++);
             m_sink(stream_opened {id});
-            serve(*connection, id);
+            base::runGuarded("streams", [&]() { serve(*connection, id); });
             m_sink(stream_closed {id});
-        }
+        });
         waitBeforeRetry();
     }
 }
--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -2,6 +2,8 @@
 
 #include "lycheeshunt/streams/stream_server.h"
 
+#include "lycheeshunt/base/fault.h"
+#include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/streams/internal/frame_codec.h"
 
@@ -9,6 +11,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+#include <system_error>
 #include <vector>
 
 namespace lycheeshunt::streams {
@@ -17,6 +21,8 @@
 constexpr std::size_t maxOutgoingFrames = 4096;
 // A client that leaves this much unread is disconnected; it reconnects with an empty queue.
 constexpr std::size_t maxQueuedBytes = 16 * 1024 * 1024;
+// After a failed accept(), as for want of descriptors.
+constexpr base::clock_time acceptPause = base::clock_time::ofMillis(200);
 } // namespace
 
 base::result<std::unique_ptr<stream_server>>
@@ -52,7 +58,10 @@
     std::vector<pollfd> watched;
     std::vector<connection_id> ids;
     while (!m_outgoing.isClosed()) {
-        watched.assign({{m_listener.get(), POLLIN, 0}, {m_outgoing.descriptor(), POLLIN, 0}});
+        // poll() ignores descriptors below 0.
+        const bool isAccepting = base::clock_time::steady() >= m_acceptAgainAt;
+        watched.assign({{isAccepting ? m_listener.get() : -1, POLLIN, 0},
+                        {m_outgoing.descriptor(), POLLIN, 0}});
         ids.clear();
         for (auto it = m_connections.begin(); it != m_connections.end(); ++it) {
             const short interest = it->second->hasUnsentBytes() ? POLLIN | POLLOUT : POLLIN;
@@ -62,12 +71,12 @@
         ::poll(watched.data(), watched.size(), static_cast<int>(m_timing.pingInterval.millis()));
         const base::clock_time now = base::clock_time::steady();
         if (watched[0].revents != 0)
-            acceptAll(now);
+            base::runGuarded("streams", [&]() { acceptAll(now); });
         if (watched[1].revents != 0)
-            sendQueued();
+            base::runGuarded("streams", [this]() { sendQueued(); });
         for (std::size_t i = 0; i < ids.size(); ++i) {
             if (watched[i + 2].revents != 0)
-                serve(ids[i], watched[i + 2].revents, now);
+                serveGuarded(ids[i], watched[i + 2].revents, now);
         }
         if (now - m_lastIdleCheck >= m_timing.pingInterval)
             closeIdleConnections(now);
@@ -79,8 +88,12 @@
     while (true) {
         base::file_descriptor socket(
             ::accept4(m_listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (!socket.isOpen())
+        if (!socket.isOpen()) {
+            const int reason = errno;
+            if (reason != EAGAIN && reason != ECONNABORTED && reason != EINTR)
+                pauseAccepting(reason, now);
             return;
+        }
         ++m_accepted;
         const connection_id id(m_nextConnection++);
         m_connections.emplace(id,
@@ -91,6 +104,24 @@
     }
 }
 
+// The connection stays in the queue, so that poll() would return at once.
+void stream_server::pauseAccepting(int reason, base::clock_time now)
+{
+    m_acceptAgainAt = now + acceptPause;
+    base::logEvent("streams", "accept_failed",
+                   {{"reason", std::generic_category().message(reason)},
+                    {"connections", std::to_string(m_connections.size())}});
+}
+
+// A fault ends the connection that caused it.
+void stream_server::serveGuarded(connection_id id, short readyEvents, base::clock_time now)
+{
+    const std::optional<base::error> fault = base::faultOf([&]() { serve(id, readyEvents, now); });
+    base::reportFault("streams", fault);
+    if (fault)
+        closeConnection(id);
+}
+
 void stream_server::sendQueued()
 {
     while (std::optional<stream_frame> frame = m_outgoing.tryPop()) {
--- a/lycheeshunt/streams/stream_server.h
+++ b/lycheeshunt/streams/stream_server.h
@@ -52,6 +52,8 @@
     void run();
     void acceptAll(base::clock_time now);
     void sendQueued();
+    void pauseAccepting(int reason, base::clock_time now);
+    void serveGuarded(connection_id id, short readyEvents, base::clock_time now);
     void serve(connection_id id, short readyEvents, base::clock_time now);
     void closeIdleConnections(base::clock_time now);
     void closeConnection(connection_id id);
@@ -63,6 +65,7 @@
     std::map<connection_id, std::unique_ptr<internal::h2_connection>> m_connections;
     std::uint64_t m_nextConnection = 1;
     base::clock_time m_lastIdleCheck;
+    base::clock_time m_acceptAgainAt;
     std::atomic<std::uint64_t> m_accepted = 0;
     std::thread m_thread;
 };
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/tickets/decision.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/tickets/difference.h"
 #include "lycheeshunt/tickets/validation.h"
@@ -231,17 +232,19 @@
 ticket_step decide(ticket_state state, const ticket_message &message)
 {
     action_list actions;
-    std::visit(base::overloaded {
-                   [&](const submit_ticket &m) { submit(state, m, actions); },
-                   [&](const get_ticket &m) { getTicket(state, m, actions); },
-                   [&](const ticket_committed &m) { commit(state, m, actions); },
-                   [&](const other_committed &m) { actions.emplace_back(m); },
-                   [&](const proposal_rejected &m) { rejectProposal(state, m, actions); },
-                   [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
-                   [&](const leadership_update &m) { changeLeadership(state, m, actions); },
-               },
-               message);
-    return ticket_step {std::move(state), std::move(actions)};
+    const std::optional<base::error> fault = base::faultOf([&]() {
+        std::visit(base::overloaded {
+                       [&](const submit_ticket &m) { submit(state, m, actions); },
+                       [&](const get_ticket &m) { getTicket(state, m, actions); },
+                       [&](const ticket_committed &m) { commit(state, m, actions); },
+                       [&](const other_committed &m) { actions.emplace_back(m); },
+                       [&](const proposal_rejected &m) { rejectProposal(state, m, actions); },
+                       [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
+                       [&](const leadership_update &m) { changeLeadership(state, m, actions); },
+                   },
+                   message);
+    });
+    return ticket_step {std::move(state), std::move(actions), fault};
 }
 
 } // namespace lycheeshunt::tickets
--- a/lycheeshunt/tickets/ticket_duty.cpp
+++ b/lycheeshunt/tickets/ticket_duty.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/tickets/ticket_duty.h"
 
+#include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/tickets/decision.h"
 
 namespace lycheeshunt::tickets {
@@ -19,6 +20,7 @@
 {
     base::step<ticket_state, ticket_action> next = decide(std::move(m_state), message);
     m_state = std::move(next.state);
+    base::reportFault("tickets", next.fault);
     for (const ticket_action &action : next.actions) {
         if (!m_sink(action))
             rejectUndelivered(action);
