Bound what decoders take and accept; log a committed ticket that can't be decoded

An array or text can't have more items than its message has bytes, nesting is 8 levels at most (was 16 at 200,000 items a level: 5 bytes took 4.8 MB). Members without an address, services and routes beyond the bounds that front ends keep are refused where bytes come in; what is at the bounds is decoded again.

--- a/lycheeshunt/base/codec.h
+++ b/lycheeshunt/base/codec.h
@@ -10,6 +10,7 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -23,13 +24,15 @@
     return std::string(buffer.data(), buffer.size());
 }
 
-// Bounds the memory that the decoder allocates for a hostile message.
-inline msgpack::unpack_limit unpackLimit()
+// Bounds the memory that the decoder takes for a hostile message: an array or text can't have more
+// items than the message has bytes.
+inline msgpack::unpack_limit unpackLimit(std::size_t messageBytes, std::size_t maxItems = 200'000)
 {
-    constexpr std::size_t maxItems = 200'000;
     constexpr std::size_t maxBytes = 4 * 1024 * 1024;
-    constexpr std::size_t maxDepth = 16;
-    return msgpack::unpack_limit(maxItems, maxItems, maxBytes, maxBytes, maxBytes, maxDepth);
+    constexpr std::size_t maxDepth = 8;
+    const std::size_t items = std::min(maxItems, messageBytes);
+    const std::size_t bytes = std::min(maxBytes, messageBytes);
+    return msgpack::unpack_limit(items, 0, bytes, bytes, 0, maxDepth);
 }
 
 // Returns messageMalformed for invalid bytes and for bytes that follow the tuple.
@@ -38,8 +41,8 @@
 {
     try {
         std::size_t offset = 0;
-        const msgpack::object_handle handle
-            = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, unpackLimit());
+        const msgpack::object_handle handle = msgpack::unpack(
+            bytes.data(), bytes.size(), offset, nullptr, nullptr, unpackLimit(bytes.size()));
         if (offset != bytes.size())
             return error {error_code::messageMalformed, "bytes after the message"};
         if (handle.get().type != msgpack::type::ARRAY
--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -96,7 +96,9 @@
     m_compaction.trackMembers(entry);
     if (isTicket(entry)) {
         const base::result<tickets::ticket> ticket = tickets::decodeTicket(entry.payload);
-        if (const tickets::ticket *known = std::get_if<tickets::ticket>(&ticket))
+        if (const base::error *failure = base::errorOf(ticket))
+            base::logError("tickets", "committed ticket can't be decoded: " + failure->text());
+        else if (const tickets::ticket *known = std::get_if<tickets::ticket>(&ticket))
             m_followers.tickets.inbox().push(tickets::ticket_committed {
                 tickets::ticket_record {*known, entry.index, entry.acceptedAt}});
     } else if (entry.kind == replication::entry_kind::state) {
--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -16,6 +16,9 @@
 using internal::packetKind;
 using internal::wireVersion;
 
+// More than any list or message has, so that their own bounds give the reason.
+constexpr std::size_t maxItems = 1024;
+
 using packet_fields
     = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t, std::uint64_t,
                  std::uint8_t, std::uint8_t, std::uint32_t, std::uint16_t,
@@ -119,8 +122,9 @@
 {
     try {
         std::size_t offset = 0;
-        const msgpack::object_handle handle = msgpack::unpack(
-            bytes.data(), bytes.size(), offset, nullptr, nullptr, base::unpackLimit());
+        const msgpack::object_handle handle
+            = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr,
+                              base::unpackLimit(bytes.size(), maxItems));
         if (offset != bytes.size())
             return malformed("bytes after the message");
         return datagramFrom(handle.get(), codec);
--- a/lycheeshunt/membership/codec.cpp
+++ b/lycheeshunt/membership/codec.cpp
@@ -45,6 +45,8 @@
         return malformed("role, phase, health or share of a member");
     if (name.empty() || name.size() > maxNameBytes || zone.size() > maxNameBytes)
         return malformed("name or availability zone of a member");
+    if (address == 0 || port == 0)
+        return malformed("address of a member");
     return member {name,
                    zone,
                    static_cast<member_role>(role),
--- a/lycheeshunt/tickets/codec.cpp
+++ b/lycheeshunt/tickets/codec.cpp
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/tickets/address_route.h"
+#include "lycheeshunt/tickets/bounds.h"
 #include "lycheeshunt/tickets/ticket.h"
 
 #include <tuple>
@@ -37,6 +38,28 @@
     return service_address {base::endpoint {address, port}, protocol};
 }
 
+bool isPeriod(std::int64_t millis)
+{
+    return millis >= 0 && millis <= maxPeriod.millis();
+}
+
+// A sum of shares is above 0 and far from the end of its type.
+bool areShares(const std::vector<share_fields> &shares)
+{
+    std::uint64_t total = 0;
+    for (const auto &[service, weight] : shares) {
+        if (weight > maxShareWeight)
+            return false;
+        total += weight;
+    }
+    return shares.size() <= maxRouteShares && total > 0;
+}
+
+base::error malformed(const char *what)
+{
+    return base::error {base::error_code::messageMalformed, what};
+}
+
 change_fields encodeChange(const ticket_change &change)
 {
     return std::visit(
@@ -70,7 +93,7 @@
     if (kind == drainKind)
         return decodeDrain(bytes);
     if (kind != definitionKind)
-        return base::error {base::error_code::messageMalformed, "unknown kind of change"};
+        return malformed("unknown kind of change");
     const base::result<service_definition> service = decodeService(bytes);
     if (const base::error *failure = base::errorOf(service))
         return *failure;
@@ -99,11 +122,17 @@
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     const auto &[name, rawAddresses, rawLimits, buckets] = base::valueOf(fields);
+    const auto &[slots, connections, queueLength, queueWait, longWorkAge, shortOnly, idle]
+        = rawLimits;
+    if (name.empty() || name.size() > maxServiceNameBytes)
+        return malformed("name of a service");
+    if (buckets == 0 || buckets > maxBuckets)
+        return malformed("buckets of a service");
+    if (!isPeriod(queueWait) || !isPeriod(longWorkAge) || !isPeriod(idle))
+        return malformed("limits of a service");
     std::vector<service_address> addresses;
     for (const address_fields &raw : rawAddresses)
         addresses.push_back(addressOf(raw));
-    const auto &[slots, connections, queueLength, queueWait, longWorkAge, shortOnly, idle]
-        = rawLimits;
     return service_definition {name, std::move(addresses),
                                service_limits {slots, connections, queueLength,
                                                base::clock_time::ofMillis(queueWait),
@@ -158,7 +187,11 @@
         = base::valueOf(fields);
     if (kind < static_cast<std::uint8_t>(request_kind::idempotent)
         || kind > static_cast<std::uint8_t>(request_kind::upload))
-        return base::error {base::error_code::messageMalformed, "kind of request"};
+        return malformed("kind of request");
+    if (!areShares(rawShares) || rawFormer.size() > maxFormerServices)
+        return malformed("services of a route");
+    if (!isPeriod(timeout) || !isPeriod(target))
+        return malformed("periods of a route");
     std::vector<route_share> shares;
     for (const auto &[service, weight] : rawShares)
         shares.push_back(route_share {base::service_id(service), weight});
--- a/lycheeshunt/tickets/validation.cpp
+++ b/lycheeshunt/tickets/validation.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/tickets/validation.h"
 
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/tickets/bounds.h"
 #include "lycheeshunt/tickets/ticket_state.h"
 
 #include <algorithm>
@@ -22,7 +23,6 @@
 constexpr std::uint32_t maxQueueLength = 100'000;
 constexpr base::clock_time maxQueueWait = base::clock_time::ofSeconds(60);
 constexpr base::clock_time maxLongWorkAge = base::clock_time::ofSeconds(3600);
-constexpr std::uint32_t maxBuckets = 65'536;
 constexpr std::uint8_t tcp = 6;
 constexpr std::uint8_t udp = 17;
 
