--- a/lycheeshunt/http/http_answer.h
+++ b/lycheeshunt/http/http_answer.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::http {
 
-// The response to an HTTP request; the body is JSON.
+// The response to an HTTP request.
 struct http_answer
 {
     const base::request_id request;
@@ -14,6 +14,7 @@
     const std::string body = {};
     // The value of the Location header; set only with a redirecting status.
     const std::string location = {};
+    const std::string contentType = "application/json";
 
     bool operator==(const http_answer &) const = default;
 };
--- a/lycheeshunt/http/http_listener.h
+++ b/lycheeshunt/http/http_listener.h
@@ -1,5 +1,6 @@
-// Receives HTTP requests on one address with cpprestsdk, whose threads only forward them to the
-// sink. Limits the size of a body and the number of pending requests.
+// Receives HTTP requests on one address with Boost.Beast, on a thread of its own that only forwards
+// them to the sink. Limits the size of the header and of the body while they arrive, the number of
+// connections, and the number of pending requests.
 //
 //     result<std::unique_ptr<http_listener>> api
 //         = http_listener::open(local, maxBodyBytes, calls, [&](const http_call &call) { ... });
@@ -12,24 +13,25 @@
 
 #include <functional>
 #include <memory>
+#include <thread>
 
 namespace lycheeshunt::http {
 
 class pending_calls;
 
-// Sets the number of the library's threads in this process. Call it once, before the first listener
-// opens.
-void useThreads(std::size_t count);
+namespace internal {
+class connection_acceptor;
+}
 
 class http_listener
 {
 public:
-    // Called on the library's threads; must not block. Returns false to reject the request as
+    // Called on the listener's thread; must not block. Returns false to reject the request as
     // tooBusy.
     using call_sink = std::function<bool(const http_call &)>;
 
     // Requests arrive before open() returns. Each is added to the pending calls, then goes to the
-    // sink.
+    // sink. Errors: socketFailed.
     static base::result<std::unique_ptr<http_listener>> open(const base::endpoint &local,
                                                              std::size_t maxBodyBytes,
                                                              std::shared_ptr<pending_calls> calls,
@@ -41,11 +43,10 @@
     http_listener &operator=(const http_listener &) = delete;
 
 private:
-    struct implementation;
+    http_listener(std::shared_ptr<internal::connection_acceptor> acceptor, std::thread loop);
 
-    explicit http_listener(std::shared_ptr<implementation> state);
-
-    const std::shared_ptr<implementation> m_implementation;
+    const std::shared_ptr<internal::connection_acceptor> m_acceptor;
+    std::thread m_loop;
 };
 
 } // namespace lycheeshunt::http
--- /dev/null
+++ b/lycheeshunt/http/internal/http_connection.h
@@ -0,0 +1,61 @@
+// One connection of a caller: reads a request, forwards it, and writes its answer, one after the
+// other. Runs on the acceptor's thread.
+
+#pragma once
+
+#include "lycheeshunt/http/http_answer.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace lycheeshunt::http::internal {
+
+class connection_acceptor;
+
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+    // The acceptor outlives its connections: their handlers are in its loop.
+    http_connection(connection_acceptor &acceptor, boost::asio::ip::tcp::socket socket);
+    ~http_connection();
+
+    http_connection(const http_connection &) = delete;
+    http_connection &operator=(const http_connection &) = delete;
+
+    void readRequest();
+
+private:
+    using error_code = boost::system::error_code;
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using response = boost::beast::http::response<boost::beast::http::string_body>;
+
+    void handleHeader(const error_code &failure);
+    void confirmBody();
+    void readBody();
+    void handleRequest(const error_code &failure);
+    void refuse(const error_code &failure);
+    void forward();
+    // Removes the pending call when the caller disconnects before the answer.
+    void awaitDisconnect();
+    void answer(const http_answer &answer);
+    void write(const http_answer &answer, bool keepsOpen);
+    void handleWritten(const error_code &failure);
+    // Closes once the caller has read the answer, or has sent on for too long.
+    void closeAfterRefusal();
+    void discardInput();
+
+    connection_acceptor &m_acceptor;
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<request_parser> m_parser;
+    std::optional<response> m_response;
+    base::request_id m_pending;
+    std::size_t m_discarded = 0;
+};
+
+} // namespace lycheeshunt::http::internal
--- a/lycheeshunt/http/pending_calls.h
+++ b/lycheeshunt/http/pending_calls.h
@@ -13,6 +13,11 @@
 
 namespace lycheeshunt::http {
 
+namespace internal {
+class connection_acceptor;
+class http_connection;
+} // namespace internal
+
 class pending_calls
 {
 public:
@@ -27,7 +32,8 @@
     void answer(const http_answer &answer);
 
 private:
-    friend class http_listener;
+    friend class internal::connection_acceptor;
+    friend class internal::http_connection;
     struct implementation;
 
     const std::unique_ptr<implementation> m_implementation;
--- a/lycheeshunt/metrics/scrape_server.h
+++ b/lycheeshunt/metrics/scrape_server.h
@@ -1,5 +1,5 @@
-// Serves GET /metrics on its own address with cpprestsdk. A GET of any other path returns 404 with
-// an error code.
+// Serves GET /metrics on its own address. Any other path or method is answered with 404 and an
+// error code.
 //
 //     result<std::unique_ptr<scrape_server>> server = scrape_server::open(local, metrics.inbox());
 
@@ -11,6 +11,10 @@
 
 #include <memory>
 
+namespace lycheeshunt::http {
+class http_listener;
+}
+
 namespace lycheeshunt::metrics {
 
 class scrape_server
@@ -25,11 +29,9 @@
     scrape_server &operator=(const scrape_server &) = delete;
 
 private:
-    struct implementation;
-
-    explicit scrape_server(std::unique_ptr<implementation> state);
+    explicit scrape_server(std::unique_ptr<http::http_listener> listener);
 
-    std::unique_ptr<implementation> m_implementation;
+    const std::unique_ptr<http::http_listener> m_listener;
 };
 
 } // namespace lycheeshunt::metrics
