--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -40,8 +40,6 @@
 
 flow_phase phaseAfterCaller(flow_phase phase, const packets::ip_summary &summary)
 {
-    if (phase == flow_phase::tried)
-        return phase;
     if (summary.finishes)
         return phase == flow_phase::serverFinished ? flow_phase::ended : flow_phase::callerFinished;
     return phase == flow_phase::opening && !summary.opens ? flow_phase::open : phase;
@@ -54,6 +52,17 @@
     return phase;
 }
 
+// A packet that is only tried is no request of the server. What it tells of the flow counts once
+// the flow is claimed.
+void updateTriedFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow,
+                     const packets::ip_summary &packet)
+{
+    putOwned(context.state, key,
+             owned_flow {context.now, flow.refreshAt, flow.phase,
+                         flow.progress.afterCaller(packet, context.now).withoutRequest(),
+                         flow.hasCallerFinished || packet.finishes, packet.payloadBytes > 0});
+}
+
 void updateFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow,
                 flow_phase phase, const request_progress &progress)
 {
@@ -152,10 +161,11 @@
 void claimFlow(flow_context &context, const base::flow_key &key)
 {
     const owned_flow flow = *context.state.owned.find(key);
+    const flow_phase phase = flow.hasCallerFinished ? flow_phase::callerFinished : flow_phase::open;
     context.state.directory.erase(key);
     putOwned(context.state, key,
-             owned_flow {flow.lastPacket, context.now + refreshInterval, flow_phase::open,
-                         flow.progress});
+             owned_flow {flow.lastPacket, context.now + refreshInterval, phase,
+                         flow.triesPayload ? flow.progress.withRequest() : flow.progress});
     registerNow(context, key);
 }
 
@@ -173,6 +183,10 @@
     deliverToServer(context, packet);
     if (flow.phase == flow_phase::ended)
         return;
+    if (flow.phase == flow_phase::tried && !packet.summary.resets) {
+        updateTriedFlow(context, key, flow, packet.summary);
+        return;
+    }
     const flow_phase next
         = packet.summary.resets ? flow_phase::ended : phaseAfterCaller(flow.phase, packet.summary);
     updateFlow(context, key, flow, next, flow.progress.afterCaller(packet.summary, context.now));
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -76,6 +76,19 @@
         || state.lookups.find(key) != nullptr;
 }
 
+// The agent that has registered the flow, which a copy of the opening packet may have opened there.
+// Empty if that agent is silent: a new flow of the same key would wait for it in vain.
+std::optional<routing::target> openOwner(const flow_state &state, const base::flow_key &key)
+{
+    const std::optional<routing::target> owner = knownOwner(state, key);
+    if (!owner || isSelf(state, owner->node))
+        return std::nullopt;
+    const auto found = state.view->members.find(owner->node);
+    const bool isSilent = found != state.view->members.end()
+        && found->second.phase == membership::member_phase::suspected;
+    return isSilent ? std::nullopt : owner;
+}
+
 void handleOpening(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
@@ -93,6 +106,13 @@
         placeFlow(context, packet);
         return;
     }
+    const std::optional<routing::target> owner = openOwner(state, key);
+    if (owner) {
+        refreshEntry(context, key);
+        forwardTo(context, packet.with(packet.stage, packet.agents, true), *owner,
+                  packet_stage::toOwner);
+        return;
+    }
     const pending_delivery *earlier = state.pendingDeliveries.find(key);
     placeFlow(context,
               packet.with(packet.stage, earlier != nullptr ? earlier->packet.agents : packet.agents,
--- a/lycheeshunt/flows/late_packets_test.cpp
+++ b/lycheeshunt/flows/late_packets_test.cpp
@@ -37,6 +37,17 @@
                                 {registered_flow {key}}}));
     }
 
+    // The next view has this agent as a silent one.
+    void suspect(const char *name, std::uint16_t port)
+    {
+        const membership::member member = agentNamed(name, port);
+        std::map<base::node_id, membership::member> members = state->view->members;
+        members.erase(member.id());
+        members.emplace(member.id(), member.withPhase(membership::member_phase::suspected));
+        apply(view_update {std::make_shared<const dissemination::cluster_view>(
+            dissemination::cluster_view {base::generation(2), state->view->services, members})});
+    }
+
     void receiveReportsOfFullPeers()
     {
         for (const char *name : {"a2", "a3"})
@@ -80,6 +91,35 @@
     CHECK(actionsOf<reset_caller>().empty());
 }
 
+// Guards against a flow that is opened a second time: its copy opened it at another agent, and the
+// first opening packet comes to the director, which has room and knows the owner.
+TEST(late_packets, aFirstOpeningPacketOfARegisteredFlowGoesToItsOwner)
+{
+    receivePeerReports();
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    registerFlow(opening.key, "a2", 2);
+    apply(packetFor(opening, packet_stage::toDirector));
+    CHECK(actionsOf<deliver_to_server>().empty());
+    CHECK(sentMessages<owner_hint>().empty());
+    const forwarded_packet forwarded = actionsOf<send_packet>().front().packet;
+    CHECK(forwarded.stage == packet_stage::toOwner);
+    CHECK(forwarded.isDoubtful);
+    CHECK(actionsOf<send_packet>().front().to == agentNamed("a2", 2).packets);
+    // The owner is still known to the director.
+    apply(packetFor(dataOf(opening, firstSequence), packet_stage::toDirector));
+    CHECK(actionsOf<send_packet>().front().packet.stage == packet_stage::toOwner);
+}
+
+// Guards against flows that can't open because their key is registered for an owner that is silent.
+TEST(late_packets, aFirstOpeningPacketIsPlacedWhileTheRegisteredOwnerIsSuspected)
+{
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    registerFlow(opening.key, "a2", 2);
+    suspect("a2", 2);
+    apply(packetFor(opening, packet_stage::toDirector));
+    LONGS_EQUAL(1, actionsOf<deliver_to_server>().size());
+}
+
 // Guards against resets of open flows by an agent that is offered a late opening packet and knows
 // nothing of the flow.
 TEST(late_packets, theDoubtAboutALateOpeningPacketGoesWithItsOffer)
@@ -87,7 +127,8 @@
     receivePeerReports();
     setServer(false);
     const packets::ip_summary opening = summaryForOwnBucket(true);
-    registerFlow(opening.key, "a2", 2);
+    // The flow's owner is being searched for.
+    apply(packetFor(dataOf(opening, firstSequence), packet_stage::toDirector));
     apply(packetFor(opening, packet_stage::toDirector));
     const forwarded_packet offered = actionsOf<send_packet>().front().packet;
     CHECK(offered.stage == packet_stage::offer);
--- a/lycheeshunt/flows/owned_flow.h
+++ b/lycheeshunt/flows/owned_flow.h
@@ -14,6 +14,10 @@
     const base::clock_time refreshAt;
     const flow_phase phase = flow_phase::opening;
     const request_progress progress = {};
+    // With phase tried: the caller has finished, and the last packet that was tried carries
+    // payload.
+    const bool hasCallerFinished = false;
+    const bool triesPayload = false;
 
     // Whether this agent names itself as the owner to other agents.
     bool isClaimed() const { return phase != flow_phase::tried && phase != flow_phase::ended; }
--- a/lycheeshunt/flows/request_progress.h
+++ b/lycheeshunt/flows/request_progress.h
@@ -73,6 +73,13 @@
                                  since, lastSequence, lastSequence};
     }
 
+    // The server has the payload that was sent last.
+    request_progress withRequest() const
+    {
+        return request_progress {true,  isAnswered,   hasSent,         sequenceEnd,
+                                 since, lastSequence, answeredSequence};
+    }
+
     // The server is not expected to answer any more.
     request_progress withoutRequest() const
     {
--- a/lycheeshunt/flows/tried_flows_test.cpp
+++ b/lycheeshunt/flows/tried_flows_test.cpp
@@ -45,6 +45,46 @@
     CHECK_EQUAL(1U, sentMessages<owner_hint>().size());
 }
 
+// Guards against a server that gets no work because packets which were only tried there count as
+// requests.
+TEST(tried_flows, aTriedPacketWithPayloadIsNoRequest)
+{
+    const packets::ip_summary data = summaryForOwnBucket(false, 10);
+    apply(packetFor(data, packet_stage::trial));
+    LONGS_EQUAL(1, actionsOf<deliver_to_server>().size());
+    LONGS_EQUAL(0, state->busyFlows);
+    receiveFromServer(returnedSummary(data));
+    LONGS_EQUAL(0, state->busyFlows);
+}
+
+// Guards against a server that gets more requests than it has slots: it has kept the packet that
+// was tried, and so works on its request.
+TEST(tried_flows, aKeptPacketWithPayloadIsARequest)
+{
+    const packets::ip_summary data = summaryForOwnBucket(false, 10);
+    apply(packetFor(data, packet_stage::trial));
+    now += 150;
+    receiveFromServer(summaryOf(5, false, 200));
+    apply(tick {});
+    LONGS_EQUAL(1, state->busyFlows);
+    receiveFromServer(summaryOf(data.key.caller.port, false, 200));
+    LONGS_EQUAL(0, state->busyFlows);
+}
+
+// Guards against flows that stay until they are idle because the caller finished while its flow was
+// tried.
+TEST(tried_flows, aFlowWhoseCallerFinishedWhileItWasTriedEndsWithTheServer)
+{
+    const packets::ip_summary data = summaryForOwnBucket(false, 10);
+    const packets::ip_summary last {data.key, false, true, false, 0};
+    apply(packetFor(data, packet_stage::trial));
+    apply(packetFor(last, packet_stage::trial));
+    receiveFromServer(summaryOf(data.key.caller.port, false, 200));
+    CHECK(state->owned.find(data.key)->phase == flow_phase::callerFinished);
+    receiveFromServer(packets::ip_summary {data.key, false, true, false, 0});
+    CHECK(state->owned.find(data.key)->phase == flow_phase::ended);
+}
+
 // Guards against packets of an open flow that go round between a server that returns them and a
 // director whose entry names that server's agent.
 TEST(tried_flows, aReturnedPacketIsNotDeliveredAgainBecauseADirectorNamesThisAgent)
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -123,7 +123,9 @@
                                                           to.destination.at,
                                                           to.stage,
                                                           0,
-                                                          m_hintEndpoint};
+                                                          m_hintEndpoint,
+                                                          {},
+                                                          to.isDoubtful};
                        packets.forward(index, header, to.destination.to.packets);
                    },
                    [&](const refuse_caller &) {
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -103,6 +103,13 @@
     return services;
 }
 
+bool routing_table::hasSeveralServices(const base::flow_key &key) const
+{
+    const auto found = m_addresses.find(addressKey(key.service, key.protocol));
+    return found != m_addresses.end()
+        && found->second->shares.size() + found->second->former.size() > 1;
+}
+
 routing_outcome routing_table::routeOf(const base::flow_key &key,
                                        const bypassed_agents &bypassed) const
 {
--- a/lycheeshunt/routing/steering.cpp
+++ b/lycheeshunt/routing/steering.cpp
@@ -54,9 +54,12 @@
     }
     const flow_hint *hint = hints.find(packet.key);
     const bool isNew = packet.opens && hint != nullptr && now - hint->at >= openingRetransmitPeriod;
+    // A hint skips the services that a search would ask first, so that no search which begins there
+    // is complete.
     if (hint != nullptr && !isNew)
         return steer_to {route {hint->service, table.at(), hint->owner},
-                         flows::packet_stage::toOwner};
+                         flows::packet_stage::toOwner,
+                         !packet.opens && table.hasSeveralServices(packet.key)};
     const std::vector<base::service_id> services = table.servicesFor(packet.key);
     if (!packet.opens)
         return steerToFirst(table, bypassed, packet, services, 0);
@@ -80,8 +83,9 @@
     const std::size_t next = wasHinted || queried == services.end()
         ? 0
         : static_cast<std::size_t>(queried - services.begin()) + 1;
-    // With another view, other services may have been left out of the search.
-    const bool isDoubtful = searched.isDoubtful || searched.at != table.at();
+    // With another view, other services may have been left out of the search. A search that starts
+    // anew asks all of them again.
+    const bool isDoubtful = !wasHinted && (searched.isDoubtful || searched.at != table.at());
     const steering decision = steerToFirst(table, bypassed, packet, services, next);
     if (const steer_to *to = std::get_if<steer_to>(&decision))
         return steer_to {to->destination, to->stage, isDoubtful};
--- a/lycheeshunt/routing/steering_test.cpp
+++ b/lycheeshunt/routing/steering_test.cpp
@@ -133,6 +133,29 @@
     }
 }
 
+// Guards against a reset while the first service of an address was never searched: two packets go
+// by one wrong hint to its second service, and the report of the first erases the hint.
+TEST(steering, twoPacketsByOneWrongHintDoNotRefuseTheCaller)
+{
+    const routing_table split = tableOf({{logbook, 1}, {inspect, 1}});
+    const packets::ip_summary data = packetOf(1, false);
+    const std::vector<base::service_id> services = split.servicesFor(data.key);
+    const base::service_id second = services.back();
+    const membership::member wrong
+        = second == logbook ? agentOf("logbook", 1) : agentOf("inspect", 3);
+    hints.put(data.key,
+              flow_hint {second, target {wrong.id(), wrong.incarnation, wrong.packets}, at(0)});
+    const steer_to first = std::get<steer_to>(steer(split, {}, hints, data, at(100)));
+    const steer_to next = std::get<steer_to>(steer(split, {}, hints, data, at(110)));
+    const steering afterFirst = steerToNextService(
+        split, {}, hints, data, searched_service {second, first.destination.at, first.isDoubtful});
+    CHECK(std::get<steer_to>(afterFirst).destination.service == services.front());
+    CHECK_FALSE(std::get<steer_to>(afterFirst).isDoubtful);
+    const steering afterNext = steerToNextService(
+        split, {}, hints, data, searched_service {second, next.destination.at, next.isDoubtful});
+    CHECK(std::holds_alternative<drop_packet>(afterNext));
+}
+
 TEST(steering, anUnknownFlowIsSoughtAtFormerServicesOfItsAddress)
 {
     const routing_table moved = tableOf({{inspect, 1}}, {logbook});
