Search for a flow near its director, and try no server twice

Changes: a flow that a copy opened is claimed only once its server has kept a packet (phase copied); the hint of an opening packet goes out with the server's answer and does not replace a younger one; an agent whose server returns a hinted packet withdraws the hint. A search asks the director's 16 neighbours first, which is where flows are offered, then 64 at a time, and tries servers between the rounds; the packet of a trial comes back to the agent that began it, which remembers who has returned it: no server gets two packets of a flow, and none gets one later than 1.5 s after the first.

--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -4,6 +4,7 @@
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/flow_placement.h"
+#include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
@@ -45,6 +46,8 @@
                    [&](const recovery_page &page) { internal::handleRecoveryPage(context, page); },
                    // Meant for entries only.
                    [](const owner_hint &) {},
+                   [](const opening_hint &) {},
+                   [](const hint_withdrawn &) {},
                    [&](const placement::load_report &report) {
                        internal::handleLoadReport(context, report);
                    },
@@ -56,6 +59,7 @@
 {
     internal::recoveryTick(context);
     internal::lookupTick(context);
+    internal::searchTick(context);
     internal::ownershipTick(context);
     internal::directoryTick(context);
     internal::registrarTick(context);
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -9,6 +9,7 @@
 #include "lycheeshunt/flows/directory_entry.h"
 #include "lycheeshunt/flows/ended_flow.h"
 #include "lycheeshunt/flows/flow_map.h"
+#include "lycheeshunt/flows/flow_search.h"
 #include "lycheeshunt/flows/former_director.h"
 #include "lycheeshunt/flows/owned_flow.h"
 #include "lycheeshunt/flows/pending_delivery.h"
@@ -36,6 +37,8 @@
 
     std::shared_ptr<const agent_identity> identity;
     dissemination::shared_view view;
+    // All agents of this agent's service in the view, itself among them, by identifier.
+    std::vector<routing::target> agents;
     // The director and the backup of each bucket of this agent's service.
     std::shared_ptr<const routing::bucket_table> buckets;
     // For each bucket, the most recent one last.
@@ -52,6 +55,8 @@
     std::list<ended_flow> ended;
     flow_map<directory_entry> directory;
     flow_map<pending_lookup> lookups;
+    // Only where backend servers return packets.
+    flow_map<flow_search> searches;
     std::size_t lookupBytes = 0;
     // Packets of flows that this agent does not own, buffered until the first view arrives. Only
     // where backend servers return packets.
--- a/lycheeshunt/flows/internal/directory.cpp
+++ b/lycheeshunt/flows/internal/directory.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/internal/directory.h"
 
+#include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
@@ -61,6 +62,7 @@
     }
     if (isRegisteredElsewhere(state, batch, flow.key) || !directoryHasRoom(state, flow.key))
         return false;
+    forgetSearch(state, flow.key);
     state.directory.put(flow.key,
                         directory_entry {batch.owner, batch.at, context.now, batch.sequence});
     return true;
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/flows/internal/lookup.h"
 
 #include "lycheeshunt/flows/internal/directory.h"
+#include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
@@ -24,8 +25,12 @@
 constexpr base::clock_time findTimeout = base::clock_time::ofSeconds(2);
 constexpr base::clock_time queryInterval = base::clock_time::ofMillis(150);
 // An agent that does not answer within this time does not delay the trial of other servers.
-constexpr base::clock_time answerTimeout = queryInterval * 3;
-constexpr std::size_t maxQueriesPerRound = 16;
+constexpr base::clock_time answerTimeout = queryInterval * 2;
+// Those next to the director in the first round, which own most of its flows.
+constexpr std::size_t queriesInFirstRound = 16;
+constexpr std::size_t maxQueriesPerRound = 64;
+// The agent that begins a trial is listed behind the candidates.
+constexpr std::size_t maxCandidates = maxListedAgents - 1;
 
 bool contains(const std::vector<base::node_id> &nodes, base::node_id node)
 {
@@ -67,10 +72,10 @@
     // there a packet sent to the wrong server does no harm, while a second round costs time.
     if (!next.empty() && !state.identity->serverReturnsPackets)
         return next;
-    for (const routing::target &agent : otherAgents(state)) {
-        if (next.size() < maxQueriesPerRound && !contains(queried, agent.node)
-            && !contains(next, agent.node))
-            next.push_back(agent.node);
+    const std::size_t limit = queried.empty() ? queriesInFirstRound : maxQueriesPerRound;
+    for (const base::node_id node : agentsNearDirector(state, key)) {
+        if (next.size() < limit && !contains(queried, node) && !contains(next, node))
+            next.push_back(node);
     }
     return next;
 }
@@ -109,15 +114,56 @@
         && nextToQuery(state, packet.summary.key, pending.queried).empty();
 }
 
+// The agents beside servers that may have the flow and have not returned a packet of it, this agent
+// first, then those next to the director.
+std::vector<base::node_id> candidatesOf(const flow_state &state, const base::flow_key &key,
+                                        const pending_lookup &pending)
+{
+    const std::vector<base::node_id> excluded = excludedFrom(state, key);
+    const base::node_id self = state.identity->node;
+    std::vector<base::node_id> candidates;
+    if (mayServerHave(state, key) && !contains(excluded, self))
+        candidates.push_back(self);
+    for (const base::node_id node : agentsNearDirector(state, key)) {
+        if (contains(pending.mayOwn, node) && !contains(excluded, node)
+            && candidates.size() < maxCandidates)
+            candidates.push_back(node);
+    }
+    return candidates;
+}
+
+// Tries the servers that may have the flow. If there are none, or packets of the flow have reached
+// other servers for long enough, notifies the entry.
+void finishReturnable(flow_context &context, const pending_lookup &pending)
+{
+    const forwarded_packet &first = pending.packets.front();
+    const base::flow_key &key = first.summary.key;
+    std::vector<base::node_id> ignorant;
+    for (const base::node_id node : pending.queried) {
+        if (!contains(pending.unanswered, node) && !contains(pending.mayOwn, node))
+            ignorant.push_back(node);
+    }
+    excludeAgents(context, key, ignorant);
+    const std::vector<base::node_id> candidates = candidatesOf(context.state, key, pending);
+    if (!candidates.empty() && !first.summary.resets && mayTry(context, key)) {
+        tryCandidateServers(context, first, candidates);
+        return;
+    }
+    for (const forwarded_packet &packet : pending.packets) {
+        const bool isCertain = candidates.empty() && !packet.isDoubtful
+            && !isSearchDoubtful(context.state, key) && isComplete(context.state, pending, packet);
+        notifyEntry(context, packet, !isCertain, base::error_code::flowUnknown,
+                    pending.queried.size());
+    }
+}
+
 // No agent has named the owner of the flow, or not in time.
 void finishWithoutOwner(flow_context &context, const base::flow_key &key)
 {
     const pending_lookup pending = removeLookup(context, key);
     const forwarded_packet &first = pending.packets.front();
     if (context.state.identity->serverReturnsPackets) {
-        for (const forwarded_packet &packet : pending.packets)
-            tryCandidateServers(context, packet, pending.mayOwn, pending.queried.size(),
-                                !isComplete(context.state, pending, packet));
+        finishReturnable(context, pending);
         return;
     }
     if (pending.purpose == lookup_purpose::open)
@@ -140,7 +186,11 @@
     std::vector<base::node_id> next;
     if (pending.purpose == lookup_purpose::find)
         next = nextToQuery(context.state, key, pending.queried);
-    if (next.empty()) {
+    // Agents are queried before any server is tried.
+    const bool hasQueried = pending.queried.size() > excludedFrom(context.state, key).size();
+    const bool mayTryNow = context.state.identity->serverReturnsPackets && hasQueried
+        && !candidatesOf(context.state, key, pending).empty() && mayTry(context, key);
+    if (next.empty() || mayTryNow) {
         finishWithoutOwner(context, key);
         return;
     }
@@ -227,7 +277,12 @@
         return;
     }
     const base::clock_time timeout = purpose == lookup_purpose::open ? openTimeout : findTimeout;
-    const pending_lookup pending {purpose, {packet}, context.now + timeout, context.now, {}, {}};
+    std::vector<base::node_id> excluded;
+    if (state.identity->serverReturnsPackets)
+        excluded = excludedFrom(state, packet.summary.key);
+    std::erase(excluded, state.identity->node);
+    const pending_lookup pending {
+        purpose, {packet}, context.now + timeout, context.now, std::move(excluded), {}};
     state.lookupBytes += bytes;
     state.lookups.put(packet.summary.key, withQueries(pending, firstQueried, context.now));
     if (firstQueried.empty())
@@ -287,7 +342,11 @@
         forwardAllTo(context, answer.key, answer.from, packet_stage::toDirector);
         return;
     }
-    if (answer.verdict == lookup_verdict::owned && !isSelf(state, answer.owner.node)) {
+    // An agent whose server has returned a packet of the flow is not its owner, whoever says so.
+    const bool isOwnerExcluded
+        = contains(excludedFrom(state, answer.key), answer.owner.node);
+    if (answer.verdict == lookup_verdict::owned && !isSelf(state, answer.owner.node)
+        && !isOwnerExcluded) {
         storeOwner(context, answer.key, answer.owner, answer.at);
         forwardAllTo(context, answer.key, answer.owner, packet_stage::toOwner);
         return;
@@ -306,7 +365,7 @@
     unanswered.erase(std::find(unanswered.begin(), unanswered.end(), answer.from.node));
     const bool allAnswered = unanswered.empty();
     std::vector<base::node_id> mayOwn = pending->mayOwn;
-    // An agent that wrongly names this one as the owner has not said whether its own server may
+    // An agent that wrongly names another one as the owner has not said whether its own server may
     // have the flow.
     if (answer.verdict == lookup_verdict::mayOwn || answer.verdict == lookup_verdict::owned)
         mayOwn.push_back(answer.from.node);
@@ -322,10 +381,12 @@
 bool isTrialDue(const flow_state &state, const base::flow_key &key, const pending_lookup &pending,
                 base::clock_time now)
 {
-    const bool hasCandidate = !pending.mayOwn.empty() || mayServerHave(state, key);
+    if (!state.identity->serverReturnsPackets)
+        return false;
     const base::clock_time startedAt = pending.deadline - findTimeout;
-    return state.identity->serverReturnsPackets && hasCandidate
-        && nextToQuery(state, key, pending.queried).empty() && now - startedAt >= answerTimeout;
+    const bool isAllQueried = nextToQuery(state, key, pending.queried).empty();
+    const bool hasCandidate = !candidatesOf(state, key, pending).empty();
+    return (hasCandidate || isAllQueried) && now - startedAt >= answerTimeout;
 }
 
 void lookupTick(flow_context &context)
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/internal/ownership.h"
 
+#include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/request_queueing.h"
@@ -74,7 +75,8 @@
 
 base::clock_time idleTimeoutOf(const flow_state &state, const base::flow_key &key, flow_phase phase)
 {
-    if (state.identity->serverReturnsPackets && phase == flow_phase::opening)
+    const bool isOpening = phase == flow_phase::opening || phase == flow_phase::copied;
+    if (state.identity->serverReturnsPackets && isOpening)
         return unansweredIdleTimeout;
     if (phase == flow_phase::opening)
         return openingIdleTimeout;
@@ -148,6 +150,7 @@
 void takeOwnership(flow_context &context, const base::flow_key &key, flow_phase phase)
 {
     context.state.directory.erase(key);
+    forgetSearch(context.state, key);
     putOwned(context.state, key, owned_flow {context.now, context.now + refreshInterval, phase});
     registerNow(context, key);
 }
@@ -160,6 +163,7 @@
 
 void claimFlow(flow_context &context, const base::flow_key &key)
 {
+    forgetSearch(context.state, key);
     const owned_flow flow = *context.state.owned.find(key);
     const flow_phase phase = flow.hasCallerFinished ? flow_phase::callerFinished : flow_phase::open;
     context.state.directory.erase(key);
--- a/lycheeshunt/flows/internal/peer_codec.cpp
+++ b/lycheeshunt/flows/internal/peer_codec.cpp
@@ -29,6 +29,7 @@
     = std::tuple<std::uint8_t, std::uint8_t, number, number, number, std::vector<key_fields>, bool>;
 
 using hint_fields = std::tuple<std::uint8_t, std::uint8_t, number, key_fields, target_fields>;
+using withdrawn_fields = std::tuple<std::uint8_t, std::uint8_t, number, key_fields, number>;
 using report_fields = std::tuple<std::uint8_t, std::uint8_t, std::string>;
 
 key_fields fieldsOf(const base::flow_key &key)
@@ -112,6 +113,18 @@
                                         fieldsOf(hint.key), fieldsOf(hint.owner)));
 }
 
+std::string encode(const opening_hint &hint)
+{
+    return base::packFields(hint_fields(wireVersion, openingHintKind, hint.service.value(),
+                                        fieldsOf(hint.key), fieldsOf(hint.owner)));
+}
+
+std::string encode(const hint_withdrawn &hint)
+{
+    return base::packFields(withdrawn_fields(wireVersion, hintWithdrawnKind, hint.service.value(),
+                                             fieldsOf(hint.key), hint.node.value()));
+}
+
 std::string encode(const placement::load_report &report)
 {
     return base::packFields(
@@ -196,6 +209,21 @@
                                     keyOf(std::get<3>(fields)), targetOf(std::get<4>(fields))});
 }
 
+base::result<peer_message> openingHintFrom(const msgpack::object &object)
+{
+    const hint_fields fields = object.as<hint_fields>();
+    return peer_message(opening_hint {base::service_id(std::get<2>(fields)),
+                                      keyOf(std::get<3>(fields)), targetOf(std::get<4>(fields))});
+}
+
+base::result<peer_message> withdrawnFrom(const msgpack::object &object)
+{
+    const withdrawn_fields fields = object.as<withdrawn_fields>();
+    return peer_message(hint_withdrawn {base::service_id(std::get<2>(fields)),
+                                        keyOf(std::get<3>(fields)),
+                                        base::node_id(std::get<4>(fields))});
+}
+
 base::result<peer_message> reportFrom(const msgpack::object &object)
 {
     const base::result<placement::load_report> report
@@ -235,6 +263,10 @@
         return hintFrom(object);
     if (kind == loadReportKind && hasFields<report_fields>(object))
         return reportFrom(object);
+    if (kind == openingHintKind && hasFields<hint_fields>(object))
+        return openingHintFrom(object);
+    if (kind == hintWithdrawnKind && hasFields<withdrawn_fields>(object))
+        return withdrawnFrom(object);
     return malformed("unknown kind of datagram, or wrong number of fields");
 }
 
--- a/lycheeshunt/flows/internal/peer_codec.h
+++ b/lycheeshunt/flows/internal/peer_codec.h
@@ -24,6 +24,8 @@
     recoveryPageKind = 7,
     ownerHintKind = 8,
     loadReportKind = 9,
+    openingHintKind = 10,
+    hintWithdrawnKind = 11,
 };
 
 // Limit on the flows of a registration batch or a recovery page.
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/flow_placement.h"
+#include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/lookup.h"
 #include "lycheeshunt/flows/internal/ownership.h"
@@ -25,6 +26,9 @@
 // A server that returned an opening packet gets no new flows for this long. It is full or still
 // starting, so it would also return the next opening packet.
 constexpr base::clock_time returnBackoff = base::clock_time::ofMillis(100);
+// An agent to which the director has passed a packet on sends it back to the director; one that got it
+// later searches itself.
+constexpr std::uint8_t maxHopsToDirector = 2;
 // Longer than a caller retransmits an opening packet.
 constexpr base::clock_time pendingDeliveryLifetime = base::clock_time::ofSeconds(2);
 
@@ -34,17 +38,32 @@
     recordEvent(context, kind, packet, base::node_id(), reason, agents);
 }
 
-void sendOwnerHint(flow_context &context, const forwarded_packet &packet)
+// The hint of an opening packet leaves the choice to the caller.
+void sendHint(flow_context &context, const forwarded_packet &packet)
 {
     const flow_state &state = context.state;
-    if (packet.entry.port != 0)
+    const base::service_id service = state.identity->service;
+    const base::flow_key &key = packet.summary.key;
+    if (packet.entry.port == 0)
+        return;
+    if (packet.summary.opens)
+        context.actions.emplace_back(
+            send_to_peer {packet.entry, opening_hint {service, key, selfTarget(state)}});
+    else
+        context.actions.emplace_back(
+            send_to_peer {packet.entry, owner_hint {service, key, selfTarget(state)}});
+}
+
+void withdrawHint(flow_context &context, const forwarded_packet &packet)
+{
+    const agent_identity &self = *context.state.identity;
+    if (packet.entry.port != 0 && packet.stage == packet_stage::toOwner && packet.hops == 0)
         context.actions.emplace_back(send_to_peer {
-            packet.entry,
-            owner_hint {state.identity->service, packet.summary.key, selfTarget(state)}});
+            packet.entry, hint_withdrawn {self.service, packet.summary.key, self.node}});
 }
 
 // Queries the other agents for the flow's owner, or forwards the packet to the flow's director,
-// which does so.
+// which does so. One agent searches for a flow, so that no server gets two of its packets.
 void lookUpOwner(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
@@ -54,7 +73,8 @@
         return;
     }
     const routing::target *director = directorOf(state, key);
-    // The entry has no echo from the director.
+    // The entry has no echo from the director. A packet that was passed on by its director goes back
+    // there once.
     const bool isActingDirector = packet.stage == packet_stage::toDirector;
     if (!state.buckets)
         notifyEntry(context, packet, true, base::error_code::agentNotReady);
@@ -62,8 +82,14 @@
         notifyEntry(context, packet, true, base::error_code::wrongService);
     else if (director == nullptr)
         notifyEntry(context, packet, true, base::error_code::noServer);
-    else if (isSelf(state, director->node) || isActingDirector || packet.hops > 0) {
+    else if (isSelf(state, director->node) || isActingDirector || packet.hops >= maxHopsToDirector) {
+        if (isOnTrial(context, key)) {
+            context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
+            return;
+        }
         record(context, flow_event_kind::searched, packet);
+        if (packet.stage == packet_stage::declined)
+            excludeAgents(context, key, packet.agents);
         startLookup(context, packet, lookup_purpose::find, {});
     } else
         forwardTo(context, packet, *director, packet_stage::declined);
@@ -119,16 +145,39 @@
                           packet.isDoubtful || mayBeOpen(state, key)));
 }
 
+// The server of the agent that is listed in the packet has returned it. An agent before this list
+// lists none; then it is the one that was taken for the owner.
+void takeDecline(flow_context &context, const forwarded_packet &packet)
+{
+    flow_state &state = context.state;
+    const base::flow_key &key = packet.summary.key;
+    const directory_entry *entry = state.directory.find(key);
+    const bool isEntryWrong = entry != nullptr
+        && (packet.agents.empty() || packet.agents.front() == entry->owner.node);
+    std::vector<base::node_id> returned = packet.agents;
+    if (isEntryWrong && returned.empty())
+        returned.push_back(entry->owner.node);
+    excludeAgents(context, key, returned);
+    if (isEntryWrong)
+        state.directory.erase(key);
+}
+
 void handleOngoing(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
+    const bool isTrialOver = packet.stage == packet_stage::trial && packet.agents.empty()
+        && hasTrial(state, key);
+    if (isTrialOver) {
+        tryNextCandidate(context, packet);
+        return;
+    }
     if (packet.stage == packet_stage::toOwner || packet.stage == packet_stage::trial) {
         adoptTentatively(context, packet);
         return;
     }
     if (packet.stage == packet_stage::declined)
-        state.directory.erase(key);
+        takeDecline(context, packet);
     const std::optional<routing::target> owner = knownOwner(state, key);
     if (owner && !isSelf(state, owner->node)) {
         refreshEntry(context, key);
@@ -183,10 +232,11 @@
     const bool isOpen = flow != nullptr && flow->phase != flow_phase::opening && !isEnded;
     const forwarded_packet packet = asDelivered(state, answer);
     state.pendingDeliveries.erase(key);
-    if (flow != nullptr) {
+    const bool isClaimed = flow != nullptr && flow->isClaimed();
+    if (flow != nullptr)
         eraseOwned(state, key);
+    if (isClaimed)
         registerLater(context, key, false);
-    }
     record(context, flow_event_kind::givenBack, packet);
     if (answer.summary.opens) {
         state.server.refusesUntil = context.now + returnBackoff;
@@ -198,8 +248,11 @@
         refuseCaller(context, packet, base::error_code::flowUnknown);
     else if (packet.stage == packet_stage::trial)
         tryNextCandidate(context, packet);
-    else
-        lookUpOwner(context, packet.with(packet_stage::declined, {}, packet.isDoubtful));
+    else {
+        withdrawHint(context, packet);
+        lookUpOwner(context, packet.with(packet_stage::declined, {state.identity->node},
+                                         packet.isDoubtful));
+    }
 }
 
 // Tries the next candidate for each packet that a silent server may have lost. The server may still
@@ -238,7 +291,7 @@
     }
     for (const base::flow_key &key : kept) {
         claimFlow(context, key);
-        sendOwnerHint(context, forwarded_packet(state.pendingDeliveries.find(key)->packet));
+        sendHint(context, forwarded_packet(state.pendingDeliveries.find(key)->packet));
     }
 }
 
@@ -250,17 +303,23 @@
     // A server that was silent is probed by one flow at a time, so each flow restarts the backoff.
     if (context.state.server.isSilent)
         context.state.server.silentUntil = context.now + silentServerBackoff;
-    takeOwnership(context, key, flow_phase::opening);
+    forgetSearch(context.state, key);
+    // Another agent may have opened the flow with an earlier copy, so nothing is claimed yet.
+    if (packet.summary.isRepeated || packet.isDoubtful)
+        putOwned(context.state, key,
+                 owned_flow {context.now, context.now + refreshInterval, flow_phase::copied});
+    else
+        takeOwnership(context, key, flow_phase::opening);
     record(context, flow_event_kind::opened, packet);
     context.state.pendingDeliveries.put(key, pending_delivery {packet, context.now});
     deliverToServer(context, packet);
-    sendOwnerHint(context, packet);
 }
 
 void adoptTentatively(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
-    if (context.state.owned.find(key) == nullptr) {
+    const owned_flow *flow = context.state.owned.find(key);
+    if (flow == nullptr || flow->phase == flow_phase::copied) {
         tryFlow(context, key);
         record(context, flow_event_kind::adopted, packet);
     }
@@ -277,7 +336,9 @@
         eraseOwned(state, key);
         flow = nullptr;
     }
-    const bool isTried = flow != nullptr && flow->phase == flow_phase::tried;
+    const bool isCopied = flow != nullptr && flow->phase == flow_phase::copied;
+    const bool isTried = flow != nullptr
+        && (flow->phase == flow_phase::tried || (isCopied && !packet.summary.opens));
     if (isTried && packet.summary.opens && state.pendingDeliveries.find(key) != nullptr) {
         // Packets of the open flow have come already, so this one is late.
         context.actions.emplace_back(refuse_packet {base::error_code::flowUnknown});
@@ -285,8 +346,8 @@
     }
     if (flow != nullptr && !isTried) {
         handleOwned(context, owned_flow(*flow), packet);
-        if (packet.hops > 0 || packet.stage != packet_stage::toOwner)
-            sendOwnerHint(context, packet);
+        if (!packet.summary.opens && (packet.hops > 0 || packet.stage != packet_stage::toOwner))
+            sendHint(context, packet);
         return;
     }
     if (packet.summary.opens)
@@ -316,9 +377,10 @@
     }
     const pending_delivery *delivery = state.pendingDeliveries.find(answer.summary.key);
     const owned_flow *flow = state.owned.find(answer.summary.key);
-    const bool isFound = delivery != nullptr && flow != nullptr && flow->phase == flow_phase::tried;
+    const bool isFound = delivery != nullptr && flow != nullptr
+        && (flow->phase == flow_phase::tried || delivery->packet.summary.opens);
     if (isFound)
-        sendOwnerHint(context, forwarded_packet(delivery->packet));
+        sendHint(context, forwarded_packet(delivery->packet));
     state.pendingDeliveries.erase(answer.summary.key);
     handleAnswer(context, answer);
 }
--- a/lycheeshunt/flows/internal/server_trials.h
+++ b/lycheeshunt/flows/internal/server_trials.h
@@ -18,14 +18,13 @@
 void notifyEntry(flow_context &context, const forwarded_packet &packet, bool isDoubtful,
                  base::error_code reason = base::error_code::flowUnknown, std::size_t queried = 0);
 
-// Called when no agent knows the flow: tries the servers of the candidates in turn, or notifies the
-// entry if there is none. With isDoubtful, an agent that may own the flow could not be queried.
-// `queried` is the number of agents that were queried, for the log.
+// Tries the servers of the candidates in turn, this agent's own first. The packet comes back to this
+// agent if all of them return it.
 void tryCandidateServers(flow_context &context, const forwarded_packet &packet,
-                         const std::vector<base::node_id> &candidates, std::size_t queried,
-                         bool isDoubtful);
+                         const std::vector<base::node_id> &candidates);
 
-// Sends the packet to the next candidate; the remaining candidates are listed in the packet.
+// Sends the packet to the next candidate; the remaining candidates are listed in the packet. The
+// last one listed is the agent that has begun the trial: it continues the search.
 void tryNextCandidate(flow_context &context, const forwarded_packet &packet);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/internal/service_view.cpp
+++ b/lycheeshunt/flows/internal/service_view.cpp
@@ -63,19 +63,51 @@
     return &state.buckets->backupOf(state.buckets->bucketOf(base::hashOf(key)));
 }
 
+std::vector<routing::target> agentsOf(const dissemination::cluster_view &view,
+                                      base::service_id service)
+{
+    std::vector<routing::target> agents;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        const membership::member &member = it->second;
+        if (member.role == membership::member_role::agent && member.service == service)
+            agents.push_back(routing::target {it->first, member.incarnation, member.packets});
+    }
+    return agents;
+}
+
 std::vector<routing::target> otherAgents(const flow_state &state)
 {
     std::vector<routing::target> others;
-    if (!state.view)
-        return others;
-    for (auto it = state.view->members.begin(); it != state.view->members.end(); ++it) {
-        const std::optional<routing::target> agent = targetOf(state, it->first);
-        if (agent && !isSelf(state, agent->node))
-            others.push_back(*agent);
+    for (const routing::target &agent : state.agents) {
+        if (!isSelf(state, agent.node))
+            others.push_back(agent);
     }
     return others;
 }
 
+std::vector<base::node_id> agentsNearDirector(const flow_state &state, const base::flow_key &key)
+{
+    const std::size_t count = state.agents.size();
+    const routing::target *director = directorOf(state, key);
+    const base::node_id centre = director != nullptr ? director->node : state.identity->node;
+    const auto found = std::lower_bound(
+        state.agents.begin(), state.agents.end(), centre,
+        [](const routing::target &agent, base::node_id node) { return agent.node < node; });
+    const std::size_t start = static_cast<std::size_t>(found - state.agents.begin());
+    std::vector<base::node_id> near;
+    near.reserve(count);
+    // Alternates between both sides of the ring: 0, 1, -1, 2, -2 and so on.
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t distance = (i + 1) / 2;
+        const std::size_t position
+            = i % 2 == 1 ? start + distance : start + count - distance % count;
+        const base::node_id node = state.agents[position % count].node;
+        if (!isSelf(state, node))
+            near.push_back(node);
+    }
+    return near;
+}
+
 namespace {
 
 const std::vector<former_director> *formerOf(const flow_state &state, const base::flow_key &key)
--- a/lycheeshunt/flows/internal/service_view.h
+++ b/lycheeshunt/flows/internal/service_view.h
@@ -33,9 +33,17 @@
 const routing::target *directorOf(const flow_state &state, const base::flow_key &key);
 const routing::target *backupOf(const flow_state &state, const base::flow_key &key);
 
+// All agents of the service in this view, by identifier.
+std::vector<routing::target> agentsOf(const dissemination::cluster_view &view,
+                                      base::service_id service);
+
 // The other agents of this service.
 std::vector<routing::target> otherAgents(const flow_state &state);
 
+// The other agents of this service, those next to the flow's director in the order of identifiers
+// first: flows are offered to an agent's neighbours.
+std::vector<base::node_id> agentsNearDirector(const flow_state &state, const base::flow_key &key);
+
 // Other agents that may have opened flows of the bucket, the most recent director first.
 std::vector<base::node_id> formerDirectorsOf(const flow_state &state, const base::flow_key &key);
 
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -86,6 +86,7 @@
         return;
     const auto service = view.services.find(state.identity->service);
     state.view = update.view;
+    state.agents = agentsOf(view, state.identity->service);
     removeDepartedPeers(state);
     if (service == view.services.end())
         return;
--- a/lycheeshunt/flows/late_packets_test.cpp
+++ b/lycheeshunt/flows/late_packets_test.cpp
@@ -110,6 +110,38 @@
     CHECK(actionsOf<send_packet>().front().packet.stage == packet_stage::toOwner);
 }
 
+// Guards against hints and registrations that lead packets of an open flow to another server: two
+// servers have answered copies of its opening packet, and the caller has chosen the first.
+TEST(late_packets, aFlowThatACopyOpensIsClaimedOnlyOnceItsServerHasKeptAPacket)
+{
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    const std::uint16_t port = opening.key.caller.port;
+    apply(packetFor(copyOf(opening), packet_stage::toDirector));
+    LONGS_EQUAL(1, actionsOf<deliver_to_server>().size());
+    CHECK(sentMessages<registration_batch>().empty());
+    receiveFromServer(summaryOf(port, false));
+    LONGS_EQUAL(1, sentMessages<opening_hint>().size());
+    CHECK(sentMessages<registration_batch>().empty());
+    apply(packetFor(dataOf(opening, firstSequence), packet_stage::toOwner));
+    LONGS_EQUAL(1, actionsOf<deliver_to_server>().size());
+    receiveFromServer(summaryOf(port, false, 200));
+    LONGS_EQUAL(1, sentMessages<owner_hint>().size());
+    CHECK(state->owned.find(opening.key)->isClaimed());
+}
+
+TEST(late_packets, aFlowThatACopyOpenedIsGivenUpWhenItsServerReturnsAPacket)
+{
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(copyOf(opening), packet_stage::toDirector));
+    receiveFromServer(summaryOf(opening.key.caller.port, false));
+    apply(packetFor(dataOf(opening, firstSequence), packet_stage::toOwner));
+    receiveFromServer(dataOf(opening, firstSequence, true));
+    CHECK(state->owned.find(opening.key) == nullptr);
+    LONGS_EQUAL(1, sentMessages<hint_withdrawn>().size());
+    CHECK(sentMessages<hint_withdrawn>().front().node == nodeOf("a1"));
+    CHECK(actionsOf<reset_caller>().empty());
+}
+
 // Guards against flows that can't open because their key is registered for an owner that is silent.
 TEST(late_packets, aFirstOpeningPacketIsPlacedWhileTheRegisteredOwnerIsSuspected)
 {
--- a/lycheeshunt/flows/owned_flow.h
+++ b/lycheeshunt/flows/owned_flow.h
@@ -20,7 +20,11 @@
     const bool triesPayload = false;
 
     // Whether this agent names itself as the owner to other agents.
-    bool isClaimed() const { return phase != flow_phase::tried && phase != flow_phase::ended; }
+    bool isClaimed() const
+    {
+        return phase != flow_phase::copied && phase != flow_phase::tried
+            && phase != flow_phase::ended;
+    }
 
     bool operator==(const owned_flow &) const = default;
 };
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -213,20 +213,39 @@
     while (const std::optional<std::string> bytes = packets::receiveDatagram(m_hintSocket.get())) {
         const base::result<flows::flow_datagram> decoded = flows::decodeDatagram(*bytes, m_codec);
         const flows::flow_datagram *datagram = std::get_if<flows::flow_datagram>(&decoded);
-        const flows::peer_message *message
-            = datagram == nullptr ? nullptr : std::get_if<flows::peer_message>(datagram);
-        const flows::owner_hint *hint
-            = message == nullptr ? nullptr : std::get_if<flows::owner_hint>(message);
-        if (hint != nullptr)
-            m_hints.put(hint->key,
-                        flow_hint {hint->service, hint->owner, base::clock_time::steady()});
-        else if (datagram != nullptr && std::holds_alternative<flows::forwarded_packet>(*datagram))
-            handleUnknownFlow(std::get<flows::forwarded_packet>(*datagram));
-        else
+        if (datagram == nullptr)
             ++m_malformed;
+        else
+            std::visit(base::overloaded {
+                           [this](const flows::peer_message &message) { takeHint(message); },
+                           [this](const flows::forwarded_packet &packet) {
+                               handleUnknownFlow(packet);
+                           },
+                       },
+                       *datagram);
     }
 }
 
+void entry_port::takeHint(const flows::peer_message &message)
+{
+    const base::clock_time now = base::clock_time::steady();
+    std::visit(base::overloaded {
+                   [&](const flows::owner_hint &hint) {
+                       m_hints.put(hint.key, flow_hint {hint.service, hint.owner, now});
+                   },
+                   [&](const flows::opening_hint &hint) {
+                       takeOpeningHint(m_hints, hint.key,
+                                       flow_hint {hint.service, hint.owner, now});
+                   },
+                   [&](const flows::hint_withdrawn &withdrawn) {
+                       withdrawHint(m_hints, withdrawn.key, withdrawn.node);
+                   },
+                   // Meant for agents only.
+                   [this](const auto &) { ++m_malformed; },
+               },
+               message);
+}
+
 void entry_port::handleUnknownFlow(const flows::forwarded_packet &packet)
 {
     const steering decision
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -11,6 +11,7 @@
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/file_descriptor.h"
 #include "lycheeshunt/base/ring.h"
+#include "lycheeshunt/flows/peer_message.h"
 #include "lycheeshunt/packets/packet_codec.h"
 #include "lycheeshunt/routing/bypassed_agents.h"
 #include "lycheeshunt/routing/entry_sockets.h"
@@ -74,6 +75,7 @@
     void carryOut(const steering &decision, const flows::forwarded_packet &packet);
 
     void receiveHints();
+    void takeHint(const flows::peer_message &message);
     void handleUnknownFlow(const flows::forwarded_packet &packet);
     void logSteering(const packets::ip_summary &packet, const steering &decision) const;
     void refuseCaller(std::string_view packet, const base::flow_key &key);
--- a/lycheeshunt/routing/steering.cpp
+++ b/lycheeshunt/routing/steering.cpp
@@ -70,6 +70,22 @@
     return refuse_caller {base::error_code::noServer};
 }
 
+void takeOpeningHint(flow_hints &hints, const base::flow_key &key, const flow_hint &hint)
+{
+    const flow_hint *earlier = hints.find(key);
+    const bool isSecond = earlier != nullptr && earlier->owner.node != hint.owner.node
+        && hint.at - earlier->at < openingRetransmitPeriod;
+    if (!isSecond)
+        hints.put(key, hint);
+}
+
+void withdrawHint(flow_hints &hints, const base::flow_key &key, base::node_id node)
+{
+    const flow_hint *hint = hints.find(key);
+    if (hint != nullptr && hint->owner.node == node)
+        hints.erase(key);
+}
+
 steering steerToNextService(const routing_table &table, const bypassed_agents &bypassed,
                             flow_hints &hints, const packets::ip_summary &packet,
                             const searched_service &searched)
--- a/lycheeshunt/routing/steering.h
+++ b/lycheeshunt/routing/steering.h
@@ -46,6 +46,13 @@
 steering steer(const routing_table &table, const bypassed_agents &bypassed, flow_hints &hints,
                const packets::ip_summary &packet, base::clock_time now);
 
+// The server beside this owner has answered an opening packet. Of two servers that have answered
+// copies of one, the first is the likelier choice of the caller.
+void takeOpeningHint(flow_hints &hints, const base::flow_key &key, const flow_hint &hint);
+
+// The server beside this agent does not have the flow.
+void withdrawHint(flow_hints &hints, const base::flow_key &key, base::node_id node);
+
 // No agent of `searched.service` has the flow. Steers the packet to the next service that may have
 // it; when none is left, refuses the caller, or drops the packet if the search is in doubt.
 steering steerToNextService(const routing_table &table, const bypassed_agents &bypassed,
--- a/lycheeshunt/routing/steering_test.cpp
+++ b/lycheeshunt/routing/steering_test.cpp
@@ -212,6 +212,29 @@
     CHECK(hints.find(data.key) == nullptr);
 }
 
+// Guards against an open flow whose packets go to another server: two servers answer copies of its
+// opening packet, and the caller takes the first answer.
+TEST(steering, theHintOfASecondServerThatAnswersAnOpeningPacketIsIgnored)
+{
+    const packets::ip_summary data = packetOf(1, false);
+    takeOpeningHint(hints, data.key, hintTo(1, 0));
+    takeOpeningHint(hints, data.key, hintTo(2, 100));
+    LONGS_EQUAL(1, hints.find(data.key)->owner.packets.port);
+    // The hint of an earlier flow of the caller's port gives way.
+    takeOpeningHint(hints, data.key, hintTo(2, 3000));
+    LONGS_EQUAL(2, hints.find(data.key)->owner.packets.port);
+}
+
+TEST(steering, aHintIsWithdrawnOnlyByItsOwnAgent)
+{
+    const packets::ip_summary data = packetOf(1, false);
+    hints.put(data.key, hintTo(1, 0));
+    withdrawHint(hints, data.key, agentOf("logbook", 2).id());
+    CHECK(hints.find(data.key) != nullptr);
+    withdrawHint(hints, data.key, agentOf("logbook", 1).id());
+    CHECK(hints.find(data.key) == nullptr);
+}
+
 TEST(steering, hintsAreBoundedAndThoseInUseAreNotEvicted)
 {
     flow_hints smallCache(10);
