Pace what entries send on over narrow links, and order it by what callers wait for

Cause: a caller's window of 16 packets reaches its entry within a millisecond, while a link of 2 Mbit/s takes one packet in 5 ms and queues ten. What the entry sent on at once was dropped beyond that: 6 of 16 packets of each window of an upload (seen by logging each packet at entry and agent), and opening packets and small requests beside them, each loss costing the caller 200 ms or more. Change: slice pacing. A token bucket by the link's rate (setting entry.link_mbps, from the platform's settings), a queue that sends flows with little first, then transfers one after the other in the order in which they began, then long ones in turn; a copy of a packet that still waits is dropped; 2 s of the link are queued at most.

--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -13,7 +13,7 @@
                      const packets::packet_codec &codec)
 {
     base::result<std::unique_ptr<routing::entry_port>> port = routing::entry_port::open(
-        routing::entry_sockets {own.packets, own.hints, own.fabric}, codec);
+        routing::entry_sockets {own.packets, own.hints, own.fabric, own.link}, codec);
     if (const base::error *failure = base::errorOf(port))
         return *failure;
     std::unique_ptr<entry_process> process(new entry_process(base::takeValue(std::move(port))));
@@ -69,6 +69,14 @@
                          metrics::counter_value {m_port->unsent()}},
         metrics::sample {"packets_hinted_total", "Packets sent to the owner by a hint.",
                          metrics::counter_value {m_port->hinted()}},
+        metrics::sample {"packets_paced_total", "Packets that waited for the link.",
+                         metrics::counter_value {m_port->paced()}},
+        metrics::sample {"packets_copies_total", "Copies of packets that still waited.",
+                         metrics::counter_value {m_port->copies()}},
+        metrics::sample {"packets_overflowed_total", "Packets for which no room was left.",
+                         metrics::counter_value {m_port->overflowed()}},
+        metrics::sample {"packets_waiting_bytes", "Bytes that wait for the link.",
+                         metrics::gauge_value {static_cast<double>(m_port->waitingBytes())}},
         metrics::sample {"callers_reset_total", "Flows refused towards the caller.",
                          metrics::counter_value {m_port->resets()}}};
     metrics::addRing(samples, "updates", m_port->updates());
--- a/lycheeshunt/flows/bounded_trials_test.cpp
+++ b/lycheeshunt/flows/bounded_trials_test.cpp
@@ -14,19 +14,18 @@
 
 } // namespace
 
-TEST_GROUP_BASE(bounded_trials, restarted_service)
-{
+TEST_GROUP_BASE(bounded_trials, restarted_service) {
     // A caller that gets no answer retransmits its packet with growing pauses.
-    void retransmit(base::clock_time span)
-    {
-        base::clock_time pause = base::clock_time::ofMillis(200);
-        for (base::clock_time sent; sent < span; sent = sent + pause) {
-            sendPacket();
-            run(pause);
-            pause = std::min(pause * 2, base::clock_time::ofMillis(1600));
-        }
-    }
-};
+    void retransmit(base::clock_time span) {base::clock_time pause
+                                            = base::clock_time::ofMillis(200);
+for (base::clock_time sent; sent < span; sent = sent + pause) {
+    sendPacket();
+    run(pause);
+    pause = std::min(pause * 2, base::clock_time::ofMillis(1600));
+}
+}
+}
+;
 
 // Guards against packets that are tried in vain while one agent is dead and its server runs: they
 // keep the agents busy, and a caller whose packets reach other servers for 2 s counts its flow as
@@ -68,8 +67,8 @@
 {
     startAgents(veryManyAgents);
     const std::vector<std::size_t> ring = agentsByIdentifier();
-    const std::size_t centre = static_cast<std::size_t>(
-        std::find(ring.begin(), ring.end(), director()) - ring.begin());
+    const std::size_t centre
+        = static_cast<std::size_t>(std::find(ring.begin(), ring.end(), director()) - ring.begin());
     setOwner(ring[(centre + veryManyAgents - 8) % veryManyAgents]);
     sendPacket();
     run(base::clock_time::ofMillis(300));
@@ -77,8 +76,8 @@
     CHECK(returned <= 17);
 }
 
-// Guards against two trials of one flow at once, which reach every server twice: packets of the flow
-// arrive while another one is on its way from server to server.
+// Guards against two trials of one flow at once, which reach every server twice: packets of the
+// flow arrive while another one is on its way from server to server.
 TEST(bounded_trials, packetsThatArriveDuringATrialBeginNoOtherOne)
 {
     startAgents(manyAgents);
--- a/lycheeshunt/flows/hint_withdrawn.h
+++ b/lycheeshunt/flows/hint_withdrawn.h
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::flows {
 
-// Notifies an entry that this agent's backend server does not have the flow, so that further packets
-// go to the flow's director.
+// Notifies an entry that this agent's backend server does not have the flow, so that further
+// packets go to the flow's director.
 struct hint_withdrawn
 {
     const base::service_id service;
--- a/lycheeshunt/flows/internal/flow_searches.cpp
+++ b/lycheeshunt/flows/internal/flow_searches.cpp
@@ -90,8 +90,13 @@
         return false;
     const flow_search before = *context.state.searches.find(key);
     put(context, key,
-        flow_search {before.startedAt, context.now, joined(before.excluded, before.onTrial), {},
-                     before.trialAt, before.lostTrials, before.isDoubtful || isDoubtful});
+        flow_search {before.startedAt,
+                     context.now,
+                     joined(before.excluded, before.onTrial),
+                     {},
+                     before.trialAt,
+                     before.lostTrials,
+                     before.isDoubtful || isDoubtful});
     return true;
 }
 
--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -343,8 +343,7 @@
         return;
     }
     // An agent whose server has returned a packet of the flow is not its owner, whoever says so.
-    const bool isOwnerExcluded
-        = contains(excludedFrom(state, answer.key), answer.owner.node);
+    const bool isOwnerExcluded = contains(excludedFrom(state, answer.key), answer.owner.node);
     if (answer.verdict == lookup_verdict::owned && !isSelf(state, answer.owner.node)
         && !isOwnerExcluded) {
         storeOwner(context, answer.key, answer.owner, answer.at);
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -26,8 +26,8 @@
 // A server that returned an opening packet gets no new flows for this long. It is full or still
 // starting, so it would also return the next opening packet.
 constexpr base::clock_time returnBackoff = base::clock_time::ofMillis(100);
-// An agent to which the director has passed a packet on sends it back to the director; one that got it
-// later searches itself.
+// An agent to which the director has passed a packet on sends it back to the director; one that got
+// it later searches itself.
 constexpr std::uint8_t maxHopsToDirector = 2;
 // Longer than a caller retransmits an opening packet.
 constexpr base::clock_time pendingDeliveryLifetime = base::clock_time::ofSeconds(2);
@@ -73,8 +73,8 @@
         return;
     }
     const routing::target *director = directorOf(state, key);
-    // The entry has no echo from the director. A packet that was passed on by its director goes back
-    // there once.
+    // The entry has no echo from the director. A packet that was passed on by its director goes
+    // back there once.
     const bool isActingDirector = packet.stage == packet_stage::toDirector;
     if (!state.buckets)
         notifyEntry(context, packet, true, base::error_code::agentNotReady);
@@ -82,7 +82,8 @@
         notifyEntry(context, packet, true, base::error_code::wrongService);
     else if (director == nullptr)
         notifyEntry(context, packet, true, base::error_code::noServer);
-    else if (isSelf(state, director->node) || isActingDirector || packet.hops >= maxHopsToDirector) {
+    else if (isSelf(state, director->node) || isActingDirector
+             || packet.hops >= maxHopsToDirector) {
         if (isOnTrial(context, key)) {
             context.actions.emplace_back(refuse_packet {base::error_code::tooManyLookups});
             return;
@@ -152,8 +153,8 @@
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
     const directory_entry *entry = state.directory.find(key);
-    const bool isEntryWrong = entry != nullptr
-        && (packet.agents.empty() || packet.agents.front() == entry->owner.node);
+    const bool isEntryWrong
+        = entry != nullptr && (packet.agents.empty() || packet.agents.front() == entry->owner.node);
     std::vector<base::node_id> returned = packet.agents;
     if (isEntryWrong && returned.empty())
         returned.push_back(entry->owner.node);
@@ -166,8 +167,8 @@
 {
     flow_state &state = context.state;
     const base::flow_key &key = packet.summary.key;
-    const bool isTrialOver = packet.stage == packet_stage::trial && packet.agents.empty()
-        && hasTrial(state, key);
+    const bool isTrialOver
+        = packet.stage == packet_stage::trial && packet.agents.empty() && hasTrial(state, key);
     if (isTrialOver) {
         tryNextCandidate(context, packet);
         return;
@@ -250,8 +251,8 @@
         tryNextCandidate(context, packet);
     else {
         withdrawHint(context, packet);
-        lookUpOwner(context, packet.with(packet_stage::declined, {state.identity->node},
-                                         packet.isDoubtful));
+        lookUpOwner(context,
+                    packet.with(packet_stage::declined, {state.identity->node}, packet.isDoubtful));
     }
 }
 
--- a/lycheeshunt/flows/internal/server_trials.cpp
+++ b/lycheeshunt/flows/internal/server_trials.cpp
@@ -42,9 +42,8 @@
         if (isSelf(state, next))
             break;
         if (const std::optional<routing::target> to = targetOf(state, next)) {
-            context.actions.emplace_back(
-                send_packet {to->packets,
-                             packet.with(packet_stage::trial, std::move(remaining), isDoubtful)});
+            context.actions.emplace_back(send_packet {
+                to->packets, packet.with(packet_stage::trial, std::move(remaining), isDoubtful)});
             return;
         }
         // The candidate has left the view, so its server can't be tried.
--- a/lycheeshunt/flows/internal/server_trials.h
+++ b/lycheeshunt/flows/internal/server_trials.h
@@ -18,8 +18,8 @@
 void notifyEntry(flow_context &context, const forwarded_packet &packet, bool isDoubtful,
                  base::error_code reason = base::error_code::flowUnknown, std::size_t queried = 0);
 
-// Tries the servers of the candidates in turn, this agent's own first. The packet comes back to this
-// agent if all of them return it.
+// Tries the servers of the candidates in turn, this agent's own first. The packet comes back to
+// this agent if all of them return it.
 void tryCandidateServers(flow_context &context, const forwarded_packet &packet,
                          const std::vector<base::node_id> &candidates);
 
--- a/lycheeshunt/flows/peer_message.h
+++ b/lycheeshunt/flows/peer_message.h
@@ -16,9 +16,8 @@
 namespace lycheeshunt::flows {
 
 // Messages between the agents of a service, apart from forwarded packets.
-using peer_message
-    = std::variant<registration_batch, registration_ack, flow_lookup, lookup_answer,
-                   recovery_request, recovery_page, owner_hint, placement::load_report,
-                   opening_hint, hint_withdrawn>;
+using peer_message = std::variant<registration_batch, registration_ack, flow_lookup, lookup_answer,
+                                  recovery_request, recovery_page, owner_hint,
+                                  placement::load_report, opening_hint, hint_withdrawn>;
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/restarted_service_test.h
+++ b/lycheeshunt/flows/restarted_service_test.h
@@ -95,6 +95,7 @@
         for (std::size_t i = 0; i < m_states.size(); ++i)
             ordered.emplace(m_states[i]->identity->node, i);
         std::vector<std::size_t> agents;
+        agents.reserve(ordered.size());
         for (const auto &[node, agent] : ordered)
             agents.push_back(agent);
         return agents;
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -18,6 +18,24 @@
 
 constexpr std::size_t updateCapacity = 8;
 constexpr int pollWithoutTimeout = -1;
+// A packet's header for the agent, about.
+constexpr std::size_t usualHeaderBytes = 45;
+
+std::string datagramOf(const flows::packet_header &header, std::string_view packet)
+{
+    char buffer[flows::maxPacketHeaderBytes];
+    std::string bytes(buffer, flows::writePacketHeader(header, packet.size(), buffer));
+    bytes += packet;
+    return bytes;
+}
+
+int pollTimeout(const std::optional<base::clock_time> &until)
+{
+    if (!until)
+        return pollWithoutTimeout;
+    const base::clock_time wait = *until - base::clock_time::steady();
+    return static_cast<int>(std::max(wait, base::clock_time()).millis());
+}
 
 } // namespace
 
@@ -42,8 +60,8 @@
                        base::file_descriptor socket, base::file_descriptor hintSocket)
     : m_sockets(sockets), m_codec(codec),
       m_hintEndpoint(hintSocket.isOpen() ? base::localEndpoint(hintSocket) : base::endpoint {}),
-      m_socket(std::move(socket)), m_hintSocket(std::move(hintSocket)), m_updates(updateCapacity),
-      m_table(std::make_shared<const routing_table>()),
+      m_socket(std::move(socket)), m_hintSocket(std::move(hintSocket)), m_egress(sockets.link),
+      m_updates(updateCapacity), m_table(std::make_shared<const routing_table>()),
       m_bypass(std::make_shared<const bypassed_agents>()), m_thread([this]() { run(); })
 {
 }
@@ -63,18 +81,20 @@
 {
     const std::unique_ptr<internal::packet_batch> packets
         = std::make_unique<internal::packet_batch>();
+    std::optional<base::clock_time> sendAt;
     while (!m_updates.isClosed()) {
         // poll() ignores descriptors below 0, such as that of a hint socket that is not open.
         pollfd watched[] = {{m_socket.get(), POLLIN, 0},
                             {m_updates.descriptor(), POLLIN, 0},
                             {m_hintSocket.get(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), pollWithoutTimeout);
+        ::poll(watched, std::size(watched), pollTimeout(sendAt));
         while (const std::optional<entry_update> update = m_updates.tryPop())
             base::runGuarded("routing", [&]() { handleUpdate(*update); });
         if (watched[2].revents != 0)
             base::runGuarded("routing", [this]() { receiveHints(); });
         if (watched[0].revents != 0)
             base::runGuarded("routing", [&]() { routeBatch(*packets); });
+        base::runGuarded("routing", [&]() { sendAt = sendDuePackets(); });
     }
 }
 
@@ -100,6 +120,42 @@
     m_unsent += packets.send(m_socket.get());
 }
 
+std::optional<base::clock_time> entry_port::sendDuePackets()
+{
+    const base::clock_time now = base::clock_time::steady();
+    while (const std::optional<pacing::queued_datagram> next = m_egress.takeNext(now)) {
+        if (!packets::sendDatagram(m_socket.get(), next->to, next->bytes))
+            ++m_unsent;
+    }
+    m_waitingBytes = m_egress.waitingBytes();
+    return m_egress.nextAt(now);
+}
+
+void entry_port::enqueue(pacing::queued_datagram datagram, base::clock_time now)
+{
+    switch (m_egress.add(std::move(datagram), now)) {
+    case pacing::queue_outcome::queued:
+        ++m_paced;
+        return;
+    case pacing::queue_outcome::duplicate:
+        ++m_copies;
+        return;
+    case pacing::queue_outcome::full:
+        ++m_overflowed;
+        return;
+    }
+}
+
+void entry_port::sendPaced(const packets::ip_summary &summary, const base::endpoint &to,
+                           std::string bytes)
+{
+    const base::clock_time now = base::clock_time::steady();
+    if (!m_egress.tryPass(bytes.size(), now))
+        enqueue(pacing::queued_datagram {summary, to, std::move(bytes)}, now);
+    else if (!packets::sendDatagram(m_socket.get(), to, bytes))
+        ++m_unsent;
+}
+
 void entry_port::routePacket(internal::packet_batch &packets, std::size_t index)
 {
     const base::result<packets::ip_summary> parsed
@@ -113,8 +169,8 @@
         bufferEarlyPacket(packets.packet(index), summary);
         return;
     }
-    const steering decision
-        = steer(*m_table, *m_bypass, m_hints, summary, base::clock_time::steady());
+    const base::clock_time now = base::clock_time::steady();
+    const steering decision = steer(*m_table, *m_bypass, m_hints, summary, now);
     std::visit(base::overloaded {
                    [&](const steer_to &to) {
                        m_hinted += to.stage == flows::packet_stage::toOwner ? 1 : 0;
@@ -126,7 +182,13 @@
                                                           m_hintEndpoint,
                                                           {},
                                                           to.isDoubtful};
-                       packets.forward(index, header, to.destination.to.packets);
+                       const std::string_view bytes = packets.packet(index);
+                       if (m_egress.tryPass(bytes.size() + usualHeaderBytes, now))
+                           packets.forward(index, header, to.destination.to.packets);
+                       else
+                           enqueue(pacing::queued_datagram {summary, to.destination.to.packets,
+                                                            datagramOf(header, bytes)},
+                                   now);
                    },
                    [&](const refuse_caller &) {
                        ++m_unroutable;
@@ -205,6 +267,7 @@
     if (reset.empty())
         return;
     ++m_resets;
+    m_egress.charge(reset.size(), base::clock_time::steady());
     packets::sendDatagram(m_socket.get(), m_codec.towardsCaller(key, *m_sockets.fabric), reset);
 }
 
@@ -216,34 +279,33 @@
         if (datagram == nullptr)
             ++m_malformed;
         else
-            std::visit(base::overloaded {
-                           [this](const flows::peer_message &message) { takeHint(message); },
-                           [this](const flows::forwarded_packet &packet) {
-                               handleUnknownFlow(packet);
-                           },
-                       },
-                       *datagram);
+            std::visit(
+                base::overloaded {
+                    [this](const flows::peer_message &message) { takeHint(message); },
+                    [this](const flows::forwarded_packet &packet) { handleUnknownFlow(packet); },
+                },
+                *datagram);
     }
 }
 
 void entry_port::takeHint(const flows::peer_message &message)
 {
     const base::clock_time now = base::clock_time::steady();
-    std::visit(base::overloaded {
-                   [&](const flows::owner_hint &hint) {
-                       m_hints.put(hint.key, flow_hint {hint.service, hint.owner, now});
-                   },
-                   [&](const flows::opening_hint &hint) {
-                       takeOpeningHint(m_hints, hint.key,
-                                       flow_hint {hint.service, hint.owner, now});
-                   },
-                   [&](const flows::hint_withdrawn &withdrawn) {
-                       withdrawHint(m_hints, withdrawn.key, withdrawn.node);
-                   },
-                   // Meant for agents only.
-                   [this](const auto &) { ++m_malformed; },
-               },
-               message);
+    std::visit(
+        base::overloaded {
+            [&](const flows::owner_hint &hint) {
+                m_hints.put(hint.key, flow_hint {hint.service, hint.owner, now});
+            },
+            [&](const flows::opening_hint &hint) {
+                takeOpeningHint(m_hints, hint.key, flow_hint {hint.service, hint.owner, now});
+            },
+            [&](const flows::hint_withdrawn &withdrawn) {
+                withdrawHint(m_hints, withdrawn.key, withdrawn.node);
+            },
+            // Meant for agents only.
+            [this](const auto &) { ++m_malformed; },
+        },
+        message);
 }
 
 void entry_port::handleUnknownFlow(const flows::forwarded_packet &packet)
@@ -259,18 +321,16 @@
     std::visit(
         base::overloaded {
             [&](const steer_to &to) {
-                packets::sendDatagram(
-                    m_socket.get(), to.destination.to.packets,
-                    flows::encodePacket(flows::forwarded_packet {to.destination.service,
-                                                                 to.destination.to.incarnation,
-                                                                 to.destination.at,
-                                                                 to.stage,
-                                                                 0,
-                                                                 packet.summary,
-                                                                 packet.bytes,
-                                                                 m_hintEndpoint,
-                                                                 {},
-                                                                 to.isDoubtful}));
+                const flows::packet_header header {to.destination.service,
+                                                   to.destination.to.incarnation,
+                                                   to.destination.at,
+                                                   to.stage,
+                                                   0,
+                                                   m_hintEndpoint,
+                                                   {},
+                                                   to.isDoubtful};
+                sendPaced(packet.summary, to.destination.to.packets,
+                          datagramOf(header, packet.bytes.view()));
             },
             [&](const refuse_caller &) { refuseCaller(packet.bytes.view(), packet.summary.key); },
             [&](const drop_packet &) { ++m_unroutable; },
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -12,6 +12,7 @@
 #include "lycheeshunt/base/file_descriptor.h"
 #include "lycheeshunt/base/ring.h"
 #include "lycheeshunt/flows/peer_message.h"
+#include "lycheeshunt/pacing/egress_queue.h"
 #include "lycheeshunt/packets/packet_codec.h"
 #include "lycheeshunt/routing/bypassed_agents.h"
 #include "lycheeshunt/routing/entry_sockets.h"
@@ -58,6 +59,12 @@
     // Number of packets that a hint sent to the flow's owner, and of resets sent to callers.
     std::uint64_t hinted() const { return m_hinted; }
     std::uint64_t resets() const { return m_resets; }
+    // Numbers of packets that waited for the link, that were copies of waiting ones, and for which
+    // the queue had no room; and the bytes that wait now.
+    std::uint64_t paced() const { return m_paced; }
+    std::uint64_t copies() const { return m_copies; }
+    std::uint64_t overflowed() const { return m_overflowed; }
+    std::uint64_t waitingBytes() const { return m_waitingBytes; }
     // Whether a routing table has arrived.
     bool isReady() const { return m_isReady; }
 
@@ -69,6 +76,10 @@
     void handleUpdate(const entry_update &update);
     void routeBatch(internal::packet_batch &packets);
     void routePacket(internal::packet_batch &packets, std::size_t index);
+    // Sends what the link takes of the packets that wait. Returns when to send again.
+    std::optional<base::clock_time> sendDuePackets();
+    void sendPaced(const packets::ip_summary &summary, const base::endpoint &to, std::string bytes);
+    void enqueue(pacing::queued_datagram datagram, base::clock_time now);
     void bufferEarlyPacket(std::string_view bytes, const packets::ip_summary &summary);
     void routeEarlyPackets();
     // Carries out the decision for a single packet that is not in a batch.
@@ -87,6 +98,8 @@
     base::file_descriptor m_socket;
     base::file_descriptor m_hintSocket;
     flow_hints m_hints;
+    // Packets that wait for the VM's link.
+    pacing::egress_queue m_egress;
     // Packets that are buffered until the first routing table arrives.
     base::early_packets<std::string> m_earlyPackets;
     base::ring<entry_update> m_updates;
@@ -97,6 +110,10 @@
     std::atomic<std::uint64_t> m_unsent = 0;
     std::atomic<std::uint64_t> m_hinted = 0;
     std::atomic<std::uint64_t> m_resets = 0;
+    std::atomic<std::uint64_t> m_paced = 0;
+    std::atomic<std::uint64_t> m_copies = 0;
+    std::atomic<std::uint64_t> m_overflowed = 0;
+    std::atomic<std::uint64_t> m_waitingBytes = 0;
     std::atomic<bool> m_isReady = false;
     std::thread m_thread;
 };
--- a/lycheeshunt/routing/entry_sockets.h
+++ b/lycheeshunt/routing/entry_sockets.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/pacing/link_rate.h"
 
 #include <optional>
 
@@ -15,6 +16,8 @@
     const std::optional<base::endpoint> hints = {};
     // Address of the fabric for packets to callers; without it no resets are sent to callers.
     const std::optional<base::endpoint> fabric = {};
+    // The pace at which packets are sent on.
+    const pacing::link_rate link = {};
 
     bool operator==(const entry_sockets &) const = default;
 };
--- a/lycheeshunt/settings/entry_settings.h
+++ b/lycheeshunt/settings/entry_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/pacing/link_rate.h"
 
 #include <optional>
 
@@ -17,6 +18,8 @@
     const std::optional<base::endpoint> fabric = {};
     // Listen address for readiness queries (HTTP).
     const std::optional<base::endpoint> readiness = {};
+    // Bandwidth of the VM's own link. Packets are sent on at this pace; without it, at once.
+    const pacing::link_rate link = {};
 
     bool operator==(const entry_settings &) const = default;
 };
--- a/lycheeshunt/settings/internal/table_reader.cpp
+++ b/lycheeshunt/settings/internal/table_reader.cpp
@@ -77,6 +77,18 @@
     return value.value_or(byDefault);
 }
 
+double table_reader::decimal(const std::string &key, double byDefault)
+{
+    m_readKeys.insert(key);
+    const toml::node *node = m_table.get(key);
+    if (node == nullptr)
+        return byDefault;
+    const std::optional<double> value = node->value<double>();
+    if (!value)
+        fail(base::error_code::settingsWrongType, key, "expected a number");
+    return value.value_or(byDefault);
+}
+
 std::optional<base::endpoint> table_reader::optionalEndpoint(const std::string &key)
 {
     m_readKeys.insert(key);
--- a/lycheeshunt/settings/internal/table_reader.h
+++ b/lycheeshunt/settings/internal/table_reader.h
@@ -26,6 +26,8 @@
     // The default when the key is missing.
     bool flag(const std::string &key, bool byDefault);
     std::int64_t number(const std::string &key, std::int64_t byDefault);
+    // Also takes a whole number.
+    double decimal(const std::string &key, double byDefault);
     std::optional<base::endpoint> optionalEndpoint(const std::string &key);
     base::endpoint endpoint(const std::string &key);
     std::vector<base::endpoint> endpoints(const std::string &key);
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -13,6 +13,19 @@
 
 using internal::table_reader;
 
+pacing::link_rate readLinkRate(table_reader &reader)
+{
+    constexpr double bytesPerMegabit = 125'000;
+    constexpr double maxMegabits = 1'000'000;
+    const double megabits = reader.decimal("link_mbps", 0);
+    // Also refuses what is no number.
+    if (!(megabits >= 0 && megabits <= maxMegabits)) {
+        reader.fail(base::error_code::settingsBadValue, "link_mbps", "must be from 0 to 1000000");
+        return pacing::link_rate {};
+    }
+    return pacing::link_rate {static_cast<std::uint64_t>(megabits * bytesPerMegabit)};
+}
+
 role_settings readEntry(table_reader &reader)
 {
     const base::endpoint packets = reader.endpoint("packets");
@@ -20,7 +33,8 @@
     const std::optional<base::endpoint> fabric = reader.optionalEndpoint("fabric");
     if (hints && packets.port != 0 && *hints == packets)
         reader.fail(base::error_code::settingsClash, "hints", "same address as packets");
-    return entry_settings {packets, hints, fabric, reader.optionalEndpoint("readiness")};
+    const std::optional<base::endpoint> readiness = reader.optionalEndpoint("readiness");
+    return entry_settings {packets, hints, fabric, readiness, readLinkRate(reader)};
 }
 
 role_settings readAgent(table_reader &reader)
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -42,6 +42,23 @@
           == (base::endpoint {0x7f000001, 7500}));
 }
 
+TEST(settings_file, readsTheRateOfALink)
+{
+    for (const auto &[text, bytesPerSecond] : std::vector<std::pair<std::string, std::uint64_t>> {
+             {"", 0}, {"link_mbps = 2.1\n", 262'500}, {"link_mbps = 1000\n", 125'000'000}}) {
+        const base::result<settings::node_settings> read
+            = settings::parseSettings(goodEntry + text, "entry.toml");
+        UNSIGNED_LONGS_EQUAL(
+            bytesPerSecond,
+            std::get<settings::entry_settings>(base::valueOf(read).role).link.bytesPerSecond);
+    }
+    for (const char *text : {"-1", "nan", "inf", "2e6", "\"2\""}) {
+        const base::result<settings::node_settings> read
+            = settings::parseSettings(goodEntry + "link_mbps = " + text + "\n", "entry.toml");
+        CHECK_FALSE(base::isOk(read));
+    }
+}
+
 TEST(settings_file, onlyAnApiOnLoopbackNeedsNoToken)
 {
     const std::string control = "role = \"control\"\nname = \"control-1\"\n"
