--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/settings/settings_file.h"
 
+#include "lycheeshunt/settings/internal/ascii_text.h"
 #include "lycheeshunt/settings/internal/table_reader.h"
 
 #include <fstream>
@@ -149,8 +150,11 @@
 
 base::result<node_settings> parseSettings(std::string_view text, const std::string &path)
 {
+    const base::result<std::string> ascii = internal::asAscii(text, path);
+    if (const base::error *failure = base::errorOf(ascii))
+        return *failure;
     try {
-        const toml::table table = toml::parse(text, path);
+        const toml::table table = toml::parse(base::valueOf(ascii), path);
         table_reader reader(table, path);
         const std::string role = reader.text("role");
         if (!reader.fault() && role != "entry" && role != "agent" && role != "control")
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -42,6 +42,22 @@
           == (base::endpoint {0x7f000001, 7500}));
 }
 
+// The behaviour of the TOML reader is undefined for some characters outside of texts and comments.
+TEST(settings_file, strayCharactersAreRefusedByLine)
+{
+    for (const char *character : {"\xef\xba\x88", "\xc8\x9d", "\xc3\xa9"}) {
+        const base::result<settings::node_settings> read
+            = settings::parseSettings(goodEntry + "# \xc3\xa9\n" + character, "entry.toml");
+        CHECK(base::errorOf(read)->code == error_code::settingsSyntax);
+        STRCMP_CONTAINS("entry.toml:8:", base::errorOf(read)->detail.c_str());
+    }
+    const std::string accented = replaced(goodEntry, "leith-1", "d\xc3\xa9p\xc3\xb4t \\\" '1'");
+    const base::result<settings::node_settings> read
+        = settings::parseSettings("# \xc3\xa9\n" + accented, "entry.toml");
+    CHECK(base::isOk(read));
+    STRCMP_EQUAL("d\xc3\xa9p\xc3\xb4t \" '1'", base::valueOf(read).availabilityZone.c_str());
+}
+
 TEST(settings_file, readsTheRateOfALink)
 {
     for (const auto &[text, bytesPerSecond] : std::vector<std::pair<std::string, std::uint64_t>> {
--- a/lycheeshunt/streams/descriptors_test.cpp
+++ b/lycheeshunt/streams/descriptors_test.cpp
@@ -58,9 +58,12 @@
     const base::clock_time usedBefore = processorTime();
     stream_client client({server->local()}, {}, 1,
                          [&](const stream_event &event) { clientEvents.push(event); });
-    CHECK_FALSE(serverEvents.popFor(shortage).has_value());
-    CHECK(processorTime() - usedBefore < shortage / 4);
+    const bool wasAccepted = serverEvents.popFor(shortage).has_value();
+    const base::clock_time used = processorTime() - usedBefore;
+    // Sanitizers need descriptors for their own checks.
     ::setrlimit(RLIMIT_NOFILE, &limitBefore);
+    CHECK_FALSE(wasAccepted);
+    CHECK(used < shortage / 4);
     const std::optional<stream_event> opened = serverEvents.popFor(base::clock_time::ofSeconds(10));
     CHECK(opened && std::holds_alternative<stream_opened>(*opened));
 }
--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -12,7 +12,6 @@
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <system_error>
 #include <vector>
 
 namespace lycheeshunt::streams {
@@ -108,9 +107,9 @@
 void stream_server::pauseAccepting(int reason, base::clock_time now)
 {
     m_acceptAgainAt = now + acceptPause;
-    base::logEvent("streams", "accept_failed",
-                   {{"reason", std::generic_category().message(reason)},
-                    {"connections", std::to_string(m_connections.size())}});
+    base::logEvent(
+        "streams", "accept_failed",
+        {{"errno", std::to_string(reason)}, {"connections", std::to_string(m_connections.size())}});
 }
 
 // A fault ends the connection that caused it.
