Never reset a flow that an unlisted former service may have

Cause: a desired state keeps four former services of a route and omits older ones silently. An entry without a hint searches only the services that the route lists. All of their agents deny the flow truthfully, so the search counts as complete and the caller is reset.

Change: a route lists up to 16 former services, the bound that the encoding has, and is marked once one was omitted. A search for a flow to a marked address ends in silence, never in a reset.

Evidence: both tests failed before the fix. states aRouteKeepsEveryFormerServiceOrIsMarkedIncomplete: expected 5 former services, was 4. steering aFlowThatAnUnlistedFormerServiceMayHaveIsNeverReset: the caller was refused.

Why it works: a reset relies on every service that may have the flow having been searched; the list now either is complete or says that it is not.

Encoding: only a marked route has the additional element, so other builds read all other routes.

--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -34,6 +34,7 @@
     const std::vector<weighted_service> shares;
     const std::uint64_t totalWeight = 1;
     const std::vector<base::service_id> former = {};
+    const bool isFormerIncomplete = false;
 };
 
 routing_table::routing_table(const dissemination::cluster_view &view, const routing_table &previous)
@@ -71,8 +72,8 @@
         }
         if (total > 0)
             m_addresses[addressKey(it->first.where, it->first.protocol)]
-                = std::make_shared<const address_entry>(
-                    address_entry {std::move(shares), total, it->second.former});
+                = std::make_shared<const address_entry>(address_entry {
+                    std::move(shares), total, it->second.former, it->second.isFormerIncomplete});
     }
 }
 
@@ -103,6 +104,12 @@
     return services;
 }
 
+bool routing_table::mayHaveOtherServices(const base::flow_key &key) const
+{
+    const auto found = m_addresses.find(addressKey(key.service, key.protocol));
+    return found != m_addresses.end() && found->second->isFormerIncomplete;
+}
+
 bool routing_table::hasSeveralServices(const base::flow_key &key) const
 {
     const auto found = m_addresses.find(addressKey(key.service, key.protocol));
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -39,6 +39,8 @@
     // others with a share, then those that had a share formerly. Empty when the address is not
     // served.
     std::vector<base::service_id> servicesFor(const base::flow_key &key) const;
+    // Whether flows to this address may be with services that servicesFor() does not list.
+    bool mayHaveOtherServices(const base::flow_key &key) const;
     // Whether servicesFor() has more than one.
     bool hasSeveralServices(const base::flow_key &key) const;
     // Like routeOf, within one service; with `avoidsDirector`, routes to the bucket's backup.
--- a/lycheeshunt/routing/steering.cpp
+++ b/lycheeshunt/routing/steering.cpp
@@ -32,10 +32,13 @@
     return drop_packet {base::error_code::noServer};
 }
 
-// Whether every service that may have the flow has an agent that a packet can be sent to.
+// Whether every service that may have the flow is listed and has an agent that a packet can be sent
+// to.
 bool canQueryAll(const routing_table &table, const bypassed_agents &bypassed,
                  const packets::ip_summary &packet, const std::vector<base::service_id> &services)
 {
+    if (table.mayHaveOtherServices(packet.key))
+        return false;
     return std::all_of(services.begin(), services.end(), [&](base::service_id service) {
         return std::holds_alternative<steer_to>(viaDirector(table, bypassed, packet, service));
     });
--- a/lycheeshunt/routing/steering_test.cpp
+++ b/lycheeshunt/routing/steering_test.cpp
@@ -24,7 +24,8 @@
 }
 
 routing_table tableOf(const std::vector<tickets::route_share> &shares,
-                      const std::vector<base::service_id> &former = {})
+                      const std::vector<base::service_id> &former = {},
+                      bool isFormerIncomplete = false)
 {
     std::map<base::service_id, tickets::service_definition> services;
     services.emplace(logbook, tickets::service_definition {"logbook", {}, {}, buckets});
@@ -34,7 +35,9 @@
          {agentOf("logbook", 1), agentOf("logbook", 2), agentOf("inspect", 3)})
         members.emplace(member.id(), member);
     std::map<tickets::service_address, tickets::address_route> routes;
-    routes.emplace(address, tickets::address_route {address, shares, former});
+    routes.emplace(
+        address,
+        tickets::address_route {address, shares, former, {}, {}, {}, 0, isFormerIncomplete});
     return routing_table(dissemination::cluster_view {current, services, members, {}, routes});
 }
 
@@ -187,6 +190,14 @@
         steerToNextService(moved, {}, hints, packetOf(1, false), {inspect, current})));
 }
 
+// Guards against resets of open flows that are with a service which the route no longer lists.
+TEST(steering, aFlowThatAnUnlistedFormerServiceMayHaveIsNeverReset)
+{
+    const routing_table moved = tableOf({{inspect, 1}}, {logbook}, true);
+    CHECK(std::holds_alternative<drop_packet>(
+        steerToNextService(moved, {}, hints, packetOf(1, false), {logbook, current})));
+}
+
 // Guards against resets of open flows after a search by agents, or from an entry, whose view had
 // other services for the address.
 TEST(steering, aFlowThatWasSearchedInAnotherViewIsNeverReset)
--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/tickets/bounds.h"
 
 #include <algorithm>
 
@@ -11,9 +12,6 @@
 
 using action_list = std::vector<state_action>;
 
-// Former services of one route. Flows may be open for a minute; few routes move more often in it.
-constexpr std::size_t maxFormer = 4;
-
 void answer(action_list &actions, base::request_id request, state_outcome outcome)
 {
     actions.emplace_back(state_answer {request, std::move(outcome)});
@@ -126,18 +124,23 @@
                                   const tickets::address_route &before)
 {
     std::vector<base::service_id> former;
+    bool isIncomplete = before.isFormerIncomplete;
     const auto add = [&](base::service_id service) {
         const bool known = std::find(former.begin(), former.end(), service) != former.end();
-        if (!known && !route.hasShare(service) && former.size() < maxFormer)
+        if (known || route.hasShare(service))
+            return;
+        if (former.size() < tickets::maxFormerServices)
             former.push_back(service);
+        else
+            isIncomplete = true;
     };
     for (const tickets::route_share &share : before.shares)
         add(share.service);
     for (const base::service_id &service : before.former)
         add(service);
-    return tickets::address_route {route.address, route.shares,  std::move(former),
-                                   route.kind,    route.timeout, route.targetLatency,
-                                   route.priority};
+    return tickets::address_route {route.address,  route.shares,  std::move(former),
+                                   route.kind,     route.timeout, route.targetLatency,
+                                   route.priority, isIncomplete};
 }
 
 } // namespace
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -3,6 +3,7 @@
 #include "lycheeshunt/states/decision.h"
 
 #include "lycheeshunt/states/codec.h"
+#include "lycheeshunt/tickets/bounds.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -191,6 +192,30 @@
     CHECK(state.current->routes.front().former == std::vector<base::service_id> {inspect});
 }
 
+// Guards against resets of open flows after a route has changed its service often: an entry
+// searches a flow only at the services that the route lists, and refuses the caller when none has
+// it.
+TEST(states, aRouteKeepsEveryFormerServiceOrIsMarkedIncomplete)
+{
+    const auto service
+        = [](std::size_t number) { return base::serviceIdOf("service-" + std::to_string(number)); };
+    const std::size_t listed = tickets::maxFormerServices;
+    for (std::size_t i = 0; i <= listed; ++i) {
+        put(i + 1, service(i));
+        const tickets::address_route &route = state.current->routes.front();
+        CHECK_EQUAL(i, route.former.size());
+        CHECK_FALSE(route.isFormerIncomplete);
+    }
+    CHECK(state.current->routes.front().former.back() == service(0));
+    put(listed + 2, service(listed + 1));
+    CHECK_EQUAL(listed, state.current->routes.front().former.size());
+    CHECK(state.current->routes.front().isFormerIncomplete);
+    // The omitted service may still have flows when the list gets shorter again.
+    put(listed + 3, service(listed));
+    CHECK(state.current->routes.front().isFormerIncomplete);
+    CHECK(*base::valueOf(decodeState(encodeState(*state.current))) == *state.current);
+}
+
 TEST(states, encodedStatesDecodeToTheSameState)
 {
     const std::string document(100'000, 'x');
--- a/lycheeshunt/tickets/address_route.h
+++ b/lycheeshunt/tickets/address_route.h
@@ -23,6 +23,8 @@
     const base::clock_time targetLatency = {};
     // 0 is the highest priority.
     const std::uint32_t priority = 0;
+    // `former` has reached its bound, so open flows may be with services that it does not list.
+    const bool isFormerIncomplete = false;
 
     bool hasShare(base::service_id service) const
     {
--- a/lycheeshunt/tickets/bounds.h
+++ b/lycheeshunt/tickets/bounds.h
@@ -13,6 +13,7 @@
 inline constexpr std::uint32_t maxBuckets = 65'536;
 inline constexpr std::size_t maxRouteShares = 256;
 inline constexpr std::uint32_t maxShareWeight = 1'000'000;
+// Former services of one route. Bounds a search for a flow, and the memory of each route.
 inline constexpr std::size_t maxFormerServices = 16;
 inline constexpr base::clock_time maxPeriod = base::clock_time::ofSeconds(7 * 86'400);
 
--- a/lycheeshunt/tickets/codec.cpp
+++ b/lycheeshunt/tickets/codec.cpp
@@ -21,6 +21,11 @@
 using route_fields
     = std::tuple<address_fields, std::vector<share_fields>, std::vector<std::uint64_t>,
                  std::uint8_t, std::int64_t, std::int64_t, std::uint32_t>;
+// Only for a route with an incomplete list of former services, so that builds without this field
+// can read all others.
+using incomplete_route_fields
+    = std::tuple<address_fields, std::vector<share_fields>, std::vector<std::uint64_t>,
+                 std::uint8_t, std::int64_t, std::int64_t, std::uint32_t, bool>;
 using drain_fields = std::tuple<std::string, bool>;
 using change_fields = std::tuple<std::uint8_t, std::string>;
 using ticket_fields = std::tuple<std::uint64_t, std::string, std::vector<change_fields>>;
@@ -165,6 +170,18 @@
     return ticket {base::ticket_number(number), author, std::move(changes)};
 }
 
+namespace {
+
+base::result<incomplete_route_fields> routeFieldsOf(std::string_view bytes)
+{
+    const base::result<route_fields> complete = base::unpackFields<route_fields>(bytes);
+    if (const route_fields *fields = std::get_if<route_fields>(&complete))
+        return std::tuple_cat(*fields, std::tuple<bool>(false));
+    return base::unpackFields<incomplete_route_fields>(bytes);
+}
+
+} // namespace
+
 std::string encodeRoute(const address_route &route)
 {
     std::vector<share_fields> shares;
@@ -173,17 +190,20 @@
     std::vector<std::uint64_t> former;
     for (const base::service_id &service : route.former)
         former.push_back(service.value());
-    return base::packFields(
-        route_fields(fieldsOf(route.address), shares, former, static_cast<std::uint8_t>(route.kind),
-                     route.timeout.millis(), route.targetLatency.millis(), route.priority));
+    const route_fields fields(fieldsOf(route.address), shares, former,
+                              static_cast<std::uint8_t>(route.kind), route.timeout.millis(),
+                              route.targetLatency.millis(), route.priority);
+    if (!route.isFormerIncomplete)
+        return base::packFields(fields);
+    return base::packFields(std::tuple_cat(fields, std::tuple<bool>(true)));
 }
 
 base::result<address_route> decodeRoute(std::string_view bytes)
 {
-    const base::result<route_fields> fields = base::unpackFields<route_fields>(bytes);
+    const base::result<incomplete_route_fields> fields = routeFieldsOf(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[address, rawShares, rawFormer, kind, timeout, target, priority]
+    const auto &[address, rawShares, rawFormer, kind, timeout, target, priority, isIncomplete]
         = base::valueOf(fields);
     if (kind < static_cast<std::uint8_t>(request_kind::idempotent)
         || kind > static_cast<std::uint8_t>(request_kind::upload))
@@ -204,7 +224,8 @@
                           static_cast<request_kind>(kind),
                           base::clock_time::ofMillis(timeout),
                           base::clock_time::ofMillis(target),
-                          priority};
+                          priority,
+                          isIncomplete};
 }
 
 std::string encodeAddress(const service_address &address)
