Keep the request traits of a route in the routing table

An entry needs kind, priority and target latency of an address's requests for request classes and hedged openings. No behaviour changes yet: nothing uses the kind.

--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -35,6 +35,7 @@
     const std::uint64_t totalWeight = 1;
     const std::vector<base::service_id> former = {};
     const bool isFormerIncomplete = false;
+    const std::optional<request_traits> traits = {};
 };
 
 routing_table::routing_table(const dissemination::cluster_view &view, const routing_table &previous)
@@ -73,7 +74,9 @@
         if (total > 0)
             m_addresses[addressKey(it->first.where, it->first.protocol)]
                 = std::make_shared<const address_entry>(address_entry {
-                    std::move(shares), total, it->second.former, it->second.isFormerIncomplete});
+                    std::move(shares), total, it->second.former, it->second.isFormerIncomplete,
+                    request_traits {it->second.kind, it->second.priority,
+                                    it->second.targetLatency}});
     }
 }
 
@@ -104,6 +107,12 @@
     return services;
 }
 
+std::optional<request_traits> routing_table::traitsOf(const base::flow_key &key) const
+{
+    const auto found = m_addresses.find(addressKey(key.service, key.protocol));
+    return found == m_addresses.end() ? std::nullopt : found->second->traits;
+}
+
 bool routing_table::mayHaveOtherServices(const base::flow_key &key) const
 {
     const auto found = m_addresses.find(addressKey(key.service, key.protocol));
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -12,9 +12,11 @@
 #include "lycheeshunt/routing/bucket_table.h"
 #include "lycheeshunt/routing/bypassed_agents.h"
 #include "lycheeshunt/routing/no_route.h"
+#include "lycheeshunt/routing/request_traits.h"
 #include "lycheeshunt/routing/route.h"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 
@@ -39,6 +41,8 @@
     // others with a share, then those that had a share formerly. Empty when the address is not
     // served.
     std::vector<base::service_id> servicesFor(const base::flow_key &key) const;
+    // What the address's route says of its requests. Empty for an address without a route.
+    std::optional<request_traits> traitsOf(const base::flow_key &key) const;
     // Whether flows to this address may be with services that servicesFor() does not list.
     bool mayHaveOtherServices(const base::flow_key &key) const;
     // Whether servicesFor() has more than one.
--- a/lycheeshunt/routing/steering_test.cpp
+++ b/lycheeshunt/routing/steering_test.cpp
@@ -35,9 +35,15 @@
          {agentOf("logbook", 1), agentOf("logbook", 2), agentOf("inspect", 3)})
         members.emplace(member.id(), member);
     std::map<tickets::service_address, tickets::address_route> routes;
-    routes.emplace(
-        address,
-        tickets::address_route {address, shares, former, {}, {}, {}, 0, isFormerIncomplete});
+    routes.emplace(address,
+                   tickets::address_route {address,
+                                           shares,
+                                           former,
+                                           tickets::request_kind::nonIdempotent,
+                                           {},
+                                           {},
+                                           0,
+                                           isFormerIncomplete});
     return routing_table(dissemination::cluster_view {current, services, members, {}, routes});
 }
 
@@ -190,6 +196,14 @@
         steerToNextService(moved, {}, hints, packetOf(1, false), {inspect, current})));
 }
 
+// Guards against a table that drops what its routes say of their requests.
+TEST(steering, anAddressHasTheRequestTraitsOfItsRoute)
+{
+    const std::optional<request_traits> traits = table.traitsOf(packetOf(1, true).key);
+    CHECK(traits == request_traits {});
+    CHECK_FALSE(routing_table().traitsOf(packetOf(1, true).key).has_value());
+}
+
 // Guards against resets of open flows that are with a service which the route no longer lists.
 TEST(steering, aFlowThatAnUnlistedFormerServiceMayHaveIsNeverReset)
 {
