--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -153,6 +153,7 @@
         [this](const dissemination::dissemination_action &action) {
             std::visit(base::overloaded {
                            [this](const dissemination::send_to_nodes &send) { sendView(send); },
+                           [this](const dissemination::send_piece &send) { sendPiece(send); },
                            [this](const dissemination::in_force_answer &answer) {
                                m_operators->inbox().tryPush(answer);
                            },
@@ -163,12 +164,21 @@
 
 void control_process::sendView(const dissemination::send_to_nodes &send)
 {
+    m_pieces.prune();
     const std::string bytes = dissemination::encodeControlMessage(send.message);
     for (const streams::connection_id &connection : send.connections)
         m_streams->outgoing().tryPush(
             streams::stream_frame {connection, streams::channel::dissemination, bytes});
 }
 
+void control_process::sendPiece(const dissemination::send_piece &send)
+{
+    const std::string bytes = m_pieces.encode(send);
+    for (const streams::connection_id &connection : send.connections)
+        m_streams->outgoing().tryPush(
+            streams::stream_frame {connection, streams::channel::dissemination, bytes});
+}
+
 void control_process::startOperators(const std::string &token)
 {
     m_operators = std::make_unique<operators::operator_duty>(
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -10,6 +10,7 @@
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/daemon/internal/committed_log.h"
 #include "lycheeshunt/daemon/internal/node_directory.h"
+#include "lycheeshunt/dissemination/piece_encoder.h"
 #include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/replication/replication_notice.h"
 #include "lycheeshunt/settings/node_settings.h"
@@ -24,6 +25,7 @@
 
 namespace lycheeshunt::dissemination {
 class publisher_duty;
+struct send_piece;
 struct send_to_nodes;
 } // namespace lycheeshunt::dissemination
 
@@ -85,6 +87,7 @@
     bool carryOutState(const states::state_action &action);
     void publishLeadership(const replication::leadership &leadership);
     void sendView(const dissemination::send_to_nodes &send);
+    void sendPiece(const dissemination::send_piece &send);
     void sendDirectory(streams::connection_id connection);
     void redirectNode(streams::connection_id connection);
     void startDuties();
@@ -109,6 +112,8 @@
     std::unique_ptr<states::state_duty> m_states;
     state_sink m_stateAnswers;
     std::unique_ptr<membership::membership_duty> m_membership;
+    // Accessed by the dissemination thread only.
+    dissemination::piece_encoder m_pieces;
     std::unique_ptr<dissemination::publisher_duty> m_publisher;
     std::unique_ptr<operators::operator_duty> m_operators;
     const base::clock_time m_startedAt = base::clock_time::steady();
--- a/lycheeshunt/dissemination/codec.cpp
+++ b/lycheeshunt/dissemination/codec.cpp
@@ -244,6 +244,27 @@
         message);
 }
 
+std::string encodePieceHead(const snapshot_cut &cut, base::generation newest)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(std::tuple_size_v<piece_fields>);
+    packer.pack(cut.at.value());
+    packer.pack(newest.value());
+    return std::string(1, pieceKind) + std::string(buffer.data(), buffer.size());
+}
+
+std::string encodePieceBody(const snapshot_cut &cut)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack(cut.digest.value());
+    packer.pack(fieldsOf(cut.start));
+    packer.pack(fieldsOf(cut.next));
+    packer.pack(fieldsOf(cut.part));
+    return std::string(buffer.data(), buffer.size());
+}
+
 base::result<control_message> decodeControlMessage(std::string_view bytes)
 {
     if (bytes.empty())
--- a/lycheeshunt/dissemination/codec.h
+++ b/lycheeshunt/dissemination/codec.h
@@ -6,6 +6,7 @@
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/dissemination/control_message.h"
 #include "lycheeshunt/dissemination/node_message.h"
+#include "lycheeshunt/dissemination/snapshot_cut.h"
 
 #include <string>
 #include <string_view>
@@ -14,6 +15,9 @@
 
 // The previous services of members are internal to control and are not encoded.
 std::string encodeControlMessage(const control_message &message);
+// A snapshot piece is the head and the body. The body does not depend on the newest generation.
+std::string encodePieceHead(const snapshot_cut &cut, base::generation newest);
+std::string encodePieceBody(const snapshot_cut &cut);
 base::result<control_message> decodeControlMessage(std::string_view bytes);
 
 std::string encodeNodeMessage(const node_message &message);
--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -127,27 +127,54 @@
         return;
     state.snapshotBase
         = std::make_shared<const snapshot_base>(snapshot_base {state.view, state.digests});
+    state.cuts.clear();
 }
 
-void sendPiece(publisher_state &state, streams::connection_id connection,
-               const snapshot_cursor &cursor, action_list &actions)
+// A piece depends only on the base, the scope and its start. Only the first piece and pieces that
+// follow a cut one are kept, so that arbitrary cursors in requests do not use up the space.
+shared_cut cutAt(publisher_state &state, const view_scope &scope, const snapshot_cursor &start)
 {
-    const view_scope scope = state.subscribers.at(connection).scope;
+    const std::pair<base::service_id, snapshot_cursor> key(scope.service, start);
+    const auto found = state.cuts.find(key);
+    if (found != state.cuts.end() && found->second) {
+        ++state.counts.sharedPieces;
+        return found->second;
+    }
     const cluster_view &view = *state.snapshotBase->view;
-    snapshot_part cut = partAfter(view, scope, cursor);
+    snapshot_part cut = partAfter(view, scope, start);
+    const shared_cut piece = std::make_shared<const snapshot_cut>(snapshot_cut {
+        view.at, state.snapshotBase->digests.of(scope), start, cut.next, std::move(cut.part)});
+    const bool isKnownStart = found != state.cuts.end() || start == snapshot_cursor {};
+    if (!isKnownStart || state.cuts.size() >= maxCuts)
+        return piece;
+    state.cuts[key] = piece;
+    // Reserves the next start, without its piece yet.
+    if (!piece->next.isEnd())
+        state.cuts.emplace(std::make_pair(scope.service, piece->next), nullptr);
+    return piece;
+}
+
+void dropUnusedCuts(publisher_state &state, base::clock_time now)
+{
+    if (!state.cuts.empty() && now - state.cutsUsedAt >= cutRetention)
+        state.cuts.clear();
+}
+
+void sendPiece(publisher_state &state, streams::connection_id connection,
+               const snapshot_cursor &cursor, base::clock_time now, action_list &actions)
+{
+    const shared_cut piece = cutAt(state, state.subscribers.at(connection).scope, cursor);
+    state.cutsUsedAt = now;
     ++state.counts.snapshotPieces;
-    state.counts.objects += cut.part.size();
-    actions.emplace_back(send_to_nodes {{connection},
-                                        snapshot_piece {view.at, state.view->at,
-                                                        state.snapshotBase->digests.of(scope),
-                                                        cursor, cut.next, std::move(cut.part)}});
+    state.counts.objects += piece->part.size();
+    actions.emplace_back(send_piece {{connection}, piece, state.view->at});
 }
 
 void startSnapshot(publisher_state &state, streams::connection_id connection,
-                   base::generation atLeast, action_list &actions)
+                   base::generation atLeast, base::clock_time now, action_list &actions)
 {
     renewSnapshotBase(state, atLeast);
-    sendPiece(state, connection, snapshot_cursor {}, actions);
+    sendPiece(state, connection, snapshot_cursor {}, now, actions);
 }
 
 // Sends the first piece unrequested, and retransmits it until the node requests the next one.
@@ -157,7 +184,7 @@
     const subscriber receiver = state.subscribers.at(connection);
     setSubscriber(state, connection,
                   withSent(receiver, base::generation(), view_digest(), snapshotPieceObjects, now));
-    startSnapshot(state, connection, receiver.current, actions);
+    startSnapshot(state, connection, receiver.current, now, actions);
 }
 
 void handleRequest(publisher_state &state, streams::connection_id connection,
@@ -177,12 +204,12 @@
     if (isAhead || state.view->at == base::generation())
         return;
     if (canResume) {
-        sendPiece(state, connection, request.cursor, actions);
+        sendPiece(state, connection, request.cursor, now, actions);
     } else if (canContinue) {
         delta_builder builder(state);
         sendDelta(state, {connection}, builder, now, actions);
     } else {
-        startSnapshot(state, connection, std::max(request.current, request.atLeast), actions);
+        startSnapshot(state, connection, std::max(request.current, request.atLeast), now, actions);
     }
 }
 
@@ -313,6 +340,7 @@
                        },
                        [&](const publisher_tick &) {
                            sendDueUpdates(state, now, actions);
+                           dropUnusedCuts(state, now);
                            answerPendingQueries(state, now, actions);
                        },
                    },
--- a/lycheeshunt/dissemination/dissemination_message.h
+++ b/lycheeshunt/dissemination/dissemination_message.h
@@ -6,6 +6,7 @@
 #include "lycheeshunt/dissemination/in_force_query.h"
 #include "lycheeshunt/dissemination/node_message_received.h"
 #include "lycheeshunt/dissemination/publisher_tick.h"
+#include "lycheeshunt/dissemination/send_piece.h"
 #include "lycheeshunt/dissemination/send_to_nodes.h"
 #include "lycheeshunt/dissemination/state_applied.h"
 #include "lycheeshunt/dissemination/subscriber_closed.h"
@@ -19,6 +20,6 @@
 using dissemination_message
     = std::variant<subscriber_opened, subscriber_closed, node_message_received, ticket_applied,
                    batch_applied, state_applied, entries_merged, in_force_query, publisher_tick>;
-using dissemination_action = std::variant<send_to_nodes, in_force_answer>;
+using dissemination_action = std::variant<send_to_nodes, send_piece, in_force_answer>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/fake_cluster_test.h
+++ b/lycheeshunt/dissemination/fake_cluster_test.h
@@ -7,6 +7,7 @@
 #include "lycheeshunt/dissemination/codec.h"
 #include "lycheeshunt/dissemination/decision.h"
 #include "lycheeshunt/dissemination/follower_decision.h"
+#include "lycheeshunt/dissemination/piece_encoder.h"
 #include "lycheeshunt/dissemination/snapshot.h"
 
 #include <functional>
@@ -159,12 +160,13 @@
             if (const in_force_answer *answer = std::get_if<in_force_answer>(&action))
                 answers.push_back(std::make_shared<const in_force_answer>(*answer));
             else
-                sendToNodes(std::get<send_to_nodes>(action));
+                sendAction(action);
         }
     }
 
     std::map<std::string, fake_node> nodes;
     publisher_state publisher;
+    piece_encoder encoder;
     std::vector<std::function<void()>> log;
     std::vector<std::shared_ptr<const in_force_answer>> answers;
     std::uint64_t lastGeneration = 0;
@@ -211,12 +213,22 @@
         }
     }
 
+    void sendAction(const dissemination_action &action)
+    {
+        if (const send_piece *send = std::get_if<send_piece>(&action)) {
+            const std::string bytes = encoder.encode(*send);
+            for (const streams::connection_id &connection : send->connections)
+                sendToNode(connection.value(), bytes, true);
+        } else {
+            sendToNodes(std::get<send_to_nodes>(action));
+        }
+    }
+
     void sendToNodes(const send_to_nodes &send)
     {
         const std::string bytes = encodeControlMessage(send.message);
-        const bool isPiece = std::holds_alternative<snapshot_piece>(send.message);
         for (const streams::connection_id &connection : send.connections)
-            sendToNode(connection.value(), bytes, isPiece);
+            sendToNode(connection.value(), bytes, false);
     }
 
     void sendToNode(std::uint64_t connection, const std::string &bytes, bool isPiece)
--- a/lycheeshunt/dissemination/large_change_test.cpp
+++ b/lycheeshunt/dissemination/large_change_test.cpp
@@ -3,9 +3,7 @@
 // operators.
 
 #include "lycheeshunt/dissemination/fake_cluster_test.h"
-#include "lycheeshunt/states/desired_state.h"
-
-#include <netinet/in.h>
+#include "lycheeshunt/dissemination/routes_test.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,24 +19,6 @@
 // The round trip is under half of the 4 s within which a change is in force everywhere.
 constexpr std::int64_t slowLinkMillis = 900;
 
-states::shared_state stateOf(std::uint64_t version, std::uint32_t count)
-{
-    const tickets::service_definition service {"logbook", {}, tickets::service_limits {}, 128};
-    std::vector<tickets::address_route> all;
-    for (std::uint32_t i = 0; i < count; ++i) {
-        const base::endpoint where {0xc6120000 + i / 100, static_cast<std::uint16_t>(1 + i % 100)};
-        all.push_back(tickets::address_route {tickets::service_address {where, IPPROTO_TCP},
-                                              {tickets::route_share {service.id(), 1}},
-                                              {},
-                                              tickets::request_kind::idempotent,
-                                              base::clock_time::ofMillis(2000),
-                                              base::clock_time::ofMillis(500),
-                                              1});
-    }
-    return std::make_shared<const states::desired_state>(
-        states::desired_state {version, "", {service}, std::move(all)});
-}
-
 void startNodes(fake_cluster &cluster)
 {
     std::vector<membership::member> members;
--- a/lycheeshunt/dissemination/publisher_counts.h
+++ b/lycheeshunt/dissemination/publisher_counts.h
@@ -11,6 +11,8 @@
     // Deltas to a node whose previous one was not acknowledged in time; part of `deltas`.
     std::uint64_t repeatedDeltas = 0;
     std::uint64_t snapshotPieces = 0;
+    // Pieces that had been cut for an earlier request; part of `snapshotPieces`.
+    std::uint64_t sharedPieces = 0;
     // Services, members, routes and drains in deltas and pieces.
     std::uint64_t objects = 0;
     std::uint64_t acknowledgements = 0;
--- a/lycheeshunt/dissemination/publisher_duty.cpp
+++ b/lycheeshunt/dissemination/publisher_duty.cpp
@@ -50,6 +50,7 @@
          {"deltas", since(counts.deltas, m_reported.deltas)},
          {"repeated", since(counts.repeatedDeltas, m_reported.repeatedDeltas)},
          {"pieces", since(counts.snapshotPieces, m_reported.snapshotPieces)},
+         {"shared", since(counts.sharedPieces, m_reported.sharedPieces)},
          {"objects", since(counts.objects, m_reported.objects)},
          {"acks", since(counts.acknowledgements, m_reported.acknowledgements)},
          {"ignored", since(counts.ignoredAcknowledgements, m_reported.ignoredAcknowledgements)}});
--- a/lycheeshunt/dissemination/publisher_state.h
+++ b/lycheeshunt/dissemination/publisher_state.h
@@ -6,6 +6,7 @@
 #include "lycheeshunt/dissemination/publisher_counts.h"
 #include "lycheeshunt/dissemination/scope_digests.h"
 #include "lycheeshunt/dissemination/snapshot_base.h"
+#include "lycheeshunt/dissemination/snapshot_cut.h"
 #include "lycheeshunt/dissemination/subscriber.h"
 #include "lycheeshunt/streams/connection_id.h"
 
@@ -24,6 +25,10 @@
     std::list<history_entry> history;
     std::size_t historyObjects = 0;
     std::shared_ptr<const snapshot_base> snapshotBase;
+    // Pieces of the base that have been cut, by service of the scope and start.
+    std::map<std::pair<base::service_id, snapshot_cursor>, shared_cut> cuts;
+    // When a piece was last sent.
+    base::clock_time cutsUsedAt;
     std::map<streams::connection_id, subscriber> subscribers;
     std::vector<pending_query> pendingQueries;
     // Version of the desired state in the view; 0 before the first.
--- /dev/null
+++ b/lycheeshunt/dissemination/send_piece.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "lycheeshunt/dissemination/snapshot_cut.h"
+#include "lycheeshunt/streams/connection_id.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace lycheeshunt::dissemination {
+
+// Sends a piece of a snapshot that several nodes share.
+struct send_piece
+{
+    const std::vector<streams::connection_id> connections = {};
+    const shared_cut piece;
+    const base::generation newest;
+
+    bool operator==(const send_piece &) const = default;
+};
+
+} // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/snapshot_cursor.h
+++ b/lycheeshunt/dissemination/snapshot_cursor.h
@@ -27,6 +27,7 @@
     bool isEnd() const { return section == snapshot_section::end; }
 
     bool operator==(const snapshot_cursor &) const = default;
+    std::strong_ordering operator<=>(const snapshot_cursor &) const = default;
 };
 
 } // namespace lycheeshunt::dissemination
