--- /dev/null
+++ b/lycheeshunt/dissemination/cold_start_test.cpp
@@ -0,0 +1,218 @@
+// All processes ended, and all nodes ask the new leader for their first view at once. The leader
+// has a small share of a core: cutting and encoding each piece for each node took it a second,
+// during which no caller was served.
+
+#include "lycheeshunt/dissemination/fake_cluster_test.h"
+#include "lycheeshunt/dissemination/routes_test.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheeshunt;
+using namespace lycheeshunt::dissemination;
+using namespace lycheeshunt::dissemination::testing;
+
+namespace {
+
+constexpr std::size_t entries = 12;
+constexpr std::size_t agents = 44;
+constexpr std::uint32_t routes = 1500;
+// Two pieces for an entry.
+constexpr std::uint32_t fewRoutes = 300;
+
+std::vector<membership::member> allNodes()
+{
+    std::vector<membership::member> members;
+    for (std::size_t i = 0; i < entries; ++i)
+        members.push_back(memberOf("entry-" + std::to_string(i), ""));
+    for (std::size_t i = 0; i < agents; ++i) {
+        members.push_back(memberOf("logbook-" + std::to_string(i), "logbook"));
+        members.push_back(memberOf("inspect-" + std::to_string(i), "inspect"));
+    }
+    return members;
+}
+
+void commitRoutes(fake_cluster &cluster, std::uint64_t version, std::uint32_t count)
+{
+    cluster.toPublisher(
+        state_applied {base::generation(++cluster.lastGeneration), stateOf(version, count)});
+}
+
+// The leader's log arrives as one merged entry, before any node asks.
+void startLeader(fake_cluster &cluster, std::uint32_t count)
+{
+    cluster.lastGeneration = 5;
+    cluster.toPublisher(entries_merged {base::generation(5), {{allNodes(), {}}}, {}});
+    commitRoutes(cluster, 1, count);
+}
+
+void startNodes(fake_cluster &cluster)
+{
+    for (const membership::member &member : allNodes()) {
+        const std::string service = member.name.substr(0, member.name.find('-'));
+        cluster.startNode(member.name, service == "entry" ? "" : service);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(cold_start)
+{
+    // Like the streams, which keep the order.
+    fake_cluster cluster {1, network_faults {0, 0, 20, 20}};
+};
+
+TEST(cold_start, aPieceIsCutAndEncodedOnceForAllNodesOfAScope)
+{
+    startLeader(cluster, routes);
+    startNodes(cluster);
+    CHECK(cluster.converges());
+    cluster.runFor(base::clock_time::ofMillis(500));
+    const publisher_counts &counts = cluster.publisher.counts;
+    // 1,601 objects for an entry, 45 for an agent.
+    constexpr std::uint64_t entryPieces = 7;
+    LONGS_EQUAL(entries * entryPieces + 2 * agents, counts.snapshotPieces);
+    LONGS_EQUAL(entryPieces + 2, counts.snapshotPieces - counts.sharedPieces);
+    LONGS_EQUAL(entryPieces + 2, cluster.encoder.encoded());
+    // An entry sends its window, two requests, the request for deltas and an acknowledgement; an
+    // agent two requests and an acknowledgement. One request for each piece took 9 of an entry.
+    LONGS_EQUAL(5 * entries + 3 * 2 * agents, cluster.messagesToControl);
+}
+
+// Otherwise nodes would assemble pieces of two generations, or get an old view.
+TEST(cold_start, piecesOfAnEarlierBaseAreNotSentAfterItWasRenewed)
+{
+    startLeader(cluster, fewRoutes);
+    cluster.startNode("entry-0", "");
+    cluster.runFor(networkStep);
+    CHECK_FALSE(cluster.hasConverged());
+    // More changes than the history keeps: deltas no longer reach back to the base.
+    for (std::uint64_t number = 1; number <= maxHistoryEntries + 1; ++number)
+        cluster.commitTicket(number);
+    cluster.startNode("entry-1", "");
+    CHECK(cluster.converges());
+    LONGS_EQUAL(0, cluster.nodes.at("entry-0").mismatches);
+    for (auto it = cluster.publisher.cuts.begin(); it != cluster.publisher.cuts.end(); ++it)
+        CHECK(!it->second || it->second->at == cluster.publisher.snapshotBase->view->at);
+}
+
+// The newest generation is what a node must reach before it takes work.
+TEST(cold_start, aSharedPieceNamesTheNewestGenerationOfItsSending)
+{
+    startLeader(cluster, fewRoutes);
+    cluster.startNode("entry-0", "");
+    CHECK(cluster.converges());
+    cluster.commitTicket(1);
+    cluster.startNode("entry-1", "");
+    CHECK(cluster.converges());
+    CHECK(cluster.publisher.counts.sharedPieces > 0);
+    LONGS_EQUAL(cluster.lastGeneration, cluster.nodes.at("entry-1").state.required.value());
+    LONGS_EQUAL(cluster.lastGeneration, cluster.nodes.at("entry-1").adopted.front()->at.value());
+}
+
+// A copy of the view for each scope would stay for as long as control runs.
+TEST(cold_start, piecesAreDroppedWhenNobodyAsksAnyMore)
+{
+    startLeader(cluster, fewRoutes);
+    cluster.startNode("entry-0", "");
+    CHECK(cluster.converges());
+    cluster.runFor(cutRetention + publisherTicks);
+    CHECK(cluster.publisher.cuts.empty());
+    cluster.encoder.prune();
+    cluster.connect("entry-0");
+    CHECK(cluster.converges());
+}
+
+TEST(cold_start, theSharedEncodingIsThatOfThePiece)
+{
+    startLeader(cluster, fewRoutes);
+    const cluster_view &view = *cluster.publisher.view;
+    snapshot_part part = partAfter(view, view_scope {}, snapshot_cursor {});
+    const snapshot_cut cut {view.at, view_digest(7), snapshot_cursor {}, part.next, part.part};
+    const base::generation newest(1 << 20);
+    const std::string whole = encodeControlMessage(
+        snapshot_piece {cut.at, newest, cut.digest, cut.start, cut.next, cut.part});
+    CHECK(encodePieceHead(cut, newest, 0) + encodePieceBody(cut) == whole);
+}
+
+// Either side of an earlier build: the node requests each piece, and control announces none.
+TEST(cold_start, withoutAWindowEachPieceIsRequested)
+{
+    startLeader(cluster, routes);
+    cluster.startNode("entry-0", "");
+    cluster.nodes.at("entry-0").hasNoWindow = true;
+    cluster.startNode("entry-1", "");
+    cluster.connect("entry-0");
+    CHECK(cluster.converges());
+    LONGS_EQUAL(0, cluster.nodes.at("entry-0").followedPieces);
+    LONGS_EQUAL(7, cluster.nodes.at("entry-0").pieces);
+    LONGS_EQUAL(5, cluster.nodes.at("entry-1").followedPieces);
+    LONGS_EQUAL(7, cluster.nodes.at("entry-1").pieces);
+}
+
+// A window from a faulty node must neither end the stream of pieces nor flood its link.
+TEST(cold_start, aWindowIsLimited)
+{
+    startLeader(cluster, routes);
+    for (const std::uint32_t window : {0U, 1U, 3U, 0xffffffffU}) {
+        const streams::connection_id connection(1000 + window);
+        cluster.toPublisher(node_message_received {connection, view_window {window}});
+        const std::uint64_t before = cluster.publisher.counts.snapshotPieces;
+        cluster.toPublisher(node_message_received {
+            connection, view_request {base::nodeIdOf("entry-0"), base::incarnation(1)}});
+        LONGS_EQUAL(std::clamp(window, 1U, maxPieceWindow),
+                    cluster.publisher.counts.snapshotPieces - before);
+        cluster.toPublisher(subscriber_closed {connection});
+    }
+    CHECK(cluster.publisher.windows.empty());
+}
+
+// The next leader cuts its own pieces; nodes neither mix them with the earlier ones nor wait for
+// those that were announced.
+TEST(cold_start, theLeaderFailsWhileItSends)
+{
+    startLeader(cluster, routes);
+    cluster.startNode("entry-0", "");
+    cluster.startNode("entry-1", "");
+    const auto isReceiving = [this]() { return cluster.nodes.at("entry-0").pieces > 0; };
+    while (!isReceiving())
+        cluster.runFor(networkStep);
+    CHECK_FALSE(cluster.hasConverged());
+    const base::clock_time failedAt = cluster.now;
+    cluster.publisher = publisher_state {};
+    startLeader(cluster, routes);
+    cluster.connect("entry-0");
+    cluster.connect("entry-1");
+    CHECK(cluster.converges());
+    CHECK(cluster.now - failedAt < base::clock_time::ofMillis(500));
+    LONGS_EQUAL(0, cluster.nodes.at("entry-0").mismatches);
+}
+
+// A node whose announced pieces stay out asks again, and the others do not wait for it.
+TEST(cold_start, aNodeThatReceivesNothingDoesNotDelayTheOthers)
+{
+    startLeader(cluster, routes);
+    cluster.startNode("entry-0", "");
+    cluster.startNode("entry-1", "");
+    while (cluster.nodes.at("entry-0").pieces == 0)
+        cluster.runFor(networkStep);
+    cluster.nodes.at("entry-0").isDisconnected = true;
+    cluster.runFor(base::clock_time::ofMillis(500));
+    CHECK(cluster.nodes.at("entry-1").state.isReady);
+    CHECK_FALSE(cluster.nodes.at("entry-0").state.isReady);
+    cluster.nodes.at("entry-0").isDisconnected = false;
+    CHECK(cluster.converges());
+}
+
+TEST(cold_start, messagesOfTheWindowAreEncodedAndDecoded)
+{
+    const node_message window = view_window {4};
+    CHECK(base::valueOf(decodeNodeMessage(encodeNodeMessage(window))) == window);
+    const control_message piece = snapshot_piece {base::generation(3),
+                                                  base::generation(4),
+                                                  view_digest(5),
+                                                  snapshot_cursor {},
+                                                  snapshot_cursor {snapshot_section::members, 9},
+                                                  view_change {},
+                                                  2};
+    CHECK(base::valueOf(decodeControlMessage(encodeControlMessage(piece))) == piece);
+}
