--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -8,6 +8,7 @@
 #include "lycheeshunt/packets/datagram_io.h"
 #include "lycheeshunt/packets/ip_packet.h"
 #include "lycheeshunt/routing/internal/packet_batch.h"
+#include "lycheeshunt/routing/internal/steering_log.h"
 #include "lycheeshunt/routing/steering.h"
 
 #include <poll.h>
@@ -198,7 +199,7 @@
                },
                decision);
     if (summary.opens || !std::holds_alternative<steer_to>(decision))
-        logSteering(summary, decision);
+        internal::logSteering(summary, decision, m_table->at());
 }
 
 void entry_port::bufferEarlyPacket(std::string_view bytes, const packets::ip_summary &summary)
@@ -232,35 +233,6 @@
     }
 }
 
-void entry_port::logSteering(const packets::ip_summary &packet, const steering &decision) const
-{
-    const std::string generation = std::to_string(m_table->at().value());
-    std::visit(base::overloaded {
-                   [&](const steer_to &to) {
-                       base::logEvent(
-                           "routing", "steered",
-                           {{"flow", packet.key.text()},
-                            {"generation", generation},
-                            {"to", to.destination.to.packets.text()},
-                            {"by", to.stage == flows::packet_stage::toOwner ? "hint" : "director"},
-                            {"copy", packet.isRepeated ? "yes" : "no"}});
-                   },
-                   [&](const refuse_caller &refused) {
-                       base::logEvent("routing", "refused",
-                                      {{"flow", packet.key.text()},
-                                       {"generation", generation},
-                                       {"code", std::to_string(static_cast<int>(refused.reason))}});
-                   },
-                   [&](const drop_packet &dropped) {
-                       base::logEvent("routing", "dropped",
-                                      {{"flow", packet.key.text()},
-                                       {"generation", generation},
-                                       {"code", std::to_string(static_cast<int>(dropped.reason))}});
-                   },
-               },
-               decision);
-}
-
 void entry_port::refuseCaller(std::string_view packet, const base::flow_key &key)
 {
     const std::string reset = m_sockets.fabric ? m_codec.resetFor(packet) : std::string();
@@ -336,7 +308,7 @@
             [&](const drop_packet &) { ++m_unroutable; },
         },
         decision);
-    logSteering(packet.summary, decision);
+    internal::logSteering(packet.summary, decision, m_table->at());
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -88,7 +88,6 @@
     void receiveHints();
     void takeHint(const flows::peer_message &message);
     void handleUnknownFlow(const flows::forwarded_packet &packet);
-    void logSteering(const packets::ip_summary &packet, const steering &decision) const;
     void refuseCaller(std::string_view packet, const base::flow_key &key);
 
     const entry_sockets m_sockets;
--- /dev/null
+++ b/lycheeshunt/routing/internal/steering_log.h
@@ -0,0 +1,13 @@
+// The log lines of an entry's decisions about packets.
+
+#pragma once
+
+#include "lycheeshunt/packets/ip_summary.h"
+#include "lycheeshunt/routing/steering.h"
+
+namespace lycheeshunt::routing::internal {
+
+// `at` is the generation of the table that the decision was made with.
+void logSteering(const packets::ip_summary &packet, const steering &decision, base::generation at);
+
+} // namespace lycheeshunt::routing::internal
