Send second copies of unanswered opening packets at the entry

The packet thread tells the hedging decision of opening packets, callers' further packets and hints, and sends the copies that are due, marked doubtful, to the backup director. Its poll waits until the earlier of the next paced packet and the next due copy. Copies take the paced path like other single packets. [entry.hedging] extra_percent sets the limit; it is 0 by default, and then the entry's packets are those of before. Metrics: openings_hedged_total, openings_hedge_refused_total, openings_hedge_evicted_total, opening_answer_ms; log line routing hedged.

--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -13,7 +13,7 @@
                      const packets::packet_codec &codec)
 {
     base::result<std::unique_ptr<routing::entry_port>> port = routing::entry_port::open(
-        routing::entry_sockets {own.packets, own.hints, own.fabric, own.link}, codec);
+        routing::entry_sockets {own.packets, own.hints, own.fabric, own.link, own.hedging}, codec);
     if (const base::error *failure = base::errorOf(port))
         return *failure;
     std::unique_ptr<entry_process> process(new entry_process(base::takeValue(std::move(port))));
@@ -78,7 +78,16 @@
         metrics::sample {"packets_waiting_bytes", "Bytes that wait for the link.",
                          metrics::gauge_value {static_cast<double>(m_port->waitingBytes())}},
         metrics::sample {"callers_reset_total", "Flows refused towards the caller.",
-                         metrics::counter_value {m_port->resets()}}};
+                         metrics::counter_value {m_port->resets()}},
+        metrics::sample {"openings_hedged_total", "Second copies of opening packets sent.",
+                         metrics::counter_value {m_port->hedged()}},
+        metrics::sample {"openings_hedge_refused_total",
+                         "Second copies of opening packets that the limit refused.",
+                         metrics::counter_value {m_port->hedgesRefused()}},
+        metrics::sample {"openings_hedge_evicted_total",
+                         "Openings evicted before a second copy was due.",
+                         metrics::counter_value {m_port->hedgesEvicted()}},
+        m_port->openingAnswers()};
     metrics::addRing(samples, "updates", m_port->updates());
     return metrics::report {"entry", std::move(samples)};
 }
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -30,6 +30,12 @@
     return bytes;
 }
 
+std::optional<base::clock_time> earlierOf(const std::optional<base::clock_time> &one,
+                                          const std::optional<base::clock_time> &other)
+{
+    return one && other ? std::min(*one, *other) : one ? one : other;
+}
+
 int pollTimeout(const std::optional<base::clock_time> &until)
 {
     if (!until)
@@ -61,8 +67,11 @@
                        base::file_descriptor socket, base::file_descriptor hintSocket)
     : m_sockets(sockets), m_codec(codec),
       m_hintEndpoint(hintSocket.isOpen() ? base::localEndpoint(hintSocket) : base::endpoint {}),
-      m_socket(std::move(socket)), m_hintSocket(std::move(hintSocket)), m_egress(sockets.link),
-      m_updates(updateCapacity), m_table(std::make_shared<const routing_table>()),
+      m_socket(std::move(socket)), m_hintSocket(std::move(hintSocket)), m_hedging(sockets.hedging),
+      m_openingAnswers("opening_answer_ms",
+                       "Time from an opening packet to the hint that a server has answered."),
+      m_egress(sockets.link), m_updates(updateCapacity),
+      m_table(std::make_shared<const routing_table>()),
       m_bypass(std::make_shared<const bypassed_agents>()), m_thread([this]() { run(); })
 {
 }
@@ -83,18 +92,20 @@
     const std::unique_ptr<internal::packet_batch> packets
         = std::make_unique<internal::packet_batch>();
     std::optional<base::clock_time> sendAt;
+    std::optional<base::clock_time> hedgeAt;
     while (!m_updates.isClosed()) {
         // poll() ignores descriptors below 0, such as that of a hint socket that is not open.
         pollfd watched[] = {{m_socket.get(), POLLIN, 0},
                             {m_updates.descriptor(), POLLIN, 0},
                             {m_hintSocket.get(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), pollTimeout(sendAt));
+        ::poll(watched, std::size(watched), pollTimeout(earlierOf(sendAt, hedgeAt)));
         while (const std::optional<entry_update> update = m_updates.tryPop())
             base::runGuarded("routing", [&]() { handleUpdate(*update); });
         if (watched[2].revents != 0)
             base::runGuarded("routing", [this]() { receiveHints(); });
         if (watched[0].revents != 0)
             base::runGuarded("routing", [&]() { routeBatch(*packets); });
+        base::runGuarded("routing", [&]() { hedgeAt = sendDueHedges(); });
         base::runGuarded("routing", [&]() { sendAt = sendDuePackets(); });
     }
 }
@@ -198,6 +209,7 @@
                    [&](const drop_packet &) { ++m_unroutable; },
                },
                decision);
+    trackOpening(summary, decision, packets.packet(index), now);
     if (summary.opens || !std::holds_alternative<steer_to>(decision))
         internal::logSteering(summary, decision, m_table->at());
 }
@@ -267,9 +279,11 @@
         base::overloaded {
             [&](const flows::owner_hint &hint) {
                 m_hints.put(hint.key, flow_hint {hint.service, hint.owner, now});
+                takeAnswer(hint.key, now);
             },
             [&](const flows::opening_hint &hint) {
                 takeOpeningHint(m_hints, hint.key, flow_hint {hint.service, hint.owner, now});
+                takeAnswer(hint.key, now);
             },
             [&](const flows::hint_withdrawn &withdrawn) {
                 withdrawHint(m_hints, withdrawn.key, withdrawn.node);
@@ -280,6 +294,61 @@
         message);
 }
 
+void entry_port::trackOpening(const packets::ip_summary &packet, const steering &decision,
+                              std::string_view bytes, base::clock_time now)
+{
+    // Without hints, an opening that was answered can't be told from one that was not.
+    if (!m_sockets.hedging.isOn() || m_hintEndpoint.port == 0)
+        return;
+    const std::optional<request_traits> traits
+        = packet.opens ? m_table->traitsOf(packet.key) : std::nullopt;
+    if (!mayBeHedged(packet, decision, traits)) {
+        m_hedging.handleCallersPacket(packet.key);
+        return;
+    }
+    m_hedging.add(sent_opening {packet, base::packet_bytes(std::string(bytes)),
+                                std::get<steer_to>(decision).destination, traits->targetLatency},
+                  now);
+    m_hedgesEvicted = m_hedging.evicted();
+}
+
+void entry_port::takeAnswer(const base::flow_key &key, base::clock_time now)
+{
+    if (const std::optional<base::clock_time> span = m_hedging.handleAnswer(key, now))
+        m_openingAnswers.record(*span);
+}
+
+std::optional<base::clock_time> entry_port::sendDueHedges()
+{
+    const base::clock_time now = base::clock_time::steady();
+    while (const std::optional<due_opening> due = m_hedging.takeDue(now))
+        sendHedge(*due);
+    return m_hedging.nextAt();
+}
+
+void entry_port::sendHedge(const due_opening &due)
+{
+    const sent_opening &opening = due.opening;
+    const hedge_decision decision = m_hedging.decide(
+        due,
+        m_table->routeWithin(opening.destination.service, opening.summary.key, *m_bypass, true));
+    std::visit(base::overloaded {
+                   [&](const send_hedge &copy) {
+                       ++m_hedged;
+                       internal::logHedge(due, copy);
+                       carryOut(steer_to {copy.destination, flows::packet_stage::toDirector, true},
+                                flows::forwarded_packet {base::service_id(), base::incarnation(),
+                                                         base::generation(),
+                                                         flows::packet_stage::toDirector, 0,
+                                                         opening.summary, opening.bytes});
+                   },
+                   [this](const skip_hedge &skipped) {
+                       m_hedgesRefused += skipped.reason == hedge_obstacle::noBudget ? 1 : 0;
+                   },
+               },
+               decision);
+}
+
 void entry_port::handleUnknownFlow(const flows::forwarded_packet &packet)
 {
     const steering decision
--- a/lycheeshunt/routing/entry_port.h
+++ b/lycheeshunt/routing/entry_port.h
@@ -12,11 +12,13 @@
 #include "lycheeshunt/base/file_descriptor.h"
 #include "lycheeshunt/base/ring.h"
 #include "lycheeshunt/flows/peer_message.h"
+#include "lycheeshunt/metrics/span_histogram.h"
 #include "lycheeshunt/pacing/egress_queue.h"
 #include "lycheeshunt/packets/packet_codec.h"
 #include "lycheeshunt/routing/bypassed_agents.h"
 #include "lycheeshunt/routing/entry_sockets.h"
 #include "lycheeshunt/routing/flow_hints.h"
+#include "lycheeshunt/routing/hedging.h"
 #include "lycheeshunt/routing/routing_table.h"
 #include "lycheeshunt/routing/steering.h"
 
@@ -65,6 +67,13 @@
     std::uint64_t copies() const { return m_copies; }
     std::uint64_t overflowed() const { return m_overflowed; }
     std::uint64_t waitingBytes() const { return m_waitingBytes; }
+    // Numbers of second copies of opening packets that were sent, that the limit refused, and of
+    // openings that were evicted before a copy was due.
+    std::uint64_t hedged() const { return m_hedged; }
+    std::uint64_t hedgesRefused() const { return m_hedgesRefused; }
+    std::uint64_t hedgesEvicted() const { return m_hedgesEvicted; }
+    // Time from an opening packet that may be hedged to the hint that a server has answered.
+    metrics::sample openingAnswers() const { return m_openingAnswers.current(); }
     // Whether a routing table has arrived.
     bool isReady() const { return m_isReady; }
 
@@ -78,6 +87,14 @@
     void routePacket(internal::packet_batch &packets, std::size_t index);
     // Sends what the link takes of the packets that wait. Returns when to send again.
     std::optional<base::clock_time> sendDuePackets();
+    // Tells the hedging decision of a packet that was routed.
+    void trackOpening(const packets::ip_summary &packet, const steering &decision,
+                      std::string_view bytes, base::clock_time now);
+    // The flow's server has answered its opening packet.
+    void takeAnswer(const base::flow_key &key, base::clock_time now);
+    // Sends the second copies that are due. Returns when the next one is.
+    std::optional<base::clock_time> sendDueHedges();
+    void sendHedge(const due_opening &due);
     void sendPaced(const packets::ip_summary &summary, const base::endpoint &to, std::string bytes);
     void enqueue(pacing::queued_datagram datagram, base::clock_time now);
     void bufferEarlyPacket(std::string_view bytes, const packets::ip_summary &summary);
@@ -97,6 +114,8 @@
     base::file_descriptor m_socket;
     base::file_descriptor m_hintSocket;
     flow_hints m_hints;
+    hedging m_hedging;
+    metrics::span_histogram m_openingAnswers;
     // Packets that wait for the VM's link.
     pacing::egress_queue m_egress;
     // Packets that are buffered until the first routing table arrives.
@@ -113,6 +132,9 @@
     std::atomic<std::uint64_t> m_copies = 0;
     std::atomic<std::uint64_t> m_overflowed = 0;
     std::atomic<std::uint64_t> m_waitingBytes = 0;
+    std::atomic<std::uint64_t> m_hedged = 0;
+    std::atomic<std::uint64_t> m_hedgesRefused = 0;
+    std::atomic<std::uint64_t> m_hedgesEvicted = 0;
     std::atomic<bool> m_isReady = false;
     std::thread m_thread;
 };
--- a/lycheeshunt/routing/entry_sockets.h
+++ b/lycheeshunt/routing/entry_sockets.h
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/pacing/link_rate.h"
+#include "lycheeshunt/routing/hedging_limit.h"
 
 #include <optional>
 
@@ -18,6 +19,8 @@
     const std::optional<base::endpoint> fabric = {};
     // The pace at which packets are sent on.
     const pacing::link_rate link = {};
+    // The limit on second copies of opening packets. They need the hints.
+    const hedging_limit hedging = {};
 
     bool operator==(const entry_sockets &) const = default;
 };
--- a/lycheeshunt/routing/internal/steering_log.cpp
+++ b/lycheeshunt/routing/internal/steering_log.cpp
@@ -34,4 +34,14 @@
                decision);
 }
 
+void logHedge(const due_opening &due, const send_hedge &copy)
+{
+    base::logEvent("routing", "hedged",
+                   {{"flow", due.opening.summary.key.text()},
+                    {"generation", std::to_string(copy.destination.at.value())},
+                    {"to", copy.destination.to.packets.text()},
+                    {"instead_of", due.opening.destination.to.packets.text()},
+                    {"delay", std::to_string(due.waited.millis())}});
+}
+
 } // namespace lycheeshunt::routing::internal
--- a/lycheeshunt/settings/entry_settings.h
+++ b/lycheeshunt/settings/entry_settings.h
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/pacing/link_rate.h"
+#include "lycheeshunt/routing/hedging_limit.h"
 
 #include <optional>
 
@@ -20,6 +21,8 @@
     const std::optional<base::endpoint> readiness = {};
     // Bandwidth of the VM's own link. Packets are sent on at this pace; without it, at once.
     const pacing::link_rate link = {};
+    // The limit on second copies of opening packets.
+    const routing::hedging_limit hedging = {};
 
     bool operator==(const entry_settings &) const = default;
 };
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -27,6 +27,28 @@
     return pacing::link_rate {static_cast<std::uint64_t>(megabits * bytesPerMegabit)};
 }
 
+routing::hedging_limit readHedging(table_reader &entry, bool hasHints)
+{
+    constexpr std::int64_t maxPercent = 100;
+    if (!entry.has("hedging"))
+        return routing::hedging_limit {};
+    const toml::table *table = entry.subtable("hedging");
+    if (table == nullptr)
+        return routing::hedging_limit {};
+    table_reader reader(*table, entry.path());
+    const std::int64_t percent = reader.number("extra_percent", 0);
+    const bool isInRange = percent >= 0 && percent <= maxPercent;
+    if (!isInRange)
+        reader.fail(base::error_code::settingsBadValue, "extra_percent",
+                    std::to_string(percent) + " is not from 0 to 100");
+    else if (percent > 0 && !hasHints)
+        entry.fail(base::error_code::settingsMissingKey, "hints",
+                   "needed where [entry.hedging] extra_percent is above 0");
+    reader.refuseUnknownKeys();
+    entry.mergeFault(reader);
+    return routing::hedging_limit {isInRange ? static_cast<std::uint32_t>(percent) : 0};
+}
+
 role_settings readEntry(table_reader &reader)
 {
     const base::endpoint packets = reader.endpoint("packets");
@@ -35,7 +57,9 @@
     if (hints && packets.port != 0 && *hints == packets)
         reader.fail(base::error_code::settingsClash, "hints", "same address as packets");
     const std::optional<base::endpoint> readiness = reader.optionalEndpoint("readiness");
-    return entry_settings {packets, hints, fabric, readiness, readLinkRate(reader)};
+    const pacing::link_rate link = readLinkRate(reader);
+    return entry_settings {packets,   hints, fabric,
+                           readiness, link,  readHedging(reader, hints.has_value())};
 }
 
 role_settings readAgent(table_reader &reader)
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -75,6 +75,34 @@
     }
 }
 
+// Guards against a limit that is read wrongly and lets copies through that operators did not allow.
+TEST(settings_file, theLimitOnHedgedOpeningsIsFromZeroToAHundredPercent)
+{
+    const std::string entry = goodEntry + "hints = \"127.0.0.1:7501\"\n";
+    for (const auto &[text, percent] : std::vector<std::pair<std::string, std::uint32_t>> {
+             {"", 0},
+             {"[entry.hedging]\n", 0},
+             {"[entry.hedging]\nextra_percent = 0\n", 0},
+             {"[entry.hedging]\nextra_percent = 100\n", 100}}) {
+        const base::result<settings::node_settings> read
+            = settings::parseSettings(entry + text, "entry.toml");
+        UNSIGNED_LONGS_EQUAL(
+            percent,
+            std::get<settings::entry_settings>(base::valueOf(read).role).hedging.extraPercent);
+    }
+    for (const auto &[text, detail] : std::vector<std::pair<const char *, const char *>> {
+             {"101", "entry.toml:9: extra_percent: 101 is not from 0 to 100"},
+             {"-1", "extra_percent: -1 is not from 0 to 100"},
+             {"2.5", "extra_percent: expected a whole number"}}) {
+        const base::result<settings::node_settings> read = settings::parseSettings(
+            entry + "[entry.hedging]\nextra_percent = " + text, "entry.toml");
+        STRCMP_CONTAINS(detail, base::errorOf(read)->detail.c_str());
+    }
+    const base::result<settings::node_settings> deaf
+        = settings::parseSettings(goodEntry + "[entry.hedging]\nextra_percent = 5\n", "entry.toml");
+    CHECK(base::errorOf(deaf)->code == error_code::settingsMissingKey);
+}
+
 TEST(settings_file, onlyAnApiOnLoopbackNeedsNoToken)
 {
     const std::string control = "role = \"control\"\nname = \"control-1\"\n"
