State the class of requests in the header of forwarded packets

Agents count and queue all requests alike, since they do not know kind and priority, which only the routes of full views state. Only entries have those.

Change: the entry writes kind and priority of the address's route into the header (one more element before the packet); agents keep it on offers, trials, returned packets and packets that they pass on. A header without a class is encoded as before and means a route that states nothing. The entry leaves the class out where agents would not act on it (no upload, priority 0), so such deployments send the same bytes as before.

--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -92,7 +92,8 @@
     }
 
     forwarded_packet packetFor(const packets::ip_summary &summary, packet_stage stage,
-                               std::vector<base::node_id> agents = {}, std::uint8_t hops = 0)
+                               std::vector<base::node_id> agents = {}, std::uint8_t hops = 0,
+                               const request_class &requestClass = {})
     {
         return forwarded_packet {logbook,
                                  base::incarnation(1),
@@ -102,7 +103,9 @@
                                  summary,
                                  base::packet_bytes("packet"),
                                  entry,
-                                 std::move(agents)};
+                                 std::move(agents),
+                                 false,
+                                 requestClass};
     }
 
     void receiveFromServer(const packets::ip_summary &summary)
--- a/lycheeshunt/flows/codec.cpp
+++ b/lycheeshunt/flows/codec.cpp
@@ -19,15 +19,38 @@
 // More than any list or message has, so that their own bounds give the reason.
 constexpr std::size_t maxItems = 1024;
 
-using packet_fields
-    = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t, std::uint64_t,
-                 std::uint8_t, std::uint8_t, std::uint32_t, std::uint16_t,
-                 std::vector<std::uint64_t>, bool, msgpack::type::raw_ref>;
+// The fields that every forwarded packet begins with. The packet is the last field; a class may
+// stand before it.
+using leading_fields = std::tuple<std::uint8_t, std::uint8_t, std::uint64_t, std::uint64_t,
+                                  std::uint64_t, std::uint8_t, std::uint8_t, std::uint32_t,
+                                  std::uint16_t, std::vector<std::uint64_t>, bool>;
+constexpr std::uint32_t plainFields = std::tuple_size_v<leading_fields> + 1;
+constexpr std::uint32_t classedFields = plainFields + 1;
+
+constexpr unsigned kindShift = 8;
+constexpr unsigned priorityMask = 0xff;
+
+std::uint16_t encodedClass(const request_class &requestClass)
+{
+    return static_cast<std::uint16_t>(static_cast<unsigned>(requestClass.kind) << kindShift
+                                      | requestClass.priority);
+}
+
+base::result<request_class> classFrom(std::uint16_t encoded)
+{
+    const unsigned kind = encoded >> kindShift;
+    if (kind < static_cast<unsigned>(tickets::request_kind::idempotent)
+        || kind > static_cast<unsigned>(tickets::request_kind::upload))
+        return malformed("request kind");
+    return request_class {static_cast<tickets::request_kind>(kind),
+                          static_cast<std::uint8_t>(encoded & priorityMask)};
+}
 
 base::result<flow_datagram> packetFrom(const msgpack::object &object,
                                        const packets::packet_codec &codec)
 {
-    const packet_fields fields = object.as<packet_fields>();
+    leading_fields fields;
+    object.convert(fields);
     const std::uint8_t stage = std::get<5>(fields);
     if (stage < static_cast<std::uint8_t>(packet_stage::toDirector)
         || stage > static_cast<std::uint8_t>(packet_stage::unknown))
@@ -39,7 +62,13 @@
     agents.reserve(listed.size());
     for (const std::uint64_t node : listed)
         agents.emplace_back(node);
-    const msgpack::type::raw_ref &raw = std::get<11>(fields);
+    const msgpack::object_array &array = object.via.array;
+    const base::result<request_class> requestClass = array.size == classedFields
+        ? classFrom(array.ptr[plainFields - 1].as<std::uint16_t>())
+        : request_class {};
+    if (const base::error *failure = base::errorOf(requestClass))
+        return *failure;
+    const msgpack::type::raw_ref raw = array.ptr[array.size - 1].as<msgpack::type::raw_ref>();
     std::string bytes(raw.ptr, raw.size);
     const base::result<packets::ip_summary> summary
         = codec.summarize(bytes, packets::direction::fromCaller);
@@ -50,7 +79,7 @@
         base::generation(std::get<4>(fields)), static_cast<packet_stage>(stage),
         std::get<6>(fields), base::valueOf(summary), base::packet_bytes(std::move(bytes)),
         base::endpoint {std::get<7>(fields), std::get<8>(fields)}, std::move(agents),
-        std::get<10>(fields)});
+        std::get<10>(fields), base::valueOf(requestClass)});
 }
 
 base::result<flow_datagram> datagramFrom(const msgpack::object &object,
@@ -62,7 +91,8 @@
     if (object.via.array.ptr[0].as<std::uint8_t>() != wireVersion)
         return base::error {base::error_code::messageVersion, "flow datagram"};
     const std::uint8_t kind = object.via.array.ptr[1].as<std::uint8_t>();
-    if (kind == packetKind && object.via.array.size == std::tuple_size_v<packet_fields>)
+    const std::uint32_t size = object.via.array.size;
+    if (kind == packetKind && (size == plainFields || size == classedFields))
         return packetFrom(object, codec);
     const base::result<peer_message> message = internal::decodePeerFields(kind, object);
     if (const base::error *failure = base::errorOf(message))
@@ -77,7 +107,8 @@
 {
     internal::span_writer writer(out);
     msgpack::packer<internal::span_writer> packer(writer);
-    packer.pack_array(std::tuple_size_v<packet_fields>);
+    const bool hasClass = header.requestClass != request_class {};
+    packer.pack_array(hasClass ? classedFields : plainFields);
     packer.pack(wireVersion);
     packer.pack(static_cast<std::uint8_t>(packetKind));
     packer.pack(header.service.value());
@@ -92,6 +123,8 @@
         packer.pack(header.agents[i].value());
     // A receiver of a list that was cut does not know every agent that may have the flow.
     packer.pack(header.isDoubtful || header.agents.size() > maxListedAgents);
+    if (hasClass)
+        packer.pack(encodedClass(header.requestClass));
     packer.pack_bin(static_cast<std::uint32_t>(packetBytes));
     return writer.used();
 }
@@ -101,7 +134,7 @@
     char buffer[maxPacketHeaderBytes];
     const packet_header header {packet.service, packet.incarnation, packet.at,
                                 packet.stage,   packet.hops,        packet.entry,
-                                packet.agents,  packet.isDoubtful};
+                                packet.agents,  packet.isDoubtful,  packet.requestClass};
     return std::string(buffer, writePacketHeader(header, packetBytes, buffer));
 }
 
--- a/lycheeshunt/flows/codec.h
+++ b/lycheeshunt/flows/codec.h
@@ -28,7 +28,7 @@
 base::result<flow_datagram>
 decodeDatagram(std::string_view bytes, const packets::packet_codec &codec = packets::ipPackets());
 
-// Upper bound: three 64-bit numbers, the agents and twelve short fields.
+// Upper bound: three 64-bit numbers, the agents and thirteen short fields.
 constexpr std::size_t maxPacketHeaderBytes = 96 + 9 * maxListedAgents;
 
 // As encodePacketHeader, into a buffer of at least maxPacketHeaderBytes. Returns the bytes used.
--- a/lycheeshunt/flows/forwarded_packet.h
+++ b/lycheeshunt/flows/forwarded_packet.h
@@ -4,6 +4,7 @@
 #include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/base/packet_bytes.h"
 #include "lycheeshunt/flows/packet_stage.h"
+#include "lycheeshunt/flows/request_class.h"
 #include "lycheeshunt/packets/ip_summary.h"
 
 #include <utility>
@@ -34,12 +35,15 @@
     // With an opening packet: the flow may be open already. With others: an agent that may have the
     // flow was not queried or did not answer, or the packet's way is not known.
     const bool isDoubtful = false;
+    // From the route of the address, by the entry; each agent passes it on.
+    const request_class requestClass = {};
 
     // The same packet at another stage.
     forwarded_packet with(packet_stage next, std::vector<base::node_id> listed, bool doubt) const
     {
-        return forwarded_packet {service, incarnation,       at,   next, hops, summary, bytes,
-                                 entry,   std::move(listed), doubt};
+        return forwarded_packet {
+            service, incarnation,       at,    next,        hops, summary, bytes,
+            entry,   std::move(listed), doubt, requestClass};
     }
 
     bool operator==(const forwarded_packet &) const = default;
--- a/lycheeshunt/flows/internal/forwarding.cpp
+++ b/lycheeshunt/flows/internal/forwarding.cpp
@@ -21,7 +21,8 @@
         forwarded_packet {
             packet.service, to.incarnation, std::max(packet.at, currentGeneration(context.state)),
             stage, static_cast<std::uint8_t>(packet.hops + 1), packet.summary, packet.bytes,
-            packet.entry, packet.agents, packet.isDoubtful || isAheadOf(context.state, packet)}});
+            packet.entry, packet.agents, packet.isDoubtful || isAheadOf(context.state, packet),
+            packet.requestClass}});
 }
 
 void storeOwner(flow_context &context, const base::flow_key &key, const routing::target &owner,
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -218,9 +218,9 @@
                                  {},
                                  true};
     const forwarded_packet &sent = delivery->packet;
-    return forwarded_packet {sent.service, sent.incarnation, sent.at,      sent.stage,
-                             sent.hops,    answer.summary,   answer.bytes, sent.entry,
-                             sent.agents,  sent.isDoubtful};
+    return forwarded_packet {sent.service, sent.incarnation, sent.at,          sent.stage,
+                             sent.hops,    answer.summary,   answer.bytes,     sent.entry,
+                             sent.agents,  sent.isDoubtful,  sent.requestClass};
 }
 
 void handleReturnedPacket(flow_context &context, const server_answer &answer)
--- a/lycheeshunt/flows/packet_header.h
+++ b/lycheeshunt/flows/packet_header.h
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/flows/packet_stage.h"
+#include "lycheeshunt/flows/request_class.h"
 
 #include <vector>
 
@@ -19,6 +20,7 @@
     const base::endpoint entry = {};
     const std::vector<base::node_id> agents = {};
     const bool isDoubtful = false;
+    const request_class requestClass = {};
 
     bool operator==(const packet_header &) const = default;
 };
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -8,6 +8,7 @@
 #include "lycheeshunt/packets/datagram_io.h"
 #include "lycheeshunt/packets/ip_packet.h"
 #include "lycheeshunt/routing/internal/packet_batch.h"
+#include "lycheeshunt/routing/request_class_of.h"
 #include "lycheeshunt/routing/steering.h"
 
 #include <poll.h>
@@ -181,7 +182,8 @@
                                                           0,
                                                           m_hintEndpoint,
                                                           {},
-                                                          to.isDoubtful};
+                                                          to.isDoubtful,
+                                                          requestClassOf(*m_table, summary.key)};
                        const std::string_view bytes = packets.packet(index);
                        if (m_egress.tryPass(bytes.size() + usualHeaderBytes, now))
                            packets.forward(index, header, to.destination.to.packets);
@@ -328,7 +330,8 @@
                                                    0,
                                                    m_hintEndpoint,
                                                    {},
-                                                   to.isDoubtful};
+                                                   to.isDoubtful,
+                                                   requestClassOf(*m_table, packet.summary.key)};
                 sendPaced(packet.summary, to.destination.to.packets,
                           datagramOf(header, packet.bytes.view()));
             },
--- a/lycheeshunt/routing/ports_test.cpp
+++ b/lycheeshunt/routing/ports_test.cpp
@@ -115,6 +115,30 @@
     CHECK(packet.at == base::generation(2));
 }
 
+// Guards against entries that leave agents to count an upload as any other request.
+TEST(ports, anEntryStatesTheClassOfARoute)
+{
+    const base::file_descriptor agent = openSocket();
+    const base::file_descriptor fabric = openSocket();
+    const std::unique_ptr<entry_port> port
+        = base::takeValue(entry_port::open({anyPort}, packets::ipPackets()));
+    const dissemination::cluster_view view = viewOf(base::localEndpoint(agent));
+    const tickets::service_address address {{0xc0000201, 443}, 6};
+    const tickets::address_route route {
+        address, {{base::serviceIdOf("logbook"), 1}}, {}, tickets::request_kind::upload, {}, {}, 2};
+    // The first packet is kept until the table comes, the second is routed at once.
+    packets::sendDatagram(fabric.get(), port->local(), callerPacket(1));
+    port->updates().push(std::make_shared<const routing_table>(dissemination::cluster_view {
+        view.at, view.services, view.members, {}, {{address, route}}}));
+    for (int i = 0; i < 2; ++i) {
+        const base::result<flows::flow_datagram> decoded = flows::decodeDatagram(receive(agent));
+        CHECK(base::isOk(decoded));
+        CHECK(std::get<flows::forwarded_packet>(base::valueOf(decoded)).requestClass
+              == (flows::request_class {tickets::request_kind::upload, 2}));
+        packets::sendDatagram(fabric.get(), port->local(), callerPacket(1));
+    }
+}
+
 TEST(ports, anUnreachableAgentIsBypassed)
 {
     const base::file_descriptor reachableSocket = openSocket();
