Let uploads hold no slot while they arrive

An agent counted a request against its server's slots from its first payload. An upload of 40 KB takes 400 ms to arrive over a narrow link and 4 ms of work, so four of them blocked an idle server with two slots.

Change: on routes of kind upload a request holds a slot only once its caller has sent no payload for 100 ms (checked by the tick). Until then it is in transfer: it starts while a slot is free and fewer than 64 uploads for each slot are in transfer, and waits otherwise. A retransmission continues the transfer; a caller that stops gives the slot up after 2 s as before. The server's time on an upload (request_server_ms) begins with its last packet.

--- a/lycheeshunt/flows/flow_duty.cpp
+++ b/lycheeshunt/flows/flow_duty.cpp
@@ -23,6 +23,7 @@
     base::step<flow_state, flow_action> next = decide(std::move(m_state), message, now);
     m_state = std::move(next.state);
     base::reportFault("flows", next.fault);
+    m_meter.setTransfers(m_state.transfers);
     for (const flow_action &action : next.actions) {
         if (const flow_event *event = std::get_if<flow_event>(&action)) {
             m_meter.record(*event);
--- a/lycheeshunt/flows/flow_meter.h
+++ b/lycheeshunt/flows/flow_meter.h
@@ -20,10 +20,13 @@
 
     void record(const flow_event &event);
     void record(const request_timing &timing);
+    // The uploads in transfer now.
+    void setTransfers(std::size_t transfers) { m_transfers = transfers; }
     std::vector<metrics::sample> samples() const;
 
 private:
     std::array<std::atomic<std::uint64_t>, flowEventKinds + 1> m_events {};
+    std::atomic<std::uint64_t> m_transfers = 0;
     metrics::span_histogram m_waited;
     metrics::span_histogram m_answered;
 };
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -67,8 +67,10 @@
     // Packets that were delivered to the backend server, or offered to another agent as the first
     // of a flow, and are not answered yet. Only where backend servers return packets.
     flow_map<pending_delivery> pendingDeliveries;
-    // Owned flows with a request in flight at the backend server.
+    // Owned flows with a request in flight that holds a slot of the backend server.
     std::size_t busyFlows = 0;
+    // Owned flows with an upload in transfer, which holds none.
+    std::size_t transfers = 0;
     // Requests of owned flows that wait for a free slot of the backend server. Only where backend
     // servers return packets.
     waiting_requests waiting;
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -53,6 +53,14 @@
     return phase;
 }
 
+void removeFromCounts(flow_state &state, const owned_flow *flow)
+{
+    if (flow == nullptr)
+        return;
+    state.busyFlows -= flow->progress.holdsSlot() ? 1 : 0;
+    state.transfers -= flow->progress.isInTransfer ? 1 : 0;
+}
+
 // A packet that is only tried is no request of the server. What it tells of the flow counts once
 // the flow is claimed.
 void updateTriedFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow,
@@ -60,7 +68,7 @@
 {
     putOwned(context.state, key,
              owned_flow {context.now, flow.refreshAt, flow.phase,
-                         flow.progress.afterCaller(packet, context.now).withoutRequest(),
+                         flow.progress.afterCaller(packet, {}, context.now).withoutRequest(),
                          flow.hasCallerFinished || packet.finishes, packet.payloadBytes > 0});
 }
 
@@ -128,16 +136,15 @@
 
 void putOwned(flow_state &state, const base::flow_key &key, const owned_flow &flow)
 {
-    const owned_flow *before = state.owned.find(key);
-    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
-    state.busyFlows += flow.progress.isBusy ? 1 : 0;
+    removeFromCounts(state, state.owned.find(key));
+    state.busyFlows += flow.progress.holdsSlot() ? 1 : 0;
+    state.transfers += flow.progress.isInTransfer ? 1 : 0;
     state.owned.put(key, flow);
 }
 
 void eraseOwned(flow_state &state, const base::flow_key &key)
 {
-    const owned_flow *before = state.owned.find(key);
-    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
+    removeFromCounts(state, state.owned.find(key));
     state.waiting.erase(key);
     state.owned.erase(key);
 }
@@ -193,7 +200,8 @@
     }
     const flow_phase next
         = packet.summary.resets ? flow_phase::ended : phaseAfterCaller(flow.phase, packet.summary);
-    updateFlow(context, key, flow, next, flow.progress.afterCaller(packet.summary, context.now));
+    updateFlow(context, key, flow, next,
+               flow.progress.afterCaller(packet.summary, packet.requestClass, context.now));
 }
 
 void openFlow(flow_context &context, const forwarded_packet &packet)
--- a/lycheeshunt/flows/internal/request_queueing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -13,12 +13,55 @@
 // A request frees its slot if its flow has had neither an answer nor a packet for this long: its
 // caller has disconnected, or the request was a retransmission of an earlier one.
 constexpr base::clock_time requestTimeout = base::clock_time::ofSeconds(2);
+// Twice the longest pause between packets of an upload that is not held up. A caller that pauses
+// longer has sent its request, or has to send a lost packet again.
+constexpr base::clock_time transferPause = base::clock_time::ofMillis(100);
+// Uploads in transfer for each slot. If all end at once, with 4 ms of work each, the last one is
+// answered after 260 ms, a third of the latency that callers of uploads expect.
+constexpr std::size_t transfersPerSlot = 64;
 
 bool hasFreeSlot(const flow_state &state)
 {
     return state.server.slots == 0 || state.busyFlows < state.server.slots + slotHeadroom;
 }
 
+bool canTakeTransfer(const flow_state &state)
+{
+    return state.server.slots == 0 || state.transfers < state.server.slots * transfersPerSlot;
+}
+
+// Uploads start only while a slot is free, too: each may need one once it has arrived.
+bool canStart(const flow_state &state, const request_class &requestClass)
+{
+    return hasFreeSlot(state) && (!requestClass.isUpload() || canTakeTransfer(state));
+}
+
+// Whether a waiting request may be delivered as soon as a slot is free.
+bool hasCandidate(const flow_state &state)
+{
+    const std::size_t held = canTakeTransfer(state) ? 0 : state.waiting.uploads();
+    return state.waiting.size() > held;
+}
+
+void endPausedTransfers(flow_context &context)
+{
+    flow_state &state = context.state;
+    if (state.transfers == 0)
+        return;
+    std::vector<base::flow_key> paused;
+    for (auto it = state.owned.begin(); it != state.owned.end(); ++it) {
+        const request_progress &progress = it->second.progress;
+        if (progress.isInTransfer && context.now - progress.since >= transferPause)
+            paused.push_back(it->first);
+    }
+    for (const base::flow_key &key : paused) {
+        const owned_flow flow = *state.owned.find(key);
+        putOwned(
+            state, key,
+            owned_flow {flow.lastPacket, flow.refreshAt, flow.phase, flow.progress.afterPause()});
+    }
+}
+
 } // namespace
 
 bool queueForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet)
@@ -41,7 +84,7 @@
         return state.waiting.add(packet, context.now);
     const bool startsRequest = !flow.progress.isBusy && flow.progress.hasNewPayload(packet.summary)
         && flow.phase != flow_phase::ended;
-    if (!startsRequest || (hasFreeSlot(state) && state.waiting.isEmpty()))
+    if (!startsRequest || (canStart(state, packet.requestClass) && !hasCandidate(state)))
         return false;
     if (!state.waiting.add(packet, context.now))
         return false;
@@ -52,8 +95,8 @@
 void deliverQueuedRequests(flow_context &context)
 {
     flow_state &state = context.state;
-    while (!state.waiting.isEmpty() && hasFreeSlot(state)) {
-        const waiting_request next = *state.waiting.takeNext(context.now);
+    while (hasFreeSlot(state) && hasCandidate(state)) {
+        const waiting_request next = *state.waiting.takeNext(context.now, canTakeTransfer(state));
         const owned_flow *flow = state.owned.find(next.key());
         if (flow == nullptr || flow->phase == flow_phase::ended)
             continue;
@@ -64,7 +107,8 @@
             deliverToServer(context, packet);
             putOwned(state, next.key(),
                      owned_flow {context.now, before.refreshAt, before.phase,
-                                 before.progress.afterCaller(packet.summary, context.now)});
+                                 before.progress.afterCaller(packet.summary, packet.requestClass,
+                                                             context.now)});
         }
     }
 }
@@ -72,6 +116,7 @@
 void requestQueueTick(flow_context &context)
 {
     flow_state &state = context.state;
+    endPausedTransfers(context);
     if (state.waiting.isEmpty())
         return;
     for (const waiting_request &abandoned : state.waiting.takeAbandoned(context.now))
--- a/lycheeshunt/flows/internal/request_queueing.h
+++ b/lycheeshunt/flows/internal/request_queueing.h
@@ -1,4 +1,6 @@
 // Limits the requests at the backend server to its slots; further requests are queued at the agent.
+// An upload holds no slot while its caller sends it, since it arrives over narrow links far longer
+// than the server works on it; the number of such uploads has a limit of its own.
 // Used only where backend servers return packets.
 
 #pragma once
@@ -18,7 +20,8 @@
 // Delivers queued requests to the server while slots are free.
 void deliverQueuedRequests(flow_context &context);
 
-// Drops requests whose callers are silent, and frees the slots of requests that have timed out.
+// Drops requests whose callers are silent, frees the slots of requests that have timed out, and
+// counts uploads whose callers have paused as requests that hold a slot.
 void requestQueueTick(flow_context &context);
 
 } // namespace lycheeshunt::flows::internal
--- a/lycheeshunt/flows/request_progress.h
+++ b/lycheeshunt/flows/request_progress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/flows/request_class.h"
 #include "lycheeshunt/packets/ip_summary.h"
 
 #include <netinet/in.h>
@@ -20,11 +21,17 @@
     // Whether the caller has sent payload, and the TCP sequence number after its last byte.
     const bool hasSent = false;
     const std::uint32_t sequenceEnd = 0;
-    // When the request in flight was delivered to the backend server.
+    // When the request in flight was delivered to the backend server; of an upload in transfer, the
+    // last packet of it.
     const base::clock_time since = {};
     // Sequence number of the caller's last payload, and of the last one before the server's answer.
     const std::optional<std::uint32_t> lastSequence = {};
     const std::optional<std::uint32_t> answeredSequence = {};
+    // The request in flight is an upload whose caller has not paused.
+    const bool isInTransfer = false;
+
+    // The backend server may be working on the request, not only receiving it.
+    bool holdsSlot() const { return isBusy && !isInTransfer; }
 
     // Whether the packet carries payload that was not seen before. A caller retransmits a packet
     // that is not acknowledged in time, even when the answer is on its way.
@@ -49,20 +56,32 @@
                 || *answeredSequence - packet.sequence <= maxDistance);
     }
 
-    request_progress afterCaller(const packets::ip_summary &packet, base::clock_time now) const
+    // A retransmission shows that the caller still sends, too: the server lacks a part of the body.
+    // An upload stays one when a packet comes from an entry that sends no class.
+    request_progress afterCaller(const packets::ip_summary &packet,
+                                 const request_class &requestClass, base::clock_time now) const
     {
         if (packet.payloadBytes == 0)
             return *this;
-        if (!hasNewPayload(packet))
-            return request_progress {isBusy, isAnswered,      hasSent,         sequenceEnd,
-                                     since,  packet.sequence, answeredSequence};
-        return request_progress {true,
+        const bool isNew = hasNewPayload(packet);
+        const bool isRequest = isBusy || isNew;
+        const bool transfers = isRequest && (isInTransfer || requestClass.isUpload());
+        const bool starts = isNew && !isBusy;
+        return request_progress {isRequest,
                                  isAnswered,
-                                 true,
-                                 packet.sequence + packet.payloadBytes,
-                                 isBusy ? since : now,
+                                 hasSent || isNew,
+                                 isNew ? packet.sequence + packet.payloadBytes : sequenceEnd,
+                                 starts || transfers ? now : since,
                                  packet.sequence,
-                                 answeredSequence};
+                                 answeredSequence,
+                                 transfers};
+    }
+
+    // The caller of an upload has paused: it waits for the answer, or has stopped.
+    request_progress afterPause() const
+    {
+        return request_progress {isBusy, isAnswered,   hasSent,         sequenceEnd,
+                                 since,  lastSequence, answeredSequence};
     }
 
     request_progress afterServer(const packets::ip_summary &packet) const
--- a/lycheeshunt/flows/waiting_request.h
+++ b/lycheeshunt/flows/waiting_request.h
@@ -18,6 +18,8 @@
 
     const base::flow_key &key() const { return packets.front().summary.key; }
 
+    const request_class &requestClass() const { return packets.front().requestClass; }
+
     bool operator==(const waiting_request &) const = default;
 };
 
--- a/lycheeshunt/flows/waiting_requests.cpp
+++ b/lycheeshunt/flows/waiting_requests.cpp
@@ -20,22 +20,27 @@
         ++m_packetCount;
     }
     const base::clock_time since = existing != nullptr ? existing->since : now;
+    const bool isNewUpload = existing == nullptr && packet.requestClass.isUpload();
     m_requests.put(key, waiting_request {std::move(packets), since, now});
+    m_uploads += isNewUpload ? 1 : 0;
     return true;
 }
 
-std::optional<waiting_request> waiting_requests::takeNext(base::clock_time now)
+std::optional<waiting_request> waiting_requests::takeNext(base::clock_time now, bool allowsUploads)
 {
-    if (isEmpty())
-        return std::nullopt;
-    const waiting_request *oldest = &m_requests.begin()->second;
-    const waiting_request *newest = oldest;
+    const waiting_request *oldest = nullptr;
+    const waiting_request *newest = nullptr;
     for (auto it = m_requests.begin(); it != m_requests.end(); ++it) {
-        if (it->second.since < oldest->since)
-            oldest = &it->second;
-        if (it->second.since > newest->since)
-            newest = &it->second;
+        const waiting_request &request = it->second;
+        if (!allowsUploads && request.requestClass().isUpload())
+            continue;
+        if (oldest == nullptr || request.since < oldest->since)
+            oldest = &request;
+        if (newest == nullptr || request.since > newest->since)
+            newest = &request;
     }
+    if (oldest == nullptr)
+        return std::nullopt;
     const waiting_request next = now - oldest->since >= overloadWait ? *newest : *oldest;
     erase(next.key());
     return next;
@@ -47,6 +52,7 @@
     if (existing == nullptr)
         return;
     m_packetCount -= existing->packets.size();
+    m_uploads -= existing->requestClass().isUpload() ? 1 : 0;
     m_requests.erase(base::flow_key(key));
 }
 
--- a/lycheeshunt/flows/waiting_requests.h
+++ b/lycheeshunt/flows/waiting_requests.h
@@ -30,13 +30,16 @@
 
     bool isEmpty() const { return m_requests.size() == 0; }
     std::size_t size() const { return m_requests.size(); }
+    // How many of the requests are uploads.
+    std::size_t uploads() const { return m_uploads; }
     bool contains(const base::flow_key &key) const { return m_requests.find(key) != nullptr; }
 
     // Queues a new request, or adds the packet to the request of the same flow. Returns false if
     // the queue is full.
     bool add(const forwarded_packet &packet, base::clock_time now);
-    // Removes and returns the next request, or nothing if the queue is empty.
-    std::optional<waiting_request> takeNext(base::clock_time now);
+    // Removes and returns the next request, or nothing if the queue is empty. Without
+    // `allowsUploads`, uploads stay in the queue.
+    std::optional<waiting_request> takeNext(base::clock_time now, bool allowsUploads = true);
     void erase(const base::flow_key &key);
     // Removes and returns the requests whose callers have been silent for longer than
     // retransmitTimeout.
@@ -45,6 +48,7 @@
 private:
     flow_map<waiting_request> m_requests;
     std::size_t m_packetCount = 0;
+    std::size_t m_uploads = 0;
 };
 
 } // namespace lycheeshunt::flows
