Serve waiting requests by the priority of their route

Requests that wait for a slot were served in one order whatever their route's priority, so in a crest non-idempotent requests failed in the same share as those that may be repeated.

Change: the highest priority is served first, within one priority as before. While several priorities wait, every eighth request is of a lower one, in rotation. In a full queue a request of higher priority displaces the request of the lowest that would be served last; one that finds only higher ones in a full queue is dropped, since it would overtake them at the server. Callers retransmit what was dropped. With one priority nothing changes: order and the full queue are as before. request_wait_ms has a label for the priority; new counter requests_displaced_total and event displaced.

--- a/lycheeshunt/flows/flow_meter.h
+++ b/lycheeshunt/flows/flow_meter.h
@@ -9,6 +9,8 @@
 
 #include <array>
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <vector>
 
 namespace lycheeshunt::flows {
@@ -27,7 +29,9 @@
 private:
     std::array<std::atomic<std::uint64_t>, flowEventKinds + 1> m_events {};
     std::atomic<std::uint64_t> m_transfers = 0;
-    metrics::span_histogram m_waited;
+    // By the priority of the request.
+    mutable std::mutex m_lock;
+    std::map<std::uint8_t, metrics::span_histogram> m_waited;
     metrics::span_histogram m_answered;
 };
 
--- a/lycheeshunt/flows/internal/request_queueing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -43,6 +43,28 @@
     return state.waiting.size() > held;
 }
 
+enum class queue_result : std::uint8_t { queued, dropped, full };
+
+// When the queue is full, a request of higher priority displaces one of a lower priority, which is
+// dropped: its caller retransmits it. A request that all those in the queue go before is dropped
+// for the same reason; passed to the server, it would overtake them.
+queue_result addOrDisplace(flow_context &context, const forwarded_packet &packet)
+{
+    waiting_requests &waiting = context.state.waiting;
+    while (!waiting.add(packet, context.now)) {
+        const std::optional<waiting_request> displaced = waiting.displaceFor(packet, context.now);
+        if (displaced) {
+            recordEvent(context, flow_event_kind::displaced, displaced->packets.front());
+        } else if (waiting.isOutranked(packet)) {
+            recordEvent(context, flow_event_kind::displaced, packet);
+            return queue_result::dropped;
+        } else {
+            return queue_result::full;
+        }
+    }
+    return queue_result::queued;
+}
+
 void endPausedTransfers(flow_context &context)
 {
     flow_state &state = context.state;
@@ -81,15 +103,15 @@
     if (packet.summary.payloadBytes == 0 || isTrial)
         return false;
     if (state.waiting.contains(key))
-        return state.waiting.add(packet, context.now);
+        return addOrDisplace(context, packet) != queue_result::full;
     const bool startsRequest = !flow.progress.isBusy && flow.progress.hasNewPayload(packet.summary)
         && flow.phase != flow_phase::ended;
     if (!startsRequest || (canStart(state, packet.requestClass) && !hasCandidate(state)))
         return false;
-    if (!state.waiting.add(packet, context.now))
-        return false;
-    recordEvent(context, flow_event_kind::waits, packet);
-    return true;
+    const queue_result result = addOrDisplace(context, packet);
+    if (result == queue_result::queued)
+        recordEvent(context, flow_event_kind::waits, packet);
+    return result != queue_result::full;
 }
 
 void deliverQueuedRequests(flow_context &context)
@@ -101,7 +123,7 @@
         if (flow == nullptr || flow->phase == flow_phase::ended)
             continue;
         context.actions.emplace_back(
-            request_timing {request_step::waited, context.now - next.since});
+            request_timing {request_step::waited, context.now - next.since, next.priority()});
         for (const forwarded_packet &packet : next.packets) {
             const owned_flow before = *state.owned.find(next.key());
             deliverToServer(context, packet);
--- a/lycheeshunt/flows/internal/request_queueing.h
+++ b/lycheeshunt/flows/internal/request_queueing.h
@@ -14,7 +14,8 @@
 
 namespace lycheeshunt::flows::internal {
 
-// Queues the packet if its request must wait for a slot. Returns true if the packet was queued.
+// Queues the packet if its request must wait for a slot. Returns true if the packet was queued, or
+// dropped because the queue is full of requests of higher priority.
 bool queueForSlot(flow_context &context, const owned_flow &flow, const forwarded_packet &packet);
 
 // Delivers queued requests to the server while slots are free.
--- a/lycheeshunt/flows/request_timing.h
+++ b/lycheeshunt/flows/request_timing.h
@@ -14,6 +14,8 @@
 {
     const request_step step;
     const base::clock_time span;
+    // Of the request that waited.
+    const std::uint8_t priority = 0;
 
     bool operator==(const request_timing &) const = default;
 };
--- a/lycheeshunt/flows/waiting_request.h
+++ b/lycheeshunt/flows/waiting_request.h
@@ -19,6 +19,7 @@
     const base::flow_key &key() const { return packets.front().summary.key; }
 
     const request_class &requestClass() const { return packets.front().requestClass; }
+    std::uint8_t priority() const { return requestClass().priority; }
 
     bool operator==(const waiting_request &) const = default;
 };
--- a/lycheeshunt/flows/waiting_requests.cpp
+++ b/lycheeshunt/flows/waiting_requests.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/flows/waiting_requests.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lycheeshunt::flows {
 
@@ -26,24 +27,71 @@
     return true;
 }
 
-std::optional<waiting_request> waiting_requests::takeNext(base::clock_time now, bool allowsUploads)
+waiting_requests::ranks waiting_requests::ranksOf(bool allowsUploads) const
 {
-    const waiting_request *oldest = nullptr;
-    const waiting_request *newest = nullptr;
+    ranks waiting;
     for (auto it = m_requests.begin(); it != m_requests.end(); ++it) {
         const waiting_request &request = it->second;
         if (!allowsUploads && request.requestClass().isUpload())
             continue;
-        if (oldest == nullptr || request.since < oldest->since)
-            oldest = &request;
-        if (newest == nullptr || request.since > newest->since)
-            newest = &request;
+        rank_ends &rank = waiting[request.priority()];
+        if (rank.oldest == nullptr || request.since < rank.oldest->since)
+            rank.oldest = &request;
+        if (rank.newest == nullptr || request.since > rank.newest->since)
+            rank.newest = &request;
     }
-    if (oldest == nullptr)
+    return waiting;
+}
+
+waiting_requests::ranks::const_iterator waiting_requests::choose(const ranks &waiting)
+{
+    if (waiting.size() == 1 || ++m_turn < lowerTurn)
+        return waiting.begin();
+    m_turn = 0;
+    // The lower priorities are served in rotation.
+    auto lower = waiting.upper_bound(std::max(m_lastLower, waiting.begin()->first));
+    if (lower == waiting.end())
+        lower = std::next(waiting.begin());
+    m_lastLower = lower->first;
+    return lower;
+}
+
+waiting_request waiting_requests::take(const waiting_request &chosen)
+{
+    waiting_request taken = chosen;
+    erase(taken.key());
+    return taken;
+}
+
+std::optional<waiting_request> waiting_requests::takeNext(base::clock_time now, bool allowsUploads)
+{
+    const ranks waiting = ranksOf(allowsUploads);
+    if (waiting.empty())
         return std::nullopt;
-    const waiting_request next = now - oldest->since >= overloadWait ? *newest : *oldest;
-    erase(next.key());
-    return next;
+    const rank_ends &chosen = choose(waiting)->second;
+    return take(chosen.isOverloaded(now) ? *chosen.newest : *chosen.oldest);
+}
+
+std::uint8_t waiting_requests::priorityOf(const forwarded_packet &packet) const
+{
+    const waiting_request *existing = m_requests.find(packet.summary.key);
+    return existing != nullptr ? existing->priority() : packet.requestClass.priority;
+}
+
+std::optional<waiting_request> waiting_requests::displaceFor(const forwarded_packet &packet,
+                                                             base::clock_time now)
+{
+    const ranks waiting = ranksOf(true);
+    if (waiting.empty() || waiting.rbegin()->first <= priorityOf(packet))
+        return std::nullopt;
+    const rank_ends &lowest = waiting.rbegin()->second;
+    return take(lowest.isOverloaded(now) ? *lowest.oldest : *lowest.newest);
+}
+
+bool waiting_requests::isOutranked(const forwarded_packet &packet) const
+{
+    const ranks waiting = ranksOf(true);
+    return !waiting.empty() && waiting.begin()->first < priorityOf(packet);
 }
 
 void waiting_requests::erase(const base::flow_key &key)
