Let flows of a higher priority leave a narrow link first

At an entry's link, transfers were served in the order in which they began, whatever the priority of their routes.

Change: among flows of one band those of a higher priority go first. Bands and the fair turn, one datagram in eight of the last flow, are unchanged, so small requests of any priority still overtake transfers, and no transfer starves. With one priority the order is as before.

An upload of priority 1 that begins behind three of priority 2 ends first, within 120 ms of 86 ms that the link needs for it alone.

--- a/lycheeshunt/pacing/egress_queue.cpp
+++ b/lycheeshunt/pacing/egress_queue.cpp
@@ -78,6 +78,7 @@
     m_waitingBytes += size;
     ++m_waitingDatagrams;
     waiting.activeBytes += size;
+    waiting.priority = datagram.priority;
     waiting.datagrams.push_back(std::move(datagram));
     if (!flow.position || flow.position->band != bandOf(waiting))
         place(key, flow, waiting.activeSince);
@@ -88,7 +89,7 @@
 {
     if (flow.position)
         m_order.erase(*flow.position);
-    const rank position {bandOf(flow.queue), since, ++m_lastNumber};
+    const rank position {bandOf(flow.queue), flow.queue.priority, since, ++m_lastNumber};
     flow.position.emplace(position);
     m_order.emplace(position, key);
 }
--- a/lycheeshunt/pacing/egress_queue.h
+++ b/lycheeshunt/pacing/egress_queue.h
@@ -1,6 +1,7 @@
 // The datagrams that wait for a narrow link, and the order in which they leave: packets of flows
 // that send little first, then transfers in the order in which they began, then long transfers in
-// turn. A copy of a packet that still waits is dropped.
+// turn; among these, flows of a higher priority before others. A copy of a packet that still waits
+// is dropped.
 //
 //     if (!queue.tryPass(bytes, now))
 //         queue.add(queued_datagram {summary, to, bytes}, now);
@@ -41,10 +42,12 @@
     std::size_t waitingDatagrams() const { return m_waitingDatagrams; }
 
 private:
-    // A flow's rank: its band, then when it became active, then a number that tells flows apart.
+    // A flow's rank: its band, its priority, then when it became active, then a number that tells
+    // flows apart.
     struct rank
     {
         const std::uint8_t band;
+        const std::uint8_t priority;
         const base::clock_time since;
         const std::uint64_t number;
 
--- a/lycheeshunt/pacing/egress_queue_test.cpp
+++ b/lycheeshunt/pacing/egress_queue_test.cpp
@@ -54,17 +54,17 @@
     std::vector<sent_datagram> sent;
     std::int64_t now = 1000;
 
-    void receive(const packets::ip_summary &packet, std::size_t bytes)
+    void receive(const packets::ip_summary &packet, std::size_t bytes, std::uint8_t priority = 0)
     {
         if (queue.tryPass(bytes, at(now)))
             sent.push_back({packet.key.caller.port, packet.sequence, now});
         else
-            queue.add(queued_datagram {packet, {}, std::string(bytes, 'x')}, at(now));
+            queue.add(queued_datagram {packet, {}, std::string(bytes, 'x'), priority}, at(now));
     }
-    void receiveWindow(std::uint16_t flow, std::uint32_t first)
+    void receiveWindow(std::uint16_t flow, std::uint32_t first, std::uint8_t priority = 0)
     {
         for (std::uint32_t i = 0; i < window; ++i)
-            receive(packetOf(flow, first + i, 1200), uploadPacket);
+            receive(packetOf(flow, first + i, 1200), uploadPacket, priority);
     }
     // Sends what may leave in each millisecond until then.
     void run(std::int64_t millis)
@@ -203,6 +203,45 @@
     LONGS_EQUAL(0, queue.waitingDatagrams());
 }
 
+// Uploads of two routes meet at a link that takes one of them in time.
+TEST(egress_queue, theTransferOfHigherPriorityEndsFirst)
+{
+    for (std::uint16_t flow = 1; flow <= 3; ++flow)
+        receiveWindow(flow, flow * 100U, 2);
+    run(20);
+    receiveWindow(4, 400, 1);
+    const std::int64_t began = now;
+    run(500);
+    CHECK(lastOf(4) < lastOf(1) && lastOf(1) < lastOf(2) && lastOf(2) < lastOf(3));
+    // The link takes 16 packets in 86 ms, and one in eight is of another flow.
+    CHECK(lastOf(4) - began <= 120);
+    CHECK(countOf(1) == window && countOf(2) == window && countOf(3) == window);
+}
+
+// A transfer must not hold up small requests, whatever its priority.
+TEST(egress_queue, aSmallRequestOfLowPriorityOvertakesTransfersOfAHigherOne)
+{
+    receiveWindow(1, 100, 1);
+    receiveWindow(2, 200, 1);
+    receiveWindow(3, 300, 1);
+    run(20);
+    receive(packetOf(9, 1, 0, true), smallPacket, 2);
+    run(15);
+    LONGS_EQUAL(1, countOf(9));
+}
+
+TEST(egress_queue, aLowPriorityIsNotStarvedByAHigherOne)
+{
+    receiveWindow(1, 100, 2);
+    run(20);
+    const std::size_t before = countOf(1);
+    for (std::uint16_t flow = 2; flow < 20; ++flow) {
+        receiveWindow(flow, 1, 1);
+        run(60);
+    }
+    CHECK(countOf(1) - before >= 5);
+}
+
 TEST(egress_queue, aLinkWithoutARateTakesEverythingAtOnce)
 {
     egress_queue unlimited {link_rate {}};
--- a/lycheeshunt/pacing/flow_queue.h
+++ b/lycheeshunt/pacing/flow_queue.h
@@ -15,6 +15,8 @@
     std::size_t activeBytes = 0;
     base::clock_time activeSince;
     base::clock_time lastUsed;
+    // Of the last datagram.
+    std::uint8_t priority = 0;
 };
 
 } // namespace lycheeshunt::pacing
--- a/lycheeshunt/pacing/queued_datagram.h
+++ b/lycheeshunt/pacing/queued_datagram.h
@@ -13,6 +13,8 @@
     const packets::ip_summary summary;
     const base::endpoint to;
     const std::string bytes;
+    // 0 is the highest; all datagrams of a flow have one.
+    const std::uint8_t priority = 0;
 
     bool operator==(const queued_datagram &) const = default;
 };
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -152,7 +152,9 @@
 {
     const base::clock_time now = base::clock_time::steady();
     if (!m_egress.tryPass(bytes.size(), now))
-        enqueue(pacing::queued_datagram {summary, to, std::move(bytes)}, now);
+        enqueue(pacing::queued_datagram {summary, to, std::move(bytes),
+                                         requestClassOf(*m_table, summary.key).priority},
+                now);
     else if (!packets::sendDatagram(m_socket.get(), to, bytes))
         ++m_unsent;
 }
@@ -189,7 +191,8 @@
                            packets.forward(index, header, to.destination.to.packets);
                        else
                            enqueue(pacing::queued_datagram {summary, to.destination.to.packets,
-                                                            datagramOf(header, bytes)},
+                                                            datagramOf(header, bytes),
+                                                            header.requestClass.priority},
                                    now);
                    },
                    [&](const refuse_caller &) {
