--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -9,6 +9,7 @@
 #include "lycheeshunt/packets/ip_packet.h"
 #include "lycheeshunt/routing/internal/packet_batch.h"
 #include "lycheeshunt/routing/internal/steering_log.h"
+#include "lycheeshunt/routing/request_class_of.h"
 #include "lycheeshunt/routing/steering.h"
 
 #include <poll.h>
@@ -163,7 +164,9 @@
 {
     const base::clock_time now = base::clock_time::steady();
     if (!m_egress.tryPass(bytes.size(), now))
-        enqueue(pacing::queued_datagram {summary, to, std::move(bytes)}, now);
+        enqueue(pacing::queued_datagram {summary, to, std::move(bytes),
+                                         requestClassOf(*m_table, summary.key).priority},
+                now);
     else if (!packets::sendDatagram(m_socket.get(), to, bytes))
         ++m_unsent;
 }
@@ -193,13 +196,15 @@
                                                           0,
                                                           m_hintEndpoint,
                                                           {},
-                                                          to.isDoubtful};
+                                                          to.isDoubtful,
+                                                          requestClassOf(*m_table, summary.key)};
                        const std::string_view bytes = packets.packet(index);
                        if (m_egress.tryPass(bytes.size() + usualHeaderBytes, now))
                            packets.forward(index, header, to.destination.to.packets);
                        else
                            enqueue(pacing::queued_datagram {summary, to.destination.to.packets,
-                                                            datagramOf(header, bytes)},
+                                                            datagramOf(header, bytes),
+                                                            header.requestClass.priority},
                                    now);
                    },
                    [&](const refuse_caller &) {
@@ -369,7 +374,8 @@
                                                    0,
                                                    m_hintEndpoint,
                                                    {},
-                                                   to.isDoubtful};
+                                                   to.isDoubtful,
+                                                   requestClassOf(*m_table, packet.summary.key)};
                 sendPaced(packet.summary, to.destination.to.packets,
                           datagramOf(header, packet.bytes.view()));
             },
