Carry evacuated zones in views and take their agents out of service

A change without zones is encoded as before (eight lists), one with zones has ten. isDraining() is also true for an agent in such a zone; isDrained() is what it was before, and an agent that restores its server uses that. An agent whose zone is evacuated gives its server no opening packet of a flow that it has.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -69,7 +69,7 @@
     const auto definition = view.services.find(self.service);
     const bool wasServing = m_servers && !m_isRestoreChecked && known != view.members.end()
         && definition != view.services.end() && known->second.service == self.service
-        && !view.isDraining(known->second);
+        && !view.isDrained(known->second);
     m_isRestoreChecked = true;
     if (wasServing)
         m_servers->inbox().tryPush(servers::server_restored {service, known->second.incarnation,
--- a/lycheeshunt/dissemination/cluster_view.h
+++ b/lycheeshunt/dissemination/cluster_view.h
@@ -26,15 +26,29 @@
     const std::set<std::string> draining = {};
     // Addresses that split their flows over services. Only in a complete view.
     const std::map<tickets::service_address, tickets::address_route> routes = {};
+    // Availability zones that are out of service.
+    const std::set<std::string> evacuated = {};
 
     cluster_view withTicket(base::generation next, const tickets::ticket &ticket) const;
     cluster_view withBatch(base::generation next, const membership::membership_batch &batch) const;
 
+    // Whether the member accepts no new flows.
     bool isDraining(const membership::member &member) const
+    {
+        return isDrained(member) || isEvacuated(member);
+    }
+    // Whether the member itself, or a ticket, has ended its service.
+    bool isDrained(const membership::member &member) const
     {
         return member.phase == membership::member_phase::draining
             || draining.count(member.name) > 0;
     }
+    // Whether the member is an agent in an evacuated zone. It serves again when the zone does.
+    bool isEvacuated(const membership::member &member) const
+    {
+        return member.role == membership::member_role::agent
+            && evacuated.count(member.availabilityZone) > 0;
+    }
 
     bool operator==(const cluster_view &) const = default;
 };
--- a/lycheeshunt/dissemination/codec.cpp
+++ b/lycheeshunt/dissemination/codec.cpp
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/base/endpoint_fields.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/dissemination/internal/change_fields.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/tickets/codec.h"
 
@@ -22,12 +23,7 @@
 
 constexpr std::size_t maxDirectory = 64;
 
-// Services updated, removed; members updated, removed; names draining, no longer draining; routes
-// updated, removed.
-using change_fields
-    = std::tuple<std::vector<std::string>, std::vector<std::uint64_t>, std::vector<std::string>,
-                 std::vector<std::uint64_t>, std::vector<std::string>, std::vector<std::string>,
-                 std::vector<std::string>, std::vector<std::string>>;
+using internal::change_fields;
 using cursor_fields = std::tuple<std::uint8_t, std::uint64_t, std::string>;
 using delta_fields
     = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t, change_fields>;
@@ -50,7 +46,7 @@
     change_fields fields;
     auto &[services, removedServices, members, removedMembers, draining, undrained, routes,
            removedRoutes]
-        = fields;
+        = fields.lists;
     for (auto it = change.services.begin(); it != change.services.end(); ++it) {
         if (it->second)
             services.push_back(tickets::encodeService(*it->second));
@@ -71,6 +67,8 @@
         else
             removedRoutes.push_back(tickets::encodeAddress(it->first));
     }
+    for (auto it = change.evacuations.begin(); it != change.evacuations.end(); ++it)
+        (it->second ? fields.evacuated : fields.returned).push_back(it->first);
     return fields;
 }
 
@@ -78,7 +76,7 @@
 {
     const auto &[rawServices, removedServices, rawMembers, removedMembers, draining, undrained,
                  rawRoutes, removedRoutes]
-        = fields;
+        = fields.lists;
     std::map<base::service_id, std::optional<tickets::service_definition>> services;
     for (const std::string &raw : rawServices) {
         const base::result<tickets::service_definition> service = tickets::decodeService(raw);
@@ -116,8 +114,13 @@
             return *failure;
         routes.emplace(base::valueOf(address), std::nullopt);
     }
+    std::map<std::string, bool> evacuations;
+    for (const std::string &zone : fields.evacuated)
+        evacuations.emplace(zone, true);
+    for (const std::string &zone : fields.returned)
+        evacuations.emplace(zone, false);
     return view_change {std::move(services), std::move(members), std::move(drains),
-                        std::move(routes)};
+                        std::move(routes), std::move(evacuations)};
 }
 
 cursor_fields fieldsOf(const snapshot_cursor &cursor)
@@ -129,7 +132,7 @@
 {
     const auto &[section, key, name] = fields;
     if (section < static_cast<std::uint8_t>(snapshot_section::services)
-        || section > static_cast<std::uint8_t>(snapshot_section::routes))
+        || section > static_cast<std::uint8_t>(snapshot_section::evacuated))
         return base::error {base::error_code::messageMalformed, "unknown snapshot section"};
     return snapshot_cursor {static_cast<snapshot_section>(section), key, name};
 }
--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -39,6 +39,8 @@
         state.stateVersion = entries.state->version;
         changes.push_back(changeOf(*state.view, *entries.state));
     }
+    if (!entries.evacuations.empty())
+        changes.push_back(changeOf(entries.evacuations));
     std::vector<const view_change *> parts;
     parts.reserve(changes.size());
     for (const view_change &change : changes)
@@ -306,6 +308,9 @@
                            state.stateVersion = applied.state->version;
                            publish(state, applied.at, changeOf(*state.view, *applied.state));
                        },
+                       [&](const evacuation_applied &applied) {
+                           publish(state, applied.at, changeOf(std::vector {applied.order}));
+                       },
                        [&](const entries_merged &entries) { publishMerged(state, entries); },
                        [&](const in_force_query &query) {
                            state.pendingQueries.push_back(pending_query {query, now + query.wait});
--- a/lycheeshunt/dissemination/dissemination_message.h
+++ b/lycheeshunt/dissemination/dissemination_message.h
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/dissemination/batch_applied.h"
 #include "lycheeshunt/dissemination/entries_merged.h"
+#include "lycheeshunt/dissemination/evacuation_applied.h"
 #include "lycheeshunt/dissemination/in_force_answer.h"
 #include "lycheeshunt/dissemination/in_force_query.h"
 #include "lycheeshunt/dissemination/node_message_received.h"
@@ -18,7 +19,8 @@
 
 using dissemination_message
     = std::variant<subscriber_opened, subscriber_closed, node_message_received, ticket_applied,
-                   batch_applied, state_applied, entries_merged, in_force_query, publisher_tick>;
+                   batch_applied, state_applied, evacuation_applied, entries_merged, in_force_query,
+                   publisher_tick>;
 using dissemination_action = std::variant<send_to_nodes, in_force_answer>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/entries_merged.h
+++ b/lycheeshunt/dissemination/entries_merged.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/evacuations/evacuation_order.h"
 #include "lycheeshunt/membership/membership_batch.h"
 #include "lycheeshunt/states/desired_state.h"
 
 #include <optional>
+#include <vector>
 
 namespace lycheeshunt::dissemination {
 
@@ -16,6 +18,7 @@
     const std::optional<membership::membership_batch> batch = {};
     // Null if none of the entries was a desired state.
     const states::shared_state state = {};
+    const std::vector<evacuations::evacuation_order> evacuations = {};
 
     bool operator==(const entries_merged &) const = default;
 };
--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -16,6 +16,16 @@
 constexpr std::size_t inboxCapacity = 256;
 constexpr base::clock_time tickInterval = base::clock_time::ofMillis(250);
 constexpr const char *logPart = "dissemination";
+
+void logView(const cluster_view &view)
+{
+    base::logEvent(logPart, "view",
+                   {{"generation", std::to_string(view.at.value())},
+                    {"members", std::to_string(view.members.size())},
+                    {"routes", std::to_string(view.routes.size())},
+                    {"evacuated_zones", std::to_string(view.evacuated.size())}});
+}
+
 } // namespace
 
 follower::follower(std::vector<base::endpoint> control, const membership::member &self,
@@ -103,10 +113,7 @@
                                                   membership::encodeLeave(leave.left)});
                    },
                    [this](const adopt_view &adopt) {
-                       base::logEvent(logPart, "view",
-                                      {{"generation", std::to_string(adopt.view->at.value())},
-                                       {"members", std::to_string(adopt.view->members.size())},
-                                       {"routes", std::to_string(adopt.view->routes.size())}});
+                       logView(*adopt.view);
                        m_sink(adopt.view);
                    },
                    [this](const use_servers &use) { useServers(use.servers, use.isLeaderFirst); },
--- a/lycheeshunt/dissemination/scope_digests.cpp
+++ b/lycheeshunt/dissemination/scope_digests.cpp
@@ -10,14 +10,14 @@
     if (scope.isComplete())
         return view_digest(m_all);
     const auto found = m_services.find(scope.service);
-    return view_digest(m_draining + (found == m_services.end() ? 0 : found->second));
+    return view_digest(m_shared + (found == m_services.end() ? 0 : found->second));
 }
 
 void scope_digests::apply(const cluster_view &view, const view_change &change)
 {
     m_all = digestAfter(view_digest(m_all), view, change).value();
-    const view_change drains {{}, {}, change.draining};
-    m_draining = digestAfter(view_digest(m_draining), view, drains).value();
+    const view_change shared {{}, {}, change.draining, {}, change.evacuations};
+    m_shared = digestAfter(view_digest(m_shared), view, shared).value();
     for (auto it = change.services.begin(); it != change.services.end(); ++it) {
         const auto old = view.services.find(it->first);
         if (old != view.services.end())
--- a/lycheeshunt/dissemination/scope_digests.h
+++ b/lycheeshunt/dissemination/scope_digests.h
@@ -29,7 +29,8 @@
     void add(base::service_id service, std::uint64_t part);
 
     std::uint64_t m_all = 0;
-    std::uint64_t m_draining = 0;
+    // Of drains and evacuated zones, which belong to every scope.
+    std::uint64_t m_shared = 0;
     std::map<base::service_id, std::uint64_t> m_services;
 };
 
--- a/lycheeshunt/dissemination/snapshot.cpp
+++ b/lycheeshunt/dissemination/snapshot.cpp
@@ -14,17 +14,20 @@
     std::map<std::string, bool> draining = {};
 
     std::map<tickets::service_address, std::optional<tickets::address_route>> routes = {};
+    std::map<std::string, bool> evacuations = {};
 
     std::size_t size() const
     {
-        return services.size() + members.size() + draining.size() + routes.size();
+        return services.size() + members.size() + draining.size() + routes.size()
+            + evacuations.size();
     }
     bool isFull() const { return size() >= snapshotPieceObjects; }
 
     snapshot_part upTo(const snapshot_cursor &next)
     {
         return snapshot_part {view_change {std::move(services), std::move(members),
-                                           std::move(draining), std::move(routes)},
+                                           std::move(draining), std::move(routes),
+                                           std::move(evacuations)},
                               next};
     }
 };
@@ -97,6 +100,19 @@
     return std::nullopt;
 }
 
+std::optional<snapshot_cursor> collectEvacuated(const cluster_view &view, const std::string &after,
+                                                collector &collected)
+{
+    std::string last = after;
+    for (auto it = view.evacuated.upper_bound(after); it != view.evacuated.end(); ++it) {
+        if (collected.isFull())
+            return snapshot_cursor {snapshot_section::evacuated, 0, last};
+        collected.evacuations.emplace(*it, true);
+        last = *it;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 snapshot_part partAfter(const cluster_view &view, const view_scope &scope,
@@ -117,14 +133,21 @@
             return collected.upTo(*full);
     }
     const bool isInRoutes = cursor.section == snapshot_section::routes;
-    if (!isInRoutes) {
+    const bool isInEvacuated = cursor.section == snapshot_section::evacuated;
+    if (!isInRoutes && !isInEvacuated) {
         const std::optional<snapshot_cursor> full = collectDraining(
             view, cursor.section == snapshot_section::draining ? cursor.name : "", collected);
         if (full)
             return collected.upTo(*full);
     }
+    if (!isInEvacuated) {
+        const std::optional<snapshot_cursor> full
+            = collectRoutes(view, scope, isInRoutes ? cursor.key : 0, collected);
+        if (full)
+            return collected.upTo(*full);
+    }
     const std::optional<snapshot_cursor> full
-        = collectRoutes(view, scope, isInRoutes ? cursor.key : 0, collected);
+        = collectEvacuated(view, isInEvacuated ? cursor.name : "", collected);
     return collected.upTo(full.value_or(snapshot_cursor {snapshot_section::end}));
 }
 
@@ -143,8 +166,8 @@
     std::map<tickets::service_address, tickets::address_route> routes;
     if (scope.isComplete())
         routes = view.routes;
-    return cluster_view {view.at, std::move(services), std::move(members), view.draining,
-                         std::move(routes)};
+    return cluster_view {view.at,       std::move(services), std::move(members),
+                         view.draining, std::move(routes),   view.evacuated};
 }
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/snapshot_cursor.h
+++ b/lycheeshunt/dissemination/snapshot_cursor.h
@@ -13,6 +13,7 @@
     draining = 3,
     end = 4,
     routes = 5, // after draining
+    evacuated = 6, // after routes
 };
 
 // A position in the fixed order of a view's objects: after this key of this section.
@@ -21,7 +22,7 @@
     const snapshot_section section = snapshot_section::services;
     // Key of the last service, member or route before the position; zero at the start of a section.
     const std::uint64_t key = 0;
-    // The last draining name before the position.
+    // The last draining name or evacuated zone before the position.
     const std::string name = {};
 
     bool isEnd() const { return section == snapshot_section::end; }
--- a/lycheeshunt/dissemination/view_change.cpp
+++ b/lycheeshunt/dissemination/view_change.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/evacuations/evacuation_order.h"
 #include "lycheeshunt/states/desired_state.h"
 
 namespace lycheeshunt::dissemination {
@@ -20,6 +21,20 @@
     map.emplace(key, value);
 }
 
+// Adds the names that the change sets and removes the others.
+std::set<std::string> setAfter(const std::set<std::string> &names,
+                               const std::map<std::string, bool> &changes)
+{
+    std::set<std::string> next = names;
+    for (auto it = changes.begin(); it != changes.end(); ++it) {
+        if (it->second)
+            next.insert(it->first);
+        else
+            next.erase(it->first);
+    }
+    return next;
+}
+
 base::service_id previousService(const cluster_view &view, base::node_id id)
 {
     const auto found = view.members.find(id);
@@ -44,7 +59,7 @@
         else if (change.previousService == scope.service)
             ownMembers.emplace(it->first, member_change {std::nullopt, change.previousService});
     }
-    return view_change {std::move(ownServices), std::move(ownMembers), draining};
+    return view_change {std::move(ownServices), std::move(ownMembers), draining, {}, evacuations};
 }
 
 cluster_view view_change::appliedTo(const cluster_view &view, base::generation next) const
@@ -61,21 +76,18 @@
         if (it->second.member)
             nextMembers.emplace(it->first, *it->second.member);
     }
-    std::set<std::string> nextDraining = view.draining;
-    for (auto it = draining.begin(); it != draining.end(); ++it) {
-        if (it->second)
-            nextDraining.insert(it->first);
-        else
-            nextDraining.erase(it->first);
-    }
     std::map<tickets::service_address, tickets::address_route> nextRoutes = view.routes;
     for (auto it = routes.begin(); it != routes.end(); ++it) {
         nextRoutes.erase(it->first);
         if (it->second)
             nextRoutes.emplace(it->first, *it->second);
     }
-    return cluster_view {next, std::move(nextServices), std::move(nextMembers),
-                         std::move(nextDraining), std::move(nextRoutes)};
+    return cluster_view {next,
+                         std::move(nextServices),
+                         std::move(nextMembers),
+                         setAfter(view.draining, draining),
+                         std::move(nextRoutes),
+                         setAfter(view.evacuated, evacuations)};
 }
 
 view_change merged(const std::vector<const view_change *> &changes)
@@ -83,6 +95,7 @@
     service_changes services;
     member_changes members;
     std::map<std::string, bool> draining;
+    std::map<std::string, bool> evacuations;
     route_changes routes;
     for (const view_change *change : changes) {
         for (auto it = change->routes.begin(); it != change->routes.end(); ++it)
@@ -98,9 +111,11 @@
         }
         for (auto it = change->draining.begin(); it != change->draining.end(); ++it)
             draining[it->first] = it->second;
+        for (auto it = change->evacuations.begin(); it != change->evacuations.end(); ++it)
+            evacuations[it->first] = it->second;
     }
     return view_change {std::move(services), std::move(members), std::move(draining),
-                        std::move(routes)};
+                        std::move(routes), std::move(evacuations)};
 }
 
 view_change changeOf(const tickets::ticket &ticket)
@@ -156,4 +171,12 @@
     return view_change {{}, std::move(members), {}};
 }
 
+view_change changeOf(const std::vector<evacuations::evacuation_order> &orders)
+{
+    std::map<std::string, bool> zones;
+    for (const evacuations::evacuation_order &order : orders)
+        zones[order.zone] = order.isEvacuated;
+    return view_change {{}, {}, {}, {}, std::move(zones)};
+}
+
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/view_change.h
+++ b/lycheeshunt/dissemination/view_change.h
@@ -16,6 +16,10 @@
 #include <string>
 #include <vector>
 
+namespace lycheeshunt::evacuations {
+struct evacuation_order;
+}
+
 namespace lycheeshunt::membership {
 struct membership_batch;
 }
@@ -41,10 +45,13 @@
     const std::map<std::string, bool> draining = {};
     // No route: the address is no longer served. Sent only to nodes with a complete view.
     const std::map<tickets::service_address, std::optional<tickets::address_route>> routes = {};
+    // Zone to whether it is evacuated. Sent to every node, since an agent is told of its own zone.
+    const std::map<std::string, bool> evacuations = {};
 
     std::size_t size() const
     {
-        return services.size() + members.size() + draining.size() + routes.size();
+        return services.size() + members.size() + draining.size() + routes.size()
+            + evacuations.size();
     }
 
     view_change within(const view_scope &scope) const;
@@ -60,5 +67,7 @@
 // The desired state replaces all services and routes of the view.
 view_change changeOf(const cluster_view &view, const states::desired_state &state);
 view_change changeOf(const cluster_view &view, const membership::membership_batch &batch);
+// Of several orders for one zone the last one counts.
+view_change changeOf(const std::vector<evacuations::evacuation_order> &orders);
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/view_digest.cpp
+++ b/lycheeshunt/dissemination/view_digest.cpp
@@ -17,6 +17,7 @@
     memberSeed = 12,
     drainingSeed = 13,
     routeSeed = 14,
+    evacuatedSeed = 15,
 };
 
 std::uint64_t hashOf(std::string_view bytes, part_seed seed)
@@ -46,6 +47,11 @@
     return hashOf(tickets::encodeRoute(route), routeSeed);
 }
 
+std::uint64_t digestPartOfZone(std::string_view evacuatedZone)
+{
+    return hashOf(evacuatedZone, evacuatedSeed);
+}
+
 view_digest digestOf(const cluster_view &view)
 {
     std::uint64_t sum = 0;
@@ -57,6 +63,8 @@
         sum += digestPart(name);
     for (auto it = view.routes.begin(); it != view.routes.end(); ++it)
         sum += digestPart(it->second);
+    for (const std::string &zone : view.evacuated)
+        sum += digestPartOfZone(zone);
     return view_digest(sum);
 }
 
@@ -83,6 +91,12 @@
         sum -= old == view.routes.end() ? 0 : digestPart(old->second);
         sum += it->second ? digestPart(*it->second) : 0;
     }
+    for (auto it = change.evacuations.begin(); it != change.evacuations.end(); ++it) {
+        const bool was = view.evacuated.count(it->first) > 0;
+        const std::uint64_t part = digestPartOfZone(it->first);
+        if (was != it->second)
+            sum += it->second ? part : 0 - part;
+    }
     return view_digest(sum);
 }
 
--- a/lycheeshunt/dissemination/view_digest.h
+++ b/lycheeshunt/dissemination/view_digest.h
@@ -38,5 +38,6 @@
 std::uint64_t digestPart(const membership::member &member);
 std::uint64_t digestPart(std::string_view drainingName);
 std::uint64_t digestPart(const tickets::address_route &route);
+std::uint64_t digestPartOfZone(std::string_view evacuatedZone);
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -46,6 +46,8 @@
     // The latest generation that each agent is known to have reached.
     std::map<base::node_id, base::generation> peerGenerations;
     bool draining = false;
+    // Whether the agent's zone is evacuated; it is draining then, too.
+    bool isEvacuated = false;
     std::size_t maxOwned = 0;
     // From the limits of the service.
     base::clock_time openIdleTimeout = tickets::service_limits {}.idleTimeout;
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -345,6 +345,12 @@
         context.actions.emplace_back(refuse_packet {base::error_code::flowUnknown});
         return;
     }
+    if (flow != nullptr && packet.summary.opens && state.isEvacuated) {
+        // A late copy, or a new flow of a caller that uses its port again: no opening packet goes
+        // to the server of an evacuated zone, and the flow that it has stays there.
+        handleOpening(context, packet.with(packet.stage, packet.agents, true));
+        return;
+    }
     if (flow != nullptr && !isTried) {
         handleOwned(context, owned_flow(*flow), packet);
         if (!packet.summary.opens && (packet.hops > 0 || packet.stage != packet_stage::toOwner))
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -91,7 +91,10 @@
     if (service == view.services.end())
         return;
     const auto self = view.members.find(state.identity->node);
-    state.draining = self != view.members.end() && view.isDraining(self->second);
+    // Also before the view lists the agent as a member.
+    state.isEvacuated = view.evacuated.count(state.identity->availabilityZone) > 0;
+    state.draining
+        = state.isEvacuated || (self != view.members.end() && view.isDraining(self->second));
     state.maxOwned = service->second.limits.connections;
     state.openIdleTimeout = service->second.limits.idleTimeout;
     updatePlacementPeers(context);
