Keep evacuation orders in the replicated log

Orders are log entries of kind 5. Committed ones pass through the ticket thread in log order, as desired states do, to the publisher and to the evacuation thread. Compaction keeps the last order of each zone, withdrawals included, and a merged update carries them; the first entries after a start are applied in one step if they hold an order, so that no view between them is sent. The fixture of committed_log_test has the new duty; its check is unchanged.

--- a/lycheeshunt/daemon/committed_log_test.cpp
+++ b/lycheeshunt/daemon/committed_log_test.cpp
@@ -4,6 +4,7 @@
 #include "lycheeshunt/daemon/internal/committed_log.h"
 
 #include "lycheeshunt/dissemination/publisher_duty.h"
+#include "lycheeshunt/evacuations/evacuation_duty.h"
 #include "lycheeshunt/membership/membership_duty.h"
 #include "lycheeshunt/replication/log_entry.h"
 #include "lycheeshunt/states/codec.h"
@@ -36,8 +37,8 @@
 public:
     log_fixture()
     {
-        m_log = std::make_unique<committed_log>(
-            daemon::internal::log_followers {m_tickets, m_states, m_membership, m_publisher});
+        m_log = std::make_unique<committed_log>(daemon::internal::log_followers {
+            m_tickets, m_states, m_membership, m_publisher, m_evacuations});
         m_states.inbox().push(states::leadership_update {true, base::endpoint {}});
     }
     ~log_fixture()
@@ -89,6 +90,8 @@
     std::unique_ptr<committed_log> m_log;
     membership::membership_duty m_membership {[](const membership::membership_action &) {}};
     dissemination::publisher_duty m_publisher {[](const dissemination::dissemination_action &) {}};
+    evacuations::evacuation_duty m_evacuations {
+        [](const evacuations::evacuation_action &) { return true; }};
     states::state_duty m_states {
         [this](const states::state_action &action) { return handleStates(action); }};
     tickets::ticket_duty m_tickets {
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -15,7 +15,6 @@
 #include "lycheeshunt/operators/token_file.h"
 #include "lycheeshunt/replication/peer_links.h"
 #include "lycheeshunt/replication/replication_duty.h"
-#include "lycheeshunt/states/codec.h"
 #include "lycheeshunt/states/state_duty.h"
 #include "lycheeshunt/streams/stream_server.h"
 #include "lycheeshunt/tickets/codec.h"
@@ -57,7 +56,8 @@
 
 base::result<std::unique_ptr<control_process>>
 control_process::start(const settings::node_settings &settings,
-                       const settings::control_settings &own, state_sink answers)
+                       const settings::control_settings &own, state_sink answers,
+                       order_sink orderAnswers)
 {
     std::string token;
     if (!own.tokenFile.empty()) {
@@ -72,9 +72,11 @@
     std::unique_ptr<control_process> process(new control_process());
     control_process *raw = process.get();
     process->m_stateAnswers = std::move(answers);
+    process->m_orderAnswers = std::move(orderAnswers);
     process->startDuties();
-    process->m_log = std::make_unique<internal::committed_log>(internal::log_followers {
-        *process->m_tickets, *process->m_states, *process->m_membership, *process->m_publisher});
+    process->m_log = std::make_unique<internal::committed_log>(
+        internal::log_followers {*process->m_tickets, *process->m_states, *process->m_membership,
+                                 *process->m_publisher, *process->m_evacuations});
     process->startOperators(token);
     process->startReplication(settings, own, base::takeValue(std::move(storage)));
     base::result<std::unique_ptr<streams::stream_server>> streams = streams::stream_server::listen(
@@ -103,6 +105,7 @@
     m_publisher->stop();
     m_membership->stop();
     m_states->stop();
+    m_evacuations->stop();
     m_tickets->stop();
 }
 
@@ -133,6 +136,10 @@
     });
     m_states = std::make_unique<states::state_duty>(
         [this](const states::state_action &action) { return carryOutState(action); });
+    m_evacuations = std::make_unique<evacuations::evacuation_duty>(
+        [this](const evacuations::evacuation_action &action) {
+            return carryOutEvacuation(action);
+        });
     m_membership = std::make_unique<membership::membership_duty>(
         [this](const membership::membership_action &action) {
             std::visit(base::overloaded {
@@ -188,32 +195,6 @@
         });
 }
 
-// The highest bit of a read's number is set for reads of desired states, clear for tickets.
-constexpr std::uint64_t stateReadBit = std::uint64_t(1) << 63;
-
-bool control_process::carryOutState(const states::state_action &action)
-{
-    return std::visit(base::overloaded {
-                          [this](const states::propose_state &proposed) {
-                              return propose(replication::entry_kind::state,
-                                             states::encodeState(*proposed.state), proposed.token);
-                          },
-                          [this](const states::state_answer &answer) {
-                              base::logEvent("states", "answered",
-                                             {{"request", std::to_string(answer.request.value())},
-                                              {"outcome", internal::nameOf(answer.outcome)}});
-                              if (m_stateAnswers)
-                                  m_stateAnswers(answer);
-                              return true;
-                          },
-                          [this](const states::confirm_read &read) {
-                              return m_replication->inbox().tryPush(replication::read_request {
-                                  base::request_id(read.request.value() | stateReadBit)});
-                          },
-                      },
-                      action);
-}
-
 void control_process::startReplication(const settings::node_settings &settings,
                                        const settings::control_settings &own,
                                        replication::replica_storage storage)
@@ -297,6 +278,9 @@
                 if (refused.kind == replication::entry_kind::state)
                     m_states->inbox().push(
                         states::state_proposal_rejected {refused.token, refused.reason});
+                if (refused.kind == replication::entry_kind::evacuation)
+                    m_evacuations->inbox().push(
+                        evacuations::proposal_rejected {refused.token, refused.reason});
                 if (refused.kind == replication::entry_kind::ticket)
                     m_tickets->inbox().push(
                         tickets::proposal_rejected {refused.token, refused.reason});
@@ -311,19 +295,12 @@
         notice);
 }
 
-void control_process::completeRead(base::request_id request,
-                                   const std::optional<base::error> &failure)
-{
-    if ((request.value() & stateReadBit) == 0)
-        m_tickets->inbox().push(tickets::read_outcome {request, failure});
-    else
-        m_log->completeStateRead(base::request_id(request.value() & ~stateReadBit), failure);
-}
-
 void control_process::publishLeadership(const replication::leadership &leadership)
 {
     m_leadership = std::make_shared<const replication::leadership>(leadership);
     m_states->inbox().push(states::leadership_update {leadership.isLeader, leadership.leaderApi});
+    m_evacuations->inbox().push(
+        evacuations::leadership_update {leadership.isLeader, leadership.leaderApi});
     if (m_members)
         m_directory.set(*m_members, leadership);
     if (leadership.leaderName.empty())
@@ -348,6 +325,7 @@
     for (const metrics::sample &counted : m_publisher->samples())
         samples.push_back(counted);
     samples.push_back(m_states->answerTimes());
+    samples.push_back(m_evacuations->evacuatedZones());
     samples.push_back(m_replication->storageWrites());
     return metrics::report {"control", std::move(samples)};
 }
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -10,6 +10,7 @@
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/daemon/internal/committed_log.h"
 #include "lycheeshunt/daemon/internal/node_directory.h"
+#include "lycheeshunt/evacuations/evacuation_duty.h"
 #include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/replication/replication_notice.h"
 #include "lycheeshunt/settings/node_settings.h"
@@ -62,10 +63,12 @@
 public:
     // Receives the outcomes of requests for desired states; called on the state thread.
     using state_sink = std::function<void(const states::state_answer &)>;
+    // Receives the outcomes of evacuation orders; called on the evacuation thread.
+    using order_sink = std::function<void(const evacuations::order_answer &)>;
 
     static base::result<std::unique_ptr<control_process>>
     start(const settings::node_settings &settings, const settings::control_settings &own,
-          state_sink answers = {});
+          state_sink answers = {}, order_sink orderAnswers = {});
     ~control_process();
 
     control_process(const control_process &) = delete;
@@ -78,11 +81,14 @@
 
     // Receives submit_state and get_state from an operators' front end.
     base::ring<states::state_message> &states() { return m_states->inbox(); }
+    // Receives submit_order from an operators' front end.
+    base::ring<evacuations::evacuation_message> &evacuations() { return m_evacuations->inbox(); }
 
 private:
     control_process();
 
     bool carryOutState(const states::state_action &action);
+    bool carryOutEvacuation(const evacuations::evacuation_action &action);
     void publishLeadership(const replication::leadership &leadership);
     void sendView(const dissemination::send_to_nodes &send);
     void sendDirectory(streams::connection_id connection);
@@ -108,6 +114,8 @@
     std::unique_ptr<tickets::ticket_duty> m_tickets;
     std::unique_ptr<states::state_duty> m_states;
     state_sink m_stateAnswers;
+    std::unique_ptr<evacuations::evacuation_duty> m_evacuations;
+    order_sink m_orderAnswers;
     std::unique_ptr<membership::membership_duty> m_membership;
     std::unique_ptr<dissemination::publisher_duty> m_publisher;
     std::unique_ptr<operators::operator_duty> m_operators;
--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -3,6 +3,8 @@
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/daemon/internal/control_log.h"
 #include "lycheeshunt/dissemination/publisher_duty.h"
+#include "lycheeshunt/evacuations/codec.h"
+#include "lycheeshunt/evacuations/evacuation_duty.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/membership/membership_duty.h"
 #include "lycheeshunt/replication/state_restored.h"
@@ -46,17 +48,37 @@
     return base::valueOf(batch);
 }
 
+std::vector<evacuations::evacuation_order> ordersFrom(const std::vector<std::string> &payloads)
+{
+    std::vector<evacuations::evacuation_order> orders;
+    for (const std::string &payload : payloads) {
+        const base::result<evacuations::evacuation_order> order = evacuations::decodeOrder(payload);
+        if (const base::error *failure = base::errorOf(order))
+            base::logError("evacuations",
+                           "committed evacuation order can't be decoded: " + failure->text());
+        else
+            orders.push_back(base::valueOf(order));
+    }
+    return orders;
+}
+
 bool isTicket(const replication::log_entry &entry)
 {
     return entry.kind == replication::entry_kind::ticket;
 }
 
+bool isEvacuation(const replication::log_entry &entry)
+{
+    return entry.kind == replication::entry_kind::evacuation;
+}
+
 } // namespace
 
 void committed_log::deliver(const std::vector<replication::log_entry> &entries)
 {
-    // Tickets are applied one by one: each number has its own answer.
-    if (entries.size() < catchUpEntries || std::any_of(entries.begin(), entries.end(), isTicket)) {
+    const bool isMerged = isMergeable(entries);
+    m_hasDelivered = true;
+    if (!isMerged) {
         for (const replication::log_entry &entry : entries)
             deliverEntry(entry);
         return;
@@ -74,6 +96,18 @@
         m_followers.tickets.inbox().push(merged);
 }
 
+bool committed_log::isMergeable(const std::vector<replication::log_entry> &entries) const
+{
+    // Tickets are applied one by one: each number has its own answer.
+    if (std::any_of(entries.begin(), entries.end(), isTicket))
+        return false;
+    // The first entries after a start hold what was in force before it. A node that got the view
+    // between two of them would serve in a zone that is evacuated.
+    const bool restoresEvacuations = !m_hasDelivered && entries.size() > 1
+        && std::any_of(entries.begin(), entries.end(), isEvacuation);
+    return entries.size() >= catchUpEntries || restoresEvacuations;
+}
+
 void committed_log::restore(const replication::state_restored &restored)
 {
     for (const replication::log_entry &entry : restored.entries)
@@ -105,18 +139,30 @@
         m_followers.tickets.inbox().push(tickets::other_committed {entry.index, {}, entry.payload});
     } else if (entry.kind == replication::entry_kind::membership) {
         m_followers.tickets.inbox().push(tickets::other_committed {entry.index, entry.payload});
+    } else if (entry.kind == replication::entry_kind::evacuation) {
+        m_followers.tickets.inbox().push(
+            tickets::other_committed {entry.index, {}, {}, false, {entry.payload}});
     }
 }
 
-// A direct push to the state thread would overtake the entries.
+// A direct push to the thread that reads would overtake the entries.
 void committed_log::completeStateRead(base::request_id request,
                                       const std::optional<base::error> &failure)
 {
     m_followers.tickets.inbox().push(tickets::other_read_outcome {request, failure});
 }
 
+void committed_log::completeEvacuationRead(base::request_id request,
+                                           const std::optional<base::error> &failure)
+{
+    m_followers.tickets.inbox().push(tickets::other_read_outcome {request, failure, true});
+}
+
 bool committed_log::apply(const tickets::other_read_outcome &read)
 {
+    if (read.isOfEvacuations)
+        return m_followers.evacuations.inbox().push(
+            evacuations::read_outcome {read.request, read.failure});
     return m_followers.states.inbox().push(states::read_outcome {read.request, read.failure});
 }
 
@@ -124,6 +170,7 @@
 {
     const states::shared_state state = stateFrom(other.state);
     const std::optional<membership::membership_batch> batch = batchFrom(other.batch);
+    const std::vector<evacuations::evacuation_order> orders = ordersFrom(other.evacuations);
     if (state)
         base::logEvent("states", "in_log",
                        {{"version", std::to_string(state->version)},
@@ -138,16 +185,22 @@
     else if (batch)
         logBatch(other.at, *batch);
     if (other.isMerged) {
-        m_followers.publisher.inbox().push(dissemination::entries_merged {other.at, batch, state});
+        m_followers.publisher.inbox().push(
+            dissemination::entries_merged {other.at, batch, state, orders});
     } else if (state) {
         m_followers.publisher.inbox().push(dissemination::state_applied {other.at, state});
     } else if (batch) {
         m_followers.publisher.inbox().push(dissemination::batch_applied {other.at, *batch});
+    } else if (!orders.empty()) {
+        m_followers.publisher.inbox().push(
+            dissemination::evacuation_applied {other.at, orders.front()});
     }
     if (batch)
         m_followers.membership.inbox().push(membership::batch_committed {*batch});
     if (state)
         m_followers.states.inbox().push(states::state_committed {state});
+    for (const evacuations::evacuation_order &order : orders)
+        m_followers.evacuations.inbox().push(evacuations::order_committed {other.at, order});
     return true;
 }
 
--- a/lycheeshunt/daemon/internal/committed_log.h
+++ b/lycheeshunt/daemon/internal/committed_log.h
@@ -22,6 +22,10 @@
 class publisher_duty;
 }
 
+namespace lycheeshunt::evacuations {
+class evacuation_duty;
+}
+
 namespace lycheeshunt::membership {
 class membership_duty;
 }
@@ -48,6 +52,7 @@
     states::state_duty &states;
     membership::membership_duty &membership;
     dissemination::publisher_duty &publisher;
+    evacuations::evacuation_duty &evacuations;
 };
 
 class committed_log
@@ -62,6 +67,8 @@
     compact(const std::vector<replication::log_entry> &entries) const;
 
     void completeStateRead(base::request_id request, const std::optional<base::error> &failure);
+    void completeEvacuationRead(base::request_id request,
+                                const std::optional<base::error> &failure);
 
     // Always true: the duties' rings are waited for, so that the entry is always accepted.
     bool apply(const tickets::other_committed &other);
@@ -69,11 +76,13 @@
 
 private:
     void deliverEntry(const replication::log_entry &entry);
+    bool isMergeable(const std::vector<replication::log_entry> &entries) const;
 
     const log_followers m_followers;
     // Accessed by the replication thread only.
     log_compaction m_compaction;
     base::generation m_deliveredTo;
+    bool m_hasDelivered = false;
 };
 
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/daemon/internal/control_log.cpp
+++ b/lycheeshunt/daemon/internal/control_log.cpp
@@ -60,4 +60,14 @@
                       outcome);
 }
 
+const char *nameOf(const evacuations::order_outcome &outcome)
+{
+    return std::visit(base::overloaded {
+                          [](const evacuations::order_accepted &) { return "accepted"; },
+                          [](const evacuations::redirect_to_leader &) { return "sent_to_leader"; },
+                          [](const base::error &) { return "not_known"; },
+                      },
+                      outcome);
+}
+
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/daemon/internal/control_log.h
+++ b/lycheeshunt/daemon/internal/control_log.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/evacuations/order_answer.h"
 #include "lycheeshunt/states/state_answer.h"
 
 namespace lycheeshunt::membership {
@@ -18,5 +19,6 @@
 void logMembers(const replication::configuration &members);
 void logBatch(base::generation at, const membership::membership_batch &batch);
 const char *nameOf(const states::state_outcome &outcome);
+const char *nameOf(const evacuations::order_outcome &outcome);
 
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/daemon/internal/log_compaction.cpp
+++ b/lycheeshunt/daemon/internal/log_compaction.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/daemon/internal/log_compaction.h"
 
+#include "lycheeshunt/evacuations/codec.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/membership/membership_batch.h"
 #include "lycheeshunt/states/codec.h"
@@ -46,6 +47,26 @@
     return highest;
 }
 
+// The last order of each zone. A withdrawal is one too: the VM that restores it may hold the order
+// that it withdraws.
+std::set<const replication::log_entry *>
+lastEvacuations(const std::vector<replication::log_entry> &entries)
+{
+    std::map<std::string, const replication::log_entry *> last;
+    for (const replication::log_entry &entry : entries) {
+        if (entry.kind != replication::entry_kind::evacuation)
+            continue;
+        const base::result<evacuations::evacuation_order> order
+            = evacuations::decodeOrder(entry.payload);
+        if (base::isOk(order))
+            last[base::valueOf(order).zone] = &entry;
+    }
+    std::set<const replication::log_entry *> kept;
+    for (auto it = last.begin(); it != last.end(); ++it)
+        kept.insert(it->second);
+    return kept;
+}
+
 // Merges consecutive membership batches into their combined effect.
 class batch_merger
 {
@@ -102,8 +123,10 @@
     batch_merger members;
     const replication::log_entry *lastBatch = nullptr;
     const replication::log_entry *state = highestState(entries);
+    const std::set<const replication::log_entry *> evacuations = lastEvacuations(entries);
     for (const replication::log_entry &entry : entries) {
-        if (entry.kind == replication::entry_kind::ticket || &entry == state)
+        if (entry.kind == replication::entry_kind::ticket || &entry == state
+            || evacuations.count(&entry) > 0)
             kept.push_back(entry);
         if (members.add(entry))
             lastBatch = &entry;
@@ -131,13 +154,18 @@
     batch_merger members;
     base::generation at;
     for (const replication::log_entry &entry : entries) {
-        if (members.add(entry) || entry.kind == replication::entry_kind::state)
+        if (members.add(entry) || entry.kind == replication::entry_kind::state
+            || entry.kind == replication::entry_kind::evacuation)
             at = entry.index;
     }
+    std::vector<std::string> evacuations;
+    for (const replication::log_entry *order : lastEvacuations(entries))
+        evacuations.push_back(order->payload);
     const membership::membership_batch batch {members.present(), members.removed()};
     const replication::log_entry *state = highestState(entries);
     return tickets::other_committed {at, batch.isEmpty() ? "" : membership::encodeBatch(batch),
-                                     state == nullptr ? "" : state->payload, true};
+                                     state == nullptr ? "" : state->payload, true,
+                                     std::move(evacuations)};
 }
 
 replication::log_entry log_compaction::withRemovals(const replication::log_entry &entry) const
--- a/lycheeshunt/daemon/internal/log_compaction.h
+++ b/lycheeshunt/daemon/internal/log_compaction.h
@@ -1,6 +1,7 @@
 // Compacts log entries by their meaning to keep a control process's snapshots small: every ticket
 // is kept, since queries for its number must be answered for ever; of the desired states only the
-// one of the highest version is kept, and membership batches are merged into one.
+// one of the highest version is kept, of the evacuation orders the last one of each zone, and
+// membership batches are merged into one.
 //
 //     log_compaction compaction;
 //     compaction.trackMembers(entry);                        // for each committed entry
--- a/lycheeshunt/daemon/log_compaction_test.cpp
+++ b/lycheeshunt/daemon/log_compaction_test.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/daemon/internal/log_compaction.h"
 
+#include "lycheeshunt/evacuations/codec.h"
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/membership/membership_batch.h"
 #include "lycheeshunt/states/codec.h"
@@ -41,6 +42,12 @@
     return entryOf(index, replication::entry_kind::membership, membership::encodeBatch(batch));
 }
 
+replication::log_entry orderEntry(std::uint64_t index, const std::string &zone, bool isEvacuated)
+{
+    return entryOf(index, replication::entry_kind::evacuation,
+                   evacuations::encodeOrder({zone, isEvacuated}));
+}
+
 membership::membership_batch batchOf(const tickets::other_committed &merged)
 {
     return base::valueOf(membership::decodeBatch(merged.batch));
@@ -99,3 +106,34 @@
         = log_compaction::merge({entryOf(1, replication::entry_kind::none, "")});
     CHECK(merged.at == base::generation());
 }
+
+// Guards against a withdrawn evacuation that is in force again on a VM which holds the order and
+// then gets a snapshot or a merged backlog without its withdrawal.
+TEST(log_compaction, theLastOrderOfEachZoneIsKeptAlsoIfItIsAWithdrawal)
+{
+    const std::vector<replication::log_entry> entries {
+        orderEntry(1, "zone-1", true),
+        orderEntry(2, "zone-2", true),
+        stateEntry(3, 5),
+        orderEntry(4, "zone-1", false),
+        stateEntry(5, 4),
+    };
+    const std::vector<replication::log_entry> kept = log_compaction().compact(entries);
+    CHECK(kept
+          == (std::vector<replication::log_entry> {orderEntry(2, "zone-2", true), stateEntry(3, 5),
+                                                   orderEntry(4, "zone-1", false)}));
+    // A second compaction changes nothing.
+    CHECK(log_compaction().compact(kept) == kept);
+    const tickets::other_committed merged = log_compaction::merge(entries);
+    CHECK(merged.at == base::generation(5));
+    CHECK(merged.evacuations
+          == (std::vector<std::string> {evacuations::encodeOrder({"zone-2", true}),
+                                        evacuations::encodeOrder({"zone-1", false})}));
+}
+
+TEST(log_compaction, anOrderAloneSetsTheGenerationOfAMergedUpdate)
+{
+    const tickets::other_committed merged = log_compaction::merge(
+        {orderEntry(7, "zone-1", true), entryOf(8, replication::entry_kind::none, "")});
+    CHECK(merged.at == base::generation(7));
+}
--- a/lycheeshunt/replication/codec.cpp
+++ b/lycheeshunt/replication/codec.cpp
@@ -47,7 +47,7 @@
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     const auto &[index, term, kind, acceptedAt, payload] = base::valueOf(fields);
-    if (kind > static_cast<std::uint8_t>(entry_kind::state))
+    if (kind > static_cast<std::uint8_t>(entry_kind::evacuation))
         return base::error {base::error_code::messageMalformed, "unknown kind of log entry"};
     return log_entry {base::generation(index), term, static_cast<entry_kind>(kind),
                       base::clock_time::ofMillis(acceptedAt), payload};
--- a/lycheeshunt/replication/entry_kind.h
+++ b/lycheeshunt/replication/entry_kind.h
@@ -11,6 +11,7 @@
     membership = 2,
     configuration = 3,
     state = 4,
+    evacuation = 5,
 };
 
 } // namespace lycheeshunt::replication
--- a/lycheeshunt/tickets/other_committed.h
+++ b/lycheeshunt/tickets/other_committed.h
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/identifiers.h"
 
 #include <string>
+#include <vector>
 
 namespace lycheeshunt::tickets {
 
@@ -11,11 +12,12 @@
 struct other_committed
 {
     const base::generation at;
-    // A membership batch and a desired state, encoded; at least one is present.
+    // A membership batch, a desired state and evacuation orders, encoded; at least one is present.
     const std::string batch = {};
     const std::string state = {};
     // Replaces several entries by their combined result.
     const bool isMerged = false;
+    const std::vector<std::string> evacuations = {};
 
     bool operator==(const other_committed &) const = default;
 };
--- a/lycheeshunt/tickets/other_read_outcome.h
+++ b/lycheeshunt/tickets/other_read_outcome.h
@@ -13,6 +13,8 @@
 {
     const base::request_id request;
     const std::optional<base::error> failure = {};
+    // Whether the read is of evacuations, not of desired states.
+    const bool isOfEvacuations = false;
 
     bool operator==(const other_read_outcome &) const = default;
 };
