Take evacuation orders on the operators' API

POST and DELETE /v1/evacuations/ZONE submit the same orders as the platform's calls, with the token; a VM that does not lead answers E703 with the leader's API. GET /v1/status lists the evacuated zones. The decoding of a zone's name in a path is shared by both front ends.

--- a/lycheeshunt/daemon/control_orders.cpp
+++ b/lycheeshunt/daemon/control_orders.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/daemon/control_process.h"
 #include "lycheeshunt/daemon/internal/control_log.h"
 #include "lycheeshunt/evacuations/codec.h"
+#include "lycheeshunt/operators/operator_duty.h"
 #include "lycheeshunt/replication/replication_duty.h"
 #include "lycheeshunt/states/codec.h"
 #include "lycheeshunt/tickets/ticket_duty.h"
@@ -18,6 +19,10 @@
 constexpr std::uint64_t stateReadBit = std::uint64_t(1) << 63;
 constexpr std::uint64_t evacuationReadBit = std::uint64_t(1) << 62;
 
+// Set in the number of an order that comes by the operators' API: other front ends count their
+// requests on their own.
+constexpr std::uint64_t operatorsOrderBit = std::uint64_t(1) << 61;
+
 } // namespace
 
 bool control_process::carryOutState(const states::state_action &action)
@@ -45,26 +50,38 @@
 
 bool control_process::carryOutEvacuation(const evacuations::evacuation_action &action)
 {
-    return std::visit(base::overloaded {
-                          [this](const evacuations::propose_order &proposed) {
-                              return propose(replication::entry_kind::evacuation,
-                                             evacuations::encodeOrder(proposed.order),
-                                             proposed.token);
-                          },
-                          [this](const evacuations::order_answer &answer) {
-                              base::logEvent("evacuations", "answered",
-                                             {{"request", std::to_string(answer.request.value())},
-                                              {"outcome", internal::nameOf(answer.outcome)}});
-                              if (m_orderAnswers)
-                                  m_orderAnswers(answer);
-                              return true;
-                          },
-                          [this](const evacuations::confirm_read &read) {
-                              return m_replication->inbox().tryPush(replication::read_request {
-                                  base::request_id(read.request.value() | evacuationReadBit)});
-                          },
-                      },
-                      action);
+    return std::visit(
+        base::overloaded {
+            [this](const evacuations::propose_order &proposed) {
+                return propose(replication::entry_kind::evacuation,
+                               evacuations::encodeOrder(proposed.order), proposed.token);
+            },
+            [this](const evacuations::order_answer &answer) { return answerOrder(answer); },
+            [this](const evacuations::confirm_read &read) {
+                return m_replication->inbox().tryPush(replication::read_request {
+                    base::request_id(read.request.value() | evacuationReadBit)});
+            },
+        },
+        action);
+}
+
+void control_process::submitForOperators(const evacuations::submit_order &submit)
+{
+    m_evacuations->inbox().push(evacuations::submit_order {
+        base::request_id(submit.request.value() | operatorsOrderBit), submit.order});
+}
+
+bool control_process::answerOrder(const evacuations::order_answer &answer)
+{
+    base::logEvent("evacuations", "answered",
+                   {{"request", std::to_string(answer.request.value())},
+                    {"outcome", internal::nameOf(answer.outcome)}});
+    if ((answer.request.value() & operatorsOrderBit) != 0)
+        return m_operators->inbox().tryPush(evacuations::order_answer {
+            base::request_id(answer.request.value() & ~operatorsOrderBit), answer.outcome});
+    if (m_orderAnswers)
+        m_orderAnswers(answer);
+    return true;
 }
 
 void control_process::completeRead(base::request_id request,
--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -189,6 +189,7 @@
                     [this](const dissemination::in_force_query &query) {
                         m_publisher->inbox().push(query);
                     },
+                    [this](const evacuations::submit_order &submit) { submitForOperators(submit); },
                     [this](const operators::http_reply &reply) { m_calls->answer(reply); },
                 },
                 action);
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -89,6 +89,8 @@
 
     bool carryOutState(const states::state_action &action);
     bool carryOutEvacuation(const evacuations::evacuation_action &action);
+    void submitForOperators(const evacuations::submit_order &submit);
+    bool answerOrder(const evacuations::order_answer &answer);
     void publishLeadership(const replication::leadership &leadership);
     void sendView(const dissemination::send_to_nodes &send);
     void sendDirectory(streams::connection_id connection);
--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/evacuations/zone_path.h"
 #include "lycheeshunt/operators/json.h"
 
 #include <openssl/crypto.h>
@@ -25,6 +26,7 @@
 
 constexpr base::clock_time maxWait = base::clock_time::ofSeconds(60);
 const std::string ticketsPath = "/v1/tickets";
+const std::string evacuationsPath = "/v1/evacuations/";
 
 http_status statusOf(base::error_code code)
 {
@@ -109,6 +111,18 @@
     return dissemination::in_force_query {arrived.request, base::generation()};
 }
 
+operator_action orderEvacuation(const operator_state &state, const http_arrived &arrived)
+{
+    if (!isAuthorized(state, arrived))
+        return refuse(arrived.request, {base::error_code::notAuthorized, ""});
+    const base::result<std::string> zone
+        = evacuations::zoneFromSegment(arrived.path.substr(evacuationsPath.size()));
+    if (const base::error *failure = base::errorOf(zone))
+        return refuse(arrived.request, *failure);
+    return evacuations::submit_order {arrived.request,
+                                      {base::valueOf(zone), arrived.method == "POST"}};
+}
+
 operator_action handleRequest(operator_state &state, const http_arrived &arrived)
 {
     const base::result<base::clock_time> wait = waitOf(arrived);
@@ -118,6 +132,9 @@
         return submit(state, arrived, base::valueOf(wait));
     if (arrived.method == "GET" && arrived.path.rfind(ticketsPath + "/", 0) == 0)
         return getTicket(state, arrived, base::valueOf(wait));
+    if ((arrived.method == "POST" || arrived.method == "DELETE")
+        && arrived.path.starts_with(evacuationsPath))
+        return orderEvacuation(state, arrived);
     if (arrived.method == "GET" && arrived.path == "/v1/status")
         return queryView(state, arrived, request_kind::status);
     if (arrived.method == "GET" && arrived.path == "/v1/servers")
@@ -158,6 +175,23 @@
     return http_reply {force.request, ok, body};
 }
 
+operator_action handleOrderAnswer(const evacuations::order_answer &answer)
+{
+    return std::visit(
+        base::overloaded {
+            [&](const evacuations::order_accepted &) {
+                return http_reply {answer.request, ok, "{}"};
+            },
+            [&](const evacuations::redirect_to_leader &leader) {
+                return refuse(
+                    answer.request,
+                    {base::error_code::notLeader, "the leader's API is " + leader.api.text()});
+            },
+            [&](const base::error &failure) { return refuse(answer.request, failure); },
+        },
+        answer.outcome);
+}
+
 } // namespace
 
 operator_step decide(operator_state state, const operator_message &message)
@@ -173,6 +207,7 @@
                 [&](const dissemination::in_force_answer &force) {
                     return handleInForceAnswer(state, force);
                 },
+                [](const evacuations::order_answer &answer) { return handleOrderAnswer(answer); },
             },
             message));
     });
--- a/lycheeshunt/operators/decision_test.cpp
+++ b/lycheeshunt/operators/decision_test.cpp
@@ -132,3 +132,22 @@
     ::unlink(path);
     CHECK(!base::isOk(readToken(path)));
 }
+
+TEST(operator_decision, anEvacuationIsOrderedWithTheTokenAndAnswered)
+{
+    const evacuations::submit_order ordered {base::request_id(1), {"zone 1", true}};
+    CHECK(run(requestOf("POST", "/v1/evacuations/zone%201")) == operator_action(ordered));
+    const evacuations::submit_order withdrawn {base::request_id(1), {"zone-1", false}};
+    CHECK(run(requestOf("DELETE", "/v1/evacuations/zone-1")) == operator_action(withdrawn));
+    const auto statusOf = [this](const operator_message &message) {
+        return std::get<http_reply>(run(message)).status;
+    };
+    const base::request_id request(1);
+    LONGS_EQUAL(200, statusOf(evacuations::order_answer {request, evacuations::order_accepted {}}));
+    LONGS_EQUAL(503,
+                statusOf(evacuations::order_answer {
+                    request, evacuations::redirect_to_leader {base::endpoint {1, 2}, "z"}}));
+    LONGS_EQUAL(401, statusOf(http_arrived {request, "POST", "/v1/evacuations/z"}));
+    LONGS_EQUAL(400, statusOf(requestOf("POST", "/v1/evacuations/")));
+    LONGS_EQUAL(404, statusOf(requestOf("GET", "/v1/evacuations/z")));
+}
--- a/lycheeshunt/operators/json.cpp
+++ b/lycheeshunt/operators/json.cpp
@@ -224,6 +224,7 @@
     json["generation"] = value::number(view.at.value());
     json["members"] = value::array(members);
     json["services"] = namesJson(services);
+    json["evacuated_zones"] = namesJson({view.evacuated.begin(), view.evacuated.end()});
     addLaggards(json, force);
     return json.serialize();
 }
