Limit the opening packets at a server that warms up

A backend server that has just started can handle only warmup_per_s requests per second.

The agent beside the server keeps a token bucket: refilled with the rate of the service, which the desired state gives, up to [agent] warmup_slack. The check-in gives the end of the warm-up. Repeated opening packets of owned flows take tokens too. Only a start of the server fills the bucket; check-ins, views, changes of the rate and a silent period do not. Without a token the flow is offered to other agents (event=cold, cold_offers_total) or refused at once. Load reports close for 1 s after the last token, so that they do not change with each one. Services without a warm-up and agents without the setting send the same bytes as before.

The test fixture of flows takes a rate and a slack; its defaults are as before.

--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -54,20 +54,30 @@
     std::unique_ptr<flow_state> state;
     std::vector<flow_action> actions;
     std::int64_t now = 10'000;
+    // For tests of a server that warms up; set before setup().
+    std::optional<double> warmupRate;
+    std::optional<std::uint32_t> warmupSlack;
 
     void setup() override
     {
         const membership::member self = agentNamed("a1", 1);
-        state = std::make_unique<flow_state>(
-            agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true});
+        state = std::make_unique<flow_state>(agent_identity {
+            self.id(), logbook, self.incarnation, self.packets, "zone-1", true, warmupSlack});
+        receiveView(1);
+        setServer(true);
+    }
+
+    void receiveView(std::uint64_t generation)
+    {
         std::map<base::node_id, membership::member> members;
-        for (const membership::member &member : {self, agentNamed("a2", 2), agentNamed("a3", 3)})
+        for (const membership::member &member :
+             {agentNamed("a1", 1), agentNamed("a2", 2), agentNamed("a3", 3)})
             members.emplace(member.id(), member);
         std::map<base::service_id, tickets::service_definition> services;
-        services.emplace(logbook, tickets::service_definition {"logbook", {}, {}, 64});
+        services.emplace(
+            logbook, tickets::service_definition {"logbook", {}, {.warmupRate = warmupRate}, 64});
         apply(view_update {std::make_shared<const dissemination::cluster_view>(
-            dissemination::cluster_view {base::generation(1), services, members})});
-        setServer(true);
+            dissemination::cluster_view {base::generation(generation), services, members})});
     }
 
     void apply(const flow_message &message)
--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -3,6 +3,10 @@
 #include "lycheeshunt/base/endpoint.h"
 #include "lycheeshunt/base/identifiers.h"
 
+#include <cstdint>
+#include <optional>
+#include <string>
+
 namespace lycheeshunt::flows {
 
 // This agent's identity, taken from its settings when it starts.
@@ -17,6 +21,8 @@
     // Whether the backend server returns packets of flows that it does not have. If so, a packet
     // can be delivered to any server of the service without harm.
     const bool serverReturnsPackets = false;
+    // Opening packets that a cold server gets beyond the rate of its service; empty: no limit.
+    const std::optional<std::uint32_t> warmupSlack = {};
 
     bool operator==(const agent_identity &) const = default;
 };
--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -6,6 +6,7 @@
 #include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/lookup.h"
+#include "lycheeshunt/flows/internal/opening_limit.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
 #include "lycheeshunt/flows/internal/recovery.h"
@@ -78,27 +79,29 @@
     flow_context context {state, now, actions};
     const bool serverReturns = state.identity->serverReturnsPackets;
     const std::optional<base::error> fault = base::faultOf([&]() {
-        std::visit(base::overloaded {
-                       [&](const forwarded_packet &packet) {
-                           if (serverReturns)
-                               internal::handleReturnablePacket(context, packet);
-                           else
-                               internal::handlePacket(context, packet);
-                       },
-                       [&](const server_answer &answer) {
-                           if (serverReturns)
-                               internal::handleServerPacket(context, answer);
-                           else
-                               internal::handleAnswer(context, answer);
-                       },
-                       [&](const server_changed &changed) {
-                           internal::handleServerChange(context, changed);
-                       },
-                       [&](const peer_message &peer) { handlePeer(context, peer); },
-                       [&](const view_update &update) { internal::handleView(context, update); },
-                       [&](const tick &) { handleTick(context); },
-                   },
-                   message);
+        std::visit(
+            base::overloaded {
+                [&](const forwarded_packet &packet) {
+                    if (serverReturns)
+                        internal::handleReturnablePacket(context, packet);
+                    else
+                        internal::handlePacket(context, packet);
+                },
+                [&](const server_answer &answer) {
+                    if (serverReturns)
+                        internal::handleServerPacket(context, answer);
+                    else
+                        internal::handleAnswer(context, answer);
+                },
+                [&](const server_changed &changed) {
+                    internal::handleServerChange(context, changed);
+                },
+                [&](const warmup_changed &changed) { internal::handleWarmup(context, changed); },
+                [&](const peer_message &peer) { handlePeer(context, peer); },
+                [&](const view_update &update) { internal::handleView(context, update); },
+                [&](const tick &) { handleTick(context); },
+            },
+            message);
         internal::deliverQueuedRequests(context);
         internal::publishOwnLoad(context);
     });
--- a/lycheeshunt/flows/event_log.cpp
+++ b/lycheeshunt/flows/event_log.cpp
@@ -34,6 +34,8 @@
         return "idle";
     case flow_event_kind::tried:
         return "tried";
+    case flow_event_kind::cold:
+        return "cold";
     }
     return "other";
 }
--- a/lycheeshunt/flows/flow_event.h
+++ b/lycheeshunt/flows/flow_event.h
@@ -23,10 +23,11 @@
     abandoned, // a waiting request was dropped because its caller is silent
     idle, // forgotten, since no packet came for the idle time-out
     tried, // delivered in turn to the backend servers that may have it
+    cold, // offered to another agent because the backend server warms up
 };
 
 // Kinds are numbered from 1, so the last one is also their number.
-constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::tried);
+constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::cold);
 
 // A decision about a flow and its reasons, for the log.
 struct flow_event
--- a/lycheeshunt/flows/flow_message.h
+++ b/lycheeshunt/flows/flow_message.h
@@ -6,12 +6,13 @@
 #include "lycheeshunt/flows/server_changed.h"
 #include "lycheeshunt/flows/tick.h"
 #include "lycheeshunt/flows/view_update.h"
+#include "lycheeshunt/flows/warmup_changed.h"
 
 #include <variant>
 
 namespace lycheeshunt::flows {
 
 using flow_message = std::variant<forwarded_packet, server_answer, peer_message, view_update,
-                                  server_changed, tick>;
+                                  server_changed, warmup_changed, tick>;
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/flows/flow_meter.cpp
+++ b/lycheeshunt/flows/flow_meter.cpp
@@ -26,13 +26,16 @@
 std::vector<metrics::sample> flow_meter::samples() const
 {
     std::vector<metrics::sample> samples;
-    samples.reserve(flowEventKinds + 2);
+    samples.reserve(flowEventKinds + 3);
     for (std::size_t kind = 1; kind <= flowEventKinds; ++kind)
         samples.push_back(metrics::sample {
             "flow_events_total",
             "Decisions about flows.",
             metrics::counter_value {m_events[kind]},
             {metrics::label {"event", nameOf(static_cast<flow_event_kind>(kind))}}});
+    samples.push_back(metrics::sample {
+        "cold_offers_total", "Flows offered to another agent because the server warms up.",
+        metrics::counter_value {m_events[static_cast<std::size_t>(flow_event_kind::cold)]}});
     samples.push_back(m_waited.current());
     samples.push_back(m_answered.current());
     return samples;
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/flows/internal/forwarding.h"
+#include "lycheeshunt/flows/internal/opening_limit.h"
 #include "lycheeshunt/flows/internal/returned_packets.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 #include "lycheeshunt/placement/decision.h"
@@ -58,6 +59,10 @@
     // A retransmission goes to an agent that is not in this list, since the one just chosen may
     // have failed.
     offered.push_back(forwarded.to);
+    // A repeated opening packet of a flow that this agent owns does not replace the delivery to its
+    // own server, whose answer is still due.
+    if (context.state.owned.find(packet.summary.key) != nullptr)
+        return;
     context.state.pendingDeliveries.put(
         packet.summary.key,
         pending_delivery {packet.with(packet.stage, std::move(offered), packet.isDoubtful),
@@ -99,7 +104,7 @@
     return placement::server_load {
         admission::slot_counts {state.server.slots, busySlots, 0, busy - busySlots,
                                 !state.server.isAccepting || state.draining,
-                                canAcceptFlow(state, now)},
+                                canAcceptFlow(state, now) && announcesOpenings(state, now)},
         static_cast<std::uint32_t>(state.owned.size() - state.ended.size())};
 }
 
@@ -132,14 +137,19 @@
 {
     flow_state &state = context.state;
     publishOwnLoad(context);
+    const bool canAccept = canAcceptFlow(state, context.now);
+    const bool hasToken = hasOpeningToken(state, context.now);
     placement_step next = placement::decide(
-        std::move(*state.placement), placement::flow_offered {placement::offer_id(), packet.agents},
+        std::move(*state.placement),
+        placement::flow_offered {placement::offer_id(), packet.agents, {}, canAccept && hasToken},
         context.now);
     resumePlacement(state, next);
     for (const placement::placement_action &action : next.actions) {
         std::visit(base::overloaded {
                        [&](const placement::accept_flow &) { openTentatively(context, packet); },
                        [&](const placement::forward_offer &forwarded) {
+                           if (canAccept && !hasToken)
+                               recordEvent(context, flow_event_kind::cold, packet, forwarded.to);
                            offerFlow(context, packet, forwarded);
                        },
                        [&](const placement::refuse_flow &refused) {
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/lookup.h"
+#include "lycheeshunt/flows/internal/opening_limit.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/server_trials.h"
@@ -201,6 +202,17 @@
                   packet.with(packet_stage::offer, std::move(tried), packet.isDoubtful || isLate));
 }
 
+// A cold server may not get the repeated opening packet of a flow that it has got already. Its
+// answer to the first one may have been lost, so another server may answer the caller.
+void passOnRepeatedOpening(flow_context &context, const owned_flow &flow,
+                           const forwarded_packet &packet)
+{
+    if (flow.phase == flow_phase::opening || flow.phase == flow_phase::copied)
+        offerToOtherAgents(context, packet, true);
+    else
+        context.actions.emplace_back(refuse_packet {base::error_code::flowUnknown});
+}
+
 // The returned packet with what is known of its delivery. A packet whose delivery is not known is
 // doubtful, and no entry is told of it.
 forwarded_packet asDelivered(const flow_state &state, const server_answer &answer)
@@ -313,6 +325,7 @@
         takeOwnership(context, key, flow_phase::opening);
     record(context, flow_event_kind::opened, packet);
     context.state.pendingDeliveries.put(key, pending_delivery {packet, context.now});
+    takeOpeningToken(context);
     deliverToServer(context, packet);
 }
 
@@ -346,6 +359,12 @@
         return;
     }
     if (flow != nullptr && !isTried) {
+        if (packet.summary.opens && !hasOpeningToken(state, context.now)) {
+            passOnRepeatedOpening(context, *flow, packet);
+            return;
+        }
+        if (packet.summary.opens)
+            takeOpeningToken(context);
         handleOwned(context, owned_flow(*flow), packet);
         if (!packet.summary.opens && (packet.hops > 0 || packet.stage != packet_stage::toOwner))
             sendHint(context, packet);
@@ -398,7 +417,8 @@
     if (isNewServer || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(
             agent_identity {self.node, changed.service, changed.incarnation, self.packets,
-                            self.availabilityZone, self.serverReturnsPackets});
+                            self.availabilityZone, self.serverReturnsPackets, self.warmupSlack});
+        updateWarmupRate(context);
         startPlacement(context);
     }
 }
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/flows/internal/view_change.h"
 
 #include "lycheeshunt/flows/internal/flow_placement.h"
+#include "lycheeshunt/flows/internal/opening_limit.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/returned_packets.h"
@@ -94,6 +95,7 @@
     state.draining = self != view.members.end() && view.isDraining(self->second);
     state.maxOwned = service->second.limits.connections;
     state.openIdleTimeout = service->second.limits.idleTimeout;
+    updateWarmupRate(context);
     updatePlacementPeers(context);
     const std::shared_ptr<const routing::bucket_table> before = state.buckets;
     state.buckets = std::make_shared<const routing::bucket_table>(
--- a/lycheeshunt/flows/server_view.h
+++ b/lycheeshunt/flows/server_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheeshunt/base/clock_time.h"
+#include "lycheeshunt/flows/opening_tokens.h"
 
 #include <cstdint>
 
@@ -22,6 +23,7 @@
     // gets no new flows, afterwards one at a time.
     bool isSilent = false;
     base::clock_time silentUntil;
+    opening_tokens openings;
 };
 
 } // namespace lycheeshunt::flows
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -45,6 +45,13 @@
     return load.slots.accepting && !load.slots.draining && load.slots.allowed > 0;
 }
 
+// Whether this agent itself can take the flow.
+bool acceptsHere(const placement_state &state, const flow_offered &offer)
+{
+    const admission::slot_counts &slots = state.ownLoad->slots;
+    return offer.acceptsHere.value_or(slots.accepting) && !slots.draining && slots.allowed > 0;
+}
+
 // A peer whose report is older than suspectAfter counts with the average load of this agent and the
 // peers with recent reports.
 candidate makeCandidate(const placement_state &state, base::node_id node,
@@ -92,7 +99,7 @@
 {
     std::vector<candidate> found;
     found.reserve(state.peers.size() + 1);
-    if (acceptsFlows(*state.ownLoad) && !wasOffered(offer, state.self->node)) {
+    if (acceptsHere(state, offer) && !wasOffered(offer, state.self->node)) {
         found.push_back(candidate {state.self->node, costOf(*state.ownLoad, 0),
                                    static_cast<double>(state.ownLoad->flows), true,
                                    state.ownLoad->failing});
@@ -198,7 +205,7 @@
     const std::optional<base::node_id> queueingAgent = offer.tried.size() < state.rules->maxOffers
         ? findQueueingAgent(state, offer)
         : std::nullopt;
-    if (acceptsFlows(*state.ownLoad))
+    if (acceptsHere(state, offer))
         actions.emplace_back(accept_flow {offer.id});
     else if (queueingAgent)
         forwardOffer(state, offer, *queueingAgent, actions);
--- a/lycheeshunt/placement/flow_offered.h
+++ b/lycheeshunt/placement/flow_offered.h
@@ -17,6 +17,8 @@
     const std::vector<base::node_id> tried = {};
     // Load of the agent that sends the offer.
     const std::optional<load_report> sender = {};
+    // Whether the agent that decides can take the flow now, where its load reports tell less.
+    const std::optional<bool> acceptsHere = {};
 
     bool operator==(const flow_offered &) const = default;
 };
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -47,6 +47,17 @@
     actions.emplace_back(status);
 }
 
+// Published before the status, so that no flow is opened at a cold server without the limit.
+void publishWarmup(servers_state &state, base::clock_time remaining, base::clock_time now,
+                   action_list &actions)
+{
+    const bool isCold = remaining > base::clock_time();
+    if (!isCold && state.coldUntil == base::clock_time())
+        return;
+    state.coldUntil = isCold ? now + remaining : base::clock_time();
+    actions.emplace_back(server_warmup {state.coldUntil, state.starts});
+}
+
 void startIncarnation(servers_state &state, const server_announcement &announcement)
 {
     // A server that was only silent still holds the flows from before the agent's start. The first
@@ -76,6 +87,7 @@
         // seen the current one drain, and a drained incarnation never serves again.
         const bool hasResumed = !isNewIncarnation && state.isUnavailable && !announcement.isDraining
             && !state.current->isDraining;
+        state.starts += isNewIncarnation ? 1 : 0;
         if (isNewIncarnation || hasResumed)
             startIncarnation(state, announcement);
         const bool isDraining = announcement.isDraining
@@ -83,10 +95,11 @@
                 && state.current->isDraining);
         state.current = std::make_shared<const server_announcement>(server_announcement {
             announcement.identity, announcement.startedAt, announcement.sequence,
-            announcement.service, isDraining, announcement.slots});
+            announcement.service, isDraining, announcement.slots, announcement.warmupRemaining});
         state.isUnavailable = state.isUnavailable || isDraining;
         state.isServerStopping = false;
         state.lastHeard = now;
+        publishWarmup(state, announcement.warmupRemaining, now, actions);
         publishStatus(state, actions);
     }
     actions.emplace_back(confirm_announcement {message.request});
--- a/lycheeshunt/servers/decision_test.cpp
+++ b/lycheeshunt/servers/decision_test.cpp
@@ -19,9 +19,10 @@
 
 server_announcement announcementOf(const std::string &identity, std::int64_t startedAt,
                                    std::uint64_t sequence, bool isDraining = false,
-                                   const std::string &service = "logbook")
+                                   const std::string &service = "logbook", std::int64_t warmup = 0)
 {
-    return server_announcement {identity, at(startedAt), sequence, service, isDraining, slots};
+    return server_announcement {identity,   at(startedAt), sequence,  service,
+                                isDraining, slots,         at(warmup)};
 }
 
 } // namespace
@@ -267,3 +268,35 @@
     deliver(agent_stopping {}, 2100);
     CHECK_FALSE(state.published->isServerStopping);
 }
+
+// The limit of a cold server must be known before it gets its first flow, and control must not get
+// a message for each announcement of it.
+TEST(servers, theWarmUpIsPublishedBeforeTheStatusAndNotAsOne)
+{
+    announce(announcementOf("i-1", 5, 1, false, "logbook", 3000), 0);
+    CHECK_EQUAL(3U, actions.size());
+    CHECK(std::get<server_warmup>(actions[0]) == (server_warmup {at(3000), 1}));
+    CHECK(std::holds_alternative<server_status>(actions[1]));
+    announce(announcementOf("i-1", 5, 2, false, "logbook", 1800), 1210);
+    CHECK_EQUAL(2U, actions.size());
+    CHECK(std::get<server_warmup>(actions[0]) == (server_warmup {at(3010), 1}));
+    announce(announcementOf("i-1", 5, 3), 3100);
+    CHECK(std::get<server_warmup>(actions[0]) == (server_warmup {at(0), 1}));
+    announce(announcementOf("i-1", 5, 4), 4300);
+    CHECK_EQUAL(1U, actions.size());
+}
+
+// A server that was only silent is a new incarnation to other nodes, but has had its tokens.
+TEST(servers, silenceIsNoStartOfTheServer)
+{
+    announce(announcementOf("i-1", 5, 1, false, "logbook", 9000), 0);
+    deliver(servers_tick {}, 4000);
+    announce(announcementOf("i-1", 5, 5, false, "logbook", 4000), 5000);
+    CHECK_EQUAL(101U, state.published->incarnation.value());
+    CHECK_EQUAL(1U, std::get<server_warmup>(actions[0]).serverStarts);
+    announce(announcementOf("i-1", 5100, 1, false, "logbook", 9000), 6000);
+    CHECK_EQUAL(2U, std::get<server_warmup>(actions[0]).serverStarts);
+    // A delayed announcement of the earlier start changes nothing.
+    announce(announcementOf("i-1", 5, 6), 6100);
+    CHECK_EQUAL(1U, actions.size());
+}
--- a/lycheeshunt/servers/server_announcement.h
+++ b/lycheeshunt/servers/server_announcement.h
@@ -19,6 +19,8 @@
     const bool isDraining = false;
     // Number of requests that the server processes concurrently.
     const std::uint32_t slots = 0;
+    // How long the server will still be slow after its start; 0 when it is warm.
+    const base::clock_time warmupRemaining = {};
 
     bool isSameIncarnationAs(const server_announcement &other) const
     {
--- a/lycheeshunt/servers/server_message.h
+++ b/lycheeshunt/servers/server_message.h
@@ -7,6 +7,7 @@
 #include "lycheeshunt/servers/server_restored.h"
 #include "lycheeshunt/servers/server_status.h"
 #include "lycheeshunt/servers/server_stopping.h"
+#include "lycheeshunt/servers/server_warmup.h"
 #include "lycheeshunt/servers/servers_tick.h"
 
 #include <variant>
@@ -15,6 +16,6 @@
 
 using server_message = std::variant<server_announced, server_stopping, server_restored,
                                     incarnation_changed, agent_stopping, servers_tick>;
-using server_action = std::variant<confirm_announcement, server_status>;
+using server_action = std::variant<confirm_announcement, server_status, server_warmup>;
 
 } // namespace lycheeshunt::servers
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -23,6 +23,11 @@
     bool isRestored = false;
     base::clock_time restoredAt;
     base::incarnation incarnation;
+    // Starts of the server that announcements have told of. A server that was only silent has not
+    // started again.
+    std::uint64_t starts = 0;
+    // End of the warm-up by the last announcement; 0 when the server is warm.
+    base::clock_time coldUntil;
     // The status published last; only changes are published.
     std::shared_ptr<const server_status> published;
 };
--- a/lycheeshunt/settings/agent_settings.h
+++ b/lycheeshunt/settings/agent_settings.h
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/flows/agent_sockets.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,9 @@
     const std::optional<base::endpoint> announcements = {};
     // Listen address for readiness queries (HTTP).
     const std::optional<base::endpoint> readiness = {};
+    // Opening packets that a server that warms up gets beyond the rate of its service. Without it
+    // such a server is not limited.
+    const std::optional<std::uint32_t> warmupSlack = {};
 
     bool operator==(const agent_settings &) const = default;
 };
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -38,6 +38,18 @@
     return entry_settings {packets, hints, fabric, readiness, readLinkRate(reader)};
 }
 
+std::optional<std::uint32_t> readWarmupSlack(table_reader &reader)
+{
+    constexpr std::int64_t maxSlack = 1'000'000;
+    if (!reader.has("warmup_slack"))
+        return std::nullopt;
+    const std::int64_t slack = reader.number("warmup_slack", 0);
+    if (slack >= 0 && slack <= maxSlack)
+        return static_cast<std::uint32_t>(slack);
+    reader.fail(base::error_code::settingsBadValue, "warmup_slack", "must be from 0 to 1000000");
+    return std::nullopt;
+}
+
 role_settings readAgent(table_reader &reader)
 {
     const std::string service = reader.text("service");
@@ -46,7 +58,8 @@
     if (sockets.packets.port != 0 && sockets.packets == sockets.serverSide)
         reader.fail(base::error_code::settingsClash, "server_side", "same address as packets");
     const std::optional<base::endpoint> announcements = reader.optionalEndpoint("announcements");
-    return agent_settings {service, sockets, announcements, reader.optionalEndpoint("readiness")};
+    const std::optional<base::endpoint> readiness = reader.optionalEndpoint("readiness");
+    return agent_settings {service, sockets, announcements, readiness, readWarmupSlack(reader)};
 }
 
 std::vector<replication::control_peer> readPeers(table_reader &reader, const std::string &self,
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -75,6 +75,25 @@
     }
 }
 
+TEST(settings_file, readsTheSlackOfAColdServer)
+{
+    const std::string agent = "role = \"agent\"\nname = \"agent-1\"\n"
+                              "availability_zone = \"leith-1\"\n"
+                              "control_addresses = [\"127.0.0.1:7400\"]\n[agent]\n"
+                              "service = \"logbook\"\npackets = \"127.0.0.1:7500\"\n"
+                              "server_side = \"127.0.0.1:7501\"\nserver = \"127.0.0.1:7502\"\n"
+                              "fabric = \"127.0.0.1:7503\"\n";
+    for (const auto &[text, slack] : std::vector<std::pair<std::string, std::optional<unsigned>>> {
+             {"", std::nullopt}, {"warmup_slack = 0\n", 0}, {"warmup_slack = 5\n", 5}}) {
+        const base::result<settings::node_settings> read
+            = settings::parseSettings(agent + text, "agent.toml");
+        CHECK(std::get<settings::agent_settings>(base::valueOf(read).role).warmupSlack == slack);
+    }
+    for (const char *text : {"-1", "1.5", "1000001", "\"5\""})
+        CHECK_FALSE(base::isOk(
+            settings::parseSettings(agent + "warmup_slack = " + text + "\n", "agent.toml")));
+}
+
 TEST(settings_file, onlyAnApiOnLoopbackNeedsNoToken)
 {
     const std::string control = "role = \"control\"\nname = \"control-1\"\n"
--- a/lycheeshunt/tickets/codec.cpp
+++ b/lycheeshunt/tickets/codec.cpp
@@ -6,6 +6,7 @@
 #include "lycheeshunt/tickets/bounds.h"
 #include "lycheeshunt/tickets/ticket.h"
 
+#include <optional>
 #include <tuple>
 
 namespace lycheeshunt::tickets {
@@ -15,8 +16,14 @@
 using address_fields = std::tuple<std::uint32_t, std::uint16_t, std::uint8_t>;
 using limits_fields = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::int64_t,
                                  std::int64_t, std::uint32_t, std::int64_t>;
+// Only for a service with a warm-up: its time and, if limited, its rate. Builds without these
+// fields ignore them.
+using warmup_limits_fields
+    = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::int64_t, std::int64_t,
+                 std::uint32_t, std::int64_t, std::int64_t, std::optional<double>>;
+template <typename limits_type>
 using service_fields
-    = std::tuple<std::string, std::vector<address_fields>, limits_fields, std::uint32_t>;
+    = std::tuple<std::string, std::vector<address_fields>, limits_type, std::uint32_t>;
 using share_fields = std::tuple<std::uint64_t, std::uint32_t>;
 using route_fields
     = std::tuple<address_fields, std::vector<share_fields>, std::vector<std::uint64_t>,
@@ -43,6 +50,13 @@
     return service_address {base::endpoint {address, port}, protocol};
 }
 
+bool isWarmup(std::int64_t millis, const std::optional<double> &rate)
+{
+    // Also refuses a rate that is not a number.
+    const bool isRate = !rate || (*rate >= 0 && *rate <= maxWarmupRate);
+    return isRate && millis >= 0 && millis <= maxWarmupTime.millis();
+}
+
 bool isPeriod(std::int64_t millis)
 {
     return millis >= 0 && millis <= maxPeriod.millis();
@@ -113,21 +127,28 @@
     for (const service_address &address : service.addresses)
         addresses.push_back(fieldsOf(address));
     const service_limits &limits = service.limits;
-    return base::packFields(
-        service_fields(service.name, addresses,
-                       limits_fields(limits.slots, limits.connections, limits.queueLength,
-                                     limits.queueWait.millis(), limits.longWorkAge.millis(),
-                                     limits.shortOnlySlots, limits.idleTimeout.millis()),
-                       service.buckets));
+    const limits_fields common(limits.slots, limits.connections, limits.queueLength,
+                               limits.queueWait.millis(), limits.longWorkAge.millis(),
+                               limits.shortOnlySlots, limits.idleTimeout.millis());
+    if (!limits.warmupRate && limits.warmupTime == base::clock_time())
+        return base::packFields(
+            service_fields<limits_fields>(service.name, addresses, common, service.buckets));
+    const std::tuple<std::int64_t, std::optional<double>> warmup(limits.warmupTime.millis(),
+                                                                 limits.warmupRate);
+    return base::packFields(service_fields<warmup_limits_fields>(
+        service.name, addresses, std::tuple_cat(common, warmup), service.buckets));
 }
 
 base::result<service_definition> decodeService(std::string_view bytes)
 {
-    const base::result<service_fields> fields = base::unpackFields<service_fields>(bytes);
+    // Limits without a warm-up have fewer fields; those that are missing keep their defaults.
+    using fields_type = service_fields<warmup_limits_fields>;
+    const base::result<fields_type> fields = base::unpackFields<fields_type>(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     const auto &[name, rawAddresses, rawLimits, buckets] = base::valueOf(fields);
-    const auto &[slots, connections, queueLength, queueWait, longWorkAge, shortOnly, idle]
+    const auto &[slots, connections, queueLength, queueWait, longWorkAge, shortOnly, idle,
+                 warmupTime, warmupRate]
         = rawLimits;
     if (name.empty() || name.size() > maxServiceNameBytes)
         return malformed("name of a service");
@@ -135,6 +156,8 @@
         return malformed("buckets of a service");
     if (!isPeriod(queueWait) || !isPeriod(longWorkAge) || !isPeriod(idle))
         return malformed("limits of a service");
+    if (!isWarmup(warmupTime, warmupRate))
+        return malformed("warm-up of a service");
     std::vector<service_address> addresses;
     for (const address_fields &raw : rawAddresses)
         addresses.push_back(addressOf(raw));
@@ -142,7 +165,8 @@
                                service_limits {slots, connections, queueLength,
                                                base::clock_time::ofMillis(queueWait),
                                                base::clock_time::ofMillis(longWorkAge), shortOnly,
-                                               base::clock_time::ofMillis(idle)},
+                                               base::clock_time::ofMillis(idle), warmupRate,
+                                               base::clock_time::ofMillis(warmupTime)},
                                buckets};
 }
 
--- a/lycheeshunt/tickets/codec_test.cpp
+++ b/lycheeshunt/tickets/codec_test.cpp
@@ -3,6 +3,7 @@
 
 #include "lycheeshunt/tickets/codec.h"
 
+#include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/tickets/address_route.h"
 #include "lycheeshunt/tickets/bounds.h"
 #include "lycheeshunt/tickets/ticket.h"
@@ -31,6 +32,20 @@
                                buckets};
 }
 
+service_definition warmService(std::optional<double> rate, base::clock_time time)
+{
+    return service_definition {"n", {address}, {.warmupRate = rate, .warmupTime = time}, 512};
+}
+
+// As builds without a warm-up encode a service and decode it.
+using early_limits = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::int64_t,
+                                std::int64_t, std::uint32_t, std::int64_t>;
+using early_fields
+    = std::tuple<std::string, std::vector<std::tuple<std::uint32_t, std::uint16_t, std::uint8_t>>,
+                 early_limits, std::uint32_t>;
+const early_fields earlyService("n", {{0xc6336401, 443, 6}},
+                                early_limits(7, 2000, 14, 2000, 1000, 2, 7'440'000), 512);
+
 address_route routeWith(std::size_t shares, std::uint32_t weight, std::size_t former,
                         base::clock_time timeout)
 {
@@ -105,3 +120,31 @@
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK_FALSE(base::isOk(decodeTicket(std::string_view(bytes).substr(0, length))));
 }
+
+TEST(tickets_codec, aWarmUpWithinItsBoundsIsDecoded)
+{
+    const double smallest = std::numeric_limits<double>::denorm_min();
+    for (const std::optional<double> &rate :
+         {std::optional<double>(), std::optional<double>(0), std::optional<double>(smallest),
+          std::optional<double>(maxWarmupRate)})
+        for (const base::clock_time time : {base::clock_time(), maxWarmupTime})
+            CHECK(isDecoded(warmService(rate, time)));
+    for (const double rate :
+         {-smallest, maxWarmupRate * 1.001, std::numeric_limits<double>::quiet_NaN(),
+          std::numeric_limits<double>::infinity()})
+        CHECK_FALSE(isDecoded(warmService(rate, base::clock_time())));
+    CHECK_FALSE(isDecoded(warmService(0, base::clock_time::ofMillis(-1))));
+    CHECK_FALSE(isDecoded(warmService(0, maxWarmupTime + base::clock_time::ofMillis(1))));
+}
+
+// VMs of two builds compare digests of what they encode, so a service without a warm-up must have
+// the same bytes in both.
+TEST(tickets_codec, aServiceWithoutAWarmUpIsEncodedAsBefore)
+{
+    const service_definition plain {"n", {address}};
+    CHECK(encodeService(plain) == base::packFields(earlyService));
+    CHECK(base::valueOf(decodeService(base::packFields(earlyService))) == plain);
+    const base::result<early_fields> read
+        = base::unpackFields<early_fields>(encodeService(warmService(20, maxPeriod)));
+    CHECK(base::valueOf(read) == earlyService);
+}
--- a/lycheeshunt/tickets/service_limits.h
+++ b/lycheeshunt/tickets/service_limits.h
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/clock_time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace lycheeshunt::tickets {
 
@@ -21,6 +22,11 @@
     // An open flow without a packet for this long is evicted. RFC 5382 asks for 2 h 4 min.
     const base::clock_time idleTimeout = base::clock_time::ofSeconds(7440);
 
+    // Requests per second that a backend server can handle while it warms up after its start, and
+    // how long that usually takes. Without a rate there is no limit; a rate of 0 is one.
+    const std::optional<double> warmupRate = {};
+    const base::clock_time warmupTime = {};
+
     bool operator==(const service_limits &) const = default;
 };
 
