Prefer servers that answer sooner when a flow is placed

Placement compared free slots alone, though servers of one service differ by 2.4 times in speed and some become 4 to 8 times slower for seconds.

With [agent] report_speed, agents tell in their load reports the mean time from a request's delivery to the first byte of its answer. The cost of a server becomes an estimate of the time to the answer, relative to the mean of the middle half of the known times. Differences under a quarter do not count, and servers without recent samples count as usual, so that a slow one is tried again. The time is a fifth element of the slots in a report: builds before it ignore it there. Without a known time reports have the same bytes and flows go in the same order as before.

costOf moves to placement/cost.h, which decision_test.cpp now includes; whether a slot is free is told by isFull, since a slow server with a free slot may cost more than 1.

--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -54,15 +54,17 @@
     std::unique_ptr<flow_state> state;
     std::vector<flow_action> actions;
     std::int64_t now = 10'000;
-    // For tests of a server that warms up; set before setup().
+    // Settings that most tests leave out; set before setup().
     std::optional<double> warmupRate;
     std::optional<std::uint32_t> warmupSlack;
+    bool reportsSpeed = false;
 
     void setup() override
     {
         const membership::member self = agentNamed("a1", 1);
-        state = std::make_unique<flow_state>(agent_identity {
-            self.id(), logbook, self.incarnation, self.packets, "zone-1", true, warmupSlack});
+        state = std::make_unique<flow_state>(agent_identity {self.id(), logbook, self.incarnation,
+                                                             self.packets, "zone-1", true,
+                                                             warmupSlack, reportsSpeed});
         receiveView(1);
         setServer(true);
     }
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -19,6 +19,7 @@
 #include "lycheeshunt/flows/server_view.h"
 #include "lycheeshunt/flows/waiting_requests.h"
 #include "lycheeshunt/placement/placement_state.h"
+#include "lycheeshunt/placement/service_time.h"
 #include "lycheeshunt/routing/bucket_table.h"
 
 #include <list>
@@ -64,6 +65,8 @@
     registrar_state registrar;
     recovery_state recovery;
     server_view server;
+    // How long the server takes for a request, for load reports.
+    placement::service_time serviceTime;
     // Packets that were delivered to the backend server, or offered to another agent as the first
     // of a flow, and are not answered yet. Only where backend servers return packets.
     flow_map<pending_delivery> pendingDeliveries;
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/request_queueing.h"
 #include "lycheeshunt/flows/internal/service_view.h"
+#include "lycheeshunt/placement/service_times.h"
 
 #include <netinet/in.h>
 
@@ -272,9 +273,12 @@
     }
     const flow_phase next
         = answer.summary.resets ? flow_phase::ended : phaseAfterServer(flow->phase, answer.summary);
-    if (flow->progress.isBusy && answer.summary.payloadBytes > 0)
-        context.actions.emplace_back(
-            request_timing {request_step::answered, context.now - flow->progress.since});
+    if (flow->progress.isBusy && answer.summary.payloadBytes > 0) {
+        const base::clock_time span = context.now - flow->progress.since;
+        context.state.serviceTime
+            = placement::afterAnswer(context.state.serviceTime, span, context.now);
+        context.actions.emplace_back(request_timing {request_step::answered, span});
+    }
     updateFlow(context, key, owned_flow(*flow), next, flow->progress.afterServer(answer.summary));
 }
 
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -415,10 +415,11 @@
     state.server.slots = changed.slots;
     state.server.isOlder = changed.isOlder;
     if (isNewServer || !state.placement) {
-        state.identity = std::make_shared<const agent_identity>(
-            agent_identity {self.node, changed.service, changed.incarnation, self.packets,
-                            self.availabilityZone, self.serverReturnsPackets, self.warmupSlack});
+        state.identity = std::make_shared<const agent_identity>(agent_identity {
+            self.node, changed.service, changed.incarnation, self.packets, self.availabilityZone,
+            self.serverReturnsPackets, self.warmupSlack, self.reportsSpeed});
         updateWarmupRate(context);
+        state.serviceTime = placement::service_time {};
         startPlacement(context);
     }
 }
--- a/lycheeshunt/flows/request_queueing_test.cpp
+++ b/lycheeshunt/flows/request_queueing_test.cpp
@@ -128,3 +128,19 @@
     CHECK_EQUAL(1U, answers.size());
     CHECK(answers.front().verdict == lookup_verdict::owned);
 }
+
+// Without the setting, and for a server that has just started, nothing is known of its speed.
+TEST(request_queueing, theTimeOfTheServerIsReportedWhereItIsConfigured)
+{
+    for (const bool isConfigured : {false, true}) {
+        reportsSpeed = isConfigured;
+        setup();
+        openFlows(slots + 2);
+        now += 20;
+        for (std::uint32_t i = 0; i < slots + 2; ++i)
+            receiveFromServer(packets::ip_summary {keyOf(i), false, false, false, 500});
+        UNSIGNED_LONGS_EQUAL(isConfigured ? 20 : 0, state->placement->ownLoad->serviceMillis);
+        apply(server_changed {logbook, base::incarnation(2), true, slots, false});
+        UNSIGNED_LONGS_EQUAL(0, state->placement->ownLoad->serviceMillis);
+    }
+}
--- a/lycheeshunt/placement/codec_test.cpp
+++ b/lycheeshunt/placement/codec_test.cpp
@@ -3,6 +3,8 @@
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/placement/load_report.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lycheeshunt::placement;
@@ -48,3 +50,23 @@
     CHECK(errorOf(decoded) != nullptr);
     CHECK(errorOf(decoded)->code == error_code::messageVersion);
 }
+
+// VMs of two builds run side by side: a report without a time has the same bytes in both, and
+// builds without the time read one that has it.
+TEST(placement_codec, reportIsReadByBuildsWithoutTheTime)
+{
+    using early_slots = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+    using early_fields = std::tuple<std::uint8_t, std::uint64_t, std::uint64_t, std::uint64_t,
+                                    early_slots, std::uint32_t, std::uint32_t, std::uint8_t>;
+    const early_fields early(1, 0xfedcba9876543210, 1764844238000, 100'000,
+                             early_slots(7, 6, 2, 14), 2000, 1, 5);
+    CHECK(encodeReport(report) == lycheeshunt::base::packFields(early));
+    for (const std::uint32_t millis : {1U, 127U, 65'535U, 70'000U}) {
+        const load_report timed {report.node, report.incarnation, report.sequence,
+                                 server_load {report.load.slots, 2000, 1, true, millis}};
+        const std::string bytes = encodeReport(timed);
+        CHECK(valueOf(lycheeshunt::base::unpackFields<early_fields>(bytes)) == early);
+        CHECK_EQUAL(std::min(millis, 65'535U), valueOf(decodeReport(bytes)).load.serviceMillis);
+        CHECK(bytes.size() <= (millis <= 127 ? 64U : 66U) - 28);
+    }
+}
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -3,6 +3,9 @@
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
+#include "lycheeshunt/placement/cost.h"
+#include "lycheeshunt/placement/service_times.h"
+
 #include <algorithm>
 #include <iterator>
 #include <optional>
@@ -14,8 +17,11 @@
 using placement_step = base::step<placement_state, placement_action>;
 using action_list = std::vector<placement_action>;
 
-// Size of a load report with its IP and UDP headers.
+// Size of a load report with its IP and UDP headers. The server's time is one byte of it up to 127
+// ms, and up to two more otherwise.
 constexpr double reportBytes = 64;
+constexpr std::uint32_t maxByteMillis = 127;
+constexpr double longTimeBytes = 2;
 // Interval of reports when nothing changes, so that peers can detect a failed agent by its silence.
 constexpr base::clock_time heartbeatInterval = base::clock_time::ofMillis(400);
 
@@ -33,6 +39,8 @@
 {
     double cost = 0;
     double flows = 0;
+    // Time of a request at a server of the service; 0 when no server's is known.
+    double millis = 0;
 };
 
 bool wasOffered(const flow_offered &offer, base::node_id node)
@@ -52,38 +60,54 @@
     return offer.acceptsHere.value_or(slots.accepting) && !slots.draining && slots.allowed > 0;
 }
 
+bool isFresh(const placement_state &state, const peer_state &peerState, base::clock_time now)
+{
+    return peerState.report && now - peerState.lastHeard < state.rules->suspectAfter;
+}
+
 // A peer whose report is older than suspectAfter counts with the average load of this agent and the
 // peers with recent reports.
 candidate makeCandidate(const placement_state &state, base::node_id node,
                         const peer_state &peerState, const averages &mean, base::clock_time now)
 {
     const bool sameZone = peerState.zone == state.self->zone;
-    if (!peerState.report || now - peerState.lastHeard >= state.rules->suspectAfter)
+    if (!isFresh(state, peerState, now))
         return candidate {node, mean.cost, mean.flows, sameZone, false};
     const server_load &load = peerState.report->load;
-    return candidate {node, costOf(load, peerState.forwardedSinceReport),
-                      static_cast<double>(load.flows) + peerState.forwardedSinceReport, sameZone,
-                      load.failing};
+    const double slowness = slownessOf(load.serviceMillis, mean.millis);
+    const double forwarded = peerState.forwardedSinceReport;
+    return candidate {node, costOf(load, forwarded, slowness), slowness * (load.flows + forwarded),
+                      sameZone, load.failing};
 }
 
-bool isFresh(const placement_state &state, const peer_state &peerState, base::clock_time now)
+double usualMillisOf(const placement_state &state, base::clock_time now)
 {
-    return peerState.report && now - peerState.lastHeard < state.rules->suspectAfter;
+    std::vector<std::uint32_t> times {state.ownLoad->serviceMillis};
+    for (const auto &[node, peerState] : state.peers) {
+        if (isFresh(state, peerState, now))
+            times.push_back(peerState.report->load.serviceMillis);
+    }
+    return usualMillis(std::move(times));
 }
 
+// Open flows are weighed by the time that their requests take.
 averages averagesOf(const placement_state &state, base::clock_time now)
 {
-    double cost = costOf(*state.ownLoad, 0);
-    double flows = state.ownLoad->flows;
+    const double millis = usualMillisOf(state, now);
+    const double slowness = slownessOf(state.ownLoad->serviceMillis, millis);
+    double cost = costOf(*state.ownLoad, 0, slowness);
+    double flows = slowness * state.ownLoad->flows;
     double count = 1;
     for (const auto &[node, peerState] : state.peers) {
         if (!isFresh(state, peerState, now))
             continue;
-        cost += costOf(peerState.report->load, peerState.forwardedSinceReport);
-        flows += peerState.report->load.flows;
+        const server_load &load = peerState.report->load;
+        const double peerSlowness = slownessOf(load.serviceMillis, millis);
+        cost += costOf(load, peerState.forwardedSinceReport, peerSlowness);
+        flows += peerSlowness * load.flows;
         count += 1;
     }
-    return averages {cost / count, flows / count};
+    return averages {cost / count, flows / count, millis};
 }
 
 bool isCandidate(const placement_state &state, const peer_state &peerState, base::clock_time now)
@@ -100,9 +124,9 @@
     std::vector<candidate> found;
     found.reserve(state.peers.size() + 1);
     if (acceptsHere(state, offer) && !wasOffered(offer, state.self->node)) {
-        found.push_back(candidate {state.self->node, costOf(*state.ownLoad, 0),
-                                   static_cast<double>(state.ownLoad->flows), true,
-                                   state.ownLoad->failing});
+        const double slowness = slownessOf(state.ownLoad->serviceMillis, mean.millis);
+        found.push_back(candidate {state.self->node, costOf(*state.ownLoad, 0, slowness),
+                                   slowness * state.ownLoad->flows, true, state.ownLoad->failing});
     }
     for (const auto &[node, peerState] : state.peers) {
         if (!wasOffered(offer, node) && isCandidate(state, peerState, now))
@@ -145,7 +169,7 @@
     const candidate &local = candidates.front();
     if (local.node != state.self->node)
         return &*best;
-    if (state.rules->probesWhenFull && local.cost >= 1 && candidates.size() > 1)
+    if (state.rules->probesWhenFull && isFull(*state.ownLoad, 0) && candidates.size() > 1)
         return &*std::min_element(std::next(candidates.begin()), candidates.end(), better);
     if (rankOf(state, local, mean) <= rankOf(state, *best, mean) + state.rules->forwardMargin)
         return &local;
@@ -177,10 +201,9 @@
     peerState.requestedSinceReport = 0;
 }
 
-// Returns the agent with the lowest cost among those that forwarded the offer because they were
-// full but would queue the flow.
+// The agent with the lowest cost of those that forwarded the offer but would queue the flow.
 std::optional<base::node_id> findQueueingAgent(const placement_state &state,
-                                               const flow_offered &offer)
+                                               const flow_offered &offer, double usual)
 {
     std::optional<base::node_id> best;
     double lowestCost = 0;
@@ -189,7 +212,9 @@
         if (found == state.peers.end() || !found->second.report
             || !acceptsFlows(found->second.report->load))
             continue;
-        const double cost = costOf(found->second.report->load, found->second.forwardedSinceReport);
+        const server_load &load = found->second.report->load;
+        const double cost = costOf(load, found->second.forwardedSinceReport,
+                                   slownessOf(load.serviceMillis, usual));
         if (!best || cost < lowestCost) {
             best = node;
             lowestCost = cost;
@@ -200,10 +225,11 @@
 
 // No agent is left to be offered the flow: it is queued here or at an agent that forwarded the
 // offer.
-void placeAfterLastOffer(placement_state &state, const flow_offered &offer, action_list &actions)
+void placeAfterLastOffer(placement_state &state, const flow_offered &offer, double usual,
+                         action_list &actions)
 {
     const std::optional<base::node_id> queueingAgent = offer.tried.size() < state.rules->maxOffers
-        ? findQueueingAgent(state, offer)
+        ? findQueueingAgent(state, offer, usual)
         : std::nullopt;
     if (acceptsHere(state, offer))
         actions.emplace_back(accept_flow {offer.id});
@@ -225,7 +251,7 @@
     if (chosen != nullptr && chosen->node == state.self->node)
         actions.emplace_back(accept_flow {offer.id});
     else if (chosen == nullptr || offer.tried.size() + 1 >= state.rules->maxOffers)
-        placeAfterLastOffer(state, offer, actions);
+        placeAfterLastOffer(state, offer, mean.millis, actions);
     else
         forwardOffer(state, offer, chosen->node, actions);
 }
@@ -266,7 +292,9 @@
 
 double reportRoundBytes(const placement_state &state)
 {
-    return reportBytes * static_cast<double>(state.peers.size());
+    const double each
+        = reportBytes + (state.ownLoad->serviceMillis > maxByteMillis ? longTimeBytes : 0);
+    return each * static_cast<double>(state.peers.size());
 }
 
 void refillBudget(placement_state &state, base::clock_time now)
@@ -326,12 +354,10 @@
     if (!state.rules->requestsWork || !hasFreeSlot(*state.ownLoad) || state.ownLoad->failing
         || state.budgetBytes < reportBytes)
         return;
-    const auto longest
-        = std::max_element(state.peers.begin(), state.peers.end(),
-                           [](const std::pair<const base::node_id, peer_state> &left,
-                              const std::pair<const base::node_id, peer_state> &right) {
-                               return remainingQueue(left.second) < remainingQueue(right.second);
-                           });
+    const auto isShorter = [](const auto &left, const auto &right) {
+        return remainingQueue(left.second) < remainingQueue(right.second);
+    };
+    const auto longest = std::max_element(state.peers.begin(), state.peers.end(), isShorter);
     if (longest == state.peers.end() || remainingQueue(longest->second) == 0)
         return;
     state.budgetBytes -= reportBytes;
@@ -347,18 +373,6 @@
 
 } // namespace
 
-double costOf(const server_load &load, double forwardedSinceReport)
-{
-    const double allowed = std::max(1U, load.slots.allowed);
-    const double busy
-        = load.slots.busy + load.hintedBusy + load.slots.queued + forwardedSinceReport;
-    if (busy < allowed)
-        return busy / allowed;
-    // Slots that long work occupies are not expected to become free soon.
-    const double freeableSlots = std::max(0.5, allowed - load.slots.longBusy);
-    return 1 + (busy - allowed + 1) / freeableSlots;
-}
-
 placement_step decide(placement_state state, const placement_message &message, base::clock_time now)
 {
     action_list actions;
--- a/lycheeshunt/placement/decision.h
+++ b/lycheeshunt/placement/decision.h
@@ -17,8 +17,4 @@
 base::step<placement_state, placement_action>
 decide(placement_state state, const placement_message &message, base::clock_time now);
 
-// Cost of placing a flow at a server with this load; lower is better. Below 1, the server has a
-// free slot.
-double costOf(const server_load &load, double forwardedSinceReport);
-
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/decision_test.cpp
+++ b/lycheeshunt/placement/decision_test.cpp
@@ -1,5 +1,7 @@
 #include "lycheeshunt/placement/decision.h"
 
+#include "lycheeshunt/placement/cost.h"
+
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
--- a/lycheeshunt/placement/server_load.h
+++ b/lycheeshunt/placement/server_load.h
@@ -14,6 +14,8 @@
     const std::uint32_t hintedBusy = 0;
     // Most of the recent work failed.
     const bool failing = false;
+    // Mean time from a request's delivery to the first byte of its answer; 0 when unknown.
+    const std::uint32_t serviceMillis = 0;
 
     bool operator==(const server_load &) const = default;
 };
--- a/lycheeshunt/settings/agent_settings.h
+++ b/lycheeshunt/settings/agent_settings.h
@@ -21,6 +21,9 @@
     // Opening packets that a server that warms up gets beyond the rate of its service. Without it
     // such a server is not limited.
     const std::optional<std::uint32_t> warmupSlack = {};
+    // Whether the other agents are told how long the backend server takes for a request, so that
+    // faster servers get more of the new flows.
+    const bool reportsSpeed = false;
 
     bool operator==(const agent_settings &) const = default;
 };
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -59,7 +59,12 @@
         reader.fail(base::error_code::settingsClash, "server_side", "same address as packets");
     const std::optional<base::endpoint> announcements = reader.optionalEndpoint("announcements");
     const std::optional<base::endpoint> readiness = reader.optionalEndpoint("readiness");
-    return agent_settings {service, sockets, announcements, readiness, readWarmupSlack(reader)};
+    return agent_settings {service,
+                           sockets,
+                           announcements,
+                           readiness,
+                           readWarmupSlack(reader),
+                           reader.flag("report_speed", false)};
 }
 
 std::vector<replication::control_peer> readPeers(table_reader &reader, const std::string &self,
--- a/lycheeshunt/settings/settings_file_test.cpp
+++ b/lycheeshunt/settings/settings_file_test.cpp
@@ -75,7 +75,7 @@
     }
 }
 
-TEST(settings_file, readsTheSlackOfAColdServer)
+TEST(settings_file, readsTheSlackOfAColdServerAndWhetherSpeedIsReported)
 {
     const std::string agent = "role = \"agent\"\nname = \"agent-1\"\n"
                               "availability_zone = \"leith-1\"\n"
@@ -89,6 +89,9 @@
             = settings::parseSettings(agent + text, "agent.toml");
         CHECK(std::get<settings::agent_settings>(base::valueOf(read).role).warmupSlack == slack);
     }
+    const base::result<settings::node_settings> fast
+        = settings::parseSettings(agent + "report_speed = true\n", "agent.toml");
+    CHECK(std::get<settings::agent_settings>(base::valueOf(fast).role).reportsSpeed);
     for (const char *text : {"-1", "1.5", "1000001", "\"5\""})
         CHECK_FALSE(base::isOk(
             settings::parseSettings(agent + "warmup_slack = " + text + "\n", "agent.toml")));
