--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/flows/internal/delivery_timeouts.h"
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/flow_searches.h"
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -17,44 +17,18 @@
 
 namespace {
 
-// A server on the same VM answers an opening packet, or returns any other, within 1 ms.
-constexpr base::clock_time serverAnswerTimeout = base::clock_time::ofMillis(150);
-// A server on the same VM returns a packet that it does not accept sooner than this.
-constexpr base::clock_time returnTimeout = base::clock_time::ofMillis(100);
-// A server that left an opening packet unanswered gets no new flows for this long, and then a
-// single one as a probe.
-constexpr base::clock_time silentServerBackoff = base::clock_time::ofMillis(1000);
 // A server that returned an opening packet gets no new flows for this long. It is full or still
 // starting, so it would also return the next opening packet.
 constexpr base::clock_time returnBackoff = base::clock_time::ofMillis(100);
 // An agent to which the director has passed a packet on sends it back to the director; one that got
 // it later searches itself.
 constexpr std::uint8_t maxHopsToDirector = 2;
-// Longer than a caller retransmits an opening packet.
-constexpr base::clock_time pendingDeliveryLifetime = base::clock_time::ofSeconds(2);
-
 void record(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
             std::optional<base::error_code> reason = std::nullopt, std::size_t agents = 0)
 {
     recordEvent(context, kind, packet, base::node_id(), reason, agents);
 }
 
-// The hint of an opening packet leaves the choice to the caller.
-void sendHint(flow_context &context, const forwarded_packet &packet)
-{
-    const flow_state &state = context.state;
-    const base::service_id service = state.identity->service;
-    const base::flow_key &key = packet.summary.key;
-    if (packet.entry.port == 0)
-        return;
-    if (packet.summary.opens)
-        context.actions.emplace_back(
-            send_to_peer {packet.entry, opening_hint {service, key, selfTarget(state)}});
-    else
-        context.actions.emplace_back(
-            send_to_peer {packet.entry, owner_hint {service, key, selfTarget(state)}});
-}
-
 void withdrawHint(flow_context &context, const forwarded_packet &packet)
 {
     const agent_identity &self = *context.state.identity;
@@ -189,19 +163,6 @@
     lookUpOwner(context, packet);
 }
 
-// Offers the flow to the agents other than this one and those already tried. If the packet is late,
-// the flow may be open by now.
-void offerToOtherAgents(flow_context &context, const forwarded_packet &packet, bool isLate)
-{
-    std::vector<base::node_id> tried = packet.agents;
-    const base::node_id self = context.state.identity->node;
-    if (std::find(tried.begin(), tried.end(), self) == tried.end())
-        tried.push_back(self);
-    if (context.state.placement)
-        placeFlow(context,
-                  packet.with(packet_stage::offer, std::move(tried), packet.isDoubtful || isLate));
-}
-
 // A cold server may not get the repeated opening packet of a flow that it has got already. Its
 // answer to the first one may have been lost, so another server may answer the caller.
 void passOnRepeatedOpening(flow_context &context, const owned_flow &flow,
@@ -268,48 +229,34 @@
     }
 }
 
-// Tries the next candidate for each packet that a silent server may have lost. The server may still
-// have the flow, so the search ends in doubt unless another one has it.
-void passOverSilentServer(flow_context &context)
+} // namespace
+
+void sendHint(flow_context &context, const forwarded_packet &packet)
 {
-    flow_state &state = context.state;
-    std::vector<pending_delivery> unanswered;
-    for (auto it = state.pendingDeliveries.begin(); it != state.pendingDeliveries.end(); ++it) {
-        const owned_flow *flow = state.owned.find(it->first);
-        const bool isTried = it->second.packet.stage == packet_stage::trial && flow != nullptr
-            && flow->phase == flow_phase::tried;
-        if (isTried && state.server.lastHeard <= it->second.at
-            && context.now - it->second.at >= serverAnswerTimeout)
-            unanswered.push_back(it->second);
-    }
-    for (const pending_delivery &tried : unanswered) {
-        const forwarded_packet &packet = tried.packet;
-        record(context, flow_event_kind::serverSilent, packet);
-        state.pendingDeliveries.erase(packet.summary.key);
-        tryNextCandidate(context, packet.with(packet.stage, packet.agents, true));
-    }
+    const flow_state &state = context.state;
+    const base::service_id service = state.identity->service;
+    const base::flow_key &key = packet.summary.key;
+    if (packet.entry.port == 0)
+        return;
+    if (packet.summary.opens)
+        context.actions.emplace_back(
+            send_to_peer {packet.entry, opening_hint {service, key, selfTarget(state)}});
+    else
+        context.actions.emplace_back(
+            send_to_peer {packet.entry, owner_hint {service, key, selfTarget(state)}});
 }
 
-// Claims the flows that were tried and whose packets the server has kept: it was heard long enough
-// after each delivery to have returned the packet.
-void claimKeptFlows(flow_context &context)
+void offerToOtherAgents(flow_context &context, const forwarded_packet &packet, bool isLate)
 {
-    flow_state &state = context.state;
-    std::vector<base::flow_key> kept;
-    for (auto it = state.pendingDeliveries.begin(); it != state.pendingDeliveries.end(); ++it) {
-        const owned_flow *flow = state.owned.find(it->first);
-        if (flow != nullptr && flow->phase == flow_phase::tried
-            && state.server.lastHeard - it->second.at >= returnTimeout)
-            kept.push_back(it->first);
-    }
-    for (const base::flow_key &key : kept) {
-        claimFlow(context, key);
-        sendHint(context, forwarded_packet(state.pendingDeliveries.find(key)->packet));
-    }
+    std::vector<base::node_id> tried = packet.agents;
+    const base::node_id self = context.state.identity->node;
+    if (std::find(tried.begin(), tried.end(), self) == tried.end())
+        tried.push_back(self);
+    if (context.state.placement)
+        placeFlow(context,
+                  packet.with(packet_stage::offer, std::move(tried), packet.isDoubtful || isLate));
 }
 
-} // namespace
-
 void openTentatively(flow_context &context, const forwarded_packet &packet)
 {
     const base::flow_key &key = packet.summary.key;
@@ -424,36 +371,4 @@
     }
 }
 
-void deliveryTick(flow_context &context)
-{
-    flow_state &state = context.state;
-    std::vector<pending_delivery> unanswered;
-    std::vector<base::flow_key> expired;
-    for (auto it = state.pendingDeliveries.begin(); it != state.pendingDeliveries.end(); ++it) {
-        const base::clock_time age = context.now - it->second.at;
-        const owned_flow *flow = state.owned.find(it->first);
-        const bool awaitsAnswer = it->second.packet.summary.opens && flow != nullptr
-            && state.server.lastHeard <= it->second.at;
-        if (age >= pendingDeliveryLifetime)
-            expired.push_back(it->first);
-        else if (awaitsAnswer && age >= serverAnswerTimeout)
-            unanswered.push_back(it->second);
-    }
-    claimKeptFlows(context);
-    passOverSilentServer(context);
-    for (const base::flow_key &key : expired)
-        state.pendingDeliveries.erase(key);
-    for (const pending_delivery &timedOut : unanswered) {
-        state.server.isSilent = true;
-        state.server.silentUntil = context.now + silentServerBackoff;
-        record(context, flow_event_kind::serverSilent, timedOut.packet);
-        state.pendingDeliveries.erase(timedOut.packet.summary.key);
-        eraseOwned(state, timedOut.packet.summary.key);
-        registerLater(context, timedOut.packet.summary.key, false);
-        // By now another agent may have opened the flow with a retransmission.
-        offerToOtherAgents(context, timedOut.packet, true);
-    }
-    placementTick(context);
-}
-
 } // namespace lycheeshunt::flows::internal
