--- a/lycheeshunt/flows/event_log.cpp
+++ b/lycheeshunt/flows/event_log.cpp
@@ -36,6 +36,8 @@
         return "tried";
     case flow_event_kind::displaced:
         return "displaced";
+    case flow_event_kind::cold:
+        return "cold";
     }
     return "other";
 }
--- a/lycheeshunt/flows/flow_meter.cpp
+++ b/lycheeshunt/flows/flow_meter.cpp
@@ -36,6 +36,9 @@
             "Decisions about flows.",
             metrics::counter_value {m_events[kind]},
             {metrics::label {"event", nameOf(static_cast<flow_event_kind>(kind))}}});
+    samples.push_back(metrics::sample {
+        "cold_offers_total", "Flows offered to another agent because the server warms up.",
+        metrics::counter_value {m_events[static_cast<std::size_t>(flow_event_kind::cold)]}});
     samples.push_back(metrics::sample {"requests_in_transfer",
                                        "Uploads that arrive and hold no slot of the server.",
                                        metrics::gauge_value {static_cast<double>(m_transfers)}});
