Separate opening packets from returned packets

The choice of where an opening packet goes (to the agent that has registered its flow, or to placement) is now in opening_packets. What the server answers, returns or leaves unanswered stays in returned_packets. The functions are moved unchanged; the behaviour is the same.

--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -5,13 +5,12 @@
 #include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/lookup.h"
+#include "lycheeshunt/flows/internal/opening_packets.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/server_trials.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 
-#include <algorithm>
-
 namespace lycheeshunt::flows::internal {
 
 namespace {
@@ -96,56 +95,6 @@
         forwardTo(context, packet, *director, packet_stage::declined);
 }
 
-// Whether an opening packet arrives after another one of its flow: the flow may be open by now.
-bool mayBeOpen(const flow_state &state, const base::flow_key &key)
-{
-    return state.pendingDeliveries.find(key) != nullptr || state.directory.find(key) != nullptr
-        || state.lookups.find(key) != nullptr;
-}
-
-// The agent that has registered the flow, which a copy of the opening packet may have opened there.
-// Empty if that agent is silent: a new flow of the same key would wait for it in vain.
-std::optional<routing::target> openOwner(const flow_state &state, const base::flow_key &key)
-{
-    const std::optional<routing::target> owner = knownOwner(state, key);
-    if (!owner || isSelf(state, owner->node))
-        return std::nullopt;
-    const auto found = state.view->members.find(owner->node);
-    const bool isSilent = found != state.view->members.end()
-        && found->second.phase == membership::member_phase::suspected;
-    return isSilent ? std::nullopt : owner;
-}
-
-void handleOpening(flow_context &context, const forwarded_packet &packet)
-{
-    flow_state &state = context.state;
-    const base::flow_key &key = packet.summary.key;
-    if (packet.service != state.identity->service) {
-        context.actions.emplace_back(refuse_packet {base::error_code::wrongService});
-        return;
-    }
-    if (!state.buckets || !state.placement) {
-        context.actions.emplace_back(refuse_packet {base::error_code::agentNotReady});
-        return;
-    }
-    // The agent that offers a flow has checked its key.
-    if (packet.stage == packet_stage::offer) {
-        placeFlow(context, packet);
-        return;
-    }
-    const std::optional<routing::target> owner = openOwner(state, key);
-    if (owner) {
-        refreshEntry(context, key);
-        forwardTo(context, packet.with(packet.stage, packet.agents, true), *owner,
-                  packet_stage::toOwner);
-        return;
-    }
-    const pending_delivery *earlier = state.pendingDeliveries.find(key);
-    placeFlow(context,
-              packet.with(packet.stage, earlier != nullptr ? earlier->packet.agents : packet.agents,
-                          packet.isDoubtful || mayBeOpen(state, key)));
-}
-
 // The server of the agent that is listed in the packet has returned it. An agent before this list
 // lists none; then it is the one that was taken for the owner.
 void takeDecline(flow_context &context, const forwarded_packet &packet)
@@ -188,19 +137,6 @@
     lookUpOwner(context, packet);
 }
 
-// Offers the flow to the agents other than this one and those already tried. If the packet is late,
-// the flow may be open by now.
-void offerToOtherAgents(flow_context &context, const forwarded_packet &packet, bool isLate)
-{
-    std::vector<base::node_id> tried = packet.agents;
-    const base::node_id self = context.state.identity->node;
-    if (std::find(tried.begin(), tried.end(), self) == tried.end())
-        tried.push_back(self);
-    if (context.state.placement)
-        placeFlow(context,
-                  packet.with(packet_stage::offer, std::move(tried), packet.isDoubtful || isLate));
-}
-
 // The returned packet with what is known of its delivery. A packet whose delivery is not known is
 // doubtful, and no entry is told of it.
 forwarded_packet asDelivered(const flow_state &state, const server_answer &answer)
