Give an entry no hint of a server that may still return the flow

Seen by callers: when two servers have answered copies of an opening packet, a packet of the open flow reached the wrong server a second time, possibly seconds later, and lost a hop through it. Cause: an agent that got the first payload by the director sent the entry an owner hint before its server returned the packet. The entry of a returned packet is not kept, so neither a withdrawal nor the owner's hint reached it. Change: the owner hint waits until the server has kept a payload of the caller, so the second payload by the director brings it. The hint of an answered opening packet is as before. The price is one more hop for one payload of a flow whose entry has no hint.

--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -282,8 +282,13 @@
         return;
     }
     if (flow != nullptr && !isTried) {
+        // If the caller uses another server that got a copy of the opening packet, this server
+        // returns the first payload, and the hint would have to be withdrawn from an entry that is
+        // not known any more.
+        const bool isKept = flow->phase != flow_phase::opening && flow->progress.hasSent;
         handleOwned(context, owned_flow(*flow), packet);
-        if (!packet.summary.opens && (packet.hops > 0 || packet.stage != packet_stage::toOwner))
+        if (isKept && !packet.summary.opens
+            && (packet.hops > 0 || packet.stage != packet_stage::toOwner))
             sendHint(context, packet);
         return;
     }
--- a/lycheeshunt/flows/late_packets_test.cpp
+++ b/lycheeshunt/flows/late_packets_test.cpp
@@ -142,6 +142,24 @@
     CHECK(actionsOf<reset_caller>().empty());
 }
 
+// Guards against an entry that keeps the hint of the wrong one of two servers: the first payload of
+// the flow came by its director, so that the entry is not known any more when the server returns
+// it.
+TEST(late_packets, anEntryGetsNoHintOfAServerThatMayReturnTheFirstPayload)
+{
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::toDirector));
+    receiveFromServer(summaryOf(opening.key.caller.port, false));
+    apply(packetFor(summaryOf(opening.key.caller.port, false), packet_stage::toDirector));
+    CHECK(sentMessages<owner_hint>().empty());
+    apply(packetFor(dataOf(opening, firstSequence), packet_stage::toDirector));
+    LONGS_EQUAL(1, actionsOf<deliver_to_server>().size());
+    CHECK(sentMessages<owner_hint>().empty());
+    // The server has kept it.
+    apply(packetFor(dataOf(opening, firstSequence + 10), packet_stage::toDirector));
+    LONGS_EQUAL(1, sentMessages<owner_hint>().size());
+}
+
 // Guards against flows that can't open because their key is registered for an owner that is silent.
 TEST(late_packets, aFirstOpeningPacketIsPlacedWhileTheRegisteredOwnerIsSuspected)
 {
