Open a hedged copy at another server than the registered one

Seen by callers: when the backend server beside a running agent was silent, an opening waited for that agent's own time-out of 150 ms and its tick, although the entry had sent a second copy after 20 ms or more. Cause: the agent registers the flow with director and backup when it delivers the opening packet, and the backup led the copy to that agent, whose server is the one that did not answer. Change: the backup places a hedged copy (opening packet, doubtful, not repeated, stage toDirector) at another agent and adds the registered one to those already tried. If the backup itself has the flow and its server has not answered, it offers the copy to another agent; its own time-out runs on. If no other agent has room by the load reports, the copy goes to the registered agent as before; so do callers' own copies and late first packets.

--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -128,6 +128,14 @@
         && !(server.isSilent && now < server.silentUntil) && state.owned.size() < state.maxOwned;
 }
 
+bool hasRoomBesides(flow_context &context, const std::vector<base::node_id> &tried)
+{
+    publishOwnLoad(context);
+    return placement::hasCandidate(*context.state.placement,
+                                   placement::flow_offered {placement::offer_id(), tried},
+                                   context.now);
+}
+
 void placeFlow(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
--- a/lycheeshunt/flows/internal/flow_placement.h
+++ b/lycheeshunt/flows/internal/flow_placement.h
@@ -18,6 +18,10 @@
 // Returns true if the backend server may get a new flow now.
 bool canAcceptFlow(const flow_state &state, base::clock_time now);
 
+// Returns true if this agent or another one that was not tried has room for a new flow, by the load
+// reports.
+bool hasRoomBesides(flow_context &context, const std::vector<base::node_id> &tried);
+
 // Opens the flow here, offers it to another agent, or resets the caller if no agent accepts the
 // flow. Agents that the packet lists are not offered the flow.
 void placeFlow(flow_context &context, const forwarded_packet &packet);
--- a/lycheeshunt/flows/internal/opening_packets.cpp
+++ b/lycheeshunt/flows/internal/opening_packets.cpp
@@ -31,6 +31,28 @@
     return isSilent ? std::nullopt : owner;
 }
 
+// Whether an entry has sent this copy because the first one was not answered in time. Callers' own
+// copies are repeated, and the opening packets that agents forward are at another stage.
+bool isHedged(const forwarded_packet &packet)
+{
+    return packet.summary.opens && packet.isDoubtful && !packet.summary.isRepeated
+        && packet.stage == packet_stage::toDirector;
+}
+
+// The agents that are not offered the flow. The server of a registered owner has not answered the
+// first copy in time, so a hedged one is better placed elsewhere.
+std::vector<base::node_id> triedAgents(const flow_state &state, const forwarded_packet &packet,
+                                       const std::optional<routing::target> &owner)
+{
+    const pending_delivery *earlier = state.pendingDeliveries.find(packet.summary.key);
+    std::vector<base::node_id> tried = earlier != nullptr ? earlier->packet.agents : packet.agents;
+    const bool isListed
+        = owner && std::find(tried.begin(), tried.end(), owner->node) != tried.end();
+    if (owner && !isListed)
+        tried.push_back(owner->node);
+    return tried;
+}
+
 } // namespace
 
 void handleOpening(flow_context &context, const forwarded_packet &packet)
@@ -51,16 +73,33 @@
         return;
     }
     const std::optional<routing::target> owner = openOwner(state, key);
-    if (owner) {
+    std::vector<base::node_id> tried = triedAgents(state, packet, owner);
+    if (owner && !(isHedged(packet) && hasRoomBesides(context, tried))) {
         refreshEntry(context, key);
         forwardTo(context, packet.with(packet.stage, packet.agents, true), *owner,
                   packet_stage::toOwner);
         return;
     }
-    const pending_delivery *earlier = state.pendingDeliveries.find(key);
-    placeFlow(context,
-              packet.with(packet.stage, earlier != nullptr ? earlier->packet.agents : packet.agents,
-                          packet.isDoubtful || mayBeOpen(state, key)));
+    // Nothing is claimed here while the flow may be open elsewhere, so the owner's registration
+    // stays until its agent ends it.
+    placeFlow(
+        context,
+        packet.with(packet.stage, std::move(tried), packet.isDoubtful || mayBeOpen(state, key)));
+}
+
+bool offerHedgedElsewhere(flow_context &context, const forwarded_packet &packet)
+{
+    flow_state &state = context.state;
+    const base::flow_key &key = packet.summary.key;
+    const pending_delivery *unanswered = state.pendingDeliveries.find(key);
+    if (!isHedged(packet) || unanswered == nullptr || !unanswered->packet.summary.opens
+        || !hasRoomBesides(context, {state.identity->node}))
+        return false;
+    // This agent's own time-out still runs from its delivery.
+    const pending_delivery delivered = *unanswered;
+    offerToOtherAgents(context, packet, true);
+    state.pendingDeliveries.put(key, delivered);
+    return true;
 }
 
 void offerToOtherAgents(flow_context &context, const forwarded_packet &packet, bool isLate)
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -282,6 +282,8 @@
         return;
     }
     if (flow != nullptr && !isTried) {
+        if (offerHedgedElsewhere(context, packet))
+            return;
         // If the caller uses another server that got a copy of the opening packet, this server
         // returns the first payload, and the hint would have to be withdrawn from an entry that is
         // not known any more.
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -340,6 +340,11 @@
 
 } // namespace
 
+bool hasCandidate(const placement_state &state, const flow_offered &offer, base::clock_time now)
+{
+    return !candidatesFor(state, offer, averages {}, now).empty();
+}
+
 double costOf(const server_load &load, double forwardedSinceReport)
 {
     const double allowed = std::max(1U, load.slots.allowed);
--- a/lycheeshunt/placement/decision.h
+++ b/lycheeshunt/placement/decision.h
@@ -17,6 +17,10 @@
 base::step<placement_state, placement_action>
 decide(placement_state state, const placement_message &message, base::clock_time now);
 
+// Whether an agent that is not among those tried would be offered the flow, or this agent would
+// accept it.
+bool hasCandidate(const placement_state &state, const flow_offered &offer, base::clock_time now);
+
 // Cost of placing a flow at a server with this load; lower is better. Below 1, the server has a
 // free slot.
 double costOf(const server_load &load, double forwardedSinceReport);
--- a/lycheeshunt/placement/decision_test.cpp
+++ b/lycheeshunt/placement/decision_test.cpp
@@ -91,6 +91,23 @@
     LONGS_EQUAL(3, placeFlow(1));
 }
 
+// Guards against a second copy of an opening packet that is refused, instead of being sent to the
+// server that got the first one, when no other server has room.
+TEST(placement, aCandidateIsAnAgentThatWasNotTriedAndAcceptsFlows)
+{
+    const auto hasCandidateBesides = [this](const std::vector<node_id> &tried) {
+        return hasCandidate(state, flow_offered {offer_id(1), tried}, at(0));
+    };
+    apply(own_load_changed {loadOf(1)}, 0);
+    receiveReport(2, drainingLoad(), 0);
+    receiveReport(3, loadOf(1), 0);
+    CHECK(hasCandidateBesides({node_id(3)}));
+    CHECK(hasCandidateBesides({self}));
+    CHECK_FALSE(hasCandidateBesides({self, node_id(3)}));
+    apply(own_load_changed {drainingLoad()}, 0);
+    CHECK_FALSE(hasCandidateBesides({node_id(3)}));
+}
+
 TEST(placement, nearlyEqualLoadSavesTheHop)
 {
     apply(own_load_changed {server_load {slot_counts {7, 3}, 105}}, 0);
