--- a/lycheeshunt/flows/internal/delivery_timeouts.cpp
+++ b/lycheeshunt/flows/internal/delivery_timeouts.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/flows/internal/delivery_timeouts.h"
 
 #include "lycheeshunt/flows/internal/flow_placement.h"
+#include "lycheeshunt/flows/internal/opening_packets.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/returned_packets.h"
@@ -84,7 +85,7 @@
         recordEvent(context, flow_event_kind::serverSilent, timedOut.packet);
         state.pendingDeliveries.erase(timedOut.packet.summary.key);
         eraseOwned(state, timedOut.packet.summary.key);
-        registerLater(context, timedOut.packet.summary.key, false);
+        registerGivenUp(context, timedOut.packet.summary.key);
         // By now another agent may have opened the flow with a retransmission.
         offerToOtherAgents(context, timedOut.packet, true);
     }
--- a/lycheeshunt/flows/internal/returned_packets.h
+++ b/lycheeshunt/flows/internal/returned_packets.h
@@ -24,15 +24,11 @@
 // Opens the flow at this agent. The server returns the packet if it cannot accept the flow.
 void openTentatively(flow_context &context, const forwarded_packet &packet);
 
-// Offers the flow to the agents other than this one and those already tried. If the packet is late,
-// the flow may be open by now.
-void offerToOtherAgents(flow_context &context, const forwarded_packet &packet, bool isLate);
-
 // Assumes that the flow belongs to this agent's server, which returns the packet if it does not.
 void adoptTentatively(flow_context &context, const forwarded_packet &packet);
 
-// Tells the entry that this agent has the flow of the packet.
-// The hint of an opening packet leaves the choice to the caller.
+// Sends the entry a hint that this agent has the flow of the packet. The hint of an opening packet
+// leaves the choice to the caller.
 void sendHint(flow_context &context, const forwarded_packet &packet);
 
 // Handles the packets that arrived before the first view.
--- a/lycheeshunt/flows/late_packets_test.cpp
+++ b/lycheeshunt/flows/late_packets_test.cpp
@@ -142,6 +142,24 @@
     CHECK(actionsOf<reset_caller>().empty());
 }
 
+// Guards against an entry that keeps the hint of the wrong one of two servers: the first payload of
+// the flow came by its director, so that the entry is not known any more when the server returns
+// it.
+TEST(late_packets, anEntryGetsNoHintOfAServerThatMayReturnTheFirstPayload)
+{
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::toDirector));
+    receiveFromServer(summaryOf(opening.key.caller.port, false));
+    apply(packetFor(summaryOf(opening.key.caller.port, false), packet_stage::toDirector));
+    CHECK(sentMessages<owner_hint>().empty());
+    apply(packetFor(dataOf(opening, firstSequence), packet_stage::toDirector));
+    LONGS_EQUAL(1, actionsOf<deliver_to_server>().size());
+    CHECK(sentMessages<owner_hint>().empty());
+    // The server has kept it.
+    apply(packetFor(dataOf(opening, firstSequence + 10), packet_stage::toDirector));
+    LONGS_EQUAL(1, sentMessages<owner_hint>().size());
+}
+
 // Guards against flows that can't open because their key is registered for an owner that is silent.
 TEST(late_packets, aFirstOpeningPacketIsPlacedWhileTheRegisteredOwnerIsSuspected)
 {
@@ -184,6 +202,26 @@
     CHECK(actionsOf<reset_caller>().empty());
 }
 
+// Guards against directories that name the agent of a silent server for 2 s more, and refuse the
+// registration of the agent that has the flow by then.
+TEST(late_packets, theEndOfAFlowAtASilentServerIsRegisteredAtOnce)
+{
+    receivePeerReports();
+    const packets::ip_summary opening = summaryForOwnBucket(true);
+    apply(packetFor(opening, packet_stage::toDirector));
+    const std::uint32_t first = sentMessages<registration_batch>().front().sequence;
+    now += 200;
+    receivePeerReports();
+    apply(tick {});
+    CHECK(state->owned.find(opening.key) == nullptr);
+    now += 100;
+    apply(tick {});
+    const std::vector<registration_batch> ended = sentMessages<registration_batch>();
+    LONGS_EQUAL(1, ended.size());
+    CHECK(ended.front().sequence > first);
+    CHECK(ended.front().flows == (std::vector<registered_flow> {{opening.key, false}}));
+}
+
 // Guards against resets of open flows whose server returns a late opening packet.
 TEST(late_packets, aReturnedOpeningPacketOfAnOpenFlowIsNotReset)
 {
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -373,6 +373,11 @@
 
 } // namespace
 
+bool hasCandidate(const placement_state &state, const flow_offered &offer, base::clock_time now)
+{
+    return !candidatesFor(state, offer, averages {}, now).empty();
+}
+
 placement_step decide(placement_state state, const placement_message &message, base::clock_time now)
 {
     action_list actions;
--- a/lycheeshunt/placement/decision.h
+++ b/lycheeshunt/placement/decision.h
@@ -17,4 +17,8 @@
 base::step<placement_state, placement_action>
 decide(placement_state state, const placement_message &message, base::clock_time now);
 
+// Whether an agent that is not among those tried would be offered the flow, or this agent would
+// accept it.
+bool hasCandidate(const placement_state &state, const flow_offered &offer, base::clock_time now);
+
 } // namespace lycheeshunt::placement
