Answer nodes that reach control before its leader is ready

After all processes ended, nodes reached control VMs that had started but knew no leader. These closed the streams, because they held nodes only once they knew the group's addresses; 25 and more connections were lost within 0.2 s. A VM that became the leader closed the streams of the nodes that it held, and these tried another VM first. A node that asked before the first commit was answered at its next request, 1 s later.

A control VM that has just started holds nodes also while it knows no addresses, and keeps their messages (6 of 4 KB at most). When it becomes the leader it handles them; otherwise it redirects the nodes to the leader, as before. The publisher keeps the latest request of a node that it can't answer yet, and answers once the node's generation is reached. From the start of its leadership until the first commit of its term is applied it answers none, as its view may lack entries of the earlier leader; before, such a view was sent.

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -125,6 +125,7 @@
                 },
                 [this](const tickets::other_committed &other) { return m_log->apply(other); },
                 [this](const tickets::other_read_outcome &read) { return m_log->apply(read); },
+                [this](const tickets::other_caught_up &caughtUp) { return m_log->apply(caughtUp); },
                 [this](const tickets::confirm_read &read) {
                     return m_replication->inbox().tryPush(replication::read_request {read.request});
                 },
@@ -286,10 +287,16 @@
         base::overloaded {
             [this](const replication::commit_entries &committed) {
                 m_log->deliver(committed.entries);
+                updateCatchUp(m_catchUp.withCommit(committed.entries.back().term));
             },
             [this](const replication::state_restored &restored) { m_log->restore(restored); },
             [this](const replication::leadership_changed &changed) {
-                m_isLeading = changed.leadership.isLeader;
+                const replication::leadership &leadership = changed.leadership;
+                // Before requests of nodes reach the publisher.
+                if (leadership.isLeader)
+                    m_publisher->inbox().push(dissemination::leadership_began {leadership.term});
+                m_isLeading = leadership.isLeader;
+                updateCatchUp(m_catchUp.withLeadership(leadership.isLeader ? leadership.term : 0));
                 publishLeadership(changed.leadership);
                 m_tickets->inbox().push(
                     tickets::leadership_update {leadershipError(changed.leadership)});
@@ -336,10 +343,17 @@
     m_states->inbox().push(states::leadership_update {leadership.isLeader, leadership.leaderApi});
     if (m_members)
         m_directory.set(*m_members, leadership);
-    if (leadership.leaderName.empty())
+    if (!leadership.leaderName.empty())
+        releaseNodes();
+}
+
+void control_process::updateCatchUp(const internal::leader_catch_up &next)
+{
+    m_catchUp = next;
+    if (!m_catchUp.isComplete())
         return;
-    for (const streams::connection_id &connection : m_directory.release())
-        redirectNode(connection);
+    m_log->completeCatchUp(m_catchUp.awaited);
+    m_catchUp = m_catchUp.withLeadership(0);
 }
 
 void control_process::useControl(const std::vector<base::endpoint> &seeds)
--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -9,6 +9,7 @@
 #include "lycheeshunt/base/request_id.h"
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/daemon/internal/committed_log.h"
+#include "lycheeshunt/daemon/internal/leader_catch_up.h"
 #include "lycheeshunt/daemon/internal/node_directory.h"
 #include "lycheeshunt/dissemination/piece_encoder.h"
 #include "lycheeshunt/metrics/report.h"
@@ -86,10 +87,12 @@
 
     bool carryOutState(const states::state_action &action);
     void publishLeadership(const replication::leadership &leadership);
+    void updateCatchUp(const internal::leader_catch_up &next);
     void sendView(const dissemination::send_to_nodes &send);
     void sendPiece(const dissemination::send_piece &send);
     void sendDirectory(streams::connection_id connection);
     void redirectNode(streams::connection_id connection);
+    void releaseNodes();
     void startDuties();
     void startOperators(const std::string &token);
     void startReplication(const settings::node_settings &settings,
@@ -121,6 +124,7 @@
     // Accessed by the replication thread only.
     std::shared_ptr<const replication::configuration> m_members;
     std::shared_ptr<const replication::leadership> m_leadership;
+    internal::leader_catch_up m_catchUp;
     std::unique_ptr<internal::committed_log> m_log;
     std::unique_ptr<replication::peer_links> m_links;
     std::unique_ptr<replication::replication_duty> m_replication;
--- a/lycheeshunt/daemon/control_streams.cpp
+++ b/lycheeshunt/daemon/control_streams.cpp
@@ -13,16 +13,26 @@
 
 namespace lycheeshunt::daemon {
 
-// Redirects a node to the leader, at once or as soon as a leader is known.
 void control_process::redirectNode(streams::connection_id connection)
 {
-    if (m_directory.holdUntilLeader(connection, base::clock_time::steady() - m_startedAt))
-        return;
     sendDirectory(connection);
     m_streams->outgoing().tryPush(
         streams::stream_frame {connection, streams::channel::dissemination, {}});
 }
 
+// A leader is known: the nodes that waited for it are served here or redirected to it.
+void control_process::releaseNodes()
+{
+    const internal::waiting_nodes released = m_directory.release();
+    for (auto it = released.begin(); it != released.end(); ++it) {
+        if (!m_isLeading)
+            redirectNode(it->first);
+        else
+            for (const streams::stream_frame &frame : it->second)
+                handleFrame(frame);
+    }
+}
+
 void control_process::sendDirectory(streams::connection_id connection)
 {
     const std::shared_ptr<const dissemination::control_directory> known = m_directory.current();
@@ -52,9 +62,15 @@
 void control_process::handleFrame(const streams::stream_frame &frame)
 {
     if (frame.channel != streams::channel::replication && !m_isLeading) {
-        // Only the leader handles membership and acknowledgements, so the node is redirected to it.
-        redirectNode(frame.connection);
-        return;
+        // Only the leader handles membership and acknowledgements. The node waits until it is
+        // known, or is redirected to it.
+        if (m_directory.holdUntilLeader(frame, base::clock_time::steady() - m_startedAt))
+            return;
+        // This VM may have become the leader in the meantime.
+        if (!m_isLeading) {
+            redirectNode(frame.connection);
+            return;
+        }
     }
     if (frame.channel == streams::channel::membership) {
         handleMemberFrame(frame);
--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -115,6 +115,16 @@
     m_followers.tickets.inbox().push(tickets::other_read_outcome {request, failure});
 }
 
+void committed_log::completeCatchUp(std::uint64_t term)
+{
+    m_followers.tickets.inbox().push(tickets::other_caught_up {term});
+}
+
+bool committed_log::apply(const tickets::other_caught_up &caughtUp)
+{
+    return m_followers.publisher.inbox().push(dissemination::log_caught_up {caughtUp.term});
+}
+
 bool committed_log::apply(const tickets::other_read_outcome &read)
 {
     return m_followers.states.inbox().push(states::read_outcome {read.request, read.failure});
--- a/lycheeshunt/daemon/internal/committed_log.h
+++ b/lycheeshunt/daemon/internal/committed_log.h
@@ -35,6 +35,7 @@
 }
 
 namespace lycheeshunt::tickets {
+struct other_caught_up;
 struct other_read_outcome;
 class ticket_duty;
 } // namespace lycheeshunt::tickets
@@ -56,6 +57,8 @@
     explicit committed_log(const log_followers &followers) : m_followers(followers) { }
 
     void deliver(const std::vector<replication::log_entry> &entries);
+    // All entries of terms before this one have been delivered.
+    void completeCatchUp(std::uint64_t term);
     // Replaces the state by that of a snapshot.
     void restore(const replication::state_restored &restored);
     std::vector<replication::log_entry>
@@ -65,6 +68,7 @@
 
     // Always true: the duties' rings are waited for, so that the entry is always accepted.
     bool apply(const tickets::other_committed &other);
+    bool apply(const tickets::other_caught_up &caughtUp);
     bool apply(const tickets::other_read_outcome &read);
 
 private:
--- a/lycheeshunt/daemon/internal/node_directory.cpp
+++ b/lycheeshunt/daemon/internal/node_directory.cpp
@@ -29,19 +29,22 @@
     return m_current;
 }
 
-bool node_directory::holdUntilLeader(streams::connection_id connection, base::clock_time uptime)
+bool node_directory::holdUntilLeader(const streams::stream_frame &frame, base::clock_time uptime)
 {
     const std::lock_guard<std::mutex> lock(m_lock);
-    if (!m_current || !shouldHoldNode(*m_current, uptime))
+    // The directory is unknown until the first notice of a leadership after the start.
+    if (!shouldHoldNode(m_current ? *m_current : dissemination::control_directory {}, uptime))
         return false;
-    m_waiting.insert(connection);
+    std::vector<streams::stream_frame> &held = m_waiting[frame.connection];
+    if (held.size() < maxHeldMessages && frame.bytes.size() <= maxHeldBytes)
+        held.push_back(frame);
     return true;
 }
 
-std::set<streams::connection_id> node_directory::release()
+waiting_nodes node_directory::release()
 {
     const std::lock_guard<std::mutex> lock(m_lock);
-    std::set<streams::connection_id> released;
+    waiting_nodes released;
     released.swap(m_waiting);
     return released;
 }
--- a/lycheeshunt/daemon/internal/node_directory.h
+++ b/lycheeshunt/daemon/internal/node_directory.h
@@ -6,11 +6,11 @@
 
 #include "lycheeshunt/base/clock_time.h"
 #include "lycheeshunt/dissemination/control_directory.h"
-#include "lycheeshunt/streams/connection_id.h"
+#include "lycheeshunt/streams/stream_frame.h"
 
+#include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <vector>
 
 namespace lycheeshunt::replication {
@@ -20,6 +20,14 @@
 
 namespace lycheeshunt::daemon::internal {
 
+// The messages of each node that waits, in the order received.
+using waiting_nodes = std::map<streams::connection_id, std::vector<streams::stream_frame>>;
+
+// Limits what is kept of one node. A node sends its announcement, its window and its request, each
+// under 1 KB, and repeats what gets no answer.
+constexpr std::size_t maxHeldMessages = 6;
+constexpr std::size_t maxHeldBytes = 4096;
+
 class node_directory
 {
 public:
@@ -27,16 +35,17 @@
     // Null until the addresses of all members are known.
     std::shared_ptr<const dissemination::control_directory> current() const;
 
-    // Returns whether the node is to wait here for a leader; if so, it is stored until release().
-    bool holdUntilLeader(streams::connection_id connection, base::clock_time uptime);
+    // Returns whether the node is to wait here for a leader; if so, it is stored with its message
+    // until release().
+    bool holdUntilLeader(const streams::stream_frame &frame, base::clock_time uptime);
     // Removes and returns the nodes that wait.
-    std::set<streams::connection_id> release();
+    waiting_nodes release();
     void forget(streams::connection_id connection);
 
 private:
     mutable std::mutex m_lock;
     std::shared_ptr<const dissemination::control_directory> m_current;
-    std::set<streams::connection_id> m_waiting;
+    waiting_nodes m_waiting;
 };
 
 } // namespace lycheeshunt::daemon::internal
--- a/lycheeshunt/dissemination/cold_start_test.cpp
+++ b/lycheeshunt/dissemination/cold_start_test.cpp
@@ -3,6 +3,7 @@
 // during which no caller was served.
 
 #include "lycheeshunt/dissemination/fake_cluster_test.h"
+#include "lycheeshunt/dissemination/internal/snapshot_cuts.h"
 #include "lycheeshunt/dissemination/routes_test.h"
 
 #include <CppUTest/TestHarness.h>
@@ -115,7 +116,7 @@
     startLeader(cluster, fewRoutes);
     cluster.startNode("entry-0", "");
     CHECK(cluster.converges());
-    cluster.runFor(cutRetention + publisherTicks);
+    cluster.runFor(internal::cutRetention + publisherTicks);
     CHECK(cluster.publisher.cuts.empty());
     cluster.encoder.prune();
     cluster.connect("entry-0");
@@ -203,6 +204,54 @@
     CHECK(cluster.converges());
 }
 
+// A new leader's view lacks entries that the earlier leader committed, until its own term commits.
+// A node that started from such a view would send callers to servers that were replaced.
+TEST(cold_start, nodesAreAnsweredOnceTheEntriesOfEarlierTermsAreApplied)
+{
+    startLeader(cluster, fewRoutes);
+    cluster.toPublisher(leadership_began {3});
+    cluster.startNode("entry-0", "");
+    cluster.startNode("agent-1", "logbook");
+    cluster.runFor(base::clock_time::ofMillis(300));
+    CHECK(cluster.nodes.at("entry-0").adopted.empty());
+    // That of a leadership that has ended does not count.
+    cluster.toPublisher(log_caught_up {2});
+    cluster.runFor(base::clock_time::ofMillis(100));
+    CHECK(cluster.nodes.at("entry-0").adopted.empty());
+    cluster.commitTicket(1);
+    const base::clock_time caughtUpAt = cluster.now;
+    cluster.toPublisher(log_caught_up {3});
+    CHECK(cluster.converges());
+    // Well under the 1 s after which a node repeats its request.
+    CHECK(cluster.now - caughtUpAt <= base::clock_time::ofMillis(200));
+    for (auto it = cluster.nodes.begin(); it != cluster.nodes.end(); ++it)
+        LONGS_EQUAL(cluster.lastGeneration, it->second.adopted.front()->at.value());
+}
+
+// A node that asks before the first commit waited for its next request, up to 1 s later.
+TEST(cold_start, aNodeThatAsksBeforeTheFirstCommitIsAnsweredAfterIt)
+{
+    cluster.startNode("entry-0", "");
+    cluster.runFor(base::clock_time::ofMillis(100));
+    startLeader(cluster, fewRoutes);
+    const base::clock_time committedAt = cluster.now;
+    CHECK(cluster.converges());
+    CHECK(cluster.now - committedAt <= base::clock_time::ofMillis(300));
+    CHECK(cluster.publisher.unanswered.empty());
+}
+
+TEST(cold_start, aClosedStreamLeavesNothingBehind)
+{
+    const streams::connection_id connection(7);
+    cluster.toPublisher(node_message_received {connection, view_window {4}});
+    cluster.toPublisher(node_message_received {
+        connection, view_request {base::nodeIdOf("entry-0"), base::incarnation(1)}});
+    LONGS_EQUAL(1, cluster.publisher.unanswered.size());
+    cluster.toPublisher(subscriber_closed {connection});
+    CHECK(cluster.publisher.unanswered.empty());
+    CHECK(cluster.publisher.windows.empty());
+}
+
 TEST(cold_start, messagesOfTheWindowAreEncodedAndDecoded)
 {
     const node_message window = view_window {4};
--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/internal/in_force_report.h"
+#include "lycheeshunt/dissemination/internal/snapshot_cuts.h"
 #include "lycheeshunt/dissemination/snapshot.h"
 
 #include <algorithm>
@@ -130,45 +131,15 @@
     state.cuts.clear();
 }
 
-// A piece depends only on the base, the scope and its start. Only the first piece and pieces that
-// follow a cut one are kept, so that arbitrary cursors in requests do not use up the space.
-shared_cut cutAt(publisher_state &state, const view_scope &scope, const snapshot_cursor &start)
-{
-    const std::pair<base::service_id, snapshot_cursor> key(scope.service, start);
-    const auto found = state.cuts.find(key);
-    if (found != state.cuts.end() && found->second) {
-        ++state.counts.sharedPieces;
-        return found->second;
-    }
-    const cluster_view &view = *state.snapshotBase->view;
-    snapshot_part cut = partAfter(view, scope, start);
-    const shared_cut piece = std::make_shared<const snapshot_cut>(snapshot_cut {
-        view.at, state.snapshotBase->digests.of(scope), start, cut.next, std::move(cut.part)});
-    const bool isKnownStart = found != state.cuts.end() || start == snapshot_cursor {};
-    if (!isKnownStart || state.cuts.size() >= maxCuts)
-        return piece;
-    state.cuts[key] = piece;
-    // Reserves the next start, without its piece yet.
-    if (!piece->next.isEnd())
-        state.cuts.emplace(std::make_pair(scope.service, piece->next), nullptr);
-    return piece;
-}
-
-void dropUnusedCuts(publisher_state &state, base::clock_time now)
-{
-    if (!state.cuts.empty() && now - state.cutsUsedAt >= cutRetention)
-        state.cuts.clear();
-}
-
 // Sends the pieces from the cursor on that fit the window.
 void sendPieces(publisher_state &state, streams::connection_id connection,
                 const snapshot_cursor &cursor, std::uint32_t window, base::clock_time now,
                 action_list &actions)
 {
     const view_scope scope = state.subscribers.at(connection).scope;
-    std::vector<shared_cut> pieces = {cutAt(state, scope, cursor)};
+    std::vector<shared_cut> pieces = {internal::cutAt(state, scope, cursor)};
     while (pieces.size() < window && !pieces.back()->next.isEnd())
-        pieces.push_back(cutAt(state, scope, pieces.back()->next));
+        pieces.push_back(internal::cutAt(state, scope, pieces.back()->next));
     state.cutsUsedAt = now;
     std::uint32_t follows = static_cast<std::uint32_t>(pieces.size());
     for (const shared_cut &piece : pieces) {
@@ -178,6 +149,11 @@
     }
 }
 
+void setWindow(publisher_state &state, streams::connection_id connection, const view_window &window)
+{
+    state.windows[connection] = std::clamp(window.pieces, std::uint32_t(1), maxPieceWindow);
+}
+
 std::uint32_t windowOf(const publisher_state &state, streams::connection_id connection)
 {
     const auto found = state.windows.find(connection);
@@ -211,13 +187,17 @@
     const bool canContinue = !canResume && request.current != base::generation()
         && state.historyCovers(request.current);
     const bool isAhead = std::max(request.current, request.atLeast) > state.view->at;
+    const bool hasGeneration = isAhead || (canContinue && !state.isCatchingUp);
     setSubscriber(state, connection,
                   subscriber {request.node, request.incarnation, request.scope,
-                              canContinue || isAhead ? request.current : base::generation()});
-    // Either the node is ahead, as this control VM has yet to catch up, or nothing is committed
-    // yet.
-    if (isAhead || state.view->at == base::generation())
+                              hasGeneration ? request.current : base::generation()});
+    state.unanswered.erase(connection);
+    // The node is ahead of this control VM, or nothing is committed yet, or the entries of earlier
+    // terms are not applied yet. The answer follows when they are.
+    if (isAhead || state.isCatchingUp || state.view->at == base::generation()) {
+        state.unanswered.emplace(connection, request);
         return;
+    }
     if (canResume) {
         sendPieces(state, connection, request.cursor, windowOf(state, connection), now, actions);
     } else if (canContinue) {
@@ -229,6 +209,14 @@
     }
 }
 
+void answerWaitingNodes(publisher_state &state, base::clock_time now, action_list &actions)
+{
+    std::map<streams::connection_id, view_request> waiting;
+    waiting.swap(state.unanswered);
+    for (auto it = waiting.begin(); it != waiting.end(); ++it)
+        handleRequest(state, it->first, it->second, now, actions);
+}
+
 // Only a delta in flight can be acknowledged. Any other generation or digest is stale or belongs to
 // a diverged history.
 void handleAcknowledgement(publisher_state &state, streams::connection_id connection,
@@ -317,55 +305,66 @@
 {
     action_list actions;
     const std::optional<base::error> fault = base::faultOf([&]() {
-        std::visit(
-            base::overloaded {
-                // Nothing is known of the node before its first message.
-                [](const subscriber_opened &) {},
-                [&](const subscriber_closed &closed) {
-                    state.subscribers.erase(closed.connection);
-                    state.windows.erase(closed.connection);
-                },
-                [&](const node_message_received &received) {
-                    std::visit(
-                        base::overloaded {
-                            [&](const view_request &request) {
-                                handleRequest(state, received.connection, request, now, actions);
-                            },
-                            [&](const view_window &window) {
-                                state.windows[received.connection]
-                                    = std::clamp(window.pieces, std::uint32_t(1), maxPieceWindow);
-                            },
-                            [&](const acknowledgement &ack) {
-                                handleAcknowledgement(state, received.connection, ack);
-                            },
-                        },
-                        received.message);
-                },
-                [&](const ticket_applied &applied) {
-                    publish(state, applied.at, changeOf(applied.ticket));
-                },
-                [&](const batch_applied &applied) {
-                    publish(state, applied.at, changeOf(*state.view, applied.batch));
-                },
-                [&](const state_applied &applied) {
-                    // The highest version is in force, regardless of the order in the log.
-                    if (applied.state->version <= state.stateVersion)
-                        return;
-                    state.stateVersion = applied.state->version;
-                    publish(state, applied.at, changeOf(*state.view, *applied.state));
-                },
-                [&](const entries_merged &entries) { publishMerged(state, entries); },
-                [&](const in_force_query &query) {
-                    state.pendingQueries.push_back(pending_query {query, now + query.wait});
-                    answerPendingQueries(state, now, actions);
-                },
-                [&](const publisher_tick &) {
-                    sendDueUpdates(state, now, actions);
-                    dropUnusedCuts(state, now);
-                    answerPendingQueries(state, now, actions);
-                },
-            },
-            message);
+        std::visit(base::overloaded {
+                       // Nothing is known of the node before its first message.
+                       [](const subscriber_opened &) {},
+                       [&](const subscriber_closed &closed) {
+                           state.subscribers.erase(closed.connection);
+                           state.windows.erase(closed.connection);
+                           state.unanswered.erase(closed.connection);
+                       },
+                       [&](const node_message_received &received) {
+                           std::visit(base::overloaded {
+                                          [&](const view_request &request) {
+                                              handleRequest(state, received.connection, request,
+                                                            now, actions);
+                                          },
+                                          [&](const view_window &window) {
+                                              setWindow(state, received.connection, window);
+                                          },
+                                          [&](const acknowledgement &ack) {
+                                              handleAcknowledgement(state, received.connection,
+                                                                    ack);
+                                          },
+                                      },
+                                      received.message);
+                       },
+                       [&](const ticket_applied &applied) {
+                           publish(state, applied.at, changeOf(applied.ticket));
+                       },
+                       [&](const batch_applied &applied) {
+                           publish(state, applied.at, changeOf(*state.view, applied.batch));
+                       },
+                       [&](const state_applied &applied) {
+                           // The highest version is in force, regardless of the order in the log.
+                           if (applied.state->version <= state.stateVersion)
+                               return;
+                           state.stateVersion = applied.state->version;
+                           publish(state, applied.at, changeOf(*state.view, *applied.state));
+                       },
+                       [&](const entries_merged &entries) { publishMerged(state, entries); },
+                       [&](const leadership_began &began) {
+                           state.term = began.term;
+                           state.isCatchingUp = true;
+                       },
+                       [&](const log_caught_up &caughtUp) {
+                           if (caughtUp.term != state.term)
+                               return;
+                           state.isCatchingUp = false;
+                           answerWaitingNodes(state, now, actions);
+                       },
+                       [&](const in_force_query &query) {
+                           state.pendingQueries.push_back(pending_query {query, now + query.wait});
+                           answerPendingQueries(state, now, actions);
+                       },
+                       [&](const publisher_tick &) {
+                           answerWaitingNodes(state, now, actions);
+                           sendDueUpdates(state, now, actions);
+                           internal::dropUnusedCuts(state, now);
+                           answerPendingQueries(state, now, actions);
+                       },
+                   },
+                   message);
     });
     return publisher_step {std::move(state), std::move(actions), fault};
 }
--- a/lycheeshunt/dissemination/decision.h
+++ b/lycheeshunt/dissemination/decision.h
@@ -22,11 +22,6 @@
 constexpr base::clock_time transferTimePerObject = base::clock_time::ofMillis(2);
 // Maximum number of deltas to one node of which an acknowledgement counts.
 constexpr std::size_t maxDeltasInFlight = 4;
-// Maximum number of cut pieces kept for other nodes: a complete view and as many services as nodes
-// of them start together. Further pieces are cut for one node each.
-constexpr std::size_t maxCuts = 1024;
-// Cut pieces are dropped when none was sent for this time: nodes that start together ask within it.
-constexpr base::clock_time cutRetention = base::clock_time::ofSeconds(10);
 // Maximum number of pieces sent for one request: 40 KB of routes or 80 KB of members. It takes 0.2
 // s on the narrowest link (3.2 Mbit/s), so that a node that asks again after 1 s has received them.
 constexpr std::uint32_t maxPieceWindow = 4;
--- a/lycheeshunt/dissemination/dissemination_message.h
+++ b/lycheeshunt/dissemination/dissemination_message.h
@@ -4,6 +4,8 @@
 #include "lycheeshunt/dissemination/entries_merged.h"
 #include "lycheeshunt/dissemination/in_force_answer.h"
 #include "lycheeshunt/dissemination/in_force_query.h"
+#include "lycheeshunt/dissemination/leadership_began.h"
+#include "lycheeshunt/dissemination/log_caught_up.h"
 #include "lycheeshunt/dissemination/node_message_received.h"
 #include "lycheeshunt/dissemination/publisher_tick.h"
 #include "lycheeshunt/dissemination/send_piece.h"
@@ -19,7 +21,8 @@
 
 using dissemination_message
     = std::variant<subscriber_opened, subscriber_closed, node_message_received, ticket_applied,
-                   batch_applied, state_applied, entries_merged, in_force_query, publisher_tick>;
+                   batch_applied, state_applied, entries_merged, leadership_began, log_caught_up,
+                   in_force_query, publisher_tick>;
 using dissemination_action = std::variant<send_to_nodes, send_piece, in_force_answer>;
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/publisher_state.h
+++ b/lycheeshunt/dissemination/publisher_state.h
@@ -8,6 +8,7 @@
 #include "lycheeshunt/dissemination/snapshot_base.h"
 #include "lycheeshunt/dissemination/snapshot_cut.h"
 #include "lycheeshunt/dissemination/subscriber.h"
+#include "lycheeshunt/dissemination/view_request.h"
 #include "lycheeshunt/streams/connection_id.h"
 
 #include <list>
@@ -32,6 +33,11 @@
     std::map<streams::connection_id, subscriber> subscribers;
     // Nodes that accept several pieces for one request, and how many.
     std::map<streams::connection_id, std::uint32_t> windows;
+    // The latest requests of nodes that can't be answered yet.
+    std::map<streams::connection_id, view_request> unanswered;
+    // Term of this VM's leadership, and whether the view may lack entries of earlier terms.
+    std::uint64_t term = 0;
+    bool isCatchingUp = false;
     std::vector<pending_query> pendingQueries;
     // Version of the desired state in the view; 0 before the first.
     std::uint64_t stateVersion = 0;
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -239,6 +239,7 @@
                        [&](const ticket_committed &m) { commit(state, m, actions); },
                        [&](const other_committed &m) { actions.emplace_back(m); },
                        [&](const other_read_outcome &m) { actions.emplace_back(m); },
+                       [&](const other_caught_up &m) { actions.emplace_back(m); },
                        [&](const proposal_rejected &m) { rejectProposal(state, m, actions); },
                        [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                        [&](const leadership_update &m) { changeLeadership(state, m, actions); },
