--- a/lycheeshunt/daemon/control_process.h
+++ b/lycheeshunt/daemon/control_process.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <latch>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 namespace lycheeshunt::dissemination {
@@ -121,6 +122,8 @@
     std::unique_ptr<operators::operator_duty> m_operators;
     const base::clock_time m_startedAt = base::clock_time::steady();
     internal::node_directory m_directory;
+    // The end of a node's stream is reported after the messages that were kept of it.
+    std::mutex m_releaseLock;
     // Accessed by the replication thread only.
     std::shared_ptr<const replication::configuration> m_members;
     std::shared_ptr<const replication::leadership> m_leadership;
--- a/lycheeshunt/daemon/control_streams.cpp
+++ b/lycheeshunt/daemon/control_streams.cpp
@@ -23,6 +23,7 @@
 // A leader is known: the nodes that waited for it are served here or redirected to it.
 void control_process::releaseNodes()
 {
+    const std::lock_guard<std::mutex> lock(m_releaseLock);
     const internal::waiting_nodes released = m_directory.release();
     for (auto it = released.begin(); it != released.end(); ++it) {
         if (!m_isLeading)
@@ -51,6 +52,7 @@
                 m_publisher->inbox().push(dissemination::subscriber_opened {opened.connection});
             },
             [this](const streams::stream_closed &closed) {
+                const std::lock_guard<std::mutex> lock(m_releaseLock);
                 m_directory.forget(closed.connection);
                 m_publisher->inbox().push(dissemination::subscriber_closed {closed.connection});
             },
--- a/lycheeshunt/dissemination/internal/snapshot_cuts.cpp
+++ b/lycheeshunt/dissemination/internal/snapshot_cuts.cpp
@@ -17,7 +17,7 @@
     }
     const cluster_view &view = *state.snapshotBase->view;
     snapshot_part cut = partAfter(view, scope, start);
-    const shared_cut piece = std::make_shared<const snapshot_cut>(snapshot_cut {
+    shared_cut piece = std::make_shared<const snapshot_cut>(snapshot_cut {
         view.at, state.snapshotBase->digests.of(scope), start, cut.next, std::move(cut.part)});
     const bool isKnownStart = found != state.cuts.end() || start == snapshot_cursor {};
     if (!isKnownStart || state.cuts.size() >= maxCuts)
