--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -287,7 +287,8 @@
         base::overloaded {
             [this](const replication::commit_entries &committed) {
                 m_log->deliver(committed.entries);
-                updateCatchUp(m_catchUp.withCommit(committed.entries.back().term));
+                if (!committed.entries.empty())
+                    updateCatchUp(m_catchUp.withCommit(committed.entries.back().term));
             },
             [this](const replication::state_restored &restored) { m_log->restore(restored); },
             [this](const replication::leadership_changed &changed) {
