--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -54,20 +54,32 @@
     std::unique_ptr<flow_state> state;
     std::vector<flow_action> actions;
     std::int64_t now = 10'000;
+    // Settings that most tests leave out; set before setup().
+    std::optional<double> warmupRate;
+    std::optional<std::uint32_t> warmupSlack;
+    bool reportsSpeed = false;
 
     void setup() override
     {
         const membership::member self = agentNamed("a1", 1);
-        state = std::make_unique<flow_state>(
-            agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true});
+        state = std::make_unique<flow_state>(agent_identity {self.id(), logbook, self.incarnation,
+                                                             self.packets, "zone-1", true,
+                                                             warmupSlack, reportsSpeed});
+        receiveView(1);
+        setServer(true);
+    }
+
+    void receiveView(std::uint64_t generation)
+    {
         std::map<base::node_id, membership::member> members;
-        for (const membership::member &member : {self, agentNamed("a2", 2), agentNamed("a3", 3)})
+        for (const membership::member &member :
+             {agentNamed("a1", 1), agentNamed("a2", 2), agentNamed("a3", 3)})
             members.emplace(member.id(), member);
         std::map<base::service_id, tickets::service_definition> services;
-        services.emplace(logbook, tickets::service_definition {"logbook", {}, {}, 64});
+        services.emplace(
+            logbook, tickets::service_definition {"logbook", {}, {.warmupRate = warmupRate}, 64});
         apply(view_update {std::make_shared<const dissemination::cluster_view>(
-            dissemination::cluster_view {base::generation(1), services, members})});
-        setServer(true);
+            dissemination::cluster_view {base::generation(generation), services, members})});
     }
 
     void apply(const flow_message &message)
@@ -92,7 +104,8 @@
     }
 
     forwarded_packet packetFor(const packets::ip_summary &summary, packet_stage stage,
-                               std::vector<base::node_id> agents = {}, std::uint8_t hops = 0)
+                               std::vector<base::node_id> agents = {}, std::uint8_t hops = 0,
+                               const request_class &requestClass = {})
     {
         return forwarded_packet {logbook,
                                  base::incarnation(1),
@@ -102,7 +115,9 @@
                                  summary,
                                  base::packet_bytes("packet"),
                                  entry,
-                                 std::move(agents)};
+                                 std::move(agents),
+                                 false,
+                                 requestClass};
     }
 
     void receiveFromServer(const packets::ip_summary &summary)
--- a/lycheeshunt/flows/flow_meter.h
+++ b/lycheeshunt/flows/flow_meter.h
@@ -9,6 +9,8 @@
 
 #include <array>
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <vector>
 
 namespace lycheeshunt::flows {
@@ -20,11 +22,16 @@
 
     void record(const flow_event &event);
     void record(const request_timing &timing);
+    // The uploads in transfer now.
+    void setTransfers(std::size_t transfers) { m_transfers = transfers; }
     std::vector<metrics::sample> samples() const;
 
 private:
     std::array<std::atomic<std::uint64_t>, flowEventKinds + 1> m_events {};
-    metrics::span_histogram m_waited;
+    std::atomic<std::uint64_t> m_transfers = 0;
+    // By the priority of the request.
+    mutable std::mutex m_lock;
+    std::map<std::uint8_t, metrics::span_histogram> m_waited;
     metrics::span_histogram m_answered;
 };
 
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -19,6 +19,7 @@
 #include "lycheeshunt/flows/server_view.h"
 #include "lycheeshunt/flows/waiting_requests.h"
 #include "lycheeshunt/placement/placement_state.h"
+#include "lycheeshunt/placement/service_time.h"
 #include "lycheeshunt/routing/bucket_table.h"
 
 #include <list>
@@ -46,6 +47,8 @@
     // The latest generation that each agent is known to have reached.
     std::map<base::node_id, base::generation> peerGenerations;
     bool draining = false;
+    // Whether the agent's zone is evacuated; it is draining then, too.
+    bool isEvacuated = false;
     std::size_t maxOwned = 0;
     // From the limits of the service.
     base::clock_time openIdleTimeout = tickets::service_limits {}.idleTimeout;
@@ -64,11 +67,15 @@
     registrar_state registrar;
     recovery_state recovery;
     server_view server;
+    // How long the server takes for a request, for load reports.
+    placement::service_time serviceTime;
     // Packets that were delivered to the backend server, or offered to another agent as the first
     // of a flow, and are not answered yet. Only where backend servers return packets.
     flow_map<pending_delivery> pendingDeliveries;
-    // Owned flows with a request in flight at the backend server.
+    // Owned flows with a request in flight that holds a slot of the backend server.
     std::size_t busyFlows = 0;
+    // Owned flows with an upload in transfer, which holds none.
+    std::size_t transfers = 0;
     // Requests of owned flows that wait for a free slot of the backend server. Only where backend
     // servers return packets.
     waiting_requests waiting;
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/request_queueing.h"
 #include "lycheeshunt/flows/internal/service_view.h"
+#include "lycheeshunt/placement/service_times.h"
 
 #include <netinet/in.h>
 
@@ -53,6 +54,14 @@
     return phase;
 }
 
+void removeFromCounts(flow_state &state, const owned_flow *flow)
+{
+    if (flow == nullptr)
+        return;
+    state.busyFlows -= flow->progress.holdsSlot() ? 1 : 0;
+    state.transfers -= flow->progress.isInTransfer ? 1 : 0;
+}
+
 // A packet that is only tried is no request of the server. What it tells of the flow counts once
 // the flow is claimed.
 void updateTriedFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow,
@@ -60,7 +69,7 @@
 {
     putOwned(context.state, key,
              owned_flow {context.now, flow.refreshAt, flow.phase,
-                         flow.progress.afterCaller(packet, context.now).withoutRequest(),
+                         flow.progress.afterCaller(packet, {}, context.now).withoutRequest(),
                          flow.hasCallerFinished || packet.finishes, packet.payloadBytes > 0});
 }
 
@@ -128,16 +137,15 @@
 
 void putOwned(flow_state &state, const base::flow_key &key, const owned_flow &flow)
 {
-    const owned_flow *before = state.owned.find(key);
-    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
-    state.busyFlows += flow.progress.isBusy ? 1 : 0;
+    removeFromCounts(state, state.owned.find(key));
+    state.busyFlows += flow.progress.holdsSlot() ? 1 : 0;
+    state.transfers += flow.progress.isInTransfer ? 1 : 0;
     state.owned.put(key, flow);
 }
 
 void eraseOwned(flow_state &state, const base::flow_key &key)
 {
-    const owned_flow *before = state.owned.find(key);
-    state.busyFlows -= before != nullptr && before->progress.isBusy ? 1 : 0;
+    removeFromCounts(state, state.owned.find(key));
     state.waiting.erase(key);
     state.owned.erase(key);
 }
@@ -193,7 +201,8 @@
     }
     const flow_phase next
         = packet.summary.resets ? flow_phase::ended : phaseAfterCaller(flow.phase, packet.summary);
-    updateFlow(context, key, flow, next, flow.progress.afterCaller(packet.summary, context.now));
+    updateFlow(context, key, flow, next,
+               flow.progress.afterCaller(packet.summary, packet.requestClass, context.now));
 }
 
 void openFlow(flow_context &context, const forwarded_packet &packet)
@@ -272,9 +281,12 @@
     }
     const flow_phase next
         = answer.summary.resets ? flow_phase::ended : phaseAfterServer(flow->phase, answer.summary);
-    if (flow->progress.isBusy && answer.summary.payloadBytes > 0)
-        context.actions.emplace_back(
-            request_timing {request_step::answered, context.now - flow->progress.since});
+    if (flow->progress.isBusy && answer.summary.payloadBytes > 0) {
+        const base::clock_time span = context.now - flow->progress.since;
+        context.state.serviceTime
+            = placement::afterAnswer(context.state.serviceTime, span, context.now);
+        context.actions.emplace_back(request_timing {request_step::answered, span});
+    }
     updateFlow(context, key, owned_flow(*flow), next, flow->progress.afterServer(answer.summary));
 }
 
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/flows/internal/view_change.h"
 
 #include "lycheeshunt/flows/internal/flow_placement.h"
+#include "lycheeshunt/flows/internal/opening_limit.h"
 #include "lycheeshunt/flows/internal/recovery.h"
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/returned_packets.h"
@@ -91,9 +92,13 @@
     if (service == view.services.end())
         return;
     const auto self = view.members.find(state.identity->node);
-    state.draining = self != view.members.end() && view.isDraining(self->second);
+    // Also before the view lists the agent as a member.
+    state.isEvacuated = view.evacuated.count(state.identity->availabilityZone) > 0;
+    state.draining
+        = state.isEvacuated || (self != view.members.end() && view.isDraining(self->second));
     state.maxOwned = service->second.limits.connections;
     state.openIdleTimeout = service->second.limits.idleTimeout;
+    updateWarmupRate(context);
     updatePlacementPeers(context);
     const std::shared_ptr<const routing::bucket_table> before = state.buckets;
     state.buckets = std::make_shared<const routing::bucket_table>(
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -8,6 +8,8 @@
 #include "lycheeshunt/packets/datagram_io.h"
 #include "lycheeshunt/packets/ip_packet.h"
 #include "lycheeshunt/routing/internal/packet_batch.h"
+#include "lycheeshunt/routing/internal/steering_log.h"
+#include "lycheeshunt/routing/request_class_of.h"
 #include "lycheeshunt/routing/steering.h"
 
 #include <poll.h>
@@ -29,6 +31,12 @@
     return bytes;
 }
 
+std::optional<base::clock_time> earlierOf(const std::optional<base::clock_time> &one,
+                                          const std::optional<base::clock_time> &other)
+{
+    return one && other ? std::min(*one, *other) : one ? one : other;
+}
+
 int pollTimeout(const std::optional<base::clock_time> &until)
 {
     if (!until)
@@ -60,8 +68,11 @@
                        base::file_descriptor socket, base::file_descriptor hintSocket)
     : m_sockets(sockets), m_codec(codec),
       m_hintEndpoint(hintSocket.isOpen() ? base::localEndpoint(hintSocket) : base::endpoint {}),
-      m_socket(std::move(socket)), m_hintSocket(std::move(hintSocket)), m_egress(sockets.link),
-      m_updates(updateCapacity), m_table(std::make_shared<const routing_table>()),
+      m_socket(std::move(socket)), m_hintSocket(std::move(hintSocket)), m_hedging(sockets.hedging),
+      m_openingAnswers("opening_answer_ms",
+                       "Time from an opening packet to the hint that a server has answered."),
+      m_egress(sockets.link), m_updates(updateCapacity),
+      m_table(std::make_shared<const routing_table>()),
       m_bypass(std::make_shared<const bypassed_agents>()), m_thread([this]() { run(); })
 {
 }
@@ -82,18 +93,20 @@
     const std::unique_ptr<internal::packet_batch> packets
         = std::make_unique<internal::packet_batch>();
     std::optional<base::clock_time> sendAt;
+    std::optional<base::clock_time> hedgeAt;
     while (!m_updates.isClosed()) {
         // poll() ignores descriptors below 0, such as that of a hint socket that is not open.
         pollfd watched[] = {{m_socket.get(), POLLIN, 0},
                             {m_updates.descriptor(), POLLIN, 0},
                             {m_hintSocket.get(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), pollTimeout(sendAt));
+        ::poll(watched, std::size(watched), pollTimeout(earlierOf(sendAt, hedgeAt)));
         while (const std::optional<entry_update> update = m_updates.tryPop())
             base::runGuarded("routing", [&]() { handleUpdate(*update); });
         if (watched[2].revents != 0)
             base::runGuarded("routing", [this]() { receiveHints(); });
         if (watched[0].revents != 0)
             base::runGuarded("routing", [&]() { routeBatch(*packets); });
+        base::runGuarded("routing", [&]() { hedgeAt = sendDueHedges(); });
         base::runGuarded("routing", [&]() { sendAt = sendDuePackets(); });
     }
 }
@@ -151,7 +164,9 @@
 {
     const base::clock_time now = base::clock_time::steady();
     if (!m_egress.tryPass(bytes.size(), now))
-        enqueue(pacing::queued_datagram {summary, to, std::move(bytes)}, now);
+        enqueue(pacing::queued_datagram {summary, to, std::move(bytes),
+                                         requestClassOf(*m_table, summary.key).priority},
+                now);
     else if (!packets::sendDatagram(m_socket.get(), to, bytes))
         ++m_unsent;
 }
@@ -181,13 +196,15 @@
                                                           0,
                                                           m_hintEndpoint,
                                                           {},
-                                                          to.isDoubtful};
+                                                          to.isDoubtful,
+                                                          requestClassOf(*m_table, summary.key)};
                        const std::string_view bytes = packets.packet(index);
                        if (m_egress.tryPass(bytes.size() + usualHeaderBytes, now))
                            packets.forward(index, header, to.destination.to.packets);
                        else
                            enqueue(pacing::queued_datagram {summary, to.destination.to.packets,
-                                                            datagramOf(header, bytes)},
+                                                            datagramOf(header, bytes),
+                                                            header.requestClass.priority},
                                    now);
                    },
                    [&](const refuse_caller &) {
@@ -197,8 +214,9 @@
                    [&](const drop_packet &) { ++m_unroutable; },
                },
                decision);
+    trackOpening(summary, decision, packets.packet(index), now);
     if (summary.opens || !std::holds_alternative<steer_to>(decision))
-        logSteering(summary, decision);
+        internal::logSteering(summary, decision, m_table->at());
 }
 
 void entry_port::bufferEarlyPacket(std::string_view bytes, const packets::ip_summary &summary)
@@ -232,35 +250,6 @@
     }
 }
 
-void entry_port::logSteering(const packets::ip_summary &packet, const steering &decision) const
-{
-    const std::string generation = std::to_string(m_table->at().value());
-    std::visit(base::overloaded {
-                   [&](const steer_to &to) {
-                       base::logEvent(
-                           "routing", "steered",
-                           {{"flow", packet.key.text()},
-                            {"generation", generation},
-                            {"to", to.destination.to.packets.text()},
-                            {"by", to.stage == flows::packet_stage::toOwner ? "hint" : "director"},
-                            {"copy", packet.isRepeated ? "yes" : "no"}});
-                   },
-                   [&](const refuse_caller &refused) {
-                       base::logEvent("routing", "refused",
-                                      {{"flow", packet.key.text()},
-                                       {"generation", generation},
-                                       {"code", std::to_string(static_cast<int>(refused.reason))}});
-                   },
-                   [&](const drop_packet &dropped) {
-                       base::logEvent("routing", "dropped",
-                                      {{"flow", packet.key.text()},
-                                       {"generation", generation},
-                                       {"code", std::to_string(static_cast<int>(dropped.reason))}});
-                   },
-               },
-               decision);
-}
-
 void entry_port::refuseCaller(std::string_view packet, const base::flow_key &key)
 {
     const std::string reset = m_sockets.fabric ? m_codec.resetFor(packet) : std::string();
@@ -295,9 +284,11 @@
         base::overloaded {
             [&](const flows::owner_hint &hint) {
                 m_hints.put(hint.key, flow_hint {hint.service, hint.owner, now});
+                takeAnswer(hint.key, now);
             },
             [&](const flows::opening_hint &hint) {
                 takeOpeningHint(m_hints, hint.key, flow_hint {hint.service, hint.owner, now});
+                takeAnswer(hint.key, now);
             },
             [&](const flows::hint_withdrawn &withdrawn) {
                 withdrawHint(m_hints, withdrawn.key, withdrawn.node);
@@ -308,6 +299,61 @@
         message);
 }
 
+void entry_port::trackOpening(const packets::ip_summary &packet, const steering &decision,
+                              std::string_view bytes, base::clock_time now)
+{
+    // Without hints, an opening that was answered can't be told from one that was not.
+    if (!m_sockets.hedging.isOn() || m_hintEndpoint.port == 0)
+        return;
+    const std::optional<request_traits> traits
+        = packet.opens ? m_table->traitsOf(packet.key) : std::nullopt;
+    if (!mayBeHedged(packet, decision, traits)) {
+        m_hedging.handleCallersPacket(packet.key);
+        return;
+    }
+    m_hedging.add(sent_opening {packet, base::packet_bytes(std::string(bytes)),
+                                std::get<steer_to>(decision).destination, traits->targetLatency},
+                  now);
+    m_hedgesEvicted = m_hedging.evicted();
+}
+
+void entry_port::takeAnswer(const base::flow_key &key, base::clock_time now)
+{
+    if (const std::optional<base::clock_time> span = m_hedging.handleAnswer(key, now))
+        m_openingAnswers.record(*span);
+}
+
+std::optional<base::clock_time> entry_port::sendDueHedges()
+{
+    const base::clock_time now = base::clock_time::steady();
+    while (const std::optional<due_opening> due = m_hedging.takeDue(now))
+        sendHedge(*due);
+    return m_hedging.nextAt();
+}
+
+void entry_port::sendHedge(const due_opening &due)
+{
+    const sent_opening &opening = due.opening;
+    const hedge_decision decision = m_hedging.decide(
+        due,
+        m_table->routeWithin(opening.destination.service, opening.summary.key, *m_bypass, true));
+    std::visit(base::overloaded {
+                   [&](const send_hedge &copy) {
+                       ++m_hedged;
+                       internal::logHedge(due, copy);
+                       carryOut(steer_to {copy.destination, flows::packet_stage::toDirector, true},
+                                flows::forwarded_packet {base::service_id(), base::incarnation(),
+                                                         base::generation(),
+                                                         flows::packet_stage::toDirector, 0,
+                                                         opening.summary, opening.bytes});
+                   },
+                   [this](const skip_hedge &skipped) {
+                       m_hedgesRefused += skipped.reason == hedge_obstacle::noBudget ? 1 : 0;
+                   },
+               },
+               decision);
+}
+
 void entry_port::handleUnknownFlow(const flows::forwarded_packet &packet)
 {
     const steering decision
@@ -328,7 +374,8 @@
                                                    0,
                                                    m_hintEndpoint,
                                                    {},
-                                                   to.isDoubtful};
+                                                   to.isDoubtful,
+                                                   requestClassOf(*m_table, packet.summary.key)};
                 sendPaced(packet.summary, to.destination.to.packets,
                           datagramOf(header, packet.bytes.view()));
             },
@@ -336,7 +383,7 @@
             [&](const drop_packet &) { ++m_unroutable; },
         },
         decision);
-    logSteering(packet.summary, decision);
+    internal::logSteering(packet.summary, decision, m_table->at());
 }
 
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -27,6 +27,28 @@
     return pacing::link_rate {static_cast<std::uint64_t>(megabits * bytesPerMegabit)};
 }
 
+routing::hedging_limit readHedging(table_reader &entry, bool hasHints)
+{
+    constexpr std::int64_t maxPercent = 100;
+    if (!entry.has("hedging"))
+        return routing::hedging_limit {};
+    const toml::table *table = entry.subtable("hedging");
+    if (table == nullptr)
+        return routing::hedging_limit {};
+    table_reader reader(*table, entry.path());
+    const std::int64_t percent = reader.number("extra_percent", 0);
+    const bool isInRange = percent >= 0 && percent <= maxPercent;
+    if (!isInRange)
+        reader.fail(base::error_code::settingsBadValue, "extra_percent",
+                    std::to_string(percent) + " is not from 0 to 100");
+    else if (percent > 0 && !hasHints)
+        entry.fail(base::error_code::settingsMissingKey, "hints",
+                   "needed where [entry.hedging] extra_percent is above 0");
+    reader.refuseUnknownKeys();
+    entry.mergeFault(reader);
+    return routing::hedging_limit {isInRange ? static_cast<std::uint32_t>(percent) : 0};
+}
+
 role_settings readEntry(table_reader &reader)
 {
     const base::endpoint packets = reader.endpoint("packets");
@@ -35,7 +57,21 @@
     if (hints && packets.port != 0 && *hints == packets)
         reader.fail(base::error_code::settingsClash, "hints", "same address as packets");
     const std::optional<base::endpoint> readiness = reader.optionalEndpoint("readiness");
-    return entry_settings {packets, hints, fabric, readiness, readLinkRate(reader)};
+    const pacing::link_rate link = readLinkRate(reader);
+    return entry_settings {packets,   hints, fabric,
+                           readiness, link,  readHedging(reader, hints.has_value())};
+}
+
+std::optional<std::uint32_t> readWarmupSlack(table_reader &reader)
+{
+    constexpr std::int64_t maxSlack = 1'000'000;
+    if (!reader.has("warmup_slack"))
+        return std::nullopt;
+    const std::int64_t slack = reader.number("warmup_slack", 0);
+    if (slack >= 0 && slack <= maxSlack)
+        return static_cast<std::uint32_t>(slack);
+    reader.fail(base::error_code::settingsBadValue, "warmup_slack", "must be from 0 to 1000000");
+    return std::nullopt;
 }
 
 role_settings readAgent(table_reader &reader)
@@ -46,7 +82,13 @@
     if (sockets.packets.port != 0 && sockets.packets == sockets.serverSide)
         reader.fail(base::error_code::settingsClash, "server_side", "same address as packets");
     const std::optional<base::endpoint> announcements = reader.optionalEndpoint("announcements");
-    return agent_settings {service, sockets, announcements, reader.optionalEndpoint("readiness")};
+    const std::optional<base::endpoint> readiness = reader.optionalEndpoint("readiness");
+    return agent_settings {service,
+                           sockets,
+                           announcements,
+                           readiness,
+                           readWarmupSlack(reader),
+                           reader.flag("report_speed", false)};
 }
 
 std::vector<replication::control_peer> readPeers(table_reader &reader, const std::string &self,
