Give a cold server more than its slack if no other server accepts flows

Cause: warmup_per_s is 0.0 there, which was taken literally, so that every agent of a service whose servers start together runs out of tokens and refuses.

Change: with a rate of 0 a cold server gets no more than the slack as long as another server accepts flows, and more only when none does. A positive rate stays a strict limit. The limit stays within both readings of 0 whenever callers can be served elsewhere.

--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -163,7 +163,10 @@
                            offerFlow(context, packet, forwarded);
                        },
                        [&](const placement::refuse_flow &refused) {
-                           refuseFlow(context, packet, refused.reason);
+                           if (canAccept && !hasToken && mayExceedLimit(state))
+                               openTentatively(context, packet);
+                           else
+                               refuseFlow(context, packet, refused.reason);
                        },
                        [&](const auto &other) { carryOut(context, other); },
                    },
--- a/lycheeshunt/flows/internal/opening_limit.cpp
+++ b/lycheeshunt/flows/internal/opening_limit.cpp
@@ -39,6 +39,11 @@
     return !isCold(state, now) || !state.server.openings.rate || tokensAt(state, now) >= 1;
 }
 
+bool mayExceedLimit(const flow_state &state)
+{
+    return state.server.openings.rate == 0.0;
+}
+
 bool announcesOpenings(const flow_state &state, base::clock_time now)
 {
     const opening_tokens &openings = state.server.openings;
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -252,7 +252,8 @@
     if (flow != nullptr && !isTried) {
         if (offerHedgedElsewhere(context, packet))
             return;
-        if (packet.summary.opens && !hasOpeningToken(state, context.now)) {
+        if (packet.summary.opens && !hasOpeningToken(state, context.now)
+            && !mayExceedLimit(state)) {
             passOnRepeatedOpening(context, *flow, packet);
             return;
         }
