Send new flows past servers that end them instead of answering

Cause: placement compares free slots, and a server that fails at once is always idle. The verdict on recent outcomes and the flag for it in load reports existed, but nothing counted outcomes on the packet path.

Change: an agent counts a request as failed when its server ends the flow without an answer, and reports a server that fails most of its recent requests as failing; placement leaves it out as it did for that flag. [agent] report_failures turns it on.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -28,7 +28,8 @@
     // No message reaches the flow thread before the port is open, so the sink never finds it null.
     process->m_flows = std::make_unique<flows::flow_duty>(
         flows::agent_identity {self.id(), self.service, self.incarnation, self.packets,
-                               self.availabilityZone, listens, own.warmupSlack, own.reportsSpeed},
+                               self.availabilityZone, listens, own.warmupSlack, own.reportsSpeed,
+                               own.reportsFailures},
         [raw](const flows::flow_action &action) { raw->m_port->actions().tryPush(action); });
     base::result<std::unique_ptr<flows::agent_port>> port
         = flows::agent_port::open(own.sockets, codec, self.incarnation, process->m_flows->inbox());
--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -58,13 +58,14 @@
     std::optional<double> warmupRate;
     std::optional<std::uint32_t> warmupSlack;
     bool reportsSpeed = false;
+    bool reportsFailures = false;
 
     void setup() override
     {
         const membership::member self = agentNamed("a1", 1);
-        state = std::make_unique<flow_state>(agent_identity {self.id(), logbook, self.incarnation,
-                                                             self.packets, "zone-1", true,
-                                                             warmupSlack, reportsSpeed});
+        state = std::make_unique<flow_state>(
+            agent_identity {self.id(), logbook, self.incarnation, self.packets, "zone-1", true,
+                            warmupSlack, reportsSpeed, reportsFailures});
         receiveView(1);
         setServer(true);
     }
--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -25,6 +25,8 @@
     const std::optional<std::uint32_t> warmupSlack = {};
     // Whether load reports tell how long the backend server takes for a request.
     const bool reportsSpeed = false;
+    // Whether load reports say that the server fails most requests.
+    const bool reportsFailures = false;
 
     bool operator==(const agent_identity &) const = default;
 };
--- a/lycheeshunt/flows/event_log.cpp
+++ b/lycheeshunt/flows/event_log.cpp
@@ -38,6 +38,8 @@
         return "displaced";
     case flow_event_kind::cold:
         return "cold";
+    case flow_event_kind::failed:
+        return "failed";
     }
     return "other";
 }
--- a/lycheeshunt/flows/flow_event.h
+++ b/lycheeshunt/flows/flow_event.h
@@ -25,10 +25,11 @@
     tried, // delivered in turn to the backend servers that may have it
     displaced, // a request was dropped, since the queue is full and others have a higher priority
     cold, // offered to another agent because the backend server warms up
+    failed, // the backend server ended the flow instead of answering its request
 };
 
 // Kinds are numbered from 1, so the last one is also their number.
-constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::cold);
+constexpr std::size_t flowEventKinds = static_cast<std::size_t>(flow_event_kind::failed);
 
 // A decision about a flow and its reasons, for the log.
 struct flow_event
--- a/lycheeshunt/flows/flow_state.h
+++ b/lycheeshunt/flows/flow_state.h
@@ -19,6 +19,7 @@
 #include "lycheeshunt/flows/server_view.h"
 #include "lycheeshunt/flows/waiting_requests.h"
 #include "lycheeshunt/placement/placement_state.h"
+#include "lycheeshunt/placement/server_evidence.h"
 #include "lycheeshunt/placement/service_time.h"
 #include "lycheeshunt/routing/bucket_table.h"
 
@@ -69,6 +70,8 @@
     server_view server;
     // How long the server takes for a request, for load reports.
     placement::service_time serviceTime;
+    // How recent requests ended at the backend server.
+    placement::server_evidence outcomes;
     // Packets that were delivered to the backend server, or offered to another agent as the first
     // of a flow, and are not answered yet. Only where backend servers return packets.
     flow_map<pending_delivery> pendingDeliveries;
--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -7,6 +7,7 @@
 #include "lycheeshunt/flows/internal/returned_packets.h"
 #include "lycheeshunt/flows/internal/service_view.h"
 #include "lycheeshunt/placement/decision.h"
+#include "lycheeshunt/placement/evidence.h"
 #include "lycheeshunt/placement/service_times.h"
 
 #include <algorithm>
@@ -106,7 +107,8 @@
         admission::slot_counts {state.server.slots, busySlots, 0, busy - busySlots,
                                 !state.server.isAccepting || state.draining,
                                 canAcceptFlow(state, now) && announcesOpenings(state, now)},
-        static_cast<std::uint32_t>(state.owned.size() - state.ended.size()), 0, false,
+        static_cast<std::uint32_t>(state.owned.size() - state.ended.size()), 0,
+        state.identity->reportsFailures && placement::isFailing(state.outcomes, now),
         state.identity->reportsSpeed ? placement::knownMillis(state.serviceTime, now) : 0};
 }
 
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -5,6 +5,7 @@
 #include "lycheeshunt/flows/internal/registrar.h"
 #include "lycheeshunt/flows/internal/request_queueing.h"
 #include "lycheeshunt/flows/internal/service_view.h"
+#include "lycheeshunt/placement/evidence.h"
 #include "lycheeshunt/placement/service_times.h"
 
 #include <netinet/in.h>
@@ -82,6 +83,28 @@
         putOwned(context.state, key, owned_flow {context.now, flow.refreshAt, phase, progress});
 }
 
+// A server that ends a flow instead of answering the request on it has failed the request. Such a
+// server is idle, so placement by load alone would give it more flows than any other.
+void recordOutcome(flow_context &context, const owned_flow &flow, const packets::ip_summary &answer)
+{
+    const bool isAnswer = answer.payloadBytes > 0;
+    const bool isEnd = answer.resets || answer.finishes;
+    if (!flow.progress.isBusy || (!isAnswer && !isEnd))
+        return;
+    const admission::work_outcome outcome
+        = isAnswer ? admission::work_outcome::answered : admission::work_outcome::failed;
+    context.state.outcomes = placement::afterWork(context.state.outcomes, outcome, context.now);
+    if (outcome == admission::work_outcome::failed)
+        context.actions.emplace_back(
+            flow_event {flow_event_kind::failed,
+                        answer.key,
+                        packet_stage::toOwner,
+                        currentGeneration(context.state),
+                        {},
+                        static_cast<std::uint32_t>(context.state.busyFlows),
+                        static_cast<std::uint32_t>(context.state.owned.size())});
+}
+
 base::clock_time idleTimeoutOf(const flow_state &state, const base::flow_key &key, flow_phase phase)
 {
     const bool isOpening = phase == flow_phase::opening || phase == flow_phase::copied;
@@ -281,6 +304,7 @@
     }
     const flow_phase next
         = answer.summary.resets ? flow_phase::ended : phaseAfterServer(flow->phase, answer.summary);
+    recordOutcome(context, *flow, answer.summary);
     if (flow->progress.isBusy && answer.summary.payloadBytes > 0) {
         const base::clock_time span = context.now - flow->progress.since;
         context.state.serviceTime
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -316,9 +316,10 @@
     if (isNewServer || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(agent_identity {
             self.node, changed.service, changed.incarnation, self.packets, self.availabilityZone,
-            self.serverReturnsPackets, self.warmupSlack, self.reportsSpeed});
+            self.serverReturnsPackets, self.warmupSlack, self.reportsSpeed, self.reportsFailures});
         updateWarmupRate(context);
         state.serviceTime = placement::service_time {};
+        state.outcomes = placement::server_evidence {};
         startPlacement(context);
     }
 }
--- a/lycheeshunt/settings/agent_settings.h
+++ b/lycheeshunt/settings/agent_settings.h
@@ -24,6 +24,8 @@
     // Whether the other agents are told how long the backend server takes for a request, so that
     // faster servers get more of the new flows.
     const bool reportsSpeed = false;
+    // Whether load reports say that the server fails most requests.
+    const bool reportsFailures = false;
 
     bool operator==(const agent_settings &) const = default;
 };
--- a/lycheeshunt/settings/settings_file.cpp
+++ b/lycheeshunt/settings/settings_file.cpp
@@ -88,7 +88,8 @@
                            announcements,
                            readiness,
                            readWarmupSlack(reader),
-                           reader.flag("report_speed", false)};
+                           reader.flag("report_speed", false),
+                           reader.flag("report_failures", false)};
 }
 
 std::vector<replication::control_peer> readPeers(table_reader &reader, const std::string &self,
