Answer all evacuation orders that a leader commits in one write

Operators who send eight or more orders at once, or repeat one as often while the leader's disk syncs, were answered in part: of the orders of a zone only the first or none. The unanswered ones stayed pending until the leadership ended, and later orders of the zone that differ from the first of them were committed but never answered.

Proposals queue up during a sync and are written and committed together. A commit of eight or more entries is merged into one update, which held only the last order of each zone. The evacuation thread matches commits with its proposals one by one, in their order.

The merged update now also lists the orders that later ones replace. The evacuation thread gets them before the last ones; views are still made of the last ones only, as before.

--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -209,6 +209,9 @@
         m_followers.membership.inbox().push(membership::batch_committed {*batch});
     if (state)
         m_followers.states.inbox().push(states::state_committed {state});
+    // The last order of each zone follows those that it replaces.
+    for (const evacuations::evacuation_order &order : ordersFrom(other.replacedEvacuations))
+        m_followers.evacuations.inbox().push(evacuations::order_committed {other.at, order});
     for (const evacuations::evacuation_order &order : orders)
         m_followers.evacuations.inbox().push(evacuations::order_committed {other.at, order});
     return true;
--- a/lycheeshunt/daemon/internal/log_compaction.cpp
+++ b/lycheeshunt/daemon/internal/log_compaction.cpp
@@ -159,13 +159,20 @@
             at = entry.index;
     }
     std::vector<std::string> evacuations;
-    for (const replication::log_entry *order : lastEvacuations(entries))
-        evacuations.push_back(order->payload);
+    std::vector<std::string> replaced;
+    const std::set<const replication::log_entry *> last = lastEvacuations(entries);
+    for (const replication::log_entry &entry : entries) {
+        if (entry.kind == replication::entry_kind::evacuation)
+            (last.count(&entry) > 0 ? evacuations : replaced).push_back(entry.payload);
+    }
     const membership::membership_batch batch {members.present(), members.removed()};
     const replication::log_entry *state = highestState(entries);
-    return tickets::other_committed {at, batch.isEmpty() ? "" : membership::encodeBatch(batch),
-                                     state == nullptr ? "" : state->payload, true,
-                                     std::move(evacuations)};
+    return tickets::other_committed {at,
+                                     batch.isEmpty() ? "" : membership::encodeBatch(batch),
+                                     state == nullptr ? "" : state->payload,
+                                     true,
+                                     std::move(evacuations),
+                                     std::move(replaced)};
 }
 
 replication::log_entry log_compaction::withRemovals(const replication::log_entry &entry) const
--- a/lycheeshunt/tickets/other_committed.h
+++ b/lycheeshunt/tickets/other_committed.h
@@ -18,6 +18,9 @@
     // Replaces several entries by their combined result.
     const bool isMerged = false;
     const std::vector<std::string> evacuations = {};
+    // Evacuation orders that later ones of this update replace, in log order. They change no view,
+    // but the operators that submitted them wait for an answer.
+    const std::vector<std::string> replacedEvacuations = {};
 
     bool operator==(const other_committed &) const = default;
 };
