Send deltas across entries that were committed together

When a running leader committed eight or more entries at once, such as a burst of evacuation orders during a sync, each of its nodes received a complete view again, piece by piece and uncompressed.

Commits of that size are merged into one change, and the publisher then dropped its history. But only the generations within the merged entries are unknown: the change starts from the view before them, which nearly all nodes have.

A history entry now has the generation that it was made from. After the first entries of a start the history stays empty, as no node has a view without entries.

The test failed before: the two nodes received 4 pieces, expected 2.

--- a/lycheeshunt/dissemination/decision.cpp
+++ b/lycheeshunt/dissemination/decision.cpp
@@ -15,21 +15,22 @@
 using publisher_step = base::step<publisher_state, dissemination_action>;
 using action_list = std::vector<dissemination_action>;
 
-void publish(publisher_state &state, base::generation at, view_change change)
+void publish(publisher_state &state, base::generation at, view_change change, bool isMerged = false)
 {
     if (at <= state.view->at)
         return;
+    const base::generation previous = state.view->at;
     state.digests.apply(*state.view, change);
     state.view = std::make_shared<const cluster_view>(change.appliedTo(*state.view, at));
     state.historyObjects += change.size();
-    state.history.push_back(history_entry {at, std::move(change)});
+    state.history.push_back(history_entry {at, std::move(change), previous, isMerged});
     while (state.historyObjects > maxHistoryObjects || state.history.size() > maxHistoryEntries) {
         state.historyObjects -= state.history.front().change.size();
         state.history.pop_front();
     }
 }
 
-// No delta can start between merged entries, so nodes with an earlier generation get a snapshot.
+// No delta can start between merged entries: nodes with a generation in between get a snapshot.
 void publishMerged(publisher_state &state, const entries_merged &entries)
 {
     std::vector<view_change> changes;
@@ -46,9 +47,13 @@
     parts.reserve(changes.size());
     for (const view_change &change : changes)
         parts.push_back(&change);
-    publish(state, entries.at, merged(parts));
-    state.history.clear();
-    state.historyObjects = 0;
+    const bool isFirst = state.view->at == base::generation();
+    publish(state, entries.at, merged(parts), true);
+    // No node has a view without entries, so no delta starts there.
+    if (isFirst) {
+        state.history.clear();
+        state.historyObjects = 0;
+    }
 }
 
 void setSubscriber(publisher_state &state, streams::connection_id connection, subscriber next)
@@ -292,7 +297,12 @@
 {
     if (from == view->at)
         return true;
-    return !history.empty() && from < view->at && from.value() + 1 >= history.front().at.value();
+    const auto next = std::find_if(history.begin(), history.end(),
+                                   [from](const history_entry &entry) { return entry.at > from; });
+    if (next == history.end())
+        return false;
+    const bool hasEarlier = next != history.begin();
+    return (hasEarlier && !next->isMerged) || next->appliesTo(from);
 }
 
 std::size_t publisher_state::nodesBehind() const
--- a/lycheeshunt/dissemination/evacuation_test.cpp
+++ b/lycheeshunt/dissemination/evacuation_test.cpp
@@ -129,6 +129,28 @@
     checkNodesHave({"zone-2"});
 }
 
+// Guards against snapshots for all nodes when a busy leader commits several orders in one write.
+TEST(evacuation, ordersCommittedTogetherReachTheNodesAsADelta)
+{
+    order("zone-1", true);
+    checkNodesHave({"zone-1"});
+    const int pieces = cluster.nodes.at("entry-1").pieces + cluster.nodes.at("agent-1").pieces;
+    const std::uint64_t before = cluster.lastGeneration;
+    cluster.lastGeneration += 8;
+    cluster.toPublisher(entries_merged {
+        base::generation(cluster.lastGeneration), {}, {}, {{"zone-1", false}, {"zone-2", true}}});
+    checkNodesHave({"zone-2"});
+    LONGS_EQUAL(pieces, cluster.nodes.at("entry-1").pieces + cluster.nodes.at("agent-1").pieces);
+    // A node that has one of the generations in between, from another leader, gets a snapshot.
+    CHECK(cluster.publisher.historyCovers(base::generation(before - 1)));
+    CHECK(cluster.publisher.historyCovers(base::generation(before)));
+    for (std::uint64_t at = before + 1; at < cluster.lastGeneration; ++at)
+        CHECK_FALSE(cluster.publisher.historyCovers(base::generation(at)));
+    order("zone-3", true);
+    checkNodesHave({"zone-2", "zone-3"});
+    CHECK_FALSE(cluster.publisher.historyCovers(base::generation(before + 1)));
+}
+
 // A piece that ends between two zones goes on after the last one.
 TEST(evacuation, aSnapshotMayBeCutBetweenZones)
 {
