Refuse orders for paths below a zone at the operators' API

An operator who orders /v1/evacuations/zone-1/ or a longer path was answered 200, but a zone of the name "zone-1/" was evacuated, which no agent is in. The platform's address answers such paths with 404.

Everything after the prefix was decoded as the name. A slash now makes the path one that does not exist; one in a name is percent-encoded.

The test failed before: the order was submitted.

--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -111,6 +111,13 @@
     return dissemination::in_force_query {arrived.request, base::generation()};
 }
 
+// A slash in the name of a zone is percent-encoded.
+bool isEvacuationPath(const std::string &path)
+{
+    return path.starts_with(evacuationsPath)
+        && path.find('/', evacuationsPath.size()) == std::string::npos;
+}
+
 operator_action orderEvacuation(const operator_state &state, const http_arrived &arrived)
 {
     if (!isAuthorized(state, arrived))
@@ -132,8 +139,7 @@
         return submit(state, arrived, base::valueOf(wait));
     if (arrived.method == "GET" && arrived.path.rfind(ticketsPath + "/", 0) == 0)
         return getTicket(state, arrived, base::valueOf(wait));
-    if ((arrived.method == "POST" || arrived.method == "DELETE")
-        && arrived.path.starts_with(evacuationsPath))
+    if ((arrived.method == "POST" || arrived.method == "DELETE") && isEvacuationPath(arrived.path))
         return orderEvacuation(state, arrived);
     if (arrived.method == "GET" && arrived.path == "/v1/status")
         return queryView(state, arrived, request_kind::status);
--- a/lycheeshunt/operators/decision_test.cpp
+++ b/lycheeshunt/operators/decision_test.cpp
@@ -151,3 +151,15 @@
     LONGS_EQUAL(400, statusOf(requestOf("POST", "/v1/evacuations/")));
     LONGS_EQUAL(404, statusOf(requestOf("GET", "/v1/evacuations/z")));
 }
+
+// Guards against a mistyped path that is answered as accepted and evacuates a zone of another name.
+TEST(operator_decision, aPathBelowAnEvacuatedZoneIsRefused)
+{
+    for (const char *path : {"/v1/evacuations/zone-1/", "/v1/evacuations/zone-1/now"}) {
+        for (const char *method : {"POST", "DELETE"}) {
+            const operator_action action = run(requestOf(method, path));
+            CHECK(std::holds_alternative<http_reply>(action));
+            LONGS_EQUAL(404, std::get<http_reply>(action).status);
+        }
+    }
+}
