Keep the announcements that a control VM held until it led

After all processes had ended, agents that returned were members in their earlier incarnation for up to 1 s longer: their announcements had no effect until they repeated them.

A control VM that becomes the leader handles the messages that it held before the membership thread gets the notice of the leadership. With the notice all leases start anew as unannounced, and the entries of earlier terms, committed next, then replace the announced incarnations by the earlier ones.

The notice now goes to the membership thread first, as the one for the publisher does already. The ring keeps the order.

--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -275,7 +275,9 @@
             [this](const replication::state_restored &restored) { m_log->restore(restored); },
             [this](const replication::leadership_changed &changed) {
                 const replication::leadership &leadership = changed.leadership;
-                // Before requests of nodes reach the publisher.
+                // Before messages of nodes reach these duties. Leases start anew with a leadership,
+                // which would undo the announcements that this VM held.
+                m_membership->inbox().push(membership::leadership_changed {leadership.isLeader});
                 if (leadership.isLeader)
                     m_publisher->inbox().push(dissemination::leadership_began {leadership.term});
                 m_isLeading = leadership.isLeader;
@@ -283,8 +285,6 @@
                 publishLeadership(changed.leadership);
                 m_tickets->inbox().push(
                     tickets::leadership_update {leadershipError(changed.leadership)});
-                m_membership->inbox().push(
-                    membership::leadership_changed {changed.leadership.isLeader});
             },
             [this](const replication::members_changed &changed) {
                 internal::logMembers(changed.configuration);
--- a/lycheeshunt/membership/decision_test.cpp
+++ b/lycheeshunt/membership/decision_test.cpp
@@ -339,6 +339,20 @@
     STRCMP_EQUAL("S", follower.phaseOf("z4d").c_str());
 }
 
+// When all processes have ended, a control VM keeps the announcements of nodes until it leads, and
+// delivers them after the notice of its leadership and before the entries of earlier terms. Guards
+// against an agent that is a member in its earlier incarnation until it announces itself again.
+TEST(membership, anAnnouncementToANewLeaderOutlastsTheEntriesOfEarlierTerms)
+{
+    control vm;
+    vm.handle(leadership_changed {false});
+    vm.handle(leadership_changed {true});
+    vm.handle(member_announced {agent("a1", 2)});
+    vm.handle(batch_committed {{{agent("a1", 1)}, {}}});
+    vm.handle(membership_tick {});
+    LONGS_EQUAL(2, vm.find("a1")->incarnation.value());
+}
+
 TEST(membership, batchesAreBoundedAndALostOneIsRetried)
 {
     std::vector<member> many;
