Announce the window also by a node that has an old view

The window was announced only with a request that has no generation.

The window is now also announced with the first request that follows a piece.

The test failed before: 9 messages, expected 6.

--- a/lycheeshunt/dissemination/cold_start_test.cpp
+++ b/lycheeshunt/dissemination/cold_start_test.cpp
@@ -202,6 +202,27 @@
     LONGS_EQUAL(0, cluster.nodes.at("entry-0").mismatches);
 }
 
+// Guards against a node that kept its view while all control VMs restarted, and then requested each
+// piece of the new one.
+TEST(cold_start, aNodeWithAnOldViewAlsoReceivesSeveralPiecesForARequest)
+{
+    startLeader(cluster, fewRoutes);
+    cluster.startNode("entry-0", "");
+    CHECK(cluster.converges());
+    cluster.publisher = publisher_state {};
+    cluster.lastGeneration = 20;
+    cluster.toPublisher(entries_merged {base::generation(20), {{allNodes(), {}}}, {}});
+    commitRoutes(cluster, 2, routes);
+    const std::uint64_t before = cluster.messagesToControl;
+    cluster.connect("entry-0");
+    CHECK(cluster.converges());
+    cluster.runFor(base::clock_time::ofMillis(500));
+    // The request at the start, the window, two requests for pieces, the request for deltas and an
+    // acknowledgement. One request for each piece took 9.
+    LONGS_EQUAL(6, cluster.messagesToControl - before);
+    LONGS_EQUAL(0, cluster.nodes.at("entry-0").mismatches);
+}
+
 // A node whose announced pieces stay out asks again, and the others do not wait for it.
 TEST(cold_start, aNodeThatReceivesNothingDoesNotDelayTheOthers)
 {
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -36,9 +36,10 @@
     state.awaitsReply = true;
     state.requestedAt = now;
     view_request request = requestOf(state);
-    // The view of one service usually is a single piece.
+    // The view of one service usually is a single piece, and a node with a view usually is sent
+    // deltas.
     const bool expectsPieces
-        = request.current == base::generation() && (state.assembly || state.scope().isComplete());
+        = state.assembly || (request.current == base::generation() && state.scope().isComplete());
     if (expectsPieces && !state.hasSentWindow) {
         state.hasSentWindow = true;
         actions.emplace_back(send_to_control {*state.connection, view_window {acceptedPieces}});
