Reword comments of evacuations, views, streams and their tests

No change of behaviour. Figurative words are replaced by usual ones; node_directory::forget is named remove, as it removes a node that waits.

--- a/lycheeshunt/daemon/control_streams.cpp
+++ b/lycheeshunt/daemon/control_streams.cpp
@@ -53,7 +53,7 @@
             },
             [this](const streams::stream_closed &closed) {
                 const std::lock_guard<std::mutex> lock(m_releaseLock);
-                m_directory.forget(closed.connection);
+                m_directory.remove(closed.connection);
                 m_publisher->inbox().push(dissemination::subscriber_closed {closed.connection});
             },
             [this](const streams::stream_frame &frame) { handleFrame(frame); },
--- a/lycheeshunt/daemon/internal/log_compaction.h
+++ b/lycheeshunt/daemon/internal/log_compaction.h
@@ -1,5 +1,5 @@
 // Compacts log entries by their meaning to keep a control process's snapshots small: every ticket
-// is kept, since queries for its number must be answered for ever; of the desired states only the
+// is kept, since queries for its number are always answered; of the desired states only the
 // one of the highest version is kept, of the evacuation orders the last one of each zone, and
 // membership batches are merged into one.
 //
--- a/lycheeshunt/daemon/internal/node_directory.cpp
+++ b/lycheeshunt/daemon/internal/node_directory.cpp
@@ -49,7 +49,7 @@
     return released;
 }
 
-void node_directory::forget(streams::connection_id connection)
+void node_directory::remove(streams::connection_id connection)
 {
     const std::lock_guard<std::mutex> lock(m_lock);
     m_waiting.erase(connection);
--- a/lycheeshunt/daemon/internal/node_directory.h
+++ b/lycheeshunt/daemon/internal/node_directory.h
@@ -40,7 +40,7 @@
     bool holdUntilLeader(const streams::stream_frame &frame, base::clock_time uptime);
     // Removes and returns the nodes that wait.
     waiting_nodes release();
-    void forget(streams::connection_id connection);
+    void remove(streams::connection_id connection);
 
 private:
     mutable std::mutex m_lock;
--- a/lycheeshunt/daemon/merged_orders_test.cpp
+++ b/lycheeshunt/daemon/merged_orders_test.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-// An answer or a proposal that stays out for this time is lost: no thread here has other work.
+// An answer or a proposal that does not arrive within this time is lost: no thread here has other
+// work.
 constexpr base::clock_time timeout = base::clock_time::ofSeconds(2);
 // As many as are merged on a VM that has been running for a while.
 constexpr std::uint64_t mergedOrders = 8;
--- a/lycheeshunt/daemon/node_hold_test.cpp
+++ b/lycheeshunt/daemon/node_hold_test.cpp
@@ -32,8 +32,8 @@
     CHECK_FALSE(daemon::internal::shouldHoldNode(led, late));
 }
 
-// A control VM knows no addresses before the first notice of a leadership. It closed the streams of
-// nodes, which tried one VM after another while the leader was elected.
+// A control VM has no addresses before the first notice of a leadership. Guards against one that
+// closes the streams of nodes, which then try one VM after another while the leader is elected.
 TEST(node_hold, nodesWaitAlsoBeforeTheDirectoryIsKnown)
 {
     daemon::internal::node_directory directory;
@@ -67,7 +67,7 @@
     daemon::internal::node_directory directory;
     const streams::connection_id node(4);
     CHECK(directory.holdUntilLeader({node, streams::channel::membership, "a"}, early));
-    directory.forget(node);
+    directory.remove(node);
     CHECK(directory.release().empty());
 }
 
--- a/lycheeshunt/dissemination/cold_start_test.cpp
+++ b/lycheeshunt/dissemination/cold_start_test.cpp
@@ -1,6 +1,6 @@
-// All processes ended, and all nodes ask the new leader for their first view at once. The leader
-// has a small share of a core: cutting and encoding each piece for each node took it a second,
-// during which no caller was served.
+// All processes ended, and all nodes request their first view from the new leader at once. The
+// leader has a small share of a core: cutting and encoding each piece for each node took it a
+// second, during which no caller was served.
 
 #include "lycheeshunt/base/compression.h"
 #include "lycheeshunt/dissemination/fake_cluster_test.h"
@@ -39,7 +39,7 @@
         state_applied {base::generation(++cluster.lastGeneration), stateOf(version, count)});
 }
 
-// The leader's log arrives as one merged entry, before any node asks.
+// The leader's log arrives as one merged entry, before the first request of a node.
 void startLeader(fake_cluster &cluster, std::uint32_t count)
 {
     cluster.lastGeneration = 5;
@@ -124,7 +124,7 @@
     CHECK(cluster.converges());
 }
 
-// Nodes and control VMs of earlier builds must receive the messages that they know.
+// Nodes and control VMs of earlier builds must receive the messages that they can decode.
 TEST(cold_start, theSharedEncodingIsThatOfThePiece)
 {
     startLeader(cluster, fewRoutes);
@@ -142,7 +142,7 @@
     CHECK(compressed.size() < plain.size() / 3);
     CHECK(base::valueOf(decodeControlMessage(compressed))
           == base::valueOf(decodeControlMessage(plain)));
-    // Neither a wrong length nor damaged bytes are taken for a piece.
+    // A piece with a wrong length or with damaged bytes is refused.
     const base::compressed_bytes body = base::compress("no piece");
     for (const std::uint32_t length : {0U, 7U, 8U, 9U, 0xffffffffU})
         CHECK_FALSE(base::isOk(
@@ -223,7 +223,8 @@
     LONGS_EQUAL(0, cluster.nodes.at("entry-0").mismatches);
 }
 
-// A node whose announced pieces stay out asks again, and the others do not wait for it.
+// A node whose announced pieces do not arrive requests them again, and the others do not wait for
+// it.
 TEST(cold_start, aNodeThatReceivesNothingDoesNotDelayTheOthers)
 {
     startLeader(cluster, routes);
@@ -263,7 +264,8 @@
         LONGS_EQUAL(cluster.lastGeneration, it->second.adopted.front()->at.value());
 }
 
-// A node that asks before the first commit waited for its next request, up to 1 s later.
+// Guards against a node that requests its view before the first commit and is answered only after
+// its next request, up to 1 s later.
 TEST(cold_start, aNodeThatAsksBeforeTheFirstCommitIsAnsweredAfterIt)
 {
     cluster.startNode("entry-0", "");
--- a/lycheeshunt/dissemination/decision.h
+++ b/lycheeshunt/dissemination/decision.h
@@ -23,7 +23,8 @@
 // Maximum number of deltas to one node of which an acknowledgement counts.
 constexpr std::size_t maxDeltasInFlight = 4;
 // Maximum number of pieces sent for one request: at most 80 KB even if they do not compress, which
-// take 0.2 s on a link of 3.2 Mbit/s, so that a node that asks again after 1 s has received them.
+// take 0.2 s on a link of 3.2 Mbit/s, so that a node that repeats its request after 1 s has
+// received them.
 constexpr std::uint32_t maxPieceWindow = 4;
 
 base::step<publisher_state, dissemination_action>
--- a/lycheeshunt/dissemination/evacuation_test.cpp
+++ b/lycheeshunt/dissemination/evacuation_test.cpp
@@ -1,4 +1,4 @@
-// Evacuated zones on their way to the nodes.
+// Evacuated zones in the views of nodes.
 
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/dissemination/fake_cluster_test.h"
@@ -114,7 +114,7 @@
     checkNodesHave({"zone-3"});
 }
 
-// Guards against control VMs that forget the zones of a merged or compacted log.
+// Guards against control VMs that lose the zones of a merged or compacted log.
 TEST(evacuation, nodesGetTheZonesBySnapshotAfterControlHasRestarted)
 {
     order("zone-1", true);
@@ -151,7 +151,7 @@
     CHECK_FALSE(cluster.publisher.historyCovers(base::generation(before + 1)));
 }
 
-// A piece that ends between two zones goes on after the last one.
+// If a piece ends between two zones, the next one starts after the last zone of it.
 TEST(evacuation, aSnapshotMayBeCutBetweenZones)
 {
     std::set<std::string> zones;
@@ -171,7 +171,7 @@
     CHECK_FALSE(view.isDraining(view.members.at(base::nodeIdOf("entry-1"))));
     const membership::member agent = view.members.at(base::nodeIdOf("agent-1"));
     CHECK(view.isDraining(agent));
-    // Its server is not drained for good.
+    // Its server serves again when the zone does.
     CHECK_FALSE(view.isDrained(agent));
     order("zone-1", false);
     CHECK_FALSE(cluster.publisher.view->isDraining(agent));
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -183,7 +183,7 @@
     if (piece.next.isEnd()) {
         finishSnapshot(state, now, actions);
     } else if (piece.follows > 0) {
-        // Requested again only if the announced pieces stay out.
+        // Requested again only if the announced pieces do not arrive.
         state.awaitsReply = true;
         state.requestedAt = now;
     } else {
--- a/lycheeshunt/dissemination/internal/snapshot_cuts.cpp
+++ b/lycheeshunt/dissemination/internal/snapshot_cuts.cpp
@@ -5,8 +5,8 @@
 
 namespace lycheeshunt::dissemination::internal {
 
-// Only the first piece and pieces that
-// follow a cut one are kept, so that arbitrary cursors in requests do not use up the space.
+// Only the first piece and pieces that follow a cut one are kept, so that arbitrary cursors in
+// requests do not use up the space.
 shared_cut cutAt(publisher_state &state, const view_scope &scope, const snapshot_cursor &start)
 {
     const std::pair<base::service_id, snapshot_cursor> key(scope.service, start);
--- a/lycheeshunt/dissemination/internal/snapshot_cuts.h
+++ b/lycheeshunt/dissemination/internal/snapshot_cuts.h
@@ -18,7 +18,8 @@
 // Maximum number of cut pieces kept for other nodes: a complete view and as many services as nodes
 // of them start together. Further pieces are cut for one node each.
 constexpr std::size_t maxCuts = 1024;
-// Cut pieces are dropped when none was sent for this time: nodes that start together ask within it.
+// Cut pieces are dropped when none was sent for this time: nodes that start together request their
+// views within it.
 constexpr base::clock_time cutRetention = base::clock_time::ofSeconds(10);
 
 // Precondition: the state has a snapshot base.
--- a/lycheeshunt/dissemination/piece_encoder.h
+++ b/lycheeshunt/dissemination/piece_encoder.h
@@ -23,7 +23,7 @@
 {
 public:
     std::string encode(const send_piece &send);
-    // Forgets the pieces that nothing else refers to any more.
+    // Removes the pieces that nothing else refers to any more.
     void prune();
 
     // Number of pieces encoded since the start; one that is sent in both forms counts twice.
--- a/lycheeshunt/dissemination/view_change.h
+++ b/lycheeshunt/dissemination/view_change.h
@@ -45,7 +45,7 @@
     const std::map<std::string, bool> draining = {};
     // No route: the address is no longer served. Sent only to nodes with a complete view.
     const std::map<tickets::service_address, std::optional<tickets::address_route>> routes = {};
-    // Zone to whether it is evacuated. Sent to every node, since an agent is told of its own zone.
+    // Zone to whether it is evacuated. Sent to every node: an agent is informed of its own zone.
     const std::map<std::string, bool> evacuations = {};
 
     std::size_t size() const
--- a/lycheeshunt/evacuations/codec.cpp
+++ b/lycheeshunt/evacuations/codec.cpp
@@ -30,8 +30,8 @@
     const base::result<order_fields> fields = base::unpackFields<order_fields>(bytes);
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
-    const auto &[told, zone, isEvacuated] = base::valueOf(fields);
-    if (told != version)
+    const auto &[orderVersion, zone, isEvacuated] = base::valueOf(fields);
+    if (orderVersion != version)
         return base::error {base::error_code::messageVersion, "evacuation order"};
     if (!isZoneName(zone))
         return base::error {base::error_code::messageMalformed, "name of an availability zone"};
--- a/lycheeshunt/evacuations/decision_test.cpp
+++ b/lycheeshunt/evacuations/decision_test.cpp
@@ -1,5 +1,5 @@
-// Evacuation orders that are repeated, withdrawn, lost halfway or sent to the wrong VM, driven
-// without sockets or a log.
+// Evacuation orders that are repeated, withdrawn, lost before their commit or sent to the wrong VM,
+// driven without sockets or a log.
 
 #include "lycheeshunt/evacuations/decision.h"
 
@@ -130,7 +130,7 @@
     submit(2, evacuation);
     CHECK(isAccepted(2));
     CHECK(all<propose_order>().empty());
-    // A former leader that does not know of its successor must not confirm it.
+    // A former leader that has not yet received a message of its successor must not confirm it.
     give(submit_order {base::request_id(3), evacuation});
     give(read_outcome {base::request_id(3), lost});
     CHECK(isFailed(3));
--- a/lycheeshunt/states/codec.cpp
+++ b/lycheeshunt/states/codec.cpp
@@ -44,7 +44,7 @@
     const base::result<envelope_fields> envelope = base::unpackFields<envelope_fields>(bytes);
     if (const base::error *failure = base::errorOf(envelope))
         return *failure;
-    const auto &[told, length, packed] = base::valueOf(envelope);
+    const auto &[envelopeVersion, length, packed] = base::valueOf(envelope);
     const base::result<std::string> plain
         = base::expand(base::compressed_bytes {length, packed}, maxStateBytes);
     if (const base::error *failure = base::errorOf(plain))
@@ -54,7 +54,7 @@
     if (const base::error *failure = base::errorOf(fields))
         return *failure;
     const auto &[version, document, rawServices, rawRoutes] = base::valueOf(fields);
-    if (version != told)
+    if (version != envelopeVersion)
         return malformed("version of a desired state");
     std::vector<tickets::service_definition> services;
     for (const std::string &raw : rawServices) {
--- a/lycheeshunt/streams/stream_server.cpp
+++ b/lycheeshunt/streams/stream_server.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t maxOutgoingFrames = 4096;
 // A client that leaves this much unread is disconnected; it reconnects with an empty queue.
 constexpr std::size_t maxQueuedBytes = 16 * 1024 * 1024;
-// After a failed accept(), as for want of descriptors.
+// After a failed accept(), for example when no descriptors are left.
 constexpr base::clock_time acceptPause = base::clock_time::ofMillis(200);
 } // namespace
 
