--- a/lycheeshunt/dissemination/evacuation_test.cpp
+++ b/lycheeshunt/dissemination/evacuation_test.cpp
@@ -1,4 +1,4 @@
-// Evacuated zones on their way to the nodes.
+// Evacuated zones in the views of nodes.
 
 #include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/dissemination/fake_cluster_test.h"
@@ -114,7 +114,7 @@
     checkNodesHave({"zone-3"});
 }
 
-// Guards against control VMs that forget the zones of a merged or compacted log.
+// Guards against control VMs that lose the zones of a merged or compacted log.
 TEST(evacuation, nodesGetTheZonesBySnapshotAfterControlHasRestarted)
 {
     order("zone-1", true);
@@ -129,7 +129,29 @@
     checkNodesHave({"zone-2"});
 }
 
-// A piece that ends between two zones goes on after the last one.
+// Guards against snapshots for all nodes when a busy leader commits several orders in one write.
+TEST(evacuation, ordersCommittedTogetherReachTheNodesAsADelta)
+{
+    order("zone-1", true);
+    checkNodesHave({"zone-1"});
+    const int pieces = cluster.nodes.at("entry-1").pieces + cluster.nodes.at("agent-1").pieces;
+    const std::uint64_t before = cluster.lastGeneration;
+    cluster.lastGeneration += 8;
+    cluster.toPublisher(entries_merged {
+        base::generation(cluster.lastGeneration), {}, {}, {{"zone-1", false}, {"zone-2", true}}});
+    checkNodesHave({"zone-2"});
+    LONGS_EQUAL(pieces, cluster.nodes.at("entry-1").pieces + cluster.nodes.at("agent-1").pieces);
+    // A node that has one of the generations in between, from another leader, gets a snapshot.
+    CHECK(cluster.publisher.historyCovers(base::generation(before - 1)));
+    CHECK(cluster.publisher.historyCovers(base::generation(before)));
+    for (std::uint64_t at = before + 1; at < cluster.lastGeneration; ++at)
+        CHECK_FALSE(cluster.publisher.historyCovers(base::generation(at)));
+    order("zone-3", true);
+    checkNodesHave({"zone-2", "zone-3"});
+    CHECK_FALSE(cluster.publisher.historyCovers(base::generation(before + 1)));
+}
+
+// If a piece ends between two zones, the next one starts after the last zone of it.
 TEST(evacuation, aSnapshotMayBeCutBetweenZones)
 {
     std::set<std::string> zones;
@@ -149,7 +171,7 @@
     CHECK_FALSE(view.isDraining(view.members.at(base::nodeIdOf("entry-1"))));
     const membership::member agent = view.members.at(base::nodeIdOf("agent-1"));
     CHECK(view.isDraining(agent));
-    // Its server is not drained for good.
+    // Its server serves again when the zone does.
     CHECK_FALSE(view.isDrained(agent));
     order("zone-1", false);
     CHECK_FALSE(cluster.publisher.view->isDraining(agent));
