Add lycheeshuntctl where: explain where a request would go

GET /v1/where answers from the view of the control VM that is asked: the services that may have an open flow and their weights, the service, bucket, director and backup of a new flow, the agents that get no or fewer new flows with the reasons, and the route's traits. Nothing is sent. The decision (operators/flow_destination) reads the routing table; the routing slice tells the split of an address, a flow's bucket and the restricted agents of a service.

--- a/lycheeshunt/ctl/main.cpp
+++ b/lycheeshunt/ctl/main.cpp
@@ -6,6 +6,7 @@
 #include "lycheeshunt/operators/token_file.h"
 
 #include <CLI/CLI.hpp>
+#include <cpprest/base_uri.h>
 #include <cpprest/json.h>
 
 #include <fstream>
@@ -29,6 +30,8 @@
     bool isUndo = false;
     bool isJson = false;
     std::string caller;
+    std::string address;
+    std::uint32_t protocol = 6;
     std::vector<std::string> logs;
 };
 
@@ -39,6 +42,7 @@
                                  "  lycheeshuntctl --server 10.0.0.1:7480 --server 10.0.0.2:7480 "
                                  "--json status\n"
                                  "  lycheeshuntctl explain 192.0.2.7:40001 entry-1.log a1.log\n"
+                                 "  lycheeshuntctl where 192.0.2.7:40001 198.51.100.1:443\n"
                                  "Exit statuses: 0 done, 1 refused, 2 usage, 3 unreachable, "
                                  "4 accepted but not in force everywhere";
 
@@ -106,6 +110,15 @@
                               std::cerr);
 }
 
+int showWhere(const ctl::control_client &client, const options &given)
+{
+    const std::string path = "/v1/where?caller=" + web::uri::encode_data_string(given.caller)
+        + "&address=" + web::uri::encode_data_string(given.address)
+        + "&protocol=" + std::to_string(given.protocol);
+    return ctl::reportWhere(client.get(path, base::clock_time()), formOf(given), std::cout,
+                            std::cerr);
+}
+
 int explainFiles(const options &given)
 {
     std::vector<std::string> lines;
@@ -158,6 +171,10 @@
         = app.add_subcommand("explain", "what logs of several processes say of a flow");
     explain->add_option("flow", given.caller, "address and port of its caller")->required();
     explain->add_option("logs", given.logs, "log files")->required();
+    CLI::App *where = app.add_subcommand("where", "where a request would go now, and why");
+    where->add_option("caller", given.caller, "address and port of the caller")->required();
+    where->add_option("address", given.address, "address and port of the service")->required();
+    where->add_option("--protocol", given.protocol, "6 (TCP, the default) or 17 (UDP)");
     CLI::App *status = app.add_subcommand("status", "every member and its state");
     CLI::App *servers = app.add_subcommand("servers", "backend servers and their state");
     try {
@@ -184,6 +201,8 @@
         return show(client, given);
     if (drainNode->parsed())
         return drain(client, given);
+    if (where->parsed())
+        return showWhere(client, given);
     if (servers->parsed())
         return list(client, given, "/v1/servers", "servers");
     return status->parsed() ? list(client, given, "/v1/status", "members") : ctl::badUsage;
--- a/lycheeshunt/ctl/report.h
+++ b/lycheeshunt/ctl/report.h
@@ -21,4 +21,8 @@
 exit_status reportMembers(const base::result<http_answer> &answer, report_form form,
                           const std::string &list, std::ostream &out, std::ostream &errors);
 
+// Prints where a flow would go and why.
+exit_status reportWhere(const base::result<http_answer> &answer, report_form form,
+                        std::ostream &out, std::ostream &errors);
+
 } // namespace lycheeshunt::ctl
--- a/lycheeshunt/operators/decision.cpp
+++ b/lycheeshunt/operators/decision.cpp
@@ -3,7 +3,9 @@
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/evacuations/zone_path.h"
+#include "lycheeshunt/operators/flow_destination.h"
 #include "lycheeshunt/operators/json.h"
+#include "lycheeshunt/operators/where_query.h"
 
 #include <openssl/crypto.h>
 
@@ -35,6 +37,7 @@
         return conflict;
     case base::error_code::ticketUnknown:
     case base::error_code::noSuchResource:
+    case base::error_code::noSuchAddress:
         return notFound;
     case base::error_code::notAuthorized:
         return unauthorized;
@@ -60,7 +63,7 @@
     return parsed.ec == std::errc() && parsed.ptr == last;
 }
 
-// The only query parameter is wait_ms=N.
+// The only query parameter of requests other than /v1/where is wait_ms=N.
 base::result<base::clock_time> waitOf(const http_arrived &arrived)
 {
     if (arrived.query.empty())
@@ -105,12 +108,21 @@
     return tickets::get_ticket {arrived.request, base::ticket_number(number)};
 }
 
-operator_action queryView(operator_state &state, const http_arrived &arrived, request_kind kind)
+operator_action queryView(operator_state &state, const http_arrived &arrived,
+                          const pending_request &pending)
 {
-    state.waiting.emplace(arrived.request, pending_request {kind});
+    state.waiting.emplace(arrived.request, pending);
     return dissemination::in_force_query {arrived.request, base::generation()};
 }
 
+operator_action queryWhere(operator_state &state, const http_arrived &arrived)
+{
+    const base::result<base::flow_key> key = flowKeyFromQuery(arrived.query);
+    if (const base::error *failure = base::errorOf(key))
+        return refuse(arrived.request, *failure);
+    return queryView(state, arrived, {request_kind::where, {}, {}, base::valueOf(key)});
+}
+
 operator_action orderEvacuation(const operator_state &state, const http_arrived &arrived)
 {
     if (!isAuthorized(state, arrived))
@@ -125,6 +137,8 @@
 
 operator_action handleRequest(operator_state &state, const http_arrived &arrived)
 {
+    if (arrived.method == "GET" && arrived.path == "/v1/where")
+        return queryWhere(state, arrived);
     const base::result<base::clock_time> wait = waitOf(arrived);
     if (const base::error *failure = base::errorOf(wait))
         return refuse(arrived.request, *failure);
@@ -136,9 +150,9 @@
         && arrived.path.starts_with(evacuationsPath))
         return orderEvacuation(state, arrived);
     if (arrived.method == "GET" && arrived.path == "/v1/status")
-        return queryView(state, arrived, request_kind::status);
+        return queryView(state, arrived, {request_kind::status});
     if (arrived.method == "GET" && arrived.path == "/v1/servers")
-        return queryView(state, arrived, request_kind::servers);
+        return queryView(state, arrived, {request_kind::servers});
     return refuse(arrived.request,
                   {base::error_code::noSuchResource, arrived.method + " " + arrived.path});
 }
@@ -165,10 +179,27 @@
     return pending.kind == request_kind::servers ? serversJson(*force.view) : statusJson(force);
 }
 
+http_reply replyWhere(operator_state &state, const base::flow_key &key,
+                      const dissemination::in_force_answer &force)
+{
+    const dissemination::cluster_view &view = *force.view;
+    if (state.table->at() != view.at)
+        state.table = std::make_shared<const routing::routing_table>(view, *state.table);
+    const base::result<flow_destination> where = destinationOf(view, *state.table, key);
+    if (const base::error *failure = base::errorOf(where))
+        return refuse(force.request, *failure);
+    return http_reply {force.request, ok, whereJson(view, base::valueOf(where))};
+}
+
 operator_action handleInForceAnswer(operator_state &state,
                                     const dissemination::in_force_answer &force)
 {
     const auto found = state.waiting.find(force.request);
+    if (found != state.waiting.end() && found->second.flow) {
+        const base::flow_key key = *found->second.flow;
+        state.waiting.erase(found);
+        return replyWhere(state, key, force);
+    }
     const std::string body
         = found == state.waiting.end() ? statusJson(force) : bodyFor(found->second, force);
     state.waiting.erase(force.request);
--- a/lycheeshunt/operators/decision_test.cpp
+++ b/lycheeshunt/operators/decision_test.cpp
@@ -17,6 +17,8 @@
                                "[{\"service\": {\"name\": \"logbook\", \"addresses\": "
                                "[\"tcp:192.0.2.1:443\"]}}]}";
 
+const std::string goodFlow = "caller=10.0.0.1%3A40001&address=192.0.2.1:443";
+
 http_arrived requestOf(const std::string &method, const std::string &path,
                        const std::string &body = "", const std::string &query = "")
 {
@@ -72,6 +74,14 @@
          error_code::requestMalformed},
         {"wait too long", requestOf("GET", "/v1/tickets/1", "", "wait_ms=60001"), 400,
          error_code::requestMalformed},
+        {"a flow without an address", requestOf("GET", "/v1/where", "", "caller=10.0.0.1:1"), 400,
+         error_code::requestMalformed},
+        {"a caller twice", requestOf("GET", "/v1/where", "", goodFlow + "&caller=10.0.0.2:2"), 400,
+         error_code::requestMalformed},
+        {"other protocol", requestOf("GET", "/v1/where", "", goodFlow + "&protocol=47"), 400,
+         error_code::requestMalformed},
+        {"bad escape", requestOf("GET", "/v1/where", "", goodFlow + "&protocol=%x"), 400,
+         error_code::requestMalformed},
     };
     for (const refused_case &row : cases) {
         const operator_action action = run(row.request);
--- a/lycheeshunt/operators/json.cpp
+++ b/lycheeshunt/operators/json.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/in_force_answer.h"
+#include "lycheeshunt/operators/flow_destination.h"
 #include "lycheeshunt/tickets/ticket_record.h"
 
 #include <cpprest/json.h>
@@ -151,6 +152,78 @@
     return json;
 }
 
+std::string serviceName(const dissemination::cluster_view &view, base::service_id service)
+{
+    const auto found = view.services.find(service);
+    return found == view.services.end() ? "unknown service" : found->second.name;
+}
+
+value agentJson(const dissemination::cluster_view &view, base::node_id node)
+{
+    const membership::member &agent = view.members.at(node);
+    value json = memberJson(view, agent);
+    json["address"] = value::string(agent.packets.text());
+    return json;
+}
+
+// In the order of routing::restriction.
+constexpr const char *restrictionNames[]
+    = {"draining", "evacuated zone", "suspected", "bad health", "cold start share"};
+
+value restrictedJson(const dissemination::cluster_view &view,
+                     const routing::restricted_agent &agent)
+{
+    std::vector<std::string> reasons;
+    for (const routing::restriction each : agent.restrictions)
+        reasons.emplace_back(restrictionNames[static_cast<std::size_t>(each)]);
+    value json = agentJson(view, agent.node);
+    json["reasons"] = namesJson(reasons);
+    json["new_flows"] = value::boolean(agent.mayGetFlows);
+    json["directs"] = value::boolean(agent.isDirector);
+    json["share"] = value::number(std::uint32_t(view.members.at(agent.node).share));
+    return json;
+}
+
+// In the order in which entries ask them. A former service has no weight.
+value servicesJson(const dissemination::cluster_view &view, const flow_destination &where)
+{
+    std::map<base::service_id, value> weights;
+    std::uint64_t from = 0;
+    for (const tickets::route_share &share : where.split.shares) {
+        if (share.weight > 0)
+            weights[share.service] = value::object(
+                {{"weight", value::number(share.weight)}, {"from", value::number(from)}});
+        from += share.weight;
+    }
+    std::vector<value> services;
+    for (const base::service_id service : where.services) {
+        value json = weights.count(service) > 0 ? weights.at(service) : value::object();
+        json["former"] = value::boolean(weights.count(service) == 0);
+        json["name"] = value::string(serviceName(view, service));
+        services.push_back(json);
+    }
+    return value::array(services);
+}
+
+value routeJson(const tickets::address_route &route)
+{
+    const char *kind = route.kind == tickets::request_kind::idempotent ? "idempotent"
+        : route.kind == tickets::request_kind::upload                  ? "upload"
+                                                                       : "non-idempotent";
+    return value::object({{"kind", value::string(kind)},
+                          {"priority", value::number(route.priority)},
+                          {"timeout_ms", value::number(route.timeout.millis())},
+                          {"target_latency_ms", value::number(route.targetLatency.millis())}});
+}
+
+// What the view doesn't decide.
+const std::vector<std::string> whereNotes = {
+    "entries may bypass an agent that they find silent, and send a repeated opening packet to the "
+    "backup",
+    "agents place a new flow by their load and the state of their servers: the director is where "
+    "this is decided, not always where the flow opens",
+    "an open flow stays with its owner"};
+
 } // namespace
 
 base::result<tickets::ticket> ticketFromJson(const std::string &text)
@@ -229,4 +302,34 @@
     return json.serialize();
 }
 
+std::string whereJson(const dissemination::cluster_view &view, const flow_destination &where)
+{
+    value json
+        = value::object({{"generation", value::number(view.at.value())},
+                         {"caller", value::string(where.key.caller.text())},
+                         {"address", value::string(where.key.service.text())},
+                         {"protocol", value::number(std::uint32_t(where.key.protocol))},
+                         {"served", value::boolean(true)},
+                         {"services", servicesJson(view, where)},
+                         {"other_services_possible", value::boolean(where.mayHaveOtherServices)},
+                         {"service", value::string(serviceName(view, where.services.front()))},
+                         {"hash_position", value::number(where.split.position)},
+                         {"total_weight", value::number(where.split.totalWeight)},
+                         {"notes", namesJson(whereNotes)}});
+    const routing::route *director = std::get_if<routing::route>(&where.director);
+    const routing::route *backup = std::get_if<routing::route>(&where.backup);
+    if (director != nullptr && backup != nullptr) {
+        json["bucket"] = value::number(where.bucket.value().value());
+        json["director"] = agentJson(view, director->to.node);
+        json["backup"] = agentJson(view, backup->to.node);
+    }
+    std::vector<value> restricted;
+    for (const routing::restricted_agent &agent : where.restricted)
+        restricted.push_back(restrictedJson(view, agent));
+    json["restricted_agents"] = value::array(restricted);
+    if (where.route)
+        json["route"] = routeJson(*where.route);
+    return json.serialize();
+}
+
 } // namespace lycheeshunt::operators
--- a/lycheeshunt/routing/directors.cpp
+++ b/lycheeshunt/routing/directors.cpp
@@ -2,6 +2,8 @@
 
 #include "lycheeshunt/routing/internal/directors.h"
 
+#include <algorithm>
+
 namespace lycheeshunt::routing {
 
 namespace internal {
@@ -66,4 +68,36 @@
     return internal::chooseDirectors(view, agents);
 }
 
+std::vector<restricted_agent> restrictedAgentsOf(const dissemination::cluster_view &view,
+                                                 base::service_id service)
+{
+    const std::vector<target> directors = directorsOf(view, service);
+    std::vector<restricted_agent> restricted;
+    for (auto it = view.members.begin(); it != view.members.end(); ++it) {
+        const membership::member &agent = it->second;
+        if (agent.role != membership::member_role::agent || agent.service != service)
+            continue;
+        const bool isSuspected = agent.phase == membership::member_phase::suspected;
+        const std::pair<restriction, bool> criteria[]
+            = {{restriction::drained, view.isDrained(agent)},
+               {restriction::evacuated, view.isEvacuated(agent)},
+               {restriction::suspected, isSuspected},
+               {restriction::badHealth, agent.health == membership::member_health::bad},
+               {restriction::coldStart, agent.share < membership::fullShare}};
+        std::vector<restriction> restrictions;
+        for (const std::pair<restriction, bool> &each : criteria) {
+            if (each.second)
+                restrictions.push_back(each.first);
+        }
+        const bool isDirector
+            = std::any_of(directors.begin(), directors.end(),
+                          [&](const target &director) { return director.node == it->first; });
+        const bool mayGetFlows = !view.isDraining(agent) && (isDirector || !isSuspected);
+        if (!restrictions.empty())
+            restricted.push_back(
+                restricted_agent {it->first, std::move(restrictions), isDirector, mayGetFlows});
+    }
+    return restricted;
+}
+
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -14,6 +14,13 @@
         | (std::uint64_t(where.port) << protocolBits) | protocol;
 }
 
+// Uses other bits of the hash than those that choose the bucket.
+std::uint64_t positionOf(const base::flow_key &key, std::uint64_t totalWeight)
+{
+    constexpr int bucketBits = 32;
+    return (base::hashOf(key) >> bucketBits) % totalWeight;
+}
+
 } // namespace
 
 struct routing_table::service_entry
@@ -22,16 +29,9 @@
     const bucket_table buckets;
 };
 
-// A service's weight among the new flows of an address.
-struct weighted_service
-{
-    const base::service_id service;
-    const std::uint32_t weight = 1;
-};
-
 struct routing_table::address_entry
 {
-    const std::vector<weighted_service> shares;
+    const std::vector<tickets::route_share> shares;
     const std::uint64_t totalWeight = 1;
     const std::vector<base::service_id> former = {};
     const bool isFormerIncomplete = false;
@@ -65,16 +65,13 @@
 void routing_table::applyRoutes(const dissemination::cluster_view &view)
 {
     for (auto it = view.routes.begin(); it != view.routes.end(); ++it) {
-        std::vector<weighted_service> shares;
         std::uint64_t total = 0;
-        for (const tickets::route_share &share : it->second.shares) {
-            shares.push_back(weighted_service {share.service, share.weight});
+        for (const tickets::route_share &share : it->second.shares)
             total += share.weight;
-        }
         if (total > 0)
             m_addresses[addressKey(it->first.where, it->first.protocol)]
                 = std::make_shared<const address_entry>(address_entry {
-                    std::move(shares), total, it->second.former, it->second.isFormerIncomplete,
+                    it->second.shares, total, it->second.former, it->second.isFormerIncomplete,
                     request_traits {it->second.kind, it->second.priority,
                                     it->second.targetLatency}});
     }
@@ -91,15 +88,13 @@
     if (found == m_addresses.end())
         return {};
     const address_entry &entry = *found->second;
-    // Uses other bits of the hash than those that choose the bucket.
-    constexpr int bucketBits = 32;
-    std::uint64_t position = (base::hashOf(key) >> bucketBits) % entry.totalWeight;
+    std::uint64_t position = positionOf(key, entry.totalWeight);
     std::vector<base::service_id> services;
     std::size_t chosen = 0;
     while (position >= entry.shares[chosen].weight)
         position -= entry.shares[chosen++].weight;
     for (std::size_t i = 0; i < entry.shares.size(); ++i) {
-        const weighted_service &share = entry.shares[(chosen + i) % entry.shares.size()];
+        const tickets::route_share &share = entry.shares[(chosen + i) % entry.shares.size()];
         if (share.weight > 0)
             services.push_back(share.service);
     }
@@ -107,6 +102,15 @@
     return services;
 }
 
+std::optional<flow_split> routing_table::splitOf(const base::flow_key &key) const
+{
+    const auto found = m_addresses.find(addressKey(key.service, key.protocol));
+    if (found == m_addresses.end())
+        return std::nullopt;
+    const address_entry &entry = *found->second;
+    return flow_split {entry.shares, entry.totalWeight, positionOf(key, entry.totalWeight)};
+}
+
 std::optional<request_traits> routing_table::traitsOf(const base::flow_key &key) const
 {
     const auto found = m_addresses.find(addressKey(key.service, key.protocol));
@@ -153,6 +157,15 @@
     return route {service, m_at, director};
 }
 
+std::optional<base::bucket> routing_table::bucketWithin(base::service_id service,
+                                                        const base::flow_key &key) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return std::nullopt;
+    return found->second->buckets.bucketOf(base::hashOf(key));
+}
+
 std::vector<target> routing_table::targets() const
 {
     std::vector<target> all;
--- a/lycheeshunt/routing/routing_table.h
+++ b/lycheeshunt/routing/routing_table.h
@@ -11,8 +11,10 @@
 #include "lycheeshunt/dissemination/cluster_view.h"
 #include "lycheeshunt/routing/bucket_table.h"
 #include "lycheeshunt/routing/bypassed_agents.h"
+#include "lycheeshunt/routing/flow_split.h"
 #include "lycheeshunt/routing/no_route.h"
 #include "lycheeshunt/routing/request_traits.h"
+#include "lycheeshunt/routing/restricted_agent.h"
 #include "lycheeshunt/routing/route.h"
 
 #include <memory>
@@ -41,6 +43,8 @@
     // others with a share, then those that had a share formerly. Empty when the address is not
     // served.
     std::vector<base::service_id> servicesFor(const base::flow_key &key) const;
+    // The weights that choose the first of these. Empty when the address is not served.
+    std::optional<flow_split> splitOf(const base::flow_key &key) const;
     // What the address's route says of its requests. Empty for an address without a route.
     std::optional<request_traits> traitsOf(const base::flow_key &key) const;
     // Whether flows to this address may be with services that servicesFor() does not list.
@@ -50,6 +54,9 @@
     // Like routeOf, within one service; with `avoidsDirector`, routes to the bucket's backup.
     routing_outcome routeWithin(base::service_id service, const base::flow_key &key,
                                 const bypassed_agents &bypassed, bool avoidsDirector) const;
+    // Empty when there is no such service.
+    std::optional<base::bucket> bucketWithin(base::service_id service,
+                                             const base::flow_key &key) const;
 
     // Every agent that packets may be sent to.
     std::vector<target> targets() const;
@@ -77,4 +84,8 @@
 // health.
 std::vector<target> directorsOf(const dissemination::cluster_view &view, base::service_id service);
 
+// The agents of a service to which a restriction applies.
+std::vector<restricted_agent> restrictedAgentsOf(const dissemination::cluster_view &view,
+                                                 base::service_id service);
+
 } // namespace lycheeshunt::routing
