--- a/lycheeshunt/operators/flow_destination_test.cpp
+++ b/lycheeshunt/operators/flow_destination_test.cpp
@@ -18,13 +18,12 @@
 const base::service_id former = base::serviceIdOf("former");
 
 membership::member agentOf(const std::string &name, const std::string &zone = "zone-1",
-                           member_phase phase = member_phase::serving,
-                           member_health health = member_health::good,
-                           std::uint8_t share = membership::fullShare)
+                           member_health health = member_health::good)
 {
     const base::endpoint packets {1, static_cast<std::uint16_t>(name.back())};
     const membership::member_role role = membership::member_role::agent;
-    return {name, zone, role, logbook, base::incarnation(1), packets, phase, health, share};
+    const base::incarnation incarnation(1);
+    return {name, zone, role, logbook, incarnation, packets, member_phase::serving, health};
 }
 
 // One agent for each restriction, and enough others that every criterion is applied.
@@ -33,9 +32,8 @@
     std::map<base::node_id, membership::member> members;
     for (const membership::member &each :
          {agentOf("a"), agentOf("b"), agentOf("c"), agentOf("drained"),
-          agentOf("evacuated", "zone-2"), agentOf("silent", "zone-1", member_phase::suspected),
-          agentOf("ill", "zone-1", member_phase::serving, member_health::bad),
-          agentOf("new", "zone-1", member_phase::serving, member_health::good, 1)})
+          agentOf("evacuated", "zone-2"), agentOf("silent").withPhase(member_phase::suspected),
+          agentOf("ill", "zone-1", member_health::bad), agentOf("new").withShare(1)})
         members.emplace(each.id(), each);
     const tickets::request_kind kind = tickets::request_kind::idempotent;
     const base::clock_time timeout = base::clock_time::ofMillis(2000);
@@ -94,20 +92,18 @@
 TEST(where, aRequestIsAnsweredFromThePresentView)
 {
     operator_state state;
-    const auto decideNext = [&](const operator_message &message) {
-        base::step<operator_state, operator_action> next = decide(std::move(state), message);
-        state = std::move(next.state);
-        return next.actions.at(0);
-    };
     const auto ask = [&](const dissemination::cluster_view &view) {
         const base::request_id request(1);
-        const operator_action query = decideNext(http_arrived {
-            request, "GET", "/v1/where", "", "caller=10.0.0.1:40001&address=192.0.2.1:443"});
-        CHECK(std::holds_alternative<dissemination::in_force_query>(query));
-        const operator_action reply = decideNext(dissemination::in_force_answer {
-            request, {}, std::make_shared<const dissemination::cluster_view>(view), {}});
+        const http_arrived arrived {request, "GET", "/v1/where", "",
+                                    "caller=10.0.0.1:40001&address=192.0.2.1:443"};
+        const base::step<operator_state, operator_action> asked = decide(std::move(state), arrived);
+        CHECK(std::holds_alternative<dissemination::in_force_query>(asked.actions.at(0)));
+        const dissemination::in_force_answer answer {
+            request, {}, std::make_shared<const dissemination::cluster_view>(view), {}};
+        base::step<operator_state, operator_action> answered = decide(asked.state, answer);
+        state = std::move(answered.state);
         CHECK(state.waiting.empty());
-        return std::get<http_reply>(reply);
+        return std::get<http_reply>(answered.actions.at(0));
     };
     const http_reply served = ask(viewOf(1'000'000));
     LONGS_EQUAL(200, served.status);
