--- a/lycheeshunt/flows/decision.cpp
+++ b/lycheeshunt/flows/decision.cpp
@@ -7,6 +7,7 @@
 #include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/flow_searches.h"
 #include "lycheeshunt/flows/internal/lookup.h"
+#include "lycheeshunt/flows/internal/lookup_replies.h"
 #include "lycheeshunt/flows/internal/opening_limit.h"
 #include "lycheeshunt/flows/internal/ownership.h"
 #include "lycheeshunt/flows/internal/packet_path.h"
--- a/lycheeshunt/flows/internal/lookup.h
+++ b/lycheeshunt/flows/internal/lookup.h
@@ -4,7 +4,6 @@
 
 #pragma once
 
-#include "lycheeshunt/flows/flow_lookup.h"
 #include "lycheeshunt/flows/internal/flow_context.h"
 #include "lycheeshunt/flows/lookup_answer.h"
 
@@ -20,7 +19,6 @@
 void addToLookup(flow_context &context, const pending_lookup &pending,
                  const forwarded_packet &packet);
 
-void handleLookup(flow_context &context, const flow_lookup &lookup);
 void handleLookupAnswer(flow_context &context, const lookup_answer &answer);
 
 // Retries queries that were not answered, and ends lookups whose deadline has passed.
--- a/lycheeshunt/placement/cost.cpp
+++ b/lycheeshunt/placement/cost.cpp
@@ -34,4 +34,9 @@
     return busySlots(load, forwardedSinceReport) >= allowedSlots(load);
 }
 
+bool acceptsFlows(const server_load &load)
+{
+    return load.slots.accepting && !load.slots.draining && load.slots.allowed > 0;
+}
+
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/cost.h
+++ b/lycheeshunt/placement/cost.h
@@ -14,4 +14,7 @@
 // Whether a further request would wait for a slot.
 bool isFull(const server_load &load, double forwardedSinceReport);
 
+// Whether new flows may be placed at the server.
+bool acceptsFlows(const server_load &load);
+
 } // namespace lycheeshunt::placement
