Rotate the link's fair turn among the transfers that wait

Callers whose long transfer had a middle priority, or the same low priority as another one, got no packet through a busy link: their packets waited at the entry for as long as the link was busy. Cause: every eighth datagram was of the last flow in the order, and a long transfer becomes the last one again each time it is served. The bands and priorities behind the first now take the turn in rotation, and of long transfers the one that has waited longest. everyWaitingFlowGetsATurnWhileOthersKeepTheLinkBusy failed before.

--- a/lycheeshunt/pacing/egress_queue.cpp
+++ b/lycheeshunt/pacing/egress_queue.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/pacing/egress_queue.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lycheeshunt::pacing {
 
@@ -20,7 +21,8 @@
 // Longer than callers wait between two copies of a packet.
 constexpr std::uint64_t maxQueueMillis = 2000;
 constexpr std::uint64_t millisPerSecond = 1000;
-// Every so many datagrams one of the last flow in the order is sent, so that none starves.
+// Every so many datagrams one is sent of a band or priority that is not the first in the order, so
+// that none starves.
 constexpr std::uint32_t fairTurn = 8;
 
 std::uint8_t bandOf(const flow_queue &flow)
@@ -97,7 +99,33 @@
 std::map<egress_queue::rank, base::flow_key>::iterator egress_queue::choose()
 {
     m_turn = (m_turn + 1) % fairTurn;
-    return m_turn == 0 ? std::prev(m_order.end()) : m_order.begin();
+    return m_turn == 0 ? chooseOutOfTurn() : m_order.begin();
+}
+
+std::map<egress_queue::rank, base::flow_key>::iterator egress_queue::behind(std::uint8_t band,
+                                                                            std::uint8_t priority)
+{
+    const base::clock_time latest
+        = base::clock_time::ofMillis(std::numeric_limits<std::int64_t>::max());
+    return m_order.upper_bound(
+        rank {band, priority, latest, std::numeric_limits<std::uint64_t>::max()});
+}
+
+// The bands and priorities behind the first one are served in rotation. Of long transfers, the one
+// that has waited longest is taken: the last one would be the same each time, since a long transfer
+// goes behind the others once it was served.
+std::map<egress_queue::rank, base::flow_key>::iterator egress_queue::chooseOutOfTurn()
+{
+    const rank &first = m_order.begin()->first;
+    const auto lower = behind(first.band, first.priority);
+    if (lower == m_order.end())
+        return std::prev(m_order.end());
+    auto chosen = behind(m_lastBand, m_lastPriority);
+    if (chosen == m_order.end() || chosen->first < lower->first)
+        chosen = lower;
+    m_lastBand = chosen->first.band;
+    m_lastPriority = chosen->first.priority;
+    return m_lastBand == longBand ? chosen : std::prev(behind(m_lastBand, m_lastPriority));
 }
 
 std::optional<queued_datagram> egress_queue::takeNext(base::clock_time now)
--- a/lycheeshunt/pacing/egress_queue.h
+++ b/lycheeshunt/pacing/egress_queue.h
@@ -66,6 +66,9 @@
     void place(const base::flow_key &key, ranked_flow &flow, base::clock_time since);
     queued_datagram takeFrom(std::map<rank, base::flow_key>::iterator chosen, base::clock_time now);
     std::map<rank, base::flow_key>::iterator choose();
+    std::map<rank, base::flow_key>::iterator chooseOutOfTurn();
+    // The first flow behind those of this band and priority.
+    std::map<rank, base::flow_key>::iterator behind(std::uint8_t band, std::uint8_t priority);
     void forgetIdleFlows(base::clock_time now);
 
     link_budget m_budget;
@@ -76,6 +79,9 @@
     std::size_t m_waitingDatagrams = 0;
     std::uint64_t m_lastNumber = 0;
     std::uint32_t m_turn = 0;
+    // The band and priority that were last served out of turn.
+    std::uint8_t m_lastBand = 0;
+    std::uint8_t m_lastPriority = 0;
     base::clock_time m_nextSweep;
 };
 
--- a/lycheeshunt/pacing/egress_queue_test.cpp
+++ b/lycheeshunt/pacing/egress_queue_test.cpp
@@ -259,3 +259,23 @@
     CHECK_FALSE(queue.takeNext(due - at(1)).has_value());
     CHECK(queue.takeNext(due).has_value());
 }
+
+// Guards against packets that wait for as long as the link is busy: the turn for the flows that are
+// last in the order must not go to the same one of them each time.
+TEST(egress_queue, everyWaitingFlowGetsATurnWhileOthersKeepTheLinkBusy)
+{
+    std::uint32_t sequence = 0;
+    const auto receiveMany = [&](std::uint16_t flow, std::uint8_t priority, int windows) {
+        for (int i = 0; i < windows; ++i)
+            receiveWindow(flow, sequence += window, priority);
+    };
+    for (std::uint16_t flow = 1; flow <= 4; ++flow)
+        receiveMany(flow, flow == 1 ? 0 : flow == 4 ? 2 : 1, 6);
+    // The flow of the highest priority always has more to send.
+    for (int i = 0; i < 20; ++i) {
+        run(100);
+        receiveMany(1, 0, 1);
+    }
+    for (std::uint16_t flow = 1; flow <= 4; ++flow)
+        CHECK(countOf(flow) >= 10);
+}
