Bound the first samples of a server's time

A server got hardly any new flows for seconds after its VM was suspended, or after a request that it had answered late, if that was the first sample of its time. Cause: a sample is bounded by the mean, which the first one sets without a bound. Until the mean is reported, it is now bounded by each further sample too. Spans above 5 s, the lifetime of samples, are not taken at all. firstSamplesThatSpanASuspensionDoNotMakeAServerSlow failed before.

--- a/lycheeshunt/placement/service_times.cpp
+++ b/lycheeshunt/placement/service_times.cpp
@@ -38,6 +38,9 @@
 
 service_time afterAnswer(service_time time, base::clock_time span, base::clock_time now)
 {
+    // The span includes a suspension of the VM, or the server has held the request back.
+    if (span > sampleLifetime)
+        return time;
     if (time.taken == 0 || isOld(time, now))
         time = service_time {};
     const double millis = static_cast<double>(span.millis());
@@ -47,6 +50,9 @@
                    time.weight * std::exp2(-age / static_cast<double>(sampleHalfLife.millis())));
     const double sample
         = time.taken == 0 ? millis : std::min(millis, maxMeans * std::max(1.0, time.meanMillis));
+    // The first sample has no mean to be compared with, so the next ones bound it.
+    if (time.taken > 0 && time.taken < minSamples)
+        time.meanMillis = std::min(time.meanMillis, maxMeans * std::max(minMillis, millis));
     time.weight = earlier + 1;
     time.meanMillis += (sample - time.meanMillis) / time.weight;
     time.sampledAt = now;
--- a/lycheeshunt/placement/speed_test.cpp
+++ b/lycheeshunt/placement/speed_test.cpp
@@ -198,6 +198,21 @@
     CHECK(knownMillis(afterAnswers(usual, 100, 50, 2040), at(4040)) > 60);
 }
 
+// Guards against a server that gets no flows for seconds because its first samples span a
+// suspension of its VM, or a request that its server held back on purpose.
+TEST(speed, firstSamplesThatSpanASuspensionDoNotMakeAServerSlow)
+{
+    for (const std::int64_t suspension : {1'500, 4'000, 10'000, 60'000}) {
+        for (const int underWay : {1, 4}) {
+            const service_time before
+                = afterAnswers(service_time {}, suspension, underWay, 100'000);
+            const service_time time = afterAnswers(before, 20, 12, 100'200);
+            CHECK(knownMillis(time, at(100'700)) > 0);
+            CHECK(knownMillis(time, at(100'700)) < 40);
+        }
+    }
+}
+
 TEST(speed, aServerWithoutRecentSamplesIsNotKnown)
 {
     const service_time slow = afterAnswers({}, 100, 20, 0);
