Keep a cold server's limit when the last offer of a flow reaches it

A cold server of a service with warmup_per_s = 0 got openings beyond its slack while other servers accepted flows, and with a positive rate the caller was reset. Cause: a flow that was offered to as many agents as permitted is refused by the last one, which took this for a service where no agent accepts. The agent now checks for that, and otherwise drops the packet: the caller's next copy is placed anew. aLastOfferDoesNotExceedTheSlackNorIsItResetWhileAnotherServerAccepts failed before.

--- a/lycheeshunt/flows/internal/flow_placement.cpp
+++ b/lycheeshunt/flows/internal/flow_placement.cpp
@@ -138,11 +138,27 @@
 bool hasRoomBesides(flow_context &context, const std::vector<base::node_id> &tried)
 {
     publishOwnLoad(context);
-    return placement::hasCandidate(*context.state.placement,
+    return context.state.placement
+        && placement::hasCandidate(*context.state.placement,
                                    placement::flow_offered {placement::offer_id(), tried},
                                    context.now);
 }
 
+// No further agent may be offered the flow, and this agent's server is cold and has no token. While
+// other agents would accept the flow, the caller's next copy of the opening packet is placed anew.
+void handleMissingToken(flow_context &context, const forwarded_packet &packet,
+                        base::error_code reason)
+{
+    std::vector<base::node_id> tried = packet.agents;
+    tried.push_back(context.state.identity->node);
+    if (hasRoomBesides(context, tried))
+        context.actions.emplace_back(refuse_packet {reason});
+    else if (mayExceedLimit(context.state))
+        openTentatively(context, packet);
+    else
+        refuseFlow(context, packet, reason);
+}
+
 void placeFlow(flow_context &context, const forwarded_packet &packet)
 {
     flow_state &state = context.state;
@@ -163,8 +179,8 @@
                            offerFlow(context, packet, forwarded);
                        },
                        [&](const placement::refuse_flow &refused) {
-                           if (canAccept && !hasToken && mayExceedLimit(state))
-                               openTentatively(context, packet);
+                           if (canAccept && !hasToken)
+                               handleMissingToken(context, packet, refused.reason);
                            else
                                refuseFlow(context, packet, refused.reason);
                        },
--- a/lycheeshunt/flows/opening_limit_test.cpp
+++ b/lycheeshunt/flows/opening_limit_test.cpp
@@ -146,6 +146,27 @@
     UNSIGNED_LONGS_EQUAL(slack, openMany(50));
 }
 
+// A flow was offered to as many agents as permitted. Guards against a cold server that gets it
+// beyond its slack, and against a reset, while other agents would accept the flow.
+TEST(opening_limit, aLastOfferDoesNotExceedTheSlackNorIsItResetWhileAnotherServerAccepts)
+{
+    for (const double rate : {0.0, smallestRate}) {
+        start(rate);
+        checkIn(20 * second);
+        receivePeerReports(false);
+        openMany(slack);
+        now += 1;
+        receivePeerReports();
+        const packets::ip_summary opening {base::flow_key {base::endpoint {1, 9000}, address, 6},
+                                           true};
+        apply(packetFor(opening, packet_stage::offer,
+                        {nodeOf("b1"), nodeOf("b2"), nodeOf("b3"), nodeOf("b4")}));
+        CHECK(actionsOf<deliver_to_server>().empty());
+        // The caller repeats its opening packet, which is then offered to others.
+        CHECK(actionsOf<reset_caller>().empty());
+    }
+}
+
 TEST(opening_limit, aCheckInThatTellsOfAWarmServerEndsTheLimit)
 {
     checkIn(20 * second);
