Count repeated openings at a cold server with a rate of 0

With warmup_per_s = 0 a cold server got every repeated opening packet of its flows beyond the slack, although other servers accepted flows. Cause: the exception for services where no agent accepts held for repeated packets at all times. They are now offered to other agents as long as one has room. withARateOfZeroRepeatedOpeningsCountWhileAnotherServerAccepts failed before.

--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -252,8 +252,10 @@
     if (flow != nullptr && !isTried) {
         if (offerHedgedElsewhere(context, packet))
             return;
-        if (packet.summary.opens && !hasOpeningToken(state, context.now)
-            && !mayExceedLimit(state)) {
+        const bool hasToken = hasOpeningToken(state, context.now);
+        const bool mayExceed
+            = mayExceedLimit(state) && !hasRoomBesides(context, {state.identity->node});
+        if (packet.summary.opens && !hasToken && !mayExceed) {
             passOnRepeatedOpening(context, *flow, packet);
             return;
         }
--- a/lycheeshunt/flows/opening_limit_test.cpp
+++ b/lycheeshunt/flows/opening_limit_test.cpp
@@ -146,6 +146,23 @@
     UNSIGNED_LONGS_EQUAL(slack, openMany(50));
 }
 
+// Guards against a cold server that gets a copy of every opening packet beyond its slack: callers
+// repeat each one that is not answered in time.
+TEST(opening_limit, withARateOfZeroRepeatedOpeningsCountWhileAnotherServerAccepts)
+{
+    start(0);
+    receivePeerReports();
+    checkIn(20 * second);
+    openMany(50);
+    const std::size_t first = delivered.size();
+    now += 200;
+    receivePeerReports();
+    for (std::uint16_t i = 0; i < 5; ++i)
+        open(lastDelivered, true);
+    CHECK(delivered.size() <= slack);
+    CHECK(first > 0);
+}
+
 // A flow was offered to as many agents as permitted. Guards against a cold server that gets it
 // beyond its slack, and against a reset, while other agents would accept the flow.
 TEST(opening_limit, aLastOfferDoesNotExceedTheSlackNorIsItResetWhileAnotherServerAccepts)
