Let a cold server get its rate where the slack is 0

With warmup_slack = 0 a cold server got no opening packet at all, whatever its rate, and a service whose servers were all cold refused every caller. Cause: the bucket holds no more than the slack, so it never held a whole token. It now holds one where the rate is at least 1, which in any second permits no more than the rate. withoutAnySlackAColdServerGetsItsRate failed before.

--- a/lycheeshunt/flows/internal/opening_limit.cpp
+++ b/lycheeshunt/flows/internal/opening_limit.cpp
@@ -15,14 +15,22 @@
     return state.identity->warmupSlack && now < state.server.openings.coldUntil;
 }
 
+// Without slack the bucket holds the token of one opening packet, or none would ever be delivered.
+// In any second this still permits no more than a rate of 1 or more.
+double capacityOf(const flow_state &state)
+{
+    const double slack = state.identity->warmupSlack.value_or(0);
+    const bool permitsOne = state.server.openings.rate.value_or(0) >= 1;
+    return std::max(slack, permitsOne ? 1.0 : 0.0);
+}
+
 double tokensAt(const flow_state &state, base::clock_time now)
 {
     constexpr double millisPerSecond = 1000;
     const opening_tokens &openings = state.server.openings;
     const double elapsed = static_cast<double>((now - openings.refilledAt).millis());
     const double refilled = openings.rate.value_or(0) * std::max(0.0, elapsed) / millisPerSecond;
-    return std::min(static_cast<double>(state.identity->warmupSlack.value_or(0)),
-                    openings.left + refilled);
+    return std::min(capacityOf(state), openings.left + refilled);
 }
 
 void refill(flow_context &context)
@@ -73,7 +81,7 @@
     if (openings.serverStarts == changed.serverStarts)
         return;
     openings.serverStarts = changed.serverStarts;
-    openings.left = context.state.identity->warmupSlack.value_or(0);
+    openings.left = capacityOf(context.state);
     openings.emptyAt.reset();
 }
 
--- a/lycheeshunt/flows/opening_limit_test.cpp
+++ b/lycheeshunt/flows/opening_limit_test.cpp
@@ -184,6 +184,22 @@
     }
 }
 
+// Guards against a service that serves nobody until it is warm because a bucket without slack never
+// holds a token.
+TEST(opening_limit, withoutAnySlackAColdServerGetsItsRate)
+{
+    start(20, 0);
+    checkIn(20 * second);
+    std::int64_t opened = 0;
+    for (std::int64_t i = 0; i < 5 * second; i += 10, now += 10)
+        opened += static_cast<std::int64_t>(openMany(1));
+    CHECK(opened >= 95);
+    CHECK(opened <= 100);
+    start(0.5, 0);
+    checkIn(20 * second);
+    UNSIGNED_LONGS_EQUAL(0, openMany(10));
+}
+
 TEST(opening_limit, aCheckInThatTellsOfAWarmServerEndsTheLimit)
 {
     checkIn(20 * second);
