Keep a flow's lookup when another one is started for it

After enough trials that ended late, an agent dropped every packet of open flows whose owner it had to look up. Cause: startLookup replaced a lookup of the same flow that was under way; the packets of the first were lost without a report to their entry, and their bytes stayed in lookupBytes, which bounds all lookups. In a trial with random messages, bytes were left after all lookups had ended. A packet is now added to the lookup that is under way. aTrialThatEndsDuringAnotherSearchOfItsFlowKeepsTheSearch failed before.

--- a/lycheeshunt/flows/internal/lookup.cpp
+++ b/lycheeshunt/flows/internal/lookup.cpp
@@ -223,6 +223,10 @@
                  const std::vector<base::node_id> &firstQueried)
 {
     flow_state &state = context.state;
+    if (const pending_lookup *running = state.lookups.find(packet.summary.key)) {
+        addToLookup(context, *running, packet);
+        return;
+    }
     const std::size_t bytes = packet.bytes.view().size();
     if (state.lookups.size() >= maxLookups || state.lookupBytes + bytes > maxBufferedBytes) {
         // A reset would end a flow that another agent may own.
--- a/lycheeshunt/flows/internal/lookup.h
+++ b/lycheeshunt/flows/internal/lookup.h
@@ -10,7 +10,8 @@
 namespace lycheeshunt::flows::internal {
 
 // Buffers the packet while these agents are queried. With an empty list, queries the agents that
-// are the likeliest to know the owner.
+// most likely have the owner in their directories. A lookup of the flow that is under way
+// continues.
 void startLookup(flow_context &context, const forwarded_packet &packet, lookup_purpose purpose,
                  const std::vector<base::node_id> &firstQueried);
 
--- a/lycheeshunt/flows/tried_flows_test.cpp
+++ b/lycheeshunt/flows/tried_flows_test.cpp
@@ -119,3 +119,26 @@
     receiveFromServer(returnedSummary(data));
     CHECK(actionsOf<send_packet>().front().packet.stage == packet_stage::trial);
 }
+
+// Guards against agents that search for no flow any more, so that packets of open flows are
+// dropped: a trial that ended while another search of its flow ran replaced that search, whose
+// packets and bytes stayed in the count that bounds all searches.
+TEST(tried_flows, aTrialThatEndsDuringAnotherSearchOfItsFlowKeepsTheSearch)
+{
+    const packets::ip_summary data = summaryForOwnBucket(false, 10);
+    apply(packetFor(data, packet_stage::toDirector));
+    answerLookups(data.key, {"a2", "a3"}, lookup_verdict::mayOwn);
+    CHECK(actionsOf<send_packet>().front().packet.stage == packet_stage::trial);
+    now += 700;
+    apply(packetFor(data, packet_stage::toDirector));
+    LONGS_EQUAL(1, state->lookups.size());
+    apply(packetFor(data, packet_stage::trial));
+    LONGS_EQUAL(1, state->lookups.size());
+    LONGS_EQUAL(2, state->lookups.find(data.key)->packets.size());
+    for (int i = 0; i < 50; ++i) {
+        now += 100;
+        apply(tick {});
+    }
+    LONGS_EQUAL(0, state->lookups.size());
+    LONGS_EQUAL(0, state->lookupBytes);
+}
