Free slots of unanswered requests also when no request waits

An idle server got no new flows for minutes after its callers had disappeared with requests under way: its agent reported all slots as busy. Cause: a slot whose request has had neither an answer nor a packet for 2 s was freed only while another request waited, and a server that is reported as full gets none. Such slots are now also freed while all slots are held. slotsHeldByUnansweredRequestsAreFreedAlsoWhenNoneWaits failed before.

--- a/lycheeshunt/flows/internal/request_queueing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -139,7 +139,9 @@
 {
     flow_state &state = context.state;
     endPausedTransfers(context);
-    if (state.waiting.isEmpty())
+    // A server whose slots are all held gets no new flows, so no request may show up to wait.
+    const bool isFull = state.server.slots > 0 && state.busyFlows >= state.server.slots;
+    if (state.waiting.isEmpty() && !isFull)
         return;
     for (const waiting_request &abandoned : state.waiting.takeAbandoned(context.now))
         recordEvent(context, flow_event_kind::abandoned, abandoned.packets.front());
--- a/lycheeshunt/flows/request_queueing_test.cpp
+++ b/lycheeshunt/flows/request_queueing_test.cpp
@@ -83,6 +83,20 @@
     LONGS_EQUAL(1, state->busyFlows);
 }
 
+// Guards against a server that gets no new flows although it is idle: its agent reports slots that
+// are held by requests whose callers have disappeared, and no further request shows up to wait.
+TEST(request_queueing, slotsHeldByUnansweredRequestsAreFreedAlsoWhenNoneWaits)
+{
+    openFlows(slots);
+    LONGS_EQUAL(slots, state->placement->ownLoad->slots.busy);
+    now += 1900;
+    apply(tick {});
+    LONGS_EQUAL(slots, state->placement->ownLoad->slots.busy);
+    now += 100;
+    apply(tick {});
+    LONGS_EQUAL(0, state->placement->ownLoad->slots.busy);
+}
+
 TEST(request_queueing, aRequestWhoseCallerIsSilentIsDroppedAndLogged)
 {
     openFlows(slots + 3);
