Give an entry no hint of a server that has been silent since the payload

An open flow never reached its server through one entry: all its packets went to a silent server. Case: the director's server does not answer, a hedged copy opens the flow at the backup, and another entry sends two packets before the director's agent gives its server up. Cause: the agent took the first payload for kept because it had delivered it, and answered the second with an owner hint, which nobody withdraws while the server returns nothing. A hint now also needs a packet of the server since the flow's last packet; a server that has the flow acknowledges each payload. anEntryGetsNoHintOfASilentServer failed before.

--- a/lycheeshunt/flows/hedged_placement_test.cpp
+++ b/lycheeshunt/flows/hedged_placement_test.cpp
@@ -294,3 +294,29 @@
     LONGS_EQUAL(0, resets);
     LONGS_EQUAL(0, denied);
 }
+
+// Guards against an open flow whose packets through one entry reach a silent server only: the entry
+// got a hint of that server's agent because two packets had been delivered there, and none of them
+// was returned.
+TEST(hedged_placement, anEntryGetsNoHintOfASilentServer)
+{
+    for (const std::size_t count : agents {2, 3, 6}) {
+        startAgents(count);
+        silentServers = {0};
+        open();
+        run(base::clock_time::ofMillis(20));
+        hedge();
+        LONGS_EQUAL(1, *chosen);
+        requestByOtherEntry();
+        run(base::clock_time::ofMillis(100));
+        requestByOtherEntry();
+        run(afterTimeout);
+        for (std::size_t i = 1; i <= 5; ++i) {
+            requestByOtherEntry();
+            run(afterTimeout);
+        }
+        CHECK(served >= 4);
+        LONGS_EQUAL(0, resets);
+        LONGS_EQUAL(0, denied);
+    }
+}
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -263,8 +263,9 @@
             takeOpeningToken(context);
         // If the caller uses another server that got a copy of the opening packet, this server
         // returns the first payload, and the hint would have to be withdrawn from an entry that is
-        // not known any more.
-        const bool isKept = flow->phase != flow_phase::opening && flow->progress.hasSent;
+        // not known any more. A server that is silent since then may return it or lose it.
+        const bool isKept = flow->phase != flow_phase::opening && flow->progress.hasSent
+            && state.server.lastHeard >= flow->lastPacket;
         handleOwned(context, owned_flow(*flow), packet);
         if (isKept && !packet.summary.opens
             && (packet.hops > 0 || packet.stage != packet_stage::toOwner))
