--- a/lycheeshunt/flows/agent_identity.h
+++ b/lycheeshunt/flows/agent_identity.h
@@ -23,7 +23,7 @@
     const bool serverReturnsPackets = false;
     // Opening packets that a cold server gets beyond the rate of its service; empty: no limit.
     const std::optional<std::uint32_t> warmupSlack = {};
-    // Whether load reports tell how long the backend server takes for a request.
+    // Whether load reports contain the time that the backend server takes for a request.
     const bool reportsSpeed = false;
 
     bool operator==(const agent_identity &) const = default;
--- a/lycheeshunt/flows/forwarded_packet.h
+++ b/lycheeshunt/flows/forwarded_packet.h
@@ -27,7 +27,7 @@
     const std::uint8_t hops = 0;
     const packets::ip_summary summary;
     const base::packet_bytes bytes;
-    // The address at which the entry receives owner hints; port 0 when it wants none.
+    // The address at which the entry receives owner hints; port 0 when it accepts none.
     const base::endpoint entry = {};
     // With an offer, the agents that did not accept the flow; with a trial, those still to be
     // tried.
@@ -35,7 +35,7 @@
     // With an opening packet: the flow may be open already. With others: an agent that may have the
     // flow was not queried or did not answer, or the packet's way is not known.
     const bool isDoubtful = false;
-    // From the route of the address, by the entry; each agent passes it on.
+    // Set by the entry from the route of the address; agents forward it unchanged.
     const request_class requestClass = {};
 
     // The same packet at another stage.
--- a/lycheeshunt/flows/hedged_placement_test.cpp
+++ b/lycheeshunt/flows/hedged_placement_test.cpp
@@ -214,8 +214,8 @@
 }
 
 // Guards against a reset of a flow whose packets reach the silent server's agent, and against one
-// that loses them for seconds: an entry without a hint asks a director that names that agent until
-// the agent has given its server up.
+// that loses them for seconds: an entry without a hint uses a director that has registered that
+// agent until the agent has given its server up.
 TEST(hedged_placement, packetsByADirectorReachTheOwnerOnceTheSilentServerIsGivenUp)
 {
     startAgents(4);
--- a/lycheeshunt/flows/hedged_service_test.h
+++ b/lycheeshunt/flows/hedged_service_test.h
@@ -1,6 +1,6 @@
 // Test fixture: the agents of one service, their servers, a caller and two entries, connected in
 // virtual time. The entries keep hints as real ones do. The first one gets the opening packet and
-// sends a second copy of it when the test says so.
+// sends a second copy of it on the test's call.
 
 #pragma once
 
@@ -15,8 +15,8 @@
 struct hedged_service : public Utest
 {
     std::size_t resets = 0;
-    // Packets that an agent has told an entry belong to no flow, without doubt: the entry may reset
-    // the caller.
+    // Packets that an agent has reported to an entry as of no flow, without doubt: the entry may
+    // reset the caller.
     std::size_t denied = 0;
     // The agents whose servers got the opening packet, in this order.
     std::vector<std::size_t> openedAt;
@@ -53,7 +53,7 @@
             setServer(i, true);
         }
         chooseKey();
-        // The agents learn each other's load first.
+        // The agents exchange load reports first.
         run(base::clock_time::ofSeconds(1));
     }
 
@@ -66,7 +66,7 @@
     const flow_state &stateOf(std::size_t agent) const { return *m_states[agent]; }
     const owned_flow *flowAt(std::size_t agent) const { return stateOf(agent).owned.find(key()); }
 
-    // The agent that this agent's directory names as the flow's owner.
+    // The owner of the flow in this agent's directory.
     std::optional<std::size_t> registeredAt(std::size_t agent) const
     {
         const directory_entry *found = stateOf(agent).directory.find(key());
@@ -188,7 +188,7 @@
     {
         std::size_t delivered = 0;
         while (!m_network.empty()) {
-            // A packet that never comes to rest would keep this loop running.
+            // A packet that is forwarded in a circle would keep this loop running.
             CHECK(++delivered < maxDeliveries);
             const std::pair<base::endpoint, flow_message> next = std::move(m_network.front());
             m_network.pop_front();
--- a/lycheeshunt/flows/internal/opening_limit.h
+++ b/lycheeshunt/flows/internal/opening_limit.h
@@ -13,11 +13,12 @@
 bool hasOpeningToken(const flow_state &state, base::clock_time now);
 
 // Whether the server may get an opening packet without a token if no other server can take it: the
-// service states a rate of 0, so that it would otherwise serve nobody while all its servers warm up.
+// service states a rate of 0, so that it would otherwise serve nobody while all its servers warm
+// up.
 bool mayExceedLimit(const flow_state &state);
 
-// Whether the other agents are told that this agent accepts flows. Changes less often than the
-// tokens do.
+// Whether this agent's load reports say that it accepts flows. Changes less often than the tokens
+// do.
 bool announcesOpenings(const flow_state &state, base::clock_time now);
 
 // Called for every opening packet that is delivered to the server, first and repeated ones alike.
--- a/lycheeshunt/flows/internal/ownership.cpp
+++ b/lycheeshunt/flows/internal/ownership.cpp
@@ -62,8 +62,8 @@
     state.transfers -= flow->progress.isInTransfer ? 1 : 0;
 }
 
-// A packet that is only tried is no request of the server. What it tells of the flow counts once
-// the flow is claimed.
+// A packet that is only tried is not counted as a request. Its effects on the flow's state apply
+// once the flow is claimed.
 void updateTriedFlow(flow_context &context, const base::flow_key &key, const owned_flow &flow,
                      const packets::ip_summary &packet)
 {
--- a/lycheeshunt/flows/internal/request_queueing.cpp
+++ b/lycheeshunt/flows/internal/request_queueing.cpp
@@ -46,8 +46,8 @@
 enum class queue_result : std::uint8_t { queued, dropped, full };
 
 // When the queue is full, a request of higher priority displaces one of a lower priority, which is
-// dropped: its caller retransmits it. A request that all those in the queue go before is dropped
-// for the same reason; passed to the server, it would overtake them.
+// dropped: its caller retransmits it. A request of lower priority than those in the queue is
+// dropped too, since at the server it would be served before them.
 queue_result addOrDisplace(flow_context &context, const forwarded_packet &packet)
 {
     waiting_requests &waiting = context.state.waiting;
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -19,8 +19,8 @@
 // A server that returned an opening packet gets no new flows for this long. It is full or still
 // starting, so it would also return the next opening packet.
 constexpr base::clock_time returnBackoff = base::clock_time::ofMillis(100);
-// An agent to which the director has passed a packet on sends it back to the director; one that got
-// it later searches itself.
+// An agent that the director has forwarded a packet to sends it back to the director; after more
+// hops the agent searches itself.
 constexpr std::uint8_t maxHopsToDirector = 2;
 void record(flow_context &context, flow_event_kind kind, const forwarded_packet &packet,
             std::optional<base::error_code> reason = std::nullopt, std::size_t agents = 0)
@@ -47,8 +47,8 @@
         return;
     }
     const routing::target *director = directorOf(state, key);
-    // The entry has no echo from the director. A packet that was passed on by its director goes
-    // back there once.
+    // An entry sends its packets to the acting director. A packet that the director has forwarded
+    // is sent back to it once.
     const bool isActingDirector = packet.stage == packet_stage::toDirector;
     if (!state.buckets)
         notifyEntry(context, packet, true, base::error_code::agentNotReady);
@@ -124,7 +124,7 @@
 }
 
 // The returned packet with what is known of its delivery. A packet whose delivery is not known is
-// doubtful, and no entry is told of it.
+// doubtful, and is reported to no entry.
 forwarded_packet asDelivered(const flow_state &state, const server_answer &answer)
 {
     const pending_delivery *delivery = state.pendingDeliveries.find(answer.summary.key);
--- a/lycheeshunt/flows/late_packets_test.cpp
+++ b/lycheeshunt/flows/late_packets_test.cpp
@@ -92,7 +92,7 @@
 }
 
 // Guards against a flow that is opened a second time: its copy opened it at another agent, and the
-// first opening packet comes to the director, which has room and knows the owner.
+// first opening packet comes to the director, which has room and has registered the owner.
 TEST(late_packets, aFirstOpeningPacketOfARegisteredFlowGoesToItsOwner)
 {
     receivePeerReports();
--- a/lycheeshunt/flows/request_class.h
+++ b/lycheeshunt/flows/request_class.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::flows {
 
-// What an agent has to know of the requests of a packet's flow. The defaults are those of a route
+// The properties of a flow's requests that agents act on. The defaults are those of a route
 // that states neither, and of a packet from an entry that sends no class.
 struct request_class
 {
--- a/lycheeshunt/flows/request_priority_test.cpp
+++ b/lycheeshunt/flows/request_priority_test.cpp
@@ -146,7 +146,7 @@
                 with.waits.at(1).size() + with.waits.at(2).size());
 }
 
-// A priority that fills the server alone must not starve those below it.
+// A priority whose requests occupy the server completely must not starve those below it.
 TEST(request_priority, everyEighthRequestIsOfALowerPriority)
 {
     for (std::uint32_t flow = 0; flow < 40; ++flow)
--- a/lycheeshunt/flows/upload_transfers_test.cpp
+++ b/lycheeshunt/flows/upload_transfers_test.cpp
@@ -263,7 +263,7 @@
     apply(tick {});
     LONGS_EQUAL(0, state->waiting.size());
     LONGS_EQUAL(1, state->busyFlows);
-    // The answer of a request that was given up changes no count.
+    // The answer of a request that has timed out changes no count.
     answer(0);
     LONGS_EQUAL(1, state->busyFlows);
 }
@@ -289,7 +289,7 @@
     LONGS_EQUAL(0, state->busyFlows);
 }
 
-// After a restart the agent knows no flows, and uploads are in the midst of their bodies.
+// After a restart the agent has no flows, and uploads are partly sent.
 TEST(upload_transfers, anUploadThatOutlivesItsAgentIsInTransferAgain)
 {
     send(0, 5);
@@ -303,7 +303,7 @@
     LONGS_EQUAL(0, state->transfers);
 }
 
-// The time that an upload takes to arrive says nothing of the server.
+// The time that an upload takes to arrive does not depend on the server.
 TEST(upload_transfers, theServersTimeBeginsWithTheLastPart)
 {
     openAndSend(0, 1, upload);
--- a/lycheeshunt/flows/warmup_changed.h
+++ b/lycheeshunt/flows/warmup_changed.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::flows {
 
-// The backend server has told how long it will still be slow after its start.
+// The backend server has announced how long its warm-up will still take.
 struct warmup_changed
 {
     // 0 when the server is warm.
--- a/lycheeshunt/pacing/egress_queue.h
+++ b/lycheeshunt/pacing/egress_queue.h
@@ -42,8 +42,8 @@
     std::size_t waitingDatagrams() const { return m_waitingDatagrams; }
 
 private:
-    // A flow's rank: its band, its priority, then when it became active, then a number that tells
-    // flows apart.
+    // A flow's rank: its band, its priority, then when it became active, then a number that is
+    // unique.
     struct rank
     {
         const std::uint8_t band;
--- a/lycheeshunt/placement/decision.h
+++ b/lycheeshunt/placement/decision.h
@@ -1,7 +1,7 @@
 // Decides which agent becomes the owner of a new flow or request. The director offers it to the
-// best agent that it knows. That agent compares this choice with its own current load, and accepts
-// the flow or forwards the offer. Load reports determine only the order of the offers, so a wrong
-// report costs a hop.
+// best agent by its load reports. That agent compares this choice with its own current load, and
+// accepts the flow or forwards the offer. Load reports determine only the order of the offers, so a
+// wrong report costs a hop.
 //
 //     step<placement_state, placement_action> next = decide(std::move(state), message, now);
 
--- a/lycheeshunt/placement/flow_offered.h
+++ b/lycheeshunt/placement/flow_offered.h
@@ -17,7 +17,7 @@
     const std::vector<base::node_id> tried = {};
     // Load of the agent that sends the offer.
     const std::optional<load_report> sender = {};
-    // Whether the agent that decides can take the flow now, where its load reports tell less.
+    // Whether the agent that decides can take the flow now, where its load reports are less exact.
     const std::optional<bool> acceptsHere = {};
 
     bool operator==(const flow_offered &) const = default;
--- a/lycheeshunt/placement/service_times.cpp
+++ b/lycheeshunt/placement/service_times.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Servers slow down for some seconds at a time, so older samples tell little of the present.
+// Servers slow down for some seconds at a time, so older samples do not show the present speed.
 constexpr base::clock_time sampleHalfLife = base::clock_time::ofSeconds(2);
 // A server without newer samples counts as average, so that one that was slow gets work again.
 constexpr base::clock_time sampleLifetime = base::clock_time::ofSeconds(5);
@@ -20,7 +20,7 @@
 // A few requests take seven times as long as the others. A longer sample counts as this many means,
 // so that such a request shifts the mean by a tenth and a slower server still shows in each sample.
 constexpr double maxMeans = 4;
-// Spans are whole milliseconds, so shorter ones can't be told apart to a quarter.
+// Spans are whole milliseconds, so shorter ones are not exact to a quarter.
 constexpr double minMillis = 4;
 // The reported mean changes only by more than this share: each change costs a round of reports.
 constexpr double reportStep = 0.125;
--- a/lycheeshunt/placement/speed_test.cpp
+++ b/lycheeshunt/placement/speed_test.cpp
@@ -67,7 +67,7 @@
     return time;
 }
 
-// Requests that wait for a slot of a server, which works on two at once. Its agent hands it two
+// Requests that wait for a slot of a server, which works on two at once. Its agent delivers two
 // more.
 struct request
 {
--- a/lycheeshunt/routing/answer_times.cpp
+++ b/lycheeshunt/routing/answer_times.cpp
@@ -9,7 +9,7 @@
 constexpr base::clock_time period = base::clock_time::ofSeconds(5);
 // Fewer answers have less than three above their 95th percentile, so one slow answer would move it.
 constexpr std::uint32_t minAnswers = 50;
-// In ms. Callers retransmit after this time, so slower answers need not be told apart.
+// In ms. Callers retransmit after this time, so slower answers share one bin.
 constexpr int maxSpan = 200;
 constexpr std::uint64_t percentile = 95;
 constexpr std::uint64_t whole = 100;
--- a/lycheeshunt/routing/entry_port.cpp
+++ b/lycheeshunt/routing/entry_port.cpp
@@ -302,7 +302,7 @@
 void entry_port::trackOpening(const packets::ip_summary &packet, const steering &decision,
                               std::string_view bytes, base::clock_time now)
 {
-    // Without hints, an opening that was answered can't be told from one that was not.
+    // Without hints, answered openings are not distinguishable from others.
     if (!m_sockets.hedging.isOn() || m_hintEndpoint.port == 0)
         return;
     const std::optional<request_traits> traits
--- a/lycheeshunt/routing/hedging_port_test.cpp
+++ b/lycheeshunt/routing/hedging_port_test.cpp
@@ -74,8 +74,8 @@
     return received;
 }
 
-// The machine may let a thread stand still for longer than the hedge delay leaves, which changes
-// the number of copies rightly, so that the opening is repeated.
+// On a busy machine a thread may not run for longer than the hedge delay, and the number of copies
+// correctly differs then. The opening is repeated in that case.
 std::vector<flows::forwarded_packet> copiesSent(request_kind kind, std::uint32_t percent,
                                                 bool isAnswered, std::size_t expected)
 {
@@ -103,7 +103,7 @@
     CHECK(sent[1] == sent[0].with(flows::packet_stage::toDirector, {}, true));
 }
 
-// Guards against copies that a deployment has not asked for.
+// Guards against copies that the settings do not permit.
 TEST(hedging_port, noCopyIsSentWhenItIsOffOrAnsweredOrMustNotRunTwice)
 {
     LONGS_EQUAL(1, copiesSent(request_kind::idempotent, 0, false, 1).size());
--- a/lycheeshunt/servers/server_warmup.h
+++ b/lycheeshunt/servers/server_warmup.h
@@ -6,7 +6,7 @@
 
 namespace lycheeshunt::servers {
 
-// What the last announcement tells of the server's warm-up. Not part of server_status, since it
+// The server's warm-up by its last announcement. Not part of server_status, since it
 // changes with each announcement and concerns this agent alone.
 struct server_warmup
 {
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -23,7 +23,7 @@
     bool isRestored = false;
     base::clock_time restoredAt;
     base::incarnation incarnation;
-    // Starts of the server that announcements have told of. A server that was only silent has not
+    // Starts of the server that announcements have shown. A server that was only silent has not
     // started again.
     std::uint64_t starts = 0;
     // End of the warm-up by the last announcement; 0 when the server is warm.
--- a/lycheeshunt/settings/agent_settings.h
+++ b/lycheeshunt/settings/agent_settings.h
@@ -21,7 +21,7 @@
     // Opening packets that a server that warms up gets beyond the rate of its service. Without it
     // such a server is not limited.
     const std::optional<std::uint32_t> warmupSlack = {};
-    // Whether the other agents are told how long the backend server takes for a request, so that
+    // Whether load reports contain the time that the backend server takes for a request, so that
     // faster servers get more of the new flows.
     const bool reportsSpeed = false;
 
