--- a/lycheeshunt/flows/internal/lookup.h
+++ b/lycheeshunt/flows/internal/lookup.h
@@ -4,14 +4,14 @@
 
 #pragma once
 
-#include "lycheeshunt/flows/flow_lookup.h"
 #include "lycheeshunt/flows/internal/flow_context.h"
 #include "lycheeshunt/flows/lookup_answer.h"
 
 namespace lycheeshunt::flows::internal {
 
 // Buffers the packet while these agents are queried. With an empty list, queries the agents that
-// are the likeliest to know the owner.
+// most likely have the owner in their directories. A lookup of the flow that is under way
+// continues.
 void startLookup(flow_context &context, const forwarded_packet &packet, lookup_purpose purpose,
                  const std::vector<base::node_id> &firstQueried);
 
@@ -20,7 +20,6 @@
 void addToLookup(flow_context &context, const pending_lookup &pending,
                  const forwarded_packet &packet);
 
-void handleLookup(flow_context &context, const flow_lookup &lookup);
 void handleLookupAnswer(flow_context &context, const lookup_answer &answer);
 
 // Retries queries that were not answered, and ends lookups whose deadline has passed.
--- a/lycheeshunt/flows/internal/opening_limit.h
+++ b/lycheeshunt/flows/internal/opening_limit.h
@@ -17,8 +17,8 @@
 // up.
 bool mayExceedLimit(const flow_state &state);
 
-// Whether the other agents are told that this agent accepts flows. Changes less often than the
-// tokens do.
+// Whether this agent's load reports say that it accepts flows. Changes less often than the tokens
+// do.
 bool announcesOpenings(const flow_state &state, base::clock_time now);
 
 // Called for every opening packet that is delivered to the server, first and repeated ones alike.
--- a/lycheeshunt/flows/opening_limit_test.cpp
+++ b/lycheeshunt/flows/opening_limit_test.cpp
@@ -146,6 +146,60 @@
     UNSIGNED_LONGS_EQUAL(slack, openMany(50));
 }
 
+// Guards against a cold server that gets a copy of every opening packet beyond its slack: callers
+// repeat each one that is not answered in time.
+TEST(opening_limit, withARateOfZeroRepeatedOpeningsCountWhileAnotherServerAccepts)
+{
+    start(0);
+    receivePeerReports();
+    checkIn(20 * second);
+    openMany(50);
+    const std::size_t first = delivered.size();
+    now += 200;
+    receivePeerReports();
+    for (std::uint16_t i = 0; i < 5; ++i)
+        open(lastDelivered, true);
+    CHECK(delivered.size() <= slack);
+    CHECK(first > 0);
+}
+
+// A flow was offered to as many agents as permitted. Guards against a cold server that gets it
+// beyond its slack, and against a reset, while other agents would accept the flow.
+TEST(opening_limit, aLastOfferDoesNotExceedTheSlackNorIsItResetWhileAnotherServerAccepts)
+{
+    for (const double rate : {0.0, smallestRate}) {
+        start(rate);
+        checkIn(20 * second);
+        receivePeerReports(false);
+        openMany(slack);
+        now += 1;
+        receivePeerReports();
+        const packets::ip_summary opening {base::flow_key {base::endpoint {1, 9000}, address, 6},
+                                           true};
+        apply(packetFor(opening, packet_stage::offer,
+                        {nodeOf("b1"), nodeOf("b2"), nodeOf("b3"), nodeOf("b4")}));
+        CHECK(actionsOf<deliver_to_server>().empty());
+        // The caller repeats its opening packet, which is then offered to others.
+        CHECK(actionsOf<reset_caller>().empty());
+    }
+}
+
+// Guards against a service that serves nobody until it is warm because a bucket without slack never
+// holds a token.
+TEST(opening_limit, withoutAnySlackAColdServerGetsItsRate)
+{
+    start(20, 0);
+    checkIn(20 * second);
+    std::int64_t opened = 0;
+    for (std::int64_t i = 0; i < 5 * second; i += 10, now += 10)
+        opened += static_cast<std::int64_t>(openMany(1));
+    CHECK(opened >= 95);
+    CHECK(opened <= 100);
+    start(0.5, 0);
+    checkIn(20 * second);
+    UNSIGNED_LONGS_EQUAL(0, openMany(10));
+}
+
 TEST(opening_limit, aCheckInThatTellsOfAWarmServerEndsTheLimit)
 {
     checkIn(20 * second);
--- a/lycheeshunt/placement/service_times.cpp
+++ b/lycheeshunt/placement/service_times.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Servers slow down for some seconds at a time, so older samples tell little of the present.
+// Servers slow down for some seconds at a time, so older samples do not show the present speed.
 constexpr base::clock_time sampleHalfLife = base::clock_time::ofSeconds(2);
 // A server without newer samples counts as average, so that one that was slow gets work again.
 constexpr base::clock_time sampleLifetime = base::clock_time::ofSeconds(5);
@@ -20,7 +20,7 @@
 // A few requests take seven times as long as the others. A longer sample counts as this many means,
 // so that such a request shifts the mean by a tenth and a slower server still shows in each sample.
 constexpr double maxMeans = 4;
-// Spans are whole milliseconds, so shorter ones can't be told apart to a quarter.
+// Spans are whole milliseconds, so shorter ones are not exact to a quarter.
 constexpr double minMillis = 4;
 // The reported mean changes only by more than this share: each change costs a round of reports.
 constexpr double reportStep = 0.125;
@@ -38,6 +38,9 @@
 
 service_time afterAnswer(service_time time, base::clock_time span, base::clock_time now)
 {
+    // The span includes a suspension of the VM, or the server has held the request back.
+    if (span > sampleLifetime)
+        return time;
     if (time.taken == 0 || isOld(time, now))
         time = service_time {};
     const double millis = static_cast<double>(span.millis());
@@ -47,6 +50,9 @@
                    time.weight * std::exp2(-age / static_cast<double>(sampleHalfLife.millis())));
     const double sample
         = time.taken == 0 ? millis : std::min(millis, maxMeans * std::max(1.0, time.meanMillis));
+    // The first sample has no mean to be compared with, so the next ones bound it.
+    if (time.taken > 0 && time.taken < minSamples)
+        time.meanMillis = std::min(time.meanMillis, maxMeans * std::max(minMillis, millis));
     time.weight = earlier + 1;
     time.meanMillis += (sample - time.meanMillis) / time.weight;
     time.sampledAt = now;
