--- a/lycheeshunt/daemon/control_process.cpp
+++ b/lycheeshunt/daemon/control_process.cpp
@@ -275,7 +275,7 @@
             [this](const replication::state_restored &restored) { m_log->restore(restored); },
             [this](const replication::leadership_changed &changed) {
                 const replication::leadership &leadership = changed.leadership;
-                // Before messages of nodes reach these duties. Leases start anew with a leadership,
+                // Sent before the messages of nodes. All leases restart when a leadership begins,
                 // which would undo the announcements that this VM held.
                 m_membership->inbox().push(membership::leadership_changed {leadership.isLeader});
                 if (leadership.isLeader)
--- a/lycheeshunt/flows/internal/opening_limit.h
+++ b/lycheeshunt/flows/internal/opening_limit.h
@@ -13,7 +13,7 @@
 bool hasOpeningToken(const flow_state &state, base::clock_time now);
 
 // Whether the server may get an opening packet without a token if no other server can take it: the
-// service states a rate of 0, so that it would otherwise serve nobody while all its servers warm
+// service states a rate of 0, so that it would otherwise refuse all callers while its servers warm
 // up.
 bool mayExceedLimit(const flow_state &state);
 
--- a/lycheeshunt/flows/opening_limit_test.cpp
+++ b/lycheeshunt/flows/opening_limit_test.cpp
@@ -128,8 +128,8 @@
     UNSIGNED_LONGS_EQUAL(50, openMany(50));
 }
 
-// Guards against a service that serves nobody: after all its servers have started together, a rate
-// of 0 would refuse every flow until they are warm.
+// Guards against a service that refuses all callers: after all its servers have started together, a
+// rate of 0 would refuse every flow until they are warm.
 TEST(opening_limit, withARateOfZeroAColdServerGetsMoreThanTheSlackOnlyIfNoOtherAccepts)
 {
     start(0);
@@ -184,8 +184,8 @@
     }
 }
 
-// Guards against a service that serves nobody until it is warm because a bucket without slack never
-// holds a token.
+// Guards against a service that refuses all callers until it is warm because a bucket without slack
+// never holds a token.
 TEST(opening_limit, withoutAnySlackAColdServerGetsItsRate)
 {
     start(20, 0);
--- a/lycheeshunt/operators/flow_destination_test.cpp
+++ b/lycheeshunt/operators/flow_destination_test.cpp
@@ -72,7 +72,7 @@
     }
 }
 
-// Guards against a restriction that is not told, or is told of an agent that gets new flows.
+// Guards against a restriction that is missing, or is listed for an agent that gets new flows.
 TEST(where, eachRestrictedAgentHasItsReason)
 {
     const std::vector<routing::restricted_agent> found
