--- a/lycheeshunt/flows/failing_server_test.cpp
+++ b/lycheeshunt/flows/failing_server_test.cpp
@@ -20,7 +20,12 @@
 
     void setup() override
     {
-        reportsFailures = true;
+        start(true);
+    }
+
+    void start(bool reports)
+    {
+        reportsFailures = reports;
         agent_fixture::setup();
     }
 
@@ -96,8 +101,7 @@
 
 TEST(failing_server, withoutTheSettingOutcomesChangeNothing)
 {
-    reportsFailures = false;
-    agent_fixture::setup();
+    start(false);
     receivePeerReports();
     openMany(outcomesToJudge, false);
     CHECK_FALSE(state->placement->ownLoad->failing);
