Do not send member_left for the previous process of an agent

Cause: an agent that starts is not announced until its server checks in. The follower was created as announced and then told that it is not any more, which is how a server that stops is reported. If the view still had the agent's previous process a second later, the follower sent member_left with its own incarnation. Control removed the agent and took the later announcements of this incarnation for stale ones, so the agent was missing from the view beside a live server, no search asked it, and the entry reset the caller.

Change: the follower is created with its announcement off, and has left only once it was announced.

--- a/lycheeshunt/dissemination/follower.cpp
+++ b/lycheeshunt/dissemination/follower.cpp
@@ -31,14 +31,12 @@
 follower::follower(std::vector<base::endpoint> control, const membership::member &self,
                    std::uint64_t seed, view_sink sink, incarnation_sink incarnationSink,
                    bool isAnnounced)
-    : m_state(makeFollowerState(self)), m_seeds(control), m_sink(std::move(sink)),
+    : m_state(makeFollowerState(self, isAnnounced)), m_seeds(control), m_sink(std::move(sink)),
       m_incarnationSink(std::move(incarnationSink)), m_started(1),
       m_duty(
           inboxCapacity, tickInterval, follower_tick {},
           [this](const follower_message &message, base::clock_time now) { handle(message, now); })
 {
-    if (!isAnnounced)
-        m_duty.inbox().push(self_changed {self, false});
     m_client = std::make_unique<streams::stream_client>(
         std::move(control), streams::stream_timing {}, seed,
         [this](const streams::stream_event &event) { handleEvent(event); });
--- a/lycheeshunt/dissemination/follower_decision.cpp
+++ b/lycheeshunt/dissemination/follower_decision.cpp
@@ -242,10 +242,11 @@
                                                         : view_scope {self->service};
 }
 
-follower_state makeFollowerState(const membership::member &self)
+follower_state makeFollowerState(const membership::member &self, bool isAnnounced)
 {
     follower_state state;
     state.self = std::make_shared<const membership::member>(self);
+    state.isAnnounced = isAnnounced;
     return state;
 }
 
--- a/lycheeshunt/dissemination/follower_state.h
+++ b/lycheeshunt/dissemination/follower_state.h
@@ -41,6 +41,6 @@
     bool operator==(const follower_state &) const = default;
 };
 
-follower_state makeFollowerState(const membership::member &self);
+follower_state makeFollowerState(const membership::member &self, bool isAnnounced = true);
 
 } // namespace lycheeshunt::dissemination
--- a/lycheeshunt/dissemination/follower_test.cpp
+++ b/lycheeshunt/dissemination/follower_test.cpp
@@ -4,13 +4,17 @@
 #include "lycheeshunt/dissemination/follower.h"
 
 #include "lycheeshunt/dissemination/cluster_view.h"
+#include "lycheeshunt/dissemination/codec.h"
 #include "lycheeshunt/dissemination/follower_decision.h"
+#include "lycheeshunt/dissemination/snapshot.h"
 
 #include "lycheeshunt/membership/codec.h"
 #include "lycheeshunt/streams/stream_server.h"
 
 #include <CppUTest/TestHarness.h>
 
+#include <latch>
+
 using namespace lycheeshunt;
 
 namespace {
@@ -43,6 +47,23 @@
     }
 }
 
+// Returns the connection that the next request for a view comes on. Fails on a message of the
+// membership channel before it.
+streams::connection_id awaitRequest(base::ring<streams::stream_event> &events)
+{
+    while (true) {
+        const std::optional<streams::stream_event> event = events.pop();
+        const streams::stream_frame *frame = std::get_if<streams::stream_frame>(&*event);
+        if (frame == nullptr)
+            continue;
+        CHECK(frame->channel == streams::channel::dissemination);
+        const base::result<dissemination::node_message> message
+            = dissemination::decodeNodeMessage(frame->bytes);
+        if (std::holds_alternative<dissemination::view_request>(base::valueOf(message)))
+            return frame->connection;
+    }
+}
+
 } // namespace
 
 TEST_GROUP(follower) {};
@@ -100,6 +121,37 @@
         CHECK_FALSE(std::holds_alternative<dissemination::leave_group>(action));
 }
 
+// An agent that was restarted sent member_left for its own incarnation while the view still had its
+// previous process, and control ignored its later announcements.
+TEST(follower, aNodeThatIsNotAnnouncedYetDoesNotLeaveForItsPreviousProcess)
+{
+    base::ring<streams::stream_event> events(eventCapacity);
+    const std::unique_ptr<streams::stream_server> server
+        = base::takeValue(streams::stream_server::listen(
+            base::endpoint {0x7f000001, 0}, {},
+            [&events](const streams::stream_event &event) { events.push(event); }));
+    const membership::member previous = entryNode();
+    const membership::member self {previous.name,    previous.availabilityZone, previous.role,
+                                   previous.service, base::incarnation(8),      previous.packets};
+    std::latch adopted(1);
+    dissemination::follower node(
+        {server->local()}, self, 1,
+        [&](const dissemination::shared_view &) { adopted.count_down(); }, {}, false);
+    const streams::connection_id first = awaitRequest(events);
+    const dissemination::cluster_view view {base::generation(1), {}, {{previous.id(), previous}}};
+    const dissemination::snapshot_part only = dissemination::partAfter(
+        view, dissemination::view_scope {}, dissemination::snapshot_cursor {});
+    server->outgoing().push(
+        streams::stream_frame {first, streams::channel::dissemination,
+                               dissemination::encodeControlMessage(dissemination::snapshot_piece {
+                                   view.at, view.at, dissemination::digestOf(view),
+                                   dissemination::snapshot_cursor {}, only.next, only.part})});
+    adopted.wait();
+    // On each connection the node announces itself, or leaves, before its first request.
+    server->outgoing().push(streams::stream_frame {first, streams::channel::membership, {}});
+    while (awaitRequest(events) == first) { }
+}
+
 TEST(follower, announcesItselfAndNotifiesControlWhenItLeaves)
 {
     base::ring<streams::stream_event> events(eventCapacity);
