Readmit a node that keeps announcing itself after it left

What callers saw: an agent that control had wrongly removed stayed out of the view for up to 600 s (departedRetention) beside a live server, and flows of that server were reset.

Cause: announcements of the incarnation that left are ignored as delayed ones, however long they continue. A process that has left never announces that incarnation again, so continued announcements prove that the notice was wrong.

Change: the incarnation that left is a member again once it has announced itself for 3 s without a gap of more than suspectAfter. Delayed announcements that arrive together do not count.

Evidence: the new test failed before (expected phase S, was absent); leavingTakesEffectAtOnceAndStaleAnnouncementsAreIgnored holds unchanged.

--- a/lycheeshunt/membership/decision_test.cpp
+++ b/lycheeshunt/membership/decision_test.cpp
@@ -299,6 +299,25 @@
     STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
 }
 
+// A wrong notice of leaving kept a live agent out of the view until departedRetention had passed,
+// and entries reset the flows of its server.
+TEST(membership, aNodeThatKeepsAnnouncingItselfAfterItLeftIsAMemberAgain)
+{
+    control leader;
+    const std::vector<member> all = fourZones();
+    leader.run(20, all);
+    leader.handle(member_left {base::nodeIdOf("z1a"), base::incarnation(1)});
+    leader.run(1, without(all, "z1a"));
+    STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
+    // Announcements that arrive late and at once.
+    for (int i = 0; i < 10; ++i)
+        leader.handle(member_announced {agent("z1a")});
+    leader.run(5, without(all, "z1a"));
+    STRCMP_EQUAL("-", leader.phaseOf("z1a").c_str());
+    leader.run(5, all);
+    STRCMP_EQUAL("S", leader.phaseOf("z1a").c_str());
+}
+
 TEST(membership, aNewAgentsShareGrowsAndTheFirstAgentsStartAtAFullShare)
 {
     control leader;
--- a/lycheeshunt/membership/internal/lease_updates.cpp
+++ b/lycheeshunt/membership/internal/lease_updates.cpp
@@ -49,6 +49,28 @@
         && announced.incarnation < departed->second.minIncarnation;
 }
 
+// Counts an announcement of a node that was removed. Returns whether the incarnation that left has
+// announced itself for long enough to be a member again: its notice was wrong or another process
+// sent it.
+bool isReadmitted(membership_state &state, const member &announced, base::clock_time now)
+{
+    const auto found = state.departed.find(announced.id());
+    if (found == state.departed.end())
+        return false;
+    const departed_member departed = found->second;
+    if (announced.incarnation.value() + 1 != departed.minIncarnation.value())
+        return false;
+    const bool isUnbroken = departed.announcedSince != base::clock_time()
+        && now - departed.lastAnnounced <= state.policy->suspectAfter;
+    const base::clock_time since = isUnbroken ? departed.announcedSince : now;
+    state.departed.erase(found);
+    if (now - since >= state.policy->readmitAfter)
+        return true;
+    state.departed.emplace(announced.id(),
+                           departed_member {departed.minIncarnation, departed.at, since, now});
+    return false;
+}
+
 // If two names claim one packet address, the later incarnation gets it. Returns whether that is
 // the announced member.
 bool winsAddress(membership_state &state, const member &announced, base::clock_time now,
@@ -116,7 +138,7 @@
 void handleAnnouncement(membership_state &state, const member &announced, base::clock_time now,
                         std::vector<membership_action> &actions)
 {
-    if (isStale(state, announced))
+    if (isStale(state, announced) && !isReadmitted(state, announced, now))
         return;
     const base::node_id id = announced.id();
     const auto current = state.leases.find(id);
--- a/lycheeshunt/membership/lease_policy.h
+++ b/lycheeshunt/membership/lease_policy.h
@@ -24,6 +24,9 @@
     const base::clock_time flapResetAfter = base::clock_time::ofSeconds(60);
     // A new agent's share of new flows grows by one part per interval.
     const base::clock_time rampInterval = base::clock_time::ofSeconds(5);
+    // A node that left and has announced itself for this long since is alive after all. Delayed
+    // announcements from before it left arrive in a shorter time.
+    const base::clock_time readmitAfter = base::clock_time::ofSeconds(3);
     // How long the last incarnation of a removed member is retained.
     const base::clock_time departedRetention = base::clock_time::ofSeconds(600);
     // Interval of the check of all leases.
