Give test processes ports outside the ephemeral range

Cause: the tests took ephemeral ports that were free when checked. Before the process under test bound them, outgoing connections of other test programs could take one, and the process ended for want of its port.

--- a/lycheeshunt/ctl/control_start_test.cpp
+++ b/lycheeshunt/ctl/control_start_test.cpp
@@ -1,7 +1,7 @@
 // A control process that starts while an operators' client polls its API. The API accepts requests
 // before start() returns: a process that answers through a member which start() sets later crashes.
 
-#include "lycheeshunt/base/socket.h"
+#include "lycheeshunt/base/free_endpoint_test.h"
 #include "lycheeshunt/daemon/control_process.h"
 #include "lycheeshunt/http/early_client_test.h"
 #include "lycheeshunt/settings/control_settings.h"
@@ -18,14 +18,6 @@
 
 constexpr std::uint32_t loopback = 0x7f000001;
 
-// Returns a port that was free when it was checked.
-base::endpoint freePort()
-{
-    const base::result<base::file_descriptor> listener
-        = base::openListener(base::endpoint {loopback, 0});
-    return base::localEndpoint(base::valueOf(listener));
-}
-
 } // namespace
 
 TEST_GROUP(control_start)
@@ -47,7 +39,7 @@
 
 TEST(control_start, aRequestThatArrivesWhileTheProcessStartsIsAnswered)
 {
-    const base::endpoint api = freePort();
+    const base::endpoint api = base::freeEndpoint();
     const settings::control_settings own {
         {loopback, 0}, api, folder, {{"control-1", base::endpoint {loopback, 1}}}};
     const settings::node_settings settings {"control-1", "zone-1", {}, own};
--- a/lycheeshunt/ctl/ctl_test.cpp
+++ b/lycheeshunt/ctl/ctl_test.cpp
@@ -1,6 +1,6 @@
 // Tests the client against a control process's API server on ephemeral ports.
 
-#include "lycheeshunt/base/socket.h"
+#include "lycheeshunt/base/free_endpoint_test.h"
 #include "lycheeshunt/ctl/control_client.h"
 #include "lycheeshunt/ctl/report.h"
 #include "lycheeshunt/http/pending_calls.h"
@@ -17,14 +17,6 @@
 
 constexpr std::uint32_t loopback = 0x7f000001;
 
-// Returns a port that was free when it was checked.
-base::endpoint freePort()
-{
-    const base::result<base::file_descriptor> listener
-        = base::openListener(base::endpoint {loopback, 0});
-    return base::localEndpoint(base::valueOf(listener));
-}
-
 std::string bodyOf(bool isInForce)
 {
     return std::string("{\"number\":1,\"author\":\"a\",\"generation\":2,\"in_force\":")
@@ -61,11 +53,11 @@
         if (const operators::http_reply *reply = std::get_if<operators::http_reply>(&action))
             calls->answer(*reply);
     });
-    const base::endpoint where = freePort();
+    const base::endpoint where = base::freeEndpoint();
     const base::result<std::unique_ptr<operators::api_server>> opened
         = operators::api_server::open(where, calls, duty.inbox());
     CHECK(base::isOk(opened));
-    const base::endpoint nobody = freePort();
+    const base::endpoint nobody = base::freeEndpoint();
     const base::clock_time noWait;
     const ctl::control_client stranger({nobody.text(), where.text()}, "");
     const auto codeIn = [](const base::result<ctl::http_answer> &answer) {
--- a/lycheeshunt/http/http_listener_test.cpp
+++ b/lycheeshunt/http/http_listener_test.cpp
@@ -3,7 +3,7 @@
 
 #include "lycheeshunt/http/http_listener.h"
 
-#include "lycheeshunt/base/socket.h"
+#include "lycheeshunt/base/free_endpoint_test.h"
 #include "lycheeshunt/http/early_client_test.h"
 #include "lycheeshunt/http/pending_calls.h"
 
@@ -21,21 +21,13 @@
 // Longer than it takes to close a listener.
 constexpr std::chrono::milliseconds sinkTime(500);
 
-// Returns a port that was free when it was checked.
-base::endpoint freePort()
-{
-    const base::result<base::file_descriptor> listener
-        = base::openListener(base::endpoint {loopback, 0});
-    return base::localEndpoint(base::valueOf(listener));
-}
-
 } // namespace
 
 TEST_GROUP(http_listener) {};
 
 TEST(http_listener, theSinkHasReturnedOnceTheListenerIsClosed)
 {
-    const base::endpoint local = freePort();
+    const base::endpoint local = base::freeEndpoint();
     const std::shared_ptr<http::pending_calls> calls = std::make_shared<http::pending_calls>();
     std::promise<void> closed;
     std::promise<bool> sinkResult;
--- a/lycheeshunt/http/large_body_test.cpp
+++ b/lycheeshunt/http/large_body_test.cpp
@@ -1,6 +1,7 @@
 // A body of hundreds of kilobytes that is read in pieces of 512 bytes takes hundreds of wake-ups.
 // On a VM that is busy with other work it then arrives later than its caller waits.
 
+#include "lycheeshunt/base/free_endpoint_test.h"
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/http/http_listener.h"
 #include "lycheeshunt/http/pending_calls.h"
@@ -22,14 +23,6 @@
 constexpr std::size_t bodyBytes = 48 * 1024;
 constexpr std::size_t minBytesPerRead = 4 * 1024;
 
-// Returns a port that was free when it was checked.
-base::endpoint freePort()
-{
-    const base::result<base::file_descriptor> listener
-        = base::openListener(base::endpoint {loopback, 0});
-    return base::localEndpoint(base::valueOf(listener));
-}
-
 base::file_descriptor connectTo(const base::endpoint &server)
 {
     base::file_descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -49,7 +42,7 @@
 
 TEST(large_body, isReceivedInAFewReads)
 {
-    const base::endpoint local = freePort();
+    const base::endpoint local = base::freeEndpoint();
     const std::shared_ptr<http::pending_calls> calls = std::make_shared<http::pending_calls>();
     std::promise<void> isBlocked;
     std::promise<void> sent;
