Bypass availability zones that an entry can't reach

Cause: an entry probes 3 agents per 100 ms in turn, so with 60 agents a round takes 2 s and three misses 6 s, longer than the cut. When most agents look silent, as for an entry in the zone that is cut off, it bypassed none. And with director and backup both bypassed a packet went to the director.

Change: a zone of which four agents in a row miss a probe and none answers is bypassed until one answers, unless that holds for all zones; after a miss, or the answer of a bypassed agent, the next probe does not wait for its turn; with director and backup bypassed, the next reachable agent by the same hash is used. The rule that most agents must not be bypassed stays for the zones that answer. A log event and a metric show what is bypassed.

Evidence: the new tests of liveness and routing_table fail with the former rules put back (silent zones: nothing bypassed; detection with 60 agents: nothing within 1.2 s; a flow goes to a bypassed agent).

--- a/lycheeshunt/daemon/entry_process.cpp
+++ b/lycheeshunt/daemon/entry_process.cpp
@@ -38,7 +38,7 @@
             const dissemination::shared_view &view) mutable {
             latest = std::make_shared<const routing::routing_table>(*view, *latest);
             packets->updates().push(latest);
-            watch->agents().push(routing::agents_changed {latest->targets()});
+            watch->agents().push(routing::agents_changed {routing::probedAgents(*latest, *view)});
         });
     return process;
 }
@@ -87,6 +87,8 @@
         metrics::sample {"openings_hedge_evicted_total",
                          "Openings evicted before a second copy was due.",
                          metrics::counter_value {m_port->hedgesEvicted()}},
+        metrics::sample {"agents_bypassed", "Agents that the entry finds unreachable.",
+                         metrics::gauge_value {static_cast<double>(m_liveness->bypassed())}},
         m_port->openingAnswers()};
     metrics::addRing(samples, "updates", m_port->updates());
     return metrics::report {"entry", std::move(samples)};
--- a/lycheeshunt/routing/bucket_table.cpp
+++ b/lycheeshunt/routing/bucket_table.cpp
@@ -42,4 +42,20 @@
         m_owners.push_back(twoCheapest(base::bucket(i), m_targets));
 }
 
+const target *bucket_table::ownerWithout(const bypassed_agents &excluded, base::bucket bucket) const
+{
+    const target *owner = nullptr;
+    std::uint64_t lowestCost = 0;
+    for (const target &each : m_targets) {
+        if (excluded.count(each.node) > 0)
+            continue;
+        const std::uint64_t cost = internal::rendezvousCost(bucket, each.node, each.weight);
+        if (owner == nullptr || cost < lowestCost) {
+            owner = &each;
+            lowestCost = cost;
+        }
+    }
+    return owner;
+}
+
 } // namespace lycheeshunt::routing
--- a/lycheeshunt/routing/bucket_table.h
+++ b/lycheeshunt/routing/bucket_table.h
@@ -9,6 +9,7 @@
 
 #include "lycheeshunt/base/identifiers.h"
 #include "lycheeshunt/routing/bucket_owners.h"
+#include "lycheeshunt/routing/bypassed_agents.h"
 #include "lycheeshunt/routing/target.h"
 
 #include <vector>
@@ -42,6 +43,10 @@
         return m_targets[m_owners[bucket.value()].backup];
     }
 
+    // The target that would own the bucket if the table had none of these nodes; null if no other
+    // target is left.
+    const target *ownerWithout(const bypassed_agents &excluded, base::bucket bucket) const;
+
     // Memory used by the table.
     std::size_t memoryBytes() const
     {
--- a/lycheeshunt/routing/liveness_decision.cpp
+++ b/lycheeshunt/routing/liveness_decision.cpp
@@ -3,6 +3,8 @@
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
 
+#include <set>
+
 namespace lycheeshunt::routing {
 
 namespace {
@@ -13,6 +15,9 @@
 constexpr base::clock_time probeInterval = base::clock_time::ofMillis(400);
 constexpr std::uint32_t missesToSuspect = 3;
 constexpr std::uint32_t answersToTrust = 2;
+// So many agents of one zone that miss a probe in a row, without an answer of the zone in between,
+// hardly failed one by one.
+constexpr std::size_t silentAgentsToSuspectZone = 4;
 
 using agent_row = std::map<base::node_id, agent_liveness>::iterator;
 
@@ -26,6 +31,7 @@
 agent_liveness withMisses(const agent_liveness &row, std::uint32_t misses)
 {
     return agent_liveness {row.agent,
+                           row.availabilityZone,
                            row.probedAt,
                            row.number,
                            false,
@@ -39,14 +45,21 @@
 void handleAgents(liveness_state &state, const agents_changed &changed)
 {
     std::map<base::node_id, agent_liveness> next;
-    for (const target &agent : changed.agents) {
+    std::map<std::string, std::size_t> silentByZone;
+    for (const probed_agent &probed : changed.agents) {
+        const target &agent = probed.agent;
         const auto existing = state.agents.find(agent.node);
         const bool isSame = existing != state.agents.end()
             && existing->second.agent.incarnation == agent.incarnation
-            && existing->second.agent.packets == agent.packets;
-        next.emplace(agent.node, isSame ? existing->second : agent_liveness {agent, {}});
+            && existing->second.agent.packets == agent.packets
+            && existing->second.availabilityZone == probed.availabilityZone;
+        next.emplace(agent.node,
+                     isSame ? existing->second
+                            : agent_liveness {agent, probed.availabilityZone, {}});
+        silentByZone.emplace(probed.availabilityZone, state.silentByZone[probed.availabilityZone]);
     }
     state.agents = std::move(next);
+    state.silentByZone = std::move(silentByZone);
 }
 
 void handleAnswer(liveness_state &state, const probe_answered &answer)
@@ -58,8 +71,9 @@
             continue;
         const std::uint32_t answers = row.answers + 1;
         replaceRow(state,
-                   agent_liveness {row.agent, row.probedAt, row.number, false, 0, answers,
-                                   row.suspected && answers < answersToTrust});
+                   agent_liveness {row.agent, row.availabilityZone, row.probedAt, row.number, false,
+                                   0, answers, row.suspected && answers < answersToTrust});
+        state.silentByZone[row.availabilityZone] = 0;
         return;
     }
 }
@@ -81,8 +95,10 @@
         if (it->second.isAnswerPending && now - it->second.probedAt >= probeTimeout)
             overdue.push_back(it->second);
     }
-    for (const agent_liveness &row : overdue)
+    for (const agent_liveness &row : overdue) {
+        state.silentByZone[row.availabilityZone] += row.misses == 0 ? 1 : 0;
         replaceRow(state, withMisses(row, row.misses + 1));
+    }
 }
 
 void sendProbe(liveness_state &state, const agent_liveness &row, base::clock_time now,
@@ -90,8 +106,8 @@
 {
     ++state.lastNumber;
     replaceRow(state,
-               agent_liveness {row.agent, now, state.lastNumber, true, row.misses, row.answers,
-                               row.suspected});
+               agent_liveness {row.agent, row.availabilityZone, now, state.lastNumber, true,
+                               row.misses, row.answers, row.suspected});
     actions.emplace_back(send_probe {row.agent, state.lastNumber});
 }
 
@@ -115,15 +131,60 @@
     }
 }
 
-void updateBypass(liveness_state &state, std::vector<liveness_action> &actions)
+// Whether the next probe decides if the agent is suspected or trusted. It is sent without waiting
+// for the agent's turn, so that the time of detection does not grow with the number of agents.
+bool isUndecided(const agent_liveness &row)
 {
-    bypassed_agents next;
-    for (agent_row it = state.agents.begin(); it != state.agents.end(); ++it) {
-        if (it->second.suspected)
-            next.insert(it->first);
+    return row.suspected ? row.answers > 0 : row.misses > 0;
+}
+
+void repeatProbes(liveness_state &state, base::clock_time now,
+                  std::vector<liveness_action> &actions)
+{
+    std::vector<agent_liveness> undecided;
+    for (agent_row it = state.agents.begin();
+         it != state.agents.end() && undecided.size() < repeatedProbesPerTick; ++it) {
+        if (!it->second.isAnswerPending && isUndecided(it->second))
+            undecided.push_back(it->second);
+    }
+    for (const agent_liveness &row : undecided)
+        sendProbe(state, row, now, actions);
+}
+
+// Zones without an agent that answers.
+std::set<std::string> silentZonesOf(const liveness_state &state)
+{
+    std::set<std::string> silent;
+    for (const auto &[zone, agents] : state.silentByZone)
+        silent.insert(zone);
+    for (const auto &[node, row] : state.agents) {
+        const std::size_t silentAgents = state.silentByZone.at(row.availabilityZone);
+        if (!row.suspected && silentAgents < silentAgentsToSuspectZone)
+            silent.erase(row.availabilityZone);
+    }
+    return silent;
+}
+
+bypassed_agents unreachableAgents(const liveness_state &state)
+{
+    const std::set<std::string> silentZones = silentZonesOf(state);
+    bypassed_agents inSilentZones;
+    bypassed_agents suspected;
+    for (const auto &[node, row] : state.agents) {
+        if (silentZones.count(row.availabilityZone) > 0)
+            inSilentZones.insert(node);
+        else if (row.suspected)
+            suspected.insert(node);
     }
-    if (next.size() * 2 > state.agents.size())
-        next.clear();
+    const std::size_t others = state.agents.size() - inSilentZones.size();
+    if (suspected.size() * 2 <= others)
+        inSilentZones.insert(suspected.begin(), suspected.end());
+    return inSilentZones.size() < state.agents.size() ? inSilentZones : bypassed_agents {};
+}
+
+void updateBypass(liveness_state &state, std::vector<liveness_action> &actions)
+{
+    bypassed_agents next = unreachableAgents(state);
     if (next == state.bypassed)
         return;
     state.bypassed = next;
@@ -142,6 +203,7 @@
                        [&](const agent_unreachable &report) { handleUnreachable(state, report); },
                        [&](const liveness_tick &) {
                            expireProbes(state, now);
+                           repeatProbes(state, now, actions);
                            sendDueProbes(state, now, actions);
                        },
                    },
--- a/lycheeshunt/routing/liveness_port.cpp
+++ b/lycheeshunt/routing/liveness_port.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/routing/liveness_port.h"
 
 #include "lycheeshunt/base/fault.h"
+#include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/packets/datagram_io.h"
@@ -111,6 +112,10 @@
                 packets::sendDatagram(m_socket.get(), send.to.packets, encodeProbe(datagram));
             },
             [this](const set_bypass &set) {
+                m_bypassed = set.agents.size();
+                base::logEvent("routing", "bypass",
+                               {{"agents", std::to_string(set.agents.size())},
+                                {"of", std::to_string(m_state.agents.size())}});
                 m_sink(std::make_shared<const bypassed_agents>(set.agents));
             },
         },
--- a/lycheeshunt/routing/liveness_port.h
+++ b/lycheeshunt/routing/liveness_port.h
@@ -12,6 +12,7 @@
 #include "lycheeshunt/routing/liveness_message.h"
 #include "lycheeshunt/routing/liveness_state.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -32,6 +33,8 @@
     liveness_port &operator=(const liveness_port &) = delete;
 
     base::ring<agents_changed> &agents() { return m_agents; }
+    // Number of agents that are bypassed at present. Thread-safe.
+    std::size_t bypassed() const { return m_bypassed; }
 
 private:
     liveness_port(base::file_descriptor socket, bypass_sink sink);
@@ -46,6 +49,7 @@
     const bypass_sink m_sink;
     base::ring<agents_changed> m_agents;
     liveness_state m_state;
+    std::atomic<std::size_t> m_bypassed = 0;
     std::thread m_thread;
 };
 
--- a/lycheeshunt/routing/liveness_state.h
+++ b/lycheeshunt/routing/liveness_state.h
@@ -14,6 +14,9 @@
     // The agent probed last; probing continues with the one after it.
     base::node_id cursor;
     std::uint64_t lastNumber = 0;
+    // For each availability zone, the agents that have missed a probe for the first time since an
+    // agent of the zone last answered.
+    std::map<std::string, std::size_t> silentByZone;
     bypassed_agents bypassed;
 
     bool operator==(const liveness_state &) const = default;
--- a/lycheeshunt/routing/liveness_test.cpp
+++ b/lycheeshunt/routing/liveness_test.cpp
@@ -22,13 +22,18 @@
 class entry
 {
 public:
-    explicit entry(const std::string &names) { setAgents(names); }
+    // The zones are those of the names, in the same order; without any, all are in one zone.
+    explicit entry(const std::string &names, const std::string &zones = "") : m_zones(zones)
+    {
+        setAgents(names);
+    }
 
     void setAgents(const std::string &names, std::uint64_t incarnation = 1)
     {
-        std::vector<target> agents;
-        for (const char name : names)
-            agents.push_back(agent(name, incarnation));
+        std::vector<probed_agent> agents;
+        for (std::size_t i = 0; i < names.size(); ++i)
+            agents.push_back(probed_agent {agent(names[i], incarnation),
+                                           m_zones.empty() ? "" : m_zones.substr(i, 1)});
         deliver(agents_changed {agents});
     }
 
@@ -70,6 +75,7 @@
     std::size_t probes() const { return m_probes; }
 
 private:
+    const std::string m_zones;
     liveness_state m_state;
     base::clock_time m_now = base::clock_time::ofSeconds(50);
     std::set<base::node_id> m_silent;
@@ -112,6 +118,61 @@
     }
 }
 
+// An entry in a zone that is cut off saw most agents silent, bypassed none, and sent most of its
+// packets to agents that it could not reach.
+TEST(liveness, silentZonesAreBypassedUnlessAllAre)
+{
+    struct zone_case
+    {
+        const char *what;
+        const char *silent;
+        const char *bypassed;
+    };
+    constexpr const char *agents = "abcdefghijkl";
+    constexpr const char *zones = "111122223333";
+    const zone_case cases[] = {
+        {"one zone is cut off", "abcd", "abcd"},
+        {"the other zones are cut off", "abcdefgh", "abcdefgh"},
+        {"another zone has an agent that answers", "abcdfgh", "abcdfgh"},
+        {"all zones are cut off", agents, ""},
+        {"most agents of all zones are silent", "abcefgijk", ""},
+        {"one zone and most agents of the others", "abcdefgijk", "abcd"},
+    };
+    for (const zone_case &row : cases) {
+        entry one(agents, zones);
+        one.run(2000, "");
+        one.run(3000, row.silent);
+        STRCMP_EQUAL_TEXT(row.bypassed, one.bypassed(agents).c_str(), row.what);
+        one.run(3000, "");
+        STRCMP_EQUAL_TEXT("", one.bypassed(agents).c_str(), row.what);
+    }
+}
+
+// With 60 agents a round of probes takes 2 s; a zone that was cut off for 5 s was noticed after the
+// cut had ended.
+TEST(liveness, theTimeOfDetectionDoesNotGrowWithTheNumberOfAgents)
+{
+    const std::string names = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ01234567";
+    std::string zones;
+    for (std::size_t i = 0; i < names.size(); ++i)
+        zones += static_cast<char>('1' + i % 3);
+    entry one(names, zones);
+    one.run(5000, "");
+    std::string silent;
+    for (std::size_t i = 0; i < names.size(); i += 3)
+        silent += names[i];
+    one.run(1200, silent);
+    STRCMP_EQUAL(silent.c_str(), one.bypassed(names).c_str());
+    // The zone answers again: it is used as soon as one of its agents has answered.
+    one.run(600, "");
+    CHECK(one.bypassed(names).size() < silent.size());
+    one.run(3000, "");
+    STRCMP_EQUAL("", one.bypassed(names).c_str());
+    // A single agent waits for its turn only once.
+    one.run(3400, "m");
+    STRCMP_EQUAL("m", one.bypassed(names).c_str());
+}
+
 TEST(liveness, anUnreachableAgentIsBypassedAtOnceAndItsNextIncarnationIsNot)
 {
     entry one("abcd");
@@ -135,10 +196,11 @@
 
 TEST(liveness, theProbeRateDoesNotDependOnTheNumberOfAgents)
 {
-    std::vector<target> many;
+    std::vector<probed_agent> many;
     for (std::uint16_t i = 0; i < 1000; ++i)
-        many.push_back(
-            target {base::node_id(i + 1), base::incarnation(1), base::endpoint {0x7f000001, i}});
+        many.push_back(probed_agent {
+            target {base::node_id(i + 1), base::incarnation(1), base::endpoint {0x7f000001, i}},
+            ""});
     entry one("");
     one.deliver(agents_changed {many});
     one.run(10'000, "");
--- a/lycheeshunt/routing/ports_test.cpp
+++ b/lycheeshunt/routing/ports_test.cpp
@@ -148,7 +148,7 @@
     const target dead {base::nodeIdOf("dead"), base::incarnation(1), closedAddress()};
     const target reachable {base::nodeIdOf("other"), base::incarnation(1),
                             base::localEndpoint(reachableSocket)};
-    port->agents().push(agents_changed {{dead, reachable}});
+    port->agents().push(agents_changed {{{dead, "zone-1"}, {reachable, "zone-2"}}});
     const std::optional<shared_bypass> bypass = published.pop();
     CHECK(bypass.has_value());
     LONGS_EQUAL(1, (*bypass)->size());
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -153,6 +153,8 @@
         const target &backup = buckets.backupOf(bucket);
         if (bypassed.count(backup.node) == 0)
             return route {service, m_at, backup};
+        if (const target *reachable = buckets.ownerWithout(bypassed, bucket))
+            return route {service, m_at, *reachable};
     }
     return route {service, m_at, director};
 }
--- a/lycheeshunt/routing/routing_table_test.cpp
+++ b/lycheeshunt/routing/routing_table_test.cpp
@@ -85,3 +85,36 @@
         CHECK(chosen.to.packets.port >= 3);
     }
 }
+
+// With director and backup both bypassed, packets went to the director, which could not be reached.
+TEST(routing_table, aFlowGoesToAReachableAgentWhileThereIsOne)
+{
+    std::vector<membership::member> agents;
+    for (std::uint16_t port = 1; port <= 6; ++port)
+        agents.push_back(agentOf("logbook", port));
+    const routing_table table(firstView().withBatch(base::generation(3), {agents, {}}));
+    const base::service_id logbook = base::serviceIdOf("logbook");
+    const auto bypassing = [&](std::size_t count) {
+        routing::bypassed_agents bypassed;
+        for (std::size_t i = 0; i < count; ++i)
+            bypassed.insert(agents[i].id());
+        return bypassed;
+    };
+    for (std::uint16_t port = 1; port <= flows; ++port) {
+        const base::flow_key key {{0x0a000001, port}, logbookAddress, 6};
+        const routing::route usual = std::get<routing::route>(table.routeOf(key, {}));
+        for (std::size_t count = 0; count < agents.size(); ++count) {
+            const routing::bypassed_agents bypassed = bypassing(count);
+            const routing::route chosen = std::get<routing::route>(table.routeOf(key, bypassed));
+            CHECK_EQUAL(0, bypassed.count(chosen.to.node));
+            if (bypassed.count(usual.to.node) == 0)
+                CHECK(chosen == usual);
+            // A copy of an opening packet avoids the director.
+            const routing::route copy
+                = std::get<routing::route>(table.routeWithin(logbook, key, bypassed, true));
+            CHECK_EQUAL(0, bypassed.count(copy.to.node));
+        }
+        // Without any reachable agent, the suspicion may be wrong.
+        CHECK(std::get<routing::route>(table.routeOf(key, bypassing(agents.size()))) == usual);
+    }
+}
