Offer no flows to agents that do not receive them

Cause: while packets pass in one direction only, an agent still receives the load reports of peers that don't get its offers, and kept offering flows to them: each was lost until the caller sent its opening packet again.

Change: a load report says whether its recipient has been silent for as long as makes it no candidate (1.3 s). A peer that reports so gets no offers. Flag 8 of the report; builds without it ignore it, and it is set in no report while all is heard.

Evidence: aPeerThatDoesNotHearThisAgentIsOfferedNoFlows fails without the check (offered to 2 instead of accepted).

--- a/lycheeshunt/placement/codec.cpp
+++ b/lycheeshunt/placement/codec.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::uint8_t version = 1;
 
-enum flag : std::uint8_t { drainingFlag = 1, acceptingFlag = 2, failingFlag = 4 };
+enum flag : std::uint8_t { drainingFlag = 1, acceptingFlag = 2, failingFlag = 4, silentFlag = 8 };
 
 // The last one, the server's time, only when it is known. Builds without it ignore further slot
 // fields, but refuse a report with a further field of its own.
@@ -34,21 +34,21 @@
     return fields;
 }
 
-std::uint8_t flagsOf(const server_load &load)
+std::uint8_t flagsOf(const load_report &report)
 {
-    return static_cast<std::uint8_t>((load.slots.draining ? drainingFlag : 0)
-                                     | (load.slots.accepting ? acceptingFlag : 0)
-                                     | (load.failing ? failingFlag : 0));
+    const server_load &load = report.load;
+    return static_cast<std::uint8_t>(
+        (load.slots.draining ? drainingFlag : 0) | (load.slots.accepting ? acceptingFlag : 0)
+        | (load.failing ? failingFlag : 0) | (report.isRecipientSilent ? silentFlag : 0));
 }
 
 } // namespace
 
 std::string encodeReport(const load_report &report)
 {
-    return base::packFields(report_fields(version, report.node.value(), report.incarnation.value(),
-                                          report.sequence, slotFieldsOf(report.load),
-                                          report.load.flows, report.load.hintedBusy,
-                                          flagsOf(report.load)));
+    return base::packFields(report_fields(
+        version, report.node.value(), report.incarnation.value(), report.sequence,
+        slotFieldsOf(report.load), report.load.flows, report.load.hintedBusy, flagsOf(report)));
 }
 
 base::result<load_report> decodeReport(std::string_view bytes)
@@ -67,7 +67,8 @@
                                                              (flags & drainingFlag) != 0,
                                                              (flags & acceptingFlag) != 0},
                                      flows, hintedSlots, (flags & failingFlag) != 0,
-                                     slots.size() > minSlotFields ? slots[minSlotFields] : 0}};
+                                     slots.size() > minSlotFields ? slots[minSlotFields] : 0},
+                        (flags & silentFlag) != 0};
 }
 
 } // namespace lycheeshunt::placement
--- a/lycheeshunt/placement/codec_test.cpp
+++ b/lycheeshunt/placement/codec_test.cpp
@@ -24,6 +24,9 @@
 TEST(placement_codec, reportSurvivesEncodingAndDecoding)
 {
     CHECK(valueOf(decodeReport(encodeReport(report))) == report);
+    const load_report toSilent {report.node, report.incarnation, report.sequence, report.load,
+                                true};
+    CHECK(valueOf(decodeReport(encodeReport(toSilent))) == toSilent);
 }
 
 TEST(placement_codec, reportFitsTheSizeThatTheBudgetAssumes)
--- a/lycheeshunt/placement/decision.cpp
+++ b/lycheeshunt/placement/decision.cpp
@@ -102,7 +102,8 @@
     const base::clock_time evictAfter = state.rules->evictAfter;
     if (evictAfter > base::clock_time() && now - peerState.lastHeard >= evictAfter)
         return false;
-    return !peerState.report || acceptsFlows(peerState.report->load);
+    return !peerState.report
+        || (acceptsFlows(peerState.report->load) && !peerState.report->isRecipientSilent);
 }
 
 std::vector<candidate> candidatesFor(const placement_state &state, const flow_offered &offer,
@@ -197,7 +198,7 @@
     for (const base::node_id node : offer.tried) {
         const auto found = state.peers.find(node);
         if (found == state.peers.end() || !found->second.report
-            || !acceptsFlows(found->second.report->load))
+            || !acceptsFlows(found->second.report->load) || found->second.report->isRecipientSilent)
             continue;
         const server_load &load = found->second.report->load;
         const double cost = costOf(load, found->second.forwardedSinceReport,
--- a/lycheeshunt/placement/decision_test.cpp
+++ b/lycheeshunt/placement/decision_test.cpp
@@ -246,6 +246,45 @@
     LONGS_EQUAL(2, placeFlow(3));
 }
 
+// While packets passed in one direction only, agents offered flows to peers whose reports they
+// received and that did not get the offers.
+TEST(placement, aPeerThatDoesNotHearThisAgentIsOfferedNoFlows)
+{
+    apply(own_load_changed {loadOf(6)}, 0);
+    receiveReport(3, loadOf(7), 0);
+    apply(load_report {node_id(2), incarnation(1), ++sequence, loadOf(0), true}, 0);
+    LONGS_EQUAL(1, placeFlow(1));
+    apply(own_load_changed {drainingLoad()}, 1);
+    receiveReport(3, drainingLoad(), 1);
+    LONGS_EQUAL(0, placeFlow(2, {node_id(2)}));
+    receiveReport(2, loadOf(0), 3);
+    LONGS_EQUAL(2, placeFlow(4));
+}
+
+TEST(placement, aReportTellsAPeerThatIsNoCandidateAnyMoreThatItIsSilent)
+{
+    const placement_rules defaults;
+    state.rules = std::make_shared<const placement_rules>(placement_rules {
+        defaults.maxOffers, defaults.maxPeers, defaults.forwardMargin, defaults.flowWeight,
+        defaults.flowSlots, defaults.probesWhenFull, false, defaults.zoneWeight,
+        defaults.suspectAfter, at(1300), defaults.reportBytesPerSecond});
+    receiveReport(2, loadOf(0), 0);
+    const auto silentAt = [this](std::int64_t now) {
+        std::string silent;
+        for (const placement_action &action : apply(placement_tick {}, now)) {
+            const send_report &sent = std::get<send_report>(action);
+            if (sent.report.isRecipientSilent)
+                silent += std::to_string(sent.to.value());
+        }
+        return silent;
+    };
+    STRCMP_EQUAL("", silentAt(1200).c_str());
+    // No report of agent 3 has come yet, so it is not known whether its packets are lost.
+    STRCMP_EQUAL("2", silentAt(1700).c_str());
+    receiveReport(2, loadOf(0), 2000);
+    STRCMP_EQUAL("", silentAt(2200).c_str());
+}
+
 TEST(placement, reportOfAnotherIncarnationOrOutOfOrderIsIgnored)
 {
     apply(own_load_changed {loadOf(4)}, 0);
--- a/lycheeshunt/placement/load_report.h
+++ b/lycheeshunt/placement/load_report.h
@@ -12,6 +12,9 @@
     const base::incarnation incarnation;
     const std::uint64_t sequence = 0;
     const server_load load = {};
+    // The sender has not heard the agent that it sends this report to for a while, so packets from
+    // that agent to the sender are probably lost.
+    const bool isRecipientSilent = false;
 
     bool operator==(const load_report &) const = default;
 };
--- a/lycheeshunt/placement/reporting.cpp
+++ b/lycheeshunt/placement/reporting.cpp
@@ -55,6 +55,14 @@
     return queued > peerState.requestedSinceReport ? queued - peerState.requestedSinceReport : 0;
 }
 
+// Whether a peer that has reported before is no longer a candidate for its silence.
+bool isSilent(const placement_state &state, const peer_state &peerState, base::clock_time now)
+{
+    const base::clock_time evictAfter = state.rules->evictAfter;
+    return peerState.report && evictAfter > base::clock_time()
+        && now - peerState.lastHeard >= evictAfter;
+}
+
 } // namespace
 
 void sendReports(placement_state &state, base::clock_time now, action_list &actions)
@@ -67,10 +75,12 @@
     state.budgetBytes -= reportRoundBytes(state);
     state.sentLoad = state.ownLoad;
     state.sentAt = now;
-    const load_report own {state.self->node, state.self->incarnation, ++state.sequence,
-                           *state.ownLoad};
-    for (auto it = state.peers.begin(); it != state.peers.end(); ++it)
-        actions.emplace_back(send_report {it->first, own});
+    ++state.sequence;
+    for (const auto &[node, peerState] : state.peers)
+        actions.emplace_back(
+            send_report {node,
+                         load_report {state.self->node, state.self->incarnation, state.sequence,
+                                      *state.ownLoad, isSilent(state, peerState, now)}});
 }
 
 void requestWork(placement_state &state, base::clock_time now, action_list &actions)
