Try several servers at a time when they do not reply

Cause: a node that looked for control waited up to 300 ms for each VM without power and 100 to 200 ms more before it tried the next one, so that with three addresses it lost up to 1.5 s beside a control VM that was ready to serve it.

Change: while a server does not reply, the next one is tried beside it after 100 ms, at most three at a time, and the first that accepts is used. After a refusal the next server is tried after 20 ms; after a round of refusals the client waits as before. The decision is connect_schedule, without sockets.

Evidence: serversThatDoNotReplyDoNotDelayTheClientOneByOne failed before (over 600 ms with two of three servers that drop the SYN packet).

--- a/lycheeshunt/streams/stream_client.cpp
+++ b/lycheeshunt/streams/stream_client.cpp
@@ -4,6 +4,8 @@
 #include "lycheeshunt/streams/stream_client.h"
 
 #include "lycheeshunt/base/socket.h"
+#include "lycheeshunt/streams/internal/connect_attempt.h"
+#include "lycheeshunt/streams/internal/connect_schedule.h"
 #include "lycheeshunt/streams/internal/frame_codec.h"
 
 #include <poll.h>
@@ -11,6 +13,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <iterator>
+#include <list>
 
 namespace lycheeshunt::streams {
 
@@ -18,11 +22,18 @@
 
 constexpr std::size_t maxOutgoingFrames = 4096;
 
-bool isConnected(int descriptor)
+enum class attempt_result : std::uint8_t { underWay, connected, refused };
+
+attempt_result resultOf(int descriptor)
 {
+    pollfd watched {descriptor, POLLOUT, 0};
+    if (::poll(&watched, 1, 0) <= 0)
+        return attempt_result::underWay;
     int failure = 0;
     socklen_t length = sizeof failure;
-    return ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) == 0 && failure == 0;
+    const bool isConnected = (watched.revents & POLLOUT) != 0
+        && ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) == 0 && failure == 0;
+    return isConnected ? attempt_result::connected : attempt_result::refused;
 }
 
 } // namespace
@@ -82,32 +93,72 @@
     return m_servers[chosen];
 }
 
-// Also returns when the client stops. Discards frames queued for the previous connection.
-bool stream_client::awaitConnected(int descriptor)
+std::size_t stream_client::serverCount()
+{
+    const std::lock_guard<std::mutex> lock(m_serversLock);
+    return m_servers.size();
+}
+
+// Waits until an attempt has ended, or the client stops. Discards frames queued for the previous
+// connection.
+void stream_client::awaitChange(const std::list<internal::connect_attempt> &attempts,
+                                base::clock_time until)
 {
-    const base::clock_time deadline = base::clock_time::steady() + m_timing.connectTimeout;
+    std::vector<pollfd> watched {{m_outgoing.descriptor(), POLLIN, 0}};
+    for (const internal::connect_attempt &attempt : attempts)
+        watched.push_back(pollfd {attempt.socket.get(), POLLOUT, 0});
+    const base::clock_time timeout
+        = std::max(until - base::clock_time::steady(), base::clock_time());
+    ::poll(watched.data(), watched.size(), static_cast<int>(timeout.millis()));
+    m_outgoing.tryPop();
+}
+
+std::unique_ptr<internal::h2_connection> stream_client::connectNext()
+{
+    internal::connect_schedule schedule(serverCount(), m_timing, reconnectDelay());
+    std::list<internal::connect_attempt> attempts;
     base::clock_time now = base::clock_time::steady();
-    while (now < deadline && !m_outgoing.isClosed()) {
-        pollfd watched[] = {{descriptor, POLLOUT, 0}, {m_outgoing.descriptor(), POLLIN, 0}};
-        ::poll(watched, std::size(watched), static_cast<int>((deadline - now).millis()));
-        if (watched[0].revents != 0)
-            return (watched[0].revents & POLLOUT) != 0 && isConnected(descriptor);
-        m_outgoing.tryPop();
+    while (!m_outgoing.isClosed()) {
+        if (schedule.mayStart(now)) {
+            const base::endpoint server = nextServer();
+            base::result<base::file_descriptor> started = base::startConnection(server);
+            schedule.addStart(now);
+            if (base::isOk(started))
+                attempts.push_back(
+                    internal::connect_attempt {base::takeValue(std::move(started)), server, now});
+            else
+                schedule.addRefusal(now);
+        }
+        base::clock_time until = schedule.nextStart(now).value_or(now + m_timing.connectTimeout);
+        for (const internal::connect_attempt &attempt : attempts)
+            until = std::min(until, attempt.startedAt + m_timing.connectTimeout);
+        awaitChange(attempts, until);
         now = base::clock_time::steady();
+        for (auto it = attempts.begin(); it != attempts.end();) {
+            const attempt_result result = resultOf(it->socket.get());
+            const bool isTimedOut = now - it->startedAt >= m_timing.connectTimeout;
+            if (result == attempt_result::connected) {
+                takeServer(it->server);
+                return std::make_unique<internal::h2_connection>(
+                    std::move(it->socket), internal::connection_side::client, now);
+            }
+            if (result == attempt_result::refused)
+                schedule.addRefusal(now);
+            else if (isTimedOut)
+                schedule.addTimeout();
+            const bool isOver = result == attempt_result::refused || isTimedOut;
+            it = isOver ? attempts.erase(it) : std::next(it);
+        }
     }
-    return false;
+    return nullptr;
 }
 
-std::unique_ptr<internal::h2_connection> stream_client::connectNext()
+// The server that the client uses is tried last after the connection ends.
+void stream_client::takeServer(const base::endpoint &server)
 {
-    base::result<base::file_descriptor> started = base::startConnection(nextServer());
-    if (!base::isOk(started))
-        return nullptr;
-    base::file_descriptor socket = base::takeValue(std::move(started));
-    if (!awaitConnected(socket.get()))
-        return nullptr;
-    return std::make_unique<internal::h2_connection>(
-        std::move(socket), internal::connection_side::client, base::clock_time::steady());
+    const std::lock_guard<std::mutex> lock(m_serversLock);
+    m_lastServer.reset();
+    m_lastServer.emplace(server);
 }
 
 void stream_client::serve(internal::h2_connection &connection, connection_id id)
@@ -165,17 +216,23 @@
     return connection.flush();
 }
 
+base::clock_time stream_client::reconnectDelay()
+{
+    const std::int64_t halfMillis = m_timing.reconnectDelay.millis() / 2;
+    return base::clock_time::ofMillis(
+        halfMillis + std::uniform_int_distribution<std::int64_t>(0, halfMillis)(m_random));
+}
+
 // Waits on the ring instead of sleeping, so that closing the ring ends the wait at once.
 void stream_client::waitBeforeRetry()
 {
-    const std::int64_t halfMillis = m_timing.reconnectDelay.millis() / 2;
     const bool isRedirected = m_isRedirected.exchange(false);
-    const std::int64_t maxRandomMillis
-        = isRedirected ? m_timing.redirectDelay.millis() : halfMillis;
-    const std::int64_t randomMillis
-        = std::uniform_int_distribution<std::int64_t>(0, maxRandomMillis)(m_random);
-    const base::clock_time deadline = base::clock_time::steady()
-        + base::clock_time::ofMillis(isRedirected ? randomMillis : halfMillis + randomMillis);
+    const std::int64_t maxMillis = m_timing.redirectDelay.millis();
+    const base::clock_time delay = isRedirected
+        ? base::clock_time::ofMillis(
+            std::uniform_int_distribution<std::int64_t>(0, maxMillis)(m_random))
+        : reconnectDelay();
+    const base::clock_time deadline = base::clock_time::steady() + delay;
     base::clock_time now = base::clock_time::steady();
     while (now < deadline && !m_outgoing.isClosed()) {
         m_outgoing.popFor(deadline - now);
--- a/lycheeshunt/streams/stream_client.h
+++ b/lycheeshunt/streams/stream_client.h
@@ -4,7 +4,8 @@
 //     client.outgoing().push(stream_frame {connection, channel::membership, bytes});
 //
 // The sink receives an event for each opened connection, received frame and closed connection. When
-// a connection fails or times out, the client tries the next server after a jittered delay. Frames
+// a connection fails or times out, the client tries the servers in turn after a jittered delay,
+// several at a time if they do not reply, and uses the first that accepts. Frames
 // for a closed connection are discarded. Frames queued before the client is destroyed are still
 // sent as far as the socket accepts them without blocking.
 
@@ -16,6 +17,7 @@
 #include "lycheeshunt/streams/stream_timing.h"
 
 #include <atomic>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -27,7 +29,8 @@
 
 namespace internal {
 class h2_connection;
-}
+struct connect_attempt;
+} // namespace internal
 
 class stream_client
 {
@@ -54,10 +57,13 @@
     void run();
     std::unique_ptr<internal::h2_connection> connectNext();
     base::endpoint nextServer();
-    bool awaitConnected(int descriptor);
+    std::size_t serverCount();
+    void takeServer(const base::endpoint &server);
+    void awaitChange(const std::list<internal::connect_attempt> &attempts, base::clock_time until);
     void serve(internal::h2_connection &connection, connection_id id);
     void closeGracefully(internal::h2_connection &connection, connection_id id);
     bool sendQueued(internal::h2_connection &connection, connection_id id);
+    base::clock_time reconnectDelay();
     void waitBeforeRetry();
 
     std::mutex m_serversLock;
--- a/lycheeshunt/streams/stream_test.cpp
+++ b/lycheeshunt/streams/stream_test.cpp
@@ -6,6 +6,8 @@
 
 #include "lycheeshunt/base/socket.h"
 
+#include <sys/socket.h>
+
 #include <chrono>
 #include <thread>
 
@@ -30,6 +32,22 @@
     }
 }
 
+// A listener whose queue is full, so that the system drops further SYN packets.
+class full_listener
+{
+public:
+    full_listener() : m_listener(base::takeValue(base::openListener(anyPort)))
+    {
+        ::listen(m_listener.get(), 0);
+        m_queued.push_back(base::takeValue(base::startConnection(local())));
+    }
+    base::endpoint local() const { return base::localEndpoint(m_listener); }
+
+private:
+    const base::file_descriptor m_listener;
+    std::vector<base::file_descriptor> m_queued;
+};
+
 } // namespace
 
 TEST_GROUP(streams)
@@ -177,6 +195,23 @@
 
 // A node that is redirected to the leader connects without the reconnect delay, which is longer
 // here than this test may take.
+// A VM without power does not reply to a SYN packet. A node waited 300 ms for each such VM, and up
+// to 200 ms more before the next, while a control VM was ready to serve it.
+TEST(streams, serversThatDoNotReplyDoNotDelayTheClientOneByOne)
+{
+    const std::unique_ptr<stream_server> server = listen();
+    const full_listener first;
+    const full_listener second;
+    constexpr base::clock_time oneByOne = stream_timing {}.connectTimeout * 2;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const base::clock_time start = base::clock_time::steady();
+        stream_client client({first.local(), second.local(), server->local()}, {}, seed,
+                             [this](const stream_event &event) { clientEvents.push(event); });
+        await<stream_opened>(clientEvents);
+        CHECK(base::clock_time::steady() - start < oneByOne);
+    }
+}
+
 TEST(streams, aRedirectedClientConnectsWithoutTheReconnectDelay)
 {
     const std::unique_ptr<stream_server> first = listen();
