Let a restarted control VM know the leader at once

Cause: a control VM that restarts holds the nodes that connect to it until it knows the leader. It waited for the leader's next heartbeat (150 ms), or, if its first presence message was sent before its streams were open, up to 500 ms.

Change: the leader answers the presence message of a member that it had not heard for two heartbeats with a heartbeat at once; a VM that has not heard from a leader since its start repeats its presence each 100 ms. A repeated presence message does not shorten the election timeout again: with it, the timeouts of several VMs ended together and a vote was split (quorumElectsAtOnceAfterAllHaveRestarted failed).

Evidence: aVmThatHasRestartedLearnsTheLeaderAtOnce failed before.

--- a/lycheeshunt/replication/internal/election.cpp
+++ b/lycheeshunt/replication/internal/election.cpp
@@ -31,14 +31,6 @@
     state.electionDeadline = state.now + base::clock_time::ofMillis(distribution(state.random));
 }
 
-// True for a while after the start if this VM has not heard from a leader since.
-bool isInFirstElection(const replica_state &state)
-{
-    return state.lastLeaderContact == base::clock_time()
-        && !std::holds_alternative<leader_role>(state.role)
-        && state.now - state.startedAt < state.settings->timing.firstElectionPeriod;
-}
-
 bool isQuorumReachable(const replica_state &state)
 {
     std::size_t heard = 1;
@@ -89,6 +81,13 @@
 
 } // namespace
 
+bool isInFirstElection(const replica_state &state)
+{
+    return state.lastLeaderContact == base::clock_time()
+        && !std::holds_alternative<leader_role>(state.role)
+        && state.now - state.startedAt < state.settings->timing.firstElectionPeriod;
+}
+
 void restartElectionTimer(replica_state &state)
 {
     const replica_timing &timing = state.settings->timing;
--- a/lycheeshunt/replication/internal/election.h
+++ b/lycheeshunt/replication/internal/election.h
@@ -6,6 +6,8 @@
 
 namespace lycheeshunt::replication::internal {
 
+// True for a while after the start if this VM has not heard from a leader since.
+bool isInFirstElection(const replica_state &state);
 void restartElectionTimer(replica_state &state);
 // Brings the election forward when this replica has just started, no leader has been heard of and a
 // quorum is reachable. Called when a presence message arrives.
--- a/lycheeshunt/replication/internal/leader.cpp
+++ b/lycheeshunt/replication/internal/leader.cpp
@@ -190,6 +190,14 @@
     }
 }
 
+void greetReturningMember(replica_context context, const replica_id &from)
+{
+    const peer_progress *progress = progressOf(context, from);
+    const base::clock_time usualSilence = context.timing().heartbeatInterval * 2;
+    if (progress != nullptr && context.state.now - progress->lastHeard > usualSilence)
+        sendHeartbeat(context, *memberOf(context.state, from), *progress);
+}
+
 void sendMissingEntries(replica_context context, const configuration_member &member)
 {
     replica_state &state = context.state;
--- a/lycheeshunt/replication/internal/leader.h
+++ b/lycheeshunt/replication/internal/leader.h
@@ -22,6 +22,10 @@
 // flight.
 void sendMissingEntries(replica_context context, const configuration_member &member);
 
+// Sends a member that was silent, as one that has restarted, a heartbeat at once, so that it knows
+// the leader. Does nothing unless this replica is the leader.
+void greetReturningMember(replica_context context, const replica_id &from);
+
 void handleAppendAnswer(replica_context context, const replica_id &from,
                         const append_answer &answer);
 void handleSnapshotAnswer(replica_context context, const replica_id &from,
--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -208,15 +208,22 @@
 void handlePresence(replica_context context, const replica_id &from, const presence &message)
 {
     replica_state &state = context.state;
+    const bool isRepeated = freshPresence(state, from.node) != nullptr;
     state.presences.erase(from.node);
     state.presences.emplace(from.node,
                             peer_presence {from.storage, message.isFormed, message.api, state.now,
                                            message.name, message.streams});
-    shortenFirstElectionTimeout(state);
-    if (!state.settings->isOpen())
+    // Shorter with each repetition, the timeouts of several VMs would end at the same time and split
+    // the vote.
+    if (!isRepeated)
+        shortenFirstElectionTimeout(state);
+    if (!state.settings->isOpen()) {
+        greetReturningMember(context, from);
         return;
+    }
     context.actions.emplace_back(set_peer_address {from.node, message.streams});
     addContacts(context, message.contacts);
+    greetReturningMember(context, from);
 }
 
 void addContacts(replica_context context, const std::vector<base::endpoint> &contacts)
@@ -233,7 +240,9 @@
     replica_state &state = context.state;
     if (state.now < state.nextPresence)
         return;
-    state.nextPresence = state.now + context.timing().presenceInterval;
+    state.nextPresence = state.now
+        + (isInFirstElection(state) ? context.timing().firstPresenceInterval
+                                    : context.timing().presenceInterval);
     if (state.settings->isOpen()) {
         announceToContacts(context);
         return;
--- a/lycheeshunt/replication/open_group_test.cpp
+++ b/lycheeshunt/replication/open_group_test.cpp
@@ -234,6 +234,31 @@
     }
 }
 
+// A VM that restarts holds the nodes that connect to it until it knows the leader. It waited for
+// the next heartbeat, or for its next presence message if the first was lost.
+TEST(open_group, aVmThatHasRestartedLearnsTheLeaderAtOnce)
+{
+    formGroupOfFive();
+    const std::size_t other = leaders().front() == 5 ? 4 : 5;
+    constexpr std::int64_t phases = 6;
+    for (std::int64_t phase = 0; phase < phases; ++phase) {
+        for (const bool isFirstLost : {false, true}) {
+            vms.at(other).isUp = false;
+            run(500 + phase * tickMillis);
+            restart(other);
+            if (isFirstLost) {
+                isolate({other});
+                run(2 * tickMillis);
+                blockedLinks.clear();
+                run(3 * tickMillis);
+            }
+            run(tickMillis);
+            CHECK_FALSE(leadershipOf(*vms.at(other).state).leaderName.empty());
+            run(1000);
+        }
+    }
+}
+
 TEST(open_group, replacementVmsWithEmptyDisksNeverBootstrapAGroup)
 {
     for (std::size_t number = 1; number <= 3; ++number)
--- a/lycheeshunt/replication/replica_timing.h
+++ b/lycheeshunt/replication/replica_timing.h
@@ -26,6 +26,9 @@
     // Entries or a snapshot piece that have not been answered are retransmitted after this.
     const base::clock_time retransmitTimeout = base::clock_time::ofMillis(600);
     const base::clock_time presenceInterval = base::clock_time::ofMillis(500);
+    // Interval of a VM that has just started and has not heard from a leader: its first messages
+    // may be sent before its streams are open.
+    const base::clock_time firstPresenceInterval = base::clock_time::ofMillis(100);
     // A presence message is ignored once it is older than this.
     const base::clock_time presenceTimeout = base::clock_time::ofMillis(2000);
 
