Evict silent HTTP connections in favour of new ones

Cause: a listener kept up to 256 connections for 30 s each, whether or not they sent anything, and reset every further one. 4,000 connections that sent nothing, or one byte a second, made the readiness and operators' endpoints unusable for 30 s. Without free descriptors nothing was accepted until these connections timed out. Each connection had a read buffer of 16 KiB from its start.

Change: internal/connection_decision decides, without sockets, which connection is closed: at 128 connections of one address the oldest of this address without a complete request, at 256 the oldest of all, without descriptors also the oldest of all. Connections between requests go after these, unless they take more than three quarters of the room. Connections with a complete request are never closed for another one, so the limit of an address may be exceeded; a new connection is refused only if all 256 have complete requests. The bytes of a header do not make a connection younger, 4 KiB of a body do. Separate timeouts: idle 30 s, header 10 s, body 30 s, answer 10 s. Bodies in transfer share 2 MiB a listener, or 16 of the largest body. A connection has a read buffer only while a request arrives, and holds nothing of a request whose answer is awaited. A request that was read from a connection closed meanwhile is not run. Counters for all listeners of a process are served with the metrics of every role; log lines evicted, timed_out and too_many_connections name the address.

--- a/lycheeshunt/http/http_listener.cpp
+++ b/lycheeshunt/http/http_listener.cpp
@@ -8,11 +8,12 @@
 
 base::result<std::unique_ptr<http_listener>>
 http_listener::open(const base::endpoint &local, std::size_t maxBodyBytes,
-                    std::shared_ptr<pending_calls> calls, call_sink sink)
+                    std::shared_ptr<pending_calls> calls, call_sink sink,
+                    const connection_limits &limits)
 {
     const std::shared_ptr<internal::connection_acceptor> acceptor
         = std::make_shared<internal::connection_acceptor>(maxBodyBytes, std::move(calls),
-                                                          std::move(sink));
+                                                          std::move(sink), limits);
     std::promise<std::string> promise;
     std::future<std::string> outcome = promise.get_future();
     // Connections are served from the moment when they are accepted.
--- a/lycheeshunt/http/http_listener.h
+++ b/lycheeshunt/http/http_listener.h
@@ -1,6 +1,7 @@
 // Receives HTTP requests on one address with Boost.Beast, on a thread of its own that only forwards
-// them to the sink. Limits the size of the header and of the body while they arrive, the number of
-// connections, and the number of pending requests.
+// them to the sink. Limits the size of the header and of the body while they arrive, the time that
+// they may take, the number of connections, and the number of pending requests. Connections that
+// send no complete request are closed in favour of new ones.
 //
 //     result<std::unique_ptr<http_listener>> api
 //         = http_listener::open(local, maxBodyBytes, calls, [&](const http_call &call) { ... });
@@ -9,6 +10,7 @@
 #pragma once
 
 #include "lycheeshunt/base/endpoint.h"
+#include "lycheeshunt/http/connection_limits.h"
 #include "lycheeshunt/http/http_call.h"
 
 #include <functional>
@@ -32,10 +34,10 @@
 
     // Requests arrive before open() returns. Each is added to the pending calls, then goes to the
     // sink. Errors: socketFailed.
-    static base::result<std::unique_ptr<http_listener>> open(const base::endpoint &local,
-                                                             std::size_t maxBodyBytes,
-                                                             std::shared_ptr<pending_calls> calls,
-                                                             call_sink sink);
+    static base::result<std::unique_ptr<http_listener>>
+    open(const base::endpoint &local, std::size_t maxBodyBytes,
+         std::shared_ptr<pending_calls> calls, call_sink sink,
+         const connection_limits &limits = connection_limits());
     // Returns once no thread is in the sink, and none enters it any more.
     ~http_listener();
 
--- a/lycheeshunt/http/internal/http_connection.cpp
+++ b/lycheeshunt/http/internal/http_connection.cpp
@@ -3,6 +3,7 @@
 #include "lycheeshunt/base/error.h"
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/http/internal/connection_acceptor.h"
+#include "lycheeshunt/http/internal/connection_counters.h"
 #include "lycheeshunt/http/internal/pending_requests.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -21,11 +22,10 @@
 constexpr unsigned httpVersion = 11;
 constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
 constexpr std::size_t readBufferBytes = 16 * 1024;
-// For a whole request; also how long an idle connection is kept.
-constexpr std::chrono::seconds requestTimeout(30);
-constexpr std::chrono::seconds writeTimeout(10);
-// Unread input resets a connection that closes, and the reset may overtake the answer.
-constexpr std::chrono::seconds discardTimeout(1);
+// Takes most headers. The buffer grows for longer ones as they arrive.
+constexpr std::size_t headerBufferBytes = 1024;
+// Less is not counted as progress of a body. A caller that sends as it can sends more at a time.
+constexpr std::size_t progressBytes = 4 * 1024;
 constexpr std::size_t maxDiscardedBytes = 4 * 1024 * 1024;
 constexpr std::size_t discardPieceBytes = 4 * 1024;
 // Bodies above this size are logged.
@@ -52,28 +52,57 @@
 
 } // namespace
 
-http_connection::http_connection(connection_acceptor &acceptor, boost::asio::ip::tcp::socket socket)
-    : m_acceptor(acceptor), m_stream(std::move(socket)), m_buffer(readBufferBytes)
+http_connection::http_connection(connection_acceptor &acceptor, connection_id id,
+                                 boost::asio::ip::tcp::socket socket)
+    : m_acceptor(acceptor), m_id(id), m_socket(std::move(socket)), m_buffer(readBufferBytes)
 {
-    // The library reads as many bytes at a time as the buffer has room for, which is little at
-    // first.
-    m_buffer.reserve(readBufferBytes);
-    m_acceptor.countConnection(1);
+    connection_counters::ofProcess().countOpened();
 }
 
 http_connection::~http_connection()
 {
-    m_acceptor.countConnection(-1);
+    connection_counters::ofProcess().countEnded();
+    m_acceptor.handleEnded(m_id);
+}
+
+void http_connection::close()
+{
+    // Ends the operations that hold the connection.
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void http_connection::enter(connection_phase phase)
+{
+    m_acceptor.handle(phase_entered {m_id, phase});
+}
+
+void http_connection::awaitRequest()
+{
+    m_parser.reset();
+    m_response.reset();
+    if (m_buffer.size() > 0) {
+        readRequest();
+        return;
+    }
+    m_buffer.shrink_to_fit();
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const error_code &failure) {
+                            if (!failure)
+                                self->readRequest();
+                        });
 }
 
 void http_connection::readRequest()
 {
+    enter(connection_phase::header);
     m_parser.emplace();
     m_parser->header_limit(maxHeaderBytes);
     m_parser->body_limit(m_acceptor.maxBodyBytes());
-    m_stream.expires_after(requestTimeout);
+    // The library reads as many bytes at a time as the buffer has room for.
+    m_buffer.reserve(headerBufferBytes);
     beast::http::async_read_header(
-        m_stream, m_buffer, *m_parser,
+        m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code &failure, std::size_t) {
             self->handleHeader(failure);
         });
@@ -83,17 +112,31 @@
 {
     m_headerReceivedAt = base::clock_time::steady();
     m_bodyReads = 0;
-    if (failure)
+    m_reportedBytes = 0;
+    if (failure) {
         refuse(failure);
-    else if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue"))
+        return;
+    }
+    if (!m_parser->is_done())
+        expectBody();
+    if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue"))
         confirmBody();
     else
         readBody();
 }
 
+void http_connection::expectBody()
+{
+    // A body in chunks has no length in its header.
+    const std::size_t bodyBytes
+        = static_cast<std::size_t>(m_parser->content_length().value_or(m_acceptor.maxBodyBytes()));
+    m_acceptor.handle(body_expected {m_id, bodyBytes + readBufferBytes});
+    m_buffer.reserve(readBufferBytes);
+}
+
 void http_connection::confirmBody()
 {
-    boost::asio::async_write(m_stream, boost::asio::buffer(continueLine),
+    boost::asio::async_write(m_socket, boost::asio::buffer(continueLine),
                              [self = shared_from_this()](const error_code &failure, std::size_t) {
                                  if (!failure)
                                      self->readBody();
@@ -109,7 +152,7 @@
     // Parses all that a read brings, not one element of the body.
     m_parser->eager(true);
     beast::http::async_read_some(
-        m_stream, m_buffer, *m_parser,
+        m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code &failure, std::size_t) {
             self->handleBodyPiece(failure);
         });
@@ -118,11 +161,16 @@
 void http_connection::handleBodyPiece(const error_code &failure)
 {
     ++m_bodyReads;
+    const std::size_t received = m_parser->get().body().size();
     if (!failure && !m_parser->is_done()) {
+        if (received >= m_reportedBytes + progressBytes) {
+            m_reportedBytes = received;
+            m_acceptor.handle(body_progressed {m_id});
+        }
         readBody();
         return;
     }
-    if (m_parser->get().body().size() > largeBodyBytes)
+    if (received > largeBodyBytes)
         logBody(failure ? "incomplete" : "received");
     handleRequest(failure);
 }
@@ -168,7 +216,12 @@
 
 void http_connection::forward()
 {
-    const beast::http::request<beast::http::string_body> &request = m_parser->get();
+    // A connection that was closed after its last bytes were read: its request is not run.
+    if (!m_socket.is_open())
+        return;
+    enter(connection_phase::answering);
+    m_keepsOpen = m_parser->keep_alive();
+    beast::http::request<beast::http::string_body> &request = m_parser->get();
     const std::string_view target
         = withoutAuthority(std::string_view(request.target().data(), request.target().size()));
     const std::size_t query = target.find('?');
@@ -188,35 +241,37 @@
     const http_call call {id,
                           std::string(request.method_string()),
                           std::string(target.substr(0, query)),
-                          request.body(),
+                          std::move(request.body()),
                           query == std::string_view::npos ? std::string()
                                                           : std::string(target.substr(query + 1)),
                           std::string(request[beast::http::field::authorization]),
                           m_bodyReads};
-    m_stream.expires_never();
+    // Nothing of the request is held while its answer is awaited.
+    m_parser.reset();
+    m_buffer.shrink_to_fit();
     if (id != base::request_id() && m_acceptor.offer(call)) {
         awaitDisconnect();
         return;
     }
     m_acceptor.calls().remove(id);
     write(refusal(beast::http::status::service_unavailable, base::error_code::tooBusy),
-          m_parser->keep_alive());
+          m_keepsOpen);
 }
 
 void http_connection::awaitDisconnect()
 {
     if (m_pending == base::request_id())
         return;
-    m_stream.socket().async_wait(
+    m_socket.async_wait(
         boost::asio::ip::tcp::socket::wait_read,
         [self = shared_from_this(), id = m_pending](const error_code &failure) {
             error_code unknown;
-            const bool hasInput = self->m_stream.socket().available(unknown) > 0;
+            const bool hasInput = self->m_socket.available(unknown) > 0;
             if (failure || self->m_pending != id || hasInput)
                 return;
             base::logEvent("http", "caller_left", {{"request", std::to_string(id.value())}});
             self->m_acceptor.calls().remove(id);
-            self->m_stream.close();
+            self->close();
         });
 }
 
@@ -225,8 +280,8 @@
     m_pending = base::request_id();
     error_code ignored;
     // Ends the wait for a disconnect.
-    m_stream.socket().cancel(ignored);
-    write(answer, m_parser->keep_alive());
+    m_socket.cancel(ignored);
+    write(answer, m_keepsOpen);
 }
 
 void http_connection::write(const http_answer &answer, bool keepsOpen)
@@ -238,8 +293,8 @@
     m_response->body() = answer.body;
     m_response->keep_alive(keepsOpen);
     m_response->prepare_payload();
-    m_stream.expires_after(writeTimeout);
-    beast::http::async_write(m_stream, *m_response,
+    enter(connection_phase::writing);
+    beast::http::async_write(m_socket, *m_response,
                              [self = shared_from_this()](const error_code &failure, std::size_t) {
                                  self->handleWritten(failure);
                              });
@@ -249,24 +304,26 @@
 {
     if (failure)
         return;
-    if (m_response->keep_alive())
-        readRequest();
-    else
+    if (!m_response->keep_alive()) {
         closeAfterRefusal();
+        return;
+    }
+    enter(connection_phase::idle);
+    awaitRequest();
 }
 
 void http_connection::closeAfterRefusal()
 {
+    enter(connection_phase::closing);
     error_code ignored;
-    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    m_stream.expires_after(discardTimeout);
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     m_buffer.clear();
     discardInput();
 }
 
 void http_connection::discardInput()
 {
-    m_stream.async_read_some(
+    m_socket.async_read_some(
         m_buffer.prepare(discardPieceBytes),
         [self = shared_from_this()](const error_code &failure, std::size_t count) {
             self->m_discarded += count;
