Keep a connection whose caller sends its next request early

Cause: while a request waited for its answer, only the wait for a disconnect held the connection. Input ended this wait, so a caller that sent its next request before the answer lost the connection and the answer, although its complete request was being handled.

Change: once input is there, the connection waits for a reset instead, until the answer ends that wait. The next request is read after the answer.

--- a/lycheeshunt/http/internal/http_connection.cpp
+++ b/lycheeshunt/http/internal/http_connection.cpp
@@ -250,7 +250,7 @@
     m_parser.reset();
     m_buffer.shrink_to_fit();
     if (id != base::request_id() && m_acceptor.offer(call)) {
-        awaitDisconnect();
+        awaitDisconnect(boost::asio::ip::tcp::socket::wait_read);
         return;
     }
     m_acceptor.calls().remove(id);
@@ -258,23 +258,30 @@
           m_keepsOpen);
 }
 
-void http_connection::awaitDisconnect()
+void http_connection::awaitDisconnect(boost::asio::ip::tcp::socket::wait_type sign)
 {
     if (m_pending == base::request_id())
         return;
     m_socket.async_wait(
-        boost::asio::ip::tcp::socket::wait_read,
-        [self = shared_from_this(), id = m_pending](const error_code &failure) {
-            error_code unknown;
-            const bool hasInput = self->m_socket.available(unknown) > 0;
-            if (failure || self->m_pending != id || hasInput)
-                return;
-            base::logEvent("http", "caller_left", {{"request", std::to_string(id.value())}});
-            self->m_acceptor.calls().remove(id);
-            self->close();
+        sign, [self = shared_from_this(), sign, id = m_pending](const error_code &failure) {
+            if (!failure && self->m_pending == id)
+                self->handleDisconnect(sign);
         });
 }
 
+void http_connection::handleDisconnect(boost::asio::ip::tcp::socket::wait_type sign)
+{
+    error_code unknown;
+    if (sign == boost::asio::ip::tcp::socket::wait_read && m_socket.available(unknown) > 0) {
+        // The next request, which is read after the answer. Until then only a reset is noticed.
+        awaitDisconnect(boost::asio::ip::tcp::socket::wait_error);
+        return;
+    }
+    base::logEvent("http", "caller_left", {{"request", std::to_string(m_pending.value())}});
+    m_acceptor.calls().remove(m_pending);
+    close();
+}
+
 void http_connection::answer(const http_answer &answer)
 {
     m_pending = base::request_id();
--- a/lycheeshunt/http/internal/http_connection.h
+++ b/lycheeshunt/http/internal/http_connection.h
@@ -53,7 +53,8 @@
     void refuse(const error_code &failure);
     void forward();
     // Removes the pending call when the caller disconnects before the answer.
-    void awaitDisconnect();
+    void awaitDisconnect(boost::asio::ip::tcp::socket::wait_type sign);
+    void handleDisconnect(boost::asio::ip::tcp::socket::wait_type sign);
     void answer(const http_answer &answer);
     void write(const http_answer &answer, bool keepsOpen);
     void handleWritten(const error_code &failure);
