Validate operators' tickets against one schema

Cause: the reader of /v1/tickets takes a repeated field, some bytes that are not UTF-8, comments, and an address with a NUL, and its refusals name neither the object nor value and limit.

Change: operators/ticket_schema declares the form of a ticket; the whole ticket is validated before it is read.

--- a/lycheeshunt/operators/json.cpp
+++ b/lycheeshunt/operators/json.cpp
@@ -2,7 +2,9 @@
 
 #include "lycheeshunt/base/overloaded.h"
 #include "lycheeshunt/dissemination/in_force_answer.h"
+#include "lycheeshunt/json/members.h"
 #include "lycheeshunt/operators/flow_destination.h"
+#include "lycheeshunt/operators/ticket_schema.h"
 #include "lycheeshunt/tickets/ticket_record.h"
 
 #include <cpprest/json.h>
@@ -13,105 +15,53 @@
 
 using web::json::value;
 
-// Thrown and caught in this file only: a ticket that is not in the documented form.
-struct malformed_ticket : std::runtime_error
-{
-    using std::runtime_error::runtime_error;
-};
-
-const value &member(const value &object, const std::string &key)
-{
-    if (!object.is_object() || !object.has_field(key))
-        throw malformed_ticket("missing " + key);
-    return object.at(key);
-}
-
-std::string textOf(const value &object, const std::string &key)
-{
-    const value &field = member(object, key);
-    if (!field.is_string())
-        throw malformed_ticket(key + " must be a string");
-    return field.as_string();
-}
-
-std::uint32_t numberOr(const value &object, const std::string &key, std::uint32_t fallback)
-{
-    if (!object.has_field(key))
-        return fallback;
-    const value &field = object.at(key);
-    if (!field.is_integer() || !field.as_number().is_uint32())
-        throw malformed_ticket(key + " must be a whole number of 32 bits");
-    return field.as_number().to_uint32();
-}
+// The functions that return parts of a ticket read a valid one.
 
-void rejectUnknownFields(const value &object, const std::set<std::string> &known)
+std::uint32_t numberOr(const rapidjson::Value &object, const char *key, std::uint32_t fallback)
 {
-    const web::json::object &fields = object.as_object();
-    for (auto it = fields.begin(); it != fields.end(); ++it) {
-        if (known.count(it->first) == 0)
-            throw malformed_ticket("unknown field " + it->first);
-    }
+    return static_cast<std::uint32_t>(json::numberIn(object, key).value_or(fallback));
 }
 
-tickets::service_address addressFrom(const value &json)
+base::clock_time millisOr(const rapidjson::Value &object, const char *key,
+                          base::clock_time fallback)
 {
-    constexpr std::uint8_t tcp = 6;
-    constexpr std::uint8_t udp = 17;
-    if (!json.is_string())
-        throw malformed_ticket("an address must be a string such as tcp:192.0.2.1:443");
-    const std::string &text = json.as_string();
-    const std::string scheme = text.substr(0, 4);
-    const base::result<base::endpoint> where
-        = base::parseEndpoint(text.size() > 4 ? text.substr(4) : "");
-    if (!base::isOk(where) || (scheme != "tcp:" && scheme != "udp:"))
-        throw malformed_ticket("address " + text + " is not of the form tcp:192.0.2.1:443");
-    return tickets::service_address {base::valueOf(where), scheme == "tcp:" ? tcp : udp};
+    return base::clock_time::ofMillis(
+        numberOr(object, key, static_cast<std::uint32_t>(fallback.millis())));
 }
 
-tickets::service_limits limitsFrom(const value &json)
+tickets::service_limits limitsFrom(const rapidjson::Value &limits)
 {
     const tickets::service_limits usual;
-    rejectUnknownFields(json,
-                        {"slots", "connections", "queue_length", "queue_wait_ms",
-                         "long_work_age_ms", "short_only_slots"});
-    return tickets::service_limits {
-        numberOr(json, "slots", usual.slots),
-        numberOr(json, "connections", usual.connections),
-        numberOr(json, "queue_length", usual.queueLength),
-        base::clock_time::ofMillis(
-            numberOr(json, "queue_wait_ms", static_cast<std::uint32_t>(usual.queueWait.millis()))),
-        base::clock_time::ofMillis(numberOr(
-            json, "long_work_age_ms", static_cast<std::uint32_t>(usual.longWorkAge.millis()))),
-        numberOr(json, "short_only_slots", usual.shortOnlySlots)};
+    return tickets::service_limits {numberOr(limits, "slots", usual.slots),
+                                    numberOr(limits, "connections", usual.connections),
+                                    numberOr(limits, "queue_length", usual.queueLength),
+                                    millisOr(limits, "queue_wait_ms", usual.queueWait),
+                                    millisOr(limits, "long_work_age_ms", usual.longWorkAge),
+                                    numberOr(limits, "short_only_slots", usual.shortOnlySlots)};
 }
 
-tickets::ticket_change serviceFrom(const value &json)
+tickets::ticket_change serviceFrom(const rapidjson::Value &service)
 {
     const tickets::service_definition usual;
-    rejectUnknownFields(json, {"name", "addresses", "limits", "buckets"});
     std::vector<tickets::service_address> addresses;
-    for (const value &raw : member(json, "addresses").as_array())
-        addresses.push_back(addressFrom(raw));
-    const tickets::service_limits limits
-        = json.has_field("limits") ? limitsFrom(json.at("limits")) : tickets::service_limits {};
-    return tickets::service_definition {textOf(json, "name"), std::move(addresses), limits,
-                                        numberOr(json, "buckets", usual.buckets)};
+    for (const rapidjson::Value &raw : json::requiredIn(service, "addresses").GetArray())
+        addresses.push_back(addressFrom(json::viewOf(raw)).value());
+    const rapidjson::Value *limits = json::memberIn(service, "limits");
+    return tickets::service_definition {json::textIn(service, "name").value(), std::move(addresses),
+                                        limits == nullptr ? usual.limits : limitsFrom(*limits),
+                                        numberOr(service, "buckets", usual.buckets)};
 }
 
-tickets::ticket_change changeFrom(const value &json)
+tickets::ticket_change changeFrom(const rapidjson::Value &change)
 {
-    if (!json.is_object() || json.size() != 1)
-        throw malformed_ticket("a change must be one of service, remove_service, drain");
-    if (json.has_field("service"))
-        return serviceFrom(json.at("service"));
-    if (json.has_field("remove_service"))
-        return tickets::service_removal {textOf(json, "remove_service")};
-    if (!json.has_field("drain"))
-        throw malformed_ticket("a change must be one of service, remove_service, drain");
-    const value &drain = json.at("drain");
-    rejectUnknownFields(drain, {"node", "draining"});
-    return tickets::drain_order {textOf(drain, "node"),
-                                 !drain.has_field("draining") || drain.at("draining").as_bool()};
+    if (const rapidjson::Value *service = json::memberIn(change, "service"))
+        return serviceFrom(*service);
+    if (const std::optional<std::string> removed = json::textIn(change, "remove_service"))
+        return tickets::service_removal {*removed};
+    const rapidjson::Value &drain = json::requiredIn(change, "drain");
+    const rapidjson::Value *isDraining = json::memberIn(drain, "draining");
+    return tickets::drain_order {json::textIn(drain, "node").value(),
+                                 isDraining == nullptr || isDraining->GetBool()};
 }
 
 value namesJson(const std::vector<std::string> &names)
@@ -228,20 +178,15 @@
 
 base::result<tickets::ticket> ticketFromJson(const std::string &text)
 {
-    try {
-        const value json = value::parse(text);
-        rejectUnknownFields(json, {"number", "author", "changes"});
-        const value &number = member(json, "number");
-        if (!number.is_integer() || !number.as_number().is_uint64())
-            throw malformed_ticket("number must be a whole number");
-        std::vector<tickets::ticket_change> changes;
-        for (const value &raw : member(json, "changes").as_array())
-            changes.push_back(changeFrom(raw));
-        return tickets::ticket {base::ticket_number(number.as_number().to_uint64()),
-                                textOf(json, "author"), std::move(changes)};
-    } catch (const std::exception &failure) {
-        return base::error {base::error_code::ticketMalformed, failure.what()};
-    }
+    const base::result<rapidjson::Document> read = readValidTicket(text);
+    if (const base::error *failure = base::errorOf(read))
+        return *failure;
+    const rapidjson::Document &document = base::valueOf(read);
+    std::vector<tickets::ticket_change> changes;
+    for (const rapidjson::Value &change : json::requiredIn(document, "changes").GetArray())
+        changes.push_back(changeFrom(change));
+    return tickets::ticket {base::ticket_number(json::requiredIn(document, "number").GetUint64()),
+                            json::textIn(document, "author").value(), std::move(changes)};
 }
 
 std::string refusalJson(const tickets::ticket_refusal &refusal)
