Refuse an evacuation of a zone whose name is not UTF-8

Cause: the zone in the path of an evacuation order may decode to any bytes. They are then part of the JSON of GET /v1/status, which is not valid.

Zones of agents come from settings, which are UTF-8, so no agent has such a zone. Orders in the log load as before.

Evidence: evacuation_call otherCallsAndBadNamesAreRefused with the new row fails with the code before this change and passes with it.

--- a/lycheeshunt/evacuations/zone_path.cpp
+++ b/lycheeshunt/evacuations/zone_path.cpp
@@ -1,6 +1,7 @@
 #include "lycheeshunt/evacuations/zone_path.h"
 
 #include "lycheeshunt/evacuations/codec.h"
+#include "lycheeshunt/json/utf8.h"
 
 #include <cpprest/base_uri.h>
 
@@ -17,8 +18,11 @@
     }
     if (!isZoneName(zone))
         return base::error {base::error_code::requestMalformed,
-                            "the name of a zone has 1 to " + std::to_string(maxZoneBytes)
-                                + " bytes"};
+                            "the name of the zone has " + std::to_string(zone.size())
+                                + " bytes, must have 1 to " + std::to_string(maxZoneBytes)};
+    if (!json::isUtf8(zone))
+        return base::error {base::error_code::requestMalformed,
+                            "the name of the zone is " + segment + ", must be UTF-8"};
     return zone;
 }
 
