--- a/lycheeshunt/replication/internal/membership_change.cpp
+++ b/lycheeshunt/replication/internal/membership_change.cpp
@@ -213,8 +213,8 @@
     state.presences.emplace(from.node,
                             peer_presence {from.storage, message.isFormed, message.api, state.now,
                                            message.name, message.streams});
-    // Shorter with each repetition, the timeouts of several VMs would end at the same time and split
-    // the vote.
+    // Shorter with each repetition, the timeouts of several VMs would end at the same time and
+    // split the vote.
     if (!isRepeated)
         shortenFirstElectionTimeout(state);
     if (!state.settings->isOpen()) {
--- a/lycheeshunt/streams/connect_schedule_test.cpp
+++ b/lycheeshunt/streams/connect_schedule_test.cpp
@@ -18,7 +18,7 @@
 
 TEST_GROUP(connect_schedule)
 {
-    const streams::stream_timing timing;
+    const streams::stream_timing timing = {};
     const std::int64_t attempt = timing.attemptDelay.millis();
     const std::int64_t refused = timing.refusedDelay.millis();
     const std::int64_t round = 150;
