Add a soak test that injects faults and checks promises

Cause: nothing ran the real processes under overlapping stops, kills and pauses and checked what callers, servers and operators observe (docs/design/hardening.md, section 5).

Change: tools/soak runs three control VMs, two entries and four agents on loopback. The schedule depends on the seed and the length alone. Callers, the fabric, backend servers and operators are duties of the soak, joined to the checks by a bounded ring; the schedule, the models and the checks use no sockets. Checks: resets of open flows, unanswered flows, packets at a wrong service, requests that run twice, refusals that are not true, tickets that are lost, changed or out of order, processes that end by themselves or log an error. Resets of flows whose own agent was stopped or killed are counted and not reported: docs/OPERATING.md says that such an agent stops carrying them. Resets of flows that two servers opened after a kill or a pause have a name of their own (docs/DESIGN.md, "Known limits").

--- /dev/null
+++ b/tools/soaktest/check_state.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "tools/soaktest/flow_record.h"
+#include "tools/soaktest/observed_event.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lycheeshunt::soak {
+
+struct topology;
+
+struct check_state
+{
+    std::shared_ptr<const topology> deployment;
+    std::map<base::flow_key, flow_record> flows = {};
+    // By number; with the time at which the operator had the answer.
+    std::map<std::uint64_t, observed_event> accepted = {};
+    // The last kill or pause; empty while there was planned work only.
+    std::string lastUnplanned = {};
+    // Resets of flows whose agent was lost, which docs/OPERATING.md announces.
+    std::uint64_t announcedResets = 0;
+
+    bool operator==(const check_state &) const = default;
+};
+
+} // namespace lycheeshunt::soak
--- /dev/null
+++ b/tools/soaktest/schedule.cpp
@@ -0,0 +1,117 @@
+#include "tools/soaktest/schedule.h"
+
+#include "lycheeshunt/base/overloaded.h"
+#include "tools/soaktest/topology.h"
+
+#include <algorithm>
+#include <random>
+
+namespace lycheeshunt::soak {
+
+namespace {
+
+using base::clock_time;
+
+// Seeds rotate through these so that a failure under planned work alone can be told from others.
+enum class schedule_style { plannedOnly, oneAtATime, overlapping };
+constexpr std::uint64_t styleCount = 3;
+
+constexpr clock_time firstOrderAt = clock_time::ofMillis(500);
+constexpr clock_time shortestOutage = clock_time::ofMillis(500);
+constexpr clock_time longestOutage = clock_time::ofMillis(3000);
+
+class schedule_builder
+{
+public:
+    schedule_builder(const topology &deployment, std::uint64_t seed, clock_time length)
+        : m_random(seed), m_style(static_cast<schedule_style>(seed % styleCount)), m_length(length)
+    {
+        m_processes = deployment.controls;
+        m_processes.insert(m_processes.end(), deployment.entries.begin(), deployment.entries.end());
+        for (auto it = deployment.backends.begin(); it != deployment.backends.end(); ++it)
+            m_processes.push_back(it->first);
+    }
+
+    std::vector<planned_order> build()
+    {
+        addProcessFaults();
+        std::stable_sort(
+            m_orders.begin(), m_orders.end(),
+            [](const planned_order &a, const planned_order &b) { return a.at < b.at; });
+        return std::move(m_orders);
+    }
+
+private:
+    clock_time between(clock_time least, clock_time most)
+    {
+        const std::uint64_t span = static_cast<std::uint64_t>((most - least).millis()) + 1;
+        return least + clock_time::ofMillis(static_cast<std::int64_t>(m_random() % span));
+    }
+
+    void addProcessFaults()
+    {
+        std::map<std::string, clock_time> busyUntil;
+        for (clock_time at = firstOrderAt; at + longestOutage <= m_length;) {
+            const std::string &process = m_processes[m_random() % m_processes.size()];
+            const clock_time outage = between(shortestOutage, longestOutage);
+            // Two faults of one process never overlap: a paused process would not end on SIGTERM.
+            if (busyUntil[process] > at) {
+                at = at + clock_time::ofMillis(100);
+                continue;
+            }
+            addFault(process, at, outage);
+            busyUntil[process] = at + outage + shortestOutage;
+            at = m_style == schedule_style::overlapping
+                ? at + between(clock_time::ofMillis(200), clock_time::ofMillis(1500))
+                : at + outage + between(clock_time::ofMillis(300), clock_time::ofMillis(1500));
+        }
+    }
+
+    void addFault(const std::string &process, clock_time at, clock_time outage)
+    {
+        constexpr process_change changes[]
+            = {process_change::stop, process_change::kill, process_change::pause};
+        const process_change drawn = changes[m_random() % std::size(changes)];
+        const process_change change
+            = m_style == schedule_style::plannedOnly ? process_change::stop : drawn;
+        const process_change end
+            = change == process_change::pause ? process_change::resume : process_change::start;
+        m_orders.push_back({at, process_order {process, change}});
+        m_orders.push_back({at + outage, process_order {process, end}});
+    }
+
+    std::mt19937_64 m_random;
+    const schedule_style m_style;
+    const clock_time m_length;
+    std::vector<std::string> m_processes;
+    std::vector<planned_order> m_orders;
+};
+
+constexpr const char *changeNames[] = {"stop", "kill", "pause", "resume", "start"};
+
+} // namespace
+
+std::vector<planned_order> scheduleFor(const topology &deployment, std::uint64_t seed,
+                                       clock_time length)
+{
+    return schedule_builder(deployment, seed, length).build();
+}
+
+std::string textOf(const soak_order &order)
+{
+    return std::visit(
+        base::overloaded {
+            [](const process_order &o) {
+                return std::string(changeNames[static_cast<std::size_t>(o.change)]) + " "
+                    + o.process;
+            },
+        },
+        order);
+}
+
+std::string textOf(const planned_order &planned)
+{
+    return std::to_string(planned.at.millis()) + " ms: " + textOf(planned.order);
+}
+
+} // namespace lycheeshunt::soak
