Add evacuations, drains and faults of streams to the soak test

Cause: the soak did not evacuate zones, drain agents before planned work or disturb the streams between control and the other processes (docs/design/hardening.md, section 5).

Change: the schedule evacuates and restores one zone in each run, drains agents before half of their planned stops, and delays, resets or silences the streams of a control VM, all of them or every second one. A proxy in front of each control VM carries the streams; all control VMs name its address, since nodes learn the addresses that control VMs know. New checks: opening packets in an evacuated zone, and members that do not serve again at the end. The former counts 5 s from when control reports that every VM has the order, so that it does not depend on the speed of the machine.

--- a/tools/soaktest/check_state.h
+++ b/tools/soaktest/check_state.h
@@ -17,6 +17,8 @@
     std::map<base::flow_key, flow_record> flows = {};
     // By number; with the time at which the operator had the answer.
     std::map<std::uint64_t, observed_event> accepted = {};
+    // Evacuated zones, with the time since which every VM has the order.
+    std::map<std::string, base::clock_time> evacuated = {};
     // The last kill or pause; empty while there was planned work only.
     std::string lastUnplanned = {};
     // Resets of flows whose agent was lost, which docs/OPERATING.md announces.
--- a/tools/soaktest/checks.cpp
+++ b/tools/soaktest/checks.cpp
@@ -25,7 +25,7 @@
     void see(const packet_delivered &seen)
     {
         if (seen.opens)
-            m_state.flows[seen.flow].openedAt.insert(seen.server);
+            noteOpening(seen);
         const std::string &wanted = m_state.deployment->serviceOfAddress.at(seen.flow.service);
         const backend_place &place = m_state.deployment->backends.at(seen.server);
         if (place.service != wanted)
@@ -83,6 +83,12 @@
                 = it->second.isCarrierLost || it->second.heldBy.count(seen.order.process) > 0;
     }
 
+    void see(const link_ordered &seen)
+    {
+        if (!std::holds_alternative<link_clear>(seen.order.fault))
+            m_state.lastUnplanned = "fault of the streams of " + seen.order.control;
+    }
+
     // docs/OPERATING.md: a process ends with 0 after a stop.
     void see(const process_exited &seen)
     {
@@ -150,7 +156,26 @@
                "ticket " + std::to_string(seen.number) + " at " + seen.behind + cause());
     }
 
+    void see(const zone_in_force &seen) { m_state.evacuated.insert_or_assign(seen.zone, m_now); }
+    void see(const zone_withdrawn &seen) { m_state.evacuated.erase(seen.zone); }
+
+    void see(const member_missing &seen) { report("member_missing", seen.status + cause()); }
+
 private:
+    // docs/design/hard-load.md: no opening packet reaches an evacuated zone from 5,000 ms after the
+    // answer on. Here the time counts from when control reported that every VM has the order, so
+    // that it does not depend on the speed of the machine. Copies of earlier openings may arrive.
+    void noteOpening(const packet_delivered &seen)
+    {
+        constexpr clock_time allowance = clock_time::ofMillis(5000);
+        flow_record &flow = m_state.flows[seen.flow];
+        flow.openedAt.insert(seen.server);
+        const auto zone = m_state.evacuated.find(m_state.deployment->backends.at(seen.server).zone);
+        if (zone != m_state.evacuated.end() && flow.openingAt > zone->second + allowance)
+            report("evacuated_zone",
+                   seen.flow.text() + " opened at " + seen.server + " in " + zone->first + cause());
+    }
+
     void compare(const ticket_accepted &accepted, std::uint64_t number, const std::string &author,
                  std::uint64_t generation)
     {
--- a/tools/soaktest/checks_test.cpp
+++ b/tools/soaktest/checks_test.cpp
@@ -66,6 +66,10 @@
           == failuresOf({flow_held {logbookFlow, "logbook-1"},
                          process_ordered {{"entry-1", process_change::kill}},
                          flow_reset {logbookFlow, "caller"}}));
+    CHECK(names {"open_flow_reset"}
+          == failuresOf({flow_held {logbookFlow, "logbook-1"},
+                         link_ordered {{"control-1", false, link_reset {}}},
+                         flow_reset {logbookFlow, "caller"}}));
 }
 
 TEST(checks, nameTheResetOfAFlowThatTwoServersOpened)
@@ -156,6 +160,34 @@
           == failuresOf({first, ticket_accepted {11, "operator-2", 4, late}}));
 }
 
+TEST(checks, findAnOpeningPacketInAnEvacuatedZone)
+{
+    const packet_delivered opening {logbookFlow, "logbook-1", true};
+    const zone_in_force order {"zone-1"};
+    // With one event every 10 ms, longer than an order may take.
+    const std::vector<observation> pause(600, zone_in_force {"zone-9"});
+    const auto historyOf
+        = [&](const std::vector<observation> &before, const std::vector<observation> &after) {
+              std::vector<observation> all = before;
+              for (const std::vector<observation> *part : {&pause, &after}) {
+                  for (const observation &seen : *part)
+                      all.push_back(seen);
+              }
+              return all;
+          };
+    CHECK(failuresOf(historyOf({order, flow_opening {logbookFlow}}, {opening})).empty());
+    CHECK(failuresOf(
+              historyOf({order}, {flow_opening {logbookFlow}, zone_withdrawn {"zone-1"}, opening}))
+              .empty());
+    CHECK(names {"evacuated_zone"}
+          == failuresOf(historyOf({order}, {flow_opening {logbookFlow}, opening})));
+}
+
+TEST(checks, findAMemberThatDoesNotServeAgain)
+{
+    CHECK(names {"member_missing"} == failuresOf({member_missing {"5 of 6"}}));
+}
+
 TEST(checks, findATicketThatIsRefusedUnlessAnotherOperatorCompetes)
 {
     CHECK(failuresOf({ticket_refused {10, "operator-1", "E602", true}}).empty());
--- a/tools/soaktest/deployment.cpp
+++ b/tools/soaktest/deployment.cpp
@@ -30,9 +30,8 @@
     for (const std::string &process : processes()) {
         const base::endpoint main = base::freeEndpoint();
         const base::endpoint side = base::freeEndpoint();
-        const bool isControl = process.starts_with("control");
-        m_addresses.emplace(
-            process, process_addresses {main, side, isControl ? main : base::freeEndpoint()});
+        const base::endpoint far = base::freeEndpoint();
+        m_addresses.emplace(process, process_addresses {main, side, far});
     }
     for (const std::string &control : m_topology.controls)
         writeSettings(control, controlSettings(control));
--- a/tools/soaktest/observation.h
+++ b/tools/soaktest/observation.h
@@ -8,6 +8,8 @@
 #include "tools/soaktest/flow_released.h"
 #include "tools/soaktest/flow_reset.h"
 #include "tools/soaktest/flow_unanswered.h"
+#include "tools/soaktest/link_ordered.h"
+#include "tools/soaktest/member_missing.h"
 #include "tools/soaktest/not_in_force.h"
 #include "tools/soaktest/packet_delivered.h"
 #include "tools/soaktest/process_exited.h"
@@ -17,6 +19,8 @@
 #include "tools/soaktest/ticket_accepted.h"
 #include "tools/soaktest/ticket_read.h"
 #include "tools/soaktest/ticket_refused.h"
+#include "tools/soaktest/zone_in_force.h"
+#include "tools/soaktest/zone_withdrawn.h"
 
 #include <variant>
 
@@ -25,6 +29,7 @@
 using observation
     = std::variant<flow_opening, packet_delivered, request_run, flow_held, flow_released,
                    flow_reset, flow_unanswered, process_ordered, process_exited, process_stuck,
-                   fault_logged, ticket_accepted, ticket_read, ticket_refused, not_in_force>;
+                   fault_logged, ticket_accepted, ticket_read, ticket_refused, not_in_force,
+                   zone_in_force, zone_withdrawn, member_missing, link_ordered>;
 
 } // namespace lycheeshunt::soak
--- a/tools/soaktest/process_addresses.h
+++ b/tools/soaktest/process_addresses.h
@@ -11,7 +11,7 @@
     base::endpoint main;
     // Entry: hints. Agent: packets of its server. Control: the operators' API.
     base::endpoint side;
-    // Agent: its backend server. Control: where other processes connect to its streams.
+    // Agent: its backend server. Control: the proxy of its streams.
     base::endpoint far;
 
     bool operator==(const process_addresses &) const = default;
--- a/tools/soaktest/schedule.cpp
+++ b/tools/soaktest/schedule.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 namespace lycheeshunt::soak {
 
@@ -26,15 +27,20 @@
     schedule_builder(const topology &deployment, std::uint64_t seed, clock_time length)
         : m_random(seed), m_style(static_cast<schedule_style>(seed % styleCount)), m_length(length)
     {
+        m_controls = deployment.controls;
         m_processes = deployment.controls;
         m_processes.insert(m_processes.end(), deployment.entries.begin(), deployment.entries.end());
         for (auto it = deployment.backends.begin(); it != deployment.backends.end(); ++it)
-            m_processes.push_back(it->first);
+            m_agents.insert(it->first);
+        m_processes.insert(m_processes.end(), m_agents.begin(), m_agents.end());
     }
 
     std::vector<planned_order> build()
     {
         addProcessFaults();
+        addEvacuation();
+        if (m_style != schedule_style::plannedOnly)
+            addLinkFaults();
         std::stable_sort(
             m_orders.begin(), m_orders.end(),
             [](const planned_order &a, const planned_order &b) { return a.at < b.at; });
@@ -67,6 +73,48 @@
         }
     }
 
+    // The order is in force long enough for the check, which begins 5 s after all VMs have it.
+    void addEvacuation()
+    {
+        const std::string zone = "zone-" + std::to_string(1 + m_random() % 2);
+        const clock_time at = between(firstOrderAt, m_length / 6);
+        m_orders.push_back({at, zone_order {zone, true}});
+        m_orders.push_back(
+            {m_length - between(clock_time(), m_length / 8), zone_order {zone, false}});
+    }
+
+    void addLinkFaults()
+    {
+        for (clock_time at = between(firstOrderAt, m_length / 4); at + longestOutage <= m_length;
+             at = at + between(m_length / 8, m_length / 3)) {
+            const std::string &control = m_controls[m_random() % m_controls.size()];
+            const bool isPartial = m_random() % 2 == 0;
+            const link_fault fault = drawLinkFault();
+            m_orders.push_back({at, link_order {control, isPartial, fault}});
+            if (std::holds_alternative<link_reset>(fault))
+                continue;
+            at = at + between(shortestOutage, longestOutage);
+            m_orders.push_back({at, link_order {control, false, link_clear {}}});
+        }
+    }
+
+    link_fault drawLinkFault()
+    {
+        constexpr std::uint64_t kinds = 5;
+        switch (m_random() % kinds) {
+        case 0:
+            return link_delay {between(clock_time::ofMillis(50), clock_time::ofMillis(800))};
+        case 1:
+            return link_reset {};
+        case 2:
+            return link_silence {true, false};
+        case 3:
+            return link_silence {false, true};
+        default:
+            return link_silence {true, true};
+        }
+    }
+
     void addFault(const std::string &process, clock_time at, clock_time outage)
     {
         constexpr process_change changes[]
@@ -76,17 +124,45 @@
             = m_style == schedule_style::plannedOnly ? process_change::stop : drawn;
         const process_change end
             = change == process_change::pause ? process_change::resume : process_change::start;
+        // Planned work on an agent begins with a drain in every second case.
+        const bool isAgent = m_agents.count(process) > 0;
+        const bool drains
+            = isAgent && m_style == schedule_style::plannedOnly && m_random() % 2 == 0;
+        if (drains)
+            m_orders.push_back({at, drain_order {process, true}});
         m_orders.push_back({at, process_order {process, change}});
         m_orders.push_back({at + outage, process_order {process, end}});
+        if (drains)
+            m_orders.push_back({at + outage, drain_order {process, false}});
     }
 
     std::mt19937_64 m_random;
     const schedule_style m_style;
     const clock_time m_length;
+    std::vector<std::string> m_controls;
     std::vector<std::string> m_processes;
+    std::set<std::string> m_agents;
     std::vector<planned_order> m_orders;
 };
 
+std::string textOf(const link_fault &fault)
+{
+    return std::visit(base::overloaded {
+                          [](const link_clear &) { return std::string("clear"); },
+                          [](const link_delay &f) {
+                              return "delay by " + std::to_string(f.delay.millis()) + " ms";
+                          },
+                          [](const link_silence &f) {
+                              return std::string("silence ")
+                                  + (f.toControl && f.fromControl ? "both directions of"
+                                         : f.toControl            ? "towards control"
+                                                                  : "from control");
+                          },
+                          [](const link_reset &) { return std::string("reset"); },
+                      },
+                      fault);
+}
+
 constexpr const char *changeNames[] = {"stop", "kill", "pause", "resume", "start"};
 
 } // namespace
@@ -105,6 +181,12 @@
                 return std::string(changeNames[static_cast<std::size_t>(o.change)]) + " "
                     + o.process;
             },
+            [](const zone_order &o) { return (o.isEvacuated ? "evacuate " : "restore ") + o.zone; },
+            [](const drain_order &o) { return (o.isDraining ? "drain " : "undrain ") + o.agent; },
+            [](const link_order &o) {
+                return textOf(o.fault) + " the " + (o.isPartial ? "second " : "") + "streams of "
+                    + o.control;
+            },
         },
         order);
 }
--- a/tools/soaktest/schedule_test.cpp
+++ b/tools/soaktest/schedule_test.cpp
@@ -74,10 +74,60 @@
     CHECK_EQUAL(processes * changes, seen.size());
 }
 
+// A zone that stayed evacuated would refuse flows of the next checks, and a drain that is not
+// followed by a stop would test nothing.
+TEST(schedule, everyZoneAndAgentReturnsToService)
+{
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+        std::set<std::string> out;
+        std::size_t evacuations = 0;
+        for (const planned_order &planned : scheduleOf(seed)) {
+            if (const zone_order *order = std::get_if<zone_order>(&planned.order)) {
+                ++evacuations;
+                const bool isChanged = order->isEvacuated ? out.insert(order->zone).second
+                                                          : out.erase(order->zone) == 1;
+                CHECK(isChanged);
+            }
+            if (const drain_order *order = std::get_if<drain_order>(&planned.order)) {
+                const bool isChanged = order->isDraining ? out.insert(order->agent).second
+                                                         : out.erase(order->agent) == 1;
+                CHECK(isChanged);
+            }
+        }
+        CHECK(out.empty());
+        CHECK_EQUAL(2, evacuations);
+    }
+}
+
+// A control VM that stayed cut off would make the checks at the end fail for no fault of the
+// product.
+TEST(schedule, everyFaultOfStreamsEnds)
+{
+    std::set<std::size_t> kinds;
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+        std::set<std::string> faulty;
+        for (const planned_order &planned : scheduleOf(seed)) {
+            const link_order *order = std::get_if<link_order>(&planned.order);
+            if (order == nullptr)
+                continue;
+            kinds.insert(order->fault.index());
+            if (std::holds_alternative<link_clear>(order->fault)) {
+                CHECK(!order->isPartial);
+                CHECK_EQUAL(1, faulty.erase(order->control));
+            } else if (!std::holds_alternative<link_reset>(order->fault)) {
+                CHECK(faulty.insert(order->control).second);
+            }
+        }
+        CHECK(faulty.empty());
+    }
+    CHECK_EQUAL(std::variant_size_v<link_fault>, kinds.size());
+}
+
 // Only a run without kills and pauses can show that planned work alone broke a flow.
 TEST(schedule, everyThirdSeedHasPlannedWorkOnly)
 {
     for (const planned_order &planned : scheduleOf(3)) {
+        CHECK_FALSE(std::holds_alternative<link_order>(planned.order));
         if (const process_order *order = std::get_if<process_order>(&planned.order))
             CHECK(order->change == process_change::stop || order->change == process_change::start);
     }
--- a/tools/soaktest/server_duty.cpp
+++ b/tools/soaktest/server_duty.cpp
@@ -18,8 +18,9 @@
         if (const base::error *failure = base::errorOf(socket))
             throw std::runtime_error(failure->text());
         const std::uint32_t number = static_cast<std::uint32_t>(m_servers.size()) + 1;
-        m_servers.push_back({base::takeValue(std::move(socket)), it->second.side,
+        m_servers.push_back({it->first, base::takeValue(std::move(socket)), it->second.side,
                              server_model(it->first, number * sequenceDistance)});
+        m_openFlows[it->first] = 0;
     }
     m_thread = std::thread([this]() { run(); });
 }
@@ -48,6 +49,7 @@
     while (const std::optional<std::string> bytes
            = packets::receiveDatagram(receiver.socket.get())) {
         const stand_in_output output = receiver.model.receive(*bytes);
+        m_openFlows.at(receiver.name) = receiver.model.openFlows();
         for (const observation &seen : output.observations)
             m_sink(seen);
         for (const std::string &packet : output.packets)
--- a/tools/soaktest/server_duty.h
+++ b/tools/soaktest/server_duty.h
@@ -8,6 +8,7 @@
 #include "tools/soaktest/process_addresses.h"
 #include "tools/soaktest/server_model.h"
 
+#include <atomic>
 #include <map>
 #include <thread>
 
@@ -20,9 +21,12 @@
     server_duty(const std::map<std::string, process_addresses> &agents, event_sink sink);
     ~server_duty();
 
+    int openFlows(const std::string &name) const { return m_openFlows.at(name); }
+
 private:
     struct server
     {
+        std::string name;
         base::file_descriptor socket;
         base::endpoint agent;
         server_model model;
@@ -36,6 +40,7 @@
 
     const event_sink m_sink;
     std::vector<server> m_servers;
+    std::map<std::string, std::atomic<int>> m_openFlows;
     base::ring<stop_servers> m_inbox {1};
     std::thread m_thread;
 };
--- a/tools/soaktest/server_model.h
+++ b/tools/soaktest/server_model.h
@@ -18,6 +18,8 @@
     server_model(std::string name, std::uint32_t initialSequence);
 
     stand_in_output receive(const std::string &packet);
+    // Flows that are open and that the caller has not ended.
+    int openFlows() const { return m_openFlows; }
 
 private:
     struct connection
@@ -35,6 +37,7 @@
     const std::string m_name;
     const std::uint32_t m_initialSequence;
     std::unordered_map<base::flow_key, connection> m_connections;
+    int m_openFlows = 0;
 };
 
 } // namespace lycheeshunt::soak
--- a/tools/soaktest/soak_run.cpp
+++ b/tools/soaktest/soak_run.cpp
@@ -1,8 +1,8 @@
 #include "tools/soaktest/soak_run.h"
 
 #include "lycheeshunt/base/free_endpoint_test.h"
-#include "lycheeshunt/base/overloaded.h"
 #include "tools/soaktest/http_client.h"
+#include "tools/soaktest/recovery_limit.h"
 #include "tools/soaktest/schedule.h"
 
 #include <cstdlib>
@@ -15,9 +15,6 @@
 
 using base::clock_time;
 
-// The system recovers from the end of a fault within 4,000 ms (docs/design/hard-load.md). Fifteen
-// times that, so that a slow machine breaks no promise; a run that recovers does not wait for it.
-constexpr clock_time recoveryLimit = clock_time::ofSeconds(60);
 constexpr clock_time pollInterval = clock_time::ofMillis(20);
 constexpr clock_time progressInterval = clock_time::ofSeconds(5);
 constexpr clock_time requestTimeout = clock_time::ofSeconds(5);
@@ -55,10 +52,12 @@
     } catch (const std::exception &failure) {
         m_result.obstacle = failure.what();
     }
+    m_maintenance.reset();
     m_operators.clear();
     m_result.answers = m_callers == nullptr ? 0 : m_callers->answers();
     m_callers.reset();
     m_servers.reset();
+    m_links.reset();
     m_deployment.reset();
     for (const violation &found : m_checks.finish())
         m_result.violations.push_back({found.at - m_startedAt, found.check, found.details});
@@ -81,10 +80,13 @@
     for (auto it = m_topology->backends.begin(); it != m_topology->backends.end(); ++it)
         agents.emplace(it->first, m_deployment->addressesOf(it->first));
     m_servers = std::make_unique<server_duty>(agents, sink);
+    std::map<std::string, process_addresses> controlAddresses;
+    for (const std::string &control : m_topology->controls)
+        controlAddresses.emplace(control, m_deployment->addressesOf(control));
+    m_links = std::make_unique<link_duty>(controlAddresses);
     m_startedAt = clock_time::steady();
     m_deployment->startAll();
-    if (!await([this]() { return awaitServing(); })
-        || !await([this]() { return submitServices(); }))
+    if (!await([this]() { return isServing(); }) || !await([this]() { return submitServices(); }))
         throw std::runtime_error("the deployment did not start");
 
     m_startedAt = clock_time::steady();
@@ -101,16 +103,18 @@
             controls,
             operator_model(i, controls.size(), m_options.seed * operatorCount + i, m_startedAt),
             sink));
+    m_maintenance = std::make_unique<maintenance_duty>(controls, m_options.seed, sink);
 }
 
-bool soak_run::awaitServing()
+bool soak_run::isServing()
 {
     const std::string serving = R"("state":"serving")";
     const std::size_t members = m_topology->entries.size() + m_topology->backends.size();
     const std::optional<http_answer> answer
         = call(m_deployment->controlApis().front(), {"GET", "/v1/status"}, requestTimeout);
+    m_status = answer ? answer->body : "no answer";
     std::size_t found = 0;
-    for (std::size_t at = 0; answer && (at = answer->body.find(serving, at)) != std::string::npos;
+    for (std::size_t at = 0; (at = m_status.find(serving, at)) != std::string::npos;
          at += serving.size())
         ++found;
     return found == members;
@@ -140,23 +144,42 @@
          scheduleFor(*m_topology, m_options.seed, m_options.length)) {
         pauseUntil(m_startedAt + planned.at);
         note(textOf(planned.order));
-        std::visit(
-            base::overloaded {
-                [this](const process_order &order) { carryOut(order); },
-            },
-            planned.order);
+        std::visit([this](const auto &order) { carryOut(order); }, planned.order);
     }
     pauseUntil(m_startedAt + m_options.length);
 }
 
 void soak_run::carryOut(const process_order &order)
 {
-    m_checks.push(process_ordered {order});
     if (order.change == process_change::start)
         awaitEnd(order.process);
+    if (order.change == process_change::stop && m_drained.count(order.process) > 0) {
+        await([this]() { return m_maintenance->isIdle(); });
+        await([&]() { return m_servers->openFlows(order.process) == 0; });
+        note(order.process + " has " + std::to_string(m_servers->openFlows(order.process))
+             + " open flows");
+    }
+    m_checks.push(process_ordered {order});
     m_deployment->change(order);
 }
 
+void soak_run::carryOut(const maintenance_order &order)
+{
+    m_maintenance->push(order);
+    if (const drain_order *drain = std::get_if<drain_order>(&order)) {
+        if (drain->isDraining)
+            m_drained.insert(drain->agent);
+        else
+            m_drained.erase(drain->agent);
+    }
+}
+
+void soak_run::carryOut(const link_order &order)
+{
+    m_checks.push(link_ordered {order});
+    m_links->push(order);
+}
+
 void soak_run::awaitEnd(const std::string &process)
 {
     if (await([&]() { return !m_deployment->isRunning(process); }))
@@ -169,8 +192,13 @@
 void soak_run::settle()
 {
     note("settle");
+    // It reports what it gives up.
+    while (!m_maintenance->isIdle())
+        pauseUntil(clock_time::steady() + pollInterval);
     for (const std::unique_ptr<operator_duty> &each : m_operators)
         each->stop();
+    if (!await([this]() { return isServing(); }))
+        m_checks.push(member_missing {m_status});
     m_callers->finish();
     if (!await([this]() { return m_callers->openFlows() == 0; }))
         m_callers->reportUnanswered();
--- a/tools/soaktest/soak_run.h
+++ b/tools/soaktest/soak_run.h
@@ -6,6 +6,8 @@
 #include "tools/soaktest/caller_duty.h"
 #include "tools/soaktest/check_duty.h"
 #include "tools/soaktest/deployment.h"
+#include "tools/soaktest/link_duty.h"
+#include "tools/soaktest/maintenance_duty.h"
 #include "tools/soaktest/operator_duty.h"
 #include "tools/soaktest/planned_order.h"
 #include "tools/soaktest/server_duty.h"
@@ -13,6 +15,7 @@
 #include "tools/soaktest/soak_result.h"
 
 #include <functional>
+#include <set>
 
 namespace lycheeshunt::soak {
 
@@ -31,8 +34,10 @@
     void stopAll();
 
     void carryOut(const process_order &order);
+    void carryOut(const maintenance_order &order);
+    void carryOut(const link_order &order);
     void awaitEnd(const std::string &process);
-    bool awaitServing();
+    bool isServing();
     bool submitServices();
     void auditTickets();
     bool awaitOutcome(const http_request &request, std::uint64_t number);
@@ -51,9 +56,13 @@
     base::clock_time m_nextProgressAt;
     check_duty m_checks;
     std::unique_ptr<deployment> m_deployment;
+    std::unique_ptr<link_duty> m_links;
     std::unique_ptr<server_duty> m_servers;
     std::unique_ptr<caller_duty> m_callers;
     std::vector<std::unique_ptr<operator_duty>> m_operators;
+    std::unique_ptr<maintenance_duty> m_maintenance;
+    std::set<std::string> m_drained;
+    std::string m_status;
 };
 
 } // namespace lycheeshunt::soak
