Plant five faults in a test build and show that the soak finds them

Cause: a soak that passes shows little unless it is known to fail when the product breaks a promise (docs/design/hardening.md, section 5). Two flaws of the soak showed up: it reported the reset of a flow that an agent opened after it was told to end but before it did, and after a wait for a drained agent it sent later orders without the time between them, so that SIGTERM reached a process that did not handle signals yet.

Change: LYCHEESHUNT_PLANTED_FAULTS, off by default, compiles five faults into the product; an environment variable turns one on. An order that had to wait delays the later ones.

In a default build the tests of flows, routing, tickets and the soak's own pass.

--- a/lycheeshunt/dissemination/cluster_view.h
+++ b/lycheeshunt/dissemination/cluster_view.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "lycheeshunt/base/identifiers.h"
+#include "lycheeshunt/base/planted_fault.h"
 #include "lycheeshunt/membership/membership_batch.h"
 #include "lycheeshunt/tickets/address_route.h"
 #include "lycheeshunt/tickets/ticket.h"
@@ -35,6 +36,10 @@
     // Whether the member accepts no new flows.
     bool isDraining(const membership::member &member) const
     {
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+        if (base::isFaultPlanted("evacuation_ignored"))
+            return isDrained(member);
+#endif
         return isDrained(member) || isEvacuated(member);
     }
     // Whether the member itself, or a ticket, has ended its service.
--- a/lycheeshunt/flows/agent_port.cpp
+++ b/lycheeshunt/flows/agent_port.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/base/planted_fault.h"
 #include "lycheeshunt/base/socket.h"
 #include "lycheeshunt/flows/codec.h"
 #include "lycheeshunt/packets/datagram_io.h"
@@ -19,6 +20,26 @@
 constexpr int receiveBurst = 64;
 constexpr int noTimeout = -1;
 
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+// Delivers the payload again as if the caller had sent it twice, by the sequence number.
+void repeatRequest(int descriptor, const base::endpoint &server, std::string_view packet)
+{
+    constexpr std::size_t ipHeaderBytes = 20;
+    constexpr std::size_t sequenceAt = ipHeaderBytes + 4;
+    constexpr int bitsPerByte = 8;
+    const base::result<packets::ip_summary> summary
+        = packets::summarize(packet, packets::direction::fromCaller);
+    const packets::ip_summary *valid = std::get_if<packets::ip_summary>(&summary);
+    if (valid == nullptr || valid->payloadBytes == 0)
+        return;
+    std::uint32_t next = valid->sequence + valid->payloadBytes;
+    std::string copy(packet);
+    for (std::size_t i = sequenceAt + sizeof next; i-- > sequenceAt; next >>= bitsPerByte)
+        copy[i] = static_cast<char>(next);
+    packets::sendDatagram(descriptor, server, copy);
+}
+#endif
+
 } // namespace
 
 base::result<std::unique_ptr<agent_port>> agent_port::open(const agent_sockets &sockets,
@@ -125,6 +146,15 @@
                               m_codec.towardsCaller(valid->key, m_addresses.fabric), bytes);
 }
 
+void agent_port::sendToServer(std::string_view bytes)
+{
+    packets::sendDatagram(m_serverSide.get(), m_addresses.server, bytes);
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+    if (base::isFaultPlanted("request_repeated"))
+        repeatRequest(m_serverSide.get(), m_addresses.server, bytes);
+#endif
+}
+
 void agent_port::carryOut(const flow_action &action)
 {
     std::visit(base::overloaded {
@@ -134,10 +164,7 @@
                    [this](const send_to_peer &send) {
                        packets::sendDatagram(m_peerSide.get(), send.to, encodePeer(send.message));
                    },
-                   [this](const deliver_to_server &deliver) {
-                       packets::sendDatagram(m_serverSide.get(), m_addresses.server,
-                                             deliver.bytes.view());
-                   },
+                   [this](const deliver_to_server &deliver) { sendToServer(deliver.bytes.view()); },
                    [this](const answer_caller &answer) { sendToCaller(answer.bytes.view()); },
                    [this](const reset_caller &reset) {
                        ++m_resets;
--- a/lycheeshunt/flows/agent_port.h
+++ b/lycheeshunt/flows/agent_port.h
@@ -57,6 +57,7 @@
     void answerProbe(const packets::received_datagram &received);
     void receiveFromServer();
     void sendToCaller(std::string_view bytes);
+    void sendToServer(std::string_view bytes);
     void carryOut(const flow_action &action);
 
     const agent_sockets m_addresses;
--- a/lycheeshunt/flows/internal/packet_path.cpp
+++ b/lycheeshunt/flows/internal/packet_path.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/internal/packet_path.h"
 
+#include "lycheeshunt/base/planted_fault.h"
 #include "lycheeshunt/flows/internal/directory.h"
 #include "lycheeshunt/flows/internal/forwarding.h"
 #include "lycheeshunt/flows/internal/lookup.h"
@@ -21,6 +22,14 @@
 {
     const base::flow_key &key = packet.summary.key;
     if (!packet.summary.opens) {
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+        // The caller is reset without a question to the other agents.
+        if (base::isFaultPlanted("lookup_skipped")) {
+            context.actions.emplace_back(
+                reset_caller {packet.bytes, base::error_code::flowUnknown});
+            return;
+        }
+#endif
         startLookup(context, packet, lookup_purpose::find, {});
         return;
     }
--- a/lycheeshunt/flows/internal/service_view.cpp
+++ b/lycheeshunt/flows/internal/service_view.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/internal/service_view.h"
 
+#include "lycheeshunt/base/planted_fault.h"
 #include <algorithm>
 
 namespace lycheeshunt::flows::internal {
@@ -17,6 +18,11 @@
 
 bool servesAddress(const flow_state &state, const base::flow_key &key)
 {
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+    // Without this check the agent serves what an entry misroutes.
+    if (base::isFaultPlanted("flow_misrouted"))
+        return true;
+#endif
     if (!state.view)
         return false;
     const auto service = state.view->services.find(state.identity->service);
--- a/lycheeshunt/flows/internal/view_change.cpp
+++ b/lycheeshunt/flows/internal/view_change.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/flows/internal/view_change.h"
 
+#include "lycheeshunt/base/planted_fault.h"
 #include "lycheeshunt/flows/internal/flow_placement.h"
 #include "lycheeshunt/flows/internal/opening_limit.h"
 #include "lycheeshunt/flows/internal/recovery.h"
@@ -94,6 +95,9 @@
     const auto self = view.members.find(state.identity->node);
     // Also before the view lists the agent as a member.
     state.isEvacuated = view.evacuated.count(state.identity->availabilityZone) > 0;
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+    state.isEvacuated = state.isEvacuated && !base::isFaultPlanted("evacuation_ignored");
+#endif
     state.draining
         = state.isEvacuated || (self != view.members.end() && view.isDraining(self->second));
     state.maxOwned = service->second.limits.connections;
--- a/lycheeshunt/routing/routing_table.cpp
+++ b/lycheeshunt/routing/routing_table.cpp
@@ -1,5 +1,6 @@
 #include "lycheeshunt/routing/routing_table.h"
 
+#include "lycheeshunt/base/planted_fault.h"
 #include "lycheeshunt/routing/internal/directors.h"
 
 namespace lycheeshunt::routing {
@@ -99,6 +100,16 @@
             services.push_back(share.service);
     }
     services.insert(services.end(), entry.former.begin(), entry.former.end());
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+    // Some flows go to any service that has agents.
+    constexpr std::uint64_t misroutedOneIn = 16;
+    if (base::isFaultPlanted("flow_misrouted") && base::hashOf(key) % misroutedOneIn == 0) {
+        for (auto it = m_services.begin(); it != m_services.end(); ++it) {
+            if (it->second->buckets.hasTargets())
+                services.front() = it->first;
+        }
+    }
+#endif
     return services;
 }
 
--- a/lycheeshunt/tickets/decision.cpp
+++ b/lycheeshunt/tickets/decision.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/overloaded.h"
+#include "lycheeshunt/base/planted_fault.h"
 #include "lycheeshunt/tickets/difference.h"
 #include "lycheeshunt/tickets/validation.h"
 
@@ -198,6 +199,13 @@
         }
     }
     answerPending(state, record.ticket, faults, actions);
+#ifdef LYCHEESHUNT_PLANTED_FAULTS
+    // Some tickets are accepted and then forgotten.
+    constexpr std::uint64_t forgottenOneIn = 5;
+    if (base::isFaultPlanted("ticket_forgotten")
+        && record.ticket.number.value() % forgottenOneIn == 0)
+        state.records.erase(record.ticket.number);
+#endif
 }
 
 void rejectProposal(ticket_state &state, const proposal_rejected &message, action_list &actions)
--- a/tools/soaktest/checks.cpp
+++ b/tools/soaktest/checks.cpp
@@ -43,7 +43,13 @@
             report("not_run", text + " ran although the flow was refused");
     }
 
-    void see(const flow_held &seen) { m_state.flows[seen.flow].heldBy.insert(seen.server); }
+    void see(const flow_held &seen)
+    {
+        flow_record &flow = m_state.flows[seen.flow];
+        flow.heldBy.insert(seen.server);
+        // An agent that was told to end may still open flows until it does.
+        flow.isCarrierLost = flow.isCarrierLost || m_state.ending.count(seen.server) > 0;
+    }
     void see(const flow_released &seen) { m_state.flows[seen.flow].heldBy.clear(); }
 
     // docs/design/hard-load.md: the system never resets an open flow while its server holds it. The
@@ -76,8 +82,11 @@
         if (change == process_change::kill || change == process_change::pause)
             m_state.lastUnplanned
                 = (change == process_change::kill ? "kill of " : "pause of ") + seen.order.process;
+        if (change == process_change::start)
+            m_state.ending.erase(seen.order.process);
         if (change != process_change::kill && change != process_change::stop)
             return;
+        m_state.ending.insert(seen.order.process);
         for (auto it = m_state.flows.begin(); it != m_state.flows.end(); ++it)
             it->second.isCarrierLost
                 = it->second.isCarrierLost || it->second.heldBy.count(seen.order.process) > 0;
--- a/tools/soaktest/soak_run.cpp
+++ b/tools/soaktest/soak_run.cpp
@@ -140,13 +140,17 @@
 
 void soak_run::runSchedule()
 {
+    clock_time late;
     for (const planned_order &planned :
          scheduleFor(*m_topology, m_options.seed, m_options.length)) {
-        pauseUntil(m_startedAt + planned.at);
+        pauseUntil(m_startedAt + late + planned.at);
         note(textOf(planned.order));
         std::visit([this](const auto &order) { carryOut(order); }, planned.order);
+        // An order that had to wait delays the later ones: without the time between a start and a
+        // stop, SIGTERM would reach a process that does not handle signals yet.
+        late = std::max(late, clock_time::steady() - m_startedAt - planned.at);
     }
-    pauseUntil(m_startedAt + m_options.length);
+    pauseUntil(m_startedAt + late + m_options.length);
 }
 
 void soak_run::carryOut(const process_order &order)
