Evacuate a zone in every second group of soak seeds only

Cause: while a zone is evacuated each service of the soak has one agent that accepts flows, so runs with an evacuation never had a flow that two agents opened.

Change: every second group of three seeds has no evacuation.

--- a/tools/soaktest/schedule.cpp
+++ b/tools/soaktest/schedule.cpp
@@ -25,7 +25,8 @@
 {
 public:
     schedule_builder(const topology &deployment, std::uint64_t seed, clock_time length)
-        : m_random(seed), m_style(static_cast<schedule_style>(seed % styleCount)), m_length(length)
+        : m_random(seed), m_style(static_cast<schedule_style>(seed % styleCount)), m_length(length),
+          m_evacuates(seed / styleCount % 2 == 1)
     {
         m_controls = deployment.controls;
         m_processes = deployment.controls;
@@ -38,7 +39,8 @@
     std::vector<planned_order> build()
     {
         addProcessFaults();
-        addEvacuation();
+        if (m_evacuates)
+            addEvacuation();
         if (m_style != schedule_style::plannedOnly)
             addLinkFaults();
         std::stable_sort(
@@ -139,6 +141,9 @@
     std::mt19937_64 m_random;
     const schedule_style m_style;
     const clock_time m_length;
+    // While a zone is evacuated each service has one agent that accepts flows, so that nothing can
+    // go wrong between two. Every second group of three seeds has no evacuation.
+    const bool m_evacuates;
     std::vector<std::string> m_controls;
     std::vector<std::string> m_processes;
     std::set<std::string> m_agents;
--- a/tools/soaktest/schedule_test.cpp
+++ b/tools/soaktest/schedule_test.cpp
@@ -95,7 +95,8 @@
             }
         }
         CHECK(out.empty());
-        CHECK_EQUAL(2, evacuations);
+        const bool evacuates = seed / 3 % 2 == 1;
+        CHECK_EQUAL(evacuates ? 2 : 0, evacuations);
     }
 }
 
