Tell a soak that cannot start from one that fails

Cause: if a process could not start, the soak started it again at once for a minute and reported each exit as a violation (exit status 1, not 2).

Change: exits before the deployment has started are part of the timeline, their processes are not started again, and the exit status is 2. The path of the program is checked.

--- a/tools/soaktest/main.cpp
+++ b/tools/soaktest/main.cpp
@@ -87,7 +87,9 @@
     app.add_option("--seed,--seeds", seeds, "N or A..B");
     app.add_option("--seconds", seconds, "length of the schedule")->check(CLI::Range(5, 86'400));
     app.add_option("--report", report, "appends results to this file");
-    app.add_option("--program", program, "path of lycheeshuntd")->required();
+    app.add_option("--program", program, "path of lycheeshuntd")
+        ->required()
+        ->check(CLI::ExistingFile);
     app.add_flag("--print-schedule", printsSchedule, "prints the schedule and runs nothing");
     try {
         app.parse(argc, argv);
--- a/tools/soaktest/soak_run.cpp
+++ b/tools/soaktest/soak_run.cpp
@@ -44,8 +44,10 @@
 
 soak_result soak_run::run()
 {
+    bool hasStarted = false;
     try {
         start();
+        hasStarted = true;
         runSchedule();
         settle();
         stopAll();
@@ -59,8 +61,13 @@
     m_servers.reset();
     m_links.reset();
     m_deployment.reset();
-    for (const violation &found : m_checks.finish())
-        m_result.violations.push_back({found.at - m_startedAt, found.check, found.details});
+    for (const violation &found : m_checks.finish()) {
+        // Until the deployment has started, an exit shows that the soak could not run.
+        if (hasStarted)
+            m_result.violations.push_back({found.at - m_startedAt, found.check, found.details});
+        else
+            note(found.check + ": " + found.details);
+    }
     m_result.announcedResets = m_checks.announcedResets();
     if (m_result.violations.empty() && m_result.obstacle.empty())
         std::filesystem::remove_all(m_result.folder);
@@ -276,7 +283,8 @@
     for (const process_exited &ended : m_deployment->reap()) {
         m_checks.push(ended);
         note(ended.process + " ended" + (ended.wasOrdered ? "" : " by itself"));
-        if (!ended.wasOrdered)
+        // A process that ends at its start would do so again at once.
+        if (!ended.wasOrdered && m_callers != nullptr)
             m_deployment->change({ended.process, process_change::start});
     }
 }
