--- a/lycheeshunt/http/internal/connection_record.h
+++ b/lycheeshunt/http/internal/connection_record.h
@@ -9,7 +9,7 @@
 
 namespace lycheeshunt::http::internal {
 
-// A connection as the decisions know it.
+// A connection in the view of the decisions.
 struct connection_record
 {
     const std::uint32_t address = 0;
--- a/lycheeshunt/replication/open_group_test.cpp
+++ b/lycheeshunt/replication/open_group_test.cpp
@@ -8,6 +8,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <deque>
+#include <utility>
 
 using namespace lycheeshunt;
 using namespace lycheeshunt::replication;
@@ -163,6 +164,12 @@
         }
     }
 
+    void stopOthersThan(std::size_t leader, std::size_t count)
+    {
+        for (std::size_t number = 1; count > 0; ++number)
+            count -= number != leader && std::exchange(vms.at(number).isUp, false) ? 1 : 0;
+    }
+
     void formGroupOfFive()
     {
         for (std::size_t number = 1; number <= 5; ++number)
@@ -185,11 +192,9 @@
 
     bool hasCommitted(std::size_t number, const std::string &payload) const
     {
-        for (const log_entry &entry : vms.at(number).committed) {
-            if (entry.payload == payload)
-                return true;
-        }
-        return false;
+        const std::vector<log_entry> &committed = vms.at(number).committed;
+        return std::any_of(committed.begin(), committed.end(),
+                           [&payload](const log_entry &entry) { return entry.payload == payload; });
     }
 };
 
@@ -240,22 +245,19 @@
 {
     formGroupOfFive();
     const std::size_t other = leaders().front() == 5 ? 4 : 5;
-    constexpr std::int64_t phases = 6;
-    for (std::int64_t phase = 0; phase < phases; ++phase) {
-        for (const bool isFirstLost : {false, true}) {
-            vms.at(other).isUp = false;
-            run(500 + phase * tickMillis);
-            restart(other);
-            if (isFirstLost) {
-                isolate({other});
-                run(2 * tickMillis);
-                blockedLinks.clear();
-                run(3 * tickMillis);
-            }
-            run(tickMillis);
-            CHECK_FALSE(leadershipOf(*vms.at(other).state).leaderName.empty());
-            run(1000);
+    for (std::int64_t round = 0; round < 12; ++round) {
+        vms.at(other).isUp = false;
+        run(500 + round / 2 * tickMillis);
+        restart(other);
+        if (round % 2 == 1) {
+            isolate({other});
+            run(2 * tickMillis);
+            blockedLinks.clear();
+            run(3 * tickMillis);
         }
+        run(tickMillis);
+        CHECK_FALSE(leadershipOf(*vms.at(other).state).leaderName.empty());
+        run(1000);
     }
 }
 
@@ -319,21 +321,10 @@
 {
     formGroupOfFive();
     const std::size_t leader = leaders().front();
-    std::size_t down = 0;
-    for (std::size_t number = 1; number <= 5 && down < 2; ++number) {
-        if (number != leader) {
-            vms.at(number).isUp = false;
-            ++down;
-        }
-    }
+    stopOthersThan(leader, 2);
     run(12'000);
     CHECK_EQUAL(3U, voterCountOf(leader));
-    for (std::size_t number = 1; number <= 5; ++number) {
-        if (number != leader && vms.at(number).isUp && down < 3) {
-            vms.at(number).isUp = false;
-            ++down;
-        }
-    }
+    stopOthersThan(leader, 1);
     run(12'000);
     CHECK_EQUAL(3U, voterCountOf(leader));
 }
@@ -401,10 +392,8 @@
 {
     formGroupOfFive();
     const std::size_t unreachable = leaders().front();
-    for (std::size_t number = 1; number <= 5; ++number) {
-        if (number != unreachable)
-            blockedLinks.insert({number, unreachable});
-    }
+    for (std::size_t number = 1; number <= 5; ++number)
+        blockedLinks.insert({number, unreachable});
     run(6000);
     CHECK_EQUAL(1U, leaders().size());
     CHECK(leaders().front() != unreachable);
--- a/tools/measurements/crest/real_cluster.cpp
+++ b/tools/measurements/crest/real_cluster.cpp
@@ -391,14 +391,4 @@
     });
 }
 
-std::size_t real_cluster::directorOf(std::size_t work) const
-{
-    return m_result.arrivals[work].hash % m_agents.size();
-}
-
-requests::request_identity real_cluster::identityOf(std::size_t work) const
-{
-    return requests::request_identity {1, work};
-}
-
 } // namespace lycheeshunt::crest
--- a/tools/measurements/crest/real_cluster.h
+++ b/tools/measurements/crest/real_cluster.h
@@ -62,8 +62,14 @@
     void sample();
     void failAgent(std::size_t index);
 
-    std::size_t directorOf(std::size_t work) const;
-    requests::request_identity identityOf(std::size_t work) const;
+    std::size_t directorOf(std::size_t work) const
+    {
+        return m_result.arrivals[work].hash % m_agents.size();
+    }
+    requests::request_identity identityOf(std::size_t work) const
+    {
+        return requests::request_identity {1, work};
+    }
     base::clock_time clock() const { return base::clock_time::ofMillis(m_events.now()); }
 
     const scenario m_scenario;
--- a/tools/soaktest/check_state.h
+++ b/tools/soaktest/check_state.h
@@ -18,7 +18,7 @@
     std::map<base::flow_key, flow_record> flows = {};
     // By number; with the time at which the operator had the answer.
     std::map<std::uint64_t, observed_event> accepted = {};
-    // Agents that were told to end and have not been started again.
+    // Agents that got SIGTERM and have not been started again.
     std::set<std::string> ending = {};
     // Evacuated zones, with the time since which every VM has the order.
     std::map<std::string, base::clock_time> evacuated = {};
--- a/tools/soaktest/checks.cpp
+++ b/tools/soaktest/checks.cpp
@@ -47,7 +47,7 @@
     {
         flow_record &flow = m_state.flows[seen.flow];
         flow.heldBy.insert(seen.server);
-        // An agent that was told to end may still open flows until it does.
+        // An agent that got SIGTERM may still open flows until it ends.
         flow.isCarrierLost = flow.isCarrierLost || m_state.ending.count(seen.server) > 0;
     }
     void see(const flow_released &seen) { m_state.flows[seen.flow].heldBy.clear(); }
--- a/tools/soaktest/flow_record.h
+++ b/tools/soaktest/flow_record.h
@@ -7,7 +7,7 @@
 
 namespace lycheeshunt::soak {
 
-// What the checks know about one flow.
+// One flow, as far as the checks have observed it.
 struct flow_record
 {
     base::clock_time openingAt;
--- a/tools/soaktest/schedule.cpp
+++ b/tools/soaktest/schedule.cpp
@@ -13,7 +13,8 @@
 
 using base::clock_time;
 
-// Seeds rotate through these so that a failure under planned work alone can be told from others.
+// Seeds rotate through these so that a failure under planned work alone can be distinguished from
+// others.
 enum class schedule_style { plannedOnly, oneAtATime, overlapping };
 constexpr std::uint64_t styleCount = 3;
 
--- a/tools/soaktest/soak_run.cpp
+++ b/tools/soaktest/soak_run.cpp
@@ -216,7 +216,7 @@
     auditTickets();
 }
 
-// After everything has recovered, control knows each accepted ticket, and a last one comes into
+// After everything has recovered, control has each accepted ticket, and a last one comes into
 // force on every VM.
 void soak_run::auditTickets()
 {
--- a/tools/soaktest/ticket_accepted.h
+++ b/tools/soaktest/ticket_accepted.h
@@ -1,4 +1,4 @@
-// An operator was told that a ticket is accepted.
+// An operator got the answer that a ticket is accepted.
 
 #pragma once
 
--- a/tools/soaktest/ticket_read.h
+++ b/tools/soaktest/ticket_read.h
@@ -11,7 +11,7 @@
 struct ticket_read
 {
     std::uint64_t number = 0;
-    // Empty if the control VM does not know the ticket.
+    // Empty if the control VM does not have the ticket.
     std::string author;
     std::uint64_t generation = 0;
     base::clock_time askedAt;
--- a/tools/soaktest/ticket_refused.h
+++ b/tools/soaktest/ticket_refused.h
@@ -1,4 +1,4 @@
-// An operator was told that a ticket is refused, and the refusal is final.
+// An operator got the answer that a ticket is refused, and the refusal is final.
 
 #pragma once
 
--- a/tools/soaktest/topology.h
+++ b/tools/soaktest/topology.h
@@ -1,4 +1,4 @@
-// The processes of the deployment, and what the checks need to know about them.
+// The processes of the deployment, and what the checks need of them.
 
 #pragma once
 
