--- a/review/harness/flows.py
+++ b/review/harness/flows.py
@@ -64,15 +64,19 @@
     """Sends each packet of a client to an entry in rotation, by a steady hash of its flow."""
 
     def __init__(self, entries, datagram, readiness, record):
-        self.entries, self.datagram, self.readiness = entries, datagram, readiness
+        self.entries, self.datagram, self.readiness = list(entries), datagram, readiness
         self.record = record
         self.misses = {entry.name: 2 for entry in entries}
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.stopped = threading.Event()
-        self.threads = [threading.Thread(target=self.probe, args=(entry,), daemon=True)
-                        for entry in entries]
-        for thread in self.threads:
-            thread.start()
+        for entry in entries:
+            threading.Thread(target=self.probe, args=(entry,), daemon=True).start()
+
+    def add(self, entry):
+        """From now on the entry is asked whether it is ready."""
+        self.misses[entry.name] = 2
+        self.entries = self.entries + [entry]
+        threading.Thread(target=self.probe, args=(entry,), daemon=True).start()
 
     def probe(self, entry):
         while not self.stopped.wait(0.5):
--- a/review/harness/operator_calls.py
+++ b/review/harness/operator_calls.py
@@ -27,7 +27,7 @@
 
 def call(address, method, path, body=None, timeout=1.0):
     """Status and body of the answer after redirects; (None, reason) without a response."""
-    payload = None if body is None else json.dumps(body)
+    payload = body if body is None or isinstance(body, str) else json.dumps(body)
     try:
         for _ in range(FOLLOWED_REDIRECTS + 1):
             connection = http.client.HTTPConnection(address[0], address[1], timeout=timeout)
