--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -23,6 +23,8 @@
 # Offsets from the first port of the deployment.
 DATAGRAM, READINESS, CONTROL, APP, OUTBOUND, INTERNAL = 0, 1, 2, 3, 4, 5
 INTERNAL_PORTS = 48
+# The first addresses of each kind of machine, and the one that control processes share.
+PROBED_ADDRESSES = ("127.0.0.1", "127.1.0.10", "127.2.0.10", "127.3.0.10", "127.64.0.7")
 
 
 def free_ports(count):
@@ -33,8 +35,9 @@
         try:
             for port in range(first, first + count):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind(("0.0.0.0", port))
+                    for address in PROBED_ADDRESSES:
+                        with socket.socket(socket.AF_INET, kind) as probe:
+                            probe.bind((address, port))
             return first
         except OSError:
             continue
@@ -130,9 +133,8 @@
     """Control, entry and agent machines. `sides` names the service of each agent's machine."""
 
     def __init__(self, controls=5, entries=2, sides=(), program=None):
-        for name in ("deploy/system.toml",):
-            with open(os.path.join(ROOT, name), "rb") as text:
-                self.deploy = tomllib.load(text)
+        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as text:
+            self.deploy = tomllib.load(text)
         self.program = program
         run = shlex.split(self.deploy["roles"]["control"]["run"])[0]
         if not os.path.exists(program or os.path.join(ROOT, run)):
