Reject announcements of another service than the agent's

Cause: an agent took an announcement with another identity and a later start for that of its next server, and the service in it for its own. The service in the agent's settings was used only until the first announcement.

Ruled out: that only unknown services are at fault. That a running agent has to accept another service when an address passes to it: in logs of agents on three deployments with replace_with_reuse, releases and settings that change, a new agent was started with settings that name the service, and no announcement named another one.

Change: servers::decide rejects an announcement of another service than that in the settings. It is answered with 400 and E501, logged, and counted by announcements_rejected_total.

--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -45,6 +45,7 @@
     {error_code::serverShedding, "backend server sheds load"},
     {error_code::outcomeUnknown, "request may have run, its outcome is unknown"},
     {error_code::startDenied, "request was started or ended elsewhere"},
+    {error_code::announcedServiceMismatch, "backend server announces another service"},
     {error_code::ticketMalformed, "ticket can't be decoded"},
     {error_code::ticketNumberTaken, "ticket number already holds other content"},
     {error_code::ticketAddressClash, "address belongs to another service"},
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -45,6 +45,8 @@
     serverShedding = 407,
     outcomeUnknown = 408,
     startDenied = 409,
+    // membership
+    announcedServiceMismatch = 501,
     // tickets
     ticketMalformed = 601,
     ticketNumberTaken = 602,
--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -13,11 +13,11 @@
 
 base::result<std::unique_ptr<agent_process>>
 agent_process::start(const settings::node_settings &settings, const settings::agent_settings &own,
-                     const packets::packet_codec &codec, confirm_sink confirm)
+                     const packets::packet_codec &codec, reply_sink reply)
 {
     std::unique_ptr<agent_process> process(new agent_process());
     agent_process *raw = process.get();
-    const bool listens = static_cast<bool>(confirm);
+    const bool listens = static_cast<bool>(reply);
     const membership::member self {settings.name,
                                    settings.availabilityZone,
                                    membership::member_role::agent,
@@ -38,20 +38,24 @@
     process->m_port = base::takeValue(std::move(port));
     if (listens)
         process->m_servers = std::make_unique<servers::server_duty>(
-            self.incarnation, [raw, self, confirm](const servers::server_action &action) {
-                std::visit(base::overloaded {
-                               [&](const servers::server_status &status) {
-                                   raw->handleServerStatus(self, status);
-                               },
-                               [&](const servers::server_warmup &warmup) {
-                                   raw->m_flows->inbox().push(flows::warmup_changed {
-                                       warmup.coldUntil, warmup.serverStarts});
-                               },
-                               [&](const servers::confirm_announcement &announcement) {
-                                   confirm(announcement.request);
-                               },
-                           },
-                           action);
+            own.service, self.incarnation,
+            [raw, self, reply](const servers::server_action &action) {
+                std::visit(
+                    base::overloaded {
+                        [&](const servers::server_status &status) {
+                            raw->handleServerStatus(self, status);
+                        },
+                        [&](const servers::server_warmup &warmup) {
+                            raw->m_flows->inbox().push(
+                                flows::warmup_changed {warmup.coldUntil, warmup.serverStarts});
+                        },
+                        [&](const servers::confirm_announcement &confirmed) { reply(confirmed); },
+                        [&](const servers::reject_announcement &rejected) {
+                            raw->countRejection(rejected);
+                            reply(rejected);
+                        },
+                    },
+                    action);
             });
     process->m_follower = std::make_unique<dissemination::follower>(
         settings.control, self, self.incarnation.value(),
@@ -106,6 +110,12 @@
                       + ", incarnation " + std::to_string(status.incarnation.value()));
 }
 
+void agent_process::countRejection(const servers::reject_announcement &rejected)
+{
+    ++m_rejectedAnnouncements;
+    base::logWarning("servers", "announcement rejected: " + rejected.reason.text());
+}
+
 agent_process::agent_process() = default;
 
 agent_process::~agent_process()
@@ -129,7 +139,10 @@
         metrics::sample {"packets_refused_total", "Packets refused by code.",
                          metrics::counter_value {m_port->refused()}},
         metrics::sample {"callers_reset_total", "Flows refused or ended towards the caller.",
-                         metrics::counter_value {m_port->resets()}}};
+                         metrics::counter_value {m_port->resets()}},
+        metrics::sample {"announcements_rejected_total",
+                         "Announcements that name another service than the agent's settings.",
+                         metrics::counter_value {m_rejectedAnnouncements.load()}}};
     for (const metrics::sample &counted : m_flows->meter().samples())
         samples.push_back(counted);
     metrics::addRing(samples, "flows", m_flows->inbox());
--- a/lycheeshunt/daemon/agent_process.h
+++ b/lycheeshunt/daemon/agent_process.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include "lycheeshunt/base/endpoint.h"
-#include "lycheeshunt/base/request_id.h"
 #include "lycheeshunt/base/result.h"
 #include "lycheeshunt/membership/member.h"
 #include "lycheeshunt/metrics/report.h"
 #include "lycheeshunt/packets/packet_codec.h"
+#include "lycheeshunt/servers/announcement_outcome.h"
 #include "lycheeshunt/servers/server_duty.h"
 #include "lycheeshunt/settings/node_settings.h"
 
@@ -34,11 +34,11 @@
     // Called on the thread of the server duty. With it, the agent serves only once its backend
     // server has announced itself, and assumes that the server returns packets of flows that it
     // does not have.
-    using confirm_sink = std::function<void(base::request_id)>;
+    using reply_sink = std::function<void(const servers::announcement_outcome &)>;
 
     static base::result<std::unique_ptr<agent_process>>
     start(const settings::node_settings &settings, const settings::agent_settings &own,
-          const packets::packet_codec &codec = packets::ipPackets(), confirm_sink confirm = {});
+          const packets::packet_codec &codec = packets::ipPackets(), reply_sink reply = {});
     ~agent_process();
 
     agent_process(const agent_process &) = delete;
@@ -59,10 +59,12 @@
     void restoreServer(const dissemination::cluster_view &view, const membership::member &self,
                        const std::string &service);
     void handleServerStatus(const membership::member &self, const servers::server_status &status);
+    void countRejection(const servers::reject_announcement &rejected);
 
     // Accessed by the follower's thread only: only the first view can show an earlier incarnation.
     bool m_isRestoreChecked = false;
     std::atomic<bool> m_isAccepting = false;
+    std::atomic<std::uint64_t> m_rejectedAnnouncements = 0;
     std::unique_ptr<flows::flow_duty> m_flows;
     std::unique_ptr<flows::agent_port> m_port;
     std::unique_ptr<dissemination::follower> m_follower;
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -18,6 +18,16 @@
 // An incarnation whose start the agent has seen is heard by then.
 constexpr std::uint64_t maxStartupSequence = 3;
 
+// An announcement may come from another writer. What it says of another service must not affect the
+// server here, whichever incarnation it names.
+base::error mismatchOf(const servers_state &state, const server_announcement &announcement)
+{
+    return base::error {base::error_code::announcedServiceMismatch,
+                        "service of " + announcement.identity + " is \"" + announcement.service
+                            + "\", must be \"" + state.service
+                            + "\", the service in the agent's settings"};
+}
+
 // A delayed announcement of an earlier incarnation must not override that of a later one. The
 // clocks of two incarnations may disagree, so an incarnation that keeps announcing itself replaces
 // the current one once that one has been silent for the timeout.
@@ -78,9 +88,12 @@
                         action_list &actions)
 {
     const server_announcement &announcement = message.announcement;
-    const bool changesService = state.current && announcement.isSameIncarnationAs(*state.current)
-        && announcement.service != state.current->service;
-    if (!changesService && !isStale(state, announcement, now)) {
+    if (announcement.service != state.service) {
+        actions.emplace_back(
+            reject_announcement {message.request, mismatchOf(state, announcement)});
+        return;
+    }
+    if (!isStale(state, announcement, now)) {
         const bool isNewIncarnation
             = !state.current || !announcement.isSameIncarnationAs(*state.current);
         // A server that was only silent counts as a new incarnation too, because other nodes have
--- a/lycheeshunt/servers/decision_test.cpp
+++ b/lycheeshunt/servers/decision_test.cpp
@@ -35,6 +35,7 @@
     void setup() override
     {
         state.incarnation = base::incarnation(100);
+        state.service = "logbook";
     }
 
     void deliver(const server_message &message, std::int64_t now)
@@ -51,6 +52,23 @@
         CHECK(std::holds_alternative<confirm_announcement>(actions.back()));
     }
 
+    void checkIsRejected(const server_announcement &announcement, std::int64_t now)
+    {
+        const servers_state before = state;
+        deliver(server_announced {base::request_id(9), announcement}, now);
+        CHECK_EQUAL(1U, actions.size());
+        const reject_announcement *rejected = std::get_if<reject_announcement>(&actions.front());
+        CHECK(rejected != nullptr);
+        CHECK_EQUAL(9U, rejected->request.value());
+        CHECK(rejected->reason.code == base::error_code::announcedServiceMismatch);
+        CHECK(state.current == before.current);
+        CHECK(state.published == before.published);
+        CHECK(state.incarnation == before.incarnation);
+        CHECK(state.lastHeard == before.lastHeard);
+        CHECK_EQUAL(before.starts, state.starts);
+        CHECK_EQUAL(before.isUnavailable, state.isUnavailable);
+    }
+
     bool isAccepting() const
     {
         return state.published && state.published->isAccepting;
@@ -82,10 +100,10 @@
 TEST(servers, aDelayedAnnouncementOfAnEarlierIncarnationIsIgnored)
 {
     announce(announcementOf("i-1", 5, 9), 0);
-    announce(announcementOf("i-2", 50, 1, false, "inspect"), 1000);
+    announce(announcementOf("i-2", 50, 1), 1000);
     CHECK_EQUAL(101U, state.published->incarnation.value());
     announce(announcementOf("i-1", 5, 10), 1100);
-    STRCMP_EQUAL("inspect", state.published->service.c_str());
+    STRCMP_EQUAL("i-2", state.current->identity.c_str());
     CHECK_EQUAL(101U, state.published->incarnation.value());
 }
 
@@ -122,10 +140,61 @@
 TEST(servers, anIncarnationKeepsItsService)
 {
     announce(announcementOf("i-1", 5, 1), 0);
-    announce(announcementOf("i-1", 5, 2, false, "nobody"), 100);
+    checkIsRejected(announcementOf("i-1", 5, 2, false, "nobody"), 100);
     STRCMP_EQUAL("logbook", state.published->service.c_str());
 }
 
+// Guards against requests that are run by a server of another service: an announcement of another
+// writer, complete but for the service, made the agent one of that service.
+TEST(servers, anAnnouncementOfAnotherServiceIsRejectedAndChangesNothing)
+{
+    // Before the server's first announcement.
+    checkIsRejected(announcementOf("i-9", 900, 1, false, "inspect"), 0);
+    CHECK(state.published == nullptr);
+    announce(announcementOf("i-1", 5, 1), 100);
+    // Beside a server that announces itself: later start, earlier start, the same identity, or the
+    // same incarnation with a later number.
+    for (const auto &[identity, startedAt] : std::vector<std::pair<std::string, std::int64_t>> {
+             {"i-9", 900}, {"i-9", 1}, {"i-1", 900}, {"i-1", 5}})
+        checkIsRejected(announcementOf(identity, startedAt, 7, false, "inspect"), 200);
+    checkIsRejected(announcementOf("i-1", 5, 8, true, "inspect"), 300);
+    // Beside a server that drains, and beside one that has been silent for too long.
+    announce(announcementOf("i-1", 5, 2, true), 1000);
+    checkIsRejected(announcementOf("i-9", 900, 1, false, "inspect"), 1100);
+    deliver(servers_tick {}, 9000);
+    checkIsRejected(announcementOf("i-9", 900, 2, false, "inspect"), 9100);
+    CHECK_FALSE(isAccepting());
+    // The reason names object, value and limit.
+    STRCMP_CONTAINS("service of i-9 is \"inspect\", must be \"logbook\"",
+                    std::get<reject_announcement>(actions.front()).reason.text().c_str());
+}
+
+// Guards against resets of open flows: while the agent serves by the status in the view, an
+// announcement of another service must not take its place.
+TEST(servers, anAnnouncementOfAnotherServiceDoesNotReplaceARestoredStatus)
+{
+    deliver(server_restored {"logbook", base::incarnation(300), slots}, 0);
+    checkIsRejected(announcementOf("i-9", 900, 1, false, "inspect"), 100);
+    CHECK(isAccepting());
+    deliver(servers_tick {}, 2600);
+    CHECK_FALSE(isAccepting());
+}
+
+// Guards against a rule that takes the lawful next server out of service: a rejected announcement
+// has no influence on which server counts.
+TEST(servers, theNextServerCountsAfterARejectedAnnouncement)
+{
+    announce(announcementOf("i-1", 5000, 3), 0);
+    checkIsRejected(announcementOf("i-9", 99'000, 50, false, "inspect"), 100);
+    // Same identity, later start; then an earlier start after the server has been silent.
+    announce(announcementOf("i-1", 6000, 1), 1000);
+    CHECK_EQUAL(101U, state.published->incarnation.value());
+    checkIsRejected(announcementOf("i-9", 99'000, 51, false, "inspect"), 4900);
+    announce(announcementOf("i-2", 2600, 4), 5000);
+    CHECK_EQUAL(102U, state.published->incarnation.value());
+    CHECK(isAccepting());
+}
+
 TEST(servers, aStoppingMessageAffectsOnlyTheServerThatItNames)
 {
     announce(announcementOf("i-1", 5, 1), 0);
@@ -168,6 +237,7 @@
 {
     for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
         state = servers_state {};
+        state.service = "logbook";
         announce(announcementOf("i-1", 5, sequence), 0);
         CHECK(state.published->startedBeforeAgent);
         announce(announcementOf("i-1", 5, sequence + 1), 1200);
--- a/lycheeshunt/servers/server_duty.cpp
+++ b/lycheeshunt/servers/server_duty.cpp
@@ -10,17 +10,18 @@
 constexpr std::size_t inboxCapacity = 256;
 constexpr base::clock_time tickInterval = base::clock_time::ofMillis(500);
 
-servers_state initialState(base::incarnation incarnation)
+servers_state initialState(std::string service, base::incarnation incarnation)
 {
     servers_state state;
+    state.service = std::move(service);
     state.incarnation = incarnation;
     return state;
 }
 
 } // namespace
 
-server_duty::server_duty(base::incarnation incarnation, action_sink sink)
-    : m_state(initialState(incarnation)), m_sink(std::move(sink)),
+server_duty::server_duty(std::string service, base::incarnation incarnation, action_sink sink)
+    : m_state(initialState(std::move(service), incarnation)), m_sink(std::move(sink)),
       m_duty(inboxCapacity, tickInterval, servers_tick {},
              [this](const server_message &message, base::clock_time now) { handle(message, now); })
 {
--- a/lycheeshunt/servers/server_duty.h
+++ b/lycheeshunt/servers/server_duty.h
@@ -14,7 +14,8 @@
     // Called on the duty's thread for every action.
     using action_sink = std::function<void(const server_action &)>;
 
-    server_duty(base::incarnation incarnation, action_sink sink);
+    // Only announcements of this service count.
+    server_duty(std::string service, base::incarnation incarnation, action_sink sink);
 
     base::ring<server_message> &inbox() { return m_duty.inbox(); }
     void stop() { m_duty.stop(); }
--- a/lycheeshunt/servers/servers_state.h
+++ b/lycheeshunt/servers/servers_state.h
@@ -4,12 +4,15 @@
 #include "lycheeshunt/servers/server_status.h"
 
 #include <memory>
+#include <string>
 
 namespace lycheeshunt::servers {
 
 // The state of one agent's backend server.
 struct servers_state
 {
+    // The service in the agent's settings. Announcements of other services are rejected.
+    std::string service;
     // Null before the first announcement.
     std::shared_ptr<const server_announcement> current;
     base::clock_time lastHeard;
