Do not count the rejection of an earlier term's request as an answer to a read

Rounds start anew in each term. If the sender leads again in the newer term, the rejection counts as an answer to rounds of the present term that were never sent: the requests of a leader that was killed wait at a paused follower while the leader returns and is elected again. A leader with such rounds confirms reads without a quorum, also after another leader has been elected.

Change: such a rejection has round 0, which no read waits for.

Why it works: a leader now gets a round in its own term only from a replica that accepted it in that term; answers of an earlier term were ignored before.

Evidence: replication_decision aRejectedRequestOfAnEarlierTermConfirmsNoRead failed before the change (expected 0 reads confirmed at an isolated leader, was 1) for both kinds of request.

No run of real processes has shown this.

--- a/lycheeshunt/replication/append_answer.h
+++ b/lycheeshunt/replication/append_answer.h
@@ -8,7 +8,7 @@
 struct append_answer
 {
     const std::uint64_t term = 0;
-    // Copied from the request.
+    // Copied from a request of the term above; 0 for one of an earlier term.
     const std::uint64_t heartbeatRound = 0;
     const bool isMatch = false;
     // On a match, the last index at which this log is known to equal the leader's; otherwise the
--- a/lycheeshunt/replication/decision_test.cpp
+++ b/lycheeshunt/replication/decision_test.cpp
@@ -154,6 +154,35 @@
     STRCMP_CONTAINS(group.at(leader).name.c_str(), refused->reason.detail.c_str());
 }
 
+// Guards against reads that show an older state: a request of the leader's earlier leadership is
+// delayed until its present one, and the rejection must not count as an answer of this term, whose
+// rounds start anew.
+TEST(replication_decision, aRejectedRequestOfAnEarlierTermConfirmsNoRead)
+{
+    for (const bool isSnapshot : {false, true}) {
+        replica_group group(3, 8);
+        const std::size_t leader = group.awaitLeader();
+        const std::size_t follower = (leader + 1) % 3;
+        group.run(500);
+        const std::uint64_t earlierTerm = group.at(leader).state.term - 1;
+        const peer_message delayed = isSnapshot
+            ? peer_message(
+                snapshot_piece {earlierTerm, 1000, base::generation(1), 1, {}, 1, 0, "x"})
+            : peer_message(
+                append_request {earlierTerm, 1000, base::generation(1), 1, base::generation()});
+        group.dispatch(
+            follower,
+            peer_envelope {group.at(leader).state.id(), group.at(follower).state.id(), delayed});
+        group.run(200);
+        group.isolate(leader);
+        group.dispatch(leader, read_request {base::request_id(1)});
+        group.run(10'000);
+        LONGS_EQUAL(0, countOf<read_confirmed>(group.at(leader).notices));
+        LONGS_EQUAL(1, countOf<read_refused>(group.at(leader).notices));
+        checkInvariants(group);
+    }
+}
+
 TEST(replication_decision, replicaWithEmptyDiskVotesOnlyAfterCatchingUp)
 {
     replica_group group(3, 9);
--- a/lycheeshunt/replication/internal/follower.cpp
+++ b/lycheeshunt/replication/internal/follower.cpp
@@ -23,6 +23,14 @@
     return true;
 }
 
+// A request of an earlier term may come from the present leader, from an earlier leadership with
+// rounds of its own. Its round must not count as answered in the present term.
+append_answer rejectionOfEarlierTerm(const replica_state &state, base::generation index)
+{
+    constexpr std::uint64_t noRound = 0;
+    return append_answer {state.term, noRound, false, index};
+}
+
 // Index from which the leader should retry: the end of a log that is too short, otherwise the first
 // uncommitted entry of the conflicting term, so that one round trip skips the whole term.
 base::generation retryIndex(const replica_state &state, base::generation previous)
@@ -93,8 +101,7 @@
 {
     replica_state &state = context.state;
     if (!acceptLeader(context, from, request.term)) {
-        context.sendTo(
-            from, append_answer {state.term, request.heartbeatRound, false, request.previousIndex});
+        context.sendTo(from, rejectionOfEarlierTerm(state, request.previousIndex));
         return;
     }
     if (!isMatch(state, request)) {
@@ -117,7 +124,7 @@
 {
     replica_state &state = context.state;
     if (!acceptLeader(context, from, piece.term)) {
-        context.sendTo(from, append_answer {state.term, piece.heartbeatRound, false, piece.index});
+        context.sendTo(from, rejectionOfEarlierTerm(state, piece.index));
         return;
     }
     if (piece.index <= state.commit) {
