Refuse reads of the desired state while the newest one can't be decoded

Cause: a committed state that can't be decoded was logged and skipped, and the one before it stayed the newest as far as the state thread is concerned. Routes have got fields before that earlier builds refuse (docs/PROTOCOL.md).

Change: the state thread is notified of the version that it can't decode. Reads are answered with 503 and E707 until a higher version that can be decoded is committed; a version that the log has overtaken is acknowledged and changes nothing, as always.

Evidence: committed_log aReadIsRefusedWhileTheNewestStateCannotBeDecoded failed before (expected 0, was 7), and states aReadIsRefusedUntilANewerStateCanBeDecoded (an answer where an error is expected).

Remains: such a VM still publishes the older state to nodes, and a state whose envelope can't be decoded is left out where entries are merged.

--- a/lycheeshunt/base/error_code.cpp
+++ b/lycheeshunt/base/error_code.cpp
@@ -63,6 +63,7 @@
     {error_code::quorumLost, "no quorum of control VMs"},
     {error_code::tooBusy, "too many requests under way"},
     {error_code::diskFull, "no room left on the disk"},
+    {error_code::stateUndecodable, "newest desired state can't be decoded by this VM"},
     {error_code::notInForce, "not yet in force on every VM"},
     {error_code::viewMismatch, "view differs from the one that control holds"},
     {error_code::requestMalformed, "request can't be decoded"},
--- a/lycheeshunt/base/error_code.h
+++ b/lycheeshunt/base/error_code.h
@@ -66,6 +66,7 @@
     quorumLost = 704,
     tooBusy = 705,
     diskFull = 706,
+    stateUndecodable = 707,
     // dissemination
     notInForce = 801,
     viewMismatch = 802,
--- a/lycheeshunt/daemon/committed_log_test.cpp
+++ b/lycheeshunt/daemon/committed_log_test.cpp
@@ -3,6 +3,7 @@
 
 #include "lycheeshunt/daemon/internal/committed_log.h"
 
+#include "lycheeshunt/base/codec.h"
 #include "lycheeshunt/dissemination/publisher_duty.h"
 #include "lycheeshunt/evacuations/evacuation_duty.h"
 #include "lycheeshunt/membership/membership_duty.h"
@@ -31,6 +32,14 @@
         states::encodeState(states::desired_state {version, std::to_string(version)})};
 }
 
+// As of a later build: the version can be decoded, the contents can't.
+replication::log_entry undecodableEntry(std::uint64_t index, std::uint64_t version)
+{
+    const std::tuple<std::uint64_t, std::uint32_t, std::string> envelope(version, 1, "?");
+    return replication::log_entry {base::generation(index), 1, replication::entry_kind::state,
+                                   base::clock_time(), base::packFields(envelope)};
+}
+
 // The duties of a leading control process; the ticket thread waits until it is released.
 class log_fixture
 {
@@ -78,8 +87,8 @@
             return true;
         }
         const states::state_answer &answer = std::get<states::state_answer>(action);
-        const states::shared_state state = std::get<states::state_contents>(answer.outcome).state;
-        m_version.set_value(state ? state->version : 0);
+        const states::state_contents *shown = std::get_if<states::state_contents>(&answer.outcome);
+        m_version.set_value(shown != nullptr && shown->state ? shown->state->version : 0);
         return true;
     }
 
@@ -112,3 +121,16 @@
     control.releaseTickets();
     UNSIGNED_LONGS_EQUAL(7, control.versionRead());
 }
+
+// Guards against reads that show an older state at a VM of an earlier build: a state that it can't
+// decode was skipped, and the one before it shown as the newest.
+TEST(committed_log, aReadIsRefusedWhileTheNewestStateCannotBeDecoded)
+{
+    log_fixture control;
+    control.releaseTickets();
+    control.states().push(states::get_state {stateRead});
+    control.log().deliver({stateEntry(1, 7)});
+    control.log().deliver({undecodableEntry(2, 9)});
+    control.log().completeStateRead(stateRead, std::nullopt);
+    UNSIGNED_LONGS_EQUAL(0, control.versionRead());
+}
--- a/lycheeshunt/daemon/internal/committed_log.cpp
+++ b/lycheeshunt/daemon/internal/committed_log.cpp
@@ -35,6 +35,14 @@
     return base::valueOf(state);
 }
 
+states::undecodable_state_committed undecodableFrom(const std::string &payload)
+{
+    const base::result<std::uint64_t> version = states::versionOf(payload);
+    if (!base::isOk(version))
+        return states::undecodable_state_committed {};
+    return states::undecodable_state_committed {base::valueOf(version)};
+}
+
 std::optional<membership::membership_batch> batchFrom(const std::string &payload)
 {
     if (payload.empty())
@@ -209,6 +217,8 @@
         m_followers.membership.inbox().push(membership::batch_committed {*batch});
     if (state)
         m_followers.states.inbox().push(states::state_committed {state});
+    else if (!other.state.empty())
+        m_followers.states.inbox().push(undecodableFrom(other.state));
     // The last order of each zone follows those that it replaces.
     for (const evacuations::evacuation_order &order : ordersFrom(other.replacedEvacuations))
         m_followers.evacuations.inbox().push(evacuations::order_committed {other.at, order});
--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -31,7 +31,7 @@
         return;
     }
     const std::uint64_t version = message.state->version;
-    if (version <= state.currentVersion()) {
+    if (version <= std::max(state.currentVersion(), state.undecodableVersion)) {
         state.reads.emplace(message.request, version);
         actions.emplace_back(confirm_read {message.request});
         return;
@@ -76,6 +76,13 @@
     }
 }
 
+// The highest version is in force, so a higher one that can be decoded makes this VM current again.
+void noteUndecodable(states_state &state, const undecodable_state_committed &message)
+{
+    const std::uint64_t version = message.version.value_or(state.currentVersion() + 1);
+    state.undecodableVersion = std::max(state.undecodableVersion, version);
+}
+
 void rejectProposal(states_state &state, const state_proposal_rejected &message,
                     action_list &actions)
 {
@@ -99,10 +106,15 @@
     state.reads.erase(found);
     if (message.failure)
         answer(actions, message.request, *message.failure);
-    else if (std::holds_alternative<get_state>(pending))
-        answer(actions, message.request, state_contents {state.current});
-    else
+    else if (!std::holds_alternative<get_state>(pending))
         answer(actions, message.request, state_accepted {});
+    else if (state.current && !state.isCurrentNewest())
+        answer(actions, message.request,
+               base::error {base::error_code::stateUndecodable,
+                            "version " + std::to_string(state.undecodableVersion)
+                                + " is above version " + std::to_string(state.currentVersion())});
+    else
+        answer(actions, message.request, state_contents {state.current});
 }
 
 void changeLeadership(states_state &state, const leadership_update &message, action_list &actions)
@@ -169,6 +181,7 @@
                        [&](const submit_state &m) { submit(state, m, actions); },
                        [&](const get_state &m) { getState(state, m, actions); },
                        [&](const state_committed &m) { commit(state, m, actions); },
+                       [&](const undecodable_state_committed &m) { noteUndecodable(state, m); },
                        [&](const state_proposal_rejected &m) { rejectProposal(state, m, actions); },
                        [&](const read_outcome &m) { handleReadOutcome(state, m, actions); },
                        [&](const leadership_update &m) { changeLeadership(state, m, actions); },
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -216,6 +216,32 @@
     CHECK(*base::valueOf(decodeState(encodeState(*state.current))) == *state.current);
 }
 
+// Guards against reads that show an older state at a VM that can't decode the newest one.
+TEST(states, aReadIsRefusedUntilANewerStateCanBeDecoded)
+{
+    const auto read = [this](std::uint64_t request) {
+        give(get_state {requestOf(request)});
+        give(read_outcome {requestOf(request), std::nullopt});
+        return all<state_answer>().front().outcome;
+    };
+    put(5);
+    give(undecodable_state_committed {7});
+    const state_outcome refused = read(100);
+    CHECK(std::get<base::error>(refused).code == base::error_code::stateUndecodable);
+    // A version that the log has overtaken changes nothing, and is no cure.
+    give(submit_state {requestOf(6), stateOf(6)});
+    CHECK(all<propose_state>().empty());
+    give(state_committed {stateOf(6)});
+    CHECK(std::holds_alternative<base::error>(read(101)));
+    put(8);
+    CHECK(std::get<state_contents>(read(102)).state->version == 8);
+    // Not even the version can be decoded; a delayed copy of an overtaken one changes nothing.
+    give(undecodable_state_committed {3});
+    CHECK(std::holds_alternative<state_contents>(read(103)));
+    give(undecodable_state_committed {});
+    CHECK(std::holds_alternative<base::error>(read(104)));
+}
+
 TEST(states, encodedStatesDecodeToTheSameState)
 {
     const std::string document(100'000, 'x');
--- a/lycheeshunt/states/states_state.h
+++ b/lycheeshunt/states/states_state.h
@@ -18,6 +18,8 @@
 {
     // Null before the first.
     shared_state current;
+    // The highest version committed that this build can't decode.
+    std::uint64_t undecodableVersion = 0;
     std::map<std::uint64_t, pending_state> pending;
     std::map<base::request_id, pending_read> reads;
     std::uint64_t lastToken = 0;
@@ -25,6 +27,8 @@
         = std::make_shared<const leadership_update>();
 
     std::uint64_t currentVersion() const { return current ? current->version : 0; }
+    // Whether `current` is the newest state that the log has committed.
+    bool isCurrentNewest() const { return currentVersion() > undecodableVersion; }
 };
 
 } // namespace lycheeshunt::states
