Take the service of an agent from its settings alone

The other agents no longer asked it about flows, and it denied those that it was asked about, so a search looked complete without the agent whose server had the flow, and the entry reset the caller.

Change: server_status, server_restored and server_changed have no service any more. The flow thread, the member that nodes see and the log use the one in the settings.

Why it works: no message is left that takes an agent with open flows out of the members of its service.

--- a/lycheeshunt/daemon/agent_process.cpp
+++ b/lycheeshunt/daemon/agent_process.cpp
@@ -15,7 +15,7 @@
 agent_process::start(const settings::node_settings &settings, const settings::agent_settings &own,
                      const packets::packet_codec &codec, reply_sink reply)
 {
-    std::unique_ptr<agent_process> process(new agent_process());
+    std::unique_ptr<agent_process> process(new agent_process(own.service));
     agent_process *raw = process.get();
     const bool listens = static_cast<bool>(reply);
     const membership::member self {settings.name,
@@ -59,9 +59,9 @@
             });
     process->m_follower = std::make_unique<dissemination::follower>(
         settings.control, self, self.incarnation.value(),
-        [raw, self, name = own.service](const dissemination::shared_view &view) {
+        [raw, self](const dissemination::shared_view &view) {
             raw->m_flows->inbox().push(flows::view_update {view});
-            raw->restoreServer(*view, self, name);
+            raw->restoreServer(*view, self);
         },
         [raw](base::incarnation incarnation) {
             if (raw->m_servers)
@@ -72,7 +72,7 @@
 }
 
 void agent_process::restoreServer(const dissemination::cluster_view &view,
-                                  const membership::member &self, const std::string &service)
+                                  const membership::member &self)
 {
     const auto known = view.members.find(self.id());
     const auto definition = view.services.find(self.service);
@@ -81,8 +81,8 @@
         && !view.isDrained(known->second);
     m_isRestoreChecked = true;
     if (wasServing)
-        m_servers->inbox().tryPush(servers::server_restored {service, known->second.incarnation,
-                                                             definition->second.limits.slots});
+        m_servers->inbox().tryPush(
+            servers::server_restored {known->second.incarnation, definition->second.limits.slots});
 }
 
 // The status takes effect here at once and is published to the other VMs afterwards; until they
@@ -90,20 +90,19 @@
 void agent_process::handleServerStatus(const membership::member &self,
                                        const servers::server_status &status)
 {
-    const base::service_id service = base::serviceIdOf(status.service);
     m_isAccepting = status.isAccepting;
     m_port->setIncarnation(status.incarnation);
-    m_flows->inbox().push(flows::server_changed {service, status.incarnation, status.isAccepting,
+    m_flows->inbox().push(flows::server_changed {status.incarnation, status.isAccepting,
                                                  status.slots, status.startedBeforeAgent});
     const membership::member_phase phase = status.isAccepting ? membership::member_phase::serving
                                                               : membership::member_phase::draining;
     if (m_follower)
         m_follower->changeSelf(dissemination::self_changed {
-            membership::member {self.name, self.availabilityZone, self.role, service,
+            membership::member {self.name, self.availabilityZone, self.role, self.service,
                                 status.incarnation, self.packets, phase},
             !status.isServerStopping});
     base::logInfo("servers",
-                  "server of " + status.service
+                  "server of " + m_service
                       + (status.isAccepting            ? " serves"
                              : status.isServerStopping ? " has left"
                                                        : " drains")
@@ -116,7 +115,7 @@
     base::logWarning("servers", "announcement rejected: " + rejected.reason.text());
 }
 
-agent_process::agent_process() = default;
+agent_process::agent_process(std::string service) : m_service(std::move(service)) { }
 
 agent_process::~agent_process()
 {
--- a/lycheeshunt/daemon/agent_process.h
+++ b/lycheeshunt/daemon/agent_process.h
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace lycheeshunt::dissemination {
@@ -54,13 +55,14 @@
     bool isReady() const { return m_isAccepting; }
 
 private:
-    agent_process();
+    explicit agent_process(std::string service);
 
-    void restoreServer(const dissemination::cluster_view &view, const membership::member &self,
-                       const std::string &service);
+    void restoreServer(const dissemination::cluster_view &view, const membership::member &self);
     void handleServerStatus(const membership::member &self, const servers::server_status &status);
     void countRejection(const servers::reject_announcement &rejected);
 
+    // The service in the settings. An agent never changes its service.
+    const std::string m_service;
     // Accessed by the follower's thread only: only the first view can show an earlier incarnation.
     bool m_isRestoreChecked = false;
     std::atomic<bool> m_isAccepting = false;
--- a/lycheeshunt/flows/agent_fixture_test.h
+++ b/lycheeshunt/flows/agent_fixture_test.h
@@ -92,7 +92,7 @@
 
     void setServer(bool isAccepting, bool isOlder = false)
     {
-        apply(server_changed {logbook, base::incarnation(1), isAccepting, slots, isOlder});
+        apply(server_changed {base::incarnation(1), isAccepting, slots, isOlder});
     }
 
     // Load reports of the idle peers, so that they can be offered flows if they accept any.
--- a/lycheeshunt/flows/hedged_service_test.h
+++ b/lycheeshunt/flows/hedged_service_test.h
@@ -59,7 +59,7 @@
 
     void setServer(std::size_t agent, bool isAccepting)
     {
-        handle(agent, server_changed {logbook, base::incarnation(1), isAccepting, slots});
+        handle(agent, server_changed {base::incarnation(1), isAccepting, slots});
     }
 
     const base::flow_key &key() const { return *m_key; }
--- a/lycheeshunt/flows/internal/returned_packets.cpp
+++ b/lycheeshunt/flows/internal/returned_packets.cpp
@@ -311,14 +311,13 @@
 {
     flow_state &state = context.state;
     const agent_identity &self = *state.identity;
-    const bool isNewServer
-        = self.service != changed.service || self.incarnation != changed.incarnation;
+    const bool isNewServer = self.incarnation != changed.incarnation;
     state.server.isAccepting = changed.isAccepting;
     state.server.slots = changed.slots;
     state.server.isOlder = changed.isOlder;
     if (isNewServer || !state.placement) {
         state.identity = std::make_shared<const agent_identity>(agent_identity {
-            self.node, changed.service, changed.incarnation, self.packets, self.availabilityZone,
+            self.node, self.service, changed.incarnation, self.packets, self.availabilityZone,
             self.serverReturnsPackets, self.warmupSlack, self.reportsSpeed, self.reportsFailures});
         updateWarmupRate(context);
         state.serviceTime = placement::service_time {};
--- a/lycheeshunt/flows/opening_limit_test.cpp
+++ b/lycheeshunt/flows/opening_limit_test.cpp
@@ -215,7 +215,7 @@
     openMany(10);
     checkIn(20 * second);
     UNSIGNED_LONGS_EQUAL(0, openMany(10));
-    apply(server_changed {logbook, base::incarnation(2), true, slots, false});
+    apply(server_changed {base::incarnation(2), true, slots, false});
     checkIn(20 * second);
     UNSIGNED_LONGS_EQUAL(0, openMany(10));
     checkIn(20 * second, 2);
--- a/lycheeshunt/flows/request_queueing_test.cpp
+++ b/lycheeshunt/flows/request_queueing_test.cpp
@@ -154,7 +154,7 @@
         for (std::uint32_t i = 0; i < slots + 2; ++i)
             receiveFromServer(packets::ip_summary {keyOf(i), false, false, false, 500});
         UNSIGNED_LONGS_EQUAL(isConfigured ? 20 : 0, state->placement->ownLoad->serviceMillis);
-        apply(server_changed {logbook, base::incarnation(2), true, slots, false});
+        apply(server_changed {base::incarnation(2), true, slots, false});
         UNSIGNED_LONGS_EQUAL(0, state->placement->ownLoad->serviceMillis);
     }
 }
--- a/lycheeshunt/flows/restarted_service_test.h
+++ b/lycheeshunt/flows/restarted_service_test.h
@@ -72,7 +72,7 @@
 
     void setServerAge(std::size_t agent, bool isOlder)
     {
-        handle(agent, server_changed {logbook, base::incarnation(1), true, slots, isOlder});
+        handle(agent, server_changed {base::incarnation(1), true, slots, isOlder});
     }
 
     // The server beside this agent holds the flow.
--- a/lycheeshunt/flows/server_changed.h
+++ b/lycheeshunt/flows/server_changed.h
@@ -9,7 +9,6 @@
 // The current state of this agent's backend server, such as whether it accepts new flows.
 struct server_changed
 {
-    const base::service_id service;
     const base::incarnation incarnation;
     const bool isAccepting = false;
     const std::uint32_t slots = 0;
--- a/lycheeshunt/flows/upload_transfers_test.cpp
+++ b/lycheeshunt/flows/upload_transfers_test.cpp
@@ -44,7 +44,7 @@
 
 void setSlots(std::uint32_t count)
 {
-    apply(server_changed {logbook, base::incarnation(1), true, count, false});
+    apply(server_changed {base::incarnation(1), true, count, false});
 }
 
 void open(std::uint32_t flow)
--- a/lycheeshunt/servers/decision.cpp
+++ b/lycheeshunt/servers/decision.cpp
@@ -45,11 +45,8 @@
 {
     if (!state.current)
         return;
-    const server_status status {state.current->service,
-                                state.incarnation,
-                                !state.isUnavailable && !state.isAgentStopping,
-                                state.current->slots,
-                                state.startedBeforeAgent,
+    const server_status status {state.incarnation, !state.isUnavailable && !state.isAgentStopping,
+                                state.current->slots, state.startedBeforeAgent,
                                 state.isServerStopping};
     if (state.published && *state.published == status)
         return;
@@ -140,7 +137,7 @@
     state.restoredAt = now;
     state.isRestored = true;
     state.published = std::make_shared<const server_status>(
-        server_status {message.service, state.incarnation, true, message.slots, true});
+        server_status {state.incarnation, true, message.slots, true});
     actions.emplace_back(*state.published);
 }
 
@@ -150,8 +147,7 @@
 {
     state.isRestored = false;
     state.published = std::make_shared<const server_status>(
-        server_status {state.published->service, state.published->incarnation, false,
-                       state.published->slots, true});
+        server_status {state.published->incarnation, false, state.published->slots, true});
     actions.emplace_back(*state.published);
 }
 
--- a/lycheeshunt/servers/decision_test.cpp
+++ b/lycheeshunt/servers/decision_test.cpp
@@ -141,7 +141,7 @@
 {
     announce(announcementOf("i-1", 5, 1), 0);
     checkIsRejected(announcementOf("i-1", 5, 2, false, "nobody"), 100);
-    STRCMP_EQUAL("logbook", state.published->service.c_str());
+    STRCMP_EQUAL("logbook", state.current->service.c_str());
 }
 
 // Guards against requests that are run by a server of another service: an announcement of another
@@ -173,7 +173,7 @@
 // announcement of another service must not take its place.
 TEST(servers, anAnnouncementOfAnotherServiceDoesNotReplaceARestoredStatus)
 {
-    deliver(server_restored {"logbook", base::incarnation(300), slots}, 0);
+    deliver(server_restored {base::incarnation(300), slots}, 0);
     checkIsRejected(announcementOf("i-9", 900, 1, false, "inspect"), 100);
     CHECK(isAccepting());
     deliver(servers_tick {}, 2600);
@@ -258,7 +258,7 @@
 // first announcement of a server that has just started.
 TEST(servers, aRestoredServerIsOlderThanItsAgentAfterItsFirstAnnouncement)
 {
-    deliver(server_restored {"logbook", base::incarnation(300), slots}, 0);
+    deliver(server_restored {base::incarnation(300), slots}, 0);
     CHECK(state.published->startedBeforeAgent);
     announce(announcementOf("i-1", 5, 2), 1000);
     CHECK(state.published->startedBeforeAgent);
@@ -282,7 +282,7 @@
 
 TEST(servers, aStatusRestoredFromTheViewAppliesUntilTheFirstAnnouncement)
 {
-    deliver(server_restored {"logbook", base::incarnation(300), slots}, 0);
+    deliver(server_restored {base::incarnation(300), slots}, 0);
     CHECK(isAccepting());
     CHECK_EQUAL(301U, state.published->incarnation.value());
     announce(announcementOf("i-1", 5, 90), 1000);
@@ -293,14 +293,14 @@
 
 TEST(servers, aRestoredServerThatDrainsGetsNoNewFlows)
 {
-    deliver(server_restored {"logbook", base::incarnation(300), slots}, 0);
+    deliver(server_restored {base::incarnation(300), slots}, 0);
     announce(announcementOf("i-1", 5, 90, true), 1000);
     CHECK_FALSE(isAccepting());
 }
 
 TEST(servers, aRestoredServerWithoutAnnouncementsExpires)
 {
-    deliver(server_restored {"logbook", base::incarnation(300), slots}, 0);
+    deliver(server_restored {base::incarnation(300), slots}, 0);
     deliver(servers_tick {}, 2500);
     CHECK(isAccepting());
     deliver(servers_tick {}, 2600);
@@ -314,7 +314,7 @@
 TEST(servers, anAnnouncedServerIsNotRestoredFromTheView)
 {
     announce(announcementOf("i-1", 5, 2, true), 0);
-    deliver(server_restored {"logbook", base::incarnation(300), slots}, 10);
+    deliver(server_restored {base::incarnation(300), slots}, 10);
     CHECK_FALSE(isAccepting());
 }
 
--- a/lycheeshunt/servers/server_restored.h
+++ b/lycheeshunt/servers/server_restored.h
@@ -3,14 +3,12 @@
 #include "lycheeshunt/base/identifiers.h"
 
 #include <cstdint>
-#include <string>
 
 namespace lycheeshunt::servers {
 
 // The view contains an earlier incarnation of this agent whose backend server was serving.
 struct server_restored
 {
-    const std::string service;
     // The agent's earlier incarnation.
     const base::incarnation incarnation;
     const std::uint32_t slots = 0;
--- a/lycheeshunt/servers/server_status.h
+++ b/lycheeshunt/servers/server_status.h
@@ -3,14 +3,12 @@
 #include "lycheeshunt/base/identifiers.h"
 
 #include <cstdint>
-#include <string>
 
 namespace lycheeshunt::servers {
 
 // The current status of an agent's backend server.
 struct server_status
 {
-    const std::string service;
     // Of the agent; greater for each incarnation of the server.
     const base::incarnation incarnation;
     const bool isAccepting = false;
