--- a/lycheeshunt/ctl/main.cpp
+++ b/lycheeshunt/ctl/main.cpp
@@ -1,5 +1,6 @@
 // lycheeshuntctl: the operators' command-line client.
 
+#include "lycheeshunt/base/build_identity.h"
 #include "lycheeshunt/ctl/control_client.h"
 #include "lycheeshunt/ctl/explain.h"
 #include "lycheeshunt/ctl/report.h"
@@ -149,6 +150,7 @@
 {
     options given;
     CLI::App app("lycheeshuntctl: operators' client of lycheeshunt");
+    app.set_version_flag("--version", "sources " + std::string(base::sourceDigest()));
     app.require_subcommand(1);
     app.footer(examples);
     app.add_option("--server", given.servers, "API address of a control VM; may be repeated");
--- a/lycheeshunt/daemon/main.cpp
+++ b/lycheeshunt/daemon/main.cpp
@@ -1,5 +1,6 @@
 // lycheeshuntd: an entry, agent or control process, as its settings say.
 
+#include "lycheeshunt/base/build_identity.h"
 #include "lycheeshunt/base/fault.h"
 #include "lycheeshunt/base/log.h"
 #include "lycheeshunt/base/overloaded.h"
@@ -40,7 +41,7 @@
         base::logError("daemon", failure->text());
         return startFailed;
     }
-    base::logInfo("daemon", "started");
+    base::logInfo("daemon", "started, sources " + std::string(base::sourceDigest()));
     daemon::settings_watch watch(path, settings);
     while (signals.wait(settingsPollInterval) != daemon::process_signal::stop)
         watch.poll();
@@ -81,6 +82,7 @@
     bool checkOnly = false;
     app.add_option("--config", path, "settings file (TOML)")->required();
     app.add_flag("--check", checkOnly, "check the settings and start nothing");
+    app.set_version_flag("--version", "sources " + std::string(base::sourceDigest()));
     CLI11_PARSE(app, argc, argv);
 
     const base::result<settings::node_settings> settings = settings::readSettings(path);
