Build submitted states on the log of earlier leaders

Cause: the state thread learned of the leadership before the states that had been committed before it, which pass the thread of the tickets. A state that was submitted in between was built on an older one and lost the former services of its routes, so that an entry without a hint asked too few services.

Change: until the first read of a leadership is confirmed, a submission waits for a read, which comes behind all earlier entries. Reads that wait at the end of a leadership are answered at once, so that their confirmation can't count for a later one.

Why it works: a read is confirmed only once an entry of the own term is committed, and its outcome takes the same rings as the entries.

Evidence: states aStateSubmittedToANewLeaderIsBuiltOnTheStatesBeforeItsLeadership, aSubmissionThatTheLogHasOvertakenMeanwhileChangesNothing and aReadOfAnEarlierLeadershipDoesNotMakeThePresentOneCurrent failed before, with the wait taken out.

--- a/lycheeshunt/states/decision.cpp
+++ b/lycheeshunt/states/decision.cpp
@@ -24,18 +24,10 @@
     return base::error {base::error_code::quorumLost, "no leader is known"};
 }
 
-void submit(states_state &state, const submit_state &message, action_list &actions)
+// Precondition: this VM leads, is caught up, and the version is above the current one.
+void propose(states_state &state, const submit_state &message, action_list &actions)
 {
-    if (!state.leadership->isLeader) {
-        answer(actions, message.request, notLeaderOutcome(state));
-        return;
-    }
     const std::uint64_t version = message.state->version;
-    if (version <= std::max(state.currentVersion(), state.undecodableVersion)) {
-        state.reads.emplace(message.request, version);
-        actions.emplace_back(confirm_read {message.request});
-        return;
-    }
     const auto proposed = state.pending.find(version);
     if (proposed == state.pending.end()) {
         const shared_state latest
@@ -55,6 +47,24 @@
     state.pending.emplace(version, joined);
 }
 
+void submit(states_state &state, const submit_state &message, action_list &actions)
+{
+    if (!state.leadership->isLeader) {
+        answer(actions, message.request, notLeaderOutcome(state));
+        return;
+    }
+    const std::uint64_t version = message.state->version;
+    if (version <= std::max(state.currentVersion(), state.undecodableVersion)) {
+        state.reads.emplace(message.request, version);
+        actions.emplace_back(confirm_read {message.request});
+    } else if (!state.isCaughtUp) {
+        state.reads.emplace(message.request, message);
+        actions.emplace_back(confirm_read {message.request});
+    } else {
+        propose(state, message, actions);
+    }
+}
+
 void getState(states_state &state, const get_state &message, action_list &actions)
 {
     if (!state.leadership->isLeader) {
@@ -97,6 +107,17 @@
     state.pending.erase(found);
 }
 
+void showState(const states_state &state, const get_state &read, action_list &actions)
+{
+    if (state.current && !state.isCurrentNewest())
+        answer(actions, read.request,
+               base::error {base::error_code::stateUndecodable,
+                            "version " + std::to_string(state.undecodableVersion)
+                                + " is above version " + std::to_string(state.currentVersion())});
+    else
+        answer(actions, read.request, state_contents {state.current});
+}
+
 void handleReadOutcome(states_state &state, const read_outcome &message, action_list &actions)
 {
     const auto found = state.reads.find(message.request);
@@ -104,17 +125,18 @@
         return;
     const pending_read pending = found->second;
     state.reads.erase(found);
-    if (message.failure)
+    if (message.failure) {
         answer(actions, message.request, *message.failure);
-    else if (!std::holds_alternative<get_state>(pending))
-        answer(actions, message.request, state_accepted {});
-    else if (state.current && !state.isCurrentNewest())
-        answer(actions, message.request,
-               base::error {base::error_code::stateUndecodable,
-                            "version " + std::to_string(state.undecodableVersion)
-                                + " is above version " + std::to_string(state.currentVersion())});
-    else
-        answer(actions, message.request, state_contents {state.current});
+        return;
+    }
+    // Reads of an earlier leadership were removed at its end.
+    state.isCaughtUp = true;
+    std::visit(base::overloaded {
+                   [&](const get_state &read) { showState(state, read, actions); },
+                   [&](std::uint64_t) { answer(actions, message.request, state_accepted {}); },
+                   [&](const submit_state &submitted) { submit(state, submitted, actions); },
+               },
+               pending);
 }
 
 void changeLeadership(states_state &state, const leadership_update &message, action_list &actions)
@@ -123,6 +145,11 @@
     state.leadership = std::make_shared<const leadership_update>(message);
     if (!ends)
         return;
+    state.isCaughtUp = false;
+    // Nothing was proposed for these, so the new leader may take them.
+    for (auto it = state.reads.begin(); it != state.reads.end(); ++it)
+        answer(actions, it->first, notLeaderOutcome(state));
+    state.reads.clear();
     for (auto it = state.pending.begin(); it != state.pending.end(); ++it) {
         for (const base::request_id &request : it->second.waiting)
             answer(actions, request,
--- a/lycheeshunt/states/decision_test.cpp
+++ b/lycheeshunt/states/decision_test.cpp
@@ -42,6 +42,9 @@
     void setup() override
     {
         give(leadership_update {true, leaderApi});
+        // The first confirmed read shows that the log of earlier leaders has been applied.
+        give(get_state {requestOf(999)});
+        give(read_outcome {requestOf(999)});
     }
 
     void give(const state_message &message)
@@ -172,6 +175,59 @@
     CHECK_EQUAL(5U, state.currentVersion());
 }
 
+// Guards against resets of open flows (review case 8): a state that is submitted to a new leader
+// before it has applied its log was built on an older one, and lost the former services of its
+// routes.
+TEST(states, aStateSubmittedToANewLeaderIsBuiltOnTheStatesBeforeItsLeadership)
+{
+    state = states_state {};
+    give(leadership_update {true, leaderApi});
+    give(submit_state {requestOf(1), stateOf(9, inspect)});
+    CHECK(all<propose_state>().empty());
+    CHECK_EQUAL(1U, all<confirm_read>().size());
+    // The entries of earlier leaders reach this duty later than the leadership.
+    give(state_committed {stateOf(7, logbook)});
+    give(read_outcome {requestOf(1)});
+    const propose_state proposed = all<propose_state>().front();
+    CHECK(proposed.state->routes.front().former == std::vector<base::service_id> {logbook});
+    // From now on a submission needs no read.
+    give(submit_state {requestOf(2), stateOf(10, inspect)});
+    CHECK_EQUAL(1U, all<propose_state>().size());
+    give(state_committed {proposed.state});
+    CHECK(isAccepted(1));
+}
+
+TEST(states, aSubmissionThatTheLogHasOvertakenMeanwhileChangesNothing)
+{
+    state = states_state {};
+    give(leadership_update {true, leaderApi});
+    give(submit_state {requestOf(1), stateOf(6, inspect)});
+    give(state_committed {stateOf(7, logbook)});
+    give(read_outcome {requestOf(1)});
+    CHECK(all<propose_state>().empty());
+    give(read_outcome {requestOf(1)});
+    CHECK(isAccepted(1));
+    CHECK(*state.current == *stateOf(7, logbook));
+}
+
+// Guards against the same fault at a VM that leads again: a read that was confirmed in its earlier
+// leadership says nothing of the states committed between the two.
+TEST(states, aReadOfAnEarlierLeadershipDoesNotMakeThePresentOneCurrent)
+{
+    give(submit_state {requestOf(1), stateOf(5)});
+    give(get_state {requestOf(2)});
+    give(leadership_update {false, leaderApi});
+    // No request waits for the end of another VM's leadership.
+    CHECK_EQUAL(2U, all<state_answer>().size());
+    give(leadership_update {true, leaderApi});
+    give(read_outcome {requestOf(2)});
+    CHECK(all<state_answer>().empty());
+    give(submit_state {requestOf(3), stateOf(9, inspect)});
+    CHECK(all<propose_state>().empty());
+    give(read_outcome {requestOf(3), base::error {base::error_code::quorumLost, ""}});
+    CHECK(std::holds_alternative<base::error>(all<state_answer>().front().outcome));
+}
+
 TEST(states, aRejectedProposalMayBeRetried)
 {
     give(submit_state {requestOf(1), stateOf(5)});
